Lay the skeleton: kernel types, rpc, settings, daemon runtime and checks

Cause: nothing existed. Four lanes of work need shared types before they can go side by side. Ruled out: a single package (lanes would meet in the same files); protoc with a native binary (@grpc/proto-loader needs no generator at build time, its generated types are committed). Conclusion: the kernel holds ids, result codes and ports; each feature is a package on top of it.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,26 @@
+import eslint from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/generated/**', 'node_modules/**', 'eslint.config.js'] },
+  eslint.configs.recommended,
+  tseslint.configs.strictTypeChecked,
+  tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/consistent-type-imports': [
+        'error',
+        { fixStyle: 'separate-type-imports' },
+      ],
+      '@typescript-eslint/consistent-type-exports': 'error',
+      '@typescript-eslint/no-import-type-side-effects': 'error',
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        { allowNumber: true, allowBoolean: true },
+      ],
+    },
+  },
+);
--- /dev/null
+++ b/packages/contracts/src/index.ts
@@ -0,0 +1,3 @@
+export type * from './ContractConfigurationView.js';
+export * from './ContractKeys.js';
+export * from './ContractSchema.js';
--- /dev/null
+++ b/packages/daemon/src/DaemonHealth.ts
@@ -0,0 +1,108 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+
+/** Stage in the life of a daemon. */
+export type DaemonStage = 'draining' | 'ready' | 'starting';
+
+/** Answers what the health checks did not take. */
+export type HttpHandler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** Options of {@link startHttpServer}. */
+export interface HttpServerOptions {
+  /** Host and port; port 0 lets the system choose. */
+  readonly address: string;
+  /** Requests other than `/healthz` and `/readyz`; without it they get 404. */
+  readonly handler?: HttpHandler;
+  readonly stage: () => DaemonStage;
+}
+
+/** A running HTTP server. */
+export interface HttpServer {
+  readonly address: string;
+  /** Takes no new connections and closes idle ones; resolves when the last one has ended. */
+  drain(): Promise<void>;
+  /** Closes every connection. */
+  destroy(): void;
+}
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const HEADERS_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+const MAX_HEADERS = 100;
+
+/**
+ * Starts the HTTP server of a daemon. `/healthz` answers 200 while the process works; `/readyz`
+ * answers 200 only while the daemon takes new work.
+ *
+ * @param options - address, stage and further handler
+ * @returns the running server
+ * @throws when the address cannot be bound
+ */
+export async function startHttpServer(options: HttpServerOptions): Promise<HttpServer> {
+  const server = createServer(
+    {
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      noDelay: true,
+      requestTimeout: 0,
+    },
+    (request, response) => {
+      if (answerHealth(request, response, options.stage())) {
+        return;
+      }
+      if (options.handler) {
+        options.handler(request, response);
+        return;
+      }
+      response.writeHead(404).end();
+    },
+  );
+  server.maxHeadersCount = MAX_HEADERS;
+  const address = await listen(server, options.address);
+  return {
+    address,
+    destroy: () => {
+      server.closeAllConnections();
+    },
+    drain: () =>
+      new Promise((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeIdleConnections();
+      }),
+  };
+}
+
+function answerHealth(
+  request: IncomingMessage,
+  response: ServerResponse,
+  stage: DaemonStage,
+): boolean {
+  if (request.url === '/healthz') {
+    response.writeHead(200, { 'content-type': 'text/plain' }).end(`${stage}\n`);
+    return true;
+  }
+  if (request.url === '/readyz') {
+    const status = stage === 'ready' ? 200 : 503;
+    response.writeHead(status, { 'content-type': 'text/plain' }).end(`${stage}\n`);
+    return true;
+  }
+  return false;
+}
+
+function listen(server: Server, address: string): Promise<string> {
+  const separator = address.lastIndexOf(':');
+  const host = address.slice(0, separator);
+  const port = Number(address.slice(separator + 1));
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({ host: host.replace(/^\[|\]$/g, ''), port }, () => {
+      server.off('error', reject);
+      const bound = server.address();
+      const boundPort = typeof bound === 'object' && bound ? bound.port : port;
+      resolve(`${host}:${boundPort}`);
+    });
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/DaemonProgram.ts
@@ -0,0 +1,159 @@
+import type { DaemonSettings } from '@laburnumgap/settings';
+import { formatDocumentProblem, loadSettingsFile } from '@laburnumgap/settings';
+import type { DecisionLog, Log, Metrics } from '@laburnumgap/telemetry';
+import { NO_METRICS, createDecisionLog, createLog, createMetrics } from '@laburnumgap/telemetry';
+import sade from 'sade';
+import type { ZodType } from 'zod';
+import type { ActorSystem } from './DaemonActor.js';
+import { createActorSystem } from './DaemonActor.js';
+import type { DaemonStage } from './DaemonHealth.js';
+
+/** Exit code after a graceful shutdown. */
+export const EXIT_OK = 0;
+/** Exit code after a failure at run time, or a shutdown that missed its bound. */
+export const EXIT_FAILED = 1;
+/** Exit code for settings or arguments that are wrong. */
+export const EXIT_USAGE = 2;
+
+/** What a daemon's start function works with. */
+export interface DaemonContext<Settings extends DaemonSettings> {
+  readonly actors: ActorSystem;
+  readonly decisions: DecisionLog;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly settings: Settings;
+  /** Current stage; `ready` is set once the start function has returned. */
+  stage(): DaemonStage;
+}
+
+/** A started daemon. */
+export interface StartedDaemon {
+  /** Addresses for the log, by name. */
+  readonly addresses: Readonly<Record<string, string>>;
+  /** Called on SIGTERM: hands over, lets running work end, flushes. */
+  drain(): Promise<void>;
+}
+
+/** A daemon program. */
+export interface DaemonProgram<Settings extends DaemonSettings> {
+  readonly description: string;
+  readonly name: string;
+  readonly schema: ZodType<Settings>;
+  readonly version: string;
+  start(context: DaemonContext<Settings>): Promise<StartedDaemon>;
+}
+
+/**
+ * Runs a daemon's command line: `--settings FILE` starts it, `check-settings` only checks.
+ *
+ * @param program - the daemon
+ * @param argv - the arguments, as in `process.argv`
+ */
+export function runDaemonProgram<Settings extends DaemonSettings>(
+  program: DaemonProgram<Settings>,
+  argv: string[] = process.argv,
+): void {
+  const cli = sade(program.name)
+    .version(program.version)
+    .describe(program.description)
+    .option('--settings', 'Path of the YAML settings file');
+  cli
+    .command('run', 'Start the daemon', { default: true })
+    .action(async (options: { settings?: string }) => {
+      const settings = await settingsOrExit(program, options.settings);
+      await runUntilSignal(program, settings);
+    });
+  cli
+    .command('check-settings', 'Check the settings file and exit')
+    .action(async (options: { settings?: string }) => {
+      await settingsOrExit(program, options.settings);
+      process.stdout.write('settings are valid\n');
+    });
+  cli.parse(argv, {
+    unknown: (flag: string) => `Unknown option: ${flag}`,
+  });
+}
+
+async function settingsOrExit<Settings extends DaemonSettings>(
+  program: DaemonProgram<Settings>,
+  file: string | undefined,
+): Promise<Settings> {
+  if (file === undefined) {
+    process.stderr.write(`${program.name}: --settings FILE is required\n`);
+    process.exit(EXIT_USAGE);
+  }
+  const loaded = await loadSettingsFile(file, program.schema);
+  if (loaded.ok) {
+    return loaded.value;
+  }
+  for (const problem of loaded.error) {
+    process.stderr.write(`${formatDocumentProblem(problem)}\n`);
+  }
+  process.exit(EXIT_USAGE);
+}
+
+async function runUntilSignal<Settings extends DaemonSettings>(
+  program: DaemonProgram<Settings>,
+  settings: Settings,
+): Promise<void> {
+  const log = createLog({ fields: { member: settings.member.id }, level: settings.log.level });
+  const actors = createActorSystem(log);
+  const metrics = metricsOf(settings, program.name);
+  let stage: DaemonStage = 'starting';
+  const context: DaemonContext<Settings> = {
+    actors,
+    decisions: createDecisionLog({ log }),
+    log,
+    metrics,
+    settings,
+    stage: () => stage,
+  };
+  let started: StartedDaemon;
+  try {
+    started = await program.start(context);
+  } catch (error) {
+    log.error('startFailed', { detail: error instanceof Error ? error.message : String(error) });
+    process.exit(EXIT_FAILED);
+  }
+  stage = 'ready';
+  log.info('listening', { ...started.addresses });
+
+  const shutDown = (signal: string): void => {
+    if (stage === 'draining') {
+      return;
+    }
+    stage = 'draining';
+    log.info('draining', { boundMs: settings.shutdown.boundMs, signal });
+    const bound = setTimeout(() => {
+      log.error('shutdownBoundMissed', { boundMs: settings.shutdown.boundMs });
+      process.exit(EXIT_FAILED);
+    }, settings.shutdown.boundMs);
+    void started.drain().then(
+      () => {
+        clearTimeout(bound);
+        metrics.close();
+        actors.stop();
+        log.info('stopped');
+        process.exit(EXIT_OK);
+      },
+      (error: unknown) => {
+        log.error('drainFailed', { detail: String(error) });
+        process.exit(EXIT_FAILED);
+      },
+    );
+  };
+  process.on('SIGTERM', shutDown);
+  process.on('SIGINT', shutDown);
+}
+
+function metricsOf(settings: DaemonSettings, program: string): Metrics {
+  if (!settings.metrics) {
+    return NO_METRICS;
+  }
+  const separator = settings.metrics.address.lastIndexOf(':');
+  return createMetrics({
+    host: settings.metrics.address.slice(0, separator),
+    port: Number(settings.metrics.address.slice(separator + 1)),
+    tags: { member: settings.member.id, program },
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,3 @@
+export * from './DaemonActor.js';
+export * from './DaemonHealth.js';
+export * from './DaemonProgram.js';
--- /dev/null
+++ b/packages/kernel/src/KernelResultCodes.ts
@@ -0,0 +1,250 @@
+/**
+ * Numbered result codes: the single table behind every refusal, error answer and log line.
+ * Codes are stable; a code that is no longer used is never given to another meaning.
+ */
+
+/** Whether the request behind an answer has run. */
+export type RunState = 'complete' | 'may_have_run' | 'not_run' | 'partial';
+
+/** One row of the table. */
+export interface ResultCodeRow {
+  /** Stable number, shown to callers and in logs. */
+  readonly code: number;
+  /** What it means for the caller. */
+  readonly description: string;
+  /** HTTP status of the answer that carries it. */
+  readonly httpStatus: number;
+  /** Whether the request has run. */
+  readonly run: RunState;
+}
+
+/** All result codes by name, in order of their numbers. */
+export const RESULT_CODES = {
+  OK: {
+    code: 1000,
+    description: 'The request was answered completely.',
+    httpStatus: 200,
+    run: 'complete',
+  },
+  MALFORMED_REQUEST: {
+    code: 2001,
+    description: 'The body, a header or the path could not be read.',
+    httpStatus: 400,
+    run: 'not_run',
+  },
+  REQUEST_TOO_LARGE: {
+    code: 2002,
+    description: 'The body or the headers exceed the size limit.',
+    httpStatus: 413,
+    run: 'not_run',
+  },
+  UNKNOWN_PATH: {
+    code: 2003,
+    description: 'No such path, or the method is not supported on it.',
+    httpStatus: 404,
+    run: 'not_run',
+  },
+  UNKNOWN_MODEL: {
+    code: 2004,
+    description: 'The contract names no such model.',
+    httpStatus: 404,
+    run: 'not_run',
+  },
+  UNKNOWN_SERVICE: {
+    code: 2005,
+    description: 'The contract names no such service or call.',
+    httpStatus: 404,
+    run: 'not_run',
+  },
+  BODY_TIMEOUT: {
+    code: 2006,
+    description: 'The body did not arrive in time.',
+    httpStatus: 408,
+    run: 'not_run',
+  },
+  KEY_MISSING: { code: 2101, description: 'No API key was sent.', httpStatus: 401, run: 'not_run' },
+  KEY_REJECTED: {
+    code: 2102,
+    description: 'The API key is unknown or revoked.',
+    httpStatus: 401,
+    run: 'not_run',
+  },
+  NOT_YOURS: {
+    code: 2103,
+    description: 'The request or generation belongs to another team.',
+    httpStatus: 403,
+    run: 'not_run',
+  },
+  IDEMPOTENCY_KEY_MISSING: {
+    code: 2201,
+    description: 'The call may run only once and carries no Idempotency-Key.',
+    httpStatus: 400,
+    run: 'not_run',
+  },
+  IDEMPOTENCY_KEY_INVALID: {
+    code: 2202,
+    description: 'The Idempotency-Key is not a UUIDv7.',
+    httpStatus: 400,
+    run: 'not_run',
+  },
+  IDEMPOTENCY_KEY_EXPIRED: {
+    code: 2203,
+    description: 'The Idempotency-Key is older than the retention window.',
+    httpStatus: 409,
+    run: 'not_run',
+  },
+  IDEMPOTENCY_KEY_IN_FUTURE: {
+    code: 2204,
+    description: 'The Idempotency-Key is stamped too far in the future.',
+    httpStatus: 400,
+    run: 'not_run',
+  },
+  IDEMPOTENCY_KEY_REUSED: {
+    code: 2205,
+    description: 'The Idempotency-Key was used with another body or call; this body was not run.',
+    httpStatus: 422,
+    run: 'not_run',
+  },
+  CLAIM_STILL_RUNNING: {
+    code: 2206,
+    description: 'A call with this Idempotency-Key is still running.',
+    httpStatus: 409,
+    run: 'may_have_run',
+  },
+  RATE_LIMITED: {
+    code: 3001,
+    description: 'The team is at the request rate of its contract.',
+    httpStatus: 429,
+    run: 'not_run',
+  },
+  CONCURRENCY_LIMITED: {
+    code: 3002,
+    description: 'The team is at the concurrency of its contract.',
+    httpStatus: 429,
+    run: 'not_run',
+  },
+  TOKEN_BUDGET_EXHAUSTED: {
+    code: 3003,
+    description: 'The team is at the token rate of its contract.',
+    httpStatus: 429,
+    run: 'not_run',
+  },
+  QUEUE_WAIT_TOO_LONG: {
+    code: 3004,
+    description: 'The expected wait exceeds the waiting bound of the contract.',
+    httpStatus: 503,
+    run: 'not_run',
+  },
+  DRAINING: {
+    code: 3005,
+    description: 'This daemon is shutting down and takes no new work.',
+    httpStatus: 503,
+    run: 'not_run',
+  },
+  NO_ENGINE: {
+    code: 4001,
+    description: 'No engine that serves the model can be reached.',
+    httpStatus: 503,
+    run: 'not_run',
+  },
+  NO_SERVER: {
+    code: 4002,
+    description: 'No backend server of the service can be reached.',
+    httpStatus: 503,
+    run: 'not_run',
+  },
+  PLATFORM_UNAVAILABLE: {
+    code: 4003,
+    description: 'The claim could not be recorded: the platform service is unavailable.',
+    httpStatus: 503,
+    run: 'not_run',
+  },
+  CLAIM_UNAVAILABLE: {
+    code: 4004,
+    description: 'No ledger could be reached; the call was not sent.',
+    httpStatus: 503,
+    run: 'not_run',
+  },
+  DEADLINE_BEFORE_RUN: {
+    code: 4005,
+    description: 'The waiting bound passed before the request could run.',
+    httpStatus: 503,
+    run: 'not_run',
+  },
+  OUTCOME_UNKNOWN: {
+    code: 5001,
+    description: 'The call was sent and its outcome is not known; it will not be sent again.',
+    httpStatus: 502,
+    run: 'may_have_run',
+  },
+  GENERATION_ENDED_EARLY: {
+    code: 5002,
+    description: 'The generation could not be continued; the tokens delivered so far are valid.',
+    httpStatus: 502,
+    run: 'partial',
+  },
+  GENERATION_UNKNOWN: {
+    code: 5003,
+    description: 'No generation with this request id can be resumed.',
+    httpStatus: 404,
+    run: 'may_have_run',
+  },
+  UPSTREAM_FAILED: {
+    code: 5004,
+    description: 'The backend server failed an idempotent call on every attempt.',
+    httpStatus: 502,
+    run: 'may_have_run',
+  },
+  ATTEMPT_SUPERSEDED: {
+    code: 5005,
+    description: 'A newer attempt of the same request has taken over this stream.',
+    httpStatus: 409,
+    run: 'partial',
+  },
+  INTERNAL: {
+    code: 5999,
+    description: 'An internal invariant failed; see the log for its number.',
+    httpStatus: 500,
+    run: 'may_have_run',
+  },
+} as const satisfies Record<string, ResultCodeRow>;
+
+/** Name of a result code. */
+export type ResultCodeName = keyof typeof RESULT_CODES;
+
+/** A refusal or error answer as callers and daemons exchange it. */
+export interface Refusal {
+  /** Name of the result code. */
+  readonly code: ResultCodeName;
+  /** What happened, for people. Holds no secret. */
+  readonly detail: string;
+  readonly kind: 'refusal';
+  /** When to come back; absent where coming back does not help. */
+  readonly retryAfterMs?: number;
+}
+
+/**
+ * Builds a refusal.
+ *
+ * @param code - name of the result code
+ * @param detail - explanation for people
+ * @param retryAfterMs - when to come back, if coming back helps
+ * @returns the refusal
+ */
+export function refusal(code: ResultCodeName, detail: string, retryAfterMs?: number): Refusal {
+  if (retryAfterMs === undefined) {
+    return { code, detail, kind: 'refusal' };
+  }
+  return { code, detail, kind: 'refusal', retryAfterMs };
+}
+
+/**
+ * Finds a result code's name by its number.
+ *
+ * @param code - the number
+ * @returns the name, or undefined for a number that is not in the table
+ */
+export function resultCodeNameOf(code: number): ResultCodeName | undefined {
+  const names = Object.keys(RESULT_CODES) as ResultCodeName[];
+  return names.find((name) => RESULT_CODES[name].code === code);
+}
--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,12 @@
+export type * from './KernelClock.js';
+export * from './KernelCommands.js';
+export * from './KernelDecision.js';
+export type * from './KernelEngine.js';
+export * from './KernelIds.js';
+export * from './KernelInvariant.js';
+export type * from './KernelMembership.js';
+export type * from './KernelPlatformStore.js';
+export * from './KernelPluginRegistry.js';
+export * from './KernelResult.js';
+export * from './KernelResultCodes.js';
+export type * from './KernelVmList.js';
--- /dev/null
+++ b/packages/rpc/src/RpcServer.ts
@@ -0,0 +1,103 @@
+import { timingSafeEqual } from 'node:crypto';
+import type { ServerInterceptor, UntypedServiceImplementation, Metadata } from '@grpc/grpc-js';
+import {
+  Server,
+  ServerCredentials,
+  ServerInterceptingCall,
+  ServerListenerBuilder,
+  status,
+} from '@grpc/grpc-js';
+import { RPC_SECRET_HEADER, RPC_SERVER_CHANNEL_OPTIONS } from './RpcConstants.js';
+import type { RpcServiceName } from './RpcDefinitions.js';
+import { RPC_SERVICES } from './RpcDefinitions.js';
+
+/** Handlers of the services a process offers. */
+export type RpcHandlers = Partial<Record<RpcServiceName, UntypedServiceImplementation>>;
+
+/** Options of {@link startRpcServer}. */
+export interface RpcServerOptions {
+  /** Host and port; port 0 lets the system choose. */
+  readonly address: string;
+  readonly handlers: RpcHandlers;
+  /** Calls that do not carry the secret are refused. */
+  readonly secret: string;
+}
+
+/** A running gRPC server. */
+export interface RpcServer {
+  /** Host and port it listens on. */
+  readonly address: string;
+  /** Ends running calls and closes the port. */
+  close(): void;
+  /** Takes no new calls and waits for running ones. */
+  drain(): Promise<void>;
+}
+
+/**
+ * Starts a gRPC server whose calls all need the peer secret.
+ *
+ * @param options - address, handlers and secret
+ * @returns the running server
+ * @throws when the address cannot be bound
+ */
+export async function startRpcServer(options: RpcServerOptions): Promise<RpcServer> {
+  const server = new Server({
+    ...RPC_SERVER_CHANNEL_OPTIONS,
+    interceptors: [secretInterceptor(options.secret)],
+  });
+  for (const [name, handlers] of Object.entries(options.handlers)) {
+    server.addService(RPC_SERVICES[name as RpcServiceName].service, handlers);
+  }
+  const host = options.address.slice(0, options.address.lastIndexOf(':'));
+  const port = await bind(server, options.address);
+  return {
+    address: `${host}:${port}`,
+    close: () => {
+      server.forceShutdown();
+    },
+    drain: () =>
+      new Promise((resolve) => {
+        server.tryShutdown(() => {
+          resolve();
+        });
+      }),
+  };
+}
+
+function bind(server: Server, address: string): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.bindAsync(address, ServerCredentials.createInsecure(), (error, port) => {
+      if (error) {
+        reject(error);
+        return;
+      }
+      resolve(port);
+    });
+  });
+}
+
+function secretInterceptor(secret: string): ServerInterceptor {
+  return (_method, call) => {
+    const listener = new ServerListenerBuilder()
+      .withOnReceiveMetadata((metadata, next) => {
+        if (hasSecret(metadata, secret)) {
+          next(metadata);
+          return;
+        }
+        call.sendStatus({ code: status.UNAUTHENTICATED, details: 'peer secret missing or wrong' });
+      })
+      .build();
+    return new ServerInterceptingCall(call, {
+      start: (next) => {
+        next(listener);
+      },
+    });
+  };
+}
+
+function hasSecret(metadata: Metadata, secret: string): boolean {
+  const [given] = metadata.get(RPC_SECRET_HEADER);
+  const expected = Buffer.from(secret);
+  const actual = Buffer.from(given ?? '');
+  return actual.length === expected.length && timingSafeEqual(actual, expected);
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,3 @@
+export * from './SettingsDocument.js';
+export * from './SettingsFile.js';
+export * from './SettingsSchema.js';
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,3 @@
+export * from './TelemetryDecisionLog.js';
+export * from './TelemetryLog.js';
+export * from './TelemetryMetrics.js';
