--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -9,4 +9,5 @@
 export * from './KernelPluginRegistry.js';
 export * from './KernelResult.js';
 export * from './KernelResultCodes.js';
+export type * from './KernelServerDirectory.js';
 export type * from './KernelVmList.js';
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './Node.js';
