Add the stand-ins and the clients of platform and engine

The stand-ins of engine, platform, service, VM list and weight store answer the documented protocols with one shared set of fault switches; the platform's clients say truly whether a call was sent.

--- /dev/null
+++ b/packages/engine/src/EngineControlClient.ts
@@ -0,0 +1,253 @@
+import type {
+  AttemptNumber,
+  EngineCacheEvent,
+  EngineGenerationStatus,
+  EngineLoad,
+  EngineOrder,
+  EngineState,
+  GenerationId,
+  Result,
+} from '@laburnumgap/kernel';
+import { failure, success, toNumberId } from '@laburnumgap/kernel';
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+
+/** Why a control call to an engine failed. */
+export type EngineControlError =
+  /** The call may or may not have taken effect. Reads never give this. */
+  | { readonly detail: string; readonly kind: 'outcomeUnknown' }
+  /** The engine refused; nothing changed. */
+  | { readonly kind: 'rejected'; readonly reason: string; readonly status: number }
+  /** The call did not take effect, or was a read. */
+  | { readonly detail: string; readonly kind: 'unavailable' };
+
+/** A page of cache events. */
+export interface EngineCacheEventPage {
+  readonly events: readonly EngineCacheEvent[];
+  readonly latestSequence: number;
+}
+
+/** Control calls to one engine. Every call has a deadline. */
+export interface EngineControl {
+  cacheEvents(afterSequence: number): Promise<Result<EngineCacheEventPage, EngineControlError>>;
+  cancel(
+    generationId: GenerationId,
+    attempt: AttemptNumber,
+  ): Promise<Result<undefined, EngineControlError>>;
+  close(): Promise<void>;
+  load(): Promise<Result<EngineLoad, EngineControlError>>;
+  /** Answers with the state after the order. */
+  order(order: EngineOrder): Promise<Result<EngineState, EngineControlError>>;
+  state(): Promise<Result<EngineState, EngineControlError>>;
+  status(generationId: GenerationId): Promise<Result<EngineGenerationStatus, EngineControlError>>;
+}
+
+/** Options of {@link createEngineControl}. */
+export interface EngineControlOptions {
+  readonly connectTimeoutMs?: number;
+  readonly deadlineMs?: number;
+  /** Longest wait for an order, which may load a model. */
+  readonly orderDeadlineMs?: number;
+  /** Base URL of the engine. */
+  readonly url: string;
+}
+
+/** Longest wait for the answer of an order when the options name none. */
+export const DEFAULT_ORDER_DEADLINE_MS = 30_000;
+
+const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
+const DEFAULT_DEADLINE_MS = 2000;
+const MAX_CONNECTIONS = 4;
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Errors that come before any byte of the request was written. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const countSchema = z.number().min(0);
+
+const loadSchema = z.object({
+  ageMs: countSchema,
+  kvTokensCapacity: countSchema,
+  kvTokensUsed: countSchema,
+  leaving: z.boolean(),
+  maxRunning: countSchema,
+  preemptions: countSchema,
+  queuedGenerations: countSchema,
+  runningGenerations: countSchema,
+});
+
+const stateSchema = z.object({
+  adapters: z.array(z.string()),
+  canContinueFromPrefix: z.boolean(),
+  checksFencingNumbers: z.boolean(),
+  fencingNumber: countSchema.transform((value) => toNumberId<EngineState['fencingNumber']>(value)),
+  kvTokensCapacity: countSchema,
+  maxRunning: countSchema,
+  models: z.array(z.string()),
+  role: z.enum(['decode', 'mixed', 'prefill']),
+});
+
+const statusSchema = z.object({
+  attempt: countSchema.transform((value) => toNumberId<AttemptNumber>(value)),
+  producedTokens: countSchema,
+  state: z.enum(['finished', 'preempted', 'queued', 'running', 'unknown']),
+});
+
+const cacheEventsSchema = z.object({
+  events: z.array(
+    z.object({
+      kind: z.enum(['evicted', 'stored']),
+      prefixHash: z.string(),
+      sequence: countSchema,
+      tokens: countSchema,
+    }),
+  ),
+  latestSequence: countSchema,
+});
+
+const errorSchema = z.object({ error: z.string() });
+
+interface ControlCall {
+  readonly body?: unknown;
+  readonly deadlineMs?: number;
+  readonly method: 'DELETE' | 'GET' | 'POST';
+  readonly path: string;
+}
+
+/**
+ * Creates a client for the control calls of one engine.
+ *
+ * @param options - URL and deadlines
+ * @returns the client
+ */
+export function createEngineControl(options: EngineControlOptions): EngineControl {
+  return new HttpEngineControl(options);
+}
+
+class HttpEngineControl implements EngineControl {
+  readonly #options: EngineControlOptions;
+  #agent: Agent;
+
+  constructor(options: EngineControlOptions) {
+    this.#options = options;
+    this.#agent = this.#newAgent();
+  }
+
+  cacheEvents(afterSequence: number): Promise<Result<EngineCacheEventPage, EngineControlError>> {
+    const path = `/v1/cache-events?after=${afterSequence}`;
+    return this.#call({ method: 'GET', path }, cacheEventsSchema);
+  }
+
+  async cancel(
+    generationId: GenerationId,
+    attempt: AttemptNumber,
+  ): Promise<Result<undefined, EngineControlError>> {
+    const path = `/v1/generations/${encodeURIComponent(generationId)}?attempt=${attempt}`;
+    const answer = await this.#call({ method: 'DELETE', path }, z.unknown());
+    return answer.ok ? success(undefined) : answer;
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  load(): Promise<Result<EngineLoad, EngineControlError>> {
+    return this.#call({ method: 'GET', path: '/v1/load' }, loadSchema);
+  }
+
+  order(order: EngineOrder): Promise<Result<EngineState, EngineControlError>> {
+    const deadlineMs = this.#options.orderDeadlineMs ?? DEFAULT_ORDER_DEADLINE_MS;
+    const call: ControlCall = { body: order, deadlineMs, method: 'POST', path: '/v1/orders' };
+    return this.#call(call, stateSchema);
+  }
+
+  state(): Promise<Result<EngineState, EngineControlError>> {
+    return this.#call({ method: 'GET', path: '/v1/state' }, stateSchema);
+  }
+
+  status(generationId: GenerationId): Promise<Result<EngineGenerationStatus, EngineControlError>> {
+    const path = `/v1/generations/${encodeURIComponent(generationId)}`;
+    return this.#call({ method: 'GET', path }, statusSchema);
+  }
+
+  async #call<T>(call: ControlCall, schema: z.ZodType<T>): Promise<Result<T, EngineControlError>> {
+    const agent = this.#agent;
+    try {
+      const answer = await request(`${this.#options.url}${call.path}`, {
+        body: call.body === undefined ? undefined : JSON.stringify(call.body),
+        dispatcher: agent,
+        headers: { 'content-type': 'application/json' },
+        method: call.method,
+        signal: AbortSignal.timeout(
+          call.deadlineMs ?? this.#options.deadlineMs ?? DEFAULT_DEADLINE_MS,
+        ),
+      });
+      return readAnswer(call, schema, answer.statusCode, await answer.body.text());
+    } catch (error) {
+      this.#replaceAgent(agent);
+      return failure(classifyFailure(call, error));
+    }
+  }
+
+  /** A connection may have gone silent while new ones work: later calls use new ones. */
+  #replaceAgent(failed: Agent): void {
+    if (failed !== this.#agent) {
+      return;
+    }
+    this.#agent = this.#newAgent();
+    void failed.close();
+  }
+
+  #newAgent(): Agent {
+    return new Agent({
+      connect: { timeout: this.#options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
+      connections: MAX_CONNECTIONS,
+      maxResponseSize: MAX_ANSWER_BYTES,
+      pipelining: 1,
+    });
+  }
+}
+
+function readAnswer<T>(
+  call: ControlCall,
+  schema: z.ZodType<T>,
+  status: number,
+  text: string,
+): Result<T, EngineControlError> {
+  const body = parseJson(text);
+  if (status >= 400) {
+    const reason = errorSchema.safeParse(body).data?.error ?? `HTTP status ${status}`;
+    return failure({ kind: 'rejected', reason, status });
+  }
+  const checked = schema.safeParse(body);
+  if (checked.success) {
+    return success(checked.data);
+  }
+  const detail = `malformed answer: ${checked.error.issues[0]?.message ?? ''}`;
+  return failure(noAnswer(call, detail));
+}
+
+function classifyFailure(call: ControlCall, error: unknown): EngineControlError {
+  const detail = error instanceof Error ? error.message : String(error);
+  const code = (error as { readonly code?: unknown } | undefined)?.code;
+  if (typeof code === 'string' && NOT_SENT_CODES.has(code)) {
+    return { detail, kind: 'unavailable' };
+  }
+  return noAnswer(call, detail);
+}
+
+function noAnswer(call: ControlCall, detail: string): EngineControlError {
+  return { detail, kind: call.method === 'GET' ? 'unavailable' : 'outcomeUnknown' };
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './EngineControlClient.js';
--- /dev/null
+++ b/packages/platform/src/PlatformConnections.ts
@@ -0,0 +1,76 @@
+import { Agent } from 'undici';
+import type { HttpCall, HttpCallOutcome } from './PlatformHttpCall.js';
+import { callHttp } from './PlatformHttpCall.js';
+
+/** Options of a {@link PlatformConnections}. */
+export interface PlatformConnectionsOptions {
+  readonly connectTimeoutMs: number;
+  readonly deadlineMs: number;
+  readonly maxConnections: number;
+  readonly url: string;
+}
+
+const IDLE_CONNECTION_MS = 30_000;
+
+/**
+ * Connections to one server of the platform. A connection may have gone silent while new ones
+ * work: once a call gets no answer, later calls use new connections.
+ */
+export class PlatformConnections {
+  readonly origin: string;
+  readonly #basePath: string;
+  readonly #options: PlatformConnectionsOptions;
+  #agent: Agent;
+
+  constructor(options: PlatformConnectionsOptions) {
+    const url = new URL(options.url);
+    this.origin = url.origin;
+    this.#basePath = url.pathname.replace(/\/$/, '');
+    this.#options = options;
+    this.#agent = this.#newAgent();
+  }
+
+  /** The dispatcher for further calls. */
+  get dispatcher(): Agent {
+    return this.#agent;
+  }
+
+  /** Path of a call below the base URL. */
+  pathOf(path: string): string {
+    return `${this.#basePath}${path}`;
+  }
+
+  /** Makes one call. */
+  async call(request: Pick<HttpCall, 'body' | 'method' | 'path'>): Promise<HttpCallOutcome> {
+    const agent = this.#agent;
+    const outcome = await callHttp({
+      ...request,
+      deadlineMs: this.#options.deadlineMs,
+      dispatcher: agent,
+      origin: this.origin,
+      path: this.pathOf(request.path),
+    });
+    if (outcome.kind !== 'answered' && agent === this.#agent) {
+      this.#agent = this.#newAgent();
+      void agent.close();
+    }
+    return outcome;
+  }
+
+  /** Ends every connection. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  #newAgent(): Agent {
+    return new Agent({
+      bodyTimeout: 0,
+      connect: { timeout: this.#options.connectTimeoutMs },
+      connections: this.#options.maxConnections,
+      headersTimeout: 0,
+      keepAliveMaxTimeout: IDLE_CONNECTION_MS,
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      pipelining: 1,
+    });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/PlatformEtcdSchema.ts
@@ -0,0 +1,142 @@
+import type { LeaseId, Revision, StoreChange, StoredValue } from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+
+/** A key and value as the JSON gateway writes them. Fields with their zero value are left out. */
+export interface EtcdKeyValue {
+  readonly key: string;
+  readonly lease?: string;
+  readonly mod_revision?: string;
+  readonly value?: string;
+}
+
+/** An event of a watch. */
+export interface EtcdEvent {
+  readonly kv: EtcdKeyValue;
+  readonly type?: 'DELETE' | 'PUT';
+}
+
+/** Header of every answer. */
+export interface EtcdHeader {
+  readonly revision?: string;
+}
+
+/** An error of the gateway. */
+export interface EtcdErrorBody {
+  readonly code?: number;
+  readonly message?: string;
+}
+
+/** Answer of a range. */
+export interface EtcdRangeAnswer {
+  readonly header?: EtcdHeader;
+  readonly kvs?: readonly EtcdKeyValue[];
+}
+
+/** Answer of a transaction. */
+export interface EtcdTxnAnswer {
+  readonly header?: EtcdHeader;
+  readonly succeeded?: boolean;
+}
+
+/** Answer of a lease call. */
+export interface EtcdLeaseAnswer {
+  readonly ID?: string;
+  readonly TTL?: string;
+}
+
+/** One line of a watch. */
+export interface EtcdWatchLine {
+  readonly error?: EtcdErrorBody;
+  readonly result?: {
+    readonly cancel_reason?: string;
+    readonly canceled?: boolean;
+    readonly compact_revision?: string;
+    readonly created?: boolean;
+    readonly events?: readonly EtcdEvent[];
+    readonly header?: EtcdHeader;
+  };
+}
+
+/** gRPC status codes that the gateway passes on. */
+export const GRPC_STATUS = {
+  invalidArgument: 3,
+  notFound: 5,
+  outOfRange: 11,
+  resourceExhausted: 8,
+  unavailable: 14,
+} as const;
+
+/** Message of a refusal that is made before anything is written. */
+export const NO_LEADER_MESSAGE = 'etcdserver: no leader';
+
+/**
+ * Encodes text as base64.
+ *
+ * @param text - the text
+ * @returns its UTF-8 bytes in base64
+ */
+export function toBase64(text: string): string {
+  return Buffer.from(text, 'utf8').toString('base64');
+}
+
+/**
+ * Decodes base64.
+ *
+ * @param encoded - base64 of UTF-8 bytes
+ * @returns the text
+ */
+export function fromBase64(encoded: string): string {
+  return Buffer.from(encoded, 'base64').toString('utf8');
+}
+
+/**
+ * End of the range of keys with a prefix.
+ *
+ * @param prefix - an ASCII prefix that is not empty
+ * @returns the first key after the range
+ */
+export function prefixEnd(prefix: string): string {
+  const last = prefix.charCodeAt(prefix.length - 1);
+  return prefix.slice(0, -1) + String.fromCharCode(last + 1);
+}
+
+/**
+ * Reads a revision of the gateway.
+ *
+ * @param text - decimal digits, or undefined for 0
+ * @returns the revision
+ */
+export function toRevision(text: string | undefined): Revision {
+  return toNumberId<Revision>(Number(text ?? 0));
+}
+
+/**
+ * Reads a key and value of the gateway.
+ *
+ * @param kv - the key and value
+ * @returns the stored value
+ */
+export function toStoredValue(kv: EtcdKeyValue): StoredValue {
+  const leaseId = kv.lease === undefined || kv.lease === '0' ? undefined : toId<LeaseId>(kv.lease);
+  return {
+    key: fromBase64(kv.key),
+    leaseId,
+    modRevision: toRevision(kv.mod_revision),
+    value: fromBase64(kv.value ?? ''),
+  };
+}
+
+/**
+ * Reads an event of a watch.
+ *
+ * @param event - the event
+ * @returns the change
+ */
+export function toStoreChange(event: EtcdEvent): StoreChange {
+  const key = fromBase64(event.kv.key);
+  const modRevision = toRevision(event.kv.mod_revision);
+  if (event.type === 'DELETE') {
+    return { key, modRevision };
+  }
+  return { key, modRevision, value: fromBase64(event.kv.value ?? '') };
+}
--- /dev/null
+++ b/packages/platform/src/PlatformVmList.ts
@@ -0,0 +1,90 @@
+import type { ListedServer, Result, VmList, VmListError } from '@laburnumgap/kernel';
+import { failure, success, toId } from '@laburnumgap/kernel';
+import { z } from 'zod';
+import { PlatformConnections } from './PlatformConnections.js';
+
+/** Options of {@link createHttpVmList}. */
+export interface HttpVmListOptions {
+  readonly connectTimeoutMs?: number;
+  readonly deadlineMs?: number;
+  /** Base URL of the list. */
+  readonly url: string;
+}
+
+const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
+const DEFAULT_DEADLINE_MS = 2000;
+const HTTP_OK = 200;
+const MAX_CONNECTIONS = 2;
+
+const idSchema = z.string().min(1).max(200);
+
+const listedServerSchema = z
+  .object({
+    address: z.string().regex(/^https?:\/\/[^/\s]+/),
+    backend: z.discriminatedUnion('kind', [
+      z.object({ kind: z.literal('model'), pool: idSchema }),
+      z.object({ kind: z.literal('service'), service: idSchema }),
+    ]),
+    failureDomain: idSchema,
+    region: idSchema,
+    serverId: idSchema,
+    state: z.enum(['leaving', 'live']),
+  })
+  .transform((server): ListedServer => ({
+    address: server.address,
+    backend:
+      server.backend.kind === 'model'
+        ? { kind: 'model', pool: toId(server.backend.pool) }
+        : { kind: 'service', service: toId(server.backend.service) },
+    failureDomain: toId(server.failureDomain),
+    region: toId(server.region),
+    serverId: toId(server.serverId),
+    state: server.state,
+  }));
+
+const listSchema = z.object({ vms: z.array(listedServerSchema) });
+
+/**
+ * Creates a client of the platform's list of VMs. A list that does not read as a whole is refused.
+ *
+ * @param options - URL and deadline
+ * @returns the list
+ */
+export function createHttpVmList(options: HttpVmListOptions): VmList {
+  const connections = new PlatformConnections({
+    connectTimeoutMs: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
+    deadlineMs: options.deadlineMs ?? DEFAULT_DEADLINE_MS,
+    maxConnections: MAX_CONNECTIONS,
+    url: options.url,
+  });
+  return {
+    list: async () => {
+      const outcome = await connections.call({ method: 'GET', path: '/v1/vms' });
+      if (outcome.kind !== 'answered') {
+        return unavailable(outcome.detail);
+      }
+      if (outcome.status !== HTTP_OK) {
+        return unavailable(`HTTP status ${outcome.status}`);
+      }
+      return readList(outcome.text);
+    },
+  };
+}
+
+function readList(text: string): Result<readonly ListedServer[], VmListError> {
+  let body: unknown;
+  try {
+    body = JSON.parse(text);
+  } catch {
+    return unavailable('the answer is not JSON');
+  }
+  const checked = listSchema.safeParse(body);
+  if (!checked.success) {
+    return unavailable(`the list is malformed: ${checked.error.issues[0]?.message ?? ''}`);
+  }
+  return success(checked.data.vms);
+}
+
+function unavailable(detail: string): Result<never, VmListError> {
+  return failure({ detail, kind: 'vmListUnavailable' });
+}
--- /dev/null
+++ b/packages/standins/src/EngineStandinStream.ts
@@ -0,0 +1,120 @@
+import type { GenerationReader, ReaderEnd, StandinGeneration } from './EngineStandinGeneration.js';
+import type { StandinStream } from './StandinServer.js';
+
+const KEEPALIVE_INTERVAL_MS = 500;
+
+/** Options of {@link streamGeneration}. */
+export interface GenerationStreamOptions {
+  readonly attempt: number;
+  /** Index of the first token to send. */
+  readonly from: number;
+  /** Whether the engine answers nothing now. */
+  readonly isFrozen: () => boolean;
+}
+
+/**
+ * Sends a generation's tokens as server-sent events, as fast as the other end reads.
+ *
+ * @param generation - the generation
+ * @param stream - the open answer
+ * @param options - attempt and first index
+ */
+export function streamGeneration(
+  generation: StandinGeneration,
+  stream: StandinStream,
+  options: GenerationStreamOptions,
+): void {
+  const writer = new GenerationStreamWriter(generation, stream, options);
+  writer.start();
+}
+
+class GenerationStreamWriter implements GenerationReader {
+  readonly attempt: number;
+  readonly #generation: StandinGeneration;
+  readonly #isFrozen: () => boolean;
+  readonly #stream: StandinStream;
+  #keepalive: NodeJS.Timeout | undefined;
+  #next: number;
+  #open = true;
+  #waitsForDrain = false;
+
+  constructor(
+    generation: StandinGeneration,
+    stream: StandinStream,
+    options: GenerationStreamOptions,
+  ) {
+    this.attempt = options.attempt;
+    this.#generation = generation;
+    this.#isFrozen = options.isFrozen;
+    this.#next = options.from;
+    this.#stream = stream;
+  }
+
+  start(): void {
+    this.#generation.readers.add(this);
+    this.#stream.onClose(() => {
+      this.#close();
+    });
+    this.#stream.onDrain(() => {
+      this.#waitsForDrain = false;
+      this.onProgress();
+    });
+    this.#keepalive = setInterval(() => {
+      if (!this.#isFrozen() && !this.#waitsForDrain) {
+        this.#stream.write(': keepalive\n\n');
+        this.onProgress();
+      }
+    }, KEEPALIVE_INTERVAL_MS);
+    this.onProgress();
+  }
+
+  onProgress(): void {
+    if (this.#isFrozen()) {
+      return;
+    }
+    while (this.#open && !this.#waitsForDrain && this.#next < this.#generation.texts.length) {
+      this.#writeToken();
+    }
+    const atEnd = this.#next >= this.#generation.texts.length;
+    if (this.#open && atEnd && this.#generation.state === 'finished') {
+      this.#finish();
+    }
+  }
+
+  onEnd(end: ReaderEnd): void {
+    if (this.#open) {
+      this.#stream.write(`event: ${end}\ndata: {}\n\n`);
+      this.#stream.end();
+      this.#close();
+    }
+  }
+
+  #writeToken(): void {
+    const { attempt } = this;
+    const index = this.#next;
+    const data = {
+      attempt,
+      generationId: this.#generation.id,
+      index,
+      text: this.#generation.texts[index],
+    };
+    this.#next += 1;
+    this.#waitsForDrain = !this.#stream.write(`id: ${index}\ndata: ${JSON.stringify(data)}\n\n`);
+  }
+
+  #finish(): void {
+    const data = {
+      finishReason: this.#generation.finishReason,
+      totalTokens: this.#generation.texts.length,
+    };
+    this.#stream.write(`event: finished\ndata: ${JSON.stringify(data)}\n\n`);
+    this.#stream.end();
+    this.#close();
+  }
+
+  #close(): void {
+    this.#open = false;
+    clearInterval(this.#keepalive);
+    this.#generation.readers.delete(this);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/PlatformStandin.ts
@@ -0,0 +1,347 @@
+import type {
+  LeaseId,
+  Revision,
+  RevisionGuard,
+  StoreChange,
+  StoredValue,
+  StoreWrite,
+} from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import type { RevisionChanges } from '@laburnumgap/platform';
+import {
+  GRPC_STATUS,
+  MAX_VALUE_BYTES,
+  NO_LEADER_MESSAGE,
+  PlatformStoreState,
+  fromBase64,
+  toBase64,
+} from '@laburnumgap/platform';
+import { z } from 'zod';
+import type {
+  StandinAnswer,
+  StandinRequest,
+  StandinServer,
+  StandinStream,
+} from './StandinServer.js';
+import { startStandinServer, whole } from './StandinServer.js';
+
+/** Options of {@link startPlatformStandin}. */
+export interface PlatformStandinOptions {
+  readonly kill?: () => void;
+  readonly listen: string;
+  /** Reads above this rate are refused; unlimited without it. */
+  readonly readsPerSecond?: number;
+  readonly state?: PlatformStoreState;
+  /** Writes above this rate are refused; unlimited without it. */
+  readonly writesPerSecond?: number;
+}
+
+/** Calls by their path since the start. */
+export type CallCounts = Record<string, number>;
+
+const EXPIRY_INTERVAL_MS = 200;
+const MS_PER_SECOND = 1000;
+const READ_PATHS: ReadonlySet<string> = new Set(['/v3/kv/range', '/v3/watch']);
+
+const int64Schema = z.union([z.number(), z.string()]).transform(Number);
+
+const rangeSchema = z.object({ key: z.string(), range_end: z.string().optional() });
+
+const txnSchema = z.object({
+  compare: z
+    .array(
+      z.object({
+        key: z.string(),
+        mod_revision: int64Schema.default(0),
+        result: z.literal('EQUAL').default('EQUAL'),
+        target: z.literal('MOD'),
+      }),
+    )
+    .default([]),
+  success: z
+    .array(
+      z.union([
+        z.object({
+          request_put: z.object({
+            key: z.string(),
+            lease: z.coerce.string().default('0'),
+            value: z.string().default(''),
+          }),
+        }),
+        z.object({ request_delete_range: z.object({ key: z.string() }) }),
+      ]),
+    )
+    .default([]),
+});
+
+const grantSchema = z.object({ TTL: int64Schema });
+const leaseSchema = z.object({ ID: z.coerce.string() });
+const watchSchema = z.object({
+  create_request: z.object({
+    key: z.string(),
+    range_end: z.string().optional(),
+    start_revision: int64Schema.default(0),
+  }),
+});
+
+/**
+ * Starts a stand-in of the platform's key-value service: a subset of the etcd v3 JSON gateway.
+ *
+ * @param options - address, state and rates
+ * @returns the running stand-in
+ * @throws when the address cannot be bound
+ */
+export async function startPlatformStandin(
+  options: PlatformStandinOptions,
+): Promise<StandinServer> {
+  const service = new PlatformStandinService(options);
+  const server = await startStandinServer({
+    control: (request) =>
+      request.path === '/control/counts' ? whole(200, service.counts) : undefined,
+    handle: (request) => service.handle(request),
+    kill: options.kill,
+    listen: options.listen,
+    refusedBody: { code: GRPC_STATUS.unavailable, message: NO_LEADER_MESSAGE },
+  });
+  return {
+    ...passOn(server),
+    close: async () => {
+      service.stop();
+      await server.close();
+    },
+    kill: () => {
+      service.stop();
+      server.kill();
+    },
+  };
+}
+
+function passOn(
+  server: StandinServer,
+): Pick<StandinServer, 'address' | 'faults' | 'silence' | 'url'> {
+  return {
+    address: server.address,
+    faults: server.faults,
+    silence: () => {
+      server.silence();
+    },
+    url: server.url,
+  };
+}
+
+class PlatformStandinService {
+  readonly counts: CallCounts = {};
+  readonly #expiry: NodeJS.Timeout;
+  readonly #reads: RateCap;
+  readonly #state: PlatformStoreState;
+  readonly #writes: RateCap;
+
+  constructor(options: PlatformStandinOptions) {
+    this.#state = options.state ?? new PlatformStoreState();
+    this.#reads = new RateCap(options.readsPerSecond);
+    this.#writes = new RateCap(options.writesPerSecond);
+    this.#expiry = setInterval(() => {
+      this.#state.expire(performance.now());
+    }, EXPIRY_INTERVAL_MS);
+    this.#expiry.unref();
+  }
+
+  stop(): void {
+    clearInterval(this.#expiry);
+  }
+
+  handle(request: StandinRequest): StandinAnswer {
+    this.counts[request.path] = (this.counts[request.path] ?? 0) + 1;
+    const cap = READ_PATHS.has(request.path) ? this.#reads : this.#writes;
+    if (!cap.take(performance.now())) {
+      return refused(429, GRPC_STATUS.resourceExhausted, 'etcdserver: too many requests');
+    }
+    this.#state.expire(performance.now());
+    try {
+      return this.#answer(request.path, JSON.parse(request.body));
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      return refused(400, GRPC_STATUS.invalidArgument, detail);
+    }
+  }
+
+  #answer(path: string, body: unknown): StandinAnswer {
+    switch (path) {
+      case '/v3/kv/lease/revoke':
+      case '/v3/lease/revoke':
+        return this.#revoke(leaseSchema.parse(body));
+      case '/v3/kv/range':
+        return this.#range(rangeSchema.parse(body));
+      case '/v3/kv/txn':
+        return this.#txn(txnSchema.parse(body));
+      case '/v3/lease/grant':
+        return this.#grant(grantSchema.parse(body));
+      case '/v3/lease/keepalive':
+        return this.#keepAlive(leaseSchema.parse(body));
+      case '/v3/watch':
+        return this.#watch(watchSchema.parse(body));
+      default:
+        return refused(404, GRPC_STATUS.notFound, 'unknown path');
+    }
+  }
+
+  #range(body: z.infer<typeof rangeSchema>): StandinAnswer {
+    const values = this.#state.select(keyFilter(body.key, body.range_end));
+    return whole(200, {
+      count: String(values.length),
+      header: this.#header(),
+      kvs: values.map(toKeyValue),
+    });
+  }
+
+  #txn(body: z.infer<typeof txnSchema>): StandinAnswer {
+    const writes = body.success.map(toStoreWrite);
+    if (writes.some((write) => write.kind === 'put' && isTooLarge(write.value))) {
+      return refused(400, GRPC_STATUS.invalidArgument, 'etcdserver: request is too large');
+    }
+    const guards: RevisionGuard[] = body.compare.map((guard) => ({
+      key: fromBase64(guard.key),
+      modRevision: toNumberId<Revision>(guard.mod_revision),
+    }));
+    const committed = this.#state.commit({ guards, writes });
+    if (committed.ok) {
+      return whole(200, { header: this.#header(), succeeded: true });
+    }
+    if (committed.error.kind === 'leaseNotFound') {
+      return leaseNotFound();
+    }
+    return whole(200, { header: this.#header() });
+  }
+
+  #grant(body: z.infer<typeof grantSchema>): StandinAnswer {
+    const leaseId = this.#state.grantLease(body.TTL * MS_PER_SECOND, performance.now());
+    return whole(200, { header: this.#header(), ID: leaseId, TTL: String(body.TTL) });
+  }
+
+  #keepAlive(body: z.infer<typeof leaseSchema>): StandinAnswer {
+    const ttlMs = this.#state.keepAlive(toId<LeaseId>(body.ID), performance.now());
+    const term = ttlMs === undefined ? {} : { TTL: String(ttlMs / MS_PER_SECOND) };
+    return whole(200, { result: { header: this.#header(), ID: body.ID, ...term } });
+  }
+
+  #revoke(body: z.infer<typeof leaseSchema>): StandinAnswer {
+    const existed = this.#state.revokeLease(toId<LeaseId>(body.ID));
+    return existed ? whole(200, { header: this.#header() }) : leaseNotFound();
+  }
+
+  #watch(body: z.infer<typeof watchSchema>): StandinAnswer {
+    const { key, range_end: rangeEnd, start_revision: startRevision } = body.create_request;
+    const takes = keyFilter(key, rangeEnd);
+    const start = startRevision === 0 ? this.#state.revision + 1 : startRevision;
+    return {
+      contentType: 'application/json',
+      kind: 'stream',
+      start: (stream) => {
+        this.#startWatch(stream, takes, toNumberId<Revision>(start - 1));
+      },
+    };
+  }
+
+  #startWatch(stream: StandinStream, takes: (key: string) => boolean, after: Revision): void {
+    const missed = this.#state.changesAfter(after);
+    if (!missed) {
+      const compactRevision = String(this.#state.oldestRevision - 1);
+      this.#writeLine(stream, { canceled: true, compact_revision: compactRevision });
+      stream.end();
+      return;
+    }
+    this.#writeLine(stream, { created: true });
+    const deliver = (entry: RevisionChanges): void => {
+      const events = entry.changes.filter((change) => takes(change.key)).map(toEvent);
+      if (events.length > 0) {
+        this.#writeLine(stream, { events }, entry.revision);
+      }
+    };
+    missed.forEach(deliver);
+    stream.onClose(this.#state.onChange(deliver));
+  }
+
+  #writeLine(stream: StandinStream, result: object, revision?: Revision): void {
+    const header = revision === undefined ? this.#header() : { revision: String(revision) };
+    stream.write(`${JSON.stringify({ result: { header, ...result } })}\n`);
+  }
+
+  #header(): { readonly revision: string } {
+    return { revision: String(this.#state.revision) };
+  }
+}
+
+/** Refuses calls above a rate, with a burst of one second. */
+class RateCap {
+  readonly #perSecond: number;
+  #left: number;
+  #updatedAtMs: number | undefined;
+
+  constructor(perSecond = Infinity) {
+    this.#perSecond = perSecond;
+    this.#left = perSecond;
+  }
+
+  take(nowMs: number): boolean {
+    if (this.#perSecond === Infinity) {
+      return true;
+    }
+    const elapsedMs = nowMs - (this.#updatedAtMs ?? nowMs);
+    this.#updatedAtMs = nowMs;
+    const refill = (elapsedMs * this.#perSecond) / MS_PER_SECOND;
+    this.#left = Math.min(this.#perSecond, this.#left + refill);
+    if (this.#left < 1) {
+      return false;
+    }
+    this.#left -= 1;
+    return true;
+  }
+}
+
+function keyFilter(key: string, rangeEnd: string | undefined): (key: string) => boolean {
+  const start = fromBase64(key);
+  const end = rangeEnd === undefined ? undefined : fromBase64(rangeEnd);
+  if (end === undefined || end === '') {
+    return (candidate) => candidate === start;
+  }
+  return (candidate) => candidate >= start && (end === '\0' || candidate < end);
+}
+
+function isTooLarge(value: string): boolean {
+  return Buffer.byteLength(value) > MAX_VALUE_BYTES;
+}
+
+function toStoreWrite(op: z.infer<typeof txnSchema>['success'][number]): StoreWrite {
+  if ('request_delete_range' in op) {
+    return { key: fromBase64(op.request_delete_range.key), kind: 'delete' };
+  }
+  const { key, lease, value } = op.request_put;
+  const leaseId = lease === '0' ? undefined : toId<LeaseId>(lease);
+  return { key: fromBase64(key), kind: 'put', leaseId, value: fromBase64(value) };
+}
+
+function toKeyValue(value: StoredValue): object {
+  return {
+    key: toBase64(value.key),
+    lease: value.leaseId,
+    mod_revision: String(value.modRevision),
+    value: toBase64(value.value),
+  };
+}
+
+function toEvent(change: StoreChange): object {
+  const key = toBase64(change.key);
+  const revision = String(change.modRevision);
+  if (change.value === undefined) {
+    return { kv: { key, mod_revision: revision }, type: 'DELETE' };
+  }
+  return { kv: { key, mod_revision: revision, value: toBase64(change.value) } };
+}
+
+function refused(status: number, code: number, message: string): StandinAnswer {
+  return whole(status, { code, message });
+}
+
+function leaseNotFound(): StandinAnswer {
+  return refused(404, GRPC_STATUS.notFound, 'etcdserver: requested lease not found');
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export * from './EngineStandin.js';
+export * from './EngineStandinCore.js';
+export * from './EngineStandinGeneration.js';
+export * from './EngineStandinTokens.js';
+export * from './PlatformStandin.js';
+export * from './ServiceStandin.js';
+export * from './StandinFaults.js';
+export * from './StandinServer.js';
+export * from './VmsStandin.js';
+export * from './WeightsStandin.js';
--- /dev/null
+++ b/packages/standins/src/main.ts
@@ -0,0 +1,3 @@
+import { runStandinCli } from './StandinCli.js';
+
+runStandinCli(process.argv);
