Add the process harness and callers' client of the tools

Cause: the demo and the fault runs need real processes and a caller that checks what it gets. Ruled out: in-process daemons only (kills and freezes need processes). Conclusion: the harness waits for log lines, never for times.

--- a/packages/rpc/src/RpcServer.ts
+++ b/packages/rpc/src/RpcServer.ts
@@ -18,7 +18,8 @@
 export interface RpcServerOptions {
   /** Host and port; port 0 lets the system choose. */
   readonly address: string;
-  readonly handlers: RpcHandlers;
+  /** Services offered from the start. */
+  readonly handlers?: RpcHandlers;
   /** Calls that do not carry the secret are refused. */
   readonly secret: string;
 }
@@ -31,6 +32,8 @@
   close(): void;
   /** Takes no new calls and waits for running ones. */
   drain(): Promise<void>;
+  /** Offers further services. */
+  register(handlers: RpcHandlers): void;
 }
 
 /**
@@ -45,9 +48,12 @@
     ...RPC_SERVER_CHANNEL_OPTIONS,
     interceptors: [secretInterceptor(options.secret)],
   });
-  for (const [name, handlers] of Object.entries(options.handlers)) {
-    server.addService(RPC_SERVICES[name as RpcServiceName].service, handlers);
-  }
+  const register = (handlers: RpcHandlers): void => {
+    for (const [name, implementation] of Object.entries(handlers)) {
+      server.addService(RPC_SERVICES[name as RpcServiceName].service, implementation);
+    }
+  };
+  register(options.handlers ?? {});
   const host = options.address.slice(0, options.address.lastIndexOf(':'));
   const port = await bind(server, options.address);
   return {
@@ -61,6 +67,7 @@
           resolve();
         });
       }),
+    register,
   };
 }
 
--- /dev/null
+++ b/packages/tools/src/deployment/DeploymentCaller.ts
@@ -0,0 +1,168 @@
+import { createParser } from 'eventsource-parser';
+import { Agent, request } from 'undici';
+
+/** A token as a caller sees it. */
+export interface ReceivedToken {
+  readonly index: number;
+  readonly text: string;
+}
+
+/** How a stream ended at the caller. */
+export type StreamEnd =
+  | { readonly kind: 'broken'; readonly detail: string }
+  | { readonly kind: 'done' }
+  | { readonly kind: 'refused'; readonly body: RefusalBody; readonly status: number };
+
+/** JSON body of a refusal or error. */
+export interface RefusalBody {
+  readonly error: {
+    readonly code: number;
+    readonly detail: string;
+    readonly name: string;
+    readonly retryAfterMs?: number;
+    readonly run: string;
+  };
+  readonly requestId?: string;
+}
+
+/** Options of {@link streamCompletion}. */
+export interface StreamOptions {
+  readonly apiKey: string;
+  /** Index of the last token that the caller has; for coming back. */
+  readonly lastEventId?: number;
+  readonly maxTokens: number;
+  readonly model: string;
+  readonly onToken?: (token: ReceivedToken) => void;
+  readonly prompt: string;
+  readonly requestId: string;
+  /** HOST:PORT of a router. */
+  readonly router: string;
+  readonly seed?: number;
+  readonly signal?: AbortSignal;
+}
+
+/** What a caller got. */
+export interface StreamAnswer {
+  readonly end: StreamEnd;
+  readonly tokens: readonly ReceivedToken[];
+}
+
+const CONNECT_TIMEOUT_MS = 2_000;
+
+/** Callers' connections: no time limit on a silent stream, the caller decides by itself. */
+const dispatcher = new Agent({
+  bodyTimeout: 0,
+  connect: { timeout: CONNECT_TIMEOUT_MS },
+  connections: null,
+  headersTimeout: 0,
+});
+
+/**
+ * Asks for a streamed completion and collects it.
+ *
+ * @param options - the request
+ * @returns the tokens received and how the stream ended
+ */
+export async function streamCompletion(options: StreamOptions): Promise<StreamAnswer> {
+  const tokens: ReceivedToken[] = [];
+  let end: StreamEnd | undefined;
+  try {
+    const response = await request(`http://${options.router}/v1/completions`, {
+      body: JSON.stringify({
+        max_tokens: options.maxTokens,
+        model: options.model,
+        prompt: options.prompt,
+        ...(options.seed === undefined ? {} : { seed: options.seed }),
+        stream: true,
+      }),
+      dispatcher,
+      headers: headersOf(options),
+      method: 'POST',
+      ...(options.signal ? { signal: options.signal } : {}),
+    });
+    if (response.statusCode !== 200) {
+      const body = (await response.body.json()) as RefusalBody;
+      return { end: { body, kind: 'refused', status: response.statusCode }, tokens };
+    }
+    const parser = createParser({
+      onEvent: (event) => {
+        if (event.data === '[DONE]') {
+          end = { kind: 'done' };
+          return;
+        }
+        if (event.event === 'error') {
+          end = { body: JSON.parse(event.data) as RefusalBody, kind: 'refused', status: 200 };
+          return;
+        }
+        const data = JSON.parse(event.data) as { choices: { text: string }[] };
+        const token = { index: Number(event.id), text: data.choices[0]?.text ?? '' };
+        tokens.push(token);
+        options.onToken?.(token);
+      },
+    });
+    const decoder = new TextDecoder();
+    for await (const chunk of response.body) {
+      parser.feed(decoder.decode(chunk as Uint8Array, { stream: true }));
+    }
+  } catch (error) {
+    end ??= { detail: error instanceof Error ? error.message : String(error), kind: 'broken' };
+  }
+  return { end: end ?? { detail: 'stream ended without [DONE]', kind: 'broken' }, tokens };
+}
+
+function headersOf(options: StreamOptions): Record<string, string> {
+  const headers: Record<string, string> = {
+    authorization: `Bearer ${options.apiKey}`,
+    'content-type': 'application/json',
+    'x-request-id': options.requestId,
+  };
+  if (options.lastEventId !== undefined) {
+    headers['last-event-id'] = String(options.lastEventId);
+  }
+  return headers;
+}
+
+/** Options of {@link callService}. */
+export interface ServiceCallOptions {
+  readonly apiKey: string;
+  readonly body?: string;
+  readonly idempotencyKey?: string;
+  readonly method: 'DELETE' | 'GET' | 'PATCH' | 'POST' | 'PUT';
+  readonly path: string;
+  readonly requestId?: string;
+  readonly router: string;
+  readonly service: string;
+}
+
+/** Answer of a plain call; `broken` when the connection failed before an answer. */
+export type ServiceAnswer =
+  | { readonly body: string; readonly kind: 'answered'; readonly status: number }
+  | { readonly detail: string; readonly kind: 'broken' };
+
+/**
+ * Makes a plain call through a router, once.
+ *
+ * @param options - the call
+ * @returns the answer
+ */
+export async function callService(options: ServiceCallOptions): Promise<ServiceAnswer> {
+  try {
+    const response = await request(
+      `http://${options.router}/services/${options.service}${options.path}`,
+      {
+        ...(options.body === undefined ? {} : { body: options.body }),
+        dispatcher,
+        headers: {
+          authorization: `Bearer ${options.apiKey}`,
+          'content-type': 'application/json',
+          ...(options.idempotencyKey ? { 'idempotency-key': options.idempotencyKey } : {}),
+          ...(options.requestId ? { 'x-request-id': options.requestId } : {}),
+        },
+        method: options.method,
+      },
+    );
+    return { body: await response.body.text(), kind: 'answered', status: response.statusCode };
+  } catch (error) {
+    return { detail: error instanceof Error ? error.message : String(error), kind: 'broken' };
+  }
+}
--- /dev/null
+++ b/packages/tools/src/deployment/DeploymentProcess.ts
@@ -0,0 +1,123 @@
+import type { ChildProcess } from 'node:child_process';
+import { spawn } from 'node:child_process';
+import { createInterface } from 'node:readline';
+import logfmt from 'logfmt';
+
+/** Fields of a log line. */
+export type LogLine = Readonly<Record<string, string>>;
+
+/** How a process ended. */
+export interface ProcessExit {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+/** Options of {@link startProcess}. */
+export interface ProcessOptions {
+  readonly args: readonly string[];
+  /** Name for messages. */
+  readonly name: string;
+  /** Path of the compiled program. */
+  readonly script: string;
+}
+
+/** A process of the deployment. */
+export interface DeploymentProcess {
+  /** Addresses from its `listening` line. */
+  readonly addresses: LogLine;
+  readonly exited: Promise<ProcessExit>;
+  /** Sends a signal. */
+  kill(signal: NodeJS.Signals): void;
+  /** The latest log lines, oldest first. */
+  lines(): readonly LogLine[];
+  readonly name: string;
+  readonly pid: number;
+  /** Resolves with the first line, past or future, that matches. */
+  waitForLine(matches: (line: LogLine) => boolean): Promise<LogLine>;
+}
+
+const MAX_KEPT_LINES = 20_000;
+const START_TIMEOUT_MS = 30_000;
+
+/**
+ * Starts a Node program and waits until it listens.
+ *
+ * @param options - name, script and arguments
+ * @returns the running process
+ * @throws when it exits, or does not listen in time
+ */
+export async function startProcess(options: ProcessOptions): Promise<DeploymentProcess> {
+  const child = spawn(process.execPath, [options.script, ...options.args], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  const kept: LogLine[] = [];
+  const waiting = new Set<(line: LogLine) => void>();
+  let errorText = '';
+
+  child.stderr.on('data', (chunk: Buffer) => {
+    errorText = (errorText + chunk.toString()).slice(-4000);
+  });
+  createInterface({ input: child.stdout }).on('line', (text) => {
+    const line = logfmt.parse(text) as LogLine;
+    kept.push(line);
+    if (kept.length > MAX_KEPT_LINES) {
+      kept.shift();
+    }
+    for (const notify of [...waiting]) {
+      notify(line);
+    }
+  });
+
+  const exited = exitOf(child);
+  const waitForLine = (matches: (line: LogLine) => boolean): Promise<LogLine> => {
+    const past = kept.find(matches);
+    if (past) {
+      return Promise.resolve(past);
+    }
+    return new Promise((resolve) => {
+      const notify = (line: LogLine): void => {
+        if (matches(line)) {
+          waiting.delete(notify);
+          resolve(line);
+        }
+      };
+      waiting.add(notify);
+    });
+  };
+
+  const addresses = await Promise.race([
+    waitForLine((line) => line.event === 'listening'),
+    exited.then((exit) => {
+      throw new Error(`${options.name} ended with ${JSON.stringify(exit)}: ${errorText}`);
+    }),
+    startTimeout(options.name, () => errorText),
+  ]);
+  return {
+    addresses,
+    exited,
+    kill: (signal) => {
+      child.kill(signal);
+    },
+    lines: () => kept,
+    name: options.name,
+    pid: child.pid ?? 0,
+    waitForLine,
+  };
+}
+
+function exitOf(child: ChildProcess): Promise<ProcessExit> {
+  return new Promise((resolve) => {
+    child.once('exit', (code, signal) => {
+      resolve({ code, signal });
+    });
+  });
+}
+
+function startTimeout(name: string, errorText: () => string): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    const timer = setTimeout(() => {
+      reject(new Error(`${name} does not listen after ${START_TIMEOUT_MS} ms: ${errorText()}`));
+    }, START_TIMEOUT_MS);
+    timer.unref();
+  });
+}
