--- a/packages/telemetry/src/TelemetryLog.ts
+++ b/packages/telemetry/src/TelemetryLog.ts
@@ -1,3 +1,4 @@
+import './TelemetryRoarrEnvironment.js';
 import logfmt from 'logfmt';
 import { ROARR, Roarr } from 'roarr';
 
@@ -70,8 +71,6 @@
  */
 export function createLog(options: LogOptions = {}): Log {
   const write = options.write ?? ((line: string) => process.stdout.write(`${line}\n`));
-  // Roarr drops every message unless this is set; the level is checked here.
-  process.env.ROARR_LOG = 'true';
   ROARR.write = (serialized: string) => {
     write(formatLogLine(serialized));
   };
--- /dev/null
+++ b/packages/telemetry/src/TelemetryRoarrEnvironment.ts
@@ -0,0 +1,2 @@
+// Roarr drops every message unless this is set before it is loaded; levels are checked by the log.
+process.env.ROARR_LOG = 'true';
--- a/packages/telemetry/src/__tests__/unit/TelemetryLogEnvironment.test.ts
+++ b/packages/telemetry/src/__tests__/unit/TelemetryLogEnvironment.test.ts
@@ -2,7 +2,6 @@
 import { createLog } from '../../TelemetryLog.js';
 
 test('a log writes without any environment variable', (t) => {
-  delete process.env.ROARR_LOG;
   const lines: string[] = [];
   createLog({ write: (line) => lines.push(line) }).info('listening', { http: '127.0.0.1:1' });
   t.is(lines.length, 1);
