--- /dev/null
+++ b/packages/membership/src/MembershipFollower.ts
@@ -0,0 +1,143 @@
+import type {
+  MonotonicClock,
+  PlatformStore,
+  RandomSource,
+  Revision,
+  StoreChange,
+  StoreWatch,
+  StoredValue,
+  Teardown,
+  WatchEvent,
+} from '@laburnumgap/kernel';
+import type { Log } from '@laburnumgap/telemetry';
+import { MembershipBackoff } from './MembershipBackoff.js';
+import { MEMBER_PREFIX, REOPEN_JITTER_MS } from './MembershipConstants.js';
+import { decodeMember } from './MembershipSchema.js';
+import type { MembershipTimers } from './MembershipTimers.js';
+import type { MembershipView, RegisteredMember } from './MembershipView.js';
+
+/** Options of a {@link MembershipFollower}. */
+export interface MembershipFollowerOptions {
+  readonly clock: MonotonicClock;
+  readonly log: Log;
+  /** Called after each change of the view. */
+  readonly onChange: () => void;
+  readonly random: RandomSource;
+  readonly store: PlatformStore;
+  readonly timers: MembershipTimers;
+  readonly view: MembershipView;
+}
+
+/** A watch that ends sooner than this after it was opened counts as failed. */
+const SHORT_WATCH_MS = 1000;
+
+/** Feeds the view from one range read and a watch. At most one of them is running. */
+export class MembershipFollower {
+  readonly #backoff: MembershipBackoff;
+  readonly #options: MembershipFollowerOptions;
+  #cancelTimer: Teardown = () => undefined;
+  #stopped = false;
+  #watch: StoreWatch | undefined;
+
+  constructor(options: MembershipFollowerOptions) {
+    this.#backoff = new MembershipBackoff(options.random);
+    this.#options = options;
+  }
+
+  start(): void {
+    void this.#readAll();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#cancelTimer();
+    this.#watch?.close();
+  }
+
+  async #readAll(): Promise<void> {
+    const { clock, log, onChange, store, view } = this.#options;
+    const range = await store.range(MEMBER_PREFIX);
+    if (this.#stopped) {
+      return;
+    }
+    if (!range.ok) {
+      log.warn('membersUnread', { detail: range.error.kind });
+      this.#later(this.#backoff.nextDelayMs(), () => void this.#readAll());
+      return;
+    }
+    this.#backoff.reset();
+    const registered = range.value.values.flatMap((value) => this.#decode(value));
+    view.applySnapshot(registered, range.value.revision, clock.nowMs());
+    onChange();
+    this.#openWatch(range.value.revision);
+  }
+
+  #openWatch(afterRevision: Revision): void {
+    const { clock, store } = this.#options;
+    const openedAtMs = clock.nowMs();
+    let revision = afterRevision;
+    this.#watch = store.watch(MEMBER_PREFIX, afterRevision, (event) => {
+      if (event.kind === 'changes') {
+        revision = event.revision;
+      }
+      this.#onWatchEvent(event, revision, openedAtMs);
+    });
+  }
+
+  #onWatchEvent(event: WatchEvent, revision: Revision, openedAtMs: number): void {
+    if (this.#stopped) {
+      return;
+    }
+    switch (event.kind) {
+      case 'changes':
+        this.#backoff.reset();
+        this.#apply(event.changes);
+        return;
+      case 'compacted':
+        this.#watch = undefined;
+        this.#later(this.#reopenDelayMs(openedAtMs), () => void this.#readAll());
+        return;
+      case 'ended':
+        this.#watch = undefined;
+        this.#later(this.#reopenDelayMs(openedAtMs), () => {
+          this.#openWatch(revision);
+        });
+    }
+  }
+
+  #reopenDelayMs(openedAtMs: number): number {
+    const { clock, random } = this.#options;
+    if (clock.nowMs() - openedAtMs < SHORT_WATCH_MS) {
+      return this.#backoff.nextDelayMs();
+    }
+    return REOPEN_JITTER_MS * random.nextUnit();
+  }
+
+  #apply(changes: readonly StoreChange[]): void {
+    const { clock, onChange, view } = this.#options;
+    for (const { key, modRevision, value } of changes) {
+      const member = value === undefined ? undefined : this.#decode({ key, value })[0]?.member;
+      if (value === undefined || member) {
+        view.applyChange(key, member, modRevision, clock.nowMs());
+      }
+    }
+    onChange();
+  }
+
+  #decode(stored: Pick<StoredValue, 'key' | 'value'>): readonly RegisteredMember[] {
+    const member = decodeMember(stored.key, stored.value);
+    if (!member) {
+      this.#options.log.warn('memberMalformed', { key: stored.key });
+      return [];
+    }
+    return [{ key: stored.key, member }];
+  }
+
+  #later(delayMs: number, run: () => void): void {
+    this.#cancelTimer = this.#options.timers.after(delayMs, () => {
+      if (!this.#stopped) {
+        run();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/membership/src/__tests__/support/FakeTime.ts
@@ -0,0 +1,57 @@
+import type { MonotonicClock, Teardown } from '@laburnumgap/kernel';
+import type { MembershipTimers } from '../../MembershipTimers.js';
+
+interface PendingTimer {
+  readonly atMs: number;
+  readonly run: () => void;
+}
+
+/** A clock and timers that only a test moves. */
+export class FakeTime implements MembershipTimers, MonotonicClock {
+  readonly #pending = new Set<PendingTimer>();
+  #nowMs = 0;
+
+  get pendingCount(): number {
+    return this.#pending.size;
+  }
+
+  nowMs(): number {
+    return this.#nowMs;
+  }
+
+  after(delayMs: number, run: () => void): Teardown {
+    const timer = { atMs: this.#nowMs + delayMs, run };
+    this.#pending.add(timer);
+    return () => {
+      this.#pending.delete(timer);
+    };
+  }
+
+  /** Moves the clock without running timers, as when the process is paused. */
+  pause(ms: number): void {
+    this.#nowMs += ms;
+  }
+
+  /** Moves the clock, running the timers that come due and what follows from them. */
+  async advance(ms: number): Promise<void> {
+    const endMs = this.#nowMs + ms;
+    await settle();
+    for (;;) {
+      const due = [...this.#pending].filter((timer) => timer.atMs <= endMs);
+      const next = due.sort((a, b) => a.atMs - b.atMs)[0];
+      if (!next) {
+        break;
+      }
+      this.#pending.delete(next);
+      this.#nowMs = Math.max(this.#nowMs, next.atMs);
+      next.run();
+      await settle();
+    }
+    this.#nowMs = endMs;
+  }
+}
+
+/** Lets every promise that can settle without time passing do so. */
+export function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * from './Membership.js';
+export * from './MembershipConstants.js';
+export * from './MembershipRank.js';
+export * from './MembershipSchema.js';
+export * from './MembershipTimers.js';
