--- a/packages/telemetry/src/TelemetryLog.ts
+++ b/packages/telemetry/src/TelemetryLog.ts
@@ -1,3 +1,4 @@
+import './TelemetryRoarrEnvironment.js';
 import logfmt from 'logfmt';
 import { ROARR, Roarr } from 'roarr';
 
