Add the scheduler daemon with a first-come admission and request homes

Cause: routers need admission to engines and a place to find a generation again. The admission kernel is the naive policy for now; it stays as the one that the real policy is compared with.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './AdmissionFifo.js';
+export type * from './AdmissionTypes.js';
+export * from './RequestHome.js';
--- /dev/null
+++ b/packages/scheduler/src/SchedulerAdmissionService.ts
@@ -0,0 +1,165 @@
+import type { ServerWritableStream } from '@grpc/grpc-js';
+import type { AdmissionAction, AdmissionRequest, ReservationId } from '@laburnumgap/admission';
+import type {
+  AttemptNumber,
+  EngineId,
+  GenerationId,
+  ModelId,
+  Refusal,
+  RequestId,
+  TeamId,
+} from '@laburnumgap/kernel';
+import { refusal, toId, toNumberId } from '@laburnumgap/kernel';
+import type {
+  AdmissionHandlers,
+  AdmitEvent,
+  AdmitRequest__Output,
+  EngineEstimate,
+  EstimateRequest__Output,
+  ProgressRequest__Output,
+} from '@laburnumgap/rpc';
+import type { SchedulerEngines } from './SchedulerEngines.js';
+
+type AdmitCall = ServerWritableStream<AdmitRequest__Output, AdmitEvent>;
+
+/** What the admission service is built from. */
+export interface SchedulerAdmissionOptions {
+  /** Tokens of the prompt that the engine is thought to have in its cache. */
+  cachedPrefixTokens(engineId: EngineId, prefixHashes: readonly string[]): number;
+  readonly engines: SchedulerEngines;
+}
+
+/**
+ * Creates the handlers of the Admission service.
+ *
+ * @param options - the engines and the view of their caches
+ * @returns the handlers
+ */
+export function createAdmissionHandlers(options: SchedulerAdmissionOptions): AdmissionHandlers {
+  let reservations = 0;
+  return {
+    Admit: (call) => {
+      reservations += 1;
+      admit(options.engines, call, toId<ReservationId>(`reservation-${reservations}`));
+    },
+    Estimate: (call, callback) => {
+      void estimate(options, call.request).then((estimates) => {
+        callback(null, { estimates });
+      });
+    },
+    ReportProgress: (call, callback) => {
+      reportProgress(options.engines, call.request);
+      callback(null, {});
+    },
+  };
+}
+
+function admit(engines: SchedulerEngines, call: AdmitCall, reservationId: ReservationId): void {
+  const engine = engines.open(toId<EngineId>(call.request.engineId));
+  if (!engine) {
+    const unknown = refusal('NO_ENGINE', 'the scheduler does not know the engine');
+    endRefused(call, unknown);
+    return;
+  }
+  const server = engines.serverOf(engine.engineId);
+  const engineUrl = server?.address ?? '';
+  call.once('cancelled', () => {
+    engine.release(reservationId);
+  });
+  engine.admit(admissionRequestOf(call.request, reservationId), {
+    end: () => {
+      call.end();
+    },
+    perform: (action) => {
+      if (call.cancelled) {
+        return;
+      }
+      if (action.kind === 'refuse') {
+        engine.release(reservationId);
+        endRefused(call, action.refusal);
+        return;
+      }
+      call.write(admitEventOf(action, engineUrl));
+    },
+  });
+}
+
+function endRefused(call: AdmitCall, refused: Refusal): void {
+  const { code, detail, retryAfterMs = 0 } = refused;
+  call.write({ refused: { code, detail, retryAfterMs } });
+  call.end();
+}
+
+function admitEventOf(
+  action: Exclude<AdmissionAction, { kind: 'refuse' }>,
+  engineUrl: string,
+): AdmitEvent {
+  switch (action.kind) {
+    case 'grant': {
+      const { enginePriority, waitedMs } = action;
+      return { granted: { enginePriority, engineUrl, waitedMs } };
+    }
+    case 'preempt':
+      return { preempt: { reason: 'memory' } };
+    case 'queue':
+      return { queued: { expectedWaitMs: action.expectedWaitMs } };
+  }
+}
+
+function admissionRequestOf(
+  request: AdmitRequest__Output,
+  reservationId: ReservationId,
+): AdmissionRequest {
+  return {
+    attempt: toNumberId<AttemptNumber>(request.attempt),
+    generationId: toId<GenerationId>(request.generationId),
+    maxTokens: request.maxTokens,
+    model: toId<ModelId>(request.modelId),
+    preemptions: request.preemptions,
+    priorityClass: request.priorityClass,
+    producedTokens: request.producedTokens,
+    promptTokens: request.promptTokens,
+    requestId: toId<RequestId>(request.requestId),
+    reservationId,
+    teamId: toId<TeamId>(request.teamId),
+    waitBoundMs: request.waitBoundMs,
+    weight: request.weight > 0 ? request.weight : 1,
+  };
+}
+
+async function estimate(
+  options: SchedulerAdmissionOptions,
+  request: EstimateRequest__Output,
+): Promise<EngineEstimate[]> {
+  const query = {
+    maxTokens: request.maxTokens,
+    model: toId<ModelId>(request.modelId),
+    promptTokens: request.promptTokens,
+    teamId: toId<TeamId>(request.teamId),
+  };
+  const engines = request.engineIds.flatMap((id) => options.engines.open(toId<EngineId>(id)) ?? []);
+  return Promise.all(
+    engines.map(async (engine) => {
+      const { acceptsWork, waitMs } = await engine.estimate(query);
+      const { engineId } = engine;
+      const cachedPrefixTokens = options.cachedPrefixTokens(engineId, request.prefixHashes);
+      return { acceptsWork, cachedPrefixTokens, engineId, waitMs };
+    }),
+  );
+}
+
+function reportProgress(engines: SchedulerEngines, request: ProgressRequest__Output): void {
+  for (const report of request.progress) {
+    const engine = engines.open(toId<EngineId>(report.engineId));
+    engine?.send({
+      kind: 'progressed',
+      progress: {
+        attempt: toNumberId<AttemptNumber>(report.attempt),
+        enginePreempted: report.enginePreempted,
+        finished: report.finished,
+        generationId: toId<GenerationId>(report.generationId),
+        producedTokens: report.producedTokens,
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -0,0 +1,85 @@
+import type { AdmissionController } from '@laburnumgap/admission';
+import { FifoAdmission, RequestHome } from '@laburnumgap/admission';
+import type { DaemonContext, StartedDaemon } from '@laburnumgap/daemon';
+import { startHttpServer } from '@laburnumgap/daemon';
+import type { EngineId, MemberId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import type { Node } from '@laburnumgap/node';
+import type { DaemonSettings } from '@laburnumgap/settings';
+import { createAdmissionHandlers } from './SchedulerAdmissionService.js';
+import type { EngineProbe } from './SchedulerEngineProbe.js';
+import { createEngineProbe } from './SchedulerEngineProbe.js';
+import { SchedulerEngines } from './SchedulerEngines.js';
+import { createInspectHandlers } from './SchedulerInspectService.js';
+import { SchedulerLoadPoll } from './SchedulerLoadPoll.js';
+import { createRequestHomeHandlers } from './SchedulerRequestHomeService.js';
+
+/** What a scheduler is started with. */
+export interface SchedulerOptions {
+  readonly context: DaemonContext<DaemonSettings>;
+  /** Builds the admission kernel of an engine. */
+  readonly createController?: (engineId: EngineId, nowMs: number) => AdmissionController;
+  readonly loadIntervalMs?: number;
+  readonly node: Node;
+  readonly probe?: EngineProbe;
+}
+
+/**
+ * Starts a scheduler: admission to the engines it is in charge of, and the request home.
+ *
+ * @param options - daemon context, node and replaceable parts
+ * @returns the started daemon
+ * @throws when an address cannot be bound
+ */
+export async function startScheduler(options: SchedulerOptions): Promise<StartedDaemon> {
+  const { context, node } = options;
+  const { actors, decisions, log, metrics, settings } = context;
+  const { clock, configuration, directory, servers } = node;
+  const home = new RequestHome();
+  const memberId = toId<MemberId>(settings.member.id);
+  const engines = new SchedulerEngines({
+    actors,
+    clock,
+    createController: options.createController ?? (() => new FifoAdmission()),
+    decisions,
+    directory,
+    memberId,
+    metrics,
+    onOpened: (engineId) => void poll.poll(engineId),
+    servers,
+  });
+  const poll = new SchedulerLoadPoll({
+    engines,
+    intervalMs: options.loadIntervalMs,
+    log,
+    probe: options.probe ?? createEngineProbe(),
+    servers,
+  });
+  const http = await startHttpServer({
+    address: settings.listen.http,
+    stage: () => context.stage(),
+  });
+  const member = await node.serve({
+    Admission: createAdmissionHandlers({ cachedPrefixTokens: () => 0, engines }),
+    Inspect: createInspectHandlers({
+      configuration,
+      decisions,
+      draining: () => context.stage() === 'draining',
+      engines,
+      homeRecords: () => home.size(),
+      memberId,
+    }),
+    RequestHome: createRequestHomeHandlers({ clock, decisions, home }),
+  });
+  engines.sync();
+  return {
+    addresses: { http: http.address, rpc: member.rpcAddress },
+    drain: async () => {
+      await engines.drain();
+      poll.stop();
+      await node.drain();
+      engines.stop();
+      http.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/SchedulerInspectService.ts
@@ -0,0 +1,61 @@
+import type { ConfigurationView } from '@laburnumgap/contracts';
+import type { DecisionRecord, MemberId } from '@laburnumgap/kernel';
+import type { InspectHandlers, StatusFact } from '@laburnumgap/rpc';
+import type { DecisionLog } from '@laburnumgap/telemetry';
+import type { SchedulerEngines } from './SchedulerEngines.js';
+
+/** What the inspect service is built from. */
+export interface SchedulerInspectOptions {
+  readonly configuration: ConfigurationView;
+  readonly decisions: DecisionLog;
+  readonly draining: () => boolean;
+  readonly engines: SchedulerEngines;
+  readonly homeRecords: () => number;
+  readonly memberId: MemberId;
+}
+
+/**
+ * Creates the handlers of the Inspect service.
+ *
+ * @param options - where the facts come from
+ * @returns the handlers
+ */
+export function createInspectHandlers(options: SchedulerInspectOptions): InspectHandlers {
+  return {
+    Explain: ({ request }, callback) => {
+      const decisions = options.decisions.explain(request.requestId).map((decision) => ({
+        atEpochMs: decision.atEpochMs,
+        decision: decision.decision,
+        line: lineOf(decision),
+      }));
+      callback(null, { decisions });
+    },
+    GetStatus: (_call, callback) => {
+      callback(null, {
+        configRevision: options.configuration.snapshot().revision,
+        draining: options.draining(),
+        facts: factsOf(options),
+        memberId: options.memberId,
+        role: 'scheduler',
+      });
+    },
+  };
+}
+
+function factsOf(options: SchedulerInspectOptions): StatusFact[] {
+  const engines = options.engines.opened().flatMap((engine) => {
+    const status = engine.status();
+    return Object.entries(status).map(([name, value]) => ({
+      name: `engine.${engine.engineId}.${name}`,
+      value: String(value),
+    }));
+  });
+  return [{ name: 'homeRecords', value: String(options.homeRecords()) }, ...engines];
+}
+
+function lineOf(decision: DecisionRecord): string {
+  return Object.entries(decision.fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${key}=${String(value)}`)
+    .join(' ');
+}
--- /dev/null
+++ b/packages/scheduler/src/SchedulerRequestHomeService.ts
@@ -0,0 +1,94 @@
+import type { HomeRecord, RequestHome } from '@laburnumgap/admission';
+import type {
+  AttemptNumber,
+  DecisionSink,
+  EngineId,
+  GenerationId,
+  MemberId,
+  ModelId,
+  MonotonicClock,
+  RequestId,
+  TeamId,
+} from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import type {
+  GenerationRecord,
+  GenerationRecord__Output,
+  RequestHomeHandlers,
+} from '@laburnumgap/rpc';
+
+/** What the request home service is built from. */
+export interface SchedulerRequestHomeOptions {
+  readonly clock: MonotonicClock;
+  readonly decisions: DecisionSink;
+  readonly home: RequestHome;
+}
+
+/**
+ * Creates the handlers of the RequestHome service.
+ *
+ * @param options - the records, the clock and the decision sink
+ * @returns the handlers
+ */
+export function createRequestHomeHandlers(
+  options: SchedulerRequestHomeOptions,
+): RequestHomeHandlers {
+  const { clock, decisions, home } = options;
+  return {
+    Forget: ({ request }, callback) => {
+      const attempt = toNumberId<AttemptNumber>(request.attempt);
+      home.forget(toId<TeamId>(request.teamId), toId<RequestId>(request.requestId), attempt);
+      callback(null, {});
+    },
+    RecordGeneration: ({ request }, callback) => {
+      callback(null, home.record(homeRecordOf(request), clock.nowMs()));
+    },
+    TakeOver: ({ request }, callback) => {
+      const { bodyHash, requestId, routerId, teamId } = request;
+      const taken = home.takeOver(
+        {
+          bodyHash,
+          requestId: toId<RequestId>(requestId),
+          routerId: toId<MemberId>(routerId),
+          teamId: toId<TeamId>(teamId),
+        },
+        clock.nowMs(),
+      );
+      const record = taken.outcome === 'found' ? taken.record : undefined;
+      decisions.record({
+        decision: 'takeOver',
+        fields: { attempt: record?.attempt, outcome: taken.outcome, routerId, teamId },
+        requestId,
+      });
+      callback(null, {
+        outcome: taken.outcome,
+        record: record ? generationRecordOf(record) : null,
+      });
+    },
+  };
+}
+
+function homeRecordOf(record: GenerationRecord__Output): HomeRecord {
+  const { bodyHash, deliveredIndex, engineUrl, maxTokens, prompt, seed, streamed } = record;
+  return {
+    attempt: toNumberId<AttemptNumber>(record.attempt),
+    bodyHash,
+    deliveredIndex,
+    engineId: toId<EngineId>(record.engineId),
+    engineUrl,
+    generationId: toId<GenerationId>(record.generationId),
+    maxTokens,
+    model: toId<ModelId>(record.modelId),
+    prompt,
+    requestId: toId<RequestId>(record.requestId),
+    routerId: toId<MemberId>(record.routerId),
+    seed,
+    streamed,
+    teamId: toId<TeamId>(record.teamId),
+  };
+}
+
+function generationRecordOf(record: HomeRecord): GenerationRecord {
+  const { model, ...fields } = record;
+  return { ...fields, modelId: model };
+}
--- /dev/null
+++ b/packages/scheduler/src/__tests__/SchedulerFakes.ts
@@ -0,0 +1,149 @@
+import type { DaemonContext } from '@laburnumgap/daemon';
+import { createActorSystem } from '@laburnumgap/daemon';
+import type { EngineLoad, KnownServer, Member, MemberRole, Teardown } from '@laburnumgap/kernel';
+import { success, toId, toNumberId } from '@laburnumgap/kernel';
+import type { Node } from '@laburnumgap/node';
+import { createRpcClients, startRpcServer } from '@laburnumgap/rpc';
+import type { DaemonSettings } from '@laburnumgap/settings';
+import { daemonSettingsSchema } from '@laburnumgap/settings';
+import { NO_LOG, NO_METRICS, createDecisionLog } from '@laburnumgap/telemetry';
+import type { EngineProbe } from '../index.js';
+
+/** Peer secret of the fakes. */
+export const FAKE_SECRET = 'a-secret-for-tests-only';
+
+/** Load of an engine with nothing on it. */
+export const IDLE_LOAD: EngineLoad = {
+  ageMs: 0,
+  kvTokensCapacity: 1000,
+  kvTokensUsed: 0,
+  leaving: false,
+  maxRunning: 8,
+  preemptions: 0,
+  queuedGenerations: 0,
+  runningGenerations: 0,
+};
+
+/** A context, node and probe in this process, with the means to change what they say. */
+export interface SchedulerFakes {
+  readonly context: DaemonContext<DaemonSettings>;
+  readonly node: Node;
+  readonly probe: EngineProbe;
+  /** Replaces the server list. */
+  setServers(servers: readonly KnownServer[]): void;
+}
+
+/**
+ * A model server for the fake list.
+ *
+ * @param id - its server id
+ * @param leaving - whether it leaves
+ * @returns the server
+ */
+export function fakeServer(id: string, leaving = false): KnownServer {
+  return {
+    address: `http://127.0.0.1:1/${id}`,
+    backend: { kind: 'model', pool: toId('pool') },
+    failureDomain: toId('fd-1'),
+    leaving,
+    region: toId('region-1'),
+    serverId: toId(id),
+    state: leaving ? 'leaving' : 'live',
+  };
+}
+
+/**
+ * Creates fakes with one idle engine, `engine-1`.
+ *
+ * @returns the fakes
+ */
+export function createSchedulerFakes(): SchedulerFakes {
+  const settings = daemonSettingsSchema.parse({
+    listen: { http: '127.0.0.1:0', rpc: '127.0.0.1:0' },
+    member: { entryVm: 'vm-1', failureDomain: 'fd-1', id: 'scheduler-1', region: 'region-1' },
+    peers: { secret: FAKE_SECRET },
+    platform: { storeUrl: 'http://127.0.0.1:1', vmListUrl: 'http://127.0.0.1:1' },
+  });
+  const listeners = new Set<() => void>();
+  let servers: readonly KnownServer[] = [fakeServer('engine-1')];
+  const context: DaemonContext<DaemonSettings> = {
+    actors: createActorSystem(NO_LOG),
+    decisions: createDecisionLog({ log: NO_LOG }),
+    log: NO_LOG,
+    metrics: NO_METRICS,
+    settings,
+    stage: () => 'ready',
+  };
+  const onChange = (listener: () => void): Teardown => {
+    listeners.add(listener);
+    return () => listeners.delete(listener);
+  };
+  return {
+    context,
+    node: fakeNode(() => servers, onChange),
+    probe: {
+      cacheEvents: () => Promise.resolve(success([])),
+      load: () => Promise.resolve(success(IDLE_LOAD)),
+    },
+    setServers: (next) => {
+      servers = next;
+      for (const listener of listeners) {
+        listener();
+      }
+    },
+  };
+}
+
+function fakeNode(
+  servers: () => readonly KnownServer[],
+  onChange: (listener: () => void) => Teardown,
+): Node {
+  const clients = createRpcClients(FAKE_SECRET);
+  const members: Member[] = [];
+  let closeServer: () => void = () => undefined;
+  return {
+    clients,
+    clock: { nowMs: () => performance.now() },
+    configuration: {
+      contractOfKey: () => 'unknown',
+      onChange: () => () => undefined,
+      snapshot: () => ({ contracts: new Map(), revision: toNumberId(1), stops: [] }),
+    },
+    directory: {
+      members: () => members,
+      onChange: () => () => undefined,
+      rank: (role: MemberRole) => members.filter((member) => member.role === role),
+      suspect: () => undefined,
+    },
+    drain: () => {
+      clients.close();
+      closeServer();
+      return Promise.resolve();
+    },
+    holdsLease: () => true,
+    random: { nextUnit: () => 0.5 },
+    serve: async (handlers) => {
+      const server = await startRpcServer({
+        address: '127.0.0.1:0',
+        handlers,
+        secret: FAKE_SECRET,
+      });
+      closeServer = () => {
+        server.close();
+      };
+      const member: Member = {
+        entryVm: toId('vm-1'),
+        failureDomain: toId('fd-1'),
+        incarnation: toId('1'),
+        memberId: toId('scheduler-1'),
+        region: toId('region-1'),
+        role: 'scheduler',
+        rpcAddress: server.address,
+      };
+      members.push(member);
+      return member;
+    },
+    servers: { noteLeaving: () => undefined, onChange, servers },
+    store: undefined as never,
+  };
+}
