--- /dev/null
+++ b/packages/claims/src/ClaimJournalSchema.ts
@@ -0,0 +1,71 @@
+import { z } from 'zod';
+import { parseClaimKey } from './ClaimKey.js';
+
+/** Version of the stored form. */
+export const CLAIM_JOURNAL_FORMAT = 1;
+
+const countSchema = z.number().int().min(0);
+
+const keySchema = z
+  .string()
+  .refine((key) => parseClaimKey(key.slice(key.indexOf('/') + 1)).ok, 'expected team/UUIDv7');
+
+const answerSchema = z.strictObject({
+  body: z.base64().optional(),
+  bodySha256: z.string().optional(),
+  contentType: z.string(),
+  status: z.number().int(),
+});
+
+const claimEntrySchema = z.strictObject({
+  callHash: z.string(),
+  claimId: z.string(),
+  deadlineEpochMs: z.number(),
+  key: keySchema,
+  kind: z.literal('claim'),
+});
+
+const settleEntrySchema = z.strictObject({
+  claimId: z.string(),
+  key: keySchema,
+  kind: z.literal('settle'),
+  outcome: z.discriminatedUnion('kind', [
+    z.strictObject({ answer: answerSchema, kind: z.literal('answered') }),
+    z.strictObject({ kind: z.literal('notRun') }),
+    z.strictObject({ kind: z.literal('unknown') }),
+  ]),
+});
+
+const entrySchema = z.discriminatedUnion('kind', [claimEntrySchema, settleEntrySchema]);
+
+/** One entry of a journal segment. */
+export type ClaimJournalEntry = z.infer<typeof entrySchema>;
+
+/** Schema of a stored segment. */
+export const claimSegmentSchema = z.strictObject({
+  entries: z.array(entrySchema).min(1),
+  format: z.literal(CLAIM_JOURNAL_FORMAT),
+});
+
+/** Schema of a slot's stored head. */
+export const claimHeadSchema = z.strictObject({
+  firstSegment: countSchema,
+  format: z.literal(CLAIM_JOURNAL_FORMAT),
+  /** Number after the last segment's. */
+  nextSegment: countSchema,
+  /** Highest time of a key whose entries were deleted, -1 for none. Such keys are never granted. */
+  prunedKeyEpochMs: z.number().int().min(-1),
+  /** Commits of the slot so far. */
+  sequence: countSchema,
+  /** Process that made the latest commit. */
+  writer: z.string().min(1),
+});
+
+/** A slot's stored head. */
+export type ClaimHead = z.infer<typeof claimHeadSchema>;
+
+/** Schema of the layout that all slots share. */
+export const claimLayoutSchema = z.strictObject({
+  format: z.literal(CLAIM_JOURNAL_FORMAT),
+  slots: z.number().int().positive(),
+});
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -1,1 +1,13 @@
-export {};
+export * from './ClaimBatch.js';
+export * from './ClaimCommit.js';
+export * from './ClaimDecision.js';
+export * from './ClaimJournal.js';
+export * from './ClaimJournalKeys.js';
+export * from './ClaimJournalSchema.js';
+export * from './ClaimKey.js';
+export type * from './ClaimMessages.js';
+export * from './ClaimRecord.js';
+export * from './ClaimSettings.js';
+export * from './ClaimSlot.js';
+export * from './ClaimStoreBackoff.js';
+export * from './ClaimWritePacer.js';
