--- a/packages/kernel/src/KernelResultCodes.ts
+++ b/packages/kernel/src/KernelResultCodes.ts
@@ -201,6 +201,12 @@
     httpStatus: 409,
     run: 'partial',
   },
+  ANSWER_NOT_KEPT: {
+    code: 5006,
+    description: 'The call ran once and was answered; the answer was too large to be kept.',
+    httpStatus: 410,
+    run: 'complete',
+  },
   INTERNAL: {
     code: 5999,
     description: 'An internal invariant failed; see the log for its number.',
