--- /dev/null
+++ b/packages/ledger/src/LedgerSlotActor.ts
@@ -0,0 +1,170 @@
+import type {
+  ClaimSettings,
+  ClaimSlotAction,
+  ClaimTime,
+  SlotOperation,
+  SlotReply,
+  StoredJournal,
+} from '@laburnumgap/claims';
+import { CLAIM_LAYOUT_KEY, ClaimSlot, claimHeadKey, claimSlotPrefix } from '@laburnumgap/claims';
+import type { Actor, ActorSystem } from '@laburnumgap/daemon';
+import type {
+  MonotonicClock,
+  PlatformStore,
+  RandomSource,
+  Result,
+  Revision,
+  SlotNumber,
+  StoreError,
+  StoredValue,
+  WallClock,
+} from '@laburnumgap/kernel';
+import type { Log } from '@laburnumgap/telemetry';
+
+/** Takes the reply to an operation, once. */
+export type SlotReplyListener = (reply: SlotReply) => void;
+
+/** What a slot's actor works with. */
+export interface LedgerSlotActorOptions {
+  readonly actors: ActorSystem;
+  readonly clock: MonotonicClock;
+  readonly log: Log;
+  readonly random: RandomSource;
+  readonly settings: ClaimSettings;
+  readonly slot: SlotNumber;
+  readonly store: PlatformStore;
+  readonly wallClock: WallClock;
+  readonly writer: string;
+}
+
+/** Owns the journal of one slot and does its reads and writes. */
+export interface LedgerSlotActor {
+  /** Operations that wait for a reply. */
+  queuedOperations(): number;
+  stop(): void;
+  submit(operation: SlotOperation, listener: SlotReplyListener): void;
+}
+
+type SlotMessage =
+  | {
+      readonly kind: 'committed';
+      readonly result: Result<Revision, StoreError>;
+    }
+  | { readonly kind: 'headRead'; readonly result: Result<StoredValue | undefined, StoreError> }
+  | { readonly kind: 'loaded'; readonly result: Result<StoredJournal, StoreError> }
+  | {
+      readonly kind: 'submit';
+      readonly listener: SlotReplyListener;
+      readonly operation: SlotOperation;
+    }
+  | { readonly kind: 'wake' };
+
+/**
+ * Starts the actor of a slot.
+ *
+ * @param options - the slot, the store, clocks and settings
+ * @returns the actor
+ */
+export function startLedgerSlotActor(options: LedgerSlotActorOptions): LedgerSlotActor {
+  const { actors, clock, log, slot, store, wallClock } = options;
+  const kernel = new ClaimSlot(options);
+  const listeners = new Map<SlotOperation, SlotReplyListener>();
+  let timer: NodeJS.Timeout | undefined;
+
+  const time = (): ClaimTime => ({
+    epochMs: wallClock.nowEpochMs(),
+    monotonicMs: clock.nowMs(),
+  });
+  const handle = (message: SlotMessage): void => {
+    const now = time();
+    if (message.kind === 'submit') {
+      listeners.set(message.operation, message.listener);
+    }
+    for (const action of actionsOf(kernel, message, now)) {
+      perform(action);
+    }
+    rearm(now);
+  };
+  const rearm = (now: ClaimTime): void => {
+    clearTimeout(timer);
+    const { wakeAtMs } = kernel;
+    if (wakeAtMs === undefined) {
+      return;
+    }
+    const delayMs = Math.max(1, Math.ceil(wakeAtMs - now.monotonicMs));
+    timer = setTimeout(() => {
+      actor.send({ kind: 'wake' });
+    }, delayMs);
+  };
+  const perform = (action: ClaimSlotAction): void => {
+    switch (action.kind) {
+      case 'commit':
+        void store.commit(action.commit).then((result) => {
+          actor.send({ kind: 'committed', result });
+        });
+        return;
+      case 'load':
+        void readJournal(store, slot).then((result) => {
+          actor.send({ kind: 'loaded', result });
+        });
+        return;
+      case 'readHead':
+        void store.read(claimHeadKey(slot)).then((result) => {
+          actor.send({ kind: 'headRead', result });
+        });
+        return;
+      case 'reply':
+        listeners.get(action.operation)?.(action.reply);
+        listeners.delete(action.operation);
+        return;
+      case 'warn':
+        log.error(action.event, { detail: action.detail, slot });
+    }
+  };
+  const actor: Actor<SlotMessage> = actors.spawn<SlotMessage>(`slot-${slot}`, handle);
+  return {
+    queuedOperations: () => kernel.queuedOperations,
+    stop: () => {
+      clearTimeout(timer);
+      actor.stop();
+    },
+    submit: (operation, listener) => {
+      actor.send({ kind: 'submit', listener, operation });
+    },
+  };
+}
+
+function actionsOf(
+  kernel: ClaimSlot,
+  message: SlotMessage,
+  now: ClaimTime,
+): readonly ClaimSlotAction[] {
+  switch (message.kind) {
+    case 'committed':
+      return kernel.committed(message.result, now);
+    case 'headRead':
+      return kernel.headRead(message.result, now);
+    case 'loaded':
+      return kernel.loaded(message.result, now);
+    case 'submit':
+      return kernel.submit(message.operation, now);
+    case 'wake':
+      return kernel.wake(now);
+  }
+}
+
+/** The layout is read first: a later change of it fails the guard of the next commit. */
+async function readJournal(
+  store: PlatformStore,
+  slot: SlotNumber,
+): Promise<Result<StoredJournal, StoreError>> {
+  const layout = await store.read(CLAIM_LAYOUT_KEY);
+  if (!layout.ok) {
+    return layout;
+  }
+  const range = await store.range(claimSlotPrefix(slot));
+  if (!range.ok) {
+    return range;
+  }
+  return { ok: true, value: { layout: layout.value, slot: range.value } };
+}
