Mark leaving backend servers by list, planned stop or own notice

The list lags: a list that says live lifts a mark only after the server was off the list, or, for a planned stop, after that stop was cancelled.

--- a/packages/stops/src/index.ts
+++ b/packages/stops/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './LeavingMarks.js';
+export * from './StopServerDirectory.js';
+export * from './StopUtils.js';
