Follow the configuration by store and peers, by key and revision

Watchers of each failure domain watch the store and probe a head key; other daemons follow two watchers in different domains.

--- /dev/null
+++ b/packages/config-sync/src/ConfigSync.ts
@@ -0,0 +1,112 @@
+import type { ConfigurationView } from '@laburnumgap/contracts';
+import type {
+  DecisionSink,
+  Member,
+  MemberDirectory,
+  MonotonicClock,
+  PlatformStore,
+  RandomSource,
+} from '@laburnumgap/kernel';
+import type { RpcClients } from '@laburnumgap/rpc';
+import type { Log } from '@laburnumgap/telemetry';
+import type { ConfigMessage } from './ConfigKeeper.js';
+import { ConfigKeeper } from './ConfigKeeper.js';
+import type { ConfigPeerHandlers } from './ConfigPeerServer.js';
+import { TICK_INTERVAL_MS } from './ConfigSyncConstants.js';
+
+/** Starts the actor that owns the configuration; `createActorSystem` of the daemon package fits. */
+export interface ConfigActors {
+  spawn<Message>(
+    name: string,
+    handler: (message: Message) => Promise<void> | void,
+  ): { send(message: Message): void; stop(): void };
+}
+
+/** Calls a function at an interval until torn down. */
+export type StartInterval = (intervalMs: number, run: () => void) => () => void;
+
+/** Options of {@link startConfigSync}. */
+export interface ConfigSyncOptions {
+  readonly actors?: ConfigActors;
+  readonly clients: RpcClients;
+  readonly clock: MonotonicClock;
+  readonly decisions: DecisionSink;
+  readonly directory: MemberDirectory;
+  readonly log: Log;
+  readonly member: Pick<Member, 'failureDomain' | 'memberId'>;
+  readonly random?: RandomSource;
+  /** Addresses of peers to ask while the directory knows none. */
+  readonly seedAddresses?: readonly string[];
+  readonly startInterval?: StartInterval;
+  readonly store: PlatformStore;
+  readonly watchersPerDomain?: number;
+}
+
+/** The configuration of one daemon, kept up to date. */
+export interface ConfigSync {
+  /** Time since the configuration was last confirmed to be the newest; infinite if never. */
+  ageMs(): number;
+  /** Handlers of the ConfigPeer service, for the gRPC server. */
+  readonly handlers: ConfigPeerHandlers;
+  stop(): void;
+  readonly view: ConfigurationView;
+}
+
+const INLINE_ACTORS: ConfigActors = {
+  spawn: (_name, handler) => ({
+    send: (message) => {
+      void handler(message);
+    },
+    stop: () => undefined,
+  }),
+};
+
+const SYSTEM_RANDOM: RandomSource = { nextUnit: () => Math.random() };
+
+/**
+ * Starts following the configuration, from the store, from peers, or both.
+ *
+ * @param options - store, peers, clock and log
+ * @returns the running synchronisation; its view starts empty at revision 0
+ */
+export function startConfigSync(options: ConfigSyncOptions): ConfigSync {
+  const startInterval = options.startInterval ?? startTimer;
+  const actors = options.actors ?? INLINE_ACTORS;
+  const keeper = new ConfigKeeper({
+    ...options,
+    random: options.random ?? SYSTEM_RANDOM,
+    send: (message) => {
+      actor.send(message);
+    },
+  });
+  const actor = actors.spawn<ConfigMessage>('configuration', (message) => {
+    keeper.handle(message);
+  });
+  const stopTimer = startInterval(TICK_INTERVAL_MS, () => {
+    actor.send({ kind: 'tick' });
+  });
+  const forgetDirectory = options.directory.onChange(() => {
+    actor.send({ kind: 'membersChanged' });
+  });
+  actor.send({ kind: 'membersChanged' });
+  actor.send({ kind: 'tick' });
+  return {
+    ageMs: () => keeper.ageMs(),
+    handlers: keeper.handlers,
+    stop: () => {
+      stopTimer();
+      forgetDirectory();
+      keeper.stop();
+      actor.stop();
+    },
+    view: keeper.view,
+  };
+}
+
+function startTimer(intervalMs: number, run: () => void): () => void {
+  const timer = setInterval(run, intervalMs);
+  timer.unref();
+  return () => {
+    clearInterval(timer);
+  };
+}
