--- /dev/null
+++ b/packages/quota/src/QuotaShare.ts
@@ -0,0 +1,89 @@
+import type { Refusal, TeamId } from '@laburnumgap/kernel';
+import { refusal } from '@laburnumgap/kernel';
+import { IDLE_TEAM_MS } from './QuotaConstants.js';
+import { QuotaShareTeam } from './QuotaShareTeam.js';
+import type { QuotaContract, QuotaDemand, QuotaTeamShare } from './QuotaTypes.js';
+
+/** Options of {@link createQuotaShare}. */
+export interface QuotaShareOptions {
+  readonly contractOf: (teamId: TeamId) => QuotaContract | undefined;
+  readonly idleTeamMs?: number;
+  readonly liveRouters: () => number;
+}
+
+/** The request may run; it counts as running until released. */
+export interface QuotaAdmitted {
+  readonly kind: 'admitted';
+}
+
+/** Holds one router's shares of team limits. */
+export interface QuotaShare {
+  /**
+   * Takes the answer of a home.
+   *
+   * @param shares - the shares
+   * @param nowMs - the time; validity counts from the last call of `demands`, which is earlier
+   */
+  applyShares(shares: readonly QuotaTeamShare[], nowMs: number): void;
+  /** Charges input or produced tokens of an admitted request. */
+  chargeTokens(teamId: TeamId, tokens: number, nowMs: number): void;
+  /** Demands of the teams in use, to be sent to their homes now. */
+  demands(nowMs: number): readonly QuotaDemand[];
+  /** Ends an admitted request. */
+  release(teamId: TeamId): void;
+  /** Admits a request within the team's share or says when to come back. */
+  tryAdmit(teamId: TeamId, nowMs: number): QuotaAdmitted | Refusal;
+}
+
+/**
+ * Creates the shares of one router. Without a valid share a team gets its limit divided by the live
+ * routers.
+ *
+ * @param options - contracts and number of routers
+ * @returns the shares
+ */
+export function createQuotaShare(options: QuotaShareOptions): QuotaShare {
+  const idleTeamMs = options.idleTeamMs ?? IDLE_TEAM_MS;
+  const teams = new Map<TeamId, QuotaShareTeam>();
+
+  const teamOf = (teamId: TeamId, nowMs: number): QuotaShareTeam | undefined => {
+    const contract = options.contractOf(teamId);
+    if (!contract) {
+      return undefined;
+    }
+    const liveRouters = options.liveRouters();
+    const known = teams.get(teamId) ?? new QuotaShareTeam({ contract, liveRouters, nowMs });
+    teams.set(teamId, known);
+    known.refresh(contract, liveRouters, nowMs);
+    return known;
+  };
+
+  return {
+    applyShares: (shares, nowMs) => {
+      for (const share of shares) {
+        teamOf(share.teamId, nowMs)?.applyShare(share, nowMs);
+      }
+    },
+    chargeTokens: (teamId, tokens, nowMs) => {
+      teamOf(teamId, nowMs)?.chargeTokens(tokens, nowMs);
+    },
+    demands: (nowMs) => {
+      const demands: QuotaDemand[] = [];
+      for (const [teamId, team] of teams) {
+        if (team.isIdle(nowMs, idleTeamMs)) {
+          teams.delete(teamId);
+        } else {
+          demands.push({ ...team.demand(nowMs), teamId });
+        }
+      }
+      return demands;
+    },
+    release: (teamId) => {
+      teams.get(teamId)?.release();
+    },
+    tryAdmit: (teamId, nowMs) => {
+      const team = teamOf(teamId, nowMs);
+      return team?.tryAdmit(nowMs) ?? refusal('KEY_REJECTED', 'the team has no contract in force');
+    },
+  };
+}
