Wire every daemon from one node, and close the HTTP port on destroy

Cause: the three daemons share store, membership, configuration and servers. The scheduler's daemon test passed its five cases but its process never ended: destroy() closed connections and left the port listening. Ruled out: gRPC clients or timers holding the process (the listening socket alone did). Conclusion: destroy closes the port too; packages/node wires the daemons.

--- a/packages/daemon/src/DaemonHealth.ts
+++ b/packages/daemon/src/DaemonHealth.ts
@@ -21,7 +21,7 @@
   readonly address: string;
   /** Takes no new connections and closes idle ones; resolves when the last one has ended. */
   drain(): Promise<void>;
-  /** Closes every connection. */
+  /** Closes the port and every connection. */
   destroy(): void;
 }
 
@@ -63,6 +63,7 @@
   return {
     address,
     destroy: () => {
+      server.close();
       server.closeAllConnections();
     },
     drain: () =>
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,1 +1,3 @@
 export type * from './Node.js';
+export * from './NodeClocks.js';
+export * from './NodeStart.js';
--- a/packages/scheduler/src/__tests__/SchedulerFakes.ts
+++ b/packages/scheduler/src/__tests__/SchedulerFakes.ts
@@ -109,6 +109,7 @@
       onChange: () => () => undefined,
       snapshot: () => ({ contracts: new Map(), revision: toNumberId(1), stops: [] }),
     },
+    configurationAgeMs: () => 0,
     directory: {
       members: () => members,
       onChange: () => () => undefined,
