--- a/packages/engine/src/index.ts
+++ b/packages/engine/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export type * from './EngineStream.js';
+export * from './EngineStreamClient.js';
--- /dev/null
+++ b/packages/generation/src/GenerationTracker.ts
@@ -0,0 +1,306 @@
+import type {
+  AttemptNumber,
+  EngineGenerationStatus,
+  EngineId,
+  GeneratedToken,
+  GenerationId,
+  Refusal,
+} from '@laburnumgap/kernel';
+import { invariant, refusal, toNumberId } from '@laburnumgap/kernel';
+import type { ContinuationPolicy } from './ContinuationPolicy.js';
+import { PrefixContinuationPolicy } from './ContinuationPolicy.js';
+import type {
+  GenerationAction,
+  GenerationEvent,
+  GenerationPlacement,
+  TokenVerdict,
+} from './GenerationActions.js';
+import {
+  DEFAULT_MAX_FAILURES_WITHOUT_PROGRESS,
+  DEFAULT_PATIENCE_MS,
+  MAX_PLACEMENT_RETRY_MS,
+  MAX_UNANSWERED_ASKS,
+  NEGATIVE_INDEX_INVARIANT,
+  NO_ATTEMPT_INVARIANT,
+  PLACEMENT_RETRY_MS,
+} from './GenerationConstants.js';
+
+/** Options of a tracker. */
+export interface GenerationTrackerOptions {
+  /** Whether tokens reach the caller only once the answer is whole. */
+  readonly buffered?: boolean;
+  /** Index of the first token that the caller wants; it has the ones before. */
+  readonly firstWantedIndex?: number;
+  readonly generationId: GenerationId;
+  /** Texts of leading tokens that are known already. */
+  readonly knownTexts?: readonly string[];
+  readonly maxFailuresWithoutProgress?: number;
+  readonly patienceMs?: number;
+  readonly policy?: ContinuationPolicy;
+  /** Number of the latest attempt that is known to have been started; 0 for none. */
+  readonly startedAttempt?: number;
+}
+
+/**
+ * Follows one generation over all its attempts: which token is taken, and what is done when an
+ * engine, a link or a reservation is lost. Pure: time comes in with the events.
+ */
+export class GenerationTracker {
+  private attemptNumber: number;
+  private readonly buffered: boolean;
+  private engine: EngineId | undefined;
+  private readonly excluded = new Set<EngineId>();
+  private failuresWithoutProgress = 0;
+  private readonly firstWantedIndex: number;
+  private readonly generationId: GenerationId;
+  private readonly maxFailures: number;
+  private readonly patienceMs: number;
+  private readonly policy: ContinuationPolicy;
+  private searchingSinceMs: number | undefined;
+  private started: boolean;
+  private readonly texts: string[];
+  private unansweredAsks = 0;
+
+  constructor(options: GenerationTrackerOptions) {
+    this.attemptNumber = options.startedAttempt ?? 0;
+    this.buffered = options.buffered ?? false;
+    this.firstWantedIndex = options.firstWantedIndex ?? 0;
+    this.generationId = options.generationId;
+    this.maxFailures = options.maxFailuresWithoutProgress ?? DEFAULT_MAX_FAILURES_WITHOUT_PROGRESS;
+    this.patienceMs = options.patienceMs ?? DEFAULT_PATIENCE_MS;
+    this.policy = options.policy ?? new PrefixContinuationPolicy();
+    this.started = this.attemptNumber > 0;
+    this.texts = [...(options.knownTexts ?? [])];
+    invariant(
+      this.firstWantedIndex >= 0,
+      NEGATIVE_INDEX_INVARIANT,
+      'first wanted index is not negative',
+    );
+  }
+
+  /** Number of the current attempt; 0 before the first. */
+  get attempt(): AttemptNumber {
+    return toNumberId(this.attemptNumber);
+  }
+
+  /** Index of the next token that is expected from an engine. */
+  get nextIndex(): number {
+    return this.texts.length;
+  }
+
+  /** Tokens that the caller may have. */
+  get deliveredTokens(): number {
+    if (this.buffered) {
+      return 0;
+    }
+    return Math.max(this.firstWantedIndex, this.texts.length);
+  }
+
+  /** Texts of the leading tokens. */
+  knownTexts(): readonly string[] {
+    return this.texts;
+  }
+
+  /** The first placement. */
+  begin(): GenerationPlacement {
+    return this.place('first');
+  }
+
+  /** Notes that the current attempt is about to be sent to an engine: from now on it may run. */
+  noteStarted(engineId: EngineId): void {
+    this.engine = engineId;
+    this.started = true;
+    this.searchingSinceMs = undefined;
+  }
+
+  /** Judges a token and keeps it when it is the next one. */
+  take(token: GeneratedToken): TokenVerdict {
+    invariant(this.attemptNumber > 0, NO_ATTEMPT_INVARIANT, 'an attempt runs');
+    if (token.generationId !== this.generationId) {
+      return 'foreign';
+    }
+    if (token.attempt !== this.attemptNumber) {
+      return 'stale';
+    }
+    if (token.index < this.texts.length) {
+      return 'duplicate';
+    }
+    if (token.index > this.texts.length) {
+      return 'gap';
+    }
+    this.texts.push(token.text);
+    this.failuresWithoutProgress = 0;
+    return token.index < this.firstWantedIndex ? 'held' : 'deliver';
+  }
+
+  /** Decides what to do after an event. */
+  decide(event: GenerationEvent): GenerationAction {
+    switch (event.kind) {
+      case 'adopted':
+        this.noteStarted(event.engineId);
+        return this.resume();
+      case 'finished':
+        return this.onFinished(event);
+      case 'lost':
+        return this.onLost(event);
+      case 'moveOrdered':
+      case 'preempted':
+        return this.moveOn(event.kind);
+      case 'placementFailed':
+        return this.onPlacementFailed(event.refusal, event.nowMs);
+      case 'sequenceBroken':
+        return this.afterFailure(event.detail) ?? this.resume();
+      case 'silent':
+        return { kind: 'ask' };
+      case 'status':
+        return this.onStatus(event.status, event.streamOpen);
+      case 'statusFailed':
+        return this.onStatusFailed(event.detail, event.refused);
+    }
+  }
+
+  private afterFailure(detail: string): GenerationAction | undefined {
+    this.failuresWithoutProgress += 1;
+    if (this.failuresWithoutProgress <= this.maxFailures) {
+      return undefined;
+    }
+    return { kind: 'end', refusal: this.earlyEnd(detail) };
+  }
+
+  private dropUndelivered(): void {
+    if (!this.policy.keepsUndelivered) {
+      this.texts.length = 0;
+    }
+  }
+
+  private earlyEnd(detail: string, retryAfterMs?: number): Refusal {
+    const valid = this.deliveredTokens;
+    if (valid > 0) {
+      const text = `${detail}; ${valid} tokens (0 to ${valid - 1}) are valid`;
+      return refusal('GENERATION_ENDED_EARLY', text, retryAfterMs);
+    }
+    return refusal('UPSTREAM_FAILED', detail, retryAfterMs ?? PLACEMENT_RETRY_MS);
+  }
+
+  private giveEngineUp(detail: string): GenerationAction {
+    const ended = this.afterFailure(detail);
+    if (ended) {
+      return ended;
+    }
+    if (this.engine !== undefined) {
+      this.excluded.add(this.engine);
+    }
+    if (!this.mayMove()) {
+      return { kind: 'end', refusal: this.earlyEnd(`the engine is lost (${detail})`) };
+    }
+    this.dropUndelivered();
+    return this.place(detail);
+  }
+
+  private mayMove(): boolean {
+    return this.policy.mayMove({
+      deliveredTokens: this.deliveredTokens,
+      knownTokens: this.texts.length,
+    });
+  }
+
+  /** Readmission after a preemption: any engine, or the same one where the policy binds it. */
+  private moveOn(reason: string): GenerationAction {
+    if (this.mayMove()) {
+      this.dropUndelivered();
+      return this.place(reason);
+    }
+    return { ...this.place(reason), onlyEngine: this.engine };
+  }
+
+  private onFinished(event: Extract<GenerationEvent, { kind: 'finished' }>): GenerationAction {
+    if (event.finishReason === 'cancelled') {
+      return { kind: 'end', refusal: this.earlyEnd('the engine cancelled the generation') };
+    }
+    if (event.totalTokens !== this.texts.length) {
+      const detail = `the engine counts ${event.totalTokens} tokens, ${this.texts.length} came`;
+      return this.afterFailure(detail) ?? this.resume();
+    }
+    return {
+      finishReason: event.finishReason,
+      kind: 'finish',
+      totalTokens: event.totalTokens,
+    };
+  }
+
+  private onLost(event: Extract<GenerationEvent, { kind: 'lost' }>): GenerationAction {
+    switch (event.reason) {
+      case 'superseded':
+      case 'reset':
+      case 'connectFailed':
+      case 'protocolViolation':
+        return this.afterFailure(event.detail) ?? { kind: 'ask' };
+      case 'unknownGeneration':
+      case 'rejected':
+        return this.giveEngineUp(event.detail);
+    }
+  }
+
+  private onPlacementFailed(reason: Refusal, nowMs: number): GenerationAction {
+    if (!this.started) {
+      return { kind: 'end', refusal: reason };
+    }
+    this.searchingSinceMs ??= nowMs;
+    if (nowMs - this.searchingSinceMs >= this.patienceMs) {
+      return { kind: 'end', refusal: this.earlyEnd(reason.detail, reason.retryAfterMs) };
+    }
+    this.excluded.clear();
+    const delayMs = Math.min(reason.retryAfterMs ?? PLACEMENT_RETRY_MS, MAX_PLACEMENT_RETRY_MS);
+    return { ...this.placement('placementFailed'), delayMs };
+  }
+
+  private onStatus(status: EngineGenerationStatus, streamOpen: boolean): GenerationAction {
+    this.unansweredAsks = 0;
+    if (status.state === 'unknown') {
+      return this.giveEngineUp('the engine does not know the generation');
+    }
+    if (status.attempt > this.attemptNumber) {
+      return { kind: 'end', refusal: refusal('ATTEMPT_SUPERSEDED', 'a newer attempt runs') };
+    }
+    if (status.attempt < this.attemptNumber) {
+      return this.giveEngineUp('the engine runs an older attempt');
+    }
+    if (status.state === 'preempted') {
+      return this.moveOn('preempted');
+    }
+    const nothingMissing = status.producedTokens <= this.texts.length;
+    if (streamOpen && nothingMissing && status.state !== 'finished') {
+      return { kind: 'await' };
+    }
+    return this.resume();
+  }
+
+  private onStatusFailed(detail: string, refused: boolean): GenerationAction {
+    this.unansweredAsks += 1;
+    if (!refused && this.unansweredAsks < MAX_UNANSWERED_ASKS) {
+      return { kind: 'ask' };
+    }
+    this.unansweredAsks = 0;
+    return this.giveEngineUp(detail);
+  }
+
+  private place(reason: string): GenerationPlacement {
+    this.attemptNumber += 1;
+    return this.placement(reason);
+  }
+
+  private placement(reason: string): GenerationPlacement {
+    return {
+      attempt: this.attempt,
+      delayMs: 0,
+      excludedEngines: [...this.excluded],
+      kind: 'place',
+      prefix: [...this.texts],
+      reason,
+    };
+  }
+
+  private resume(): GenerationAction {
+    return { attempt: this.attempt, fromIndex: this.texts.length, kind: 'resume' };
+  }
+}
--- a/packages/generation/src/index.ts
+++ b/packages/generation/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './ContinuationPolicy.js';
+export * from './GapEstimator.js';
+export type * from './GenerationActions.js';
+export * from './GenerationTracker.js';
--- /dev/null
+++ b/packages/router/src/RouterAuthentication.ts
@@ -0,0 +1,57 @@
+import { createHash } from 'node:crypto';
+import type { IncomingHttpHeaders } from 'node:http';
+import type { ConfigurationView, ContractInForce } from '@laburnumgap/contracts';
+import type { Refusal, RequestId, Result } from '@laburnumgap/kernel';
+import { failure, refusal, success, toId } from '@laburnumgap/kernel';
+import { v7 } from 'uuid';
+
+const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/i;
+const REQUEST_ID = /^[A-Za-z0-9._:-]{1,128}$/;
+
+/**
+ * Finds the contract that a request's key opens. The key itself is kept nowhere.
+ *
+ * @param headers - the request's headers
+ * @param configuration - the contracts in force
+ * @returns the contract, or a refusal for a missing, unknown or revoked key
+ */
+export function authenticate(
+  headers: IncomingHttpHeaders,
+  configuration: ConfigurationView,
+): Result<ContractInForce, Refusal> {
+  if (headers.authorization === undefined) {
+    return failure(refusal('KEY_MISSING', 'send Authorization: Bearer KEY'));
+  }
+  const key = BEARER.exec(headers.authorization)?.[1];
+  if (key === undefined) {
+    return failure(refusal('KEY_REJECTED', 'the Authorization header is no bearer key'));
+  }
+  const found = configuration.contractOfKey(createHash('sha256').update(key).digest('hex'));
+  if (typeof found === 'string') {
+    return failure(refusal('KEY_REJECTED', `the key is ${found}`));
+  }
+  return success(found);
+}
+
+/** A request id and whether the caller chose it. */
+export interface NamedRequest {
+  readonly given: boolean;
+  readonly requestId: RequestId;
+}
+
+/**
+ * Reads a request's id, or makes one.
+ *
+ * @param headers - the request's headers
+ * @returns the id, or undefined when the header is malformed
+ */
+export function requestIdOf(headers: IncomingHttpHeaders): NamedRequest | undefined {
+  const given = headers['x-request-id'];
+  if (given === undefined) {
+    return { given: false, requestId: toId(v7()) };
+  }
+  if (typeof given !== 'string' || !REQUEST_ID.test(given)) {
+    return undefined;
+  }
+  return { given: true, requestId: toId(given) };
+}
--- /dev/null
+++ b/packages/router/src/RouterCallerSink.ts
@@ -0,0 +1,170 @@
+import type { ServerResponse } from 'node:http';
+import type { FinishReason, Refusal, RequestId, Teardown } from '@laburnumgap/kernel';
+import { refusalBody, writeRefusal } from './RouterRefusals.js';
+import type { Timers } from './RouterTimers.js';
+
+/** Takes the answer of one request to its caller. */
+export interface CallerSink {
+  /** Closes the connection without an end, so that the caller comes back elsewhere. */
+  abandon(): void;
+  /** Hands a token over; resolves once more can be taken, or when the caller is gone. */
+  deliver(index: number, text: string): Promise<void> | undefined;
+  fail(refusal: Refusal): void;
+  finish(finishReason: FinishReason, totalTokens: number): void;
+  /** Whether the caller's connection is closed. */
+  isGone(): boolean;
+  /** Calls the listener when the caller goes away before the answer has ended. */
+  onGone(listener: () => void): void;
+}
+
+/** What a sink is made with. */
+export interface CallerSinkOptions {
+  readonly keepaliveMs: number;
+  readonly requestId: RequestId;
+  readonly response: ServerResponse;
+  readonly timers: Timers;
+}
+
+/** What all sinks share: whether the caller is still there. */
+abstract class ResponseSink implements CallerSink {
+  protected readonly requestId: RequestId;
+  protected readonly response: ServerResponse;
+
+  constructor(options: CallerSinkOptions) {
+    this.requestId = options.requestId;
+    this.response = options.response;
+  }
+
+  abandon(): void {
+    this.response.destroy();
+  }
+
+  isGone(): boolean {
+    return this.response.destroyed || this.response.closed;
+  }
+
+  onGone(listener: () => void): void {
+    this.response.once('close', () => {
+      if (!this.response.writableFinished) {
+        listener();
+      }
+    });
+  }
+
+  abstract deliver(index: number, text: string): Promise<void> | undefined;
+  abstract fail(refusal: Refusal): void;
+  abstract finish(finishReason: FinishReason, totalTokens: number): void;
+}
+
+/** Streams tokens as server-sent events whose ids are token indexes. */
+export class StreamSink extends ResponseSink {
+  private readonly keepaliveMs: number;
+  private stopKeepalive: Teardown;
+  private readonly timers: Timers;
+  private wroteSinceKeepalive = false;
+
+  constructor(options: CallerSinkOptions) {
+    super(options);
+    this.keepaliveMs = options.keepaliveMs;
+    this.timers = options.timers;
+    this.stopKeepalive = this.scheduleKeepalive();
+    this.response.once('close', () => {
+      this.stopKeepalive();
+    });
+  }
+
+  deliver(index: number, text: string): Promise<void> | undefined {
+    const chunk = { choices: [{ index: 0, text }], id: this.requestId };
+    const flowing = this.write(`id: ${index}\ndata: ${JSON.stringify(chunk)}\n\n`);
+    return flowing ? undefined : this.drained();
+  }
+
+  fail(refusal: Refusal): void {
+    this.stopKeepalive();
+    if (!this.response.headersSent) {
+      writeRefusal(this.response, refusal, this.requestId);
+      return;
+    }
+    this.write(`event: error\ndata: ${refusalBody(refusal, this.requestId)}\n\n`);
+    this.response.end();
+  }
+
+  finish(): void {
+    this.stopKeepalive();
+    this.write('data: [DONE]\n\n');
+    this.response.end();
+  }
+
+  private drained(): Promise<void> | undefined {
+    if (this.isGone()) {
+      return undefined;
+    }
+    return new Promise((resolve) => {
+      const settle = (): void => {
+        this.response.off('drain', settle);
+        this.response.off('close', settle);
+        resolve();
+      };
+      this.response.on('drain', settle);
+      this.response.on('close', settle);
+    });
+  }
+
+  private scheduleKeepalive(): Teardown {
+    return this.timers.after(this.keepaliveMs, () => {
+      if (!this.wroteSinceKeepalive && !this.response.writableNeedDrain) {
+        this.write(': keepalive\n\n');
+      }
+      this.wroteSinceKeepalive = false;
+      this.stopKeepalive = this.scheduleKeepalive();
+    });
+  }
+
+  private write(text: string): boolean {
+    if (this.isGone()) {
+      return true;
+    }
+    if (!this.response.headersSent) {
+      this.response.writeHead(200, {
+        'cache-control': 'no-store',
+        'content-type': 'text/event-stream',
+        'x-accel-buffering': 'no',
+        'x-request-id': this.requestId,
+      });
+    }
+    this.wroteSinceKeepalive = true;
+    return this.response.write(text);
+  }
+}
+
+/** Collects the answer and sends it whole, or a numbered error in its place. */
+export class WholeSink extends ResponseSink {
+  private readonly texts: string[] = [];
+
+  deliver(index: number, text: string): undefined {
+    this.texts[index] = text;
+    return undefined;
+  }
+
+  fail(refusal: Refusal): void {
+    writeRefusal(this.response, refusal, this.requestId);
+  }
+
+  finish(finishReason: FinishReason, totalTokens: number): void {
+    if (this.isGone()) {
+      return;
+    }
+    const text = this.texts.slice(0, totalTokens).join('');
+    const body = JSON.stringify({
+      choices: [{ finish_reason: finishReason, index: 0, text }],
+      id: this.requestId,
+      object: 'text_completion',
+      usage: { completion_tokens: totalTokens },
+    });
+    this.response.writeHead(200, {
+      'content-type': 'application/json',
+      'x-request-id': this.requestId,
+    });
+    this.response.end(body);
+  }
+}
--- /dev/null
+++ b/packages/router/src/RouterConstants.ts
@@ -0,0 +1,33 @@
+/** Invariant 802: the settings name a policy that is registered. */
+export const UNKNOWN_POLICY_INVARIANT = 802;
+/** Invariant 801: only a generation that is placed has a stream. */
+export const NO_STREAM_INVARIANT = 801;
+
+/** Largest request body. */
+export const MAX_BODY_BYTES = 1024 * 1024;
+/** Time for a request body to arrive. */
+export const BODY_TIMEOUT_MS = 10_000;
+/** When to come back to another router while this one shuts down. */
+export const DRAINING_RETRY_MS = 1_000;
+/** When to come back while no engine can be reached. */
+export const NO_ENGINE_RETRY_MS = 1_000;
+/** Pause between keepalive comments on a caller's stream. */
+export const KEEPALIVE_MS = 5_000;
+/** Time in which a scheduler says whether a request is queued, granted or refused. */
+export const ADMIT_FIRST_EVENT_MS = 1_000;
+/** Deadline of calls between own processes. */
+export const RPC_DEADLINE_MS = 1_000;
+/** Pause between progress reports. */
+export const PROGRESS_INTERVAL_MS = 500;
+/** Rounds of choosing engines before a request is refused. */
+export const MAX_PLACEMENT_ROUNDS = 3;
+/** Schedulers tried, in rank, for one admission. */
+export const MAX_ADMISSION_TRIES = 3;
+/** How long an engine that did not answer is avoided. */
+export const ENGINE_SUSPICION_MS = 5_000;
+/** Tokens between two refreshes of a request's homes. */
+export const HOME_REFRESH_TOKENS = 512;
+/** Every so many tokens their gap is reported as a metric. */
+export const GAP_SAMPLE_TOKENS = 8;
+/** Part of the shutdown bound that is left for closing once streams were given their time. */
+export const DRAIN_RESERVE_SHARE = 0.3;
--- /dev/null
+++ b/packages/router/src/RouterDaemon.ts
@@ -0,0 +1,162 @@
+import type { DaemonContext, StartedDaemon } from '@laburnumgap/daemon';
+import { startHttpServer } from '@laburnumgap/daemon';
+import type { EngineStreamClient } from '@laburnumgap/engine';
+import { createEngineStreamClient } from '@laburnumgap/engine';
+import { createContinuationPolicies } from '@laburnumgap/generation';
+import type { EngineId, MemberId, PluginRegistry, Teardown } from '@laburnumgap/kernel';
+import { createPluginRegistry, invariant, toId } from '@laburnumgap/kernel';
+import type { Node } from '@laburnumgap/node';
+import { RouteChooser } from '@laburnumgap/routing';
+import type { RpcHandlers } from '@laburnumgap/rpc';
+import { RouterCompletions } from './RouterCompletions.js';
+import { DRAIN_RESERVE_SHARE, UNKNOWN_POLICY_INVARIANT } from './RouterConstants.js';
+import { RouterEngineHealth } from './RouterEngineHealth.js';
+import type { RunServices } from './RouterGenerationRun.js';
+import { createRouterHttp } from './RouterHttp.js';
+import { createRouterInspect } from './RouterInspect.js';
+import { RouterPlacement } from './RouterPlacement.js';
+import type { AdmissionPort, RequestHomes } from './RouterPorts.js';
+import { RouterProgress } from './RouterProgress.js';
+import type { RouterQuota } from './RouterQuota.js';
+import { UNLIMITED_QUOTA } from './RouterQuota.js';
+import type { RequestHandler } from './RouterRequestHandler.js';
+import { RpcAdmission } from './RouterRpcAdmission.js';
+import { RpcRequestHomes } from './RouterRpcHomes.js';
+import { RouterRunRegistry } from './RouterRunRegistry.js';
+import type { RouterSettings } from './RouterSettings.js';
+import type { Timers } from './RouterTimers.js';
+import { SYSTEM_TIMERS } from './RouterTimers.js';
+
+/** What a router is started with. The ports have defaults that call the other daemons. */
+export interface RouterOptions {
+  readonly admission?: AdmissionPort;
+  readonly context: DaemonContext<RouterSettings>;
+  readonly engines?: EngineStreamClient;
+  readonly homes?: RequestHomes;
+  readonly node: Node;
+  readonly quota?: RouterQuota;
+  readonly timers?: Timers;
+}
+
+/** A running router, as plug-ins and the daemon program see it. */
+export interface Router extends StartedDaemon {
+  readonly context: DaemonContext<RouterSettings>;
+  readonly handlers: PluginRegistry<RequestHandler>;
+  readonly node: Node;
+  readonly timers: Timers;
+}
+
+/**
+ * Adds a kind of request to a router.
+ *
+ * @param router - the router
+ * @param handler - serves the requests that it matches
+ * @returns removes the handler again
+ */
+export function registerRequestHandler(
+  router: Pick<Router, 'handlers'>,
+  handler: RequestHandler,
+): Teardown {
+  return router.handlers.register(handler.name, handler);
+}
+
+/**
+ * Starts a router: it serves callers once the returned promise has resolved.
+ *
+ * @param options - the daemon's context, the node and ports to replace
+ * @returns the running router
+ */
+export async function startRouter(options: RouterOptions): Promise<Router> {
+  const { context, node, quota = UNLIMITED_QUOTA, timers = SYSTEM_TIMERS } = options;
+  const { decisions, log, metrics, settings } = context;
+  const { clients, directory } = node;
+  const routerId = toId<MemberId>(settings.member.id);
+  const admission = options.admission ?? new RpcAdmission({ clients, directory, routerId });
+  const homes = options.homes ?? new RpcRequestHomes({ clients, directory, routerId });
+  const health = new RouterEngineHealth(node.clock);
+  const progress = new RouterProgress(admission, timers);
+  const registry = new RouterRunRegistry();
+  const services: RunServices = {
+    clock: node.clock,
+    decisions,
+    engines: options.engines ?? createEngineStreamClient(),
+    health,
+    homes,
+    log,
+    metrics,
+    placement: new RouterPlacement({
+      admission,
+      chooser: new RouteChooser({ random: node.random }),
+      decisions,
+      health,
+      pools: settings.enginePools,
+      servers: node.servers,
+      timers,
+    }),
+    policy: policyOf(settings.router.continuation),
+    progress,
+    timers,
+  };
+  const handlers = createPluginRegistry<RequestHandler>();
+  const { keepaliveMs } = settings.router;
+  registerRequestHandler(
+    { handlers },
+    new RouterCompletions({ keepaliveMs, quota, random: node.random, registry, services }),
+  );
+  const stopWatching = node.servers.onChange(() => {
+    const known = node.servers.servers().map((server) => toId<EngineId>(server.serverId));
+    health.keepOnly(new Set(known));
+  });
+  let draining = false;
+  const http = await startHttpServer({
+    address: settings.listen.http,
+    handler: createRouterHttp({
+      bodyTimeoutMs: settings.router.bodyTimeoutMs,
+      configuration: node.configuration,
+      decisions,
+      draining: () => draining || context.stage() === 'draining',
+      handlers,
+      log,
+      maxBodyBytes: settings.router.maxBodyBytes,
+      metrics,
+      timers,
+    }),
+    stage: () => context.stage(),
+  });
+  const rpcHandlers: RpcHandlers = { Inspect: createRouterInspect({ context, node, registry }) };
+  const member = await node.serve(rpcHandlers);
+
+  const drain = async (): Promise<void> => {
+    draining = true;
+    const reserveMs = settings.shutdown.boundMs * DRAIN_RESERVE_SHARE;
+    const stopTimer = timers.after(settings.shutdown.boundMs - reserveMs, () => {
+      registry.leaveAll();
+    });
+    await registry.whenIdle();
+    stopTimer();
+    stopWatching();
+    const closed = http.drain();
+    const stopDestroy = timers.after(reserveMs / 2, () => {
+      http.destroy();
+    });
+    await closed;
+    stopDestroy();
+    progress.stop();
+    quota.stop();
+    await node.drain();
+  };
+  return {
+    addresses: { http: http.address, rpc: member.rpcAddress },
+    context,
+    drain,
+    handlers,
+    node,
+    timers,
+  };
+}
+
+function policyOf(name: RouterSettings['router']['continuation']): RunServices['policy'] {
+  const policy = createContinuationPolicies().find(name);
+  invariant(policy, UNKNOWN_POLICY_INVARIANT, `continuation policy ${name} is registered`);
+  return policy;
+}
--- /dev/null
+++ b/packages/router/src/RouterEngineHealth.ts
@@ -0,0 +1,45 @@
+import { GapEstimator } from '@laburnumgap/generation';
+import type { EngineId, MonotonicClock } from '@laburnumgap/kernel';
+import { ENGINE_SUSPICION_MS } from './RouterConstants.js';
+
+/** Usual gaps of one engine. */
+export interface EngineGaps {
+  readonly betweenTokens: GapEstimator;
+  readonly firstToken: GapEstimator;
+}
+
+/** What this router has seen of the engines: usual gaps, and which ones did not answer. */
+export class RouterEngineHealth {
+  private readonly gaps = new Map<EngineId, EngineGaps>();
+  private readonly suspectedUntilMs = new Map<EngineId, number>();
+
+  constructor(private readonly clock: MonotonicClock) {}
+
+  gapsOf(engineId: EngineId): EngineGaps {
+    const known = this.gaps.get(engineId);
+    if (known) {
+      return known;
+    }
+    const created = { betweenTokens: new GapEstimator(), firstToken: new GapEstimator() };
+    this.gaps.set(engineId, created);
+    return created;
+  }
+
+  isSuspected(engineId: EngineId): boolean {
+    return this.clock.nowMs() < (this.suspectedUntilMs.get(engineId) ?? 0);
+  }
+
+  /** Drops what is known of engines that are gone. */
+  keepOnly(engineIds: ReadonlySet<EngineId>): void {
+    for (const engineId of this.gaps.keys()) {
+      if (!engineIds.has(engineId)) {
+        this.gaps.delete(engineId);
+        this.suspectedUntilMs.delete(engineId);
+      }
+    }
+  }
+
+  suspect(engineId: EngineId): void {
+    this.suspectedUntilMs.set(engineId, this.clock.nowMs() + ENGINE_SUSPICION_MS);
+  }
+}
--- /dev/null
+++ b/packages/router/src/RouterHttp.ts
@@ -0,0 +1,135 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ConfigurationView, ContractInForce } from '@laburnumgap/contracts';
+import type { HttpHandler } from '@laburnumgap/daemon';
+import type { DecisionSink, PluginRegistry, Refusal, RequestId } from '@laburnumgap/kernel';
+import { InvariantError, RESULT_CODES, refusal, toId } from '@laburnumgap/kernel';
+import type { Log, Metrics } from '@laburnumgap/telemetry';
+import type { NamedRequest } from './RouterAuthentication.js';
+import { authenticate, requestIdOf } from './RouterAuthentication.js';
+import { DRAINING_RETRY_MS } from './RouterConstants.js';
+import { writeRefusal } from './RouterRefusals.js';
+import { readRequestBody } from './RouterRequestBody.js';
+import type { RequestHandler, RouterExchange } from './RouterRequestHandler.js';
+import type { Timers } from './RouterTimers.js';
+
+/** What callers' requests are served with. */
+export interface RouterHttpOptions {
+  readonly bodyTimeoutMs: number;
+  readonly configuration: ConfigurationView;
+  readonly decisions: DecisionSink;
+  readonly draining: () => boolean;
+  readonly handlers: PluginRegistry<RequestHandler>;
+  readonly log: Log;
+  readonly maxBodyBytes: number;
+  readonly metrics: Metrics;
+  readonly timers: Timers;
+}
+
+/**
+ * Creates the handler of callers' requests: names and authenticates each and passes it to the
+ * request handler that matches.
+ *
+ * @param options - what requests are served with
+ * @returns the handler
+ */
+export function createRouterHttp(options: RouterHttpOptions): HttpHandler {
+  const { configuration, draining, handlers, log } = options;
+
+  const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const named = requestIdOf(request.headers);
+    const refuse = refuser(options, response, named);
+    if (!named) {
+      refuse(refusal('MALFORMED_REQUEST', 'X-Request-Id takes 1 to 128 of A-Z a-z 0-9 . _ : -'));
+      return;
+    }
+    const contract = authenticate(request.headers, configuration);
+    if (!contract.ok) {
+      refuse(contract.error);
+      return;
+    }
+    const handler = handlerOf(handlers, request);
+    if (!handler) {
+      refuse(refusal('UNKNOWN_PATH', 'no such path, or the method is not supported on it'));
+      return;
+    }
+    if (draining()) {
+      refuse(refusal('DRAINING', 'this router is shutting down', DRAINING_RETRY_MS));
+      return;
+    }
+    const exchange = exchangeOf(options, { contract: contract.value, named, request, response });
+    await handler.handle({ ...exchange, refuse });
+  };
+
+  return (request, response) => {
+    response.on('error', () => undefined);
+    serve(request, response).catch((error: unknown) => {
+      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      log.error('requestFailed', { detail });
+      const known = error instanceof InvariantError ? `invariant ${error.invariantCode}` : 'error';
+      refuser(options, response, requestIdOf(request.headers))(refusal('INTERNAL', known));
+      if (!response.writableEnded) {
+        response.destroy();
+      }
+    });
+  };
+}
+
+interface ExchangeParts {
+  readonly contract: ContractInForce;
+  readonly named: NamedRequest;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+function exchangeOf(
+  options: RouterHttpOptions,
+  parts: ExchangeParts,
+): Omit<RouterExchange, 'refuse'> {
+  const { contract, named, request, response } = parts;
+  const { bodyTimeoutMs, maxBodyBytes, timers } = options;
+  return {
+    contract,
+    readBody: () =>
+      readRequestBody(request, { maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs, timers }),
+    request,
+    requestId: named.requestId,
+    requestIdGiven: named.given,
+    response,
+  };
+}
+
+function handlerOf(
+  handlers: PluginRegistry<RequestHandler>,
+  request: IncomingMessage,
+): RequestHandler | undefined {
+  for (const name of handlers.names()) {
+    const handler = handlers.find(name);
+    if (handler?.matches(request)) {
+      return handler;
+    }
+  }
+  return undefined;
+}
+
+function refuser(
+  options: RouterHttpOptions,
+  response: ServerResponse,
+  named: NamedRequest | undefined,
+): (refused: Refusal) => void {
+  const requestId = named?.requestId ?? toId<RequestId>('malformed');
+  return (refused) => {
+    const { code } = RESULT_CODES[refused.code];
+    options.metrics.increment('refusals', 1, { code: String(code) });
+    options.decisions.record({
+      decision: 'refuse',
+      fields: {
+        code,
+        detail: refused.detail,
+        name: refused.code,
+        retryAfterMs: refused.retryAfterMs,
+      },
+      requestId,
+    });
+    writeRefusal(response, refused, requestId);
+  };
+}
--- /dev/null
+++ b/packages/router/src/RouterInspect.ts
@@ -0,0 +1,48 @@
+import type { DaemonContext } from '@laburnumgap/daemon';
+import type { Node } from '@laburnumgap/node';
+import type { InspectHandlers } from '@laburnumgap/rpc';
+import type { KeptDecision } from '@laburnumgap/telemetry';
+import type { RouterRunRegistry } from './RouterRunRegistry.js';
+import type { RouterSettings } from './RouterSettings.js';
+
+/** Where an operator's answers come from. */
+export interface RouterInspectOptions {
+  readonly context: DaemonContext<RouterSettings>;
+  readonly node: Node;
+  readonly registry: RouterRunRegistry;
+}
+
+/**
+ * Creates the handlers of the Inspect service.
+ *
+ * @param options - where the answers come from
+ * @returns the handlers
+ */
+export function createRouterInspect(options: RouterInspectOptions): InspectHandlers {
+  const { context, node, registry } = options;
+  return {
+    Explain: ({ request }, callback) => {
+      const kept = context.decisions.explain(request.requestId);
+      const decisions = kept.map((decision) => ({
+        atEpochMs: decision.atEpochMs,
+        decision: decision.decision,
+        line: lineOf(decision),
+      }));
+      callback(null, { decisions });
+    },
+    GetStatus: (_call, callback) => {
+      callback(null, {
+        configRevision: node.configuration.snapshot().revision,
+        draining: context.stage() === 'draining',
+        facts: [{ name: 'runningGenerations', value: String(registry.size()) }],
+        memberId: context.settings.member.id,
+        role: 'router',
+      });
+    },
+  };
+}
+
+function lineOf(decision: KeptDecision): string {
+  const fields = Object.entries(decision.fields).filter(([, value]) => value !== undefined);
+  return fields.map(([key, value]) => `${key}=${String(value)}`).join(' ');
+}
--- /dev/null
+++ b/packages/router/src/RouterPlacement.ts
@@ -0,0 +1,164 @@
+import type {
+  DecisionSink,
+  EngineId,
+  ModelId,
+  PoolId,
+  Refusal,
+  Result,
+  ServerDirectory,
+} from '@laburnumgap/kernel';
+import { failure, refusal, success, toId } from '@laburnumgap/kernel';
+import type { RouteCandidate, RouteChoice, RouteChooser, RouteRequest } from '@laburnumgap/routing';
+import type { GrantedReservation } from './RouterAdmissionWait.js';
+import { waitForAdmission } from './RouterAdmissionWait.js';
+import {
+  MAX_ADMISSION_TRIES,
+  MAX_PLACEMENT_ROUNDS,
+  NO_ENGINE_RETRY_MS,
+} from './RouterConstants.js';
+import type { RouterEngineHealth } from './RouterEngineHealth.js';
+import type { AdmissionPort, AdmissionRequest } from './RouterPorts.js';
+import type { Timers } from './RouterTimers.js';
+
+/** Engines of a pool and what they serve. */
+export interface EnginePool {
+  readonly models: readonly string[];
+  readonly name: string;
+}
+
+/** What placements are made with. */
+export interface RouterPlacementOptions {
+  readonly admission: AdmissionPort;
+  readonly chooser: RouteChooser;
+  readonly decisions: DecisionSink;
+  readonly health: RouterEngineHealth;
+  readonly pools: readonly EnginePool[];
+  readonly servers: ServerDirectory;
+  readonly timers: Timers;
+}
+
+/** A generation to be placed. */
+export interface PlacementRequest extends Omit<AdmissionRequest, 'engineId'> {
+  readonly excludedEngines: readonly EngineId[];
+  readonly onlyEngine?: EngineId;
+  readonly signal: AbortSignal;
+}
+
+/** Where a generation may start. */
+export interface Placed {
+  readonly engineId: EngineId;
+  readonly engineUrl: string;
+  readonly reservation: GrantedReservation;
+}
+
+/** Why a generation was not placed. */
+export type PlacementFailure =
+  { readonly kind: 'aborted' } | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+/** Chooses engines and asks for admission until one grants it. */
+export class RouterPlacement {
+  constructor(private readonly options: RouterPlacementOptions) {}
+
+  /** Engines that serve a model, as this router knows them. */
+  candidatesFor(model: ModelId): readonly RouteCandidate[] {
+    const { health, pools, servers } = this.options;
+    const serving = pools.filter((pool) => pool.models.includes(model));
+    const poolNames = new Set(serving.map((pool) => toId<PoolId>(pool.name)));
+    const candidates: RouteCandidate[] = [];
+    for (const server of servers.servers()) {
+      if (server.backend.kind !== 'model' || !poolNames.has(server.backend.pool)) {
+        continue;
+      }
+      const engineId = toId<EngineId>(server.serverId);
+      candidates.push({
+        engineId,
+        failureDomain: server.failureDomain,
+        leaving: server.leaving,
+        suspected: health.isSuspected(engineId),
+        url: server.address,
+      });
+    }
+    return candidates;
+  }
+
+  /** Places a generation. */
+  async place(request: PlacementRequest): Promise<Result<Placed, PlacementFailure>> {
+    const tried = new Set<EngineId>();
+    let refused = refusal('NO_ENGINE', `no engine serves ${request.model}`, NO_ENGINE_RETRY_MS);
+    for (let round = 0; round < MAX_PLACEMENT_ROUNDS; round += 1) {
+      for (const choice of await this.choose(request, tried)) {
+        const { engineId } = choice.candidate;
+        tried.add(engineId);
+        const outcome = await this.admit(request, choice);
+        if (outcome.kind === 'granted') {
+          const { reservation } = outcome;
+          const engineUrl = reservation.engineUrl || choice.candidate.url;
+          this.options.chooser.notePlaced(request, engineId);
+          return success({ engineId, engineUrl, reservation });
+        }
+        if (outcome.kind === 'aborted') {
+          return failure({ kind: 'aborted' });
+        }
+        refused = outcome.kind === 'refused' ? sooner(refused, outcome.refusal) : refused;
+      }
+    }
+    return failure({ kind: 'refused', refusal: refused });
+  }
+
+  private async admit(
+    request: PlacementRequest,
+    choice: RouteChoice,
+  ): Promise<Awaited<ReturnType<typeof waitForAdmission>>> {
+    const { admission, decisions, timers } = this.options;
+    const { engineId } = choice.candidate;
+    const { excludedEngines, onlyEngine, signal, ...fields } = request;
+    decisions.record({
+      decision: 'route',
+      fields: {
+        attempt: request.attempt,
+        costMs: choice.costMs,
+        engineId,
+        excluded: excludedEngines.length,
+        onlyEngine,
+        reason: choice.reason,
+      },
+      requestId: request.requestId,
+    });
+    const options = { admission, request: { ...fields, engineId }, signal, timers };
+    let outcome = await waitForAdmission(options);
+    for (let tries = 1; outcome.kind === 'lost' && tries < MAX_ADMISSION_TRIES; tries += 1) {
+      outcome = await waitForAdmission(options);
+    }
+    return outcome;
+  }
+
+  private async choose(
+    request: PlacementRequest,
+    tried: ReadonlySet<EngineId>,
+  ): Promise<readonly RouteChoice[]> {
+    const { admission, chooser } = this.options;
+    const open = this.candidatesFor(request.model).filter(
+      (candidate) => !tried.has(candidate.engineId) && mayUse(candidate, request),
+    );
+    const route: RouteRequest = request;
+    const asked = chooser.shortlist(open, route);
+    if (asked.length === 0) {
+      return [];
+    }
+    const engineIds = asked.map((candidate) => candidate.engineId);
+    const estimates = await admission.estimate({ ...request, engineIds });
+    return chooser.order(asked, estimates, route);
+  }
+}
+
+function mayUse(candidate: RouteCandidate, request: PlacementRequest): boolean {
+  return request.onlyEngine === undefined || candidate.engineId === request.onlyEngine;
+}
+
+/** A scheduler's own refusal says more than the general one; of two, the sooner return is kept. */
+function sooner(known: Refusal, next: Refusal): Refusal {
+  if (known.code === 'NO_ENGINE') {
+    return next;
+  }
+  return (next.retryAfterMs ?? Infinity) < (known.retryAfterMs ?? Infinity) ? next : known;
+}
--- /dev/null
+++ b/packages/router/src/RouterPorts.ts
@@ -0,0 +1,122 @@
+import type {
+  AttemptNumber,
+  EngineId,
+  GenerationId,
+  ModelId,
+  Refusal,
+  RequestId,
+  Result,
+  TeamId,
+} from '@laburnumgap/kernel';
+import type { RouteEstimate, RouteRequest } from '@laburnumgap/routing';
+
+/** A request for admission to one engine. */
+export interface AdmissionRequest {
+  readonly attempt: AttemptNumber;
+  readonly engineId: EngineId;
+  readonly generationId: GenerationId;
+  readonly maxTokens: number;
+  readonly model: ModelId;
+  readonly preemptions: number;
+  readonly prefixHashes: readonly string[];
+  /** Lower runs first. */
+  readonly priorityClass: number;
+  readonly producedTokens: number;
+  readonly promptTokens: number;
+  readonly requestId: RequestId;
+  readonly teamId: TeamId;
+  readonly waitBoundMs: number;
+  readonly weight: number;
+}
+
+/** What a scheduler says of an admission. */
+export type AdmissionEvent =
+  | {
+      readonly enginePriority: number;
+      readonly engineUrl: string;
+      readonly kind: 'granted';
+      readonly waitedMs: number;
+    }
+  /** The scheduler is gone; a generation that runs goes on. */
+  | { readonly detail: string; readonly kind: 'lost' }
+  | { readonly kind: 'preempt'; readonly reason: string }
+  | { readonly expectedWaitMs: number; readonly kind: 'queued' }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+/** A place in an engine's queue or memory. */
+export interface Reservation {
+  /** Gives it back. */
+  release(): void;
+}
+
+/** What a generation has produced so far. */
+export interface ProgressReport {
+  readonly attempt: AttemptNumber;
+  readonly engineId: EngineId;
+  readonly enginePreempted: boolean;
+  readonly finished: boolean;
+  readonly generationId: GenerationId;
+  readonly producedTokens: number;
+}
+
+/** What engines are asked about before a route is chosen. */
+export interface EstimateQuery extends RouteRequest {
+  readonly engineIds: readonly EngineId[];
+  readonly maxTokens: number;
+  readonly model: ModelId;
+  readonly teamId: TeamId;
+}
+
+/** Port to the schedulers in charge of engines. */
+export interface AdmissionPort {
+  admit(request: AdmissionRequest, onEvent: (event: AdmissionEvent) => void): Reservation;
+  /** Engines of which the scheduler does not answer are left out. */
+  estimate(query: EstimateQuery): Promise<readonly RouteEstimate[]>;
+  report(reports: readonly ProgressReport[]): void;
+}
+
+/** Where a generation can be found again. */
+export interface HomeRecord {
+  readonly attempt: AttemptNumber;
+  readonly bodyHash: string;
+  readonly deliveredIndex: number;
+  readonly engineId: EngineId;
+  readonly engineUrl: string;
+  readonly generationId: GenerationId;
+  readonly maxTokens: number;
+  readonly model: ModelId;
+  readonly prompt: string;
+  readonly requestId: RequestId;
+  readonly seed: number;
+  readonly streamed: boolean;
+  readonly teamId: TeamId;
+}
+
+/** Outcome of a record: superseded when a home knows a newer holder. */
+export type HomeRecorded = 'recorded' | 'superseded' | 'unreachable';
+
+/** Whose request is taken over. */
+export interface HomeTakeOver {
+  readonly bodyHash: string;
+  readonly requestId: RequestId;
+  readonly teamId: TeamId;
+}
+
+/** Outcome of a takeover. */
+export type HomeTakenOver =
+  | { readonly outcome: 'found'; readonly record: HomeRecord }
+  | { readonly outcome: 'otherBody' | 'otherTeam' | 'unknown' };
+
+/** Why no home could be asked. */
+export interface HomesUnreachable {
+  readonly kind: 'homesUnreachable';
+}
+
+/** Port to the homes of requests. */
+export interface RequestHomes {
+  forget(teamId: TeamId, requestId: RequestId, attempt: AttemptNumber): void;
+  record(record: HomeRecord): Promise<HomeRecorded>;
+  takeOver(takeOver: HomeTakeOver): Promise<Result<HomeTakenOver, HomesUnreachable>>;
+  /** Grows whenever the homes of a request may have changed. */
+  version(): number;
+}
--- /dev/null
+++ b/packages/router/src/RouterProgram.ts
@@ -0,0 +1,24 @@
+import type { DaemonContext, DaemonProgram } from '@laburnumgap/daemon';
+import type { Node } from '@laburnumgap/node';
+import { startRouter } from './RouterDaemon.js';
+import type { RouterSettings } from './RouterSettings.js';
+import { routerSettingsSchema } from './RouterSettings.js';
+
+/** Wires the node of a daemon. */
+export type StartNode = (context: DaemonContext<RouterSettings>, role: 'router') => Promise<Node>;
+
+/**
+ * Describes the daemon program `laburnum-router`.
+ *
+ * @param startNode - wires the node
+ * @returns the program
+ */
+export function routerProgram(startNode: StartNode): DaemonProgram<RouterSettings> {
+  return {
+    description: 'Takes callers to engines and services',
+    name: 'laburnum-router',
+    schema: routerSettingsSchema,
+    start: async (context) => startRouter({ context, node: await startNode(context, 'router') }),
+    version: '0.1.0',
+  };
+}
--- /dev/null
+++ b/packages/router/src/RouterRpcAdmission.ts
@@ -0,0 +1,176 @@
+import type { Member, MemberDirectory, MemberId, ResultCodeName } from '@laburnumgap/kernel';
+import { RESULT_CODES, refusal, toId } from '@laburnumgap/kernel';
+import type { RouteEstimate } from '@laburnumgap/routing';
+import type {
+  AdmitEvent__Output,
+  EstimateReply__Output,
+  EstimateRequest,
+  GenerationProgress,
+  RpcClients,
+} from '@laburnumgap/rpc';
+import { NO_ENGINE_RETRY_MS, RPC_DEADLINE_MS } from './RouterConstants.js';
+import type {
+  AdmissionEvent,
+  AdmissionPort,
+  AdmissionRequest,
+  EstimateQuery,
+  ProgressReport,
+  Reservation,
+} from './RouterPorts.js';
+
+/** What schedulers are called with. */
+export interface RpcAdmissionOptions {
+  readonly clients: RpcClients;
+  readonly directory: MemberDirectory;
+  readonly routerId: MemberId;
+}
+
+/** Calls the schedulers in charge of engines. */
+export class RpcAdmission implements AdmissionPort {
+  private readonly clients: RpcClients;
+  private readonly directory: MemberDirectory;
+  private readonly routerId: MemberId;
+
+  constructor(options: RpcAdmissionOptions) {
+    this.clients = options.clients;
+    this.directory = options.directory;
+    this.routerId = options.routerId;
+  }
+
+  admit(request: AdmissionRequest, onEvent: (event: AdmissionEvent) => void): Reservation {
+    const owner = this.ownerOf(request.engineId);
+    if (!owner) {
+      queueMicrotask(() => {
+        onEvent({ detail: 'no scheduler is known', kind: 'lost' });
+      });
+      return { release: () => undefined };
+    }
+    const { model, ...fields } = request;
+    const client = this.clients.get('Admission', owner.rpcAddress);
+    const message = {
+      ...fields,
+      modelId: model,
+      prefixHashes: [...request.prefixHashes],
+      routerId: this.routerId,
+    };
+    const call = client.admit(message, this.clients.metadata());
+    let open = true;
+    const lose = (detail: string): void => {
+      if (!open) {
+        return;
+      }
+      open = false;
+      this.directory.suspect(owner.memberId);
+      onEvent({ detail, kind: 'lost' });
+    };
+    call.on('data', (event: AdmitEvent__Output) => {
+      const read = admissionEventOf(event);
+      if (open && read) {
+        open = read.kind !== 'refused';
+        onEvent(read);
+      }
+    });
+    call.on('error', (error) => {
+      lose(error.message);
+    });
+    call.on('end', () => {
+      lose('the scheduler ended the reservation');
+    });
+    return {
+      release: () => {
+        open = false;
+        call.cancel();
+      },
+    };
+  }
+
+  async estimate(query: EstimateQuery): Promise<readonly RouteEstimate[]> {
+    const byOwner = new Map<Member, string[]>();
+    for (const engineId of query.engineIds) {
+      const owner = this.ownerOf(engineId);
+      if (owner) {
+        byOwner.set(owner, [...(byOwner.get(owner) ?? []), engineId]);
+      }
+    }
+    const asked = [...byOwner].map(([owner, engineIds]) =>
+      this.estimateAt(owner, engineIds, query),
+    );
+    return (await Promise.all(asked)).flat();
+  }
+
+  report(reports: readonly ProgressReport[]): void {
+    const byOwner = new Map<Member, GenerationProgress[]>();
+    for (const report of reports) {
+      const owner = this.ownerOf(report.engineId);
+      if (owner) {
+        byOwner.set(owner, [...(byOwner.get(owner) ?? []), report]);
+      }
+    }
+    for (const [owner, progress] of byOwner) {
+      void this.reportTo(owner, progress);
+    }
+  }
+
+  private async estimateAt(
+    owner: Member,
+    engineIds: string[],
+    query: EstimateQuery,
+  ): Promise<readonly RouteEstimate[]> {
+    const client = this.clients.get('Admission', owner.rpcAddress);
+    const answer = await this.clients.unary<EstimateRequest, EstimateReply__Output>(
+      client.estimate.bind(client),
+      {
+        engineIds,
+        maxTokens: query.maxTokens,
+        modelId: query.model,
+        prefixHashes: [...query.prefixHashes],
+        promptTokens: query.promptTokens,
+        teamId: query.teamId,
+      },
+      RPC_DEADLINE_MS,
+    );
+    if (!answer.ok) {
+      this.directory.suspect(owner.memberId);
+      return [];
+    }
+    return answer.value.estimates.map((estimate) => ({
+      ...estimate,
+      engineId: toId(estimate.engineId),
+    }));
+  }
+
+  private ownerOf(engineId: string): Member | undefined {
+    return this.directory.rank('scheduler', `engine/${engineId}`)[0];
+  }
+
+  private async reportTo(owner: Member, progress: GenerationProgress[]): Promise<void> {
+    const client = this.clients.get('Admission', owner.rpcAddress);
+    const answer = await this.clients.unary(
+      client.reportProgress.bind(client),
+      { progress, routerId: this.routerId },
+      RPC_DEADLINE_MS,
+    );
+    if (!answer.ok) {
+      this.directory.suspect(owner.memberId);
+    }
+  }
+}
+
+function admissionEventOf(event: AdmitEvent__Output): AdmissionEvent | undefined {
+  if (event.granted) {
+    return { kind: 'granted', ...event.granted };
+  }
+  if (event.queued) {
+    return { kind: 'queued', ...event.queued };
+  }
+  if (event.preempt) {
+    return { kind: 'preempt', ...event.preempt };
+  }
+  if (event.refused) {
+    const { code, detail, retryAfterMs } = event.refused;
+    const known: ResultCodeName = code in RESULT_CODES ? (code as ResultCodeName) : 'NO_ENGINE';
+    const wait = retryAfterMs > 0 ? retryAfterMs : NO_ENGINE_RETRY_MS;
+    return { kind: 'refused', refusal: refusal(known, detail, wait) };
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/router/src/RouterRpcHomes.ts
@@ -0,0 +1,180 @@
+import type {
+  AttemptNumber,
+  Member,
+  MemberDirectory,
+  MemberId,
+  RequestId,
+  Result,
+  TeamId,
+} from '@laburnumgap/kernel';
+import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
+import type {
+  GenerationRecord,
+  GenerationRecord__Output,
+  RecordReply__Output,
+  RpcClients,
+  TakeOverReply__Output,
+  TakeOverRequest,
+} from '@laburnumgap/rpc';
+import { RPC_DEADLINE_MS } from './RouterConstants.js';
+import type {
+  HomeRecord,
+  HomeRecorded,
+  HomeTakeOver,
+  HomeTakenOver,
+  HomesUnreachable,
+  RequestHomes,
+} from './RouterPorts.js';
+
+type FoundRecord = Extract<HomeTakenOver, { outcome: 'found' }>;
+
+/** What the homes are called with. */
+export interface RpcRequestHomesOptions {
+  readonly clients: RpcClients;
+  readonly directory: MemberDirectory;
+  readonly routerId: MemberId;
+}
+
+/**
+ * Calls the two homes of a request: the scheduler that ranks first for it, and the next one in
+ * another failure domain.
+ */
+export class RpcRequestHomes implements RequestHomes {
+  private changes = 0;
+  private readonly clients: RpcClients;
+  private readonly directory: MemberDirectory;
+  private readonly routerId: MemberId;
+
+  constructor(options: RpcRequestHomesOptions) {
+    this.clients = options.clients;
+    this.directory = options.directory;
+    this.routerId = options.routerId;
+    this.directory.onChange(() => {
+      this.changes += 1;
+    });
+  }
+
+  forget(teamId: TeamId, requestId: RequestId, attempt: AttemptNumber): void {
+    for (const home of this.homesOf(teamId, requestId)) {
+      const client = this.clients.get('RequestHome', home.rpcAddress);
+      const message = { attempt, requestId, teamId };
+      void this.clients.unary(client.forget.bind(client), message, RPC_DEADLINE_MS);
+    }
+  }
+
+  async record(record: HomeRecord): Promise<HomeRecorded> {
+    const { model, ...fields } = record;
+    const message = { ...fields, modelId: model, routerId: this.routerId };
+    const homes = this.homesOf(record.teamId, record.requestId);
+    const outcomes = await Promise.all(
+      homes.map(async (home): Promise<HomeRecorded> => {
+        const client = this.clients.get('RequestHome', home.rpcAddress);
+        const answer = await this.clients.unary<GenerationRecord, RecordReply__Output>(
+          client.recordGeneration.bind(client),
+          message,
+          RPC_DEADLINE_MS,
+        );
+        if (!answer.ok) {
+          this.directory.suspect(home.memberId);
+          return 'unreachable';
+        }
+        return answer.value.accepted ? 'recorded' : 'superseded';
+      }),
+    );
+    if (outcomes.includes('superseded')) {
+      return 'superseded';
+    }
+    return outcomes.includes('recorded') ? 'recorded' : 'unreachable';
+  }
+
+  async takeOver(takeOver: HomeTakeOver): Promise<Result<HomeTakenOver, HomesUnreachable>> {
+    const homes = this.homesOf(takeOver.teamId, takeOver.requestId);
+    const replies = await Promise.all(homes.map((home) => this.takeOverAt(home, takeOver)));
+    const reached = replies.filter((reply) => reply !== undefined);
+    if (reached.length === 0) {
+      return failure({ kind: 'homesUnreachable' });
+    }
+    return success(newestOf(reached));
+  }
+
+  version(): number {
+    return this.changes;
+  }
+
+  private homesOf(teamId: TeamId, requestId: RequestId): readonly Member[] {
+    const ranked = this.directory.rank('scheduler', `request/${teamId}/${requestId}`);
+    const [first, ...others] = ranked;
+    if (!first) {
+      return [];
+    }
+    const elsewhere = others.find((member) => member.failureDomain !== first.failureDomain);
+    const second = elsewhere ?? others[0];
+    return second ? [first, second] : [first];
+  }
+
+  private async takeOverAt(
+    home: Member,
+    takeOver: HomeTakeOver,
+  ): Promise<HomeTakenOver | undefined> {
+    const client = this.clients.get('RequestHome', home.rpcAddress);
+    const message = { ...takeOver, routerId: this.routerId };
+    const answer = await this.clients.unary<TakeOverRequest, TakeOverReply__Output>(
+      client.takeOver.bind(client),
+      message,
+      RPC_DEADLINE_MS,
+    );
+    if (!answer.ok) {
+      this.directory.suspect(home.memberId);
+      return undefined;
+    }
+    return takenOverOf(answer.value);
+  }
+}
+
+function newestOf(replies: readonly HomeTakenOver[]): HomeTakenOver {
+  let newest: HomeTakenOver = { outcome: 'unknown' };
+  for (const reply of replies) {
+    if (reply.outcome === 'found') {
+      newest = laterOf(newest, reply);
+    } else if (newest.outcome === 'unknown') {
+      newest = reply;
+    }
+  }
+  return newest;
+}
+
+function laterOf(known: HomeTakenOver, next: FoundRecord): HomeTakenOver {
+  if (known.outcome === 'found' && known.record.attempt >= next.record.attempt) {
+    return known;
+  }
+  return next;
+}
+
+function takenOverOf(reply: TakeOverReply__Output): HomeTakenOver {
+  if (reply.outcome === 'found' && reply.record) {
+    return { outcome: 'found', record: homeRecordOf(reply.record) };
+  }
+  if (reply.outcome === 'otherBody' || reply.outcome === 'otherTeam') {
+    return { outcome: reply.outcome };
+  }
+  return { outcome: 'unknown' };
+}
+
+function homeRecordOf(record: GenerationRecord__Output): HomeRecord {
+  const { bodyHash, deliveredIndex, engineUrl, maxTokens, prompt, seed, streamed } = record;
+  return {
+    attempt: toNumberId(record.attempt),
+    bodyHash,
+    deliveredIndex,
+    engineId: toId(record.engineId),
+    engineUrl,
+    generationId: toId(record.generationId),
+    maxTokens,
+    model: toId(record.modelId),
+    prompt,
+    requestId: toId(record.requestId),
+    seed,
+    streamed,
+    teamId: toId(record.teamId),
+  };
+}
--- /dev/null
+++ b/packages/router/src/__tests__/utils/FakeEngines.ts
@@ -0,0 +1,310 @@
+import type {
+  EngineCallError,
+  EngineCancelOutcome,
+  EngineResume,
+  EngineStream,
+  EngineStreamClient,
+} from '@laburnumgap/engine';
+import type {
+  AttemptNumber,
+  EngineGenerationStatus,
+  EngineStart,
+  EngineStreamEvent,
+  GenerationId,
+  Result,
+} from '@laburnumgap/kernel';
+import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
+
+/** What goes wrong when a stream reaches a token. */
+export type StreamFault =
+  'crossed' | 'duplicate' | 'freeze' | 'gap' | 'kill' | 'preempt' | 'reset' | 'silent' | 'stale';
+
+/** A fault that strikes once, on the first stream of an engine that reaches the token. */
+export interface PlannedFault {
+  readonly atIndex: number;
+  readonly fault: StreamFault;
+}
+
+interface FakeGeneration {
+  attempt: number;
+  cancelled: boolean;
+  readonly maxTokens: number;
+  preempted: boolean;
+  produced: number;
+  readonly seed: number;
+}
+
+/** Text of a token: tells its generation, seed and index. */
+export function tokenText(generationId: string, seed: number, index: number): string {
+  return `${generationId}/${seed}/${index} `;
+}
+
+/** One scripted engine in this process. */
+export class FakeEngine {
+  alive = true;
+  canContinue = true;
+  frozen = false;
+  readonly generations = new Map<string, FakeGeneration>();
+  leaving = false;
+  readonly starts: EngineStart[] = [];
+  streamsOpened = 0;
+
+  constructor(
+    readonly url: string,
+    readonly faults: PlannedFault[],
+  ) {}
+
+  takeFault(index: number): StreamFault | undefined {
+    const position = this.faults.findIndex((fault) => fault.atIndex === index);
+    if (position < 0) {
+      return undefined;
+    }
+    return this.faults.splice(position, 1)[0]?.fault;
+  }
+}
+
+class FakeStream implements EngineStream {
+  private closed = false;
+  private closeWaiters: (() => void)[] = [];
+  private extra: EngineStreamEvent[] = [];
+
+  constructor(
+    private readonly engine: FakeEngine,
+    private readonly generationId: GenerationId,
+    private readonly attempt: AttemptNumber,
+    private index: number,
+    private readonly refused?: EngineStreamEvent,
+  ) {}
+
+  close(): void {
+    this.closed = true;
+    for (const waiter of this.closeWaiters.splice(0)) {
+      waiter();
+    }
+  }
+
+  async next(): Promise<EngineStreamEvent> {
+    await Promise.resolve();
+    if (this.closed) {
+      return lost('reset');
+    }
+    if (this.refused) {
+      return this.refused;
+    }
+    const queued = this.extra.shift();
+    if (queued) {
+      return queued;
+    }
+    if (this.engine.frozen) {
+      return this.waitForClose();
+    }
+    if (!this.engine.alive) {
+      return lost('reset');
+    }
+    const generation = this.engine.generations.get(this.generationId);
+    if (!generation || generation.cancelled) {
+      return lost('reset');
+    }
+    if (generation.attempt > this.attempt) {
+      return lost('superseded');
+    }
+    const fault = this.engine.takeFault(this.index);
+    if (fault) {
+      return this.strike(fault, generation);
+    }
+    return this.produce(generation);
+  }
+
+  private produce(generation: FakeGeneration): EngineStreamEvent {
+    if (this.index >= generation.maxTokens) {
+      const totalTokens = generation.maxTokens;
+      return { finishReason: 'length', kind: 'finished', totalTokens };
+    }
+    const token = this.token(this.index, generation);
+    this.index += 1;
+    generation.produced = Math.max(generation.produced, this.index);
+    return token;
+  }
+
+  private strike(
+    fault: StreamFault,
+    generation: FakeGeneration,
+  ): EngineStreamEvent | Promise<EngineStreamEvent> {
+    switch (fault) {
+      case 'crossed':
+        this.extra.push(this.produce(generation));
+        return this.foreignToken(generation);
+      case 'duplicate':
+        this.extra.push(this.produce(generation));
+        return this.token(Math.max(0, this.index - 2), generation);
+      case 'freeze':
+        this.engine.frozen = true;
+        return this.waitForClose();
+      case 'gap':
+        this.index += 1;
+        generation.produced = Math.max(generation.produced, this.index);
+        return this.produce(generation);
+      case 'kill':
+        this.engine.alive = false;
+        return lost('reset');
+      case 'preempt':
+        generation.preempted = true;
+        return { kind: 'preempted' };
+      case 'reset':
+        return lost('reset');
+      case 'silent':
+        generation.produced = Math.min(generation.maxTokens, generation.produced + 2);
+        return this.waitForClose();
+      case 'stale': {
+        const late = this.token(this.index, generation);
+        this.extra.push(this.produce(generation));
+        return late.kind === 'token'
+          ? { kind: 'token', token: { ...late.token, attempt: toNumberId(0), text: 'late ' } }
+          : late;
+      }
+    }
+  }
+
+  private foreignToken(generation: FakeGeneration): EngineStreamEvent {
+    const token = this.token(this.index, generation);
+    if (token.kind !== 'token') {
+      return token;
+    }
+    const generationId = toId<GenerationId>('of-another-request');
+    return { kind: 'token', token: { ...token.token, generationId, text: 'crossed ' } };
+  }
+
+  private token(index: number, generation: FakeGeneration): EngineStreamEvent {
+    return {
+      kind: 'token',
+      token: {
+        attempt: this.attempt,
+        generationId: this.generationId,
+        index,
+        text: tokenText(this.generationId, generation.seed, index),
+      },
+    };
+  }
+
+  private waitForClose(): Promise<EngineStreamEvent> {
+    return new Promise((resolve) => {
+      this.closeWaiters.push(() => {
+        resolve(lost('reset'));
+      });
+    });
+  }
+}
+
+/** The engine port over scripted engines. */
+export class FakeEngineClient implements EngineStreamClient {
+  readonly cancels: { readonly attempt: number; readonly url: string }[] = [];
+
+  constructor(private readonly engines: ReadonlyMap<string, FakeEngine>) {}
+
+  async cancel(
+    url: string,
+    generationId: GenerationId,
+    attempt: AttemptNumber,
+  ): Promise<Result<EngineCancelOutcome, EngineCallError>> {
+    await Promise.resolve();
+    const generation = this.engines.get(url)?.generations.get(generationId);
+    if (generation && generation.attempt > attempt) {
+      return success('superseded');
+    }
+    this.cancels.push({ attempt, url });
+    if (generation) {
+      generation.cancelled = true;
+    }
+    return success('cancelled');
+  }
+
+  resume(url: string, resume: EngineResume): EngineStream {
+    const engine = this.engineAt(url);
+    engine.streamsOpened += 1;
+    const { attempt, fromIndex, generationId } = resume;
+    const refused = this.refusedResume(engine, resume);
+    return new FakeStream(engine, generationId, attempt, fromIndex, refused);
+  }
+
+  start(url: string, start: EngineStart): EngineStream {
+    const engine = this.engineAt(url);
+    engine.streamsOpened += 1;
+    engine.starts.push(start);
+    const { attempt, generationId, prefix } = start;
+    const refused = this.refusedStart(engine, start);
+    if (!refused) {
+      engine.generations.set(generationId, {
+        attempt,
+        cancelled: false,
+        maxTokens: start.maxTokens,
+        preempted: false,
+        produced: prefix.length,
+        seed: start.seed,
+      });
+    }
+    return new FakeStream(engine, generationId, attempt, prefix.length, refused);
+  }
+
+  async status(
+    url: string,
+    generationId: GenerationId,
+  ): Promise<Result<EngineGenerationStatus, EngineCallError>> {
+    await Promise.resolve();
+    const engine = this.engineAt(url);
+    if (!engine.alive) {
+      return failure({ detail: 'refused', kind: 'engineUnreachable', refused: true });
+    }
+    if (engine.frozen) {
+      return failure({ detail: 'timeout', kind: 'engineUnreachable', refused: false });
+    }
+    const generation = engine.generations.get(generationId);
+    if (!generation || generation.cancelled) {
+      return success({ attempt: toNumberId(0), producedTokens: 0, state: 'unknown' });
+    }
+    const attempt = toNumberId<AttemptNumber>(generation.attempt);
+    const running = generation.preempted ? 'preempted' : 'running';
+    const state = generation.produced >= generation.maxTokens ? 'finished' : running;
+    return success({ attempt, producedTokens: generation.produced, state });
+  }
+
+  private engineAt(url: string): FakeEngine {
+    const engine = this.engines.get(url);
+    if (!engine) {
+      throw new Error(`no fake engine at ${url}`);
+    }
+    return engine;
+  }
+
+  private refusedResume(engine: FakeEngine, resume: EngineResume): EngineStreamEvent | undefined {
+    if (!engine.alive) {
+      return lost('connectFailed');
+    }
+    const generation = engine.generations.get(resume.generationId);
+    if (!generation || generation.cancelled) {
+      return lost('unknownGeneration');
+    }
+    if (generation.attempt > resume.attempt) {
+      return lost('superseded');
+    }
+    generation.attempt = resume.attempt;
+    return undefined;
+  }
+
+  private refusedStart(engine: FakeEngine, start: EngineStart): EngineStreamEvent | undefined {
+    if (!engine.alive) {
+      return lost('connectFailed');
+    }
+    const known = engine.generations.get(start.generationId);
+    if (known && known.attempt >= start.attempt) {
+      return lost('superseded');
+    }
+    if (start.prefix.length > 0 && !engine.canContinue) {
+      return lost('rejected');
+    }
+    return engine.leaving ? lost('rejected') : undefined;
+  }
+}
+
+function lost(reason: Extract<EngineStreamEvent, { kind: 'lost' }>['reason']): EngineStreamEvent {
+  return { detail: reason, kind: 'lost', reason };
+}
--- /dev/null
+++ b/packages/routing/src/PrefixMemory.ts
@@ -0,0 +1,41 @@
+import type { EngineId } from '@laburnumgap/kernel';
+import { DEFAULT_REMEMBERED_PREFIXES } from './RouteConstants.js';
+
+/** Remembers which engine last computed a prefix; the prefix used longest ago is dropped first. */
+export class PrefixMemory {
+  private readonly engines = new Map<string, EngineId>();
+
+  constructor(private readonly capacity: number = DEFAULT_REMEMBERED_PREFIXES) {}
+
+  /** The engine that last computed the longest known prefix, or undefined. */
+  find(prefixHashes: readonly string[]): EngineId | undefined {
+    for (let index = prefixHashes.length - 1; index >= 0; index -= 1) {
+      const engineId = this.engines.get(prefixHashes[index] ?? '');
+      if (engineId !== undefined) {
+        return engineId;
+      }
+    }
+    return undefined;
+  }
+
+  /** Forgets everything about an engine that is gone. */
+  forget(engineId: EngineId): void {
+    for (const [prefixHash, known] of this.engines) {
+      if (known === engineId) {
+        this.engines.delete(prefixHash);
+      }
+    }
+  }
+
+  /** Notes that an engine computes a prompt with these prefixes. */
+  note(prefixHashes: readonly string[], engineId: EngineId): void {
+    for (const prefixHash of prefixHashes) {
+      this.engines.delete(prefixHash);
+      this.engines.set(prefixHash, engineId);
+    }
+    while (this.engines.size > this.capacity) {
+      const oldest = this.engines.keys().next();
+      this.engines.delete(oldest.value ?? '');
+    }
+  }
+}
--- /dev/null
+++ b/packages/routing/src/RouteConstants.ts
@@ -0,0 +1,16 @@
+/** Invariant 901: a draw is made from at least one candidate. */
+export const EMPTY_DRAW_INVARIANT = 901;
+/** Characters of a prompt in one block of the engines' prefix cache. */
+export const PREFIX_BLOCK_CHARACTERS = 64;
+/** Characters of a prompt in one token. */
+export const CHARACTERS_PER_TOKEN = 4;
+/** Hexadecimal digits of a prefix hash. */
+export const PREFIX_HASH_DIGITS = 16;
+/** Blocks of a prompt that are hashed; longer prompts are told apart by their start. */
+export const MAX_PREFIX_BLOCKS = 64;
+/** Time to compute one prompt token that is not cached. */
+export const DEFAULT_PREFILL_MS_PER_TOKEN = 0.5;
+/** Engines drawn at random next to the one expected to hold the prefix. */
+export const DRAWN_CANDIDATES = 2;
+/** Prefixes of which the last engine is remembered. */
+export const DEFAULT_REMEMBERED_PREFIXES = 20_000;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './PrefixMemory.js';
+export * from './RouteChooser.js';
+export * from './RouteConstants.js';
+export * from './RoutePrefixes.js';
