--- a/packages/router/src/RouterCompletions.ts
+++ b/packages/router/src/RouterCompletions.ts
@@ -7,12 +7,13 @@
 import type { CompletionRequest } from './RouterCompletionRequest.js';
 import { firstWantedIndexOf, readCompletionRequest } from './RouterCompletionRequest.js';
 import { NO_ENGINE_RETRY_MS } from './RouterConstants.js';
-import type { HandedOverRun, RunServices } from './RouterGenerationRun.js';
+
 import { RouterGenerationRun } from './RouterGenerationRun.js';
 import type { HomeRecord } from './RouterPorts.js';
 import type { QuotaHold, RouterQuota } from './RouterQuota.js';
 import type { RequestHandler, RouterExchange } from './RouterRequestHandler.js';
 import type { RouterRunRegistry } from './RouterRunRegistry.js';
+import type { HandedOverRun, RunServices } from './RouterRunTypes.js';
 
 const COMPLETIONS_PATH = '/v1/completions';
 const MAX_SEED = 2 ** 31;
--- a/packages/router/src/RouterConstants.ts
+++ b/packages/router/src/RouterConstants.ts
@@ -1,6 +1,8 @@
+/** Invariant 803: only a generation that is placed has an engine. */
+export const NO_ENGINE_INVARIANT = 803;
 /** Invariant 802: the settings name a policy that is registered. */
 export const UNKNOWN_POLICY_INVARIANT = 802;
-/** Invariant 801: only a generation that is placed has a stream. */
+/** Invariant 801: a stream is read only once it is open. */
 export const NO_STREAM_INVARIANT = 801;
 
 /** Largest request body. */
--- a/packages/router/src/RouterDaemon.ts
+++ b/packages/router/src/RouterDaemon.ts
@@ -11,7 +11,6 @@
 import { RouterCompletions } from './RouterCompletions.js';
 import { DRAIN_RESERVE_SHARE, UNKNOWN_POLICY_INVARIANT } from './RouterConstants.js';
 import { RouterEngineHealth } from './RouterEngineHealth.js';
-import type { RunServices } from './RouterGenerationRun.js';
 import { createRouterHttp } from './RouterHttp.js';
 import { createRouterInspect } from './RouterInspect.js';
 import { RouterPlacement } from './RouterPlacement.js';
@@ -23,6 +22,7 @@
 import { RpcAdmission } from './RouterRpcAdmission.js';
 import { RpcRequestHomes } from './RouterRpcHomes.js';
 import { RouterRunRegistry } from './RouterRunRegistry.js';
+import type { RunServices } from './RouterRunTypes.js';
 import type { RouterSettings } from './RouterSettings.js';
 import type { Timers } from './RouterTimers.js';
 import { SYSTEM_TIMERS } from './RouterTimers.js';
@@ -82,7 +82,6 @@
     engines: options.engines ?? createEngineStreamClient(),
     health,
     homes,
-    log,
     metrics,
     placement: new RouterPlacement({
       admission,
--- a/packages/router/src/RouterGenerationRun.ts
+++ b/packages/router/src/RouterGenerationRun.ts
@@ -1,115 +1,37 @@
-import type { Contract } from '@laburnumgap/contracts';
-import type { EngineStream, EngineStreamClient } from '@laburnumgap/engine';
-import type {
-  ContinuationPolicy,
-  GenerationAction,
-  GenerationPlacement,
-} from '@laburnumgap/generation';
+import type { EngineStream } from '@laburnumgap/engine';
+import type { GenerationAction, GenerationPlacement } from '@laburnumgap/generation';
 import { GenerationTracker } from '@laburnumgap/generation';
-import type {
-  AttemptNumber,
-  DecisionSink,
-  EngineId,
-  GenerationId,
-  MonotonicClock,
-  Refusal,
-  RequestId,
-  TeamId,
-} from '@laburnumgap/kernel';
-import { invariant, refusal, toId } from '@laburnumgap/kernel';
-import { prefixHashesOf, promptTokensOf } from '@laburnumgap/routing';
-import type { Log, Metrics } from '@laburnumgap/telemetry';
-import type { GrantedReservation } from './RouterAdmissionWait.js';
-import type { CallerSink } from './RouterCallerSink.js';
-import type { CompletionRequest } from './RouterCompletionRequest.js';
-import { DRAINING_RETRY_MS, HOME_REFRESH_TOKENS, NO_STREAM_INVARIANT } from './RouterConstants.js';
-import type { RouterEngineHealth } from './RouterEngineHealth.js';
-import type { RouterPlacement } from './RouterPlacement.js';
-import type { HomeRecorded, ProgressReport, RequestHomes } from './RouterPorts.js';
-import type { RouterProgress } from './RouterProgress.js';
-import type { QuotaHold } from './RouterQuota.js';
+import type { GeneratedToken, Refusal } from '@laburnumgap/kernel';
+import { invariant, refusal } from '@laburnumgap/kernel';
+import { DRAINING_RETRY_MS, NO_STREAM_INVARIANT } from './RouterConstants.js';
+import type { ProgressReport } from './RouterPorts.js';
+import { RouterRunAssignment } from './RouterRunAssignment.js';
 import { RouterRunMetrics } from './RouterRunMetrics.js';
+import type { GenerationRunOptions, HandedOverRun, RunServices } from './RouterRunTypes.js';
 import { RouterStreamReader } from './RouterStreamReader.js';
-import type { Timers } from './RouterTimers.js';
-
-/** What all generations of a router are run with. */
-export interface RunServices {
-  readonly clock: MonotonicClock;
-  readonly decisions: DecisionSink;
-  readonly engines: EngineStreamClient;
-  readonly health: RouterEngineHealth;
-  readonly homes: RequestHomes;
-  readonly log: Log;
-  readonly metrics: Metrics;
-  readonly placement: RouterPlacement;
-  readonly policy: ContinuationPolicy;
-  readonly progress: RouterProgress;
-  readonly timers: Timers;
-}
-
-/** An engine with its address. */
-export interface RunEngine {
-  readonly engineId: EngineId;
-  readonly url: string;
-}
-
-/** A generation's state as one run hands it to the next. */
-export interface HandedOverRun {
-  readonly attempt: AttemptNumber;
-  /** The engine that runs it, if it was started. */
-  readonly engine?: RunEngine;
-  readonly generationId: GenerationId;
-  readonly knownTexts: readonly string[];
-  readonly reservation?: GrantedReservation;
-  readonly seed: number;
-}
-
-/** Options of a run. */
-export interface GenerationRunOptions {
-  readonly completion: CompletionRequest;
-  readonly contract: Contract;
-  readonly firstWantedIndex: number;
-  /** What an earlier run of the same request left; its attempt is the one to go on with. */
-  readonly from?: HandedOverRun;
-  readonly generationId: GenerationId;
-  readonly hold: QuotaHold;
-  readonly requestId: RequestId;
-  readonly seed: number;
-  readonly services: RunServices;
-  readonly sink: CallerSink;
-}
 
+type EndAction = Extract<GenerationAction, { kind: 'end' }>;
+type FinishAction = Extract<GenerationAction, { kind: 'finish' }>;
 type StopReason = 'callerGone' | 'draining' | 'handedOver';
 
-const PRIORITY_CLASSES = { batch: 2, interactive: 0, standard: 1 } as const;
-
 /** Runs one generation for one caller, over all the attempts that it takes. */
 export class RouterGenerationRun {
   private readonly abort = new AbortController();
-  private engine: RunEngine | undefined;
-  private homesVersion = 0;
+  private readonly assignment: RouterRunAssignment;
   private moveOrdered = false;
   private readonly options: GenerationRunOptions;
-  private preemptions = 0;
-  private readonly prefixHashes: readonly string[];
-  private readonly promptTokens: number;
   private reader: RouterStreamReader | undefined;
-  private reservation: GrantedReservation | undefined;
   private readonly runMetrics: RouterRunMetrics;
   private readonly services: RunServices;
   private stopReason: StopReason | undefined;
-  private readonly teamId: TeamId;
   private readonly tracker: GenerationTracker;
   private unpark: (() => void) | undefined;
 
   constructor(options: GenerationRunOptions) {
-    const { completion, contract, from, services } = options;
+    const { completion, from, services } = options;
     this.options = options;
-    this.prefixHashes = prefixHashesOf(completion.prompt);
-    this.promptTokens = promptTokensOf(completion.prompt);
     this.runMetrics = new RouterRunMetrics(services.metrics, services.clock.nowMs());
     this.services = services;
-    this.teamId = toId(contract.team);
     this.tracker = new GenerationTracker({
       buffered: !completion.stream,
       firstWantedIndex: options.firstWantedIndex,
@@ -118,23 +40,25 @@
       policy: services.policy,
       startedAttempt: from?.attempt,
     });
-    this.engine = from?.engine;
-    if (from?.reservation) {
-      this.hold(from.reservation);
-    }
+    this.assignment = new RouterRunAssignment({
+      onMoveOrdered: () => {
+        this.moveOrdered = true;
+        this.reader?.interrupt();
+      },
+      run: options,
+      signal: this.abort.signal,
+      tracker: this.tracker,
+    });
   }
 
   /** Ends the run so that another one can go on with the generation. */
   handOver(): HandedOverRun {
-    const { reservation } = this;
-    this.reservation = undefined;
     this.stopWith('handedOver');
     return {
+      ...this.assignment.handOver(),
       attempt: this.tracker.attempt,
-      engine: this.engine,
       generationId: this.options.generationId,
       knownTexts: this.tracker.knownTexts(),
-      reservation,
       seed: this.options.seed,
     };
   }
@@ -146,28 +70,25 @@
 
   /** How far the generation is, for its scheduler. */
   progress(): ProgressReport | undefined {
-    if (!this.engine) {
-      return undefined;
-    }
-    return this.report(this.engine, { finished: false });
+    return this.assignment.progress();
   }
 
   /** Runs until the answer has ended, or the caller or the generation is gone. */
   async run(): Promise<void> {
-    const { hold, services, sink } = this.options;
+    const { hold, sink } = this.options;
     sink.onGone(() => {
       this.stopWith('callerGone');
     });
     if (sink.isGone()) {
       this.stopWith('callerGone');
     }
-    const unfollow = services.progress.follow(this);
+    const unfollow = this.services.progress.follow(this);
     try {
       await this.runToEnd();
     } finally {
       unfollow();
       this.closeReader();
-      this.releaseReservation();
+      this.assignment.release();
       this.runMetrics.end();
       hold.release();
     }
@@ -181,10 +102,10 @@
         return;
       }
       if (action.kind === 'finish') {
-        this.options.sink.finish(action.finishReason, action.totalTokens);
-        this.end();
+        this.finish(action);
         return;
       }
+      this.logAction(action);
       action = await this.perform(action);
     }
     await this.stop(this.stopReason);
@@ -192,13 +113,14 @@
 
   private async begin(): Promise<GenerationAction> {
     await this.deliverKnown();
-    if (!this.engine) {
+    if (!this.assignment.isPlaced()) {
       return this.tracker.begin();
     }
-    if ((await this.record()) === 'superseded') {
+    if ((await this.assignment.record()) === 'superseded') {
       return superseded();
     }
-    return this.tracker.decide({ engineId: this.engine.engineId, kind: 'adopted' });
+    const { engineId } = this.assignment.engine();
+    return this.tracker.decide({ engineId, kind: 'adopted' });
   }
 
   private async deliverKnown(): Promise<void> {
@@ -209,10 +131,7 @@
     }
   }
 
-  private perform(
-    action: Exclude<GenerationAction, { kind: 'end' | 'finish' }>,
-  ): Promise<GenerationAction> {
-    this.logAction(action);
+  private perform(action: Exclude<GenerationAction, EndAction | FinishAction>) {
     switch (action.kind) {
       case 'ask':
         return this.ask();
@@ -226,10 +145,8 @@
   }
 
   private async ask(): Promise<GenerationAction> {
-    const { engine } = this;
-    invariant(engine, NO_STREAM_INVARIANT, 'a placed generation has an engine');
-    const { engines, health } = this.services;
-    const status = await engines.status(engine.url, this.options.generationId);
+    const { engineId, url } = this.assignment.engine();
+    const status = await this.services.engines.status(url, this.options.generationId);
     if (this.reader?.hasArrived()) {
       return { kind: 'await' };
     }
@@ -240,61 +157,59 @@
     const { detail, refused } = status.error;
     const action = this.tracker.decide({ detail, kind: 'statusFailed', refused });
     if (action.kind !== 'ask') {
-      health.suspect(engine.engineId);
+      this.services.health.suspect(engineId);
     }
     return action;
   }
 
   private async place(action: GenerationPlacement): Promise<GenerationAction> {
-    this.leaveEngine(action.attempt);
+    this.closeReader();
+    this.assignment.leave(action.attempt);
+    this.moveOrdered = false;
     if (action.delayMs > 0) {
       await this.pause(action.delayMs);
     }
-    const placed = await this.services.placement.place(this.placementRequest(action));
-    if (!placed.ok) {
-      if (placed.error.kind === 'aborted') {
-        return action;
-      }
-      const nowMs = this.services.clock.nowMs();
-      const { refusal: refused } = placed.error;
-      return this.tracker.decide({ kind: 'placementFailed', nowMs, refusal: refused });
+    const placed = await this.assignment.place(action);
+    if (placed.ok) {
+      this.tracker.noteStarted(this.assignment.engine().engineId);
+      return this.start(action, placed.value.enginePriority);
     }
-    const { engineId, engineUrl, reservation } = placed.value;
-    this.engine = { engineId, url: engineUrl };
-    this.hold(reservation);
-    this.tracker.noteStarted(engineId);
-    return this.start(action, reservation.enginePriority);
+    if (placed.error === 'aborted') {
+      return action;
+    }
+    const nowMs = this.services.clock.nowMs();
+    return this.tracker.decide({ kind: 'placementFailed', nowMs, refusal: placed.error });
   }
 
   private async start(action: GenerationPlacement, priority: number): Promise<GenerationAction> {
     const { completion, generationId, seed } = this.options;
-    invariant(this.engine, NO_STREAM_INVARIANT, 'a placed generation has an engine');
-    const recorded = this.record();
+    const { attempt, prefix } = action;
+    const { maxTokens, model, prompt } = completion;
+    const recorded = this.assignment.record();
     this.open(
-      this.services.engines.start(this.engine.url, {
-        attempt: action.attempt,
+      this.services.engines.start(this.assignment.engine().url, {
+        attempt,
         generationId,
-        maxTokens: completion.maxTokens,
-        model: completion.model,
-        prefix: action.prefix,
+        maxTokens,
+        model,
+        prefix,
         priority,
-        prompt: completion.prompt,
+        prompt,
         seed,
       }),
     );
     if ((await recorded) === 'superseded') {
-      this.cancelAtEngine(this.engine, action.attempt);
+      this.assignment.cancel(attempt);
       return superseded();
     }
     return this.read();
   }
 
   private resume(fromIndex: number): Promise<GenerationAction> {
-    const { engine } = this;
-    invariant(engine, NO_STREAM_INVARIANT, 'a placed generation has an engine');
     const { generationId } = this.options;
     const { attempt } = this.tracker;
-    this.open(this.services.engines.resume(engine.url, { attempt, fromIndex, generationId }));
+    const { url } = this.assignment.engine();
+    this.open(this.services.engines.resume(url, { attempt, fromIndex, generationId }));
     return this.read();
   }
 
@@ -306,44 +221,38 @@
         return this.move('moveOrdered');
       }
       const event = await reader.next();
-      switch (event.kind) {
-        case 'token': {
-          const action = await this.takeToken(event.token, reader);
-          if (action) {
-            return action;
-          }
-          break;
+      if (event.kind === 'token') {
+        const action = await this.takeToken(event.token, reader);
+        if (action) {
+          return action;
         }
-        case 'interrupted':
-          break;
-        case 'silent':
-          return this.tracker.decide(event);
-        case 'preempted':
-          return this.move('preempted');
-        case 'finished':
-        case 'lost':
-          this.closeReader();
-          return this.tracker.decide(event);
+      } else if (event.kind === 'preempted') {
+        return this.move('preempted');
+      } else if (event.kind === 'silent') {
+        return this.tracker.decide(event);
+      } else if (event.kind !== 'interrupted') {
+        this.closeReader();
+        return this.tracker.decide(event);
       }
     }
     return { kind: 'await' };
   }
 
   private async takeToken(
-    token: Parameters<GenerationTracker['take']>[0],
+    token: GeneratedToken,
     reader: RouterStreamReader,
   ): Promise<GenerationAction | undefined> {
     const verdict = this.tracker.take(token);
     if (verdict === 'deliver') {
       this.runMetrics.noteToken(this.services.clock.nowMs(), reader.usualGapMs());
       this.options.hold.charge(1);
-      this.refreshHomes(token.index);
+      this.assignment.refreshHomes(token.index);
       await this.options.sink.deliver(token.index, token.text);
       return undefined;
     }
-    if (verdict === 'foreign' || verdict === 'gap') {
+    if (verdict === 'gap') {
       this.closeReader();
-      const detail = `the engine sent token ${token.index} out of order (${verdict})`;
+      const detail = `the engine left out tokens before ${token.index}`;
       return this.tracker.decide({ detail, kind: 'sequenceBroken' });
     }
     return undefined;
@@ -352,17 +261,27 @@
   private move(kind: 'moveOrdered' | 'preempted'): GenerationAction {
     this.moveOrdered = false;
     this.closeReader();
-    this.preemptions += 1;
     this.runMetrics.notePreemption(kind);
-    if (this.engine) {
-      const enginePreempted = kind === 'preempted';
-      this.services.progress.noteEnded(
-        this.report(this.engine, { enginePreempted, finished: true }),
-      );
-    }
+    this.assignment.notePreempted(kind === 'preempted');
     return this.tracker.decide({ kind });
   }
 
+  private finish(action: FinishAction): void {
+    this.options.sink.finish(action.finishReason, action.totalTokens);
+    this.assignment.end();
+  }
+
+  private fail(refused: Refusal): void {
+    const { requestId, sink } = this.options;
+    const fields = { detail: refused.detail, name: refused.code };
+    this.services.decisions.record({ decision: 'refuse', fields, requestId });
+    this.services.metrics.increment('refusals', 1, { code: refused.code });
+    sink.fail(refused);
+    if (refused.code !== 'ATTEMPT_SUPERSEDED') {
+      this.assignment.end();
+    }
+  }
+
   private async stop(reason: StopReason): Promise<void> {
     this.closeReader();
     if (reason === 'handedOver') {
@@ -373,7 +292,7 @@
       await this.leave();
       return;
     }
-    if (this.engine) {
+    if (this.assignment.isPlaced()) {
       await this.park();
     }
   }
@@ -381,20 +300,22 @@
   /** Brings the homes up to date and closes, so that the caller finds its answer elsewhere. */
   private async leave(): Promise<void> {
     const { sink } = this.options;
-    if (this.tracker.attempt <= 1 && !this.engine) {
-      sink.fail(refusal('DRAINING', 'this router is shutting down', DRAINING_RETRY_MS));
+    if (this.assignment.isPlaced()) {
+      await this.assignment.record();
+      sink.abandon();
       return;
     }
-    if (this.engine) {
-      await this.record();
+    if (this.tracker.attempt > 1) {
+      sink.abandon();
+      return;
     }
-    sink.abandon();
+    sink.fail(refusal('DRAINING', 'this router is shutting down', DRAINING_RETRY_MS));
   }
 
   /** Keeps the generation for a caller that may come back, then gives it up. */
   private async park(): Promise<void> {
-    const { contract } = this.options;
-    void this.record();
+    const { contract, requestId } = this.options;
+    void this.assignment.record();
     await new Promise<void>((resolve) => {
       const stopTimer = this.services.timers.after(contract.reconnectGraceMs, resolve);
       this.unpark = () => {
@@ -402,19 +323,15 @@
         resolve();
       };
     });
-    if (this.stopReason === 'callerGone' && this.engine) {
-      this.services.decisions.record({
-        decision: 'cancel',
-        fields: { attempt: this.tracker.attempt, engineId: this.engine.engineId },
-        requestId: this.options.requestId,
-      });
-      this.cancelAtEngine(this.engine, this.tracker.attempt);
-      this.end();
+    if (this.stopReason !== 'callerGone') {
+      return;
     }
-  }
-
-  private cancelAtEngine(engine: RunEngine, attempt: AttemptNumber): void {
-    void this.services.engines.cancel(engine.url, this.options.generationId, attempt);
+    const { attempt } = this.tracker;
+    const { engineId } = this.assignment.engine();
+    const fields = { attempt, engineId };
+    this.services.decisions.record({ decision: 'cancel', fields, requestId });
+    this.assignment.cancel(attempt);
+    this.assignment.end();
   }
 
   private closeReader(): void {
@@ -422,60 +339,15 @@
     this.reader = undefined;
   }
 
-  /** Ends the generation for good: its memory and its records are given back. */
-  private end(): void {
-    const { requestId } = this.options;
-    const { attempt } = this.tracker;
-    if (this.engine) {
-      this.services.progress.noteEnded(this.report(this.engine, { finished: true }));
-    }
-    this.services.homes.forget(this.teamId, requestId, attempt);
-  }
-
-  private fail(refused: Refusal): void {
-    const { requestId, sink } = this.options;
-    this.services.decisions.record({
-      decision: 'refuse',
-      fields: { detail: refused.detail, name: refused.code },
-      requestId,
-    });
-    this.services.metrics.increment('refusals', 1, { code: refused.code });
-    sink.fail(refused);
-    if (refused.code !== 'ATTEMPT_SUPERSEDED') {
-      this.end();
-    }
-  }
-
-  private hold(reservation: GrantedReservation): void {
-    this.reservation = reservation;
-    reservation.onMoveOrdered(() => {
-      this.moveOrdered = true;
-      this.reader?.interrupt();
-    });
-  }
-
-  private leaveEngine(nextAttempt: AttemptNumber): void {
-    const { engine } = this;
-    this.closeReader();
-    this.releaseReservation();
-    this.engine = undefined;
-    if (engine) {
-      this.cancelAtEngine(engine, (nextAttempt - 1) as AttemptNumber);
-    }
-  }
-
   private logAction(action: GenerationAction): void {
     if (action.kind === 'await' || (action.kind === 'place' && action.attempt === 1)) {
       return;
     }
+    const { attempt, nextIndex } = this.tracker;
+    const reason = action.kind === 'place' ? action.reason : undefined;
     this.services.decisions.record({
       decision: action.kind === 'place' ? 'retry' : action.kind,
-      fields: {
-        attempt: this.tracker.attempt,
-        engineId: this.engine?.engineId,
-        nextIndex: this.tracker.nextIndex,
-        reason: action.kind === 'place' ? action.reason : undefined,
-      },
+      fields: { attempt, nextIndex, reason },
       requestId: this.options.requestId,
     });
   }
@@ -483,8 +355,7 @@
   private open(stream: EngineStream): void {
     this.closeReader();
     const { clock, health, timers } = this.services;
-    invariant(this.engine, NO_STREAM_INVARIANT, 'a placed generation has an engine');
-    const gaps = health.gapsOf(this.engine.engineId);
+    const gaps = health.gapsOf(this.assignment.engine().engineId);
     this.reader = new RouterStreamReader({ clock, gaps, stream, timers });
   }
 
@@ -498,77 +369,6 @@
     });
   }
 
-  private placementRequest(action: GenerationPlacement): Parameters<RouterPlacement['place']>[0] {
-    const { completion, contract, generationId, requestId } = this.options;
-    return {
-      attempt: action.attempt,
-      excludedEngines: action.excludedEngines,
-      generationId,
-      maxTokens: completion.maxTokens,
-      model: completion.model,
-      onlyEngine: action.onlyEngine,
-      preemptions: this.preemptions,
-      prefixHashes: this.prefixHashes,
-      priorityClass: PRIORITY_CLASSES[contract.scheduling.class],
-      producedTokens: action.prefix.length,
-      promptTokens: this.promptTokens,
-      requestId,
-      signal: this.abort.signal,
-      teamId: this.teamId,
-      waitBoundMs: contract.waitBoundMs,
-      weight: contract.scheduling.weight,
-    };
-  }
-
-  private record(): Promise<HomeRecorded> {
-    const { completion, generationId, requestId, seed } = this.options;
-    const { engine } = this;
-    invariant(engine, NO_STREAM_INVARIANT, 'a placed generation has an engine');
-    this.homesVersion = this.services.homes.version();
-    return this.services.homes.record({
-      attempt: this.tracker.attempt,
-      bodyHash: completion.bodyHash,
-      deliveredIndex: this.tracker.deliveredTokens - 1,
-      engineId: engine.engineId,
-      engineUrl: engine.url,
-      generationId,
-      maxTokens: completion.maxTokens,
-      model: completion.model,
-      prompt: completion.prompt,
-      requestId,
-      seed,
-      streamed: completion.stream,
-      teamId: this.teamId,
-    });
-  }
-
-  private refreshHomes(index: number): void {
-    const moved = this.homesVersion !== this.services.homes.version();
-    if (moved || index % HOME_REFRESH_TOKENS === HOME_REFRESH_TOKENS - 1) {
-      void this.record();
-    }
-  }
-
-  private releaseReservation(): void {
-    this.reservation?.release();
-    this.reservation = undefined;
-    this.moveOrdered = false;
-  }
-
-  private report(
-    engine: RunEngine,
-    state: { readonly enginePreempted?: boolean; readonly finished: boolean },
-  ): ProgressReport {
-    return {
-      attempt: this.tracker.attempt,
-      engineId: engine.engineId,
-      enginePreempted: state.enginePreempted ?? false,
-      finished: state.finished,
-      generationId: this.options.generationId,
-      producedTokens: this.tracker.nextIndex,
-    };
-  }
-
   private stopWith(reason: StopReason): void {
     if (this.stopReason !== undefined && reason === 'callerGone') {
       return;
@@ -580,6 +380,6 @@
   }
 }
 
-function superseded(): Extract<GenerationAction, { kind: 'end' }> {
+function superseded(): EndAction {
   return { kind: 'end', refusal: refusal('ATTEMPT_SUPERSEDED', 'a newer attempt runs') };
 }
--- /dev/null
+++ b/packages/router/src/RouterRunTypes.ts
@@ -0,0 +1,67 @@
+import type { Contract } from '@laburnumgap/contracts';
+import type { EngineStreamClient } from '@laburnumgap/engine';
+import type { ContinuationPolicy } from '@laburnumgap/generation';
+import type {
+  AttemptNumber,
+  DecisionSink,
+  EngineId,
+  GenerationId,
+  MonotonicClock,
+  RequestId,
+} from '@laburnumgap/kernel';
+import type { Metrics } from '@laburnumgap/telemetry';
+import type { GrantedReservation } from './RouterAdmissionWait.js';
+import type { CallerSink } from './RouterCallerSink.js';
+import type { CompletionRequest } from './RouterCompletionRequest.js';
+import type { RouterEngineHealth } from './RouterEngineHealth.js';
+import type { RouterPlacement } from './RouterPlacement.js';
+import type { RequestHomes } from './RouterPorts.js';
+import type { RouterProgress } from './RouterProgress.js';
+import type { QuotaHold } from './RouterQuota.js';
+import type { Timers } from './RouterTimers.js';
+
+/** What all generations of a router are run with. */
+export interface RunServices {
+  readonly clock: MonotonicClock;
+  readonly decisions: DecisionSink;
+  readonly engines: EngineStreamClient;
+  readonly health: RouterEngineHealth;
+  readonly homes: RequestHomes;
+  readonly metrics: Metrics;
+  readonly placement: RouterPlacement;
+  readonly policy: ContinuationPolicy;
+  readonly progress: RouterProgress;
+  readonly timers: Timers;
+}
+
+/** An engine with its address. */
+export interface RunEngine {
+  readonly engineId: EngineId;
+  readonly url: string;
+}
+
+/** A generation's state as one run hands it to the next. */
+export interface HandedOverRun {
+  readonly attempt: AttemptNumber;
+  /** The engine that runs it, if it was started. */
+  readonly engine?: RunEngine;
+  readonly generationId: GenerationId;
+  readonly knownTexts: readonly string[];
+  readonly reservation?: GrantedReservation;
+  readonly seed: number;
+}
+
+/** Options of a run. */
+export interface GenerationRunOptions {
+  readonly completion: CompletionRequest;
+  readonly contract: Contract;
+  readonly firstWantedIndex: number;
+  /** What an earlier run of the same request left; its attempt is the one to go on with. */
+  readonly from?: HandedOverRun;
+  readonly generationId: GenerationId;
+  readonly hold: QuotaHold;
+  readonly requestId: RequestId;
+  readonly seed: number;
+  readonly services: RunServices;
+  readonly sink: CallerSink;
+}
