--- a/packages/generation/src/GenerationTracker.ts
+++ b/packages/generation/src/GenerationTracker.ts
@@ -215,7 +215,7 @@
 
   private onFinished(event: Extract<GenerationEvent, { kind: 'finished' }>): GenerationAction {
     if (event.finishReason === 'cancelled') {
-      return { kind: 'end', refusal: this.earlyEnd('the engine cancelled the generation') };
+      return this.giveEngineUp('the engine cancelled the generation');
     }
     if (event.totalTokens !== this.texts.length) {
       const detail = `the engine counts ${event.totalTokens} tokens, ${this.texts.length} came`;
