--- a/packages/router/src/RouterCompletions.ts
+++ b/packages/router/src/RouterCompletions.ts
@@ -1,15 +1,14 @@
 import type { IncomingMessage } from 'node:http';
 import type { GenerationId, RandomSource, Refusal, Result, TeamId } from '@laburnumgap/kernel';
-import { failure, refusal, success, toId } from '@laburnumgap/kernel';
+import { failure, success, toId } from '@laburnumgap/kernel';
 import { promptTokensOf } from '@laburnumgap/routing';
 import { v7 } from 'uuid';
 import { StreamSink, WholeSink } from './RouterCallerSink.js';
 import type { CompletionRequest } from './RouterCompletionRequest.js';
 import { firstWantedIndexOf, readCompletionRequest } from './RouterCompletionRequest.js';
-import { NO_ENGINE_RETRY_MS } from './RouterConstants.js';
+import { findEarlierRun, unknownGeneration } from './RouterEarlierRuns.js';
 
 import { RouterGenerationRun } from './RouterGenerationRun.js';
-import type { HomeRecord } from './RouterPorts.js';
 import type { QuotaHold, RouterQuota } from './RouterQuota.js';
 import type { RequestHandler, RouterExchange } from './RouterRequestHandler.js';
 import type { RouterRunRegistry } from './RouterRunRegistry.js';
@@ -83,34 +82,15 @@
     wanted: Wanted,
   ): Promise<Result<HandedOverRun | undefined, Refusal>> {
     const { requestId, requestIdGiven } = exchange;
+    const { completion, firstWantedIndex, teamId } = wanted;
+    const continues = firstWantedIndex !== undefined;
     if (!requestIdGiven) {
-      return wanted.firstWantedIndex === undefined ? success(undefined) : failure(unknown());
+      return continues ? failure(unknownGeneration()) : success(undefined);
     }
-    const { completion, firstWantedIndex, teamId } = wanted;
-    const { homes } = this.options.services;
     const { bodyHash } = completion;
-    const taken = await homes.takeOver({ bodyHash, requestId, teamId });
-    const local = this.options.registry.find(teamId, requestId);
-    if (local && local.bodyHash !== bodyHash) {
-      return failure(otherBody());
-    }
-    if (taken.ok && taken.value.outcome === 'otherBody') {
-      return failure(otherBody());
-    }
-    if (taken.ok && taken.value.outcome === 'otherTeam') {
-      return failure(refusal('NOT_YOURS', 'the request id belongs to another team'));
-    }
-    const handedOver = local?.run.handOver();
-    if (taken.ok && taken.value.outcome === 'found') {
-      return success(mergeEarlier(taken.value.record, handedOver));
-    }
-    if (handedOver) {
-      return success(nextAttemptOf(handedOver));
-    }
-    if (firstWantedIndex === undefined) {
-      return success(undefined);
-    }
-    return failure(unknown(taken.ok ? undefined : NO_ENGINE_RETRY_MS));
+    const { registry, services } = this.options;
+    const { homes } = services;
+    return findEarlierRun({ bodyHash, continues, homes, registry, requestId, teamId });
   }
 
   private async run(
@@ -161,31 +141,3 @@
     teamId: toId<TeamId>(contract.team),
   });
 }
-
-/** The homes know the attempt to go on with; a run of this router may know the texts as well. */
-function mergeEarlier(record: HomeRecord, local: HandedOverRun | undefined): HandedOverRun {
-  const isSame = local?.generationId === record.generationId;
-  return {
-    attempt: record.attempt,
-    engine: { engineId: record.engineId, url: record.engineUrl },
-    generationId: record.generationId,
-    knownTexts: isSame ? local.knownTexts : [],
-    reservation: isSame ? local.reservation : undefined,
-    seed: record.seed,
-  };
-}
-
-function nextAttemptOf(local: HandedOverRun): HandedOverRun {
-  if (!local.engine) {
-    return local;
-  }
-  return { ...local, attempt: (local.attempt + 1) as HandedOverRun['attempt'] };
-}
-
-function otherBody(): Refusal {
-  return refusal('MALFORMED_REQUEST', 'the request id was used with another body');
-}
-
-function unknown(retryAfterMs?: number): Refusal {
-  return refusal('GENERATION_UNKNOWN', 'no generation of this request is known', retryAfterMs);
-}
