Prove takeovers by another router; keep records past the end; check after a pause

Cause: a router that was paused and woke delivered tokens that it had read before another router took over (seen red: 8 tokens delivered, 5 expected). After a pause of 2 s the engine and the homes are asked first. A record forgotten at the end left a caller whose connection broke within the last tokens with GENERATION_UNKNOWN; it is now kept for the reconnect grace. Ruled out: asking the homes alone; a finished and forgotten record is accepted anew there.

--- a/packages/router/src/RouterConstants.ts
+++ b/packages/router/src/RouterConstants.ts
@@ -33,3 +33,5 @@
 export const GAP_SAMPLE_TOKENS = 8;
 /** Part of the shutdown bound that is left for closing once streams were given their time. */
 export const DRAIN_RESERVE_SHARE = 0.3;
+/** Pause of a run after which it asks whether it was taken over before it delivers more. */
+export const PAUSE_CHECK_MS = 2_000;
--- a/packages/router/src/RouterGenerationRun.ts
+++ b/packages/router/src/RouterGenerationRun.ts
@@ -3,7 +3,7 @@
 import { GenerationTracker } from '@laburnumgap/generation';
 import type { GeneratedToken, Refusal } from '@laburnumgap/kernel';
 import { invariant, refusal } from '@laburnumgap/kernel';
-import { DRAINING_RETRY_MS, NO_STREAM_INVARIANT } from './RouterConstants.js';
+import { DRAINING_RETRY_MS, NO_STREAM_INVARIANT, PAUSE_CHECK_MS } from './RouterConstants.js';
 import type { ProgressReport } from './RouterPorts.js';
 import { RouterRunAssignment } from './RouterRunAssignment.js';
 import { RouterRunMetrics } from './RouterRunMetrics.js';
@@ -17,6 +17,7 @@
 /** Runs one generation for one caller, over all the attempts that it takes. */
 export class RouterGenerationRun {
   private readonly abort = new AbortController();
+  private activeMs: number;
   private readonly assignment: RouterRunAssignment;
   private moveOrdered = false;
   private readonly options: GenerationRunOptions;
@@ -29,6 +30,7 @@
 
   constructor(options: GenerationRunOptions) {
     const { completion, from, services } = options;
+    this.activeMs = services.clock.nowMs();
     this.options = options;
     this.runMetrics = new RouterRunMetrics(services.metrics, services.clock.nowMs());
     this.services = services;
@@ -242,6 +244,10 @@
     token: GeneratedToken,
     reader: RouterStreamReader,
   ): Promise<GenerationAction | undefined> {
+    if (await this.wasTakenOver()) {
+      this.closeReader();
+      return superseded();
+    }
     const verdict = this.tracker.take(token);
     if (verdict === 'deliver') {
       this.runMetrics.noteToken(this.services.clock.nowMs(), reader.usualGapMs());
@@ -258,6 +264,24 @@
     return undefined;
   }
 
+  /**
+   * After a pause, of the process or of the caller, tokens may be at hand that were read before
+   * another router took over: the engine and the homes are asked before any of them is delivered.
+   */
+  private async wasTakenOver(): Promise<boolean> {
+    const pausedMs = this.services.clock.nowMs() - this.activeMs;
+    this.activeMs = this.services.clock.nowMs();
+    if (pausedMs < PAUSE_CHECK_MS) {
+      return false;
+    }
+    const { url } = this.assignment.engine();
+    const status = await this.services.engines.status(url, this.options.generationId);
+    if (status.ok && status.value.attempt > this.tracker.attempt) {
+      return true;
+    }
+    return (await this.assignment.record()) === 'superseded';
+  }
+
   private move(kind: 'moveOrdered' | 'preempted'): GenerationAction {
     this.moveOrdered = false;
     this.closeReader();
@@ -267,18 +291,19 @@
   }
 
   private finish(action: FinishAction): void {
-    this.options.sink.finish(action.finishReason, action.totalTokens);
-    this.assignment.end();
+    const { contract, sink } = this.options;
+    sink.finish(action.finishReason, action.totalTokens);
+    this.assignment.end({ forgetAfterMs: contract.reconnectGraceMs });
   }
 
   private fail(refused: Refusal): void {
-    const { requestId, sink } = this.options;
+    const { contract, requestId, sink } = this.options;
     const fields = { detail: refused.detail, name: refused.code };
     this.services.decisions.record({ decision: 'refuse', fields, requestId });
     this.services.metrics.increment('refusals', 1, { code: refused.code });
     sink.fail(refused);
     if (refused.code !== 'ATTEMPT_SUPERSEDED') {
-      this.assignment.end();
+      this.assignment.end({ forgetAfterMs: contract.reconnectGraceMs });
     }
   }
 
@@ -331,7 +356,7 @@
     const fields = { attempt, engineId };
     this.services.decisions.record({ decision: 'cancel', fields, requestId });
     this.assignment.cancel(attempt);
-    this.assignment.end();
+    this.assignment.end({ forgetAfterMs: 0 });
   }
 
   private closeReader(): void {
--- a/packages/router/src/RouterRunAssignment.ts
+++ b/packages/router/src/RouterRunAssignment.ts
@@ -69,13 +69,24 @@
     void services.engines.cancel(this.engine().url, generationId, attempt);
   }
 
-  /** Ends the generation for good: its memory and its records are given back. */
-  end(): void {
+  /**
+   * Ends the generation for good: its memory is given back at once. The homes keep its record for
+   * a caller whose connection broke within the last tokens.
+   */
+  end({ forgetAfterMs }: { readonly forgetAfterMs: number }): void {
     const { requestId, services } = this.run;
     if (this.current) {
       services.progress.noteEnded(this.report({ finished: true }));
     }
-    services.homes.forget(this.teamId, requestId, this.tracker.attempt);
+    const { attempt } = this.tracker;
+    const forget = (): void => {
+      services.homes.forget(this.teamId, requestId, attempt);
+    };
+    if (forgetAfterMs === 0) {
+      forget();
+      return;
+    }
+    services.timers.after(forgetAfterMs, forget);
   }
 
   /** Leaves the engine, before the next attempt is placed. */
--- a/packages/router/src/__tests__/utils/FakeEngines.ts
+++ b/packages/router/src/__tests__/utils/FakeEngines.ts
@@ -46,6 +46,8 @@
   frozen = false;
   readonly generations = new Map<string, FakeGeneration>();
   leaving = false;
+  /** Tokens that are under way on a stream, out of reach of a later attempt. */
+  readAhead = 0;
   readonly starts: EngineStart[] = [];
   streamsOpened = 0;
 
@@ -112,7 +114,15 @@
     if (fault) {
       return this.strike(fault, generation);
     }
-    return this.produce(generation);
+    return this.produceAhead(generation);
+  }
+
+  private produceAhead(generation: FakeGeneration): EngineStreamEvent {
+    const event = this.produce(generation);
+    while (event.kind === 'token' && this.extra.length < this.engine.readAhead) {
+      this.extra.push(this.produce(generation));
+    }
+    return event;
   }
 
   private produce(generation: FakeGeneration): EngineStreamEvent {
--- a/packages/router/src/__tests__/utils/FakeTimers.ts
+++ b/packages/router/src/__tests__/utils/FakeTimers.ts
@@ -35,6 +35,11 @@
     return true;
   }
 
+  /** Moves the clock without running timers, as for a paused process. */
+  pass(durationMs: number): void {
+    this.currentMs += durationMs;
+  }
+
   /** Lets time pass until the work has ended; throws when nothing is left that could end it. */
   async runUntil<T>(work: Promise<T>, maxSteps = 20_000): Promise<T> {
     const state = { ended: false };
