--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,3 +1,17 @@
 export * from './AdmissionFifo.js';
+export * from './AdmissionRequests.js';
 export type * from './AdmissionTypes.js';
+export * from './DrainRate.js';
+export * from './EngineAdmission.js';
+export * from './EngineMemory.js';
+export * from './FairQueue.js';
+export * from './LengthBuckets.js';
+export * from './LengthCurve.js';
+export * from './LengthModel.js';
+export * from './LoadCorrection.js';
+export * from './MemoryForecast.js';
+export * from './OverrunMargin.js';
+export * from './PrefixCacheView.js';
 export * from './RequestHome.js';
+export * from './RunningGenerations.js';
+export * from './VictimChoice.js';
