Cross a foreign token at the expected index in the scripted engine

Cause: with the check of the generation id taken out only 1 test failed, since the crossed token came one index too late and counted as a gap.

--- a/packages/router/src/__tests__/utils/FakeEngines.ts
+++ b/packages/router/src/__tests__/utils/FakeEngines.ts
@@ -141,9 +141,11 @@
     generation: FakeGeneration,
   ): EngineStreamEvent | Promise<EngineStreamEvent> {
     switch (fault) {
-      case 'crossed':
+      case 'crossed': {
+        const foreign = this.foreignToken(generation);
         this.extra.push(this.produce(generation));
-        return this.foreignToken(generation);
+        return foreign;
+      }
       case 'duplicate':
         this.extra.push(this.produce(generation));
         return this.token(Math.max(0, this.index - 2), generation);
