Give each daemon its program

Cause: the daemons had start functions but no programs to run. Ruled out: one binary with sub-commands (the house style asks for several small ones).

--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -1,3 +1,4 @@
+export * from './LedgerProgram.js';
 export * from './LedgerService.js';
 export * from './LedgerSettings.js';
 export * from './LedgerSlotActor.js';
--- /dev/null
+++ b/packages/scheduler/src/SchedulerProgram.ts
@@ -0,0 +1,28 @@
+import type { DaemonContext, DaemonProgram } from '@laburnumgap/daemon';
+import type { Node } from '@laburnumgap/node';
+import type { DaemonSettings } from '@laburnumgap/settings';
+import { daemonSettingsSchema } from '@laburnumgap/settings';
+import { startScheduler } from './SchedulerDaemon.js';
+
+/** Wires the node of a daemon. */
+export type StartNode = (
+  context: DaemonContext<DaemonSettings>,
+  role: 'scheduler',
+) => Promise<Node>;
+
+/**
+ * Describes the daemon program `laburnum-scheduler`.
+ *
+ * @param startNode - wires the node
+ * @returns the program
+ */
+export function schedulerProgram(startNode: StartNode): DaemonProgram<DaemonSettings> {
+  return {
+    description: 'Admits generations to the engines it is in charge of',
+    name: 'laburnum-scheduler',
+    schema: daemonSettingsSchema,
+    start: async (context) =>
+      startScheduler({ context, node: await startNode(context, 'scheduler') }),
+    version: '0.1.0',
+  };
+}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -5,4 +5,5 @@
 export * from './SchedulerEngines.js';
 export * from './SchedulerInspectService.js';
 export * from './SchedulerLoadPoll.js';
+export * from './SchedulerProgram.js';
 export * from './SchedulerRequestHomeService.js';
