--- /dev/null
+++ b/packages/tools/src/deployment/Deployment.ts
@@ -0,0 +1,340 @@
+import { mkdir, mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import type { MemberRole } from '@laburnumgap/kernel';
+import { toNumberId } from '@laburnumgap/kernel';
+import type { PlatformStore } from '@laburnumgap/kernel';
+import { CONTRACT_PREFIX, parseContract } from '@laburnumgap/contracts';
+import { createEtcdStore } from '@laburnumgap/platform';
+import { request } from 'undici';
+import { stringify } from 'yaml';
+import type { DeploymentProcess, LogLine } from './DeploymentProcess.js';
+import { startProcess } from './DeploymentProcess.js';
+
+/** A model engine of the deployment. */
+export interface EngineSpec {
+  readonly args?: readonly string[];
+  readonly failureDomain: string;
+  readonly name: string;
+  readonly pool: string;
+}
+
+/** A plain service's server. */
+export interface ServiceSpec {
+  readonly failureDomain: string;
+  readonly name: string;
+  readonly service: string;
+}
+
+/** A pool as the daemons' settings name it. */
+export interface PoolSpec {
+  readonly checksFencingNumbers: boolean;
+  readonly models: readonly string[];
+  readonly name: string;
+}
+
+/** An entry VM. */
+export interface EntryVmSpec {
+  readonly failureDomain: string;
+  readonly name: string;
+}
+
+/** Options of {@link startDeployment}. */
+export interface DeploymentOptions {
+  /** YAML texts of the contracts in force from the start. */
+  readonly contracts: readonly string[];
+  readonly engines: readonly EngineSpec[];
+  readonly entryVms: readonly EntryVmSpec[];
+  readonly pools: readonly PoolSpec[];
+  readonly region: string;
+  readonly services: readonly ServiceSpec[];
+  /** Settings added to those of every daemon. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+  /** Settings added to those of the daemons of a role. */
+  readonly settingsOfRole?: Readonly<
+    Partial<Record<MemberRole, Readonly<Record<string, unknown>>>>
+  >;
+}
+
+/** A backend server as the VM list stand-in takes it. */
+interface ListedVm {
+  readonly address: string;
+  readonly backend:
+    | { readonly kind: 'model'; readonly pool: string }
+    | { readonly kind: 'service'; readonly service: string };
+  readonly failureDomain: string;
+  readonly region: string;
+  readonly serverId: string;
+  state: 'leaving' | 'live';
+}
+
+const ROLES: readonly MemberRole[] = ['scheduler', 'ledger', 'router'];
+const PEER_SECRET = 'peer-secret-of-the-deployment';
+const SHUTDOWN_BOUND_MS = 20_000;
+
+/** Path of a compiled program of a package. */
+function programOf(packageName: string): string {
+  return fileURLToPath(import.meta.resolve(`@laburnumgap/${packageName}`)).replace(
+    /index\.js$/,
+    'main.js',
+  );
+}
+
+/** Stand-ins and daemons of one firm, as processes on loopback. */
+export class Deployment {
+  readonly daemons = new Map<string, DeploymentProcess>();
+  readonly standins = new Map<string, DeploymentProcess>();
+  readonly #vms: ListedVm[] = [];
+  #directory = '';
+  #store: PlatformStore | undefined;
+
+  constructor(readonly options: DeploymentOptions) {}
+
+  /** The key-value service, as an operator's tool reaches it. */
+  get store(): PlatformStore {
+    if (!this.#store) {
+      throw new Error('the deployment has not started');
+    }
+    return this.#store;
+  }
+
+  /** Secret between daemons and operators' tools. */
+  get peerSecret(): string {
+    return PEER_SECRET;
+  }
+
+  /** HOST:PORT of a stand-in. */
+  addressOf(name: string): string {
+    return this.standins.get(name)?.addresses.http ?? '';
+  }
+
+  /** HOST:PORT of the callers' side of each running router, by entry VM. */
+  routers(): readonly { readonly address: string; readonly name: string }[] {
+    return this.options.entryVms
+      .map((vm) => ({
+        address: this.daemons.get(`router-${vm.name}`)?.addresses.http ?? '',
+        name: `router-${vm.name}`,
+      }))
+      .filter((router) => router.address !== '');
+  }
+
+  /** Starts stand-ins, contracts and daemons, and waits until every daemon knows them. */
+  async start(): Promise<void> {
+    this.#directory = await mkdtemp(join(tmpdir(), 'laburnum-'));
+    await this.#startPlatform();
+    await Promise.all([
+      ...this.options.engines.map((engine) => this.startEngine(engine)),
+      ...this.options.services.map((service) => this.#startService(service)),
+    ]);
+    await this.publishVms();
+    for (const contract of this.options.contracts) {
+      await this.putContract(contract);
+    }
+    await Promise.all(this.options.entryVms.map((vm) => this.startEntryVm(vm)));
+    await this.waitUntilReady();
+  }
+
+  /** Starts the three daemons of an entry VM. */
+  async startEntryVm(vm: EntryVmSpec): Promise<void> {
+    await Promise.all(ROLES.map((role) => this.startDaemon(role, vm)));
+  }
+
+  /** Starts one daemon of an entry VM. */
+  async startDaemon(role: MemberRole, vm: EntryVmSpec): Promise<DeploymentProcess> {
+    const name = `${role}-${vm.name}`;
+    const file = join(this.#directory, `${name}.yaml`);
+    await mkdir(this.#directory, { recursive: true });
+    await writeFile(file, stringify(this.settingsOf(role, vm)));
+    const started = await startProcess({
+      args: ['--settings', file],
+      name,
+      script: programOf(role),
+    });
+    this.daemons.set(name, started);
+    return started;
+  }
+
+  /** Settings of a daemon, as written to its file. */
+  settingsOf(role: MemberRole, vm: EntryVmSpec): Record<string, unknown> {
+    return {
+      enginePools: this.options.pools,
+      listen: { http: '127.0.0.1:0', rpc: '127.0.0.1:0' },
+      member: {
+        entryVm: vm.name,
+        failureDomain: vm.failureDomain,
+        id: `${role}-${vm.name}`,
+        region: this.options.region,
+      },
+      peers: { secret: PEER_SECRET },
+      platform: {
+        storeUrl: `http://${this.addressOf('platform')}`,
+        vmListUrl: `http://${this.addressOf('vms')}`,
+        weightStoreUrl: `http://${this.addressOf('weights')}`,
+      },
+      shutdown: { boundMs: SHUTDOWN_BOUND_MS },
+      ...this.options.settings,
+      ...this.options.settingsOfRole?.[role],
+    };
+  }
+
+  /** Starts an engine and lists it; `publishVms` makes the list known. */
+  async startEngine(spec: EngineSpec): Promise<void> {
+    const weights = `http://${this.addressOf('weights')}`;
+    const address = await this.#startStandin(spec.name, [
+      'engine',
+      '--weights-url',
+      weights,
+      ...(spec.args ?? []),
+    ]);
+    this.#list(spec.name, address, spec.failureDomain, { kind: 'model', pool: spec.pool });
+  }
+
+  /** Sets the state of a listed server. */
+  async setVmState(serverId: string, state: 'gone' | 'leaving' | 'live'): Promise<void> {
+    const index = this.#vms.findIndex((vm) => vm.serverId === serverId);
+    const vm = this.#vms[index];
+    if (!vm) {
+      return;
+    }
+    if (state === 'gone') {
+      this.#vms.splice(index, 1);
+    } else {
+      vm.state = state;
+    }
+    await this.publishVms();
+  }
+
+  /** Gives the list of VMs to its stand-in. */
+  async publishVms(): Promise<void> {
+    await this.post('vms', '/control/vms', { vms: this.#vms });
+  }
+
+  /** Orders a fault of a stand-in. */
+  async fault(name: string, fault: Readonly<Record<string, unknown>>): Promise<void> {
+    await this.post(name, '/control/fault', fault);
+  }
+
+  /** Writes a contract past the operators' tool; returns its revision. */
+  async putContract(text: string): Promise<number> {
+    const parsed = parseContract({ file: 'contract', text });
+    if (!parsed.ok) {
+      throw new Error(JSON.stringify(parsed.error));
+    }
+    const key = `${CONTRACT_PREFIX}${parsed.value.team}`;
+    const current = await this.store.read(key);
+    const modRevision = current.ok ? current.value?.modRevision : undefined;
+    const committed = await this.store.commit({
+      guards: [{ key, modRevision: modRevision ?? toNumberId(0) }],
+      writes: [{ key, kind: 'put', value: text }],
+    });
+    if (!committed.ok) {
+      throw new Error(`contract not committed: ${JSON.stringify(committed.error)}`);
+    }
+    return committed.value;
+  }
+
+  /** Reads JSON from a stand-in. */
+  async read(name: string, path: string): Promise<unknown> {
+    const response = await request(`http://${this.addressOf(name)}${path}`);
+    return response.body.json();
+  }
+
+  /** Posts JSON to a stand-in. */
+  async post(name: string, path: string, body: unknown): Promise<void> {
+    const response = await request(`http://${this.addressOf(name)}${path}`, {
+      body: JSON.stringify(body),
+      headers: { 'content-type': 'application/json' },
+      method: 'POST',
+    });
+    const text = await response.body.text();
+    if (response.statusCode >= 300) {
+      throw new Error(`${name}${path}: ${response.statusCode} ${text}`);
+    }
+  }
+
+  /** Waits until every router answers its readiness check. */
+  async waitUntilReady(): Promise<void> {
+    await Promise.all(
+      [...this.daemons.values()].map((daemon) => untilReady(daemon.addresses.http ?? '')),
+    );
+  }
+
+  /** Ends every process: daemons by SIGTERM, stand-ins by SIGKILL. Returns the daemons' exit codes. */
+  async stop(): Promise<ReadonlyMap<string, number | null>> {
+    const codes = new Map<string, number | null>();
+    const daemons = [...this.daemons.values()];
+    daemons.forEach((daemon) => {
+      daemon.kill('SIGTERM');
+    });
+    for (const daemon of daemons) {
+      codes.set(daemon.name, (await daemon.exited).code);
+    }
+    await this.#store?.close();
+    for (const standin of this.standins.values()) {
+      standin.kill('SIGKILL');
+    }
+    await rm(this.#directory, { force: true, recursive: true });
+    return codes;
+  }
+
+  /** Log lines of all daemons that match. */
+  linesWhere(matches: (line: LogLine) => boolean): readonly LogLine[] {
+    return [...this.daemons.values()].flatMap((daemon) => daemon.lines().filter(matches));
+  }
+
+  async #startPlatform(): Promise<void> {
+    await Promise.all([
+      this.#startStandin('platform', ['platform']),
+      this.#startStandin('vms', ['vms']),
+      this.#startStandin('weights', ['weights']),
+    ]);
+    this.#store = createEtcdStore({ url: `http://${this.addressOf('platform')}` });
+  }
+
+  async #startService(spec: ServiceSpec): Promise<void> {
+    const address = await this.#startStandin(spec.name, ['service']);
+    this.#list(spec.name, address, spec.failureDomain, { kind: 'service', service: spec.service });
+  }
+
+  async #startStandin(name: string, args: readonly string[]): Promise<string> {
+    const started = await startProcess({ args, name, script: programOf('standins') });
+    this.standins.set(name, started);
+    return started.addresses.http ?? '';
+  }
+
+  #list(
+    serverId: string,
+    address: string,
+    failureDomain: string,
+    backend: ListedVm['backend'],
+  ): void {
+    const listed = this.#vms.findIndex((vm) => vm.serverId === serverId);
+    if (listed >= 0) {
+      this.#vms.splice(listed, 1);
+    }
+    this.#vms.push({
+      address: `http://${address}`,
+      backend,
+      failureDomain,
+      region: this.options.region,
+      serverId,
+      state: 'live',
+    });
+  }
+}
+
+const READY_POLL_MS = 50;
+const READY_POLLS = 400;
+
+async function untilReady(address: string): Promise<void> {
+  for (let poll = 0; poll < READY_POLLS; poll += 1) {
+    const response = await request(`http://${address}/readyz`).catch(() => undefined);
+    await response?.body.dump();
+    if (response?.statusCode === 200) {
+      return;
+    }
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+  }
+  throw new Error(`${address} does not become ready`);
+}
