Hold readiness until the configuration is known; begin planned stops of entry VMs

Cause: a daemon that listened before it knew any contract refused good keys as unknown, and nothing read planned stops of entry VMs and failure domains. Ruled out: blocking the start function (peers must be served meanwhile). Conclusion: DaemonLifecycle holds stages, readiness conditions and the shutdown bound.

--- a/packages/daemon/src/DaemonProgram.ts
+++ b/packages/daemon/src/DaemonProgram.ts
@@ -7,13 +7,8 @@
 import type { ActorSystem } from './DaemonActor.js';
 import { createActorSystem } from './DaemonActor.js';
 import type { DaemonStage } from './DaemonHealth.js';
-
-/** Exit code after a graceful shutdown. */
-export const EXIT_OK = 0;
-/** Exit code after a failure at run time, or a shutdown that missed its bound. */
-export const EXIT_FAILED = 1;
-/** Exit code for settings or arguments that are wrong. */
-export const EXIT_USAGE = 2;
+import type { StartedDaemon } from './DaemonLifecycle.js';
+import { DaemonLifecycle, EXIT_USAGE } from './DaemonLifecycle.js';
 
 /** What a daemon's start function works with. */
 export interface DaemonContext<Settings extends DaemonSettings> {
@@ -21,19 +16,15 @@
   readonly decisions: DecisionLog;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Holds back readiness until the condition is met; call it from the start function. */
+  readyAfter(condition: Promise<void>): void;
   readonly settings: Settings;
-  /** Current stage; `ready` is set once the start function has returned. */
+  /** Begins the same graceful shutdown as SIGTERM. */
+  shutDown(reason: string): void;
+  /** Current stage. */
   stage(): DaemonStage;
 }
 
-/** A started daemon. */
-export interface StartedDaemon {
-  /** Addresses for the log, by name. */
-  readonly addresses: Readonly<Record<string, string>>;
-  /** Called on SIGTERM: hands over, lets running work end, flushes. */
-  drain(): Promise<void>;
-}
-
 /** A daemon program. */
 export interface DaemonProgram<Settings extends DaemonSettings> {
   readonly description: string;
@@ -99,51 +90,37 @@
   const log = createLog({ fields: { member: settings.member.id }, level: settings.log.level });
   const actors = createActorSystem(log);
   const metrics = metricsOf(settings, program.name);
-  let stage: DaemonStage = 'starting';
-  const context: DaemonContext<Settings> = {
-    actors,
-    decisions: createDecisionLog({ log }),
+  const lifecycle = new DaemonLifecycle({
+    boundMs: settings.shutdown.boundMs,
+    exit: (code) => process.exit(code),
+    flush: () => {
+      metrics.close();
+      actors.stop();
+    },
     log,
-    metrics,
-    settings,
-    stage: () => stage,
-  };
-  let started: StartedDaemon;
-  try {
-    started = await program.start(context);
-  } catch (error) {
-    log.error('startFailed', { detail: error instanceof Error ? error.message : String(error) });
-    process.exit(EXIT_FAILED);
-  }
-  stage = 'ready';
-  log.info('listening', { ...started.addresses });
-
-  const shutDown = (signal: string): void => {
-    if (stage === 'draining') {
-      return;
-    }
-    stage = 'draining';
-    log.info('draining', { boundMs: settings.shutdown.boundMs, signal });
-    const bound = setTimeout(() => {
-      log.error('shutdownBoundMissed', { boundMs: settings.shutdown.boundMs });
-      process.exit(EXIT_FAILED);
-    }, settings.shutdown.boundMs);
-    void started.drain().then(
-      () => {
-        clearTimeout(bound);
-        metrics.close();
-        actors.stop();
-        log.info('stopped');
-        process.exit(EXIT_OK);
+  });
+  process.on('SIGTERM', (signal) => {
+    lifecycle.shutDown(signal);
+  });
+  process.on('SIGINT', (signal) => {
+    lifecycle.shutDown(signal);
+  });
+  await lifecycle.start(() =>
+    program.start({
+      actors,
+      decisions: createDecisionLog({ log }),
+      log,
+      metrics,
+      readyAfter: (condition) => {
+        lifecycle.readyAfter(condition);
       },
-      (error: unknown) => {
-        log.error('drainFailed', { detail: String(error) });
-        process.exit(EXIT_FAILED);
+      settings,
+      shutDown: (reason) => {
+        lifecycle.shutDown(reason);
       },
-    );
-  };
-  process.on('SIGTERM', shutDown);
-  process.on('SIGINT', shutDown);
+      stage: () => lifecycle.stage,
+    }),
+  );
 }
 
 function metricsOf(settings: DaemonSettings, program: string): Metrics {
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/DaemonLifecycle.test.ts
@@ -0,0 +1,78 @@
+import { NO_LOG } from '@laburnumgap/telemetry';
+import test from 'ava';
+import type { StartedDaemon } from '../../index.js';
+import { DaemonLifecycle, EXIT_FAILED, EXIT_OK } from '../../index.js';
+
+const BOUND_MS = 60_000;
+
+interface Run {
+  readonly exit: Promise<number>;
+  readonly lifecycle: DaemonLifecycle;
+}
+
+function createRun(): Run {
+  let exit: (code: number) => void = () => undefined;
+  const exited = new Promise<number>((resolve) => {
+    exit = resolve;
+  });
+  const lifecycle = new DaemonLifecycle({
+    boundMs: BOUND_MS,
+    exit,
+    flush: () => undefined,
+    log: NO_LOG,
+  });
+  return { exit: exited, lifecycle };
+}
+
+function daemonThatDrains(drain: () => Promise<void>): () => Promise<StartedDaemon> {
+  return () => Promise.resolve({ addresses: {}, drain });
+}
+
+test('a daemon is ready only after every condition is met', async (t) => {
+  const { lifecycle } = createRun();
+  let meet: () => void = () => undefined;
+  const started = lifecycle.start(() => {
+    lifecycle.readyAfter(
+      new Promise((resolve) => {
+        meet = resolve;
+      }),
+    );
+    return daemonThatDrains(() => Promise.resolve())();
+  });
+  await Promise.resolve();
+  t.is(lifecycle.stage, 'starting');
+  meet();
+  await started;
+  t.is(lifecycle.stage, 'ready');
+});
+
+const ENDINGS: readonly {
+  readonly code: number;
+  readonly name: string;
+  readonly start: () => Promise<StartedDaemon>;
+}[] = [
+  { code: EXIT_OK, name: 'a drain that ends', start: daemonThatDrains(() => Promise.resolve()) },
+  {
+    code: EXIT_FAILED,
+    name: 'a drain that fails',
+    start: daemonThatDrains(() => Promise.reject(new Error('drain'))),
+  },
+  {
+    code: EXIT_FAILED,
+    name: 'a start that fails',
+    start: () => Promise.reject(new Error('start')),
+  },
+];
+
+for (const { code, name, start } of ENDINGS) {
+  test(`${name} exits with ${code}`, async (t) => {
+    const { exit, lifecycle } = createRun();
+    const started = lifecycle.start(start);
+    lifecycle.shutDown('SIGTERM');
+    lifecycle.shutDown('SIGTERM');
+    t.is(lifecycle.stage, 'draining');
+    t.is(await exit, code);
+    await started;
+    t.is(lifecycle.stage, 'draining');
+  });
+}
--- /dev/null
+++ b/packages/node/src/NodePlannedStop.ts
@@ -0,0 +1,56 @@
+import type { ConfigurationView, PlannedStop } from '@laburnumgap/contracts';
+import type { Teardown, WallClock } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import type { DaemonSettings } from '@laburnumgap/settings';
+import { plannedStopOf } from '@laburnumgap/stops';
+
+/** Options of {@link startPlannedStopCheck}. */
+export interface PlannedStopCheckOptions {
+  readonly clock?: WallClock;
+  readonly configuration: ConfigurationView;
+  /** Called at most once, when a stop of this daemon's entry VM has begun. */
+  readonly onStop: (stop: PlannedStop) => void;
+  readonly settings: DaemonSettings['member'];
+  readonly startInterval?: (intervalMs: number, run: () => void) => Teardown;
+}
+
+const CHECK_INTERVAL_MS = 1_000;
+
+/**
+ * Watches for a planned stop of this daemon's entry VM or failure domain.
+ *
+ * @param options - configuration, place of the daemon and what to do
+ * @returns ends the watch
+ */
+export function startPlannedStopCheck(options: PlannedStopCheckOptions): Teardown {
+  const { configuration, onStop, settings } = options;
+  const clock = options.clock ?? { nowEpochMs: () => Date.now() };
+  const startInterval = options.startInterval ?? startTimer;
+  let stopped = false;
+  const check = (): void => {
+    const stop = plannedStopOf(
+      configuration.snapshot().stops,
+      toId(settings.entryVm),
+      toId(settings.failureDomain),
+      clock.nowEpochMs(),
+    );
+    if (stop && !stopped) {
+      stopped = true;
+      onStop(stop);
+    }
+  };
+  const stopTimer = startInterval(CHECK_INTERVAL_MS, check);
+  const forgetConfiguration = configuration.onChange(check);
+  return () => {
+    stopped = true;
+    stopTimer();
+    forgetConfiguration();
+  };
+}
+
+function startTimer(intervalMs: number, run: () => void): Teardown {
+  const timer = setInterval(run, intervalMs);
+  return () => {
+    clearInterval(timer);
+  };
+}
--- a/packages/node/src/NodeStart.ts
+++ b/packages/node/src/NodeStart.ts
@@ -1,4 +1,6 @@
 import { randomUUID } from 'node:crypto';
+import { setTimeout } from 'node:timers/promises';
+import type { ConfigSync } from '@laburnumgap/config-sync';
 import { startConfigSync } from '@laburnumgap/config-sync';
 import type { DaemonContext } from '@laburnumgap/daemon';
 import type { Member, MemberRole } from '@laburnumgap/kernel';
@@ -9,11 +11,16 @@
 import type { DaemonSettings } from '@laburnumgap/settings';
 import { startServerDirectory } from '@laburnumgap/stops';
 import type { Node } from './Node.js';
+import { startPlannedStopCheck } from './NodePlannedStop.js';
 import { PROCESS_CLOCK, createRandomSource } from './NodeClocks.js';
 
 /** Longest time that running calls of peers hold up the end of a drain. */
 const RPC_DRAIN_BOUND_MS = 2_000;
 
+const CONFIGURED_POLL_MS = 20;
+
+const startTimer = globalThis.setTimeout;
+
 /**
  * Wires a daemon: gRPC server, platform clients, membership, configuration and backend servers.
  *
@@ -56,6 +63,15 @@
     vmList: createHttpVmList({ url: settings.platform.vmListUrl }),
   });
 
+  context.readyAfter(untilConfigured(configSync));
+  const stopPlannedStop = startPlannedStopCheck({
+    configuration: configSync.view,
+    onStop: (stop) => {
+      context.shutDown(`plannedStop ${stop.id}`);
+    },
+    settings: settings.member,
+  });
+
   return {
     clients,
     clock,
@@ -63,6 +79,7 @@
     configurationAgeMs: () => configSync.ageMs(),
     directory,
     drain: async () => {
+      stopPlannedStop();
       await membership.leave();
       servers.stop();
       configSync.stop();
@@ -94,9 +111,16 @@
   };
 }
 
+/** A daemon without a configuration would refuse callers whose keys are good. */
+async function untilConfigured(configSync: ConfigSync): Promise<void> {
+  while (!Number.isFinite(configSync.ageMs())) {
+    await setTimeout(CONFIGURED_POLL_MS);
+  }
+}
+
 function within(boundMs: number, work: Promise<void>): Promise<void> {
   return new Promise((resolve) => {
-    const timer = setTimeout(resolve, boundMs);
+    const timer = startTimer(resolve, boundMs);
     void work.finally(() => {
       clearTimeout(timer);
       resolve();
--- a/packages/scheduler/src/__tests__/SchedulerFakes.ts
+++ b/packages/scheduler/src/__tests__/SchedulerFakes.ts
@@ -72,6 +72,8 @@
     log: NO_LOG,
     metrics: NO_METRICS,
     settings,
+    readyAfter: () => undefined,
+    shutDown: () => undefined,
     stage: () => 'ready',
   };
   const onChange = (listener: () => void): Teardown => {
--- a/packages/tools/src/demo/main.ts
+++ b/packages/tools/src/demo/main.ts
@@ -44,7 +44,7 @@
   model: 'report-writer',
   prompt: 'hello there',
   requestId: randomUUID(),
-  router: d.routers()[0]!.address,
+  router: d.routers()[0]?.address ?? '',
 });
 console.log(answer.end, answer.tokens.length, answer.tokens.slice(0, 3));
 for (const l of d.linesWhere((x) => x.event === 'decision' || x.level !== 'info').slice(0, 40))
