Admit by forecast in the scheduler and add the policy bench

Cause: the scheduler used the naive policy. The bench runs both on fake engines in one process. A fault found with it: the load correction kept samples for about a second only, shorter than the lag of reports, and read growth in that time as a surplus; samples are now spaced, and what the engine holds back in its own queue no longer counts as free.

--- a/packages/admission/src/EngineAdmission.ts
+++ b/packages/admission/src/EngineAdmission.ts
@@ -63,7 +63,11 @@
   constructor(options: EngineAdmissionOptions) {
     const { ageingMs, lengths, random, startedMs, targetOverrunChance } = options;
     this.lengths = lengths;
-    this.memory = new EngineMemory({ startedMs, targetOverrunChance });
+    this.memory = new EngineMemory({
+      curveOf: (request) => this.curveOf(request),
+      startedMs,
+      targetOverrunChance,
+    });
     this.queue = new FairQueue({ ageingMs });
     this.random = random;
   }
--- a/packages/admission/src/EngineMemory.ts
+++ b/packages/admission/src/EngineMemory.ts
@@ -9,6 +9,8 @@
 
 /** Options of an engine's memory. */
 export interface EngineMemoryOptions {
+  /** Length distribution of a request, as far as it is known. */
+  readonly curveOf: (request: AdmissionRequest) => LengthCurve;
   /** When this scheduler began to act for the engine. */
   readonly startedMs: number;
   readonly targetOverrunChance?: number;
@@ -40,6 +42,7 @@
   readonly running = new RunningGenerations();
   private capacityTokens = 0;
   private readonly correction = new LoadCorrection();
+  private readonly curveOf: (request: AdmissionRequest) => LengthCurve;
   private lastEventMs: number;
   private lastLoad: EngineLoad | undefined;
   private readonly margin: OverrunMargin;
@@ -50,6 +53,7 @@
   private unreportedPreemptions = 0;
 
   constructor(options: EngineMemoryOptions) {
+    this.curveOf = options.curveOf;
     this.lastEventMs = options.startedMs;
     this.margin = new OverrunMargin({ targetChance: options.targetOverrunChance });
     this.rebuildingSinceMs = options.startedMs;
@@ -165,7 +169,7 @@
     this.running.expireAdopted(nowMs);
     if (nowMs - this.refreshedMs >= REFRESH_INTERVAL_MS) {
       this.refreshedMs = nowMs;
-      this.running.refresh(nowMs);
+      this.running.refresh(nowMs, this.curveOf);
     }
     this.correction.sample(this.running.heldTokens(), nowMs);
   }
--- a/packages/admission/src/LoadCorrection.ts
+++ b/packages/admission/src/LoadCorrection.ts
@@ -6,6 +6,7 @@
 }
 
 const MAX_SAMPLES = 64;
+const SAMPLE_INTERVAL_MS = 100;
 const SMOOTHING = 0.3;
 /** The engine may hold less than the model says, by this share of its memory at most. */
 const MAX_DOWNWARD_SHARE = 0.1;
@@ -26,6 +27,10 @@
 
   /** Keeps what this scheduler thinks is held, for comparison with a later report. */
   sample(heldTokens: number, nowMs: number): void {
+    const last = this.samples.at(-1);
+    if (last && nowMs - last.atMs < SAMPLE_INTERVAL_MS) {
+      return;
+    }
     this.samples.push({ atMs: nowMs, heldTokens });
     if (this.samples.length > MAX_SAMPLES) {
       this.samples.shift();
@@ -43,7 +48,7 @@
     const measuredMs = nowMs - load.ageMs;
     const heldTokens = this.heldAt(measuredMs);
     const difference = load.kvTokensUsed - heldTokens;
-    const lowest = -MAX_DOWNWARD_SHARE * load.kvTokensCapacity;
+    const lowest = lowestCorrection(load);
     const smoothing = immediate ? 1 : SMOOTHING;
     const moved = this.currentTokens + smoothing * (difference - this.currentTokens);
     this.currentTokens = Math.max(lowest, moved);
@@ -54,3 +59,8 @@
     return before?.heldTokens ?? this.samples[0]?.heldTokens ?? 0;
   }
 }
+
+/** What the engine itself holds back is in its queue, not in its memory, and will come back. */
+function lowestCorrection(load: EngineLoad): number {
+  return load.queuedGenerations > 0 ? 0 : -MAX_DOWNWARD_SHARE * load.kvTokensCapacity;
+}
--- a/packages/admission/src/RunningGenerations.ts
+++ b/packages/admission/src/RunningGenerations.ts
@@ -6,7 +6,7 @@
 
 /** A generation that holds memory of the engine. */
 export interface RunningGeneration {
-  readonly curve: LengthCurve;
+  curve: LengthCurve;
   /** Absent for a generation that another scheduler admitted. */
   readonly request?: AdmissionRequest;
   isBeingPreempted: boolean;
@@ -162,9 +162,12 @@
     }
   }
 
-  /** Brings the forecast up to the time. */
-  refresh(nowMs: number): void {
-    for (const key of this.generations.keys()) {
+  /** Brings the forecast up to the time, and to what was learned of lengths since. */
+  refresh(nowMs: number, curveOf: (request: AdmissionRequest) => LengthCurve): void {
+    for (const [key, generation] of this.generations) {
+      if (generation.request) {
+        generation.curve = curveOf(generation.request);
+      }
       this.forecastOne(key, nowMs);
     }
   }
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -1,5 +1,5 @@
 import type { AdmissionController } from '@laburnumgap/admission';
-import { FifoAdmission, RequestHome } from '@laburnumgap/admission';
+import { EngineAdmission, LengthModel, RequestHome } from '@laburnumgap/admission';
 import type { DaemonContext, StartedDaemon } from '@laburnumgap/daemon';
 import { startHttpServer } from '@laburnumgap/daemon';
 import type { EngineId, MemberId } from '@laburnumgap/kernel';
@@ -34,13 +34,16 @@
 export async function startScheduler(options: SchedulerOptions): Promise<StartedDaemon> {
   const { context, node } = options;
   const { actors, decisions, log, metrics, settings } = context;
-  const { clock, configuration, directory, servers } = node;
+  const { clock, configuration, directory, random, servers } = node;
   const home = new RequestHome();
+  const lengths = new LengthModel();
   const memberId = toId<MemberId>(settings.member.id);
   const engines = new SchedulerEngines({
     actors,
     clock,
-    createController: options.createController ?? (() => new FifoAdmission()),
+    createController:
+      options.createController ??
+      ((_engineId, startedMs) => new EngineAdmission({ lengths, random, startedMs })),
     decisions,
     directory,
     memberId,
--- /dev/null
+++ b/packages/tools/src/policyBench/PolicyBenchEngine.ts
@@ -0,0 +1,195 @@
+import type { EngineLoad } from '@laburnumgap/kernel';
+
+/** A generation on the fake engine. */
+export interface FakeGeneration {
+  readonly id: string;
+  readonly lengthTokens: number;
+  readonly priority: number;
+  producedTokens: number;
+  readonly promptTokens: number;
+}
+
+/** What one step of the fake engine did. */
+export interface FakeStep {
+  readonly finished: readonly FakeGeneration[];
+  readonly preempted: readonly FakeGeneration[];
+  readonly produced: readonly FakeGeneration[];
+  readonly stepMs: number;
+}
+
+/** Sizes and speeds of the fake engine. */
+export interface FakeEngineOptions {
+  readonly kvTokensCapacity: number;
+  readonly maxRunning: number;
+}
+
+interface Slot {
+  readonly admission: number;
+  readonly generation: FakeGeneration;
+  prefillTokens: number;
+}
+
+interface LoadSample {
+  readonly atMs: number;
+  readonly load: EngineLoad;
+}
+
+/** Time of a step without any generation. */
+export const FAKE_STEP_BASE_MS = 18;
+/** Time that each generation of the batch adds. */
+export const FAKE_STEP_PER_GENERATION_MS = 0.25;
+const PREFILL_MS_PER_TOKEN = 0.03;
+/** Prompt tokens that one step computes beside decoding. */
+const PREFILL_TOKENS_PER_STEP = 512;
+const LOAD_LAG_MS = 1_000;
+const MAX_LOAD_SAMPLES = 256;
+
+/**
+ * A model engine in this process: continuous batching, chunked prompt computation and bounded
+ * memory. When memory is full it preempts the generation of the lowest priority that came last; it
+ * goes back to the engine's queue and its tokens are computed again.
+ */
+export class FakeEngine {
+  preemptions = 0;
+  private admissions = 0;
+  private readonly options: FakeEngineOptions;
+  private queue: FakeGeneration[] = [];
+  private readonly samples: LoadSample[] = [];
+  private slots: Slot[] = [];
+
+  constructor(options: FakeEngineOptions) {
+    this.options = options;
+  }
+
+  isIdle(): boolean {
+    return this.slots.length === 0 && this.queue.length === 0;
+  }
+
+  cancel(id: string): void {
+    this.slots = this.slots.filter((slot) => slot.generation.id !== id);
+    this.queue = this.queue.filter((generation) => generation.id !== id);
+  }
+
+  start(generation: FakeGeneration): void {
+    const later = this.queue.findIndex((queued) => queued.priority > generation.priority);
+    this.queue.splice(later < 0 ? this.queue.length : later, 0, generation);
+  }
+
+  /** The engine's report as it was a lag ago. */
+  load(nowMs: number): EngineLoad {
+    const sample = this.samples.findLast(({ atMs }) => atMs <= nowMs - LOAD_LAG_MS);
+    const load = sample?.load ?? this.measure();
+    return { ...load, ageMs: sample ? nowMs - sample.atMs : 0 };
+  }
+
+  /** Runs one step. */
+  step(nowMs: number): FakeStep {
+    this.admit();
+    const prefillTokens = this.prefill();
+    const preempted: FakeGeneration[] = [];
+    const produced: FakeGeneration[] = [];
+    for (const slot of [...this.slots]) {
+      if (slot.prefillTokens === 0 && this.makeRoom(slot, preempted)) {
+        slot.generation.producedTokens += 1;
+        produced.push(slot.generation);
+      }
+    }
+    const stepMs =
+      FAKE_STEP_BASE_MS +
+      FAKE_STEP_PER_GENERATION_MS * this.slots.length +
+      PREFILL_MS_PER_TOKEN * prefillTokens;
+    const finished = produced.filter((made) => made.producedTokens >= made.lengthTokens);
+    for (const generation of finished) {
+      this.cancel(generation.id);
+    }
+    this.keepSample(nowMs);
+    return { finished, preempted, produced, stepMs };
+  }
+
+  private admit(): void {
+    let first = this.queue[0];
+    while (first && this.slots.length < this.options.maxRunning && this.fits(first)) {
+      this.queue.shift();
+      this.admissions += 1;
+      const prefillTokens = first.promptTokens + first.producedTokens;
+      this.slots.push({ admission: this.admissions, generation: first, prefillTokens });
+      first = this.queue[0];
+    }
+  }
+
+  private fits(generation: FakeGeneration): boolean {
+    const neededTokens = generation.promptTokens + generation.producedTokens + 1;
+    return this.usedTokens() + neededTokens <= this.options.kvTokensCapacity;
+  }
+
+  private keepSample(nowMs: number): void {
+    const last = this.samples.at(-1);
+    if (last && nowMs - last.atMs < LOAD_LAG_MS / 10) {
+      return;
+    }
+    this.samples.push({ atMs: nowMs, load: this.measure() });
+    if (this.samples.length > MAX_LOAD_SAMPLES) {
+      this.samples.shift();
+    }
+  }
+
+  private makeRoom(slot: Slot, preempted: FakeGeneration[]): boolean {
+    if (!this.slots.includes(slot)) {
+      return false;
+    }
+    while (this.usedTokens() >= this.options.kvTokensCapacity) {
+      const victim = this.victim();
+      this.preempt(victim);
+      preempted.push(victim.generation);
+      if (victim === slot) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private measure(): EngineLoad {
+    return {
+      ageMs: 0,
+      kvTokensCapacity: this.options.kvTokensCapacity,
+      kvTokensUsed: this.usedTokens(),
+      leaving: false,
+      maxRunning: this.options.maxRunning,
+      preemptions: this.preemptions,
+      queuedGenerations: this.queue.length,
+      runningGenerations: this.slots.length,
+    };
+  }
+
+  private preempt(victim: Slot): void {
+    this.preemptions += 1;
+    this.slots = this.slots.filter((slot) => slot !== victim);
+    this.start(victim.generation);
+  }
+
+  private prefill(): number {
+    let leftTokens = PREFILL_TOKENS_PER_STEP;
+    for (const slot of this.slots) {
+      const tokens = Math.min(leftTokens, slot.prefillTokens);
+      slot.prefillTokens -= tokens;
+      leftTokens -= tokens;
+    }
+    return PREFILL_TOKENS_PER_STEP - leftTokens;
+  }
+
+  private usedTokens(): number {
+    return this.slots.reduce(
+      (sum, { generation }) => sum + generation.promptTokens + generation.producedTokens,
+      0,
+    );
+  }
+
+  private victim(): Slot {
+    return this.slots.reduce((worst, slot) => {
+      if (slot.generation.priority !== worst.generation.priority) {
+        return slot.generation.priority > worst.generation.priority ? slot : worst;
+      }
+      return slot.admission > worst.admission ? slot : worst;
+    });
+  }
+}
--- /dev/null
+++ b/packages/tools/src/policyBench/PolicyBenchFigures.ts
@@ -0,0 +1,88 @@
+import type { Histogram } from 'hdr-histogram-js';
+import { build } from 'hdr-histogram-js';
+
+/** Figures of one run. */
+export interface BenchFigures {
+  readonly arrived: number;
+  readonly finished: number;
+  readonly gapP99Ms: number;
+  readonly preemptionsPer100: number;
+  readonly refusedPercent: number;
+  readonly smallTeamWaitMs: number;
+  readonly stallP50Ms: number;
+  readonly stallP95Ms: number;
+  readonly stallP99Ms: number;
+  readonly tokensPerSecond: number;
+  /** Generations that were preempted three times or more. */
+  readonly worstPreempted: number;
+}
+
+/** Gaps up to this length between two tokens do not count as a stall. */
+const STALL_GAP_MS = 200;
+const HIGHEST_MS = 3_600_000;
+
+/** Gathers the figures of one run. */
+export class BenchRecorder {
+  private arrived = 0;
+  private finished = 0;
+  private finishedTokens = 0;
+  private readonly gaps: Histogram = newHistogram();
+  private preemptions = 0;
+  private refused = 0;
+  private smallTeamWaitMs = 0;
+  private readonly stalls: Histogram = newHistogram();
+  private worstPreempted = 0;
+
+  noteArrived(): void {
+    this.arrived += 1;
+  }
+
+  /** Notes the time between two tokens; returns the part of it that is a stall. */
+  noteGap(gapMs: number): number {
+    this.gaps.recordValue(Math.round(gapMs));
+    return Math.max(0, gapMs - STALL_GAP_MS);
+  }
+
+  noteFinished(tokens: number, stallMs: number, preemptions: number): void {
+    this.finished += 1;
+    this.finishedTokens += tokens;
+    this.stalls.recordValue(Math.round(stallMs));
+    this.worstPreempted += preemptions >= 3 ? 1 : 0;
+  }
+
+  notePreempted(): void {
+    this.preemptions += 1;
+  }
+
+  noteRefused(): void {
+    this.refused += 1;
+  }
+
+  noteSmallTeamWait(waitMs: number): void {
+    this.smallTeamWaitMs = Math.max(this.smallTeamWaitMs, waitMs);
+  }
+
+  figures(durationMs: number): BenchFigures {
+    return {
+      arrived: this.arrived,
+      finished: this.finished,
+      gapP99Ms: this.gaps.getValueAtPercentile(99),
+      preemptionsPer100: (100 * this.preemptions) / Math.max(1, this.finished),
+      refusedPercent: (100 * this.refused) / Math.max(1, this.arrived),
+      smallTeamWaitMs: this.smallTeamWaitMs,
+      stallP50Ms: this.stalls.getValueAtPercentile(50),
+      stallP95Ms: this.stalls.getValueAtPercentile(95),
+      stallP99Ms: this.stalls.getValueAtPercentile(99),
+      tokensPerSecond: (1000 * this.finishedTokens) / durationMs,
+      worstPreempted: this.worstPreempted,
+    };
+  }
+}
+
+function newHistogram(): Histogram {
+  return build({
+    highestTrackableValue: HIGHEST_MS,
+    lowestDiscernibleValue: 1,
+    numberOfSignificantValueDigits: 3,
+  });
+}
