--- a/packages/admission/src/EngineMemory.ts
+++ b/packages/admission/src/EngineMemory.ts
@@ -157,7 +157,7 @@
     }
     if (report.enginePreempted) {
       this.unreportedPreemptions += 1;
-      this.margin.noteOverrun();
+      this.margin.noteOverrun(this.lastEventMs);
     } else if (report.finished) {
       this.margin.noteEnd();
     }
@@ -182,7 +182,7 @@
     const victim = chooseVictim(this.running.candidates());
     if (victim) {
       victim.generation.isBeingPreempted = true;
-      this.margin.noteOverrun();
+      this.margin.noteOverrun(this.lastEventMs);
     }
     return victim;
   }
@@ -214,7 +214,7 @@
     const before = this.lastLoad?.preemptions ?? load.preemptions;
     const reported = Math.max(0, load.preemptions - before);
     for (let count = this.unreportedPreemptions; count < reported; count += 1) {
-      this.margin.noteOverrun();
+      this.margin.noteOverrun(this.lastEventMs);
     }
     this.unreportedPreemptions = Math.max(0, this.unreportedPreemptions - reported);
   }
--- a/packages/admission/src/OverrunMargin.ts
+++ b/packages/admission/src/OverrunMargin.ts
@@ -9,6 +9,8 @@
 const MIN_DEVIATIONS = 0.25;
 const MAX_DEVIATIONS = 5;
 const STEP_DEVIATIONS = 0.2;
+/** Overruns this close together come from one forecast. */
+const OVERRUN_WINDOW_MS = 10_000;
 
 /**
  * The margin of memory forecasts, in standard deviations. Each overrun raises it and each
@@ -17,6 +19,7 @@
  */
 export class OverrunMargin {
   private current = START_DEVIATIONS;
+  private lastOverrunMs = -Infinity;
   private readonly targetChance: number;
 
   constructor(options: OverrunMarginOptions = {}) {
@@ -34,7 +37,11 @@
   }
 
   /** Notes that memory ran out, or would have. */
-  noteOverrun(): void {
+  noteOverrun(nowMs: number): void {
+    if (nowMs - this.lastOverrunMs < OVERRUN_WINDOW_MS) {
+      return;
+    }
+    this.lastOverrunMs = nowMs;
     const raised = this.current + STEP_DEVIATIONS * (1 - this.targetChance);
     this.current = Math.min(MAX_DEVIATIONS, raised);
   }
