Send at-most-once calls on a connection of their own

A call now gets a new connection, and its client no second one. An answer without a length counts as unknown: a cut one would look whole.

--- /dev/null
+++ b/packages/plain-calls/src/PlainCallOnce.ts
@@ -0,0 +1,77 @@
+import type { Socket } from 'node:net';
+import type { Result } from '@laburnumgap/kernel';
+import { failure, success } from '@laburnumgap/kernel';
+import type { buildConnector } from 'undici';
+import { Client } from 'undici';
+import { forwardedAnswerHeaders, hasKnownLength } from './PlainCallHeaders.js';
+import type { PlainAnswer, PlainCall } from './PlainCallMessages.js';
+
+/** Options of {@link sendPlainCallOnce}. */
+export interface PlainCallOnceOptions {
+  /** Base URL of the server. */
+  readonly address: string;
+  readonly call: PlainCall;
+  readonly maxAnswerBytes: number;
+  /** A new connection to the server; it is closed afterwards. */
+  readonly socket: Socket;
+  /** Longest wait for the whole answer. */
+  readonly timeoutMs: number;
+}
+
+/**
+ * Sends a call once on a connection of its own. The client gets that connection and no other: a
+ * reconnect, by whatever layer, fails before anything is written.
+ *
+ * @param options - the call and its connection
+ * @returns the whole answer; a failure means that the call may have run
+ */
+export async function sendPlainCallOnce(
+  options: PlainCallOnceOptions,
+): Promise<Result<PlainAnswer, string>> {
+  const { address, call, maxAnswerBytes, socket, timeoutMs } = options;
+  const client = new Client(new URL(address).origin, {
+    connect: connectOnce(socket),
+    maxResponseSize: maxAnswerBytes,
+    pipelining: 1,
+  });
+  const signal = AbortSignal.timeout(timeoutMs);
+  try {
+    const response = await client.request({
+      body: call.body.length === 0 ? null : call.body,
+      bodyTimeout: timeoutMs,
+      headers: call.headers,
+      headersTimeout: timeoutMs,
+      method: call.method,
+      path: call.path,
+      reset: true,
+      signal,
+    });
+    const body = Buffer.from(await response.body.arrayBuffer());
+    if (!hasKnownLength(response.statusCode, response.headers)) {
+      return failure('the answer has no length, so that a cut one would look whole');
+    }
+    const headers = forwardedAnswerHeaders(response.headers);
+    return success({ body, headers, status: response.statusCode });
+  } catch (error) {
+    return failure(error instanceof Error ? error.message : String(error));
+  } finally {
+    // Without waiting: what is left of the connection is of no use.
+    void client.destroy().catch(() => undefined);
+    socket.destroy();
+  }
+}
+
+function connectOnce(socket: Socket): buildConnector.connector {
+  let isUsed = false;
+  return (_options, callback) => {
+    if (isUsed) {
+      callback(new Error('the connection of this call is gone'), null);
+      return;
+    }
+    isUsed = true;
+    // The client does not resume when it is called back before its connector has returned.
+    queueMicrotask(() => {
+      callback(null, socket);
+    });
+  };
+}
