Add plain calls to the router: at most once, or with retries and hedges

A call that may run once is sent under a granted claim only, once, after a check of elapsed monotonic time; what ends it before that is settled as not run by this router until a ledger has recorded it.

--- a/packages/plain-calls/src/index.ts
+++ b/packages/plain-calls/src/index.ts
@@ -1,3 +1,5 @@
+export * from './CallLatency.js';
+export * from './PlainCallAgain.js';
 export * from './PlainCallConstants.js';
 export * from './PlainCallHash.js';
 export * from './PlainCallHeaders.js';
@@ -5,3 +7,6 @@
 export type * from './PlainCallMessages.js';
 export * from './PlainCallOnce.js';
 export * from './PlainConnection.js';
+export * from './PlainServerChoice.js';
+export * from './RetryBudget.js';
+export * from './ServerOutliers.js';
--- /dev/null
+++ b/packages/router/src/RouterPlainCalls.ts
@@ -0,0 +1,165 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { parseClaimKey } from '@laburnumgap/claims';
+import type { ContractCall } from '@laburnumgap/contracts';
+import type { IdempotencyKey, Refusal, Result, TeamId } from '@laburnumgap/kernel';
+import { failure, refusal, success, toId } from '@laburnumgap/kernel';
+import type { PlainAnswer, PlainCall, PlainCallTarget } from '@laburnumgap/plain-calls';
+import {
+  MAX_REQUEST_BODY_BYTES,
+  forwardedRequestHeaders,
+  hashPlainCall,
+  matchPlainCall,
+  parsePlainCallTarget,
+} from '@laburnumgap/plain-calls';
+import type { PlainCallOutcome, PlainCallsOnce } from './RouterPlainCallsOnce.js';
+import type { PlainCallsRepeat } from './RouterPlainCallsRepeat.js';
+import type { RouterQuota } from './RouterQuota.js';
+import type { RequestHandler, RouterExchange } from './RouterRequestHandler.js';
+
+/** What plain calls are served with. */
+export interface PlainCallHandlerOptions {
+  readonly once: Pick<PlainCallsOnce, 'run'>;
+  readonly quota: Pick<RouterQuota, 'begin'>;
+  readonly repeat: Pick<PlainCallsRepeat, 'run'>;
+}
+
+const BODILESS_STATUS = new Set([204, 304]);
+const PATH_PREFIX = '/services/';
+
+interface MatchedCall {
+  readonly contractCall: ContractCall;
+  readonly idempotencyKey: IdempotencyKey | undefined;
+  readonly target: PlainCallTarget;
+}
+
+/**
+ * Creates the handler of plain calls.
+ *
+ * @param options - what they are served with
+ * @returns the handler
+ */
+export function createPlainCallHandler(options: PlainCallHandlerOptions): RequestHandler {
+  return {
+    handle: async (exchange) => {
+      const matched = matchCall(exchange);
+      if (!matched.ok) {
+        exchange.refuse(matched.error);
+        return;
+      }
+      const body = await exchange.readBody();
+      if (!body.ok) {
+        exchange.refuse(body.error);
+        return;
+      }
+      if (body.value.length > MAX_REQUEST_BODY_BYTES) {
+        exchange.refuse(refusal('REQUEST_TOO_LARGE', 'the body is too large'));
+        return;
+      }
+      const hold = options.quota.begin(exchange.contract.contract, 0);
+      if (!hold.ok) {
+        exchange.refuse(hold.error);
+        return;
+      }
+      try {
+        const outcome = await runCall(options, exchange, matched.value, body.value);
+        writeOutcome(exchange, outcome);
+      } finally {
+        hold.value.release();
+      }
+    },
+    matches: (request) => request.url?.startsWith(PATH_PREFIX) ?? false,
+    name: 'plainCalls',
+  };
+}
+
+function matchCall(exchange: RouterExchange): Result<MatchedCall, Refusal> {
+  const { contract, request } = exchange;
+  const target = parsePlainCallTarget(request.url ?? '');
+  if (target === undefined) {
+    return failure(refusal('MALFORMED_REQUEST', 'expected /services/SERVICE/PATH'));
+  }
+  const contractCall = matchPlainCall(contract.contract, request.method ?? '', target);
+  if (contractCall === undefined) {
+    return failure(refusal('UNKNOWN_SERVICE', 'the contract names no such call'));
+  }
+  if (contractCall.idempotent) {
+    return success({ contractCall, idempotencyKey: undefined, target });
+  }
+  const key = idempotencyKeyOf(request);
+  return key.ok ? success({ contractCall, idempotencyKey: key.value, target }) : key;
+}
+
+function idempotencyKeyOf(request: IncomingMessage): Result<IdempotencyKey, Refusal> {
+  const values = request.headersDistinct['idempotency-key'] ?? [];
+  const [text, ...further] = values;
+  if (text === undefined) {
+    return failure(
+      refusal('IDEMPOTENCY_KEY_MISSING', 'send Idempotency-Key: a UUIDv7 made for this call'),
+    );
+  }
+  const key = parseClaimKey(text);
+  if (!key.ok || further.length > 0) {
+    return failure(refusal('IDEMPOTENCY_KEY_INVALID', 'expected one UUIDv7'));
+  }
+  return success(key.value.idempotencyKey);
+}
+
+function runCall(
+  options: PlainCallHandlerOptions,
+  exchange: RouterExchange,
+  matched: MatchedCall,
+  body: Buffer,
+): Promise<PlainCallOutcome> {
+  const { contract, request, requestId, response } = exchange;
+  const { contractCall, idempotencyKey, target } = matched;
+  const { method, timeoutMs } = contractCall;
+  const teamId = toId<TeamId>(contract.contract.team);
+  const headers: Record<string, string> = {
+    ...forwardedRequestHeaders(request.headers),
+    'x-request-id': requestId,
+  };
+  const call: PlainCall = { body, headers, method, path: target.path };
+  const { service } = target;
+  if (idempotencyKey === undefined) {
+    const isLookup = method === 'GET';
+    const name = `${service} ${method} ${contractCall.path}`;
+    return options.repeat.run({ call, isLookup, name, requestId, service, teamId, timeoutMs });
+  }
+  const callHash = hashPlainCall({ body, method, path: target.path, service });
+  const isGone = () => response.destroyed || request.socket.destroyed;
+  // Without a content encoding the recorded body is what any later caller can read.
+  delete headers['accept-encoding'];
+  return options.once.run({
+    call: { ...call, headers: { ...headers, 'idempotency-key': idempotencyKey } },
+    callHash,
+    idempotencyKey,
+    isGone,
+    requestId,
+    service,
+    teamId,
+    timeoutMs,
+  });
+}
+
+function writeOutcome(exchange: RouterExchange, outcome: PlainCallOutcome): void {
+  if (outcome.kind === 'refusal') {
+    exchange.refuse(outcome.refusal);
+    return;
+  }
+  writeAnswer(exchange.response, outcome.answer, exchange.requestId);
+}
+
+function writeAnswer(response: ServerResponse, answer: PlainAnswer, requestId: string): void {
+  if (response.headersSent || response.destroyed) {
+    return;
+  }
+  for (const [name, value] of Object.entries(answer.headers)) {
+    response.setHeader(name, value);
+  }
+  if (answer.body.length > 0 || !BODILESS_STATUS.has(answer.status)) {
+    response.setHeader('content-length', answer.body.length);
+  }
+  response.setHeader('x-request-id', requestId);
+  response.writeHead(answer.status);
+  response.end(answer.body);
+}
--- /dev/null
+++ b/packages/router/src/RouterPlainCallsSettler.ts
@@ -0,0 +1,90 @@
+import type { SettleOutcome } from '@laburnumgap/claims';
+import type { MonotonicClock } from '@laburnumgap/kernel';
+import type { Log } from '@laburnumgap/telemetry';
+import type { LedgerPort, RouterClaim } from './RouterPlainCallsLedger.js';
+import type { Timers } from './RouterTimers.js';
+
+/** Options of a settler. */
+export interface PlainCallSettlerOptions {
+  readonly clock: MonotonicClock;
+  readonly ledger: LedgerPort;
+  readonly log: Log;
+  /** Settlements that wait at once; further ones are given up at once. */
+  readonly maxWaiting?: number;
+  readonly timers: Timers;
+}
+
+const DEFAULT_MAX_WAITING = 1_000;
+const GIVE_UP_AFTER_MS = 60_000;
+const MIN_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 5_000;
+
+/**
+ * Reports the ends of claimed calls until a ledger has recorded them. What is given up leaves the
+ * key as it is: taken, and unknown once the call's time has passed.
+ */
+export class PlainCallSettler {
+  private readonly idleListeners: (() => void)[] = [];
+  private waiting = 0;
+
+  constructor(private readonly options: PlainCallSettlerOptions) {}
+
+  /** Settlements that wait. */
+  get waitingSettlements(): number {
+    return this.waiting;
+  }
+
+  /** Resolves when the outcome is recorded or given up; true when it is recorded. */
+  async settle(claim: RouterClaim, outcome: SettleOutcome): Promise<boolean> {
+    const { log, maxWaiting = DEFAULT_MAX_WAITING } = this.options;
+    if (this.waiting >= maxWaiting) {
+      log.warn('settlementDropped', { claimId: claim.claimId, outcome: outcome.kind });
+      return false;
+    }
+    this.waiting += 1;
+    const isRecorded = await this.repeat(claim, outcome);
+    this.waiting -= 1;
+    if (!isRecorded) {
+      log.warn('settlementGivenUp', { claimId: claim.claimId, outcome: outcome.kind });
+    }
+    if (this.waiting === 0) {
+      this.idleListeners.splice(0).forEach((listener) => {
+        listener();
+      });
+    }
+    return isRecorded;
+  }
+
+  /** Resolves when no settlement waits. */
+  whenIdle(): Promise<void> {
+    return new Promise((resolve) => {
+      if (this.waiting === 0) {
+        resolve();
+        return;
+      }
+      this.idleListeners.push(resolve);
+    });
+  }
+
+  private async repeat(claim: RouterClaim, outcome: SettleOutcome): Promise<boolean> {
+    const { clock, ledger } = this.options;
+    const giveUpAtMs = clock.nowMs() + GIVE_UP_AFTER_MS;
+    let pauseMs = MIN_PAUSE_MS;
+    for (let attempt = 0; ; attempt += 1) {
+      if (await ledger.settle(claim, outcome, attempt)) {
+        return true;
+      }
+      if (clock.nowMs() >= giveUpAtMs) {
+        return false;
+      }
+      await this.pause(pauseMs);
+      pauseMs = Math.min(pauseMs * 2, MAX_PAUSE_MS);
+    }
+  }
+
+  private pause(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.options.timers.after(delayMs, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/packages/router/src/RouterPlainCallsStart.ts
@@ -0,0 +1,106 @@
+import type { FailureDomainId, KnownServer, ServerId, Teardown } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import {
+  CallLatency,
+  RetryBudget,
+  ServerOutliers,
+  choosePlainServers,
+  createPlainCallClient,
+  openPlainConnection,
+  sendPlainCallOnce,
+} from '@laburnumgap/plain-calls';
+import { v7 } from 'uuid';
+import type { Router } from './RouterDaemon.js';
+import { registerRequestHandler } from './RouterDaemon.js';
+import { createPlainCallHandler } from './RouterPlainCalls.js';
+import type { LedgerPort } from './RouterPlainCallsLedger.js';
+import { RpcLedger } from './RouterPlainCallsLedger.js';
+import { PlainCallsOnce } from './RouterPlainCallsOnce.js';
+import { PlainCallsRepeat } from './RouterPlainCallsRepeat.js';
+import { PlainCallSettler } from './RouterPlainCallsSettler.js';
+import type { RouterQuota } from './RouterQuota.js';
+import { UNLIMITED_QUOTA } from './RouterQuota.js';
+
+/** Options of {@link registerPlainCalls}. */
+export interface PlainCallsOptions {
+  /** Without it the ledgers are asked by gRPC. */
+  readonly ledger?: LedgerPort;
+  readonly quota?: Pick<RouterQuota, 'begin'>;
+  /** Journal slots of the deployment. */
+  readonly slots?: number;
+}
+
+/** Plain calls of a router. */
+export interface PlainCalls {
+  /** Resolves when no end of a claimed call waits to be recorded; then closes connections. */
+  drain(): Promise<void>;
+  /** Takes the handler off the router. */
+  readonly tearDown: Teardown;
+}
+
+const DEFAULT_SLOTS = 16;
+
+/**
+ * Adds plain calls to a router.
+ *
+ * @param router - the router
+ * @param options - ports to replace
+ * @returns what ends them
+ */
+export function registerPlainCalls(router: Router, options: PlainCallsOptions = {}): PlainCalls {
+  const { node, timers } = router;
+  const { decisions, log, settings } = router.context;
+  const { quota = UNLIMITED_QUOTA, slots = DEFAULT_SLOTS } = options;
+  const { clients, clock, directory } = node;
+  const routerId = settings.member.id;
+  const ledger = options.ledger ?? new RpcLedger({ clients, clock, directory, routerId, slots });
+  const callsInFlight = new Map<ServerId, number>();
+  const outliers = new ServerOutliers();
+  const client = createPlainCallClient();
+  const settler = new PlainCallSettler({ clock, ledger, log, timers });
+  const servers = (service: string): readonly KnownServer[] =>
+    choosePlainServers({
+      callsInFlight,
+      failureDomain: toId<FailureDomainId>(settings.member.failureDomain),
+      nowMs: clock.nowMs(),
+      outliers,
+      random: node.random,
+      servers: node.servers.servers(),
+      service: toId(service),
+    });
+  const stopWatching = node.servers.onChange(() => {
+    outliers.keepOnly(new Set(node.servers.servers().map(({ serverId }) => serverId)));
+  });
+  const once = new PlainCallsOnce({
+    clock,
+    connect: openPlainConnection,
+    decisions,
+    ledger,
+    newClaimId: v7,
+    send: sendPlainCallOnce,
+    servers,
+    settler,
+    timers,
+  });
+  const repeat = new PlainCallsRepeat({
+    budget: new RetryBudget(),
+    callsInFlight,
+    clock,
+    decisions,
+    latency: new CallLatency(),
+    outliers,
+    send: (request) => client.send(request),
+    servers,
+    timers,
+  });
+  const handler = createPlainCallHandler({ once, quota, repeat });
+  const tearDown = registerRequestHandler(router, handler);
+  return {
+    drain: async () => {
+      await settler.whenIdle();
+      stopWatching();
+      await client.close();
+    },
+    tearDown,
+  };
+}
