--- a/packages/ledger/src/LedgerSlots.ts
+++ b/packages/ledger/src/LedgerSlots.ts
@@ -145,5 +145,6 @@
       slot,
       team: operation.teamId,
     },
+    requestId: operation.claimId,
   });
 }
--- a/packages/ledger/src/LedgerStart.ts
+++ b/packages/ledger/src/LedgerStart.ts
@@ -3,6 +3,7 @@
 import { startHttpServer } from '@laburnumgap/daemon';
 import type { WallClock } from '@laburnumgap/kernel';
 import type { Node } from '@laburnumgap/node';
+import { createLedgerInspect } from './LedgerInspect.js';
 import { createLedgerHandlers } from './LedgerService.js';
 import type { LedgerSettings } from './LedgerSettings.js';
 import { startLedgerSlots } from './LedgerSlots.js';
@@ -42,7 +43,10 @@
     address: settings.listen.http,
     stage: () => context.stage(),
   });
-  const member = await node.serve({ Ledger: createLedgerHandlers(slots, settings.claims) });
+  const member = await node.serve({
+    Inspect: createLedgerInspect({ context, node, slots }),
+    Ledger: createLedgerHandlers(slots, settings.claims),
+  });
   return {
     addresses: { http: http.address, rpc: member.rpcAddress },
     drain: async () => {
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -1,3 +1,5 @@
+export * from './LedgerInspect.js';
+export * from './LedgerProgram.js';
 export * from './LedgerService.js';
 export * from './LedgerSettings.js';
 export * from './LedgerSlotActor.js';
