--- a/packages/config-sync/src/ConfigKeeper.ts
+++ b/packages/config-sync/src/ConfigKeeper.ts
@@ -70,6 +70,7 @@
   private readonly avoidedUntilMs = new Map<string, number>();
   private confirmedAtMs = -Infinity;
   private readonly follower: ConfigPeerFollower;
+  private membersChanged = true;
   private readonly movableView;
   private readonly plan: ConfigStorePlan;
   private readonly server: ConfigPeerServer;
@@ -125,7 +126,7 @@
         this.apply(message.changes, 'history');
         return;
       case 'membersChanged':
-        this.chooseParents();
+        this.membersChanged = true;
         return;
       case 'parentLost':
         this.onParentLost(message.parent, message.detail);
@@ -221,6 +222,7 @@
     const { changes, detail } = changesOfBatch(batch);
     if (detail !== undefined) {
       this.options.log.error('configBatchRefused', { detail, parent: parent.address });
+      this.follower.giveUp(parent, 'refused');
       return;
     }
     this.apply(changes, `peer ${parent.memberId ?? parent.address}`);
@@ -241,7 +243,7 @@
     const nowMs = this.options.clock.nowMs();
     this.avoidedUntilMs.set(parent.address, nowMs + PARENT_AVOIDANCE_MS);
     this.options.log.warn('configParentLost', { detail, parent: parent.address });
-    this.chooseParents();
+    this.membersChanged = true;
   }
 
   private onSnapshot(snapshot: RangeSnapshot, sentAtMs: number): void {
@@ -257,6 +259,10 @@
     const nowMs = this.options.clock.nowMs();
     this.follower.tick(nowMs);
     this.forgetAvoided(nowMs);
+    if (this.membersChanged) {
+      this.membersChanged = false;
+      this.chooseParents();
+    }
     const actions = this.plan.next({
       ageMs: this.ageMs(),
       completeRevision: this.state.completeRevision,
@@ -274,9 +280,7 @@
     for (const [address] of over) {
       this.avoidedUntilMs.delete(address);
     }
-    if (over.length > 0) {
-      this.chooseParents();
-    }
+    this.membersChanged ||= over.length > 0;
   }
 
   private onWatch(event: WatchEvent): void {
--- a/packages/config-sync/src/ConfigPeerFollower.ts
+++ b/packages/config-sync/src/ConfigPeerFollower.ts
@@ -47,12 +47,20 @@
     }
   }
 
+  /** Ends the stream of a parent, so that nothing that follows on it is taken. */
+  giveUp(parent: ConfigParent, detail: string): void {
+    const known = this.followed.get(parent.address);
+    if (known) {
+      this.drop(parent.address, known);
+      this.options.onLost(parent, detail);
+    }
+  }
+
   /** Gives up the parents that have been silent for too long. */
   tick(nowMs: number): void {
-    for (const [address, known] of this.followed) {
-      if (nowMs - known.lastHeardAtMs >= PARENT_SILENCE_BOUND_MS) {
-        this.drop(address, known);
-        this.options.onLost(known.parent, 'silent');
+    for (const { lastHeardAtMs, parent } of this.followed.values()) {
+      if (nowMs - lastHeardAtMs >= PARENT_SILENCE_BOUND_MS) {
+        this.giveUp(parent, 'silent');
       }
     }
   }
--- a/packages/config-sync/src/__tests__/unit/ConfigState.test.ts
+++ b/packages/config-sync/src/__tests__/unit/ConfigState.test.ts
@@ -136,6 +136,9 @@
   state.apply([change('notes', 5, contractText('notes', 5))]);
   t.deepEqual(state.missingKeys, []);
   t.is(weightOf(state, 'notes'), 5);
+  state.markComplete(toNumberId<Revision>(9));
+  state.markComplete(toNumberId<Revision>(8));
+  t.is(state.completeRevision, toNumberId<Revision>(9));
 });
 
 test('a key opens one contract, or none when revoked or named twice', (t) => {
