Bound what teams get over all routers, and hand a limit out whole

Now a few may run anywhere until the home hears that the team is at its limit, demands are averaged where they are few, and use beyond the contract is paid back.

--- a/packages/quota/src/QuotaConstants.ts
+++ b/packages/quota/src/QuotaConstants.ts
@@ -4,12 +4,18 @@
 /** Time for which a share is valid, counted by the router from before it asked. */
 export const SHARE_TTL_MS = 3_000;
 
-/** Part of each limit that is kept for routers that hold no share yet. */
-export const NEWCOMER_FRACTION = 0.1;
-
 /** Time over which a team may spend its rate in one go. */
 export const BURST_MS = 1_000;
 
+/** Requests that a router may always save up, as long as the team's limit for a second allows. */
+export const MIN_REQUEST_BURST = 8;
+
+/** Requests that a router may run without a share, or with one of less than that. */
+export const MIN_RUNNING = 2;
+
+/** The same while the team runs less than half of what it may. */
+export const MIN_RUNNING_WHILE_LOW = 3;
+
 /** Time in which use beyond the contract is paid back by smaller shares. */
 export const PAYBACK_MS = 5_000;
 
--- a/packages/quota/src/QuotaHome.ts
+++ b/packages/quota/src/QuotaHome.ts
@@ -1,5 +1,5 @@
 import type { TeamId } from '@laburnumgap/kernel';
-import { NEWCOMER_FRACTION, PAYBACK_MS, SHARE_TTL_MS } from './QuotaConstants.js';
+import { PAYBACK_MS, SHARE_TTL_MS } from './QuotaConstants.js';
 import { QuotaHomeTeam } from './QuotaHomeTeam.js';
 import type { QuotaContract, QuotaDemand, QuotaTeamShare } from './QuotaTypes.js';
 
@@ -7,7 +7,6 @@
 export interface QuotaHomeOptions {
   readonly contractOf: (teamId: TeamId) => QuotaContract | undefined;
   readonly liveRouters: () => number;
-  readonly newcomerFraction?: number;
   readonly paybackMs?: number;
   readonly shareTtlMs?: number;
   readonly startedAtMs: number;
@@ -59,7 +58,6 @@
       isWarmingUp: nowMs < Math.max(options.startedAtMs, steadySinceMs()) + shareTtlMs,
       limits: contract.limits,
       liveRouters: options.liveRouters(),
-      newcomerFraction: options.newcomerFraction ?? NEWCOMER_FRACTION,
       nowMs,
       paybackMs: options.paybackMs ?? PAYBACK_MS,
       shareTtlMs,
--- a/packages/quota/src/QuotaHomeTeam.ts
+++ b/packages/quota/src/QuotaHomeTeam.ts
@@ -1,4 +1,4 @@
-import { RUNNING_MEMORY_MS } from './QuotaConstants.js';
+import { MIN_RUNNING, MIN_RUNNING_WHILE_LOW, RUNNING_MEMORY_MS } from './QuotaConstants.js';
 import type { QuotaAmounts, QuotaContract, QuotaDemand } from './QuotaTypes.js';
 
 /** What a team's share is worked out from, besides the demand. */
@@ -7,7 +7,6 @@
   readonly isWarmingUp: boolean;
   readonly limits: QuotaContract['limits'];
   readonly liveRouters: number;
-  readonly newcomerFraction: number;
   readonly nowMs: number;
   readonly paybackMs: number;
   readonly shareTtlMs: number;
@@ -45,7 +44,9 @@
   }
 
   /**
-   * Works out one router's share and remembers it until it must have lapsed.
+   * Works out one router's share and remembers it until it must have lapsed. Where the routers
+   * outnumber the requests that may run, each may run a few until the home has heard that the team
+   * is at its limit.
    *
    * @param routerId - the router that asks
    * @param demand - what it wants, holds and has used
@@ -63,14 +64,15 @@
     const account = this.accountOf(routerId);
     account.demand = demand;
     account.lastAskedAtMs = nowMs;
-    account.reportedRunning = demand.runningRequests;
+    account.reportedRunning = demand.inFlightRequests;
     const amounts: QuotaAmounts = {
       requestsPerSecond: this.shareOf('requestsPerSecond', routerId, demand, circumstances),
       runningRequests: Math.floor(this.shareOf('runningRequests', routerId, demand, circumstances)),
       tokensPerSecond: this.shareOf('tokensPerSecond', routerId, demand, circumstances),
     };
     account.grants.push({ amounts, expiresAtMs: nowMs + shareTtlMs });
-    return amounts;
+    const smallest = this.smallestRunning(circumstances.limits.concurrentRequests);
+    return { ...amounts, runningRequests: Math.max(smallest, amounts.runningRequests) };
   }
 
   /** Sum of the shares of one limit that may be in use. */
@@ -116,18 +118,16 @@
     demand: QuotaDemand,
     circumstances: QuotaHomeCircumstances,
   ): number {
-    const { isWarmingUp, liveRouters, newcomerFraction, nowMs } = circumstances;
+    const { isWarmingUp, liveRouters, nowMs } = circumstances;
     const contractLimit = limitOf(circumstances.limits, limit);
     const others = [...this.accounts].filter(([id]) => id !== routerId);
     const taken = sum(others.map(([, account]) => holding(account, limit, nowMs)));
-    const isNewcomer = heldOf(demand, limit) <= 0;
-    const usable = isNewcomer ? contractLimit : contractLimit * (1 - newcomerFraction);
-    const alone = others.length === 0;
-    const free = Math.max(0, (alone ? contractLimit : usable) - taken);
+    const free = Math.max(0, contractLimit - taken);
     const fair = this.fairShare(
       limit,
       routerId,
       contractLimit * this.payFactor(limit, circumstances),
+      liveRouters,
     );
     const equalPart = contractLimit / Math.max(1, liveRouters);
     const firstPart = limit === 'runningRequests' ? Math.ceil(equalPart) : equalPart;
@@ -135,17 +135,33 @@
     return Math.min(fair, free, cap);
   }
 
-  /** Share by demand: what everyone wants and an equal part of the rest, or max-min fair. */
-  private fairShare(limit: Limit, routerId: string, available: number): number {
+  /**
+   * Share by demand: what everyone wants and an equal part of the rest, of which the parts of
+   * routers without demand stay free for them; or max-min fair.
+   */
+  private fairShare(
+    limit: Limit,
+    routerId: string,
+    available: number,
+    liveRouters: number,
+  ): number {
     const demands = [...this.accounts.values()].map((account) => account.demand[limit]);
     const own = this.accounts.get(routerId)?.demand[limit] ?? 0;
     const spare = available - sum(demands);
     if (spare >= 0) {
-      return own + spare / demands.length;
+      return own + spare / Math.max(liveRouters, demands.length);
     }
     return Math.min(own, waterLevel(demands, available));
   }
 
+  private smallestRunning(limit: number): number {
+    const inFlight = sum([...this.accounts.values()].map((account) => account.reportedRunning));
+    if (inFlight >= limit) {
+      return 0;
+    }
+    return Math.min(limit, inFlight < limit / 2 ? MIN_RUNNING_WHILE_LOW : MIN_RUNNING);
+  }
+
   private payFactor(limit: Limit, { limits, paybackMs }: QuotaHomeCircumstances): number {
     if (limit === 'runningRequests') {
       return 1;
@@ -171,7 +187,7 @@
     case 'requestsPerSecond':
       return demand.heldRequestsPerSecond;
     case 'runningRequests':
-      return Math.max(demand.heldRunningRequests, demand.runningRequests);
+      return Math.max(demand.heldRunningRequests, demand.inFlightRequests);
     case 'tokensPerSecond':
       return demand.heldTokensPerSecond;
   }
--- a/packages/quota/src/QuotaShare.ts
+++ b/packages/quota/src/QuotaShare.ts
@@ -2,7 +2,7 @@
 import { refusal } from '@laburnumgap/kernel';
 import { IDLE_TEAM_MS } from './QuotaConstants.js';
 import { QuotaShareTeam } from './QuotaShareTeam.js';
-import type { QuotaContract, QuotaDemand, QuotaTeamShare } from './QuotaTypes.js';
+import type { QuotaAmounts, QuotaContract, QuotaDemand, QuotaTeamShare } from './QuotaTypes.js';
 
 /** Options of {@link createQuotaShare}. */
 export interface QuotaShareOptions {
@@ -29,6 +29,8 @@
   chargeTokens(teamId: TeamId, tokens: number, nowMs: number): void;
   /** Demands of the teams in use, to be sent to their homes now. */
   demands(nowMs: number): readonly QuotaDemand[];
+  /** Amounts in force at this router for a team that it has seen. */
+  inForce(teamId: TeamId, nowMs: number): QuotaAmounts | undefined;
   /** Ends an admitted request. */
   release(teamId: TeamId): void;
   /** Admits a request within the team's share or says when to come back. */
@@ -78,6 +80,14 @@
       }
       return demands;
     },
+    inForce: (teamId, nowMs) => {
+      const contract = options.contractOf(teamId);
+      const team = contract && teams.get(teamId);
+      if (contract && team) {
+        team.refresh(contract, options.liveRouters(), nowMs);
+      }
+      return team?.amounts;
+    },
     release: (teamId) => {
       teams.get(teamId)?.release();
     },
--- a/packages/quota/src/QuotaShareTeam.ts
+++ b/packages/quota/src/QuotaShareTeam.ts
@@ -1,6 +1,6 @@
 import type { Refusal } from '@laburnumgap/kernel';
 import { invariant, refusal } from '@laburnumgap/kernel';
-import { BURST_MS, SHARE_INTERVAL_MS } from './QuotaConstants.js';
+import { BURST_MS, MIN_REQUEST_BURST, MIN_RUNNING, SHARE_INTERVAL_MS } from './QuotaConstants.js';
 import type { QuotaAdmitted } from './QuotaShare.js';
 import { QuotaTokenBucket } from './QuotaTokenBucket.js';
 import type { QuotaAmounts, QuotaContract, QuotaDemand, QuotaTeamShare } from './QuotaTypes.js';
@@ -17,8 +17,11 @@
 
 const MS_PER_SECOND = 1_000;
 const MIN_INTERVAL_MS = 100;
-/** Weight of the latest interval in the estimate of the demand. */
-const DEMAND_WEIGHT = 0.5;
+/** What remains of an earlier demand after an interval: bursty teams keep their share between. */
+const DEMAND_DECAY = 0.7;
+/** Fewer attempts in an interval say little, so that they are averaged over several. */
+const FEW_ATTEMPTS = 4;
+const FEW_WEIGHT = 0.3;
 const NO_AMOUNTS: QuotaAmounts = { requestsPerSecond: 0, runningRequests: 0, tokensPerSecond: 0 };
 
 /** One team's share at one router. */
@@ -26,10 +29,12 @@
   private admitted = 0;
   private attempts = 0;
   private chargedTokens = 0;
+  private contract: QuotaContract;
   private current: QuotaAmounts;
   private demandAtMs: number;
   private estimate: QuotaAmounts = NO_AMOUNTS;
   private lastUsedAtMs: number;
+  private mostRunning = 0;
   private readonly requests: QuotaTokenBucket;
   private running = 0;
   private share: QuotaTeamShare | undefined;
@@ -39,11 +44,12 @@
   private unacknowledged = { requests: 0, tokens: 0 };
 
   constructor({ contract, liveRouters, nowMs }: QuotaShareTeamOptions) {
+    this.contract = contract;
     this.current = fallback(contract, liveRouters);
     this.demandAtMs = nowMs - SHARE_INTERVAL_MS;
     this.lastUsedAtMs = nowMs;
     const { requestsPerSecond, tokensPerSecond } = this.current;
-    const requestBurst = requestBurstOf(requestsPerSecond);
+    const requestBurst = requestBurstOf(requestsPerSecond, contract);
     const tokenBurst = tokenBurstOf(tokensPerSecond);
     this.requests = new QuotaTokenBucket({
       capacity: requestBurst,
@@ -57,6 +63,16 @@
     });
   }
 
+  /** Amounts in force. */
+  get amounts(): QuotaAmounts {
+    return this.current;
+  }
+
+  /** Whether a home's share is in force, rather than an equal part of the limit. */
+  holdsShare(nowMs: number): boolean {
+    return nowMs < this.shareExpiresAtMs;
+  }
+
   /** Takes a share; its validity counts from the demand that it answers. */
   applyShare(share: QuotaTeamShare, nowMs: number): void {
     this.share = share;
@@ -76,11 +92,14 @@
   demand(nowMs: number): Omit<QuotaDemand, 'teamId'> {
     const elapsedMs = Math.max(MIN_INTERVAL_MS, nowMs - this.demandAtMs);
     const perSecond = MS_PER_SECOND / elapsedMs;
+    const estimate = this.attempts < FEW_ATTEMPTS ? average : peak;
     const wanted = this.admitted > 0 ? this.attempts / Math.max(1, this.admitted) : 1;
     this.estimate = {
-      requestsPerSecond: blend(this.estimate.requestsPerSecond, this.attempts * perSecond),
-      runningRequests: this.running + this.turnedAwayRunning,
-      tokensPerSecond: blend(
+      requestsPerSecond: estimate(this.estimate.requestsPerSecond, this.attempts * perSecond),
+      runningRequests: Math.ceil(
+        peak(this.estimate.runningRequests - 1, this.mostRunning + this.turnedAwayRunning),
+      ),
+      tokensPerSecond: estimate(
         this.estimate.tokensPerSecond,
         this.chargedTokens * perSecond * Math.max(1, wanted),
       ),
@@ -91,13 +110,15 @@
     this.attempts = 0;
     this.chargedTokens = 0;
     this.turnedAwayRunning = 0;
+    this.mostRunning = this.running;
     this.demandAtMs = nowMs;
-    const held = nowMs < this.shareExpiresAtMs ? (this.share ?? NO_AMOUNTS) : NO_AMOUNTS;
+    const held = this.holdsShare(nowMs) ? (this.share ?? NO_AMOUNTS) : NO_AMOUNTS;
     return {
       ...this.estimate,
       heldRequestsPerSecond: held.requestsPerSecond,
       heldRunningRequests: held.runningRequests,
       heldTokensPerSecond: held.tokensPerSecond,
+      inFlightRequests: this.running,
       usedRequests: this.unacknowledged.requests,
       usedTokens: this.unacknowledged.tokens,
     };
@@ -110,7 +131,8 @@
 
   /** Falls back to an equal part of the limit once the share has lapsed. */
   refresh(contract: QuotaContract, liveRouters: number, nowMs: number): void {
-    if (nowMs >= this.shareExpiresAtMs) {
+    this.contract = contract;
+    if (!this.holdsShare(nowMs)) {
       this.setAmounts(fallback(contract, liveRouters), nowMs);
     }
   }
@@ -145,37 +167,51 @@
     this.requests.charge(1, nowMs);
     this.admitted += 1;
     this.running += 1;
+    this.mostRunning = Math.max(this.mostRunning, this.running);
     return { kind: 'admitted' };
   }
 
   private setAmounts(amounts: QuotaAmounts, nowMs: number): void {
     const { requestsPerSecond, tokensPerSecond } = amounts;
     this.current = amounts;
-    this.requests.setRate(requestsPerSecond, requestBurstOf(requestsPerSecond), nowMs);
+    this.requests.setRate(
+      requestsPerSecond,
+      requestBurstOf(requestsPerSecond, this.contract),
+      nowMs,
+    );
     this.tokens.setRate(tokensPerSecond, tokenBurstOf(tokensPerSecond), nowMs);
   }
 }
 
-function blend(before: number, now: number): number {
-  return before * (1 - DEMAND_WEIGHT) + now * DEMAND_WEIGHT;
+function average(before: number, now: number): number {
+  return before * (1 - FEW_WEIGHT) + now * FEW_WEIGHT;
+}
+
+function peak(before: number, now: number): number {
+  return Math.max(now, before * DEMAND_DECAY);
 }
 
 function fallback({ limits }: QuotaContract, liveRouters: number): QuotaAmounts {
   const routers = Math.max(1, liveRouters);
   return {
     requestsPerSecond: limits.requestsPerSecond / routers,
-    runningRequests: Math.max(1, Math.floor(limits.concurrentRequests / routers)),
+    runningRequests: Math.max(
+      Math.min(limits.concurrentRequests, MIN_RUNNING),
+      Math.floor(limits.concurrentRequests / routers),
+    ),
     tokensPerSecond: limits.tokensPerSecond / routers,
   };
 }
 
-/** One request can always be saved up for. */
-function requestBurstOf(requestsPerSecond: number): number {
-  return Math.max(1, (requestsPerSecond * BURST_MS) / MS_PER_SECOND);
+/** What a second of the share gives, and a few requests at least: calls come in bunches. */
+function requestBurstOf(unitsPerSecond: number, { limits }: QuotaContract): number {
+  const ofLimit = (limits.requestsPerSecond * BURST_MS) / MS_PER_SECOND;
+  const smallest = Math.max(1, Math.min(ofLimit, MIN_REQUEST_BURST));
+  return Math.max(smallest, (unitsPerSecond * BURST_MS) / MS_PER_SECOND);
 }
 
-function tokenBurstOf(tokensPerSecond: number): number {
-  return Math.max(1, (tokensPerSecond * BURST_MS) / MS_PER_SECOND);
+function tokenBurstOf(unitsPerSecond: number): number {
+  return Math.max(1, (unitsPerSecond * BURST_MS) / MS_PER_SECOND);
 }
 
 /** A share may grow at the next interval, so that nobody is sent away for longer than needed. */
--- a/packages/quota/src/QuotaTypes.ts
+++ b/packages/quota/src/QuotaTypes.ts
@@ -13,6 +13,8 @@
   readonly heldRequestsPerSecond: number;
   readonly heldRunningRequests: number;
   readonly heldTokensPerSecond: number;
+  /** Requests that run now; `runningRequests` also counts those that were turned away. */
+  readonly inFlightRequests: number;
   readonly teamId: TeamId;
   /** Requests admitted since the last answered call. */
   readonly usedRequests: number;
--- /dev/null
+++ b/packages/quota/src/__tests__/unit/QuotaHome.test.ts
@@ -0,0 +1,177 @@
+import type { Revision, TeamId } from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import test from 'ava';
+import * as fc from 'fast-check';
+import type { QuotaAmounts, QuotaDemand, QuotaHome } from '../../index.js';
+import { QuotaHomeTeam, SHARE_TTL_MS, createQuotaHome, createQuotaShare } from '../../index.js';
+
+const TEAM = toId<TeamId>('drafts');
+const LIMITS = { concurrentRequests: 10, requestsPerSecond: 12, tokensPerSecond: 1_000 };
+const CONTRACT = { limits: LIMITS, revision: toNumberId<Revision>(3) };
+const ROUTERS = 4;
+
+const demandOf = (fields: Partial<QuotaDemand> = {}): QuotaDemand => ({
+  heldRequestsPerSecond: 0,
+  heldRunningRequests: 0,
+  heldTokensPerSecond: 0,
+  inFlightRequests: 0,
+  requestsPerSecond: 100,
+  runningRequests: 100,
+  teamId: TEAM,
+  tokensPerSecond: 10_000,
+  usedRequests: 0,
+  usedTokens: 0,
+  ...fields,
+});
+
+const homeAt = (startedAtMs: number): QuotaHome =>
+  createQuotaHome({ contractOf: () => CONTRACT, liveRouters: () => ROUTERS, startedAtMs });
+
+const shareOf = (
+  home: QuotaHome,
+  router: string,
+  demand: QuotaDemand,
+  nowMs: number,
+): QuotaAmounts => {
+  const [share] = home.acquire(router, [demand], nowMs);
+  return share ?? { requestsPerSecond: -1, runningRequests: -1, tokensPerSecond: -1 };
+};
+
+test('a new home gives what a router holds or an equal part, until earlier shares have lapsed', (t) => {
+  const rows: [
+    name: string,
+    demand: QuotaDemand,
+    atMs: number,
+    requests: number,
+    running: number,
+  ][] = [
+    ['nothing held', demandOf(), 1, 3, 3],
+    ['much held', demandOf({ heldRequestsPerSecond: 9, heldRunningRequests: 7 }), 1, 9, 7],
+    ['more in flight than held', demandOf({ inFlightRequests: 8 }), 1, 3, 8],
+    ['earlier shares have lapsed', demandOf(), SHARE_TTL_MS, 12, 10],
+  ];
+  for (const [name, demand, atMs, requests, running] of rows) {
+    const share = shareOf(homeAt(0), 'a', demand, atMs);
+    t.deepEqual([share.requestsPerSecond, share.runningRequests], [requests, running], name);
+  }
+});
+
+test('an unknown team gets no share', (t) => {
+  const home = createQuotaHome({
+    contractOf: () => undefined,
+    liveRouters: () => 1,
+    startedAtMs: 0,
+  });
+  t.deepEqual(home.acquire('a', [demandOf()], 5_000), []);
+});
+
+test('use beyond the contract is paid back by smaller shares', (t) => {
+  const home = homeAt(0);
+  const rates = [0, 30, 60, 200].map((usedRequests, place) =>
+    shareOf(home, 'a', demandOf({ usedRequests }), SHARE_TTL_MS + place),
+  );
+  const shown = rates.map(({ requestsPerSecond }) => Math.round(requestsPerSecond));
+  t.deepEqual(shown, [12, 12, 0, 0]);
+  t.is(Math.round(shareOf(home, 'a', demandOf(), SHARE_TTL_MS + 60_000).requestsPerSecond), 12);
+});
+
+test('the shares that may be in use never sum to more than the contract', (t) => {
+  const ask = fc.record({
+    inFlight: fc.nat(3),
+    requests: fc.nat(20),
+    router: fc.constantFrom('a', 'b', 'c', 'd', 'e'),
+    waitMs: fc.nat(2_000),
+  });
+  fc.assert(
+    fc.property(fc.array(ask, { maxLength: 40 }), fc.boolean(), (asks, isWarmingUp) => {
+      const team = new QuotaHomeTeam();
+      let nowMs = 0;
+      return asks.every(({ inFlight, requests, router, waitMs }) => {
+        nowMs += waitMs;
+        const demand = demandOf({
+          inFlightRequests: inFlight,
+          requestsPerSecond: requests,
+          runningRequests: requests,
+          tokensPerSecond: requests * 90,
+        });
+        team.acquire(router, demand, {
+          isWarmingUp,
+          limits: LIMITS,
+          liveRouters: ROUTERS,
+          nowMs,
+          paybackMs: 5_000,
+          shareTtlMs: SHARE_TTL_MS,
+        });
+        return (
+          team.outstanding('requestsPerSecond', nowMs) <= LIMITS.requestsPerSecond + 1e-9 &&
+          team.outstanding('tokensPerSecond', nowMs) <= LIMITS.tokensPerSecond + 1e-9
+        );
+      });
+    }),
+    { numRuns: 500 },
+  );
+  t.pass();
+});
+
+test('a share counts until it has lapsed, also when a smaller one followed: its answer may be lost', (t) => {
+  const home = homeAt(0);
+  const low = demandOf({ requestsPerSecond: 0, runningRequests: 0 });
+  const rateOf = (router: string, demand: QuotaDemand, atMs: number): number =>
+    shareOf(home, router, demand, SHARE_TTL_MS + atMs).requestsPerSecond;
+  t.is(rateOf('a', demandOf(), 0), 12);
+  t.is(rateOf('a', low, 1_000), 3);
+  t.is(rateOf('b', demandOf(), 2_999), 0);
+  t.is(rateOf('b', demandOf(), 3_000), 9);
+});
+
+test('a refusal names the limit and when to come back', (t) => {
+  const share = createQuotaShare({ contractOf: () => CONTRACT, liveRouters: () => ROUTERS });
+  const outcomes: string[] = [];
+  const attempt = (nowMs: number): void => {
+    const outcome = share.tryAdmit(TEAM, nowMs);
+    outcomes.push(
+      outcome.kind === 'admitted' ? 'admitted' : `${outcome.code} ${outcome.retryAfterMs ?? 0}`,
+    );
+  };
+  attempt(0);
+  attempt(0);
+  attempt(0);
+  share.release(TEAM);
+  attempt(0);
+  attempt(0);
+  attempt(333);
+  share.chargeTokens(TEAM, 300, 333);
+  share.release(TEAM);
+  attempt(333);
+  t.deepEqual(outcomes, [
+    'admitted',
+    'admitted',
+    'CONCURRENCY_LIMITED 1000',
+    'admitted',
+    'CONCURRENCY_LIMITED 1000',
+    'CONCURRENCY_LIMITED 1000',
+    'TOKEN_BUDGET_EXHAUSTED 200',
+  ]);
+  share.release(TEAM);
+  t.throws(
+    () => {
+      share.release(TEAM);
+      share.release(TEAM);
+      share.release(TEAM);
+    },
+    { message: /invariant 1301/ },
+  );
+});
+
+test('validity counts from when the share was asked for', (t) => {
+  const share = createQuotaShare({ contractOf: () => CONTRACT, liveRouters: () => ROUTERS });
+  share.tryAdmit(TEAM, 0);
+  share.demands(0);
+  const granted = { requestsPerSecond: 9, runningRequests: 9, tokensPerSecond: 900 };
+  share.applyShares(
+    [{ ...granted, contractRevision: CONTRACT.revision, teamId: TEAM, validForMs: 3_000 }],
+    2_500,
+  );
+  t.is(share.inForce(TEAM, 2_999)?.requestsPerSecond, 9);
+  t.is(share.inForce(TEAM, 3_000)?.requestsPerSecond, 3);
+});
