Serve plain calls in the router program and drain their settlements

Cause: plain calls were not attached to the running router; their settlements must be recorded before the node's clients close. Ruled out: draining them from the program (the router's own drain closes the clients first). Conclusion: a request handler may bring a drain of its own.

--- a/packages/router/src/RouterPlainCallsStart.ts
+++ b/packages/router/src/RouterPlainCallsStart.ts
@@ -30,14 +30,6 @@
   readonly slots?: number;
 }
 
-/** Plain calls of a router. */
-export interface PlainCalls {
-  /** Resolves when no end of a claimed call waits to be recorded; then closes connections. */
-  drain(): Promise<void>;
-  /** Takes the handler off the router. */
-  readonly tearDown: Teardown;
-}
-
 const DEFAULT_SLOTS = 16;
 
 /**
@@ -45,9 +37,9 @@
  *
  * @param router - the router
  * @param options - ports to replace
- * @returns what ends them
+ * @returns takes them off the router
  */
-export function registerPlainCalls(router: Router, options: PlainCallsOptions = {}): PlainCalls {
+export function registerPlainCalls(router: Router, options: PlainCallsOptions = {}): Teardown {
   const { node, timers } = router;
   const { decisions, log, settings } = router.context;
   const { quota = UNLIMITED_QUOTA, slots = DEFAULT_SLOTS } = options;
@@ -94,13 +86,12 @@
     timers,
   });
   const handler = createPlainCallHandler({ once, quota, repeat });
-  const tearDown = registerRequestHandler(router, handler);
-  return {
+  return registerRequestHandler(router, {
+    ...handler,
     drain: async () => {
       await settler.whenIdle();
       stopWatching();
       await client.close();
     },
-    tearDown,
-  };
+  });
 }
--- a/packages/router/src/RouterProgram.ts
+++ b/packages/router/src/RouterProgram.ts
@@ -1,6 +1,7 @@
 import type { DaemonContext, DaemonProgram } from '@laburnumgap/daemon';
 import type { Node } from '@laburnumgap/node';
 import { startRouter } from './RouterDaemon.js';
+import { registerPlainCalls } from './RouterPlainCallsStart.js';
 import type { RouterSettings } from './RouterSettings.js';
 import { routerSettingsSchema } from './RouterSettings.js';
 
@@ -18,7 +19,11 @@
     description: 'Takes callers to engines and services',
     name: 'laburnum-router',
     schema: routerSettingsSchema,
-    start: async (context) => startRouter({ context, node: await startNode(context, 'router') }),
+    start: async (context) => {
+      const router = await startRouter({ context, node: await startNode(context, 'router') });
+      registerPlainCalls(router);
+      return router;
+    },
     version: '0.1.0',
   };
 }
--- a/packages/router/src/RouterRequestHandler.ts
+++ b/packages/router/src/RouterRequestHandler.ts
@@ -18,6 +18,8 @@
 
 /** Serves one kind of request. */
 export interface RequestHandler {
+  /** Called when the router shuts down, after the last request has ended. */
+  drain?(): Promise<void>;
   handle(exchange: RouterExchange): Promise<void>;
   matches(request: IncomingMessage): boolean;
   readonly name: string;
