Hold callers to their team's shares; suspect only schedulers that are unreachable

Cause: every failed call marked a scheduler as suspect, also one that only lacks the method. Estimates and homes get shorter deadlines (300, 500 ms), since the first token waits for them. An engine's own word that it leaves reaches the server directory. Parked generations leave when a drain begins.

--- a/packages/router/src/RouterConstants.ts
+++ b/packages/router/src/RouterConstants.ts
@@ -19,6 +19,10 @@
 export const ADMIT_FIRST_EVENT_MS = 1_000;
 /** Deadline of calls between own processes. */
 export const RPC_DEADLINE_MS = 1_000;
+/** Time for the schedulers to say what engines are expected to take. */
+export const ESTIMATE_DEADLINE_MS = 300;
+/** Time for a request's homes to answer; the first token waits for it. */
+export const HOME_DEADLINE_MS = 500;
 /** Pause between progress reports. */
 export const PROGRESS_INTERVAL_MS = 500;
 /** Rounds of choosing engines before a request is refused. */
@@ -35,3 +39,5 @@
 export const DRAIN_RESERVE_SHARE = 0.3;
 /** Pause of a run after which it asks whether it was taken over before it delivers more. */
 export const PAUSE_CHECK_MS = 2_000;
+/** Reason that an engine gives for taking no new work when it is about to leave. */
+export const ENGINE_LEAVING = 'leaving';
--- a/packages/router/src/RouterDaemon.ts
+++ b/packages/router/src/RouterDaemon.ts
@@ -17,13 +17,13 @@
 import type { AdmissionPort, RequestHomes } from './RouterPorts.js';
 import { RouterProgress } from './RouterProgress.js';
 import type { RouterQuota } from './RouterQuota.js';
-import { UNLIMITED_QUOTA } from './RouterQuota.js';
 import type { RequestHandler } from './RouterRequestHandler.js';
 import { RpcAdmission } from './RouterRpcAdmission.js';
 import { RpcRequestHomes } from './RouterRpcHomes.js';
 import { RouterRunRegistry } from './RouterRunRegistry.js';
 import type { RunServices } from './RouterRunTypes.js';
 import type { RouterSettings } from './RouterSettings.js';
+import { ShareQuota } from './RouterShareQuota.js';
 import type { Timers } from './RouterTimers.js';
 import { SYSTEM_TIMERS } from './RouterTimers.js';
 
@@ -43,6 +43,8 @@
   readonly context: DaemonContext<RouterSettings>;
   readonly handlers: PluginRegistry<RequestHandler>;
   readonly node: Node;
+  /** The limits that every kind of request counts against. */
+  readonly quota: RouterQuota;
   readonly timers: Timers;
 }
 
@@ -67,10 +69,12 @@
  * @returns the running router
  */
 export async function startRouter(options: RouterOptions): Promise<Router> {
-  const { context, node, quota = UNLIMITED_QUOTA, timers = SYSTEM_TIMERS } = options;
+  const { context, node, timers = SYSTEM_TIMERS } = options;
   const { decisions, log, metrics, settings } = context;
-  const { clients, directory } = node;
+  const { clients, clock, configuration, directory } = node;
   const routerId = toId<MemberId>(settings.member.id);
+  const quota =
+    options.quota ?? new ShareQuota({ clients, clock, configuration, directory, routerId, timers });
   const admission = options.admission ?? new RpcAdmission({ clients, directory, routerId });
   const homes = options.homes ?? new RpcRequestHomes({ clients, directory, routerId });
   const health = new RouterEngineHealth(node.clock);
@@ -127,6 +131,7 @@
 
   const drain = async (): Promise<void> => {
     draining = true;
+    registry.leaveParked();
     const reserveMs = settings.shutdown.boundMs * DRAIN_RESERVE_SHARE;
     const stopTimer = timers.after(settings.shutdown.boundMs - reserveMs, () => {
       registry.leaveAll();
@@ -151,6 +156,7 @@
     drain,
     handlers,
     node,
+    quota,
     timers,
   };
 }
--- a/packages/router/src/RouterGenerationRun.ts
+++ b/packages/router/src/RouterGenerationRun.ts
@@ -1,9 +1,14 @@
 import type { EngineStream } from '@laburnumgap/engine';
 import type { GenerationAction, GenerationPlacement } from '@laburnumgap/generation';
 import { GenerationTracker } from '@laburnumgap/generation';
-import type { GeneratedToken, Refusal } from '@laburnumgap/kernel';
+import type { EngineStreamEvent, GeneratedToken, Refusal } from '@laburnumgap/kernel';
 import { invariant, refusal } from '@laburnumgap/kernel';
-import { DRAINING_RETRY_MS, NO_STREAM_INVARIANT, PAUSE_CHECK_MS } from './RouterConstants.js';
+import {
+  DRAINING_RETRY_MS,
+  ENGINE_LEAVING,
+  NO_STREAM_INVARIANT,
+  PAUSE_CHECK_MS,
+} from './RouterConstants.js';
 import type { ProgressReport } from './RouterPorts.js';
 import { RouterRunAssignment } from './RouterRunAssignment.js';
 import { RouterRunMetrics } from './RouterRunMetrics.js';
@@ -65,6 +70,11 @@
     };
   }
 
+  /** Whether the caller is away and the generation is kept for it. */
+  isParked(): boolean {
+    return this.unpark !== undefined;
+  }
+
   /** Closes the caller's connection and leaves the generation running for another router. */
   leaveToOthers(): void {
     this.stopWith('draining');
@@ -234,6 +244,7 @@
         return this.tracker.decide(event);
       } else if (event.kind !== 'interrupted') {
         this.closeReader();
+        this.noteLeaving(event);
         return this.tracker.decide(event);
       }
     }
@@ -377,6 +388,12 @@
     });
   }
 
+  private noteLeaving(event: EngineStreamEvent): void {
+    if (event.kind === 'lost' && event.detail === ENGINE_LEAVING) {
+      this.services.placement.noteLeaving(this.assignment.engine().engineId);
+    }
+  }
+
   private open(stream: EngineStream): void {
     this.closeReader();
     const { clock, health, timers } = this.services;
--- a/packages/router/src/RouterPlacement.ts
+++ b/packages/router/src/RouterPlacement.ts
@@ -81,6 +81,11 @@
     return candidates;
   }
 
+  /** Takes an engine's own word that it leaves. */
+  noteLeaving(engineId: EngineId): void {
+    this.options.servers.noteLeaving(toId(engineId));
+  }
+
   /** Places a generation. */
   async place(request: PlacementRequest): Promise<Result<Placed, PlacementFailure>> {
     const tried = new Set<EngineId>();
--- a/packages/router/src/RouterProgram.ts
+++ b/packages/router/src/RouterProgram.ts
@@ -21,7 +21,7 @@
     schema: routerSettingsSchema,
     start: async (context) => {
       const router = await startRouter({ context, node: await startNode(context, 'router') });
-      registerPlainCalls(router);
+      registerPlainCalls(router, { quota: router.quota });
       return router;
     },
     version: '0.1.0',
--- a/packages/router/src/RouterRpcAdmission.ts
+++ b/packages/router/src/RouterRpcAdmission.ts
@@ -7,8 +7,9 @@
   EstimateRequest,
   GenerationProgress,
   RpcClients,
+  RpcError,
 } from '@laburnumgap/rpc';
-import { NO_ENGINE_RETRY_MS, RPC_DEADLINE_MS } from './RouterConstants.js';
+import { ESTIMATE_DEADLINE_MS, NO_ENGINE_RETRY_MS, RPC_DEADLINE_MS } from './RouterConstants.js';
 import type {
   AdmissionEvent,
   AdmissionPort,
@@ -17,6 +18,7 @@
   ProgressReport,
   Reservation,
 } from './RouterPorts.js';
+import { isUnreachable } from './RouterRpcUtils.js';
 
 /** What schedulers are called with. */
 export interface RpcAdmissionOptions {
@@ -127,10 +129,10 @@
         promptTokens: query.promptTokens,
         teamId: query.teamId,
       },
-      RPC_DEADLINE_MS,
+      ESTIMATE_DEADLINE_MS,
     );
     if (!answer.ok) {
-      this.directory.suspect(owner.memberId);
+      this.noteFailure(owner, answer.error);
       return [];
     }
     return answer.value.estimates.map((estimate) => ({
@@ -139,6 +141,12 @@
     }));
   }
 
+  private noteFailure(owner: Member, error: RpcError): void {
+    if (isUnreachable(error)) {
+      this.directory.suspect(owner.memberId);
+    }
+  }
+
   private ownerOf(engineId: string): Member | undefined {
     return this.directory.rank('scheduler', `engine/${engineId}`)[0];
   }
@@ -151,7 +159,7 @@
       RPC_DEADLINE_MS,
     );
     if (!answer.ok) {
-      this.directory.suspect(owner.memberId);
+      this.noteFailure(owner, answer.error);
     }
   }
 }
--- a/packages/router/src/RouterRpcHomes.ts
+++ b/packages/router/src/RouterRpcHomes.ts
@@ -13,10 +13,11 @@
   GenerationRecord__Output,
   RecordReply__Output,
   RpcClients,
+  RpcError,
   TakeOverReply__Output,
   TakeOverRequest,
 } from '@laburnumgap/rpc';
-import { RPC_DEADLINE_MS } from './RouterConstants.js';
+import { HOME_DEADLINE_MS } from './RouterConstants.js';
 import type {
   HomeRecord,
   HomeRecorded,
@@ -25,6 +26,7 @@
   HomesUnreachable,
   RequestHomes,
 } from './RouterPorts.js';
+import { isUnreachable } from './RouterRpcUtils.js';
 
 type FoundRecord = Extract<HomeTakenOver, { outcome: 'found' }>;
 
@@ -58,7 +60,7 @@
     for (const home of this.homesOf(teamId, requestId)) {
       const client = this.clients.get('RequestHome', home.rpcAddress);
       const message = { attempt, requestId, teamId };
-      void this.clients.unary(client.forget.bind(client), message, RPC_DEADLINE_MS);
+      void this.clients.unary(client.forget.bind(client), message, HOME_DEADLINE_MS);
     }
   }
 
@@ -72,10 +74,10 @@
         const answer = await this.clients.unary<GenerationRecord, RecordReply__Output>(
           client.recordGeneration.bind(client),
           message,
-          RPC_DEADLINE_MS,
+          HOME_DEADLINE_MS,
         );
         if (!answer.ok) {
-          this.directory.suspect(home.memberId);
+          this.noteFailure(home, answer.error);
           return 'unreachable';
         }
         return answer.value.accepted ? 'recorded' : 'superseded';
@@ -112,6 +114,12 @@
     return second ? [first, second] : [first];
   }
 
+  private noteFailure(home: Member, error: RpcError): void {
+    if (isUnreachable(error)) {
+      this.directory.suspect(home.memberId);
+    }
+  }
+
   private async takeOverAt(
     home: Member,
     takeOver: HomeTakeOver,
@@ -121,10 +129,10 @@
     const answer = await this.clients.unary<TakeOverRequest, TakeOverReply__Output>(
       client.takeOver.bind(client),
       message,
-      RPC_DEADLINE_MS,
+      HOME_DEADLINE_MS,
     );
     if (!answer.ok) {
-      this.directory.suspect(home.memberId);
+      this.noteFailure(home, answer.error);
       return undefined;
     }
     return takenOverOf(answer.value);
--- a/packages/router/src/RouterRunRegistry.ts
+++ b/packages/router/src/RouterRunRegistry.ts
@@ -53,6 +53,15 @@
     }
   }
 
+  /** Leaves the runs whose callers are away to other routers. */
+  leaveParked(): void {
+    for (const run of this.running) {
+      if (run.isParked()) {
+        run.leaveToOthers();
+      }
+    }
+  }
+
   private noteIdle(): void {
     if (this.running.size > 0) {
       return;
