--- /dev/null
+++ b/packages/engine/src/__tests__/unit/EngineStreamClient.test.ts
@@ -0,0 +1,285 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { EngineStart, EngineStreamEvent, GenerationId, ModelId } from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import type { ExecutionContext } from 'ava';
+import test from 'ava';
+import type { EngineStream } from '../../EngineStream.js';
+import { createEngineStreamClient } from '../../EngineStreamClient.js';
+
+const GENERATION = toId<GenerationId>('g-1');
+const START: EngineStart = {
+  attempt: toNumberId(1),
+  generationId: GENERATION,
+  maxTokens: 8,
+  model: toId<ModelId>('drafts'),
+  prefix: [],
+  priority: 1,
+  prompt: 'hello',
+  seed: 3,
+};
+
+interface Engine {
+  readonly connections: Socket[];
+  readonly requests: IncomingMessage[];
+  readonly url: string;
+}
+
+async function startEngine(
+  t: ExecutionContext,
+  handle: (request: IncomingMessage, response: ServerResponse) => void,
+): Promise<Engine> {
+  const connections: Socket[] = [];
+  const requests: IncomingMessage[] = [];
+  const server: Server = createServer((request, response) => {
+    requests.push(request);
+    request.resume();
+    handle(request, response);
+  });
+  server.on('connection', (socket) => connections.push(socket));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  return { connections, requests, url: `http://127.0.0.1:${port}` };
+}
+
+function tokenEvent(index: number, text = `t${index}`): string {
+  const data = { attempt: 1, generationId: GENERATION, index, text };
+  return `id: ${index}\ndata: ${JSON.stringify(data)}\n\n`;
+}
+
+async function collect(stream: EngineStream): Promise<EngineStreamEvent[]> {
+  const events: EngineStreamEvent[] = [];
+  for (;;) {
+    const event = await stream.next();
+    events.push(event);
+    if (event.kind !== 'token') {
+      return events;
+    }
+  }
+}
+
+test('reads tokens and the end, cut at any byte, with comments between', async (t) => {
+  const text = `: keepalive\n\n${tokenEvent(0, 'é€')}: keepalive\n\n${tokenEvent(1)}event: finished\ndata: {"finishReason":"stop","totalTokens":2}\n\n`;
+  const bytes = Buffer.from(text);
+  const engine = await startEngine(t, (_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    const send = (offset: number): void => {
+      if (offset >= bytes.length) {
+        response.end();
+        return;
+      }
+      response.write(bytes.subarray(offset, offset + 5), () => {
+        setImmediate(send, offset + 5);
+      });
+    };
+    send(0);
+  });
+  const events = await collect(createEngineStreamClient().start(engine.url, START));
+  t.snapshot(events);
+});
+
+const ENDINGS: readonly {
+  readonly body: string;
+  readonly expected: Partial<EngineStreamEvent>;
+  readonly status: number;
+  readonly title: string;
+}[] = [
+  {
+    body: 'event: preempted\ndata: {}\n\n',
+    expected: { kind: 'preempted' },
+    status: 200,
+    title: 'preempted',
+  },
+  {
+    body: 'event: superseded\ndata: {}\n\n',
+    expected: { kind: 'lost', reason: 'superseded' },
+    status: 200,
+    title: 'superseded',
+  },
+  {
+    body: tokenEvent(0),
+    expected: { kind: 'lost', reason: 'reset' },
+    status: 200,
+    title: 'an end without a last event',
+  },
+  {
+    body: 'id: 0\ndata: {"index":0}\n\n',
+    expected: { kind: 'lost', reason: 'protocolViolation' },
+    status: 200,
+    title: 'a malformed token',
+  },
+  {
+    body: 'id: 5\ndata: {"attempt":1,"generationId":"g-1","index":0,"text":"t"}\n\n',
+    expected: { kind: 'lost', reason: 'protocolViolation' },
+    status: 200,
+    title: 'an id that contradicts the index',
+  },
+  {
+    body: 'event: finished\ndata: {"finishReason":"tired","totalTokens":2}\n\n',
+    expected: { kind: 'lost', reason: 'protocolViolation' },
+    status: 200,
+    title: 'a malformed end',
+  },
+  {
+    body: `data: ${'x'.repeat(600_000)}`,
+    expected: { kind: 'lost', reason: 'protocolViolation' },
+    status: 200,
+    title: 'an event without end',
+  },
+  {
+    body: '{"error":"superseded"}',
+    expected: { kind: 'lost', reason: 'superseded' },
+    status: 409,
+    title: '409',
+  },
+  {
+    body: '{"error":"unknownGeneration"}',
+    expected: { kind: 'lost', reason: 'unknownGeneration' },
+    status: 404,
+    title: '404',
+  },
+  {
+    body: '{"error":"cannotContinue"}',
+    expected: { detail: 'cannotContinue', kind: 'lost', reason: 'rejected' },
+    status: 422,
+    title: '422',
+  },
+  {
+    body: '{"error":"leaving"}',
+    expected: { detail: 'leaving', kind: 'lost', reason: 'rejected' },
+    status: 503,
+    title: '503',
+  },
+];
+
+for (const { body, expected, status, title } of ENDINGS) {
+  test(`ends as it must: ${title}`, async (t) => {
+    const engine = await startEngine(t, (_request, response) => {
+      response.writeHead(status).end(body);
+    });
+    const events = await collect(createEngineStreamClient().start(engine.url, START));
+    t.like(events.at(-1), expected);
+  });
+}
+
+test('nobody listens: lost, and the status says refused', async (t) => {
+  const engine = await startEngine(t, () => undefined);
+  const gone = createServer();
+  await new Promise<void>((resolve) => {
+    gone.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = gone.address() as AddressInfo;
+  await new Promise((resolve) => gone.close(resolve));
+  const client = createEngineStreamClient();
+  const url = `http://127.0.0.1:${port}`;
+  t.like(await client.start(url, START).next(), { kind: 'lost', reason: 'connectFailed' });
+  t.like(await client.status(url, GENERATION), { error: { refused: true }, ok: false });
+  t.is(engine.requests.length, 0);
+});
+
+test('each call opens a connection of its own', async (t) => {
+  const engine = await startEngine(t, (request, response) => {
+    if (request.method === 'DELETE') {
+      response.writeHead(409).end('{}');
+      return;
+    }
+    if (request.url === '/v1/generations/g-1') {
+      response.end('{"attempt":2,"producedTokens":4,"state":"running"}');
+      return;
+    }
+    response.writeHead(200).write(tokenEvent(0));
+  });
+  const client = createEngineStreamClient();
+  const started = client.start(engine.url, START);
+  await started.next();
+  const attempt = toNumberId<EngineStart['attempt']>(2);
+  const resumed = client.resume(engine.url, { attempt, fromIndex: 4, generationId: GENERATION });
+  await resumed.next();
+  t.deepEqual(await client.status(engine.url, GENERATION), {
+    ok: true,
+    value: { attempt: toNumberId(2), producedTokens: 4, state: 'running' },
+  });
+  t.deepEqual(await client.cancel(engine.url, GENERATION, attempt), {
+    ok: true,
+    value: 'superseded',
+  });
+  t.deepEqual(
+    engine.requests.map((request) => `${request.method ?? ''} ${request.url ?? ''}`),
+    [
+      'POST /v1/generations',
+      'GET /v1/generations/g-1/stream?attempt=2&from=4',
+      'GET /v1/generations/g-1',
+      'DELETE /v1/generations/g-1?attempt=2',
+    ],
+  );
+  t.is(engine.connections.length, 4);
+  started.close();
+  resumed.close();
+});
+
+test('a reader that does not read holds the engine up', async (t) => {
+  const text = 'x'.repeat(16_384);
+  let written = 0;
+  const blocked = new Promise<void>((resolve) => {
+    void startEngine(t, (_request, response) => {
+      response.writeHead(200);
+      const send = (): void => {
+        while (written < 10_000) {
+          const flowing = response.write(tokenEvent(written, text));
+          written += 1;
+          if (!flowing) {
+            response.once('drain', send);
+            waitForStall(resolve);
+            return;
+          }
+        }
+        resolve();
+      };
+      send();
+    }).then((engine) => {
+      const stream = createEngineStreamClient().start(engine.url, START);
+      void stream.next();
+      t.teardown(() => {
+        stream.close();
+      });
+    });
+  });
+  /** The engine is held up once many turns of the loop have passed without a write. */
+  function waitForStall(resolve: () => void): void {
+    const seen = written;
+    let turns = 0;
+    const turn = (): void => {
+      turns += 1;
+      if (written !== seen) {
+        return;
+      }
+      if (turns === 2_000) {
+        resolve();
+        return;
+      }
+      setImmediate(turn);
+    };
+    setImmediate(turn);
+  }
+  await blocked;
+  t.true(written < 2_000, `${written} tokens of 16 KiB were taken without a reader`);
+});
+
+test('closing ends a waiting read', async (t) => {
+  const engine = await startEngine(t, (_request, response) => {
+    response.writeHead(200).write(tokenEvent(0));
+  });
+  const stream = createEngineStreamClient().start(engine.url, START);
+  await stream.next();
+  const waiting = stream.next();
+  stream.close();
+  t.like(await waiting, { kind: 'lost', reason: 'reset' });
+  t.like(await stream.next(), { kind: 'lost', reason: 'reset' });
+});
