--- a/packages/generation/src/GapEstimator.ts
+++ b/packages/generation/src/GapEstimator.ts
@@ -16,6 +16,8 @@
 const DEFAULT_CEILING_MS = 10_000;
 const MEAN_GAIN = 1 / 8;
 const DEVIATION_GAIN = 1 / 4;
+/** A rare long gap is remembered longer than it took to learn. */
+const DEVIATION_DECAY = 1 / 32;
 
 /** Estimates the usual gap between two events, and from which gap on to suspect that one is lost. */
 export class GapEstimator {
@@ -42,7 +44,8 @@
     }
     const error = gapMs - this.meanMs;
     this.meanMs += MEAN_GAIN * error;
-    this.deviationMs += DEVIATION_GAIN * (Math.abs(error) - this.deviationMs);
+    const excess = Math.abs(error) - this.deviationMs;
+    this.deviationMs += (excess > 0 ? DEVIATION_GAIN : DEVIATION_DECAY) * excess;
   }
 
   /** The gap from which on to ask. */
--- a/packages/generation/src/GenerationTracker.ts
+++ b/packages/generation/src/GenerationTracker.ts
@@ -208,9 +208,8 @@
   private moveOn(reason: string): GenerationAction {
     if (this.mayMove()) {
       this.dropUndelivered();
-      return this.place(reason);
     }
-    return { ...this.place(reason), onlyEngine: this.engine };
+    return this.place(reason);
   }
 
   private onFinished(event: Extract<GenerationEvent, { kind: 'finished' }>): GenerationAction {
@@ -295,6 +294,7 @@
       delayMs: 0,
       excludedEngines: [...this.excluded],
       kind: 'place',
+      onlyEngine: this.started && !this.mayMove() ? this.engine : undefined,
       prefix: [...this.texts],
       reason,
     };
