--- a/packages/platform/src/PlatformConnections.ts
+++ b/packages/platform/src/PlatformConnections.ts
@@ -30,9 +30,9 @@
     this.#agent = this.#newAgent();
   }
 
-  /** The dispatcher for further calls. */
-  get dispatcher(): Agent {
-    return this.#agent;
+  /** Connections of their own for one watch: a pooled connection may have gone silent. */
+  newDispatcher(): Agent {
+    return this.#newAgent();
   }
 
   /** Path of a call below the base URL. */
--- a/packages/platform/src/PlatformEtcdWatch.ts
+++ b/packages/platform/src/PlatformEtcdWatch.ts
@@ -38,21 +38,22 @@
 }
 
 class EtcdWatch implements StoreWatch {
+  readonly #dispatcher: Dispatcher;
   readonly #options: EtcdWatchOptions;
-  #abort: ((reason: Error) => void) | undefined;
   #ended = false;
   #idleTimer: NodeJS.Timeout | undefined;
   #partialLine = '';
   #status = 0;
 
   constructor(options: EtcdWatchOptions) {
+    this.#dispatcher = options.connections.newDispatcher();
     this.#options = options;
   }
 
   open(): void {
     const { afterRevision, connections, prefix } = this.#options;
     this.#restartIdleTimer();
-    connections.dispatcher.dispatch(
+    this.#dispatcher.dispatch(
       {
         body: JSON.stringify({
           create_request: {
@@ -72,20 +73,12 @@
   }
 
   close(): void {
-    this.#finish('closed');
+    this.#finish();
   }
 
   #handler(): Dispatcher.DispatchHandler {
     const decoder = new TextDecoder();
     return {
-      onRequestStart: (controller) => {
-        this.#abort = (reason) => {
-          controller.abort(reason);
-        };
-        if (this.#ended) {
-          controller.abort(new Error('closed'));
-        }
-      },
       onResponseData: (_controller, chunk) => {
         this.#restartIdleTimer();
         this.#take(decoder.decode(chunk, { stream: true }));
@@ -96,6 +89,11 @@
       onResponseError: (_controller, error) => {
         this.#end(error.message);
       },
+      onRequestStart: (controller) => {
+        if (this.#ended) {
+          controller.abort(new Error('the watch was closed'));
+        }
+      },
       onResponseStart: (_controller, statusCode) => {
         this.#status = statusCode;
       },
@@ -148,7 +146,7 @@
       this.#end(reason);
       return;
     }
-    this.#finish('compacted');
+    this.#finish();
     this.#options.onEvent({ kind: 'compacted', revision: toRevision(compactRevision) });
   }
 
@@ -175,14 +173,14 @@
     if (this.#ended) {
       return;
     }
-    this.#finish(detail);
+    this.#finish();
     this.#options.onEvent({ detail, kind: 'ended' });
   }
 
-  #finish(detail: string): void {
+  #finish(): void {
     this.#ended = true;
     clearTimeout(this.#idleTimer);
-    this.#abort?.(new Error(detail));
+    void this.#dispatcher.destroy();
   }
 }
 
--- /dev/null
+++ b/packages/standins/src/__tests__/integration/PlatformStoreFaults.test.ts
@@ -0,0 +1,200 @@
+import type { PlatformStore, Result, StoreError } from '@laburnumgap/kernel';
+import test from 'ava';
+import type { EtcdFixture } from '../support/StoreFixtures.js';
+import { etcdFixture, orderFault, put, revision, WatchRecorder } from '../support/StoreFixtures.js';
+
+const DEADLINE_MS = 1000;
+const PAST_DEADLINE_MS = 60_000;
+const COMMIT = { guards: [], writes: [put('/k/a', '1')] };
+
+type Call = (store: PlatformStore) => Promise<Result<unknown, StoreError>>;
+
+const CALLS = {
+  commit: (store) => store.commit(COMMIT),
+  grantLease: (store) => store.grantLease(30_000),
+  read: (store) => store.read('/k/a'),
+} as const satisfies Record<string, Call>;
+
+interface FaultCase {
+  readonly bringAbout: (fixture: EtcdFixture) => Promise<unknown>;
+  readonly call: keyof typeof CALLS;
+  readonly expected: StoreError['kind'];
+  readonly name: string;
+  /** Whether the commit has taken effect, where the call is one. */
+  readonly written?: boolean;
+}
+
+const kill = ({ server }: EtcdFixture): Promise<void> => server.close();
+const fault =
+  (order: object) =>
+  ({ server }: EtcdFixture): Promise<void> =>
+    orderFault(server, order);
+/** Opens several connections, then loses track of them. */
+const silence = async (fixture: EtcdFixture): Promise<void> => {
+  await Promise.all([1, 2, 3, 4].map(() => fixture.store.read('/k/a')));
+  await orderFault(fixture.server, { kind: 'silent' });
+};
+
+const FAULT_CASES: readonly FaultCase[] = [
+  { bringAbout: kill, call: 'read', expected: 'unavailable', name: 'connection refused' },
+  {
+    bringAbout: kill,
+    call: 'commit',
+    expected: 'unavailable',
+    name: 'connection refused',
+    written: false,
+  },
+  { bringAbout: kill, call: 'grantLease', expected: 'unavailable', name: 'connection refused' },
+  {
+    bringAbout: fault({ kind: 'loseAnswer' }),
+    call: 'commit',
+    expected: 'outcomeUnknown',
+    name: 'answer lost',
+    written: true,
+  },
+  {
+    bringAbout: fault({ kind: 'loseAnswer' }),
+    call: 'read',
+    expected: 'unavailable',
+    name: 'answer lost',
+  },
+  {
+    bringAbout: fault({ kind: 'loseAnswer' }),
+    call: 'grantLease',
+    expected: 'outcomeUnknown',
+    name: 'answer lost',
+  },
+  {
+    bringAbout: fault({ delayMs: PAST_DEADLINE_MS, kind: 'slow' }),
+    call: 'commit',
+    expected: 'outcomeUnknown',
+    name: 'answer past the deadline',
+    written: true,
+  },
+  {
+    bringAbout: fault({ delayMs: PAST_DEADLINE_MS, kind: 'slow' }),
+    call: 'read',
+    expected: 'unavailable',
+    name: 'answer past the deadline',
+  },
+  {
+    bringAbout: fault({ kind: 'freeze' }),
+    call: 'commit',
+    expected: 'outcomeUnknown',
+    name: 'store frozen',
+    written: false,
+  },
+  {
+    bringAbout: silence,
+    call: 'commit',
+    expected: 'outcomeUnknown',
+    name: 'connection silent',
+    written: false,
+  },
+  {
+    bringAbout: fault({ kind: 'refuse' }),
+    call: 'commit',
+    expected: 'unavailable',
+    name: 'no leader',
+    written: false,
+  },
+  {
+    bringAbout: fault({ kind: 'refuse' }),
+    call: 'read',
+    expected: 'unavailable',
+    name: 'no leader',
+  },
+];
+
+for (const row of FAULT_CASES) {
+  test(`${row.call}, ${row.name}: ${row.expected}`, async (t) => {
+    const fixture = await etcdFixture(t, { deadlineMs: DEADLINE_MS });
+    await row.bringAbout(fixture);
+    const result = await CALLS[row.call](fixture.store);
+    t.is(result.ok ? 'ok' : result.error.kind, row.expected);
+    if (row.written !== undefined) {
+      t.is(fixture.state.read('/k/a') !== undefined, row.written);
+    }
+  });
+}
+
+test('writes and reads above the rate are refused and have no effect', async (t) => {
+  const { clock, state, store } = await etcdFixture(t, { readsPerSecond: 1, writesPerSecond: 2 });
+  const results = [];
+  for (const key of ['/k/a', '/k/b', '/k/c']) {
+    results.push(await store.commit({ guards: [], writes: [put(key, '1')] }));
+  }
+  t.deepEqual(
+    results.map((result) => (result.ok ? 'ok' : result.error.kind)),
+    ['ok', 'ok', 'unavailable'],
+  );
+  t.is(state.read('/k/c'), undefined);
+  t.true((await store.read('/k/a')).ok);
+  t.false((await store.read('/k/a')).ok);
+  clock.advance(1000);
+  t.true((await store.read('/k/a')).ok);
+});
+
+test('calls work again on a new connection after one went silent', async (t) => {
+  const fixture = await etcdFixture(t, { deadlineMs: DEADLINE_MS });
+  await silence(fixture);
+  t.false((await fixture.store.commit(COMMIT)).ok);
+  t.true((await fixture.store.commit(COMMIT)).ok);
+});
+
+test('the etcd store is never asked twice for one call', async (t) => {
+  const fixture = await etcdFixture(t, { deadlineMs: DEADLINE_MS });
+  await fixture.store.commit(COMMIT);
+  await orderFault(fixture.server, { count: 3, kind: 'loseAnswer' });
+  await fixture.store.commit(COMMIT);
+  const counts = await (await fetch(`${fixture.server.url}/control/counts`)).json();
+  t.deepEqual(counts, { '/v3/kv/txn': 2 });
+});
+
+const WATCH_FAULTS: Readonly<Record<string, (fixture: EtcdFixture) => Promise<unknown>>> = {
+  'the server dies': ({ server }) => server.close(),
+  'the connection goes silent': ({ server }) => orderFault(server, { kind: 'silent' }),
+  'the store freezes': ({ server }) => orderFault(server, { kind: 'freeze' }),
+};
+
+for (const [name, bringAbout] of Object.entries(WATCH_FAULTS)) {
+  test(`a watch ends when ${name}`, async (t) => {
+    const fixture = await etcdFixture(t, { watchIdleLimitMs: DEADLINE_MS });
+    const recorder = new WatchRecorder();
+    await fixture.store.commit(COMMIT);
+    fixture.store.watch('/k/', revision(1), recorder.onEvent);
+    await recorder.untilChange('/k/a', '1');
+    await bringAbout(fixture);
+    await recorder.until((events) => events.some((event) => event.kind === 'ended'));
+    t.is(recorder.events.filter((event) => event.kind === 'ended').length, 1);
+  });
+}
+
+test('a watch opened again after silence misses nothing', async (t) => {
+  const fixture = await etcdFixture(t, { watchIdleLimitMs: DEADLINE_MS });
+  const first = new WatchRecorder();
+  fixture.store.watch('/k/', revision(1), first.onEvent);
+  await fixture.store.commit(COMMIT);
+  await first.untilChange('/k/a', '1');
+  await orderFault(fixture.server, { kind: 'silent' });
+  fixture.state.commit({ guards: [], writes: [put('/k/a', '2')] });
+  await first.until((events) => events.some((event) => event.kind === 'ended'));
+  t.false(first.events.some((event) => event.kind === 'changes' && event.revision > 2));
+  const second = new WatchRecorder();
+  const watch = fixture.store.watch('/k/', revision(2), second.onEvent);
+  await second.untilChange('/k/a', '2');
+  watch.close();
+  t.pass();
+});
+
+test('a watch that is refused ends', async (t) => {
+  const fixture = await etcdFixture(t);
+  await orderFault(fixture.server, { kind: 'refuse' });
+  const recorder = new WatchRecorder();
+  fixture.store.watch('/k/', revision(1), recorder.onEvent);
+  await recorder.until((events) => events.length > 0);
+  t.deepEqual(
+    recorder.events.map((event) => event.kind),
+    ['ended'],
+  );
+});
