--- a/packages/membership/src/MembershipLease.ts
+++ b/packages/membership/src/MembershipLease.ts
@@ -75,6 +75,10 @@
 
   /** A step failed; returns whether the lease is lost. */
   failed(error: StoreError, nowMs: number): boolean {
+    const storeAnswered = error.kind === 'conflict' || error.kind === 'leaseNotFound';
+    if (storeAnswered) {
+      this.#backoff.reset();
+    }
     this.#nextAtMs = nowMs + this.#backoff.nextDelayMs();
     if (error.kind !== 'leaseNotFound') {
       return false;
--- /dev/null
+++ b/packages/membership/src/__tests__/unit/MembershipRank.test.ts
@@ -0,0 +1,81 @@
+import { toId } from '@laburnumgap/kernel';
+import test from 'ava';
+import fc from 'fast-check';
+import { rankMembers } from '../../MembershipRank.js';
+import { MembershipView } from '../../MembershipView.js';
+import { memberOf } from '../support/MembershipFixtures.js';
+
+const KEYS = Array.from({ length: 400 }, (_, index) => `engine/e${index}`);
+const membersOf = (count: number) =>
+  Array.from({ length: count }, (_, index) => memberOf(`m${index}`));
+
+/** Owner by the key's hash modulo the number of members. */
+function naiveOwner(count: number, key: string): string {
+  let hash = 0;
+  for (const character of key) {
+    hash = (Math.imul(hash, 31) + character.charCodeAt(0)) >>> 0;
+  }
+  return `m${hash % count}`;
+}
+
+test('a key changes its owner only when the owner goes; a naive owner changes nearly always', (t) => {
+  let naiveMoves = 0;
+  const run = fc.property(fc.integer({ max: 20, min: 2 }), fc.nat(), (count, pick) => {
+    const before = membersOf(count);
+    const gone = before[pick % count]?.memberId;
+    const after = before.filter((member) => member.memberId !== gone);
+    for (const key of KEYS) {
+      const owner = rankMembers(before, key)[0];
+      const newOwner = rankMembers(after, key)[0];
+      if (owner?.memberId !== gone && owner?.memberId !== newOwner?.memberId) {
+        return false;
+      }
+      if (
+        owner?.memberId === gone &&
+        newOwner?.memberId !== rankMembers(before, key)[1]?.memberId
+      ) {
+        return false;
+      }
+      naiveMoves += naiveOwner(count, key) === naiveOwner(count - 1, key) ? 0 : 1;
+    }
+    return true;
+  });
+  fc.assert(run, { numRuns: 20, seed: 11 });
+  t.true(naiveMoves > 20 * KEYS.length * 0.5);
+});
+
+test('every process ranks alike, whatever order it knows the members in', (t) => {
+  const members = membersOf(7);
+  const run = fc.property(fc.shuffledSubarray(members, { minLength: 7 }), (shuffled) => {
+    const ids = (list: typeof members) => list.map((member) => member.memberId);
+    const key = KEYS[0] ?? '';
+    return (
+      ids([...rankMembers(shuffled, key)]).join() === ids([...rankMembers(members, key)]).join()
+    );
+  });
+  t.notThrows(() => {
+    fc.assert(run, { seed: 12 });
+  });
+});
+
+test('no member owns more than twice its share', (t) => {
+  const members = membersOf(10);
+  const owned = new Map<string, number>();
+  for (const key of KEYS) {
+    const owner = rankMembers(members, key)[0]?.memberId ?? '';
+    owned.set(owner, (owned.get(owner) ?? 0) + 1);
+  }
+  t.is(owned.size, members.length);
+  t.true(Math.max(...owned.values()) <= (2 * KEYS.length) / members.length);
+});
+
+test('a suspected member is ranked last for a while', (t) => {
+  const view = new MembershipView(0);
+  const registered = membersOf(3).map((member) => ({ key: member.memberId, member }));
+  view.applySnapshot(registered, toId<never>('1'), 0);
+  const [first, second] = view.rank('scheduler', 'k', 0);
+  view.suspect(first?.memberId ?? toId('none'), 0);
+  t.is(view.rank('scheduler', 'k', 9999)[0], second);
+  t.is(view.rank('scheduler', 'k', 9999).length, 3);
+  t.is(view.rank('scheduler', 'k', 10_000)[0], first);
+});
