Take addresses of peers from the settings

A daemon that starts while the platform's service is away knows no member yet; the seeds give it peers to take the configuration from. Additive, empty by default.

--- a/packages/node/src/NodeStart.ts
+++ b/packages/node/src/NodeStart.ts
@@ -47,6 +47,7 @@
     log,
     member,
     random,
+    seedAddresses: settings.peers.seeds,
     store,
   });
   const servers = startServerDirectory({
--- a/packages/settings/src/SettingsSchema.ts
+++ b/packages/settings/src/SettingsSchema.ts
@@ -59,6 +59,8 @@
     secret: z
       .string()
       .min(MIN_SECRET_CHARACTERS, `expected at least ${MIN_SECRET_CHARACTERS} characters`),
+    /** gRPC addresses of peers to take the configuration from while none is known otherwise. */
+    seeds: z.array(addressSchema).default([]),
   }),
   platform: z.strictObject({
     storeUrl: urlSchema,
