--- a/packages/tools/src/deployment/Deployment.ts
+++ b/packages/tools/src/deployment/Deployment.ts
@@ -270,12 +270,17 @@
     for (const daemon of daemons) {
       codes.set(daemon.name, (await daemon.exited).code);
     }
+    await this.kill();
+    return codes;
+  }
+
+  /** Ends every process at once. */
+  async kill(): Promise<void> {
     await this.#store?.close();
-    for (const standin of this.standins.values()) {
-      standin.kill('SIGKILL');
+    for (const process of [...this.daemons.values(), ...this.standins.values()]) {
+      process.kill('SIGKILL');
     }
     await rm(this.#directory, { force: true, recursive: true });
-    return codes;
   }
 
   /** Log lines of all daemons that match. */
--- a/packages/tools/src/deployment/DeploymentCaller.ts
+++ b/packages/tools/src/deployment/DeploymentCaller.ts
@@ -28,6 +28,8 @@
 /** Options of {@link streamCompletion}. */
 export interface StreamOptions {
   readonly apiKey: string;
+  /** The caller hangs up after so long without a byte. */
+  readonly idleLimitMs?: number;
   /** Index of the last token that the caller has; for coming back. */
   readonly lastEventId?: number;
   readonly maxTokens: number;
@@ -75,8 +77,10 @@
         ...(options.seed === undefined ? {} : { seed: options.seed }),
         stream: true,
       }),
+      bodyTimeout: options.idleLimitMs ?? 0,
       dispatcher,
       headers: headersOf(options),
+      headersTimeout: options.idleLimitMs ?? 0,
       method: 'POST',
       ...(options.signal ? { signal: options.signal } : {}),
     });
@@ -127,6 +131,8 @@
   readonly apiKey: string;
   readonly body?: string;
   readonly idempotencyKey?: string;
+  /** The caller hangs up after so long without a byte. */
+  readonly idleLimitMs?: number;
   readonly method: 'DELETE' | 'GET' | 'PATCH' | 'POST' | 'PUT';
   readonly path: string;
   readonly requestId?: string;
@@ -151,6 +157,7 @@
       `http://${options.router}/services/${options.service}${options.path}`,
       {
         ...(options.body === undefined ? {} : { body: options.body }),
+        bodyTimeout: options.idleLimitMs ?? 0,
         dispatcher,
         headers: {
           authorization: `Bearer ${options.apiKey}`,
@@ -158,6 +165,7 @@
           ...(options.idempotencyKey ? { 'idempotency-key': options.idempotencyKey } : {}),
           ...(options.requestId ? { 'x-request-id': options.requestId } : {}),
         },
+        headersTimeout: options.idleLimitMs ?? 0,
         method: options.method,
       },
     );
--- /dev/null
+++ b/packages/tools/src/faults/FaultsFirms.ts
@@ -0,0 +1,143 @@
+import { readFile, readdir } from 'node:fs/promises';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import type { OutputLengthRange } from '@laburnumgap/standins';
+import type { DeploymentOptions } from '../deployment/Deployment.js';
+
+/** Work that a firm's callers bring. */
+export interface FirmGenerations {
+  readonly maxTokens: number;
+  readonly model: string;
+  readonly team: string;
+}
+
+/** A firm of the fault runs: its deployment and the calls of its teams. */
+export interface Firm {
+  readonly deployment: DeploymentOptions;
+  readonly generations: readonly FirmGenerations[];
+  readonly lookup: { readonly path: string; readonly team: string };
+  readonly name: FirmName;
+  readonly once: { readonly path: string; readonly team: string };
+  readonly outputRange: OutputLengthRange;
+  readonly service: string;
+}
+
+/** Name of a firm, as the folder of its examples. */
+export type FirmName = 'harrow-pell' | 'hoa-sen';
+
+interface FirmShape {
+  readonly engines: number;
+  readonly generations: readonly FirmGenerations[];
+  readonly lookup: Firm['lookup'];
+  readonly once: Firm['once'];
+  readonly pool: string;
+  readonly service: string;
+}
+
+const SHAPES: Readonly<Record<FirmName, FirmShape>> = {
+  'harrow-pell': {
+    engines: 8,
+    generations: [
+      { maxTokens: 400, model: 'layout-drafter', team: 'drafts' },
+      { maxTokens: 60, model: 'note-writer', team: 'notes' },
+    ],
+    lookup: { path: '/v1/slots/ID', team: 'lookups' },
+    once: { path: '/v1/bookings', team: 'bookings' },
+    pool: 'wall-plan',
+    service: 'diary',
+  },
+  'hoa-sen': {
+    engines: 10,
+    generations: [
+      { maxTokens: 400, model: 'report-writer', team: 'reports' },
+      { maxTokens: 40, model: 'aisle-flagger', team: 'flags' },
+    ],
+    lookup: { path: '/v1/stock/ID', team: 'lookups' },
+    once: { path: '/v1/transfers', team: 'transfers' },
+    pool: 'stock-count',
+    service: 'stock',
+  },
+};
+
+const DOMAINS = ['zone-1', 'zone-2', 'zone-3'] as const;
+const ENTRY_VMS = 6;
+const SERVICES = 3;
+const OUTPUT_RANGE: OutputLengthRange = { maxTokens: 400, minTokens: 20 };
+const KV_TOKENS = 6_000;
+const DECODE_MS = 10;
+const EXAMPLES = fileURLToPath(new URL('../../../../examples', import.meta.url));
+
+/**
+ * Key of a team in the examples.
+ *
+ * @param firm - the firm
+ * @param team - the team
+ * @returns the key as published with the examples
+ */
+export function exampleKey(firm: FirmName, team: string): string {
+  return `${firm}-${team}-example-key`;
+}
+
+/**
+ * Reads a firm's example contracts and sizes.
+ *
+ * @param name - the firm
+ * @returns the firm at its size of today
+ */
+export async function loadFirm(name: FirmName): Promise<Firm> {
+  const shape = SHAPES[name];
+  const models = shape.generations.map(({ model }) => model);
+  return {
+    deployment: {
+      contracts: await readContracts(name),
+      engines: spread(shape.engines, 'model').map(({ failureDomain, name: engine }) => ({
+        args: engineArgs(models, name === 'hoa-sen'),
+        failureDomain,
+        name: engine,
+        pool: shape.pool,
+      })),
+      entryVms: spread(ENTRY_VMS, 'entry'),
+      pools: [{ checksFencingNumbers: name !== 'hoa-sen', models, name: shape.pool }],
+      region: 'region-1',
+      services: spread(SERVICES, 'app').map((server) => ({ ...server, service: shape.service })),
+    },
+    generations: shape.generations,
+    lookup: shape.lookup,
+    name,
+    once: shape.once,
+    outputRange: OUTPUT_RANGE,
+    service: shape.service,
+  };
+}
+
+function engineArgs(models: readonly string[], ignoresFencing: boolean): readonly string[] {
+  return [
+    '--models',
+    models.join(','),
+    '--kv-tokens',
+    String(KV_TOKENS),
+    '--decode-ms',
+    String(DECODE_MS),
+    '--min-output',
+    String(OUTPUT_RANGE.minTokens),
+    '--max-output',
+    String(OUTPUT_RANGE.maxTokens),
+    ...(ignoresFencing ? ['--ignore-fencing'] : []),
+  ];
+}
+
+function spread(
+  count: number,
+  prefix: string,
+): readonly { readonly failureDomain: string; readonly name: string }[] {
+  return Array.from({ length: count }, (_, index) => ({
+    failureDomain: DOMAINS[index % DOMAINS.length] ?? DOMAINS[0],
+    name: `${prefix}-${index + 1}`,
+  }));
+}
+
+async function readContracts(firm: FirmName): Promise<readonly string[]> {
+  const folder = join(EXAMPLES, firm, 'contracts');
+  const files = (await readdir(folder)).sort();
+  return Promise.all(files.map((file) => readFile(join(folder, file), 'utf8')));
+}
