--- a/packages/config-sync/src/ConfigHistory.ts
+++ b/packages/config-sync/src/ConfigHistory.ts
@@ -6,6 +6,8 @@
 const versionSchema = z.strictObject({
   /** When it was accepted, by the operator's clock. */
   acceptedAtEpochMs: z.number(),
+  /** Unique to the change, so that a lost answer can be settled by reading back. */
+  changeId: z.string(),
   operator: z.string(),
   /** Revision that this version replaced; 0 for the first one. */
   replacedRevision: z.number().int().min(0),
--- a/packages/config-sync/src/__tests__/integration/ConfigSync.test.ts
+++ b/packages/config-sync/src/__tests__/integration/ConfigSync.test.ts
@@ -233,6 +233,7 @@
   fleet.accept(TEAM, 1);
   const accepted = {
     acceptedAtEpochMs: 1,
+    changeId: 'c',
     operator: 'op',
     replacedRevision: 2,
     text: contractText(TEAM, 2),
--- a/packages/config-sync/src/index.ts
+++ b/packages/config-sync/src/index.ts
@@ -6,3 +6,4 @@
 export * from './ConfigSyncConstants.js';
 export * from './ConfigTopology.js';
 export * from './ConfigView.js';
+export * from './ConfigWriter.js';
--- /dev/null
+++ b/packages/ctl/src/CtlProgram.ts
@@ -0,0 +1,170 @@
+import { hashKey } from '@laburnumgap/contracts';
+import type { Result } from '@laburnumgap/kernel';
+import { failure, success } from '@laburnumgap/kernel';
+import { parseYamlDocument } from '@laburnumgap/settings';
+import type { Sade } from 'sade';
+import sade from 'sade';
+import type { Command, CtlOptions } from './CtlCommands.js';
+import { STORE_COMMANDS } from './CtlCommands.js';
+import { EXIT_FAILED, EXIT_OK } from './CtlConstants.js';
+import type { CtlEnvironment, CtlOutcome } from './CtlContext.js';
+import type { CtlError } from './CtlError.js';
+import { exitCodeOf, explainError } from './CtlError.js';
+import type { CtlSettings } from './CtlSettings.js';
+import { ctlSettingsSchema } from './CtlSettings.js';
+import { readFileText, textOf } from './CtlUtils.js';
+
+const PROGRAM = 'laburnumctl';
+const VERSION = '0.1.0';
+const COMMON_OPTIONS = {
+  json: 'Print JSON for scripts',
+  settings: 'Path of the YAML settings file',
+};
+
+/**
+ * Runs `laburnumctl`.
+ *
+ * @param argv - the arguments, as in `process.argv`
+ * @param environment - files, output, store and daemons
+ * @returns the exit code
+ */
+export async function runCtl(argv: string[], environment: CtlEnvironment): Promise<number> {
+  const fail = (error: CtlError): number => {
+    for (const line of explainError(error)) {
+      environment.writeError(`${PROGRAM}: ${line}`);
+    }
+    return exitCodeOf(error);
+  };
+  const unknown = unknownCommand(argv);
+  if (unknown !== undefined) {
+    return fail({ detail: `${unknown}; see ${PROGRAM} --help`, kind: 'usage' });
+  }
+  const parsed = declareCommands().parse(argv, {
+    boolean: ['json'],
+    lazy: true,
+    string: valueOptions(),
+  }) as { args: unknown[]; name: string } | undefined;
+  if (!parsed) {
+    return EXIT_OK;
+  }
+  const options = (parsed.args.at(-1) ?? {}) as CtlOptions;
+  const argument = parsed.args.length > 1 ? parsed.args[0] : undefined;
+  const outcome = await runNamed(parsed.name, argument, options, environment);
+  if (!outcome.ok) {
+    return fail(outcome.error);
+  }
+  const { hasFailed, json, lines } = outcome.value;
+  for (const line of options.json === true ? [JSON.stringify(json)] : lines) {
+    environment.writeLine(line);
+  }
+  return hasFailed ? EXIT_FAILED : EXIT_OK;
+}
+
+async function runNamed(
+  name: string,
+  argument: unknown,
+  options: CtlOptions,
+  environment: CtlEnvironment,
+): Promise<CtlOutcome> {
+  if (name === 'hash-key') {
+    return hashGivenKey(argument, environment);
+  }
+  const command = STORE_COMMANDS.find((candidate) => candidate.name === name);
+  const wrong = wrongArguments(command, argument, options);
+  if (wrong !== undefined) {
+    return failure({ detail: wrong, kind: 'usage' });
+  }
+  const settings = await loadSettings(environment, options.settings);
+  if (!settings.ok) {
+    return settings;
+  }
+  if (!command) {
+    return success({ json: { valid: true }, lines: ['settings are valid'] });
+  }
+  const clients = environment.connectClients(settings.value);
+  const store = environment.connectStore(settings.value);
+  try {
+    const context = { clients, environment, settings: settings.value, store };
+    return await command.run(context, textOf(argument), options);
+  } finally {
+    clients.close();
+    await store.close();
+  }
+}
+
+function declareCommands(): Sade {
+  const cli = sade(PROGRAM)
+    .version(VERSION)
+    .describe('Writes and changes contracts, plans stops, and shows what is in force and why')
+    .option('--settings', COMMON_OPTIONS.settings)
+    .option('--json', COMMON_OPTIONS.json);
+  for (const { argument, description, name, options } of STORE_COMMANDS) {
+    cli.command(argument === undefined ? name : `${name} [${argument}]`, description);
+    for (const [option, meaning] of Object.entries(options ?? {})) {
+      cli.option(`--${option}`, meaning);
+    }
+  }
+  cli.command('check-settings', 'Check the settings file and exit');
+  cli.command('hash-key [key]', 'Print the hash of a key, read from the input if not given');
+  return cli;
+}
+
+function valueOptions(): string[] {
+  return ['settings', ...STORE_COMMANDS.flatMap(({ options }) => Object.keys(options ?? {}))];
+}
+
+function unknownCommand(argv: readonly string[]): string | undefined {
+  if (argv.some((word) => ['--help', '--version', '-h', '-v'].includes(word))) {
+    return undefined;
+  }
+  const names = [...STORE_COMMANDS.map(({ name }) => name), 'check-settings', 'hash-key'];
+  const words = argv.slice(2);
+  const line = `${words.join(' ')} `;
+  if (names.some((name) => line.startsWith(`${name} `))) {
+    return undefined;
+  }
+  return words.length === 0
+    ? 'no command given'
+    : `unknown command: ${words.slice(0, 2).join(' ')}`;
+}
+
+function wrongArguments(
+  command: Command | undefined,
+  argument: unknown,
+  options: CtlOptions,
+): string | undefined {
+  const { _: rest = [], ...given } = options as CtlOptions & { _?: unknown[] };
+  const known = { ...COMMON_OPTIONS, ...command?.options };
+  const unknown = Object.keys(given).find((name) => !(name in known));
+  if (unknown !== undefined) {
+    return `unknown option: --${unknown}`;
+  }
+  if (command?.argument !== undefined && argument === undefined) {
+    return `${command.name} needs a ${command.argument}`;
+  }
+  return rest.length > 0 ? `unexpected argument: ${textOf(rest[0])}` : undefined;
+}
+
+async function loadSettings(
+  environment: CtlEnvironment,
+  file: unknown,
+): Promise<Result<CtlSettings, CtlError>> {
+  if (typeof file !== 'string') {
+    return failure({ detail: '--settings FILE is required', kind: 'usage' });
+  }
+  const text = await readFileText(environment, file);
+  if (!text.ok) {
+    return text;
+  }
+  const parsed = parseYamlDocument({ file, schema: ctlSettingsSchema, text: text.value });
+  return parsed.ok ? parsed : failure({ kind: 'invalid', problems: parsed.error });
+}
+
+async function hashGivenKey(argument: unknown, environment: CtlEnvironment): Promise<CtlOutcome> {
+  const given = argument === undefined ? await environment.readStdin() : textOf(argument);
+  const key = given.trim();
+  if (key === '') {
+    return failure({ detail: 'hash-key needs a key', kind: 'usage' });
+  }
+  return success({ json: { sha256: hashKey(key) }, lines: [hashKey(key)] });
+}
