--- /dev/null
+++ b/packages/router/src/__tests__/utils/FakeDaemon.ts
@@ -0,0 +1,145 @@
+import type { ConfigurationView, Contract, ContractInForce } from '@laburnumgap/contracts';
+import { hashKey } from '@laburnumgap/contracts';
+import type { DaemonContext, DaemonStage } from '@laburnumgap/daemon';
+import { createActorSystem } from '@laburnumgap/daemon';
+import type { Member, MemberDirectory, ServerDirectory, TeamId } from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import type { Node } from '@laburnumgap/node';
+import { createMemoryStore } from '@laburnumgap/platform';
+import { createRpcClients } from '@laburnumgap/rpc';
+import { NO_METRICS, createDecisionLog, createLog } from '@laburnumgap/telemetry';
+import type { ExecutionContext } from 'ava';
+import type { Router, RouterOptions } from '../../RouterDaemon.js';
+import { startRouter } from '../../RouterDaemon.js';
+import { UNLIMITED_QUOTA } from '../../RouterQuota.js';
+import type { RouterSettings } from '../../RouterSettings.js';
+import { routerSettingsSchema } from '../../RouterSettings.js';
+import { CONTRACT, FakeWorld } from './FakeWorld.js';
+
+export const KEY = 'key-of-the-stock-team';
+export const REVOKED_KEY = 'revoked-key-of-the-stock-team';
+
+/** A router over scripted ports that serves real HTTP. */
+export interface FakeDaemon {
+  readonly lines: readonly string[];
+  readonly router: Router;
+  setStage(stage: DaemonStage): void;
+  readonly url: string;
+  readonly world: FakeWorld;
+}
+
+/** Options of {@link startFakeDaemon}. */
+export interface FakeDaemonOptions extends Partial<RouterOptions> {
+  readonly contract?: Partial<Contract>;
+  readonly settings?: Partial<RouterSettings['router']>;
+  readonly world?: FakeWorld;
+}
+
+/** Starts a router; it is closed with the test. */
+export async function startFakeDaemon(
+  t: ExecutionContext,
+  options: FakeDaemonOptions = {},
+): Promise<FakeDaemon> {
+  const { world = new FakeWorld() } = options;
+  const lines: string[] = [];
+  const log = createLog({ level: 'debug', write: (line) => lines.push(line) });
+  const actors = createActorSystem(log);
+  const state: { stage: DaemonStage } = { stage: 'ready' };
+  const context: DaemonContext<RouterSettings> = {
+    actors,
+    decisions: createDecisionLog({ log }),
+    log,
+    metrics: NO_METRICS,
+    readyAfter: () => undefined,
+    settings: settingsOf(options.settings),
+    shutDown: () => undefined,
+    stage: () => state.stage,
+  };
+  const router = await startRouter({
+    admission: world.admission,
+    context,
+    engines: world.client,
+    homes: world.homes.portOf('router-1'),
+    node: nodeOf(world, { ...CONTRACT, ...options.contract }),
+    quota: UNLIMITED_QUOTA,
+    ...options,
+  });
+  t.teardown(async () => {
+    await router.drain();
+    actors.stop();
+  });
+  return {
+    lines,
+    router,
+    setStage: (stage) => {
+      state.stage = stage;
+    },
+    url: `http://${router.addresses.http ?? ''}`,
+    world,
+  };
+}
+
+function settingsOf(router: Partial<RouterSettings['router']> = {}): RouterSettings {
+  return routerSettingsSchema.parse({
+    enginePools: [{ checksFencingNumbers: true, models: ['drafts'], name: 'drafts' }],
+    listen: { http: '127.0.0.1:0', rpc: '127.0.0.1:0' },
+    member: { entryVm: 'vm-1', failureDomain: 'domain-0', id: 'router-1', region: 'region' },
+    peers: { secret: 'a-secret-between-peers' },
+    platform: { storeUrl: 'http://127.0.0.1:1', vmListUrl: 'http://127.0.0.1:1' },
+    router,
+  });
+}
+
+function nodeOf(world: FakeWorld, contract: Contract): Node {
+  const member: Member = {
+    entryVm: toId('vm-1'),
+    failureDomain: toId('domain-0'),
+    incarnation: toId('incarnation'),
+    memberId: toId('router-1'),
+    region: toId('region'),
+    role: 'router',
+    rpcAddress: '127.0.0.1:1',
+  };
+  const directory: MemberDirectory = {
+    members: () => [member],
+    onChange: () => () => undefined,
+    rank: () => [],
+    suspect: () => undefined,
+  };
+  const clients = createRpcClients('a-secret-between-peers');
+  const servers: ServerDirectory = world.servers;
+  return {
+    clients,
+    clock: world.timers,
+    configuration: configurationOf(contract),
+    configurationAgeMs: () => 0,
+    directory,
+    drain: () => {
+      clients.close();
+      return Promise.resolve();
+    },
+    holdsLease: () => true,
+    random: { nextUnit: () => 0 },
+    serve: () => Promise.resolve(member),
+    servers,
+    store: createMemoryStore(),
+  };
+}
+
+function configurationOf(contract: Contract): ConfigurationView {
+  const inForce: ContractInForce = { contract, revision: toNumberId(1) };
+  return {
+    contractOfKey: (keySha256) => {
+      if (keySha256 === hashKey(KEY)) {
+        return inForce;
+      }
+      return keySha256 === hashKey(REVOKED_KEY) ? 'revoked' : 'unknown';
+    },
+    onChange: () => () => undefined,
+    snapshot: () => ({
+      contracts: new Map([[toId<TeamId>(contract.team), inForce]]),
+      revision: toNumberId(1),
+      stops: [],
+    }),
+  };
+}
--- a/packages/router/src/__tests__/utils/FakeWorld.ts
+++ b/packages/router/src/__tests__/utils/FakeWorld.ts
@@ -128,7 +128,7 @@
   readonly homes = new FakeHomes();
   readonly timers = new FakeTimers();
   private readonly policy: ContinuationPolicy;
-  private readonly servers: ServerDirectory;
+  readonly servers: ServerDirectory;
 
   constructor(options: FakeWorldOptions = {}) {
     const faults = options.faults ?? [];
