--- a/packages/router/src/RouterDaemon.ts
+++ b/packages/router/src/RouterDaemon.ts
@@ -80,16 +80,19 @@
   const health = new RouterEngineHealth(node.clock);
   const progress = new RouterProgress(admission, timers);
   const registry = new RouterRunRegistry();
+  let draining = false;
   const services: RunServices = {
     clock: node.clock,
     decisions,
     engines: options.engines ?? createEngineStreamClient(),
     health,
     homes,
+    isDraining: () => draining,
     metrics,
     placement: new RouterPlacement({
       admission,
       chooser: new RouteChooser({ random: node.random }),
+      clock,
       decisions,
       health,
       pools: settings.enginePools,
@@ -110,7 +113,6 @@
     const known = node.servers.servers().map((server) => toId<EngineId>(server.serverId));
     health.keepOnly(new Set(known));
   });
-  let draining = false;
   const http = await startHttpServer({
     address: settings.listen.http,
     handler: createRouterHttp({
--- a/packages/router/src/RouterGenerationRun.ts
+++ b/packages/router/src/RouterGenerationRun.ts
@@ -351,7 +351,11 @@
   /** Keeps the generation for a caller that may come back, then gives it up. */
   private async park(): Promise<void> {
     const { contract, requestId } = this.options;
-    void this.assignment.record();
+    const recorded = this.assignment.record();
+    if (this.services.isDraining()) {
+      await recorded;
+      return;
+    }
     await new Promise<void>((resolve) => {
       const stopTimer = this.services.timers.after(contract.reconnectGraceMs, resolve);
       this.unpark = () => {
--- a/packages/router/src/RouterPlacement.ts
+++ b/packages/router/src/RouterPlacement.ts
@@ -2,6 +2,7 @@
   DecisionSink,
   EngineId,
   ModelId,
+  MonotonicClock,
   PoolId,
   Refusal,
   Result,
@@ -9,7 +10,7 @@
 } from '@laburnumgap/kernel';
 import { failure, refusal, success, toId } from '@laburnumgap/kernel';
 import type { RouteCandidate, RouteChoice, RouteChooser, RouteRequest } from '@laburnumgap/routing';
-import type { GrantedReservation } from './RouterAdmissionWait.js';
+import type { AdmissionOutcome, GrantedReservation } from './RouterAdmissionWait.js';
 import { waitForAdmission } from './RouterAdmissionWait.js';
 import {
   MAX_ADMISSION_TRIES,
@@ -30,6 +31,7 @@
 export interface RouterPlacementOptions {
   readonly admission: AdmissionPort;
   readonly chooser: RouteChooser;
+  readonly clock: MonotonicClock;
   readonly decisions: DecisionSink;
   readonly health: RouterEngineHealth;
   readonly pools: readonly EnginePool[];
@@ -90,11 +92,12 @@
   async place(request: PlacementRequest): Promise<Result<Placed, PlacementFailure>> {
     const tried = new Set<EngineId>();
     let refused = refusal('NO_ENGINE', `no engine serves ${request.model}`, NO_ENGINE_RETRY_MS);
+    const deadlineMs = this.options.clock.nowMs() + request.waitBoundMs;
     for (let round = 0; round < MAX_PLACEMENT_ROUNDS; round += 1) {
       for (const choice of await this.choose(request, tried)) {
         const { engineId } = choice.candidate;
         tried.add(engineId);
-        const outcome = await this.admit(request, choice);
+        const outcome = await this.admit(request, choice, deadlineMs);
         if (outcome.kind === 'granted') {
           const { reservation } = outcome;
           const engineUrl = reservation.engineUrl || choice.candidate.url;
@@ -104,7 +107,12 @@
         if (outcome.kind === 'aborted') {
           return failure({ kind: 'aborted' });
         }
-        refused = outcome.kind === 'refused' ? sooner(refused, outcome.refusal) : refused;
+        if (outcome.kind === 'refused') {
+          refused = sooner(refused, outcome.refusal);
+          if (outcome.refusal.code === 'DEADLINE_BEFORE_RUN') {
+            return failure(outcome);
+          }
+        }
       }
     }
     return failure({ kind: 'refused', refusal: refused });
@@ -113,8 +121,9 @@
   private async admit(
     request: PlacementRequest,
     choice: RouteChoice,
-  ): Promise<Awaited<ReturnType<typeof waitForAdmission>>> {
-    const { admission, decisions, timers } = this.options;
+    deadlineMs: number,
+  ): Promise<AdmissionOutcome> {
+    const { admission, clock, decisions, timers } = this.options;
     const { engineId } = choice.candidate;
     const { excludedEngines, onlyEngine, signal, ...fields } = request;
     decisions.record({
@@ -129,10 +138,14 @@
       },
       requestId: request.requestId,
     });
-    const options = { admission, request: { ...fields, engineId }, signal, timers };
-    let outcome = await waitForAdmission(options);
+    const ask = (): Promise<AdmissionOutcome> => {
+      const waitBoundMs = Math.max(0, deadlineMs - clock.nowMs());
+      const asked = { ...fields, engineId, waitBoundMs };
+      return waitForAdmission({ admission, request: asked, signal, timers });
+    };
+    let outcome = await ask();
     for (let tries = 1; outcome.kind === 'lost' && tries < MAX_ADMISSION_TRIES; tries += 1) {
-      outcome = await waitForAdmission(options);
+      outcome = await ask();
     }
     return outcome;
   }
--- a/packages/router/src/RouterRunTypes.ts
+++ b/packages/router/src/RouterRunTypes.ts
@@ -27,6 +27,8 @@
   readonly engines: EngineStreamClient;
   readonly health: RouterEngineHealth;
   readonly homes: RequestHomes;
+  /** Whether the router shuts down; generations of absent callers are then left to others. */
+  readonly isDraining: () => boolean;
   readonly metrics: Metrics;
   readonly placement: RouterPlacement;
   readonly policy: ContinuationPolicy;
--- a/packages/router/src/__tests__/utils/FakeDaemon.ts
+++ b/packages/router/src/__tests__/utils/FakeDaemon.ts
@@ -2,7 +2,13 @@
 import { hashKey } from '@laburnumgap/contracts';
 import type { DaemonContext, DaemonStage } from '@laburnumgap/daemon';
 import { createActorSystem } from '@laburnumgap/daemon';
-import type { Member, MemberDirectory, ServerDirectory, TeamId } from '@laburnumgap/kernel';
+import type {
+  Member,
+  MemberDirectory,
+  MonotonicClock,
+  ServerDirectory,
+  TeamId,
+} from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import type { Node } from '@laburnumgap/node';
 import { createMemoryStore } from '@laburnumgap/platform';
@@ -30,6 +36,8 @@
 
 /** Options of {@link startFakeDaemon}. */
 export interface FakeDaemonOptions extends Partial<RouterOptions> {
+  /** Clock of the node; that of the world by default. */
+  readonly clock?: MonotonicClock;
   readonly contract?: Partial<Contract>;
   readonly settings?: Partial<RouterSettings['router']>;
   readonly world?: FakeWorld;
@@ -60,7 +68,7 @@
     context,
     engines: world.client,
     homes: world.homes.portOf('router-1'),
-    node: nodeOf(world, { ...CONTRACT, ...options.contract }),
+    node: nodeOf(world, options.clock ?? world.timers, { ...CONTRACT, ...options.contract }),
     quota: UNLIMITED_QUOTA,
     ...options,
   });
@@ -90,7 +98,7 @@
   });
 }
 
-function nodeOf(world: FakeWorld, contract: Contract): Node {
+function nodeOf(world: FakeWorld, clock: MonotonicClock, contract: Contract): Node {
   const member: Member = {
     entryVm: toId('vm-1'),
     failureDomain: toId('domain-0'),
@@ -110,7 +118,7 @@
   const servers: ServerDirectory = world.servers;
   return {
     clients,
-    clock: world.timers,
+    clock,
     configuration: configurationOf(contract),
     configurationAgeMs: () => 0,
     directory,
--- a/packages/router/src/__tests__/utils/FakeEngines.ts
+++ b/packages/router/src/__tests__/utils/FakeEngines.ts
@@ -50,6 +50,8 @@
   readAhead = 0;
   readonly starts: EngineStart[] = [];
   streamsOpened = 0;
+  /** Added to each text, to make large tokens. */
+  textPadding = '';
 
   constructor(
     readonly url: string,
@@ -193,7 +195,7 @@
         attempt: this.attempt,
         generationId: this.generationId,
         index,
-        text: tokenText(this.generationId, generation.seed, index),
+        text: tokenText(this.generationId, generation.seed, index) + this.engine.textPadding,
       },
     };
   }
--- a/packages/router/src/__tests__/utils/FakeWorld.ts
+++ b/packages/router/src/__tests__/utils/FakeWorld.ts
@@ -155,10 +155,12 @@
       engines: this.client,
       health,
       homes: this.homes.portOf(routerId),
+      isDraining: () => false,
       metrics: NO_METRICS,
       placement: new RouterPlacement({
         admission,
         chooser: new RouteChooser({ random: { nextUnit: () => 0 } }),
+        clock: timers,
         decisions: NO_DECISION_SINK,
         health,
         pools: [{ models: ['drafts'], name: 'drafts' }],
