--- /dev/null
+++ b/packages/router/src/__tests__/utils/FakeSchedulerServer.ts
@@ -0,0 +1,143 @@
+import type { ServerUnaryCall, ServerWritableStream, sendUnaryData } from '@grpc/grpc-js';
+import type { Member, MemberDirectory, MemberId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import type {
+  AdmitEvent,
+  AdmitRequest__Output,
+  EstimateReply,
+  EstimateRequest__Output,
+  GenerationRecord__Output,
+  ProgressReply,
+  ProgressRequest__Output,
+  RecordReply,
+  RpcServer,
+  ShareReply,
+  ShareRequest__Output,
+  TakeOverReply,
+  TakeOverRequest__Output,
+} from '@laburnumgap/rpc';
+import { startRpcServer } from '@laburnumgap/rpc';
+
+export const SECRET = 'a-secret-between-peers';
+
+type AdmitCall = ServerWritableStream<AdmitRequest__Output, AdmitEvent>;
+
+/** A scheduler's gRPC side whose answers a test sets. */
+export class FakeSchedulerServer {
+  readonly admits: AdmitCall[] = [];
+  readonly progress: ProgressRequest__Output[] = [];
+  recordReply: RecordReply = { accepted: true, attempt: 1 };
+  readonly records: GenerationRecord__Output[] = [];
+  readonly shareRequests: ShareRequest__Output[] = [];
+  shares: ShareReply = { shares: [] };
+  takeOverReply: TakeOverReply = { outcome: 'unknown', record: null };
+  private server: RpcServer | undefined;
+
+  constructor(
+    readonly name: string,
+    readonly failureDomain: string,
+    private readonly onAdmit: (call: AdmitCall) => void = () => undefined,
+  ) {}
+
+  get member(): Member {
+    return {
+      entryVm: toId(`vm-of-${this.name}`),
+      failureDomain: toId(this.failureDomain),
+      incarnation: toId('incarnation'),
+      memberId: toId(this.name),
+      region: toId('region'),
+      role: 'scheduler',
+      rpcAddress: this.server?.address ?? '127.0.0.1:1',
+    };
+  }
+
+  async start(): Promise<void> {
+    this.server = await startRpcServer({
+      address: '127.0.0.1:0',
+      handlers: {
+        Admission: {
+          Admit: (call: AdmitCall) => {
+            this.admits.push(call);
+            this.onAdmit(call);
+          },
+          Estimate: (
+            call: ServerUnaryCall<EstimateRequest__Output, EstimateReply>,
+            callback: sendUnaryData<EstimateReply>,
+          ) => {
+            const estimates = call.request.engineIds.map((engineId) => ({
+              acceptsWork: true,
+              cachedPrefixTokens: 4,
+              engineId,
+              waitMs: 12,
+            }));
+            callback(null, { estimates });
+          },
+          ReportProgress: (
+            call: ServerUnaryCall<ProgressRequest__Output, ProgressReply>,
+            callback: sendUnaryData<ProgressReply>,
+          ) => {
+            this.progress.push(call.request);
+            callback(null, {});
+          },
+        },
+        Quota: {
+          AcquireShare: (
+            call: ServerUnaryCall<ShareRequest__Output, ShareReply>,
+            callback: sendUnaryData<ShareReply>,
+          ) => {
+            this.shareRequests.push(call.request);
+            callback(null, this.shares);
+          },
+        },
+        RequestHome: {
+          Forget: (_call: unknown, callback: sendUnaryData<object>) => {
+            callback(null, {});
+          },
+          RecordGeneration: (
+            call: ServerUnaryCall<GenerationRecord__Output, RecordReply>,
+            callback: sendUnaryData<RecordReply>,
+          ) => {
+            this.records.push(call.request);
+            callback(null, this.recordReply);
+          },
+          TakeOver: (
+            _call: ServerUnaryCall<TakeOverRequest__Output, TakeOverReply>,
+            callback: sendUnaryData<TakeOverReply>,
+          ) => {
+            callback(null, this.takeOverReply);
+          },
+        },
+      },
+      secret: SECRET,
+    });
+  }
+
+  close(): void {
+    this.server?.close();
+  }
+}
+
+/** Members in the order given; suspected ones come last. */
+export class FakeDirectory implements MemberDirectory {
+  readonly suspected: MemberId[] = [];
+
+  constructor(private readonly ranked: readonly Member[]) {}
+
+  members(): readonly Member[] {
+    return this.ranked;
+  }
+
+  onChange(): () => void {
+    return () => undefined;
+  }
+
+  rank(): readonly Member[] {
+    const good = this.ranked.filter((member) => !this.suspected.includes(member.memberId));
+    const rest = this.ranked.filter((member) => this.suspected.includes(member.memberId));
+    return [...good, ...rest];
+  }
+
+  suspect(memberId: MemberId): void {
+    this.suspected.push(memberId);
+  }
+}
