Show the main job in the demo: stream, at-most-once call, killed engine, changed contract

Cause: a newcomer needs one command that shows the promises with real processes. Ruled out: a scripted recording; every line of the demo is a check that can fail. Conclusion: npm run demo exits with 1 when any check fails.

--- a/packages/tools/src/demo/main.ts
+++ b/packages/tools/src/demo/main.ts
@@ -1,52 +1,39 @@
-import { randomUUID } from 'node:crypto';
-import { streamCompletion } from '../deployment/DeploymentCaller.js';
 import { Deployment } from '../deployment/Deployment.js';
+import { createCtl } from '../deployment/DeploymentCtl.js';
+import { loadFirm } from '../faults/FaultsFirms.js';
+import { DemoReport } from './DemoReport.js';
+import type { DemoContext } from './DemoSteps.js';
+import { callTwice, changeContract, killEngine, streamAnswer } from './DemoSteps.js';
 
-const contract = `
-customer: hoa-sen
-team: head-office
-keys:
-  - id: main
-    sha256: 2c66c2c4a4e5cb7a4da9dbd4f0a2bd6b5d9dc1c35c5ec4d0b0ba4c77d4d8c5a7
-limits: { concurrentRequests: 50, requestsPerSecond: 50, tokensPerSecond: 100000 }
-models: [{ name: report-writer, maxTokens: 2000 }]
-scheduling: { class: standard }
-waitBoundMs: 20000
-`;
-import { hashKey } from '@laburnumgap/contracts';
-const key = 'demo-key';
-const d = new Deployment({
-  contracts: [contract.replace(/sha256: .*/, `sha256: ${hashKey(key)}`)],
-  engines: [
-    {
-      failureDomain: 'a',
-      name: 'model-1',
-      pool: 'main',
-      args: ['--models', 'report-writer', '--min-output', '100'],
-    },
-    {
-      failureDomain: 'b',
-      name: 'model-2',
-      pool: 'main',
-      args: ['--models', 'report-writer', '--min-output', '100'],
-    },
-  ],
-  entryVms: ['a', 'b', 'c'].map((f) => ({ failureDomain: f, name: `entry-${f}` })),
-  pools: [{ checksFencingNumbers: true, models: ['report-writer'], name: 'main' }],
-  region: 'south',
-  services: [],
-});
-await d.start();
-await new Promise((r) => setTimeout(r, 1500));
-const answer = await streamCompletion({
-  apiKey: key,
-  maxTokens: 200,
-  model: 'report-writer',
-  prompt: 'hello there',
-  requestId: randomUUID(),
-  router: d.routers()[0]?.address ?? '',
+const ENTRY_VMS = 3;
+const ENGINES = 3;
+
+const report = new DemoReport((text) => process.stdout.write(text));
+const firm = await loadFirm('hoa-sen');
+const deployment = new Deployment({
+  ...firm.deployment,
+  engines: firm.deployment.engines.slice(0, ENGINES),
+  entryVms: firm.deployment.entryVms.slice(0, ENTRY_VMS),
 });
-console.log(answer.end, answer.tokens.length, answer.tokens.slice(0, 3));
-for (const l of d.linesWhere((x) => x.event === 'decision' || x.level !== 'info').slice(0, 40))
-  console.log(JSON.stringify(l));
-console.log(await d.stop());
+
+try {
+  report.step('Stand-ins and the daemons of 3 entry VMs start');
+  await deployment.start();
+  report.check('every daemon is ready', true, `${deployment.daemons.size} daemons`);
+  const context: DemoContext = { ctl: await createCtl(deployment), deployment, report };
+  await streamAnswer(context);
+  await callTwice(context);
+  await killEngine(context);
+  await changeContract(context);
+  report.step('Everything is stopped');
+  const codes = [...(await deployment.stop()).values()];
+  report.check(
+    'every daemon ended with exit code 0',
+    codes.every((code) => code === 0),
+    codes.join(' '),
+  );
+} finally {
+  await deployment.kill();
+}
+report.summary();
+process.exit(report.held ? 0 : 1);
