--- a/packages/admission/src/EngineMemory.ts
+++ b/packages/admission/src/EngineMemory.ts
@@ -202,7 +202,7 @@
 
   private isAboutToOverflow(): boolean {
     const reportedTokens = this.lastLoad?.kvTokensUsed ?? 0;
-    const isReported = reportedTokens >= PREEMPT_REPORTED_SHARE * this.capacityTokens;
+    const isReported = (this.lastLoad?.queuedGenerations ?? 0) > 0 && reportedTokens > 0;
     if (this.capacityTokens === 0 || !isReported) {
       return false;
     }
--- a/packages/admission/src/RunningGenerations.ts
+++ b/packages/admission/src/RunningGenerations.ts
@@ -28,7 +28,7 @@
 }
 
 /** Index of the forecast step that says whether memory is about to run out. */
-const NEAR_STEP = 1;
+const NEAR_STEP = 3;
 /** Adopted generations without reports are forgotten after this time. */
 const ADOPTED_TIMEOUT_MS = 3_000;
 const MAX_EXTRAPOLATION_MS = 2_000;
