Age requests by their own wait bound

Letting others pass a first one that does not fit was tried with it and made no clear difference, so it is left out.

--- a/packages/admission/src/EngineAdmission.ts
+++ b/packages/admission/src/EngineAdmission.ts
@@ -27,7 +27,7 @@
 
 /** What the admission of an engine is built from. */
 export interface EngineAdmissionOptions {
-  readonly ageingMs?: number;
+  readonly ageingShare?: number;
   /** Shared by all engines of a scheduler. */
   readonly lengths: LengthModel;
   readonly random: RandomSource;
@@ -61,14 +61,14 @@
   private stopReason: EngineStopReason | undefined;
 
   constructor(options: EngineAdmissionOptions) {
-    const { ageingMs, lengths, random, startedMs, targetOverrunChance } = options;
+    const { ageingShare, lengths, random, startedMs, targetOverrunChance } = options;
     this.lengths = lengths;
     this.memory = new EngineMemory({
       curveOf: (request) => this.curveOf(request),
       startedMs,
       targetOverrunChance,
     });
-    this.queue = new FairQueue({ ageingMs });
+    this.queue = new FairQueue({ ageingShare });
     this.random = random;
   }
 
--- a/packages/admission/src/FairQueue.ts
+++ b/packages/admission/src/FairQueue.ts
@@ -11,8 +11,8 @@
 
 /** Options of a fair queue. */
 export interface FairQueueOptions {
-  /** Wait after which a request counts as one class higher. */
-  readonly ageingMs?: number;
+  /** Share of its wait bound after which a request counts as one class higher. */
+  readonly ageingShare?: number;
 }
 
 interface Lane {
@@ -23,7 +23,7 @@
   work: number;
 }
 
-const DEFAULT_AGEING_MS = 10_000;
+const DEFAULT_AGEING_SHARE = 0.5;
 const MAX_IDLE_TEAMS = 2_048;
 
 /**
@@ -33,14 +33,14 @@
  * A request that waited long, or was preempted, counts as a higher class.
  */
 export class FairQueue {
-  private readonly ageingMs: number;
+  private readonly ageingShare: number;
   private readonly counters = new Map<TeamId, number>();
   /** Lanes with waiting requests, by team and class. */
   private readonly lanes = new Map<string, Lane>();
   private queued = 0;
 
   constructor(options: FairQueueOptions = {}) {
-    this.ageingMs = options.ageingMs ?? DEFAULT_AGEING_MS;
+    this.ageingShare = options.ageingShare ?? DEFAULT_AGEING_SHARE;
   }
 
   /** Number of waiting requests. */
@@ -134,7 +134,8 @@
     if (!first) {
       return lane.priorityClass;
     }
-    const steps = Math.floor((nowMs - first.arrivedMs) / this.ageingMs);
+    const stepMs = this.ageingShare * first.request.waitBoundMs;
+    const steps = Math.floor((nowMs - first.arrivedMs) / stepMs);
     return Math.max(0, lane.priorityClass - steps - first.request.preemptions);
   }
 
