--- a/packages/admission/src/EngineAdmission.ts
+++ b/packages/admission/src/EngineAdmission.ts
@@ -12,6 +12,7 @@
   AdmissionEstimate,
   AdmissionEstimateQuery,
   AdmissionEvent,
+  AdmissionReason,
   AdmissionRequest,
   AdmissionStatus,
   EngineStopReason,
@@ -140,6 +141,10 @@
   }
 
   private arrive(request: AdmissionRequest, nowMs: number): readonly AdmissionAction[] {
+    const isTakeover = this.memory.running.supersede(request);
+    if (isTakeover && !this.draining && this.stopReason !== 'lost') {
+      return [this.grant({ arrivedMs: nowMs, request, work: 0 }, nowMs)];
+    }
     const refused = this.closedRefusal() ?? this.tooLarge(request) ?? this.earlyRefusal(request);
     if (refused) {
       return [this.refuse(request, refused)];
@@ -164,9 +169,7 @@
   }
 
   private tooLarge(request: AdmissionRequest): Refusal | undefined {
-    const capacityTokens = this.memory.capacity();
-    const neededTokens = request.promptTokens + request.producedTokens;
-    if (capacityTokens === 0 || neededTokens < capacityTokens) {
+    if (this.memory.fitsEver(request)) {
       return undefined;
     }
     return refusal('NO_ENGINE', 'the prompt does not fit into the memory of the engine');
@@ -299,14 +302,7 @@
     return this.lengths.curveOf(request);
   }
 
-  private reasonOf(request: AdmissionRequest): AdmissionAction['reason'] {
-    return {
-      deviations: Number(this.memory.deviations().toFixed(2)),
-      kvTokensCapacity: this.memory.capacity(),
-      kvTokensPeak: Math.round(this.memory.peakTokens(request, this.curveOf(request))),
-      kvTokensUsed: Math.round(this.memory.heldTokens()),
-      preemptions: request.preemptions,
-      queuedRequests: this.queue.size(),
-    };
+  private reasonOf(request: AdmissionRequest): AdmissionReason {
+    return { ...this.memory.reasonOf(request), queuedRequests: this.queue.size() };
   }
 }
--- a/packages/admission/src/EngineMemory.ts
+++ b/packages/admission/src/EngineMemory.ts
@@ -1,5 +1,5 @@
 import type { EngineLoad } from '@laburnumgap/kernel';
-import type { AdmissionRequest, ReportedProgress } from './AdmissionTypes.js';
+import type { AdmissionReason, AdmissionRequest, ReportedProgress } from './AdmissionTypes.js';
 import type { LengthCurve } from './LengthCurve.js';
 import { LoadCorrection } from './LoadCorrection.js';
 import { OverrunMargin } from './OverrunMargin.js';
@@ -23,8 +23,6 @@
 /** Longest time without an event of a scheduler that runs. */
 const PAUSE_MS = 5_000;
 const REFRESH_INTERVAL_MS = 100;
-/** The engine's own report must show memory this full before anything is preempted. */
-const PREEMPT_REPORTED_SHARE = 0.8;
 /** Memory of unknown use, as a share, with which the engine still counts as empty. */
 const EMPTY_ENGINE_SHARE = 0.1;
 const START_PROMPT_TOKENS = 512;
@@ -102,6 +100,23 @@
     return this.peakTokens(request, curve) <= this.capacityTokens;
   }
 
+  /** Whether the request would fit into the whole memory; true while that is not known. */
+  fitsEver(request: AdmissionRequest): boolean {
+    const neededTokens = request.promptTokens + request.producedTokens;
+    return this.capacityTokens === 0 || neededTokens < this.capacityTokens;
+  }
+
+  /** Figures for the decision log. */
+  reasonOf(request: AdmissionRequest): AdmissionReason {
+    return {
+      deviations: Number(this.deviations().toFixed(2)),
+      kvTokensCapacity: this.capacityTokens,
+      kvTokensPeak: Math.round(this.peakTokens(request, this.curveOf(request))),
+      kvTokensUsed: Math.round(this.heldTokens()),
+      preemptions: request.preemptions,
+    };
+  }
+
   /** Counts an admitted request as running. */
   start(request: AdmissionRequest, curve: LengthCurve, nowMs: number): void {
     this.running.start(request, curve, nowMs);
@@ -200,10 +215,10 @@
     return isEmpty && unknownTokens + neededTokens < this.capacityTokens;
   }
 
+  /** The engine holds generations back already, and the forecast says that it goes on so. */
   private isAboutToOverflow(): boolean {
-    const reportedTokens = this.lastLoad?.kvTokensUsed ?? 0;
-    const isReported = (this.lastLoad?.queuedGenerations ?? 0) > 0 && reportedTokens > 0;
-    if (this.capacityTokens === 0 || !isReported) {
+    const isHeldBack = (this.lastLoad?.queuedGenerations ?? 0) > 0;
+    if (this.capacityTokens === 0 || !isHeldBack) {
       return false;
     }
     return this.running.nearTokens() + this.correction.tokens() > this.capacityTokens;
--- a/packages/admission/src/RunningGenerations.ts
+++ b/packages/admission/src/RunningGenerations.ts
@@ -89,9 +89,28 @@
     return this.forecast.peakTokens(candidate, deviations);
   }
 
-  /** Counts an admitted request as running; lower attempts of its generation end with it. */
+  /**
+   * Ends lower attempts of a generation. The engine ends them too when the higher one starts, which
+   * goes on with the same memory.
+   *
+   * @param request - the higher attempt
+   * @returns whether a lower one ran that was not to be preempted
+   */
+  supersede(request: AdmissionRequest): boolean {
+    let ran = false;
+    for (let attempt = request.attempt - 1; attempt > 0; attempt -= 1) {
+      const key = keyOf(request.generationId, attempt);
+      const generation = this.generations.get(key);
+      if (generation) {
+        ran ||= !generation.isBeingPreempted;
+        this.end(key);
+      }
+    }
+    return ran;
+  }
+
+  /** Counts an admitted request as running. */
   start(request: AdmissionRequest, curve: LengthCurve, nowMs: number): void {
-    this.endLowerAttempts(request);
     const key = keyOf(request.generationId, request.attempt);
     this.remove(key);
     this.ended.delete(key);
@@ -200,15 +219,6 @@
     }
   }
 
-  private endLowerAttempts(request: AdmissionRequest): void {
-    for (let attempt = request.attempt - 1; attempt > 0; attempt -= 1) {
-      const key = keyOf(request.generationId, attempt);
-      if (this.generations.has(key)) {
-        this.end(key);
-      }
-    }
-  }
-
   private forecastOne(key: string, nowMs: number): void {
     const generation = this.generations.get(key);
     if (!generation) {
