--- a/packages/admission/src/EngineMemory.ts
+++ b/packages/admission/src/EngineMemory.ts
@@ -9,6 +9,8 @@
 
 /** Options of an engine's memory. */
 export interface EngineMemoryOptions {
+  /** Length distribution of a request, as far as it is known. */
+  readonly curveOf: (request: AdmissionRequest) => LengthCurve;
   /** When this scheduler began to act for the engine. */
   readonly startedMs: number;
   readonly targetOverrunChance?: number;
@@ -40,6 +42,7 @@
   readonly running = new RunningGenerations();
   private capacityTokens = 0;
   private readonly correction = new LoadCorrection();
+  private readonly curveOf: (request: AdmissionRequest) => LengthCurve;
   private lastEventMs: number;
   private lastLoad: EngineLoad | undefined;
   private readonly margin: OverrunMargin;
@@ -50,6 +53,7 @@
   private unreportedPreemptions = 0;
 
   constructor(options: EngineMemoryOptions) {
+    this.curveOf = options.curveOf;
     this.lastEventMs = options.startedMs;
     this.margin = new OverrunMargin({ targetChance: options.targetOverrunChance });
     this.rebuildingSinceMs = options.startedMs;
@@ -153,7 +157,7 @@
     }
     if (report.enginePreempted) {
       this.unreportedPreemptions += 1;
-      this.margin.noteOverrun();
+      this.margin.noteOverrun(this.lastEventMs);
     } else if (report.finished) {
       this.margin.noteEnd();
     }
@@ -165,7 +169,7 @@
     this.running.expireAdopted(nowMs);
     if (nowMs - this.refreshedMs >= REFRESH_INTERVAL_MS) {
       this.refreshedMs = nowMs;
-      this.running.refresh(nowMs);
+      this.running.refresh(nowMs, this.curveOf);
     }
     this.correction.sample(this.running.heldTokens(), nowMs);
   }
@@ -178,7 +182,7 @@
     const victim = chooseVictim(this.running.candidates());
     if (victim) {
       victim.generation.isBeingPreempted = true;
-      this.margin.noteOverrun();
+      this.margin.noteOverrun(this.lastEventMs);
     }
     return victim;
   }
@@ -210,7 +214,7 @@
     const before = this.lastLoad?.preemptions ?? load.preemptions;
     const reported = Math.max(0, load.preemptions - before);
     for (let count = this.unreportedPreemptions; count < reported; count += 1) {
-      this.margin.noteOverrun();
+      this.margin.noteOverrun(this.lastEventMs);
     }
     this.unreportedPreemptions = Math.max(0, this.unreportedPreemptions - reported);
   }
