--- a/packages/ctl/src/CtlCommands.ts
+++ b/packages/ctl/src/CtlCommands.ts
@@ -100,8 +100,8 @@
     if (given === undefined) {
       return run(context, argument);
     }
-    const revision = Number(given);
-    if (typeof given === 'boolean' || !Number.isSafeInteger(revision) || revision < 0) {
+    const revision = /^\d+$/.test(textOf(given)) ? Number(given) : Number.NaN;
+    if (!Number.isSafeInteger(revision)) {
       const detail = '--expect-revision: expected a whole number, 0 for a new contract';
       return Promise.resolve(failure({ detail, kind: 'usage' }));
     }
--- a/packages/ctl/src/CtlContracts.ts
+++ b/packages/ctl/src/CtlContracts.ts
@@ -88,9 +88,9 @@
     row.team,
     row.customer,
     row.class,
-    row.requestsPerSecond,
-    row.tokensPerSecond,
-    row.concurrentRequests,
+    String(row.requestsPerSecond ?? ''),
+    String(row.tokensPerSecond ?? ''),
+    String(row.concurrentRequests ?? ''),
     String(row.revision),
   ]);
   return success({ json: contracts, lines: formatTable(head, rows) });
@@ -219,28 +219,19 @@
 
 interface ContractRow {
   readonly class: string;
-  readonly concurrentRequests: string;
+  readonly concurrentRequests?: number;
   readonly customer: string;
-  readonly requestsPerSecond: string;
+  readonly requestsPerSecond?: number;
   readonly revision: Revision;
   readonly team: string;
-  readonly tokensPerSecond: string;
+  readonly tokensPerSecond?: number;
 }
 
 function rowOf({ key, modRevision, value }: StoredValue): ContractRow | undefined {
   const parsed = parseConfigDocument(key, value);
   const team = key.slice(CONTRACT_PREFIX.length);
   if (!parsed.ok) {
-    const none = '';
-    return {
-      class: 'INVALID, kept out',
-      concurrentRequests: none,
-      customer: none,
-      requestsPerSecond: none,
-      revision: modRevision,
-      team,
-      tokensPerSecond: none,
-    };
+    return { class: 'INVALID, kept out', customer: '', revision: modRevision, team };
   }
   if (parsed.value.kind !== 'contract') {
     return undefined;
@@ -248,12 +239,12 @@
   const { customer, limits, scheduling } = parsed.value.contract;
   return {
     class: scheduling.class,
-    concurrentRequests: String(limits.concurrentRequests),
+    concurrentRequests: limits.concurrentRequests,
     customer,
-    requestsPerSecond: String(limits.requestsPerSecond),
+    requestsPerSecond: limits.requestsPerSecond,
     revision: modRevision,
     team,
-    tokensPerSecond: String(limits.tokensPerSecond),
+    tokensPerSecond: limits.tokensPerSecond,
   };
 }
 
