--- a/packages/config-sync/src/ConfigKeeper.ts
+++ b/packages/config-sync/src/ConfigKeeper.ts
@@ -1,26 +1,9 @@
 import type { ConfigurationView } from '@laburnumgap/contracts';
-import {
-  CONFIG_HEAD_KEY,
-  CONFIG_PREFIX,
-  CONTRACT_PREFIX,
-  formatDocumentProblem,
-} from '@laburnumgap/contracts';
-import type {
-  DecisionSink,
-  Member,
-  MemberDirectory,
-  MonotonicClock,
-  PlatformStore,
-  RandomSource,
-  RangeSnapshot,
-  Revision,
-  StoreWatch,
-  WatchEvent,
-} from '@laburnumgap/kernel';
+import { CONTRACT_PREFIX, formatDocumentProblem } from '@laburnumgap/contracts';
+import type { RangeSnapshot, Revision, WatchEvent } from '@laburnumgap/kernel';
 import { toNumberId } from '@laburnumgap/kernel';
-import type { ConfigBatch__Output, RpcClients } from '@laburnumgap/rpc';
-import type { Log } from '@laburnumgap/telemetry';
-import { readLastAccepted } from './ConfigHistoryReader.js';
+import type { ConfigBatch__Output } from '@laburnumgap/rpc';
+import type { ConfigKeeperOptions, ConfigMessage } from './ConfigMessages.js';
 import type { ConfigParent } from './ConfigPeerFollower.js';
 import { ConfigPeerFollower } from './ConfigPeerFollower.js';
 import type { ConfigPeerHandlers } from './ConfigPeerServer.js';
@@ -28,6 +11,7 @@
 import { changesOfBatch } from './ConfigPeerUtils.js';
 import type { ConfigChange } from './ConfigState.js';
 import { ConfigState } from './ConfigState.js';
+import { ConfigStoreCalls } from './ConfigStoreCalls.js';
 import type { StoreAction } from './ConfigStorePlan.js';
 import { ConfigStorePlan } from './ConfigStorePlan.js';
 import { PARENT_AVOIDANCE_MS } from './ConfigSyncConstants.js';
@@ -35,39 +19,12 @@
 import { allMembers, planTopology } from './ConfigTopology.js';
 import { createConfigView } from './ConfigView.js';
 
-/** What the owner of the configuration is told. */
-export type ConfigMessage =
-  | { readonly batch: ConfigBatch__Output; readonly kind: 'batch'; readonly parent: ConfigParent }
-  | { readonly changes: readonly ConfigChange[]; readonly kind: 'lastAccepted' }
-  | { readonly detail: string; readonly kind: 'parentLost'; readonly parent: ConfigParent }
-  | { readonly detail: string; readonly kind: 'readFailed' }
-  | { readonly event: WatchEvent; readonly kind: 'watch'; readonly watchNumber: number }
-  | { readonly headRevision: Revision; readonly kind: 'head'; readonly sentAtMs: number }
-  | { readonly kind: 'membersChanged' }
-  | { readonly kind: 'snapshot'; readonly sentAtMs: number; readonly snapshot: RangeSnapshot }
-  | { readonly kind: 'tick' };
-
-/** Options of {@link ConfigKeeper}. */
-export interface ConfigKeeperOptions {
-  readonly clients: RpcClients;
-  readonly clock: MonotonicClock;
-  readonly decisions: DecisionSink;
-  readonly directory: MemberDirectory;
-  readonly log: Log;
-  readonly member: Pick<Member, 'failureDomain' | 'memberId'>;
-  readonly random: RandomSource;
-  readonly seedAddresses?: readonly string[];
-  /** Sends a message to this keeper's own actor. */
-  readonly send: (message: ConfigMessage) => void;
-  readonly store: PlatformStore;
-  readonly watchersPerDomain?: number;
-}
-
 const NO_REVISION = toNumberId<Revision>(0);
 
 /** Owns the configuration of one daemon and makes the calls that its decisions ask for. */
 export class ConfigKeeper {
   private readonly avoidedUntilMs = new Map<string, number>();
+  private readonly calls: ConfigStoreCalls;
   private confirmedAtMs = -Infinity;
   private readonly follower: ConfigPeerFollower;
   private membersChanged = true;
@@ -76,11 +33,10 @@
   private readonly server: ConfigPeerServer;
   private readonly state = new ConfigState();
   private topology: ConfigTopology = { parents: [], watches: true };
-  private watch: StoreWatch | undefined;
-  private watchNumber = 0;
 
   constructor(private readonly options: ConfigKeeperOptions) {
-    const { clients, clock, member, random, send } = options;
+    const { clients, clock, member, random, send, store } = options;
+    this.calls = new ConfigStoreCalls(store, send);
     this.movableView = createConfigView(this.state.snapshot);
     this.plan = new ConfigStorePlan(random);
     this.server = new ConfigPeerServer({ ageMs: () => this.ageMs(), clock, state: this.state });
@@ -142,7 +98,7 @@
         this.onTick();
         return;
       case 'watch':
-        if (message.watchNumber === this.watchNumber) {
+        if (this.calls.isCurrent(message.watchNumber)) {
           this.onWatch(message.event);
         }
     }
@@ -150,7 +106,7 @@
 
   /** Ends every stream and watch. */
   stop(): void {
-    this.closeWatch();
+    this.calls.closeWatch();
     this.follower.stop();
     this.server.stop();
   }
@@ -203,12 +159,6 @@
     return nowMs < (this.avoidedUntilMs.get(address) ?? -Infinity);
   }
 
-  private closeWatch(): void {
-    this.watchNumber += 1;
-    this.watch?.close();
-    this.watch = undefined;
-  }
-
   private confirm(atMs: number): void {
     this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
   }
@@ -285,7 +235,7 @@
 
   private onWatch(event: WatchEvent): void {
     if (event.kind !== 'changes') {
-      this.closeWatch();
+      this.calls.closeWatch();
       this.plan.noteWatchEnded(this.options.clock.nowMs(), event.kind === 'compacted');
       return;
     }
@@ -297,62 +247,27 @@
     }
   }
 
-  private openWatch(): void {
-    const { send, store } = this.options;
-    this.closeWatch();
-    const { watchNumber } = this;
-    this.watch = store.watch(CONFIG_PREFIX, this.state.completeRevision, (event) => {
-      send({ event, kind: 'watch', watchNumber });
-    });
-  }
-
   private perform(action: StoreAction, nowMs: number): void {
     switch (action) {
       case 'closeWatch':
         this.options.log.warn('configWatchClosed');
-        this.closeWatch();
+        this.calls.closeWatch();
         return;
       case 'openWatch':
-        this.openWatch();
+        this.calls.openWatch(this.state.completeRevision);
         return;
       case 'readAll':
-        void this.readAll(nowMs);
+        void this.calls.readAll(nowMs);
         return;
       case 'readHead':
-        void this.readHead(nowMs);
+        void this.calls.readHead(nowMs);
     }
   }
 
-  private async readAll(sentAtMs: number): Promise<void> {
-    const { send, store } = this.options;
-    const read = await store.range(CONFIG_PREFIX);
-    send(
-      read.ok
-        ? { kind: 'snapshot', sentAtMs, snapshot: read.value }
-        : { detail: read.error.kind, kind: 'readFailed' },
-    );
-  }
-
-  private async readHead(sentAtMs: number): Promise<void> {
-    const { send, store } = this.options;
-    const read = await store.read(CONFIG_HEAD_KEY);
-    send(
-      read.ok
-        ? { headRevision: read.value?.modRevision ?? NO_REVISION, kind: 'head', sentAtMs }
-        : { detail: read.error.kind, kind: 'readFailed' },
-    );
-  }
-
   /** Nothing is in force for the key, so the version that the tool accepted last is looked up. */
   private recoverLastAccepted(key: string): void {
-    const { send, store } = this.options;
-    if (!key.startsWith(CONTRACT_PREFIX) || !this.state.missingKeys.includes(key)) {
-      return;
+    if (key.startsWith(CONTRACT_PREFIX) && this.state.missingKeys.includes(key)) {
+      void this.calls.readLastAccepted(key);
     }
-    void readLastAccepted(store, key).then((change) => {
-      if (change) {
-        send({ changes: [change], kind: 'lastAccepted' });
-      }
-    });
   }
 }
--- /dev/null
+++ b/packages/config-sync/src/ConfigStoreCalls.ts
@@ -0,0 +1,81 @@
+import { CONFIG_HEAD_KEY, CONFIG_PREFIX } from '@laburnumgap/contracts';
+import type {
+  PlatformStore,
+  RangeSnapshot,
+  Revision,
+  StoreWatch,
+  WatchEvent,
+} from '@laburnumgap/kernel';
+import { toNumberId } from '@laburnumgap/kernel';
+import { readLastAccepted } from './ConfigHistoryReader.js';
+import type { ConfigChange } from './ConfigState.js';
+
+/** What the store answered or delivered. */
+export type StoreMessage =
+  | { readonly changes: readonly ConfigChange[]; readonly kind: 'lastAccepted' }
+  | { readonly detail: string; readonly kind: 'readFailed' }
+  | { readonly event: WatchEvent; readonly kind: 'watch'; readonly watchNumber: number }
+  | { readonly headRevision: Revision; readonly kind: 'head'; readonly sentAtMs: number }
+  | { readonly kind: 'snapshot'; readonly sentAtMs: number; readonly snapshot: RangeSnapshot };
+
+const NO_REVISION = toNumberId<Revision>(0);
+
+/** Makes the calls to the store; every answer comes back as a message. */
+export class ConfigStoreCalls {
+  private watch: StoreWatch | undefined;
+  private watchNumber = 0;
+
+  constructor(
+    private readonly store: PlatformStore,
+    private readonly send: (message: StoreMessage) => void,
+  ) {}
+
+  /** Closes the watch, if one is open; what it still delivers is of no account. */
+  closeWatch(): void {
+    this.watchNumber += 1;
+    this.watch?.close();
+    this.watch = undefined;
+  }
+
+  /** Whether a message comes from the watch that is open. */
+  isCurrent(watchNumber: number): boolean {
+    return watchNumber === this.watchNumber;
+  }
+
+  /** Opens a watch for changes after a revision, in place of an earlier one. */
+  openWatch(afterRevision: Revision): void {
+    this.closeWatch();
+    const { watchNumber } = this;
+    this.watch = this.store.watch(CONFIG_PREFIX, afterRevision, (event) => {
+      this.send({ event, kind: 'watch', watchNumber });
+    });
+  }
+
+  /** Reads every document. */
+  async readAll(sentAtMs: number): Promise<void> {
+    const read = await this.store.range(CONFIG_PREFIX);
+    this.send(
+      read.ok
+        ? { kind: 'snapshot', sentAtMs, snapshot: read.value }
+        : { detail: read.error.kind, kind: 'readFailed' },
+    );
+  }
+
+  /** Reads the revision of the last accepted change. */
+  async readHead(sentAtMs: number): Promise<void> {
+    const read = await this.store.read(CONFIG_HEAD_KEY);
+    this.send(
+      read.ok
+        ? { headRevision: read.value?.modRevision ?? NO_REVISION, kind: 'head', sentAtMs }
+        : { detail: read.error.kind, kind: 'readFailed' },
+    );
+  }
+
+  /** Reads the version of a contract that the tool accepted last. */
+  async readLastAccepted(key: string): Promise<void> {
+    const change = await readLastAccepted(this.store, key);
+    if (change) {
+      this.send({ changes: [change], kind: 'lastAccepted' });
+    }
+  }
+}
--- a/packages/config-sync/src/ConfigSync.ts
+++ b/packages/config-sync/src/ConfigSync.ts
@@ -9,8 +9,8 @@
 } from '@laburnumgap/kernel';
 import type { RpcClients } from '@laburnumgap/rpc';
 import type { Log } from '@laburnumgap/telemetry';
-import type { ConfigMessage } from './ConfigKeeper.js';
 import { ConfigKeeper } from './ConfigKeeper.js';
+import type { ConfigMessage } from './ConfigMessages.js';
 import type { ConfigPeerHandlers } from './ConfigPeerServer.js';
 import { TICK_INTERVAL_MS } from './ConfigSyncConstants.js';
 
