Measure the slopes of the capacity page

Ruled out: timing by the wall clock (other work on the machine would be in it); processor time is read. Conclusion: kernels, calls, claims and idle fleets of 3, 6, 12 and 24 daemons, one table.

--- /dev/null
+++ b/packages/tools/src/capacity/CapacityKernels.ts
@@ -0,0 +1,277 @@
+import type { AdmissionRequest } from '@laburnumgap/admission';
+import { EngineAdmission, LengthModel, RequestHome } from '@laburnumgap/admission';
+import { ConfigState, planTopology } from '@laburnumgap/config-sync';
+import type { Contract } from '@laburnumgap/contracts';
+import { CONTRACT_PREFIX } from '@laburnumgap/contracts';
+import type { Member, MemberRole } from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import { rankMembers } from '@laburnumgap/membership';
+import type { QuotaDemand } from '@laburnumgap/quota';
+import { createQuotaHome } from '@laburnumgap/quota';
+import { stringify } from 'yaml';
+import { cpuUsOf, heapBytesOf } from './CapacityMeasure.js';
+import { TARGET } from './CapacityTarget.js';
+
+/** Slopes of the decision kernels. */
+export interface KernelSlopes {
+  readonly admissionGenerationUs: number;
+  readonly admissionProgressUs: number;
+  readonly admissionRunningBytes: number;
+  readonly configApplyUs: number;
+  readonly configDocumentBytes: number;
+  readonly configTopologyUs: number;
+  readonly homeRecordBytes: number;
+  readonly homeRecordUs: number;
+  readonly lengthModelBytes: number;
+  readonly memberBytes: number;
+  readonly quotaDemandUs: number;
+  readonly rankUs: number;
+}
+
+const ROLES: readonly MemberRole[] = ['ledger', 'router', 'scheduler'];
+const RUNNING = 200;
+const PROMPT = 'Reconcile the shelf counts of the district. '.repeat(20);
+
+/**
+ * Measures the decision kernels at the sizes of the target.
+ *
+ * @returns the slopes
+ */
+export function measureKernels(): KernelSlopes {
+  return {
+    ...measureAdmission(),
+    ...measureConfiguration(),
+    ...measureHomes(),
+    ...measureMembership(),
+    lengthModelBytes: measureLengthModel(),
+    quotaDemandUs: measureQuota(),
+  };
+}
+
+function membersOf(count: number): readonly Member[] {
+  return Array.from({ length: count }, (_, index) => {
+    const role = ROLES[index % ROLES.length] ?? 'router';
+    const vm = Math.floor(index / ROLES.length);
+    return {
+      entryVm: toId(`entry-${vm}`),
+      failureDomain: toId(`zone-${vm % TARGET.failureDomains}`),
+      incarnation: toId(`incarnation-${index}`),
+      memberId: toId(`${role}-entry-${vm}`),
+      region: toId('region-1'),
+      role,
+      rpcAddress: `10.0.${vm}.${index % 250}:7100`,
+    };
+  });
+}
+
+function measureMembership(): Pick<KernelSlopes, 'configTopologyUs' | 'memberBytes' | 'rankUs'> {
+  const members = membersOf(TARGET.daemons);
+  const schedulers = members.filter(({ role }) => role === 'scheduler');
+  const [self] = members;
+  return {
+    configTopologyUs: cpuUsOf(200, () => {
+      if (self) {
+        planTopology({ members, self });
+      }
+    }),
+    memberBytes: heapBytesOf(TARGET.daemons, () => membersOf(TARGET.daemons)),
+    rankUs: cpuUsOf(5_000, (n) => {
+      rankMembers(schedulers, `engine/${n}`);
+    }),
+  };
+}
+
+function contractOf(team: string): Contract {
+  return {
+    customer: 'customer-1',
+    keys: [{ id: 'first', revoked: false, sha256: 'a'.repeat(64) }],
+    limits: { concurrentRequests: 100, requestsPerSecond: 50, tokensPerSecond: 20_000 },
+    models: [{ maxTokens: 8_000, name: 'model-1' }],
+    reconnectGraceMs: 10_000,
+    scheduling: { class: 'standard', weight: 1 },
+    services: [
+      {
+        calls: [{ idempotent: true, method: 'GET', path: '/v1/items/*', timeoutMs: 2_000 }],
+        name: 'service-1',
+      },
+    ],
+    team,
+    waitBoundMs: 20_000,
+  };
+}
+
+function measureConfiguration(): Pick<KernelSlopes, 'configApplyUs' | 'configDocumentBytes'> {
+  const change = (n: number) => ({
+    key: `${CONTRACT_PREFIX}team-${n % TARGET.concurrentTeams}`,
+    modRevision: toNumberId<never>(n + 1),
+    value: stringify(contractOf(`team-${n % TARGET.concurrentTeams}`)),
+  });
+  const fill = (): ConfigState => {
+    const state = new ConfigState();
+    state.apply(Array.from({ length: TARGET.concurrentTeams }, (_, n) => change(n)));
+    return state;
+  };
+  const full = fill();
+  return {
+    configApplyUs: cpuUsOf(200, (n) => {
+      full.apply([change(TARGET.concurrentTeams + n)]);
+    }),
+    configDocumentBytes: heapBytesOf(TARGET.concurrentTeams, fill),
+  };
+}
+
+function requestOf(n: number): AdmissionRequest {
+  return {
+    attempt: toNumberId(1),
+    generationId: toId(`generation-${n}`),
+    maxTokens: 4_000,
+    model: toId('model-1'),
+    preemptions: 0,
+    priorityClass: 1,
+    producedTokens: 0,
+    promptTokens: 220,
+    requestId: toId(`request-${n}`),
+    reservationId: toId(`reservation-${n}`),
+    teamId: toId(`team-${n % TARGET.concurrentTeams}`),
+    waitBoundMs: 20_000,
+    weight: 1,
+  };
+}
+
+function newAdmission(): EngineAdmission {
+  const admission = new EngineAdmission({
+    lengths: new LengthModel(),
+    random: { nextUnit: () => 0.5 },
+    startedMs: 0,
+  });
+  admission.handle(
+    {
+      kind: 'loadReported',
+      load: {
+        ageMs: 0,
+        kvTokensCapacity: 2_000_000,
+        kvTokensUsed: 0,
+        leaving: false,
+        maxRunning: 1_000,
+        preemptions: 0,
+        queuedGenerations: 0,
+        runningGenerations: 0,
+      },
+    },
+    0,
+  );
+  return admission;
+}
+
+const SETTLED_MS = 600_000;
+
+function measureAdmission(): Pick<
+  KernelSlopes,
+  'admissionGenerationUs' | 'admissionProgressUs' | 'admissionRunningBytes'
+> {
+  const startRunning = (): EngineAdmission => {
+    const admission = newAdmission();
+    for (let n = 0; n < RUNNING; n += 1) {
+      admission.handle({ kind: 'arrived', request: requestOf(-1 - n) }, SETTLED_MS);
+    }
+    return admission;
+  };
+  const admission = startRunning();
+  const generationUs = cpuUsOf(1_000, (n) => {
+    const request = requestOf(n);
+    admission.handle({ kind: 'arrived', request }, SETTLED_MS + n);
+    admission.handle({ kind: 'ended', reservationId: request.reservationId }, SETTLED_MS + n);
+  });
+  const progressUs = cpuUsOf(5_000, (n) => {
+    const progress = {
+      attempt: toNumberId<never>(1),
+      enginePreempted: false,
+      finished: false,
+      generationId: toId<never>(`generation-${-1 - (n % RUNNING)}`),
+      producedTokens: Math.floor(n / RUNNING),
+    };
+    admission.handle({ kind: 'progressed', progress }, SETTLED_MS + 100_000 + n);
+  });
+  return {
+    admissionGenerationUs: generationUs,
+    admissionProgressUs: progressUs,
+    admissionRunningBytes: heapBytesOf(RUNNING, startRunning),
+  };
+}
+
+function measureLengthModel(): number {
+  const model = new LengthModel();
+  for (let team = 0; team < TARGET.concurrentTeams; team += 1) {
+    for (let index = 0; index < TARGET.models; index += 1) {
+      model.observe(
+        { maxTokens: 4_000, model: toId(`model-${index}`), teamId: toId(`team-${team}`) },
+        100 + team,
+      );
+    }
+  }
+  return model.slabBytes();
+}
+
+function measureHomes(): Pick<KernelSlopes, 'homeRecordBytes' | 'homeRecordUs'> {
+  const home = new RequestHome();
+  const record = (to: RequestHome, n: number): void => {
+    to.record(
+      {
+        attempt: toNumberId(1),
+        bodyHash: 'b'.repeat(64),
+        deliveredIndex: -1,
+        engineId: toId('engine-1'),
+        engineUrl: 'http://10.0.0.1:8000',
+        generationId: toId(`generation-${n}`),
+        maxTokens: 4_000,
+        model: toId('model-1'),
+        prompt: `${n} ${PROMPT}`,
+        requestId: toId(`request-${n}`),
+        routerId: toId('router-1'),
+        seed: n,
+        streamed: true,
+        teamId: toId('team-1'),
+      },
+      0,
+    );
+  };
+  const entries = 5_000;
+  return {
+    homeRecordBytes: heapBytesOf(entries, () => {
+      const filled = new RequestHome();
+      for (let n = 0; n < entries; n += 1) {
+        record(filled, n);
+      }
+      return filled;
+    }),
+    homeRecordUs: cpuUsOf(5_000, (n) => {
+      record(home, n);
+    }),
+  };
+}
+
+function measureQuota(): number {
+  const contract = { limits: contractOf('team').limits, revision: toNumberId<never>(1) };
+  const home = createQuotaHome({
+    contractOf: () => contract,
+    liveRouters: () => TARGET.entryVms,
+    startedAtMs: 0,
+  });
+  const demand = (team: number): QuotaDemand => ({
+    heldRequestsPerSecond: 1,
+    heldRunningRequests: 1,
+    heldTokensPerSecond: 100,
+    inFlightRequests: 1,
+    requestsPerSecond: 1,
+    runningRequests: 1,
+    teamId: toId(`team-${team}`),
+    tokensPerSecond: 100,
+    usedRequests: 1,
+    usedTokens: 100,
+  });
+  const teamsOfHome = Math.ceil(TARGET.concurrentTeams / TARGET.entryVms);
+  return cpuUsOf(20_000, (n) => {
+    const router = `router-${n % TARGET.entryVms}`;
+    home.acquire(router, [demand(n % teamsOfHome)], 100_000 + n / 10);
+  });
+}
--- /dev/null
+++ b/packages/tools/src/capacity/CapacityProcesses.ts
@@ -0,0 +1,177 @@
+import { readFile } from 'node:fs/promises';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { MemberRole } from '@laburnumgap/kernel';
+import { Deployment } from '../deployment/Deployment.js';
+import type { DeploymentProcess } from '../deployment/DeploymentProcess.js';
+import { loadFirm } from '../faults/FaultsFirms.js';
+
+/** What one daemon of a role costs while no caller calls. */
+export interface IdleCost {
+  readonly cpuShare: number;
+  readonly residentBytes: number;
+}
+
+/** An idle fleet of a size. */
+export interface IdleFleet {
+  readonly daemons: number;
+  /** Time from the commit of a change until every daemon has it in force, longest of several. */
+  readonly inForceMs: number;
+  readonly roles: Readonly<Record<MemberRole, IdleCost>>;
+  /** Calls to the key-value service from the start of a daemon until all are ready, a daemon. */
+  readonly storeCallsAtStart: number;
+  /** Calls to the key-value service a second, by kind, for the whole fleet. */
+  readonly storeCallsPerSecond: Readonly<Record<string, number>>;
+}
+
+const VM_COUNTS = [1, 2, 4, 8] as const;
+const ROLES: readonly MemberRole[] = ['ledger', 'router', 'scheduler'];
+const SETTLE_MS = 15_000;
+const MEASURE_MS = 20_000;
+const CALLS_PER_CONTRACT = 2;
+const CHANGES = 5;
+const CLOCK_TICKS_PER_SECOND = 100;
+const PAGE_BYTES = 4_096;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Runs idle fleets of 3, 6, 12 and 24 daemons as processes, one after another.
+ *
+ * @returns the cost at each size
+ */
+export async function measureIdleFleets(): Promise<readonly IdleFleet[]> {
+  const fleets: IdleFleet[] = [];
+  for (const vms of VM_COUNTS) {
+    fleets.push(await measureFleet(vms));
+  }
+  return fleets;
+}
+
+async function measureFleet(vms: number): Promise<IdleFleet> {
+  const firm = await loadFirm('harrow-pell');
+  const deployment = new Deployment({
+    ...firm.deployment,
+    entryVms: Array.from({ length: vms }, (_, index) => ({
+      failureDomain: `zone-${(index % 3) + 1}`,
+      name: `entry-${index + 1}`,
+    })),
+  });
+  try {
+    await deployment.start();
+    const started = await sample(deployment);
+    await sleep(SETTLE_MS);
+    const before = await sample(deployment);
+    await sleep(MEASURE_MS);
+    const after = await sample(deployment);
+    return {
+      daemons: deployment.daemons.size,
+      inForceMs: await measureInForce(deployment),
+      roles: {
+        ledger: costOfRole('ledger', before, after),
+        router: costOfRole('router', before, after),
+        scheduler: costOfRole('scheduler', before, after),
+      },
+      storeCallsAtStart: callsAtStart(deployment, started),
+      storeCallsPerSecond: callsBetween(before.storeCalls, after.storeCalls),
+    };
+  } finally {
+    await deployment.kill();
+  }
+}
+
+/** Calls of the daemons alone: the contracts were read and written by the harness. */
+function callsAtStart(deployment: Deployment, started: FleetSample): number {
+  const all = Object.values(started.storeCalls).reduce((sum, count) => sum + count, 0);
+  const ofHarness = deployment.options.contracts.length * CALLS_PER_CONTRACT;
+  return (all - ofHarness) / deployment.daemons.size;
+}
+
+async function measureInForce(deployment: Deployment): Promise<number> {
+  let longestMs = 0;
+  for (let change = 0; change < CHANGES; change += 1) {
+    const startedMs = performance.now();
+    const revision = await deployment.putContract(deployment.options.contracts[change] ?? '');
+    await Promise.all(
+      [...deployment.daemons.values()].map((daemon) =>
+        daemon.waitForLine(
+          (line) => line.decision === 'apply' && Number(line.revision) === revision,
+        ),
+      ),
+    );
+    longestMs = Math.max(longestMs, performance.now() - startedMs);
+  }
+  return longestMs;
+}
+
+interface ProcessSample {
+  readonly cpuSeconds: number;
+  readonly residentBytes: number;
+}
+
+interface FleetSample {
+  readonly daemons: ReadonlyMap<string, ProcessSample>;
+  readonly storeCalls: Readonly<Record<string, number>>;
+}
+
+async function sample(deployment: Deployment): Promise<FleetSample> {
+  const daemons = new Map<string, ProcessSample>();
+  for (const daemon of deployment.daemons.values()) {
+    daemons.set(daemon.name, await sampleProcess(daemon));
+  }
+  const counts = (await deployment.read('platform', '/control/counts')) as Record<string, unknown>;
+  return { daemons, storeCalls: numbersOf(counts) };
+}
+
+/** Reads processor time and resident memory as the kernel counts them. */
+async function sampleProcess(daemon: DeploymentProcess): Promise<ProcessSample> {
+  const stat = await readFile(`/proc/${daemon.pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  return {
+    cpuSeconds: ticks / CLOCK_TICKS_PER_SECOND,
+    residentBytes: Number(fields[21]) * PAGE_BYTES,
+  };
+}
+
+function costOfRole(role: MemberRole, before: FleetSample, after: FleetSample): IdleCost {
+  const names = [...after.daemons.keys()].filter((name) => name.startsWith(`${role}-`));
+  const cpuSeconds = names.map(
+    (name) =>
+      (after.daemons.get(name)?.cpuSeconds ?? 0) - (before.daemons.get(name)?.cpuSeconds ?? 0),
+  );
+  const resident = names.map((name) => after.daemons.get(name)?.residentBytes ?? 0);
+  return {
+    cpuShare: mean(cpuSeconds) / (MEASURE_MS / MS_PER_SECOND),
+    residentBytes: Math.max(...resident),
+  };
+}
+
+function callsBetween(
+  before: Readonly<Record<string, number>>,
+  after: Readonly<Record<string, number>>,
+): Readonly<Record<string, number>> {
+  return Object.fromEntries(
+    Object.entries(after).map(([kind, count]) => [
+      kind,
+      (count - (before[kind] ?? 0)) / (MEASURE_MS / MS_PER_SECOND),
+    ]),
+  );
+}
+
+function numbersOf(counts: Readonly<Record<string, unknown>>): Readonly<Record<string, number>> {
+  return Object.fromEntries(
+    Object.entries(counts).flatMap(([kind, value]) =>
+      typeof value === 'number'
+        ? [[kind, value] as const]
+        : Object.entries(value as Record<string, number>).map(
+            ([inner, count]) => [`${kind} ${inner}`, count] as const,
+          ),
+    ),
+  );
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
+/** The roles, for tables. */
+export const CAPACITY_ROLES = ROLES;
--- /dev/null
+++ b/packages/tools/src/capacity/CapacityTable.ts
@@ -0,0 +1,315 @@
+import type { ClaimCost } from './CapacityClaims.js';
+import type { KernelSlopes } from './CapacityKernels.js';
+import { fitLine } from './CapacityMeasure.js';
+import type { IdleFleet } from './CapacityProcesses.js';
+import type { RpcCost, RpcSlopes } from './CapacityRpc.js';
+import { ONCE_SHARE, RUNNING_GENERATIONS, SECONDS_PER_DAY, TARGET } from './CapacityTarget.js';
+
+/** Everything that was measured. */
+export interface Slopes {
+  readonly claims: readonly ClaimCost[];
+  readonly fleets: readonly IdleFleet[];
+  readonly kernels: KernelSlopes;
+  readonly rpc: RpcSlopes;
+}
+
+/** One row of the capacity table. */
+export interface CapacityRow {
+  readonly atTarget: number;
+  /** What the value may be; rows without one are parts of others. */
+  readonly budget?: number;
+  readonly formula: string;
+  readonly quantity: string;
+  readonly role: string;
+  readonly slope: string;
+  readonly unit: string;
+}
+
+const { entryVms, requestsPerSecond, servers } = TARGET;
+const REQUESTS_OF_ROUTER = requestsPerSecond / entryVms;
+const TEAMS_OF_HOME = TARGET.concurrentTeams / entryVms;
+const RUNNING_OF_ROUTER = RUNNING_GENERATIONS / entryVms;
+const PROGRESS_CALLS_PER_SECOND = entryVms * 2;
+const RUNNING_OF_CALL = RUNNING_OF_ROUTER / entryVms;
+const ENGINES_OF_SCHEDULER = servers / entryVms;
+const SHARE_CALLS_PER_SECOND = entryVms;
+const CLIENT_SHARE = 0.5;
+const US_PER_SECOND = 1_000_000;
+const CLAIM_SLOTS = 16;
+const VM_LIST_ENTRY_BYTES = 200;
+/** Calls of one request to schedulers: two estimates, an admission, two records, two ends. */
+const ESTIMATES_PER_REQUEST = 2;
+const RECORDS_PER_REQUEST = 4;
+
+/**
+ * Works the target out from the slopes.
+ *
+ * @param slopes - what was measured
+ * @returns the rows of the table
+ */
+export function capacityRows(slopes: Slopes): readonly CapacityRow[] {
+  return [
+    ...idleRows(slopes.fleets),
+    ...sharedRows(slopes.kernels),
+    ...routerRows(slopes.rpc),
+    ...schedulerRows(slopes.kernels, slopes.rpc),
+    ...ledgerRows(slopes.claims),
+    ...platformRows(slopes.fleets, slopes.claims),
+  ];
+}
+
+function idleRows(fleets: readonly IdleFleet[]): readonly CapacityRow[] {
+  const rows = (['ledger', 'router', 'scheduler'] as const).flatMap((role): CapacityRow[] => {
+    const cpu = fitLine(fleets.map((fleet) => [fleet.daemons, fleet.roles[role].cpuShare]));
+    const memory = fitLine(fleets.map((fleet) => [fleet.daemons, fleet.roles[role].residentBytes]));
+    return [
+      {
+        atTarget: (cpu.base + cpu.slope * TARGET.daemons) * 100,
+        budget: TARGET.controlCpuShare * 100,
+        formula: 'base + slope x 330 daemons',
+        quantity: 'processor, no callers',
+        role,
+        slope: `${(cpu.base * 100).toFixed(2)} % + ${(cpu.slope * 100).toFixed(4)} % a daemon`,
+        unit: '% of a core',
+      },
+      {
+        atTarget: mebibytes(memory.base + memory.slope * TARGET.daemons),
+        budget: mebibytes(TARGET.memoryBytes),
+        formula: 'base + slope x 330 daemons',
+        quantity: 'resident memory, no callers',
+        role,
+        slope: `${mebibytes(memory.base).toFixed(0)} MiB + ${(memory.slope / 1024).toFixed(1)} KiB a daemon`,
+        unit: 'MiB',
+      },
+    ];
+  });
+  const inForce = fitLine(fleets.map((fleet) => [fleet.daemons, fleet.inForceMs]));
+  return [
+    ...rows,
+    {
+      atTarget: inForce.base + Math.max(0, inForce.slope) * TARGET.daemons,
+      budget: TARGET.inForceMs,
+      formula: 'base + slope x 330 daemons',
+      quantity: 'change in force everywhere',
+      role: 'all',
+      slope: `${inForce.base.toFixed(0)} ms + ${inForce.slope.toFixed(2)} ms a daemon`,
+      unit: 'ms',
+    },
+  ];
+}
+
+function sharedRows(kernels: KernelSlopes): readonly CapacityRow[] {
+  const changes = TARGET.configChangesPerDay / SECONDS_PER_DAY;
+  const members = TARGET.memberChangesPerDay / SECONDS_PER_DAY;
+  return [
+    row('all', 'configuration state', kernels.configDocumentBytes / 1024, 'KiB a contract', {
+      atTarget: mebibytes(kernels.configDocumentBytes * TARGET.concurrentTeams),
+      formula: 'slope x 1,200 contracts',
+      unit: 'MiB',
+    }),
+    row('all', 'applying changes', kernels.configApplyUs, 'µs a change', {
+      atTarget: percent(kernels.configApplyUs * changes),
+      formula: 'slope x 4,000 changes a day',
+      unit: '% of a core',
+    }),
+    row('all', 'membership state', kernels.memberBytes, 'bytes a member', {
+      atTarget: mebibytes(kernels.memberBytes * TARGET.daemons),
+      formula: 'slope x 330 members',
+      unit: 'MiB',
+    }),
+    row('all', 'parents for the configuration', kernels.configTopologyUs, 'µs a plan of 330', {
+      atTarget: percent(kernels.configTopologyUs * members),
+      formula: 'slope x membership changes',
+      unit: '% of a core',
+    }),
+    {
+      atTarget: (servers * VM_LIST_ENTRY_BYTES) / 1024,
+      budget: TARGET.controlBytesPerSecond / 1024,
+      formula: '810 servers x 200 bytes, once a second',
+      quantity: 'reading the VM list',
+      role: 'all',
+      slope: '200 bytes a server, from its JSON form',
+      unit: 'KiB/s',
+    },
+  ];
+}
+
+function routerRows(rpc: RpcSlopes): readonly CapacityRow[] {
+  const share = callOf(rpc.shareOfOne, rpc.shareOfTen, TEAMS_OF_HOME);
+  const progress = callOf(rpc.progressOfOne, rpc.progressOfTen, RUNNING_OF_CALL);
+  return [
+    ...callRows('router', 'shares of team limits', share, SHARE_CALLS_PER_SECOND, true),
+    ...callRows('router', 'progress reports', progress, PROGRESS_CALLS_PER_SECOND, true),
+    ...callRows(
+      'router',
+      'estimates of requests',
+      rpc.estimate,
+      REQUESTS_OF_ROUTER * ESTIMATES_PER_REQUEST,
+      false,
+    ),
+    ...callRows(
+      'router',
+      'homes of requests',
+      rpc.record,
+      REQUESTS_OF_ROUTER * RECORDS_PER_REQUEST,
+      false,
+    ),
+  ];
+}
+
+function schedulerRows(kernels: KernelSlopes, rpc: RpcSlopes): readonly CapacityRow[] {
+  const admissions = REQUESTS_OF_ROUTER;
+  const progress = callOf(rpc.progressOfOne, rpc.progressOfTen, RUNNING_OF_CALL);
+  const share = callOf(rpc.shareOfOne, rpc.shareOfTen, TEAMS_OF_HOME);
+  const records = REQUESTS_OF_ROUTER * 2 * 60;
+  return [
+    ...callRows('scheduler', 'shares of team limits', share, SHARE_CALLS_PER_SECOND, true),
+    ...callRows('scheduler', 'progress reports', progress, PROGRESS_CALLS_PER_SECOND, true),
+    row('scheduler', 'share decisions', kernels.quotaDemandUs, 'µs a demand', {
+      atTarget: percent(kernels.quotaDemandUs * SHARE_CALLS_PER_SECOND * TEAMS_OF_HOME),
+      formula: 'slope x 110 routers x 10.9 teams a second',
+      unit: '% of a core',
+    }),
+    row('scheduler', 'admission decisions', kernels.admissionGenerationUs, 'µs a generation', {
+      atTarget: percent(kernels.admissionGenerationUs * admissions),
+      formula: 'slope x 52.7 generations a second',
+      unit: '% of a core',
+    }),
+    row('scheduler', 'progress decisions', kernels.admissionProgressUs, 'µs a report', {
+      atTarget: percent(kernels.admissionProgressUs * RUNNING_OF_ROUTER * 2),
+      formula: 'slope x 1,136 generations x 2 a second',
+      unit: '% of a core',
+    }),
+    row('scheduler', 'running generations', kernels.admissionRunningBytes / 1024, 'KiB each', {
+      atTarget: mebibytes(kernels.admissionRunningBytes * RUNNING_OF_ROUTER),
+      formula: 'slope x 1,136 generations',
+      unit: 'MiB',
+    }),
+    row('scheduler', 'length model', kernels.lengthModelBytes / 1024 / 1024, 'MiB, bounded', {
+      atTarget: mebibytes(kernels.lengthModelBytes),
+      formula: '1,200 teams x 27 models, 32,768 distributions at most',
+      unit: 'MiB',
+    }),
+    row('scheduler', 'request homes', kernels.homeRecordBytes / 1024, 'KiB a record', {
+      atTarget: mebibytes(kernels.homeRecordBytes * records),
+      formula: 'slope x 52.7 requests x 2 homes x 60 s',
+      unit: 'MiB',
+    }),
+    row('scheduler', 'loads of its engines', ENGINES_OF_SCHEDULER * 2, 'HTTP calls a second', {
+      atTarget: ENGINES_OF_SCHEDULER * 2,
+      formula: '7.4 engines x 2 calls',
+      unit: 'calls/s',
+    }),
+  ];
+}
+
+function ledgerRows(claims: readonly ClaimCost[]): readonly CapacityRow[] {
+  const ofSlot = (requestsPerSecond * ONCE_SHARE) / CLAIM_SLOTS;
+  const near = claims.find((cost) => cost.claimsPerSecond === 10) ?? claims[0];
+  return [
+    row('ledger', 'claim decisions', near?.cpuUs ?? 0, 'µs a claim at 10/s', {
+      atTarget: percent((near?.cpuUs ?? 0) * ofSlot),
+      formula: `slope x ${ofSlot.toFixed(1)} claims a second and slot`,
+      unit: '% of a core',
+    }),
+    row('ledger', 'journal bytes', near?.bytesWritten ?? 0, 'bytes a claim at 10/s', {
+      atTarget: ((near?.bytesWritten ?? 0) * ofSlot) / 1024,
+      formula: `slope x ${ofSlot.toFixed(1)} claims a second and slot`,
+      unit: 'KiB/s',
+    }),
+  ];
+}
+
+function platformRows(
+  fleets: readonly IdleFleet[],
+  claims: readonly ClaimCost[],
+): readonly CapacityRow[] {
+  const kinds = Object.keys(fleets.at(-1)?.storeCallsPerSecond ?? {}).sort();
+  const calls = kinds.map((kind) => {
+    const line = fitLine(
+      fleets.map((fleet) => [fleet.daemons, fleet.storeCallsPerSecond[kind] ?? 0]),
+    );
+    const atTarget = line.base + line.slope * TARGET.daemons;
+    return row('platform service', kind, line.slope, 'calls/s a daemon', {
+      atTarget,
+      formula: 'base + slope x 330 daemons',
+      unit: 'calls/s',
+    });
+  });
+  const near = claims.find((cost) => cost.claimsPerSecond === 10) ?? claims[0];
+  const started = fleets.at(-1)?.storeCallsAtStart ?? 0;
+  return [
+    ...calls,
+    row('platform service', 'writes of claims', near?.writesPerSecond ?? 0, 'writes/s a slot', {
+      atTarget: (near?.writesPerSecond ?? 0) * CLAIM_SLOTS,
+      budget: TARGET.storeWritesPerSecond,
+      formula: 'slope x 16 slots',
+      unit: 'writes/s',
+    }),
+    row('platform service', 'daemons of a region restart', started, 'calls a daemon', {
+      atTarget: (started * TARGET.daemons) / 2,
+      formula: 'slope x 165 daemons, spread over their start',
+      unit: 'calls',
+    }),
+  ];
+}
+
+/** Cost of a call that carries a number of entries, from calls with one and with ten. */
+function callOf(one: RpcCost, ten: RpcCost, entries: number): RpcCost {
+  const grow = (first: number, tenth: number): number =>
+    first + ((tenth - first) / 9) * (entries - 1);
+  return { bytes: grow(one.bytes, ten.bytes), cpuUs: grow(one.cpuUs, ten.cpuUs) };
+}
+
+function callRows(
+  role: string,
+  quantity: string,
+  cost: RpcCost,
+  callsPerSecond: number,
+  isBackground: boolean,
+): readonly CapacityRow[] {
+  const formula = `${callsPerSecond.toFixed(1)} calls a second`;
+  return [
+    {
+      atTarget: percent(cost.cpuUs * CLIENT_SHARE * callsPerSecond),
+      ...(isBackground ? { budget: TARGET.controlCpuShare * 100 } : {}),
+      formula,
+      quantity,
+      role,
+      slope: `${cost.cpuUs.toFixed(0)} µs a call, half of it here`,
+      unit: '% of a core',
+    },
+    {
+      atTarget: (cost.bytes * callsPerSecond) / 1024,
+      ...(isBackground ? { budget: TARGET.controlBytesPerSecond / 1024 } : {}),
+      formula,
+      quantity,
+      role,
+      slope: `${cost.bytes.toFixed(0)} bytes a call, both ways`,
+      unit: 'KiB/s',
+    },
+  ];
+}
+
+function row(
+  role: string,
+  quantity: string,
+  slope: number,
+  slopeUnit: string,
+  rest: Pick<CapacityRow, 'atTarget' | 'budget' | 'formula' | 'unit'>,
+): CapacityRow {
+  return { ...rest, quantity, role, slope: `${readable(slope)} ${slopeUnit}` };
+}
+
+/** A number with three significant digits. */
+export function readable(value: number): string {
+  return Number(value.toPrecision(3)).toLocaleString('en-US', { maximumFractionDigits: 4 });
+}
+
+function mebibytes(bytes: number): number {
+  return bytes / 1024 / 1024;
+}
+
+function percent(usPerSecond: number): number {
+  return (usPerSecond / US_PER_SECOND) * 100;
+}
--- /dev/null
+++ b/packages/tools/src/capacity/main.ts
@@ -0,0 +1,31 @@
+import { measureClaims } from './CapacityClaims.js';
+import { measureKernels } from './CapacityKernels.js';
+import { measureIdleFleets } from './CapacityProcesses.js';
+import { measureRpc } from './CapacityRpc.js';
+import type { CapacityRow } from './CapacityTable.js';
+import { capacityRows, readable } from './CapacityTable.js';
+
+/** Prints the capacity table as Markdown, from slopes measured in this run. */
+
+function rowText(row: CapacityRow): string {
+  const budget = row.budget === undefined ? '' : `${readable(row.budget)} ${row.unit}`;
+  const margin = row.budget === undefined ? '' : `x ${readable(row.budget / row.atTarget)}`;
+  const atTarget = `${readable(row.atTarget)} ${row.unit}`;
+  return `| ${[row.role, row.quantity, row.formula, row.slope, atTarget, budget, margin].join(' | ')} |`;
+}
+
+const kernels = measureKernels();
+const claims = await measureClaims();
+const rpc = await measureRpc();
+const fleets = await measureIdleFleets();
+
+process.stdout.write(
+  '| role | quantity | formula | measured slope | at target | budget | margin |\n',
+);
+process.stdout.write('|---|---|---|---|---|---|---|\n');
+for (const row of capacityRows({ claims, fleets, kernels, rpc })) {
+  process.stdout.write(`${rowText(row)}\n`);
+}
+process.stdout.write(`\nclaims: ${JSON.stringify(claims)}\n`);
+process.stdout.write(`fleets: ${JSON.stringify(fleets)}\n`);
+process.exit(0);
