Decide who may order an engine, and hold the weight store's rate

Orders are read back before they are repeated. The engine's control client now shares the platform's HTTP call, which knows whether it was sent.

--- a/packages/engine/src/EngineControlClient.ts
+++ b/packages/engine/src/EngineControlClient.ts
@@ -9,7 +9,8 @@
   Result,
 } from '@laburnumgap/kernel';
 import { failure, success, toNumberId } from '@laburnumgap/kernel';
-import { Agent, request } from 'undici';
+import type { ConnectionCall } from '@laburnumgap/platform';
+import { PlatformConnections } from '@laburnumgap/platform';
 import { z } from 'zod';
 
 /** Why a control call to an engine failed. */
@@ -36,8 +37,14 @@
   ): Promise<Result<undefined, EngineControlError>>;
   close(): Promise<void>;
   load(): Promise<Result<EngineLoad, EngineControlError>>;
-  /** Answers with the state after the order. */
-  order(order: EngineOrder): Promise<Result<EngineState, EngineControlError>>;
+  /**
+   * Answers with the state after the order. `mayWrite` is asked right before the first byte is
+   * written; the order is not sent when it returns false.
+   */
+  order(
+    order: EngineOrder,
+    mayWrite?: () => boolean,
+  ): Promise<Result<EngineState, EngineControlError>>;
   state(): Promise<Result<EngineState, EngineControlError>>;
   status(generationId: GenerationId): Promise<Result<EngineGenerationStatus, EngineControlError>>;
 }
@@ -58,14 +65,9 @@
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 const DEFAULT_DEADLINE_MS = 2000;
 const MAX_CONNECTIONS = 4;
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-/** Errors that come before any byte of the request was written. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
+
+/** Statuses that do not say whether the call took effect. */
+const UNCERTAIN_STATUSES: ReadonlySet<number> = new Set([500, 502, 504]);
 
 const countSchema = z.number().min(0);
 
@@ -111,13 +113,6 @@
 
 const errorSchema = z.object({ error: z.string() });
 
-interface ControlCall {
-  readonly body?: unknown;
-  readonly deadlineMs?: number;
-  readonly method: 'DELETE' | 'GET' | 'POST';
-  readonly path: string;
-}
-
 /**
  * Creates a client for the control calls of one engine.
  *
@@ -129,12 +124,17 @@
 }
 
 class HttpEngineControl implements EngineControl {
-  readonly #options: EngineControlOptions;
-  #agent: Agent;
+  readonly #connections: PlatformConnections;
+  readonly #orderDeadlineMs: number;
 
   constructor(options: EngineControlOptions) {
-    this.#options = options;
-    this.#agent = this.#newAgent();
+    this.#connections = new PlatformConnections({
+      connectTimeoutMs: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS,
+      deadlineMs: options.deadlineMs ?? DEFAULT_DEADLINE_MS,
+      maxConnections: MAX_CONNECTIONS,
+      url: options.url,
+    });
+    this.#orderDeadlineMs = options.orderDeadlineMs ?? DEFAULT_ORDER_DEADLINE_MS;
   }
 
   cacheEvents(afterSequence: number): Promise<Result<EngineCacheEventPage, EngineControlError>> {
@@ -152,16 +152,24 @@
   }
 
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    await this.#connections.close();
   }
 
   load(): Promise<Result<EngineLoad, EngineControlError>> {
     return this.#call({ method: 'GET', path: '/v1/load' }, loadSchema);
   }
 
-  order(order: EngineOrder): Promise<Result<EngineState, EngineControlError>> {
-    const deadlineMs = this.#options.orderDeadlineMs ?? DEFAULT_ORDER_DEADLINE_MS;
-    const call: ControlCall = { body: order, deadlineMs, method: 'POST', path: '/v1/orders' };
+  order(
+    order: EngineOrder,
+    mayWrite?: () => boolean,
+  ): Promise<Result<EngineState, EngineControlError>> {
+    const call: ConnectionCall = {
+      body: JSON.stringify(order),
+      deadlineMs: this.#orderDeadlineMs,
+      mayWrite,
+      method: 'POST',
+      path: '/v1/orders',
+    };
     return this.#call(call, stateSchema);
   }
 
@@ -174,51 +182,32 @@
     return this.#call({ method: 'GET', path }, statusSchema);
   }
 
-  async #call<T>(call: ControlCall, schema: z.ZodType<T>): Promise<Result<T, EngineControlError>> {
-    const agent = this.#agent;
-    try {
-      const answer = await request(`${this.#options.url}${call.path}`, {
-        body: call.body === undefined ? undefined : JSON.stringify(call.body),
-        dispatcher: agent,
-        headers: { 'content-type': 'application/json' },
-        method: call.method,
-        signal: AbortSignal.timeout(
-          call.deadlineMs ?? this.#options.deadlineMs ?? DEFAULT_DEADLINE_MS,
-        ),
-      });
-      return readAnswer(call, schema, answer.statusCode, await answer.body.text());
-    } catch (error) {
-      this.#replaceAgent(agent);
-      return failure(classifyFailure(call, error));
-    }
-  }
-
-  /** A connection may have gone silent while new ones work: later calls use new ones. */
-  #replaceAgent(failed: Agent): void {
-    if (failed !== this.#agent) {
-      return;
+  async #call<T>(
+    call: ConnectionCall,
+    schema: z.ZodType<T>,
+  ): Promise<Result<T, EngineControlError>> {
+    const outcome = await this.#connections.call(call);
+    switch (outcome.kind) {
+      case 'answered':
+        return readAnswer(call, schema, outcome.status, outcome.text);
+      case 'noAnswer':
+        return failure(noAnswer(call, outcome.detail));
+      case 'notSent':
+        return failure({ detail: outcome.detail, kind: 'unavailable' });
     }
-    this.#agent = this.#newAgent();
-    void failed.close();
-  }
-
-  #newAgent(): Agent {
-    return new Agent({
-      connect: { timeout: this.#options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
-      connections: MAX_CONNECTIONS,
-      maxResponseSize: MAX_ANSWER_BYTES,
-      pipelining: 1,
-    });
   }
 }
 
 function readAnswer<T>(
-  call: ControlCall,
+  call: ConnectionCall,
   schema: z.ZodType<T>,
   status: number,
   text: string,
 ): Result<T, EngineControlError> {
   const body = parseJson(text);
+  if (UNCERTAIN_STATUSES.has(status)) {
+    return failure(noAnswer(call, `HTTP status ${status}`));
+  }
   if (status >= 400) {
     const reason = errorSchema.safeParse(body).data?.error ?? `HTTP status ${status}`;
     return failure({ kind: 'rejected', reason, status });
@@ -231,16 +220,7 @@
   return failure(noAnswer(call, detail));
 }
 
-function classifyFailure(call: ControlCall, error: unknown): EngineControlError {
-  const detail = error instanceof Error ? error.message : String(error);
-  const code = (error as { readonly code?: unknown } | undefined)?.code;
-  if (typeof code === 'string' && NOT_SENT_CODES.has(code)) {
-    return { detail, kind: 'unavailable' };
-  }
-  return noAnswer(call, detail);
-}
-
-function noAnswer(call: ControlCall, detail: string): EngineControlError {
+function noAnswer(call: ConnectionCall, detail: string): EngineControlError {
   return { detail, kind: call.method === 'GET' ? 'unavailable' : 'outcomeUnknown' };
 }
 
--- /dev/null
+++ b/packages/membership/src/MembershipEngineOrders.ts
@@ -0,0 +1,259 @@
+import type { EngineControl } from '@laburnumgap/engine';
+import type {
+  DecisionSink,
+  EngineId,
+  EngineOrder,
+  EngineState,
+  MonotonicClock,
+  PlatformStore,
+  RandomSource,
+  Revision,
+  Teardown,
+} from '@laburnumgap/kernel';
+import { toNumberId } from '@laburnumgap/kernel';
+import { MembershipBackoff } from './MembershipBackoff.js';
+import type {
+  AuthorityStep,
+  EngineAuthorityOptions,
+  EngineIntent,
+} from './MembershipEngineAuthority.js';
+import { EngineAuthority } from './MembershipEngineAuthority.js';
+import {
+  authorityKey,
+  decodeAuthorityRecord,
+  encodeAuthorityRecord,
+} from './MembershipEngineAuthorityRecord.js';
+import type { MembershipTimers } from './MembershipTimers.js';
+import { PROCESS_TIMERS } from './MembershipTimers.js';
+import type { WeightPermit, WeightPermits } from './MembershipWeightPermits.js';
+
+/** Options of {@link startEngineOrders}. */
+export interface EngineOrdersOptions extends EngineAuthorityOptions {
+  readonly clock: MonotonicClock;
+  readonly control: EngineControl;
+  readonly decisions: DecisionSink;
+  readonly engineId: EngineId;
+  /** Whether this member's lease is certain to be in force. */
+  readonly holdsLease: () => boolean;
+  /** Without it, loads are not limited. */
+  readonly permits?: WeightPermits;
+  readonly random?: RandomSource;
+  readonly store: PlatformStore;
+  readonly timers?: MembershipTimers;
+}
+
+/** Brings one engine to run what is wanted. */
+export interface EngineOrders {
+  stop(): void;
+  /** Sets what the engine is to run; undefined when this member does not own it. */
+  want(intent: EngineIntent | undefined): void;
+}
+
+/** How often the state of an engine that runs what is wanted is read again. */
+const RECHECK_MS = 30_000;
+const RECHECK_JITTER = 0.2;
+
+/**
+ * Starts the orders of one engine. One call runs at a time, and nothing is sent until something is
+ * wanted.
+ *
+ * @param options - engine, store, authority and clock
+ * @returns the running orders
+ */
+export function startEngineOrders(options: EngineOrdersOptions): EngineOrders {
+  return new EngineOrdersLoop(options);
+}
+
+/** What a step led to: whether its call was answered. */
+type StepOutcome = 'answered' | 'failed';
+
+class EngineOrdersLoop implements EngineOrders {
+  readonly #authority: EngineAuthority;
+  readonly #backoff: MembershipBackoff;
+  readonly #options: EngineOrdersOptions;
+  readonly #random: RandomSource;
+  readonly #timers: MembershipTimers;
+  #cancelTimer: Teardown = () => undefined;
+  #running = false;
+  #state: EngineState | undefined;
+  #stopped = false;
+  #waitReason = '';
+
+  constructor(options: EngineOrdersOptions) {
+    this.#authority = new EngineAuthority(options);
+    this.#options = options;
+    this.#random = options.random ?? { nextUnit: Math.random };
+    this.#backoff = new MembershipBackoff(this.#random);
+    this.#timers = options.timers ?? PROCESS_TIMERS;
+  }
+
+  want(intent: EngineIntent | undefined): void {
+    if (this.#authority.want(intent)) {
+      this.#wake();
+    }
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#cancelTimer();
+  }
+
+  #wake(): void {
+    if (this.#running || this.#stopped) {
+      return;
+    }
+    this.#cancelTimer();
+    this.#running = true;
+    void this.#runStep().then((delayMs) => {
+      this.#running = false;
+      this.#later(delayMs);
+    });
+  }
+
+  #later(delayMs: number): void {
+    if (this.#stopped) {
+      return;
+    }
+    this.#cancelTimer = this.#timers.after(delayMs, () => {
+      this.#wake();
+    });
+  }
+
+  /** Makes the next step; returns the wait before the one after it. */
+  async #runStep(): Promise<number> {
+    const { clock, holdsLease } = this.#options;
+    const nowMs = clock.nowMs();
+    const step = this.#authority.next(nowMs, holdsLease());
+    if (step.kind === 'idle') {
+      this.#authority.recheck();
+      return RECHECK_MS * (1 - RECHECK_JITTER * this.#random.nextUnit());
+    }
+    if (step.kind === 'wait') {
+      this.#recordWait(step.reason, step.untilMs - nowMs);
+      return step.untilMs - nowMs;
+    }
+    const outcome = await this.#make(step);
+    if (outcome === 'failed') {
+      return this.#backoff.nextDelayMs();
+    }
+    this.#backoff.reset();
+    return 0;
+  }
+
+  #make(step: Exclude<AuthorityStep, { kind: 'idle' | 'wait' }>): Promise<StepOutcome> {
+    switch (step.kind) {
+      case 'readRecord':
+        return this.#readRecord();
+      case 'readState':
+        return this.#readState();
+      case 'sendOrder':
+        return this.#sendOrder(step.order);
+      case 'swapRecord':
+        return this.#swapRecord(step.guard);
+    }
+  }
+
+  async #readState(): Promise<StepOutcome> {
+    const state = await this.#options.control.state();
+    if (!state.ok) {
+      return 'failed';
+    }
+    this.#state = state.value;
+    this.#authority.stateSeen(state.value);
+    return 'answered';
+  }
+
+  async #readRecord(): Promise<StepOutcome> {
+    const { clock, engineId, store } = this.#options;
+    const sentAtMs = clock.nowMs();
+    const read = await store.read(authorityKey(engineId));
+    if (!read.ok) {
+      return 'failed';
+    }
+    const record = read.value && decodeAuthorityRecord(read.value.value);
+    const modRevision = read.value?.modRevision ?? toNumberId<Revision>(0);
+    this.#authority.recordRead(record, modRevision, sentAtMs, clock.nowMs());
+    return 'answered';
+  }
+
+  async #swapRecord(guard: Revision): Promise<StepOutcome> {
+    const { clock, engineId, self, store } = this.#options;
+    const key = authorityKey(engineId);
+    const sentAtMs = clock.nowMs();
+    const swapped = await store.commit({
+      guards: [{ key, modRevision: guard }],
+      writes: [{ key, kind: 'put', value: encodeAuthorityRecord(self) }],
+    });
+    if (!swapped.ok) {
+      this.#authority.swapFailed();
+      return 'failed';
+    }
+    this.#authority.swapped(swapped.value, sentAtMs, clock.nowMs());
+    this.#record('authority', { fencingNumber: swapped.value });
+    return 'answered';
+  }
+
+  async #sendOrder(order: EngineOrder): Promise<StepOutcome> {
+    const { clock, control, holdsLease, permits } = this.#options;
+    const loads = order.models.some((model) => !this.#state?.models.includes(model));
+    const permit = permits && loads ? await permits.take() : undefined;
+    if (permits && loads && !permit) {
+      this.#recordWait('weightPermit');
+      return 'failed';
+    }
+    // Taking the permit took time: the right to send is checked again.
+    if (!this.#authority.maySend(clock.nowMs(), holdsLease())) {
+      return 'answered';
+    }
+    this.#authority.sending(order, clock.nowMs());
+    const answer = await control.order(order, () => this.#mayWrite(permit));
+    if (answer.ok) {
+      this.#state = answer.value;
+      this.#authority.orderSettled();
+      this.#authority.stateSeen(answer.value);
+      this.#recordOrder(order, 'inForce');
+      return 'answered';
+    }
+    const { error } = answer;
+    this.#recordOrder(order, error.kind === 'rejected' ? error.reason : error.kind);
+    if (error.kind === 'rejected' && error.reason === 'staleFencingNumber') {
+      this.#authority.orderStale();
+    } else if (error.kind !== 'outcomeUnknown') {
+      this.#authority.orderSettled();
+    }
+    return 'failed';
+  }
+
+  #mayWrite(permit: WeightPermit | undefined): boolean {
+    const { clock, holdsLease } = this.#options;
+    return (
+      !this.#stopped &&
+      permit?.mayStart() !== false &&
+      this.#authority.maySend(clock.nowMs(), holdsLease())
+    );
+  }
+
+  /** Records a wait once, however often it is looked at. */
+  #recordWait(reason: string, waitMs = 0): void {
+    if (reason !== this.#waitReason) {
+      this.#waitReason = reason;
+      this.#record('wait', { reason, waitMs });
+    }
+  }
+
+  #recordOrder(order: EngineOrder, outcome: string): void {
+    this.#waitReason = '';
+    this.#record('order', {
+      adapters: order.adapters.join(','),
+      fencingNumber: order.fencingNumber,
+      models: order.models.join(','),
+      outcome,
+      role: order.role,
+    });
+  }
+
+  #record(decision: string, fields: Readonly<Record<string, number | string>>): void {
+    const { decisions, engineId } = this.#options;
+    decisions.record({ decision, fields: { engineId, ...fields } });
+  }
+}
--- /dev/null
+++ b/packages/membership/src/__tests__/support/NaiveAuthority.ts
@@ -0,0 +1,78 @@
+import type { EngineOrder, EngineState, FencingNumber, Revision } from '@laburnumgap/kernel';
+import { toNumberId } from '@laburnumgap/kernel';
+import type {
+  AuthorityStep,
+  EngineAuthority,
+  EngineIntent,
+} from '../../MembershipEngineAuthority.js';
+import { isSameIntent } from '../../MembershipEngineAuthority.js';
+
+/** What a simulation needs of an authority. */
+export type AuthorityKernel = Pick<
+  EngineAuthority,
+  | 'next'
+  | 'orderSettled'
+  | 'orderStale'
+  | 'recordRead'
+  | 'sending'
+  | 'stateSeen'
+  | 'swapFailed'
+  | 'swapped'
+  | 'want'
+>;
+
+/** Takes the authority by compare-and-swap and then orders for good, as a simple lock would. */
+export class NaiveAuthority implements AuthorityKernel {
+  #fencingNumber: FencingNumber | undefined;
+  #inForce = false;
+  #intent: EngineIntent | undefined;
+  #known: Revision | undefined;
+
+  want(intent: EngineIntent | undefined): boolean {
+    this.#intent = intent;
+    this.#inForce = false;
+    return true;
+  }
+
+  next(): AuthorityStep {
+    if (!this.#intent || this.#inForce) {
+      return { kind: 'idle' };
+    }
+    if (this.#fencingNumber !== undefined) {
+      const order = { ...this.#intent, fencingNumber: this.#fencingNumber };
+      return { kind: 'sendOrder', order };
+    }
+    return this.#known === undefined
+      ? { kind: 'readRecord' }
+      : { guard: this.#known, kind: 'swapRecord' };
+  }
+
+  recordRead(_record: unknown, modRevision: Revision): void {
+    this.#known = modRevision;
+  }
+
+  swapped(modRevision: Revision): void {
+    this.#fencingNumber = toNumberId<FencingNumber>(modRevision);
+  }
+
+  swapFailed(): void {
+    this.#known = undefined;
+  }
+
+  stateSeen(state: EngineState): void {
+    this.#inForce = this.#intent !== undefined && isSameIntent(this.#intent, state);
+  }
+
+  sending(order: EngineOrder): void {
+    this.#inForce = order.models.length < 0;
+  }
+
+  orderSettled(): void {
+    this.#inForce = true;
+  }
+
+  orderStale(): void {
+    this.#fencingNumber = undefined;
+    this.#known = undefined;
+  }
+}
--- a/packages/platform/src/PlatformConnections.ts
+++ b/packages/platform/src/PlatformConnections.ts
@@ -10,6 +10,10 @@
   readonly url: string;
 }
 
+/** A call over the connections; its path is below the base URL. */
+export type ConnectionCall = Partial<Pick<HttpCall, 'deadlineMs'>> &
+  Pick<HttpCall, 'body' | 'mayWrite' | 'method' | 'path'>;
+
 const IDLE_CONNECTION_MS = 30_000;
 
 /**
@@ -41,11 +45,11 @@
   }
 
   /** Makes one call. */
-  async call(request: Pick<HttpCall, 'body' | 'method' | 'path'>): Promise<HttpCallOutcome> {
+  async call(request: ConnectionCall): Promise<HttpCallOutcome> {
     const agent = this.#agent;
     const outcome = await callHttp({
-      ...request,
       deadlineMs: this.#options.deadlineMs,
+      ...request,
       dispatcher: agent,
       origin: this.origin,
       path: this.pathOf(request.path),
--- a/packages/platform/src/PlatformHttpCall.ts
+++ b/packages/platform/src/PlatformHttpCall.ts
@@ -13,7 +13,9 @@
   readonly body?: string;
   readonly deadlineMs: number;
   readonly dispatcher: Dispatcher;
-  readonly method: 'GET' | 'POST';
+  /** Asked when a connection is ready, right before the first byte is written. */
+  readonly mayWrite?: () => boolean;
+  readonly method: 'DELETE' | 'GET' | 'POST';
   readonly origin: string;
   readonly path: string;
 }
@@ -57,6 +59,10 @@
           controller.abort(new Error('the deadline passed before the call was sent'));
           return;
         }
+        if (call.mayWrite?.() === false) {
+          fail('the right to make the call ended before it was written');
+          return;
+        }
         sent = true;
       },
       onResponseData: (_controller, chunk) => {
