--- a/packages/admission/src/EngineMemory.ts
+++ b/packages/admission/src/EngineMemory.ts
@@ -1,5 +1,5 @@
 import type { EngineLoad } from '@laburnumgap/kernel';
-import type { AdmissionRequest, ReportedProgress } from './AdmissionTypes.js';
+import type { AdmissionReason, AdmissionRequest, ReportedProgress } from './AdmissionTypes.js';
 import type { LengthCurve } from './LengthCurve.js';
 import { LoadCorrection } from './LoadCorrection.js';
 import { OverrunMargin } from './OverrunMargin.js';
@@ -9,6 +9,8 @@
 
 /** Options of an engine's memory. */
 export interface EngineMemoryOptions {
+  /** Length distribution of a request, as far as it is known. */
+  readonly curveOf: (request: AdmissionRequest) => LengthCurve;
   /** When this scheduler began to act for the engine. */
   readonly startedMs: number;
   readonly targetOverrunChance?: number;
@@ -21,8 +23,6 @@
 /** Longest time without an event of a scheduler that runs. */
 const PAUSE_MS = 5_000;
 const REFRESH_INTERVAL_MS = 100;
-/** The engine's own report must show memory this full before anything is preempted. */
-const PREEMPT_REPORTED_SHARE = 0.8;
 /** Memory of unknown use, as a share, with which the engine still counts as empty. */
 const EMPTY_ENGINE_SHARE = 0.1;
 const START_PROMPT_TOKENS = 512;
@@ -40,6 +40,7 @@
   readonly running = new RunningGenerations();
   private capacityTokens = 0;
   private readonly correction = new LoadCorrection();
+  private readonly curveOf: (request: AdmissionRequest) => LengthCurve;
   private lastEventMs: number;
   private lastLoad: EngineLoad | undefined;
   private readonly margin: OverrunMargin;
@@ -50,6 +51,7 @@
   private unreportedPreemptions = 0;
 
   constructor(options: EngineMemoryOptions) {
+    this.curveOf = options.curveOf;
     this.lastEventMs = options.startedMs;
     this.margin = new OverrunMargin({ targetChance: options.targetOverrunChance });
     this.rebuildingSinceMs = options.startedMs;
@@ -98,6 +100,23 @@
     return this.peakTokens(request, curve) <= this.capacityTokens;
   }
 
+  /** Whether the request would fit into the whole memory; true while that is not known. */
+  fitsEver(request: AdmissionRequest): boolean {
+    const neededTokens = request.promptTokens + request.producedTokens;
+    return this.capacityTokens === 0 || neededTokens < this.capacityTokens;
+  }
+
+  /** Figures for the decision log. */
+  reasonOf(request: AdmissionRequest): AdmissionReason {
+    return {
+      deviations: Number(this.deviations().toFixed(2)),
+      kvTokensCapacity: this.capacityTokens,
+      kvTokensPeak: Math.round(this.peakTokens(request, this.curveOf(request))),
+      kvTokensUsed: Math.round(this.heldTokens()),
+      preemptions: request.preemptions,
+    };
+  }
+
   /** Counts an admitted request as running. */
   start(request: AdmissionRequest, curve: LengthCurve, nowMs: number): void {
     this.running.start(request, curve, nowMs);
@@ -153,7 +172,7 @@
     }
     if (report.enginePreempted) {
       this.unreportedPreemptions += 1;
-      this.margin.noteOverrun();
+      this.margin.noteOverrun(this.lastEventMs);
     } else if (report.finished) {
       this.margin.noteEnd();
     }
@@ -165,7 +184,7 @@
     this.running.expireAdopted(nowMs);
     if (nowMs - this.refreshedMs >= REFRESH_INTERVAL_MS) {
       this.refreshedMs = nowMs;
-      this.running.refresh(nowMs);
+      this.running.refresh(nowMs, this.curveOf);
     }
     this.correction.sample(this.running.heldTokens(), nowMs);
   }
@@ -178,7 +197,7 @@
     const victim = chooseVictim(this.running.candidates());
     if (victim) {
       victim.generation.isBeingPreempted = true;
-      this.margin.noteOverrun();
+      this.margin.noteOverrun(this.lastEventMs);
     }
     return victim;
   }
@@ -196,10 +215,10 @@
     return isEmpty && unknownTokens + neededTokens < this.capacityTokens;
   }
 
+  /** The engine holds generations back already, and the forecast says that it goes on so. */
   private isAboutToOverflow(): boolean {
-    const reportedTokens = this.lastLoad?.kvTokensUsed ?? 0;
-    const isReported = reportedTokens >= PREEMPT_REPORTED_SHARE * this.capacityTokens;
-    if (this.capacityTokens === 0 || !isReported) {
+    const isHeldBack = (this.lastLoad?.queuedGenerations ?? 0) > 0;
+    if (this.capacityTokens === 0 || !isHeldBack) {
       return false;
     }
     return this.running.nearTokens() + this.correction.tokens() > this.capacityTokens;
@@ -210,7 +229,7 @@
     const before = this.lastLoad?.preemptions ?? load.preemptions;
     const reported = Math.max(0, load.preemptions - before);
     for (let count = this.unreportedPreemptions; count < reported; count += 1) {
-      this.margin.noteOverrun();
+      this.margin.noteOverrun(this.lastEventMs);
     }
     this.unreportedPreemptions = Math.max(0, this.unreportedPreemptions - reported);
   }
