--- a/packages/standins/src/EngineStandinCore.ts
+++ b/packages/standins/src/EngineStandinCore.ts
@@ -52,6 +52,7 @@
   readonly #queue: StandinGeneration[] = [];
   readonly #running = new Set<StandinGeneration>();
   #admissions = 0;
+  #kvTokensUsed = 0;
 
   constructor(options: EngineStandinCoreOptions = {}) {
     this.kvTokensCapacity = options.kvTokensCapacity ?? DEFAULT_KV_TOKENS;
@@ -74,7 +75,7 @@
 
   get load(): StandinLoad {
     return {
-      kvTokensUsed: this.#kvTokensUsed(),
+      kvTokensUsed: this.#kvTokensUsed,
       preemptions: this.preemptions,
       queuedGenerations: this.#queue.length,
       runningGenerations: this.#running.size,
@@ -139,8 +140,9 @@
     this.preemptions += 1;
     this.#remove(generation);
     generation.state = 'preempted';
+    generation.givenUp = true;
     generation.finishedAtMs = nowMs;
-    generation.endReaders('preempted');
+    generation.notify();
     this.#admit(nowMs);
   }
 
@@ -150,8 +152,9 @@
     const decoding = [...this.#running].filter((generation) => generation.decodesFromMs <= nowMs);
     const produced: StandinGeneration[] = [];
     for (const generation of decoding) {
-      if (this.#running.has(generation) && this.#makeRoomFor(generation)) {
+      if (this.#running.has(generation) && this.#makeRoomFor(generation, nowMs)) {
         generation.produce();
+        this.#kvTokensUsed += 1;
         produced.push(generation);
       }
     }
@@ -162,17 +165,18 @@
     return produced;
   }
 
-  #kvTokensUsed(): number {
-    let used = 0;
-    for (const generation of this.#running) {
-      used += generation.kvTokens;
-    }
-    return used;
-  }
-
-  /** Preempts until one more token fits; returns whether the generation itself still runs. */
-  #makeRoomFor(generation: StandinGeneration): boolean {
-    while (this.#kvTokensUsed() >= this.kvTokensCapacity) {
+  /**
+   * Preempts until one more token fits; returns whether the generation itself still runs. A
+   * generation that fills the whole memory ends.
+   */
+  #makeRoomFor(generation: StandinGeneration, nowMs: number): boolean {
+    while (this.#kvTokensUsed >= this.kvTokensCapacity) {
+      if (this.#running.size === 1) {
+        generation.finishReason = 'length';
+        this.#finish(generation, nowMs);
+        generation.notify();
+        return false;
+      }
       const victim = this.#victim();
       this.#preempt(victim);
       if (victim === generation) {
@@ -194,7 +198,7 @@
 
   #preempt(victim: StandinGeneration): void {
     this.preemptions += 1;
-    this.#running.delete(victim);
+    this.#leaveBatch(victim);
     victim.state = 'preempted';
     this.#enqueue(victim);
   }
@@ -216,7 +220,7 @@
   }
 
   #fits(generation: StandinGeneration): boolean {
-    const needed = this.#kvTokensUsed() + generation.kvTokens + 1;
+    const needed = this.#kvTokensUsed + generation.kvTokens + 1;
     return needed <= this.kvTokensCapacity || this.#running.size === 0;
   }
 
@@ -233,6 +237,7 @@
     generation.admissionNumber = this.#admissions;
     generation.state = 'running';
     this.#running.add(generation);
+    this.#kvTokensUsed += generation.kvTokens;
   }
 
   #finish(generation: StandinGeneration, nowMs: number): void {
@@ -242,13 +247,19 @@
   }
 
   #remove(generation: StandinGeneration): void {
-    this.#running.delete(generation);
+    this.#leaveBatch(generation);
     const queuedAt = this.#queue.indexOf(generation);
     if (queuedAt !== -1) {
       this.#queue.splice(queuedAt, 1);
     }
   }
 
+  #leaveBatch(generation: StandinGeneration): void {
+    if (this.#running.delete(generation)) {
+      this.#kvTokensUsed -= generation.kvTokens;
+    }
+  }
+
   #forget(nowMs: number): void {
     for (const [id, generation] of this.generations) {
       const ended = generation.finishedAtMs > 0;
--- a/packages/standins/src/EngineStandinGeneration.ts
+++ b/packages/standins/src/EngineStandinGeneration.ts
@@ -35,6 +35,8 @@
   finishReason: FinishReason = 'stop';
   /** When the prompt has been computed and decoding goes on. */
   decodesFromMs = 0;
+  /** The engine gave the generation up for good. */
+  givenUp = false;
   readonly id: string;
   /** Order of the latest admission to the running batch. */
   admissionNumber = 0;
@@ -92,13 +94,4 @@
       }
     }
   }
-
-  /** Ends every reader's stream. */
-  endReaders(end: ReaderEnd): void {
-    const readers = [...this.readers];
-    this.readers.clear();
-    for (const reader of readers) {
-      reader.onEnd(end);
-    }
-  }
 }
--- a/packages/standins/src/EngineStandinStream.ts
+++ b/packages/standins/src/EngineStandinStream.ts
@@ -75,9 +75,13 @@
     while (this.#open && !this.#waitsForDrain && this.#next < this.#generation.texts.length) {
       this.#writeToken();
     }
-    const atEnd = this.#next >= this.#generation.texts.length;
-    if (this.#open && atEnd && this.#generation.state === 'finished') {
+    if (!this.#open || this.#next < this.#generation.texts.length) {
+      return;
+    }
+    if (this.#generation.state === 'finished') {
       this.#finish();
+    } else if (this.#generation.givenUp) {
+      this.onEnd('preempted');
     }
   }
 
