--- /dev/null
+++ b/packages/admission/src/__tests__/unit/LengthModel.test.ts
@@ -0,0 +1,103 @@
+import test from 'ava';
+import fc from 'fast-check';
+import { LENGTH_BUCKETS, LengthCurve, LengthModel } from '../../index.js';
+import { requestOf } from '../AdmissionFixtures.js';
+
+const shares = fc
+  .array(fc.double({ max: 1, min: 0, noNaN: true }), {
+    maxLength: LENGTH_BUCKETS,
+    minLength: LENGTH_BUCKETS,
+  })
+  .filter((parts) => parts.some((part) => part > 0.01))
+  .map((parts) => {
+    const total = parts.reduce((sum, part) => sum + part, 0);
+    return parts.map((part) => part / total);
+  });
+
+test('property: the chance of a longer output is a chance and never rises', (t) => {
+  const lengths = fc.integer({ max: 200_000, min: 0 });
+  const property = fc.property(shares, lengths, lengths, (parts, one, other) => {
+    const curve = new LengthCurve(parts);
+    const [short, long] = one < other ? [one, other] : [other, one];
+    const atShort = curve.chanceBeyond(short);
+    const atLong = curve.chanceBeyond(long);
+    return atLong >= -1e-9 && atShort <= 1 + 1e-9 && atLong <= atShort + 1e-9;
+  });
+  t.notThrows(() => {
+    fc.assert(property);
+  });
+});
+
+test('property: the remaining length agrees with a naive sum over every token', (t) => {
+  const tokens = fc.integer({ max: 600, min: 0 });
+  const property = fc.property(shares, tokens, tokens, (parts, produced, bound) => {
+    const curve = new LengthCurve(parts);
+    const maxTokens = produced + bound;
+    let naive = 0;
+    for (let step = 0; step < bound; step += 1) {
+      const chances = [step, step + 1].map((at) => curve.chanceOfGrowth(produced, at));
+      naive += ((chances[0] ?? 0) + (chances[1] ?? 0)) / 2;
+    }
+    const remaining = curve.expectedRemaining(produced, maxTokens);
+    return Math.abs(remaining - naive) <= 0.05 * naive + 1;
+  });
+  t.notThrows(() => {
+    fc.assert(property, { numRuns: 50 });
+  });
+});
+
+test('an output that went on for long is expected to go on for longer', (t) => {
+  const lengths = new LengthModel();
+  for (let count = 0; count < 200; count += 1) {
+    lengths.observe(requestOf(), count % 5 === 0 ? 2_000 : 30);
+  }
+  const curve = lengths.curveOf(requestOf());
+  t.true(curve.expectedRemaining(100, 4_000) > 2 * curve.expectedRemaining(0, 4_000));
+});
+
+test('the bound of the caller is a bound and not an estimate', (t) => {
+  const lengths = new LengthModel();
+  for (let count = 0; count < 400; count += 1) {
+    lengths.observe(requestOf({ maxTokens: 8_000 }), 50);
+  }
+  const curve = lengths.curveOf(requestOf({ maxTokens: 8_000 }));
+  t.true(curve.expectedRemaining(0, 8_000) < 150);
+  t.true(curve.expectedRemaining(0, 10) <= 10);
+});
+
+test('a team that is not known is expected to be like others of the model and kind', (t) => {
+  const lengths = new LengthModel();
+  for (let count = 0; count < 200; count += 1) {
+    lengths.observe(requestOf({ maxTokens: 100, team: 'known' }), 20);
+    lengths.observe(requestOf({ maxTokens: 8_000, team: 'known' }), 1_000);
+  }
+  const short = lengths.curveOf(requestOf({ maxTokens: 100, team: 'new' }));
+  const long = lengths.curveOf(requestOf({ maxTokens: 8_000, team: 'new' }));
+  t.true(short.expectedRemaining(0, 100) < 40);
+  t.true(long.expectedRemaining(0, 8_000) > 700);
+});
+
+test('a team that differs from the others is told apart', (t) => {
+  const lengths = new LengthModel();
+  for (let count = 0; count < 100; count += 1) {
+    lengths.observe(requestOf({ team: 'short' }), 20);
+    lengths.observe(requestOf({ team: 'long' }), 1_000);
+  }
+  const short = lengths.curveOf(requestOf({ team: 'short' })).expectedRemaining(0, 4_000);
+  const long = lengths.curveOf(requestOf({ team: 'long' })).expectedRemaining(0, 4_000);
+  t.true(long > 3 * short);
+});
+
+test('memory is bounded at 1,200 teams, 27 models and two kinds', (t) => {
+  const lengths = new LengthModel();
+  for (let team = 0; team < 1_200; team += 1) {
+    for (let model = 0; model < 27; model += 1) {
+      for (const maxTokens of [100, 8_000]) {
+        const request = requestOf({ maxTokens, team: `team-${team}` });
+        lengths.observe({ ...request, model: `model-${model}` as typeof request.model }, 50);
+      }
+    }
+  }
+  t.true(lengths.size() <= 32_768);
+  t.true(lengths.slabBytes() <= 7 * 1024 * 1024, `${lengths.slabBytes()}`);
+});
