--- a/packages/router/src/RouterPlainCallsLedger.ts
+++ b/packages/router/src/RouterPlainCallsLedger.ts
@@ -27,8 +27,12 @@
   readonly teamId: TeamId;
 }
 
-/** Reply to a claim; `lost`: no ledger answered, the claim may have been recorded. */
-export type RouterClaimReply = ClaimReply | { readonly kind: 'lost' };
+/**
+ * Reply to a claim. `lost`: no ledger answered, the claim may have been recorded; `noLedger`: none
+ * was asked.
+ */
+export type RouterClaimReply =
+  ClaimReply | { readonly kind: 'lost' } | { readonly kind: 'noLedger' };
 
 /** Port to the ledgers. */
 export interface LedgerPort {
@@ -56,25 +60,42 @@
 /** Larger answers are settled by their hash; ledgers keep still less. */
 const MAX_SETTLED_BODY_BYTES = 64 * 1024;
 
+/**
+ * Asks ledgers for one claim until one replies. They may be asked for the same claim id: it is
+ * granted to that id only, however often.
+ *
+ * @param ledgers - the ledgers in order
+ * @param clock - bounds the time in which another one is asked
+ * @param ask - asks one
+ * @returns the reply, or `lost`
+ */
+export async function claimInOrder<Ledger>(
+  ledgers: readonly Ledger[],
+  clock: MonotonicClock,
+  ask: (ledger: Ledger) => Promise<RouterClaimReply>,
+): Promise<RouterClaimReply> {
+  const startedMs = clock.nowMs();
+  let isInDoubt = false;
+  for (const ledger of ledgers.slice(0, MAX_LEDGERS_ASKED)) {
+    const reply = await ask(ledger);
+    if (reply.kind !== 'lost' && reply.kind !== 'noLedger') {
+      return isInDoubt ? markInDoubt(reply) : reply;
+    }
+    isInDoubt = true;
+    if (clock.nowMs() - startedMs > FAST_FAILURE_MS) {
+      break;
+    }
+  }
+  return { kind: isInDoubt ? 'lost' : 'noLedger' };
+}
+
 /** Asks the ledgers by gRPC, the owner of the key's slot first. */
 export class RpcLedger implements LedgerPort {
   constructor(private readonly options: RpcLedgerOptions) {}
 
-  async claim(claim: RouterClaim): Promise<RouterClaimReply> {
-    const { clock } = this.options;
-    const startedMs = clock.nowMs();
-    let isInDoubt = false;
-    for (const ledger of this.ledgersFor(claim).slice(0, MAX_LEDGERS_ASKED)) {
-      const reply = await this.claimAt(ledger, claim);
-      if (reply.kind !== 'lost') {
-        return isInDoubt ? markInDoubt(reply) : reply;
-      }
-      isInDoubt = true;
-      if (clock.nowMs() - startedMs > FAST_FAILURE_MS) {
-        break;
-      }
-    }
-    return { kind: 'lost' };
+  claim(claim: RouterClaim): Promise<RouterClaimReply> {
+    const ledgers = this.ledgersFor(claim);
+    return claimInOrder(ledgers, this.options.clock, (ledger) => this.claimAt(ledger, claim));
   }
 
   async settle(claim: RouterClaim, outcome: SettleOutcome, attempt: number): Promise<boolean> {
--- a/packages/router/src/RouterPlainCallsOnce.ts
+++ b/packages/router/src/RouterPlainCallsOnce.ts
@@ -152,7 +152,7 @@
 
   private withoutClaim(
     claim: RouterClaim,
-    reply: Exclude<RouterClaimReply, { kind: 'granted' }>,
+    reply: Exclude<RouterClaimReply, { readonly kind: 'granted' }>,
   ): PlainCallOutcome {
     switch (reply.kind) {
       case 'answered':
@@ -169,6 +169,8 @@
       case 'lost':
         this.abandon(claim);
         return refused(refusal('CLAIM_UNAVAILABLE', 'no ledger answered', RETRY_AFTER_MS));
+      case 'noLedger':
+        return refused(refusal('CLAIM_UNAVAILABLE', 'no ledger is known', RETRY_AFTER_MS));
       case 'reused':
         return refused(refusal('IDEMPOTENCY_KEY_REUSED', 'the key was used with another call'));
       case 'running':
