Let the ledgers' clock of the step tests move between calls only

The table was red in 6 of 6 repeated runs, each time in a row whose ledger paused after a refused commit: its real clock decided whether the pause was over.

--- a/packages/router/src/__tests__/utils/PlainCallsWorld.ts
+++ b/packages/router/src/__tests__/utils/PlainCallsWorld.ts
@@ -69,6 +69,7 @@
 }
 
 const TEAM = toId<TeamId>('hoa-sen-transfers');
+const BETWEEN_CALLS_MS = 1_000;
 const PAUSE_MS = 30_000;
 const CALL_TIMEOUT_MS = 5_000;
 const SETTINGS: ClaimSettings = {
@@ -101,7 +102,7 @@
   constructor(world: PlainCallsWorld, index: number) {
     this.slots = startLedgerSlots({
       actors: this.actors,
-      clock: { nowMs: () => performance.now() },
+      clock: { nowMs: () => world.ledgerMs },
       decisions: NO_DECISION_SINK,
       log: NO_LOG,
       metrics: NO_METRICS,
@@ -163,6 +164,8 @@
   /** Effects at the server by idempotency key. */
   readonly effectsByKey = new Map<string, number>();
   epochMs = Date.UTC(2026, 11, 3);
+  /** The ledgers' monotonic clock; it moves between calls only. */
+  ledgerMs = 0;
   readonly state = new PlatformStoreState();
   private busy = 0;
   private calls = 0;
@@ -191,6 +194,7 @@
   /** Makes a call through a router of its own, and lets it and its settlements end. */
   async call(key: IdempotencyKey, faults: CallFaults = {}, body = 'four'): Promise<SeenCall> {
     this.calls += 1;
+    this.ledgerMs += BETWEEN_CALLS_MS;
     const number = this.calls;
     const router = new WorldRouter(this, number, faults);
     const outcome = await this.runUntil(router.timers, router.call(key, body));
