--- a/packages/config-sync/src/ConfigSync.ts
+++ b/packages/config-sync/src/ConfigSync.ts
@@ -8,11 +8,12 @@
   RandomSource,
 } from '@laburnumgap/kernel';
 import type { RpcClients } from '@laburnumgap/rpc';
-import type { Log } from '@laburnumgap/telemetry';
+import type { Log, Metrics } from '@laburnumgap/telemetry';
+import { NO_METRICS } from '@laburnumgap/telemetry';
 import { ConfigKeeper } from './ConfigKeeper.js';
 import type { ConfigMessage } from './ConfigMessages.js';
 import type { ConfigPeerHandlers } from './ConfigPeerServer.js';
-import { TICK_INTERVAL_MS } from './ConfigSyncConstants.js';
+import { METRICS_INTERVAL_MS, TICK_INTERVAL_MS } from './ConfigSyncConstants.js';
 
 /** Starts the actor that owns the configuration; `createActorSystem` of the daemon package fits. */
 export interface ConfigActors {
@@ -34,6 +35,7 @@
   readonly directory: MemberDirectory;
   readonly log: Log;
   readonly member: Pick<Member, 'failureDomain' | 'memberId'>;
+  readonly metrics?: Metrics;
   readonly random?: RandomSource;
   /** Addresses of peers to ask while the directory knows none. */
   readonly seedAddresses?: readonly string[];
@@ -85,6 +87,13 @@
   const stopTimer = startInterval(TICK_INTERVAL_MS, () => {
     actor.send({ kind: 'tick' });
   });
+  const metrics = options.metrics ?? NO_METRICS;
+  const stopMetrics = startInterval(METRICS_INTERVAL_MS, () => {
+    metrics.gauge('config.revision', keeper.view.snapshot().revision);
+    if (Number.isFinite(keeper.ageMs())) {
+      metrics.gauge('config.age_ms', keeper.ageMs());
+    }
+  });
   const forgetDirectory = options.directory.onChange(() => {
     actor.send({ kind: 'membersChanged' });
   });
@@ -95,6 +104,7 @@
     handlers: keeper.handlers,
     stop: () => {
       stopTimer();
+      stopMetrics();
       forgetDirectory();
       keeper.stop();
       actor.stop();
--- a/packages/config-sync/src/ConfigSyncConstants.ts
+++ b/packages/config-sync/src/ConfigSyncConstants.ts
@@ -26,5 +26,8 @@
 /** Interval of the daemon's own timer. */
 export const TICK_INTERVAL_MS = 250;
 
+/** Interval at which revision and age go out as metrics. */
+export const METRICS_INTERVAL_MS = 10_000;
+
 /** Largest text of the documents in one message to a follower. */
 export const BATCH_BYTES = 512 * 1024;
--- a/packages/config-sync/src/__tests__/helpers/ConfigFleet.ts
+++ b/packages/config-sync/src/__tests__/helpers/ConfigFleet.ts
@@ -5,7 +5,7 @@
 import type { Log, LogFields } from '@laburnumgap/telemetry';
 import { stringify } from 'yaml';
 import type { ConfigSync, FollowStream } from '../../index.js';
-import { startConfigSync } from '../../index.js';
+import { TICK_INTERVAL_MS, startConfigSync } from '../../index.js';
 import { FakeConfigStore } from './FakeConfigStore.js';
 
 type Listener = (value?: unknown) => void;
@@ -71,7 +71,10 @@
       member,
       random: { nextUnit: this.random },
       seedAddresses: options.seeds,
-      startInterval: (_intervalMs, run) => {
+      startInterval: (intervalMs, run) => {
+        if (intervalMs !== TICK_INTERVAL_MS) {
+          return () => undefined;
+        }
         tick = run;
         return () => {
           tick = (): void => undefined;
--- a/packages/node/src/NodeStart.ts
+++ b/packages/node/src/NodeStart.ts
@@ -33,7 +33,7 @@
   context: DaemonContext<DaemonSettings>,
   role: MemberRole,
 ): Promise<Node> {
-  const { actors, decisions, log, settings } = context;
+  const { actors, decisions, log, metrics, settings } = context;
   const clock = PROCESS_CLOCK;
   const random = createRandomSource();
   const clients = createRpcClients(settings.peers.secret);
@@ -53,6 +53,7 @@
     directory,
     log,
     member,
+    metrics,
     random,
     seedAddresses: settings.peers.seeds,
     store,
