Count a share's validity from the earliest demand that its answer may belong to

Cause: an answer that arrives after the next demand was sent counted from that later demand, so that a share could be in force after its home had written it off. Seen red by the new test on the code before.

--- a/packages/quota/src/QuotaShare.ts
+++ b/packages/quota/src/QuotaShare.ts
@@ -22,13 +22,15 @@
    * Takes the answer of a home.
    *
    * @param shares - the shares
-   * @param nowMs - the time; validity counts from the last call of `demands`, which is earlier
+   * @param nowMs - the time; validity counts from the earliest call of `demands` without an answer
    */
   applyShares(shares: readonly QuotaTeamShare[], nowMs: number): void;
   /** Charges input or produced tokens of an admitted request. */
   chargeTokens(teamId: TeamId, tokens: number, nowMs: number): void;
   /** Demands of the teams in use, to be sent to their homes now. */
   demands(nowMs: number): readonly QuotaDemand[];
+  /** Whether a home's share is in force for a team, rather than an equal part of the limit. */
+  holdsShare(teamId: TeamId, nowMs: number): boolean;
   /** Amounts in force at this router for a team that it has seen. */
   inForce(teamId: TeamId, nowMs: number): QuotaAmounts | undefined;
   /** Ends an admitted request. */
@@ -80,6 +82,7 @@
       }
       return demands;
     },
+    holdsShare: (teamId, nowMs) => teams.get(teamId)?.holdsShare(nowMs) ?? false,
     inForce: (teamId, nowMs) => {
       const contract = options.contractOf(teamId);
       const team = contract && teams.get(teamId);
--- a/packages/quota/src/QuotaShareTeam.ts
+++ b/packages/quota/src/QuotaShareTeam.ts
@@ -41,6 +41,8 @@
   private shareExpiresAtMs = -Infinity;
   private readonly tokens: QuotaTokenBucket;
   private turnedAwayRunning = 0;
+  /** The earliest demand that the next answer may belong to. */
+  private unansweredSinceMs: number | undefined;
   private unacknowledged = { requests: 0, tokens: 0 };
 
   constructor({ contract, liveRouters, nowMs }: QuotaShareTeamOptions) {
@@ -73,10 +75,12 @@
     return nowMs < this.shareExpiresAtMs;
   }
 
-  /** Takes a share; its validity counts from the demand that it answers. */
+  /** Takes a share; its validity counts from the earliest demand that it may answer. */
   applyShare(share: QuotaTeamShare, nowMs: number): void {
+    const askedAtMs = Math.min(nowMs, this.unansweredSinceMs ?? this.demandAtMs);
+    this.unansweredSinceMs = this.demandAtMs > askedAtMs ? this.demandAtMs : undefined;
     this.share = share;
-    this.shareExpiresAtMs = Math.min(nowMs, this.demandAtMs) + share.validForMs;
+    this.shareExpiresAtMs = askedAtMs + share.validForMs;
     this.unacknowledged = { requests: 0, tokens: 0 };
     this.setAmounts(share, nowMs);
   }
@@ -112,6 +116,7 @@
     this.turnedAwayRunning = 0;
     this.mostRunning = this.running;
     this.demandAtMs = nowMs;
+    this.unansweredSinceMs ??= nowMs;
     const held = this.holdsShare(nowMs) ? (this.share ?? NO_AMOUNTS) : NO_AMOUNTS;
     return {
       ...this.estimate,
--- a/packages/quota/src/__tests__/helpers/QuotaFleet.ts
+++ b/packages/quota/src/__tests__/helpers/QuotaFleet.ts
@@ -85,7 +85,13 @@
 
   /** Fraction of the routers that hold no share and use an equal part of the limit. */
   withoutShare(): number {
-    const without = this.routers.filter((router) => router.shareUntilMs <= this.nowMs);
+    const without = this.routers.filter(({ share, shareUntilMs }) => {
+      const holds = share.holdsShare(TEAM, this.nowMs);
+      if (holds && shareUntilMs <= this.nowMs) {
+        throw new Error('a share is in force for longer than it is valid');
+      }
+      return !holds;
+    });
     return without.length / this.routers.length;
   }
 
--- a/packages/quota/src/__tests__/unit/QuotaHome.test.ts
+++ b/packages/quota/src/__tests__/unit/QuotaHome.test.ts
@@ -175,3 +175,24 @@
   t.is(share.inForce(TEAM, 2_999)?.requestsPerSecond, 9);
   t.is(share.inForce(TEAM, 3_000)?.requestsPerSecond, 3);
 });
+
+test('an answer that comes after the next demand counts from its own', (t) => {
+  const share = createQuotaShare({ contractOf: () => CONTRACT, liveRouters: () => ROUTERS });
+  const granted = {
+    contractRevision: CONTRACT.revision,
+    requestsPerSecond: 9,
+    runningRequests: 9,
+    teamId: TEAM,
+    tokensPerSecond: 900,
+    validForMs: 3_000,
+  };
+  share.tryAdmit(TEAM, 0);
+  share.demands(0);
+  share.demands(1_000);
+  share.applyShares([granted], 1_001);
+  t.is(share.inForce(TEAM, 2_999)?.requestsPerSecond, 9);
+  t.is(share.inForce(TEAM, 3_000)?.requestsPerSecond, 3);
+  share.applyShares([granted], 3_000);
+  t.is(share.inForce(TEAM, 3_999)?.requestsPerSecond, 9);
+  t.is(share.inForce(TEAM, 4_000)?.requestsPerSecond, 3);
+});
