Offer the quota home of teams at schedulers

Routers ask AcquireShare already; without an answer each used an equal part of the limit. Amounts of a peer are checked before they enter the sums. A change of the set of schedulers starts the time in which earlier shares may be valid. Both seen red with the check and the restart of that time off.

--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -12,6 +12,7 @@
 import { SchedulerEngines } from './SchedulerEngines.js';
 import { createInspectHandlers } from './SchedulerInspectService.js';
 import { SchedulerLoadPoll } from './SchedulerLoadPoll.js';
+import { createSchedulerQuota } from './SchedulerQuotaService.js';
 import { createRequestHomeHandlers } from './SchedulerRequestHomeService.js';
 
 /** What a scheduler is started with. */
@@ -62,6 +63,7 @@
     address: settings.listen.http,
     stage: () => context.stage(),
   });
+  const quota = createSchedulerQuota({ clock, configuration, directory });
   const member = await node.serve({
     Admission: createAdmissionHandlers({ cachedPrefixTokens: () => 0, engines }),
     Inspect: createInspectHandlers({
@@ -72,6 +74,7 @@
       homeRecords: () => home.size(),
       memberId,
     }),
+    Quota: quota.handlers,
     RequestHome: createRequestHomeHandlers({ clock, decisions, home }),
   });
   engines.sync();
@@ -80,6 +83,7 @@
     drain: async () => {
       await engines.drain();
       poll.stop();
+      quota.stop();
       await node.drain();
       engines.stop();
       http.destroy();
--- /dev/null
+++ b/packages/scheduler/src/SchedulerQuotaService.ts
@@ -0,0 +1,84 @@
+import { status } from '@grpc/grpc-js';
+import type { ConfigurationView } from '@laburnumgap/contracts';
+import type { MemberDirectory, MonotonicClock, Teardown } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import type { QuotaDemand } from '@laburnumgap/quota';
+import { createQuotaHome } from '@laburnumgap/quota';
+import type { QuotaHandlers, TeamDemand__Output } from '@laburnumgap/rpc';
+
+/** What the quota home of teams is built from. */
+export interface SchedulerQuotaOptions {
+  readonly clock: MonotonicClock;
+  readonly configuration: ConfigurationView;
+  readonly directory: MemberDirectory;
+}
+
+/** The quota home as a service. */
+export interface SchedulerQuota {
+  readonly handlers: QuotaHandlers;
+  stop: Teardown;
+  /** Number of teams with state here. */
+  teamCount(): number;
+}
+
+/**
+ * Creates the quota home of the teams whose routers ask this scheduler.
+ *
+ * @param options - contracts, members and clock
+ * @returns handlers of the Quota service
+ */
+export function createSchedulerQuota(options: SchedulerQuotaOptions): SchedulerQuota {
+  const { clock, configuration, directory } = options;
+  let schedulers = schedulersOf(directory);
+  let steadySinceMs = clock.nowMs();
+  const stop = directory.onChange(() => {
+    const now = schedulersOf(directory);
+    if (now !== schedulers) {
+      schedulers = now;
+      steadySinceMs = clock.nowMs();
+    }
+  });
+  const home = createQuotaHome({
+    contractOf: (teamId) => {
+      const inForce = configuration.snapshot().contracts.get(teamId);
+      return inForce && { limits: inForce.contract.limits, revision: inForce.revision };
+    },
+    liveRouters: () => Math.max(1, directory.members('router').length),
+    startedAtMs: clock.nowMs(),
+    steadySinceMs: () => steadySinceMs,
+  });
+  return {
+    handlers: {
+      AcquireShare: ({ request }, callback) => {
+        if (!request.demands.every(isValidDemand)) {
+          callback({ code: status.INVALID_ARGUMENT, details: 'demands are not valid' });
+          return;
+        }
+        const demands = request.demands.map(demandOf);
+        const shares = home.acquire(request.routerId, demands, clock.nowMs());
+        callback(null, { shares: [...shares] });
+      },
+    },
+    stop,
+    teamCount: () => home.teamCount(),
+  };
+}
+
+function schedulersOf(directory: MemberDirectory): string {
+  return directory
+    .members('scheduler')
+    .map(({ incarnation }) => incarnation)
+    .join(' ');
+}
+
+/** Amounts of a peer are checked, since one that is not a number would spoil the sums. */
+function isValidDemand(demand: TeamDemand__Output): boolean {
+  const { teamId, ...amounts } = demand;
+  return (
+    teamId !== '' && Object.values(amounts).every((amount) => amount >= 0 && amount < Infinity)
+  );
+}
+
+function demandOf(demand: TeamDemand__Output): QuotaDemand {
+  return { ...demand, teamId: toId(demand.teamId) };
+}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -6,4 +6,5 @@
 export * from './SchedulerInspectService.js';
 export * from './SchedulerLoadPoll.js';
 export * from './SchedulerProgram.js';
+export * from './SchedulerQuotaService.js';
 export * from './SchedulerRequestHomeService.js';
