--- a/packages/router/src/RouterDaemon.ts
+++ b/packages/router/src/RouterDaemon.ts
@@ -124,6 +124,7 @@
       log,
       maxBodyBytes: settings.router.maxBodyBytes,
       metrics,
+      starting: () => context.stage() === 'starting',
       timers,
     }),
     stage: () => context.stage(),
