--- a/packages/router/src/__tests__/integration/RouterShareQuota.test.ts
+++ b/packages/router/src/__tests__/integration/RouterShareQuota.test.ts
@@ -57,7 +57,8 @@
     demands: [{ inFlightRequests: 1, teamId: TEAM, usedRequests: 1, usedTokens: 10 }],
     routerId: 'router-1',
   });
-  for (let turn = 0; turn < 50; turn += 1) {
+  while (home.shareRequests.at(-1)?.demands[0]?.heldRunningRequests !== 1) {
+    timers.advance();
     await settleMicrotasks();
   }
   t.like(quota.begin(CONTRACT, 0), { error: { code: 'CONCURRENCY_LIMITED' }, ok: false });
