Ask further schedulers before a generation counts as unknown; log crashes; one fault a target

Ruled out: lost records (the homes that had it were alive and were not asked); the attempt numbers. Conclusion: unknown is said only when nobody asked knows and none was out of reach; else come back. Open: routers that ended with exit code 1 while draining, not reproduced yet; crashes are now logged.

--- a/packages/daemon/src/DaemonProgram.ts
+++ b/packages/daemon/src/DaemonProgram.ts
@@ -8,7 +8,7 @@
 import { createActorSystem } from './DaemonActor.js';
 import type { DaemonStage } from './DaemonHealth.js';
 import type { StartedDaemon } from './DaemonLifecycle.js';
-import { DaemonLifecycle, EXIT_USAGE } from './DaemonLifecycle.js';
+import { DaemonLifecycle, EXIT_FAILED, EXIT_USAGE } from './DaemonLifecycle.js';
 
 /** What a daemon's start function works with. */
 export interface DaemonContext<Settings extends DaemonSettings> {
@@ -105,6 +105,10 @@
   process.on('SIGINT', (signal) => {
     lifecycle.shutDown(signal);
   });
+  process.on('uncaughtException', (error) => {
+    log.error('crashed', { detail: error.stack ?? error.message });
+    process.exit(EXIT_FAILED);
+  });
   await lifecycle.start(() =>
     program.start({
       actors,
--- a/packages/router/src/RouterEarlierRuns.ts
+++ b/packages/router/src/RouterEarlierRuns.ts
@@ -26,8 +26,8 @@
 export async function findEarlierRun(
   query: EarlierRunQuery,
 ): Promise<Result<HandedOverRun | undefined, Refusal>> {
-  const { bodyHash, homes, registry, requestId, teamId } = query;
-  const taken = await homes.takeOver({ bodyHash, requestId, teamId });
+  const { bodyHash, continues, homes, registry, requestId, teamId } = query;
+  const taken = await homes.takeOver({ bodyHash, continues, requestId, teamId });
   const local = registry.find(teamId, requestId);
   const outcome = taken.ok ? taken.value.outcome : 'unknown';
   if (outcome === 'otherBody' || (local && local.bodyHash !== bodyHash)) {
@@ -44,7 +44,7 @@
   if (handedOver) {
     return success(nextAttemptOf(handedOver));
   }
-  if (!query.continues) {
+  if (!continues) {
     return success(undefined);
   }
   return failure(unknownGeneration(taken.ok ? undefined : NO_ENGINE_RETRY_MS));
--- a/packages/router/src/RouterPorts.ts
+++ b/packages/router/src/RouterPorts.ts
@@ -98,6 +98,8 @@
 /** Whose request is taken over. */
 export interface HomeTakeOver {
   readonly bodyHash: string;
+  /** Whether the caller has tokens of the generation, so that a new one will not do. */
+  readonly continues: boolean;
   readonly requestId: RequestId;
   readonly teamId: TeamId;
 }
@@ -107,7 +109,7 @@
   | { readonly outcome: 'found'; readonly record: HomeRecord }
   | { readonly outcome: 'otherBody' | 'otherTeam' | 'unknown' };
 
-/** Why no home could be asked. */
+/** No home could be asked, or none knew the request and one could not be asked. */
 export interface HomesUnreachable {
   readonly kind: 'homesUnreachable';
 }
--- a/packages/router/src/RouterRpcHomes.ts
+++ b/packages/router/src/RouterRpcHomes.ts
@@ -33,22 +33,30 @@
 /** What the homes are called with. */
 export interface RpcRequestHomesOptions {
   readonly clients: RpcClients;
+  readonly deadlineMs?: number;
   readonly directory: MemberDirectory;
   readonly routerId: MemberId;
 }
 
+/** Schedulers asked besides the two homes, for a record written under another view of members. */
+const MAX_FURTHER_HOMES = 6;
+
 /**
  * Calls the two homes of a request: the scheduler that ranks first for it, and the next one in
- * another failure domain.
+ * another failure domain. While members come and go, routers disagree on which these are. A caller
+ * that has tokens already is told that nobody knows its generation only after the next schedulers in
+ * rank were asked as well and none of those asked was unreachable.
  */
 export class RpcRequestHomes implements RequestHomes {
   private changes = 0;
   private readonly clients: RpcClients;
+  private readonly deadlineMs: number;
   private readonly directory: MemberDirectory;
   private readonly routerId: MemberId;
 
   constructor(options: RpcRequestHomesOptions) {
     this.clients = options.clients;
+    this.deadlineMs = options.deadlineMs ?? HOME_DEADLINE_MS;
     this.directory = options.directory;
     this.routerId = options.routerId;
     this.directory.onChange(() => {
@@ -60,7 +68,7 @@
     for (const home of this.homesOf(teamId, requestId)) {
       const client = this.clients.get('RequestHome', home.rpcAddress);
       const message = { attempt, requestId, teamId };
-      void this.clients.unary(client.forget.bind(client), message, HOME_DEADLINE_MS);
+      void this.clients.unary(client.forget.bind(client), message, this.deadlineMs);
     }
   }
 
@@ -74,7 +82,7 @@
         const answer = await this.clients.unary<GenerationRecord, RecordReply__Output>(
           client.recordGeneration.bind(client),
           message,
-          HOME_DEADLINE_MS,
+          this.deadlineMs,
         );
         if (!answer.ok) {
           this.noteFailure(home, answer.error);
@@ -91,9 +99,16 @@
 
   async takeOver(takeOver: HomeTakeOver): Promise<Result<HomeTakenOver, HomesUnreachable>> {
     const homes = this.homesOf(takeOver.teamId, takeOver.requestId);
-    const replies = await Promise.all(homes.map((home) => this.takeOverAt(home, takeOver)));
+    const replies = await this.takeOverAtEach(homes, takeOver);
+    if (takeOver.continues && !replies.some(isKnown)) {
+      const others = this.rankOf(takeOver.teamId, takeOver.requestId)
+        .filter((member) => !homes.includes(member))
+        .slice(0, MAX_FURTHER_HOMES);
+      replies.push(...(await this.takeOverAtEach(others, takeOver)));
+    }
     const reached = replies.filter((reply) => reply !== undefined);
-    if (reached.length === 0) {
+    const isInDoubt = takeOver.continues && !replies.some(isKnown) && replies.includes(undefined);
+    if (reached.length === 0 || isInDoubt) {
       return failure({ kind: 'homesUnreachable' });
     }
     return success(newestOf(reached));
@@ -103,8 +118,19 @@
     return this.changes;
   }
 
+  private rankOf(teamId: TeamId, requestId: RequestId): readonly Member[] {
+    return this.directory.rank('scheduler', `request/${teamId}/${requestId}`);
+  }
+
+  private takeOverAtEach(
+    homes: readonly Member[],
+    takeOver: HomeTakeOver,
+  ): Promise<(HomeTakenOver | undefined)[]> {
+    return Promise.all(homes.map((home) => this.takeOverAt(home, takeOver)));
+  }
+
   private homesOf(teamId: TeamId, requestId: RequestId): readonly Member[] {
-    const ranked = this.directory.rank('scheduler', `request/${teamId}/${requestId}`);
+    const ranked = this.rankOf(teamId, requestId);
     const [first, ...others] = ranked;
     if (!first) {
       return [];
@@ -125,11 +151,12 @@
     takeOver: HomeTakeOver,
   ): Promise<HomeTakenOver | undefined> {
     const client = this.clients.get('RequestHome', home.rpcAddress);
-    const message = { ...takeOver, routerId: this.routerId };
+    const { bodyHash, requestId, teamId } = takeOver;
+    const message = { bodyHash, requestId, routerId: this.routerId, teamId };
     const answer = await this.clients.unary<TakeOverRequest, TakeOverReply__Output>(
       client.takeOver.bind(client),
       message,
-      HOME_DEADLINE_MS,
+      this.deadlineMs,
     );
     if (!answer.ok) {
       this.noteFailure(home, answer.error);
@@ -139,6 +166,10 @@
   }
 }
 
+function isKnown(reply: HomeTakenOver | undefined): boolean {
+  return reply !== undefined && reply.outcome !== 'unknown';
+}
+
 function newestOf(replies: readonly HomeTakenOver[]): HomeTakenOver {
   let newest: HomeTakenOver = { outcome: 'unknown' };
   for (const reply of replies) {
--- a/packages/tools/src/capacity/CapacityProcesses.ts
+++ b/packages/tools/src/capacity/CapacityProcesses.ts
@@ -1,8 +1,8 @@
-import { readFile } from 'node:fs/promises';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { MemberRole } from '@laburnumgap/kernel';
 import { Deployment } from '../deployment/Deployment.js';
-import type { DeploymentProcess } from '../deployment/DeploymentProcess.js';
+import type { ProcessStat } from '../deployment/DeploymentProcessStat.js';
+import { readProcessStat } from '../deployment/DeploymentProcessStat.js';
 import { loadFirm } from '../faults/FaultsFirms.js';
 
 /** What one daemon of a role costs while no caller calls. */
@@ -24,13 +24,10 @@
 }
 
 const VM_COUNTS = [1, 2, 4, 8] as const;
-const ROLES: readonly MemberRole[] = ['ledger', 'router', 'scheduler'];
 const SETTLE_MS = 15_000;
 const MEASURE_MS = 20_000;
 const CALLS_PER_CONTRACT = 2;
 const CHANGES = 5;
-const CLOCK_TICKS_PER_SECOND = 100;
-const PAGE_BYTES = 4_096;
 const MS_PER_SECOND = 1_000;
 
 /**
@@ -102,36 +99,20 @@
   return longestMs;
 }
 
-interface ProcessSample {
-  readonly cpuSeconds: number;
-  readonly residentBytes: number;
-}
-
 interface FleetSample {
-  readonly daemons: ReadonlyMap<string, ProcessSample>;
+  readonly daemons: ReadonlyMap<string, ProcessStat>;
   readonly storeCalls: Readonly<Record<string, number>>;
 }
 
 async function sample(deployment: Deployment): Promise<FleetSample> {
-  const daemons = new Map<string, ProcessSample>();
+  const daemons = new Map<string, ProcessStat>();
   for (const daemon of deployment.daemons.values()) {
-    daemons.set(daemon.name, await sampleProcess(daemon));
+    daemons.set(daemon.name, await readProcessStat(daemon.pid));
   }
   const counts = (await deployment.read('platform', '/control/counts')) as Record<string, unknown>;
   return { daemons, storeCalls: numbersOf(counts) };
 }
 
-/** Reads processor time and resident memory as the kernel counts them. */
-async function sampleProcess(daemon: DeploymentProcess): Promise<ProcessSample> {
-  const stat = await readFile(`/proc/${daemon.pid}/stat`, 'utf8');
-  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-  const ticks = Number(fields[11]) + Number(fields[12]);
-  return {
-    cpuSeconds: ticks / CLOCK_TICKS_PER_SECOND,
-    residentBytes: Number(fields[21]) * PAGE_BYTES,
-  };
-}
-
 function costOfRole(role: MemberRole, before: FleetSample, after: FleetSample): IdleCost {
   const names = [...after.daemons.keys()].filter((name) => name.startsWith(`${role}-`));
   const cpuSeconds = names.map(
@@ -172,6 +153,3 @@
 function mean(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
 }
-
-/** The roles, for tables. */
-export const CAPACITY_ROLES = ROLES;
--- a/packages/tools/src/deployment/DeploymentProcess.ts
+++ b/packages/tools/src/deployment/DeploymentProcess.ts
@@ -25,6 +25,8 @@
 export interface DeploymentProcess {
   /** Addresses from its `listening` line. */
   readonly addresses: LogLine;
+  /** The end of what it wrote to its error output. */
+  errorText(): string;
   readonly exited: Promise<ProcessExit>;
   /** Sends a signal. */
   kill(signal: NodeJS.Signals): void;
@@ -94,6 +96,7 @@
   ]);
   return {
     addresses,
+    errorText: () => errorText,
     exited,
     kill: (signal) => {
       child.kill(signal);
--- a/packages/tools/src/faults/FaultsGenerationCaller.ts
+++ b/packages/tools/src/faults/FaultsGenerationCaller.ts
@@ -130,7 +130,7 @@
     oracle.violate('answerEndedEarly', `${requestId} after ${received} tokens`);
     return true;
   }
-  if (name === 'GENERATION_UNKNOWN') {
+  if (name === 'GENERATION_UNKNOWN' && end.body.error.retryAfterMs === undefined) {
     oracle.violate('answerLost', `${requestId} after ${received} tokens`);
     return true;
   }
--- a/packages/tools/src/faults/FaultsInjector.ts
+++ b/packages/tools/src/faults/FaultsInjector.ts
@@ -3,12 +3,14 @@
 import { toNumberId } from '@laburnumgap/kernel';
 import { STOP_PREFIX, TOMBSTONE_TEXT } from '@laburnumgap/contracts';
 import { stringify } from 'yaml';
-import type { Deployment, EntryVmSpec } from '../deployment/Deployment.js';
+import type { Deployment, EngineSpec, EntryVmSpec } from '../deployment/Deployment.js';
 import type { FaultsOracle } from './FaultsOracle.js';
 import type { FaultsRandom } from './FaultsRandom.js';
 
 /** What a fault works with. */
 export interface FaultContext {
+  /** Entry VMs and stand-ins that a fault works on now; another one leaves them alone. */
+  readonly busy: Set<string>;
   readonly deployment: Deployment;
   readonly oracle: FaultsOracle;
   readonly random: FaultsRandom;
@@ -22,113 +24,152 @@
 
 const ROLES: readonly MemberRole[] = ['ledger', 'router', 'scheduler'];
 
+/** Picks what no other fault works on, and holds it while the fault lasts. */
+async function withTarget<Target extends { readonly name: string }>(
+  { busy, oracle, random }: FaultContext,
+  targets: readonly Target[],
+  use: (target: Target) => Promise<void>,
+): Promise<void> {
+  const target = random.pick(targets);
+  if (busy.has(target.name)) {
+    oracle.count('fault skipped: target busy');
+    return;
+  }
+  busy.add(target.name);
+  try {
+    await use(target);
+  } finally {
+    busy.delete(target.name);
+  }
+}
+
 /** The faults of a run, by name. */
 export const FAULT_CASES: Readonly<Record<string, FaultCase>> = {
-  'daemon frozen': async (context) => {
+  'daemon frozen': (context) => {
     const { deployment, random } = context;
-    const name = `${random.pick(ROLES)}-${random.pick(deployment.options.entryVms).name}`;
-    deployment.daemons.get(name)?.kill('SIGSTOP');
-    await sleep(random.int(1_000, 12_000));
-    deployment.daemons.get(name)?.kill('SIGCONT');
+    return withTarget(context, deployment.options.entryVms, async (vm) => {
+      const daemon = deployment.daemons.get(`${random.pick(ROLES)}-${vm.name}`);
+      daemon?.kill('SIGSTOP');
+      await sleep(random.int(1_000, 12_000));
+      daemon?.kill('SIGCONT');
+    });
   },
-  'daemon killed': async (context) => {
+  'daemon killed': (context) => {
     const { deployment, random } = context;
-    const vm = random.pick(deployment.options.entryVms);
-    const role = random.pick(ROLES);
-    await killDaemon(deployment, role, vm);
-    await sleep(random.int(0, 4_000));
-    await deployment.startDaemon(role, vm);
+    return withTarget(context, deployment.options.entryVms, async (vm) => {
+      const role = random.pick(ROLES);
+      await killDaemon(deployment, role, vm);
+      await sleep(random.int(0, 4_000));
+      await deployment.startDaemon(role, vm);
+    });
   },
   'engine frozen': (context) => freezeStandin(context, pickEngine(context), 1_000, 9_000),
-  'engine killed': async (context) => {
+  'engine killed': (context) => {
     const { deployment, random } = context;
-    const engine = random.pick(deployment.options.engines);
-    deployment.standins.get(engine.name)?.kill('SIGKILL');
-    await deployment.standins.get(engine.name)?.exited;
-    await sleep(random.int(500, 5_000));
-    await deployment.startEngine(engine);
-    await deployment.publishVms();
+    return withTarget(context, deployment.options.engines, async (engine) => {
+      await killStandin(deployment, engine.name);
+      await sleep(random.int(500, 5_000));
+      await deployment.startEngine(engine);
+      await deployment.publishVms();
+    });
   },
-  'engine killed in the middle of an answer': async (context) => {
+  'engine killed in the middle of an answer': (context) => {
     const { deployment, random } = context;
-    const engine = random.pick(deployment.options.engines);
-    const standin = deployment.standins.get(engine.name);
-    await deployment.fault(engine.name, { afterTokens: random.int(0, 40), kind: 'kill' });
-    await Promise.race([standin?.exited, sleep(5_000)]);
-    standin?.kill('SIGKILL');
-    await standin?.exited;
-    await deployment.startEngine(engine);
-    await deployment.publishVms();
+    return withTarget(context, deployment.options.engines, async (engine) => {
+      const exited = deployment.standins.get(engine.name)?.exited;
+      await deployment.fault(engine.name, { afterTokens: random.int(0, 40), kind: 'kill' });
+      await Promise.race([exited, sleep(5_000)]);
+      await killStandin(deployment, engine.name);
+      await deployment.startEngine(engine);
+      await deployment.publishVms();
+    });
   },
   'engine preempts': (context) =>
-    context.deployment.fault(pickEngine(context), {
+    order(context, pickEngine(context), {
       afterTokens: context.random.int(1, 100),
       kind: 'preempt',
     }),
-  'engine reclaimed at short notice': async (context) => {
+  'engine reclaimed at short notice': (context) => {
     const { deployment, random } = context;
-    const engine = random.pick(deployment.options.engines);
-    await deployment.fault(engine.name, { kind: 'reclaim' });
-    await sleep(random.int(500, 4_000));
-    deployment.standins.get(engine.name)?.kill('SIGKILL');
-    await deployment.setVmState(engine.name, 'gone');
-    await sleep(random.int(1_000, 4_000));
-    await deployment.startEngine(engine);
-    await deployment.publishVms();
+    return withTarget(context, deployment.options.engines, async (engine) => {
+      await deployment.fault(engine.name, { kind: 'reclaim' });
+      await sleep(random.int(500, 4_000));
+      await killStandin(deployment, engine.name);
+      await deployment.setVmState(engine.name, 'gone');
+      await sleep(random.int(1_000, 4_000));
+      await deployment.startEngine(engine);
+      await deployment.publishVms();
+    });
   },
   'engine silent on open connections': (context) =>
-    context.deployment.fault(pickEngine(context), { kind: 'silent' }),
+    order(context, pickEngine(context), { kind: 'silent' }),
   'engine slow': (context) => slow(context, pickEngine(context)),
-  'entry VM replaced': async (context) => {
-    const { deployment, oracle, random } = context;
-    const vm = random.pick(deployment.options.entryVms);
-    await Promise.all(ROLES.map((role) => terminate(deployment, oracle, role, vm)));
-    await deployment.startEntryVm(vm);
-  },
-  'failure domain of entry VMs killed': async (context) => {
-    const { deployment, random } = context;
-    const domain = random.pick(deployment.options.entryVms).failureDomain;
-    const vms = deployment.options.entryVms.filter((vm) => vm.failureDomain === domain);
-    await Promise.all(vms.flatMap((vm) => ROLES.map((role) => killDaemon(deployment, role, vm))));
-    await sleep(random.int(1_000, 5_000));
-    await Promise.all(vms.map((vm) => deployment.startEntryVm(vm)));
+  'entry VM replaced': (context) => {
+    const { deployment, oracle } = context;
+    return withTarget(context, deployment.options.entryVms, async (vm) => {
+      await Promise.all(ROLES.map((role) => terminate(deployment, oracle, role, vm)));
+      await deployment.startEntryVm(vm);
+    });
   },
+  'failure domain of entry VMs killed': killFailureDomain,
   'platform frozen': (context) => freezeStandin(context, 'platform', 500, 8_000),
   'platform loses answers': (context) =>
-    context.deployment.fault('platform', {
+    order(context, 'platform', {
       count: context.random.int(1, 6),
       kind: 'loseAnswer',
       path: '/v3/kv/txn',
     }),
-  'platform refuses': async (context) => {
+  'platform refuses': (context) => {
     const { deployment, random } = context;
-    await deployment.fault('platform', { kind: 'refuse' });
-    await sleep(random.int(500, 8_000));
-    await deployment.fault('platform', { kind: 'clear' });
+    return withTarget(context, [{ name: 'platform' }], async () => {
+      await deployment.fault('platform', { kind: 'refuse' });
+      await sleep(random.int(500, 8_000));
+      await deployment.fault('platform', { kind: 'clear' });
+    });
   },
   'platform silent on open connections': (context) =>
-    context.deployment.fault('platform', { kind: 'silent' }),
+    order(context, 'platform', { kind: 'silent' }),
   'platform slow': (context) => slow(context, 'platform'),
   'server stopped by plan': stopServerByPlan,
   'service loses answers': (context) =>
-    context.deployment.fault(pickService(context), {
+    order(context, pickService(context), {
       count: context.random.int(1, 5),
       kind: 'loseAnswer',
     }),
   'service refuses': (context) =>
-    context.deployment.fault(pickService(context), {
+    order(context, pickService(context), {
       count: context.random.int(1, 20),
       kind: 'refuse',
     }),
   'service silent on open connections': (context) =>
-    context.deployment.fault(pickService(context), { kind: 'silent' }),
+    order(context, pickService(context), { kind: 'silent' }),
   'service slow': (context) => slow(context, pickService(context)),
   'VM list frozen': (context) => freezeStandin(context, 'vms', 500, 8_000),
 };
 
-async function stopServerByPlan(context: FaultContext): Promise<void> {
+async function killFailureDomain(context: FaultContext): Promise<void> {
+  const { busy, deployment, oracle, random } = context;
+  const domain = random.pick(deployment.options.entryVms).failureDomain;
+  const vms = deployment.options.entryVms.filter((vm) => vm.failureDomain === domain);
+  if (vms.some((vm) => busy.has(vm.name))) {
+    oracle.count('fault skipped: target busy');
+    return;
+  }
+  vms.forEach((vm) => busy.add(vm.name));
+  await Promise.all(vms.flatMap((vm) => ROLES.map((role) => killDaemon(deployment, role, vm))));
+  await sleep(random.int(1_000, 5_000));
+  await Promise.all(vms.map((vm) => deployment.startEntryVm(vm)));
+  vms.forEach((vm) => busy.delete(vm.name));
+}
+
+function stopServerByPlan(context: FaultContext): Promise<void> {
+  return withTarget(context, context.deployment.options.engines, (engine) =>
+    stopEngineByPlan(context, engine),
+  );
+}
+
+async function stopEngineByPlan(context: FaultContext, engine: EngineSpec): Promise<void> {
   const { deployment, oracle, random } = context;
-  const engine = random.pick(deployment.options.engines);
   const id = `stop-${engine.name}-${random.int(1, 1_000_000)}`;
   const startEpochMs = Date.now();
   const key = `${STOP_PREFIX}${id}`;
@@ -208,6 +249,12 @@
   }
 }
 
+async function killStandin(deployment: Deployment, name: string): Promise<void> {
+  const standin = deployment.standins.get(name);
+  standin?.kill('SIGKILL');
+  await standin?.exited;
+}
+
 async function killDaemon(
   deployment: Deployment,
   role: MemberRole,
@@ -218,21 +265,37 @@
   await daemon?.exited;
 }
 
-async function freezeStandin(
-  { deployment, random }: FaultContext,
+function freezeStandin(
+  context: FaultContext,
   name: string,
   leastMs: number,
   mostMs: number,
 ): Promise<void> {
-  deployment.standins.get(name)?.kill('SIGSTOP');
-  await sleep(random.int(leastMs, mostMs));
-  deployment.standins.get(name)?.kill('SIGCONT');
+  const { deployment, random } = context;
+  return withTarget(context, [{ name }], async () => {
+    const standin = deployment.standins.get(name);
+    standin?.kill('SIGSTOP');
+    await sleep(random.int(leastMs, mostMs));
+    standin?.kill('SIGCONT');
+  });
 }
 
-async function slow({ deployment, random }: FaultContext, name: string): Promise<void> {
-  await deployment.fault(name, { delayMs: random.int(100, 1_500), kind: 'slow' });
-  await sleep(random.int(1_000, 6_000));
-  await deployment.fault(name, { delayMs: 0, kind: 'slow' });
+function slow(context: FaultContext, name: string): Promise<void> {
+  const { deployment, random } = context;
+  return withTarget(context, [{ name }], async () => {
+    await deployment.fault(name, { delayMs: random.int(100, 1_500), kind: 'slow' });
+    await sleep(random.int(1_000, 6_000));
+    await deployment.fault(name, { delayMs: 0, kind: 'slow' });
+  });
+}
+
+/** Orders a fault that lasts no time of its own, unless another fault works on the stand-in. */
+function order(
+  context: FaultContext,
+  name: string,
+  fault: Readonly<Record<string, unknown>>,
+): Promise<void> {
+  return withTarget(context, [{ name }], () => context.deployment.fault(name, fault));
 }
 
 function pickEngine({ deployment, random }: FaultContext): string {
--- a/packages/tools/src/faults/FaultsRun.ts
+++ b/packages/tools/src/faults/FaultsRun.ts
@@ -65,7 +65,7 @@
   const configuration = watchConfiguration(deployment, oracle);
   const untilMs = performance.now() + options.durationMs;
   const callers = startCallers(firm, deployment, oracle, random, records, untilMs);
-  await injectFaults({ deployment, oracle, random }, options.cases, untilMs);
+  await injectFaults({ busy: new Set(), deployment, oracle, random }, options.cases, untilMs);
   await Promise.all(callers);
   await deployment.waitUntilReady();
   const revision = await deployment.putContract(firm.deployment.contracts[0] ?? '');
