End quiet watches after 2.5 to 5 s, at random

Cause: a limit of 10 s leaves a silent watch unseen for longer than a configuration may take to be in force, and a fixed limit has all clients open their watches again together after each change. Also: with a slow store the lease is kept, one call at a time.

--- a/packages/membership/src/__tests__/unit/MembershipFailures.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipFailures.test.ts
@@ -106,6 +106,20 @@
   t.true(deployment.time.pendingCount <= 6);
 });
 
+test('with a slow store the lease is kept and calls do not pile up', async (t) => {
+  const deployment = new Deployment();
+  const a = deployment.join('a');
+  await deployment.pass(5000);
+  a.store.mode = 'slow';
+  await deployment.pass(300_000, () => {
+    if (!a.membership.holdsLease()) {
+      t.fail('the lease was given up');
+    }
+  });
+  t.is(a.store.mostRunning, 1);
+  t.deepEqual(idsSeenBy(a), ['a']);
+});
+
 test('after an outage every member returns without a stampede or a gap in the view', async (t) => {
   const deployment = new Deployment();
   const members = Array.from({ length: 40 }, (_, index) =>
--- a/packages/platform/src/PlatformEtcdStore.ts
+++ b/packages/platform/src/PlatformEtcdStore.ts
@@ -2,6 +2,7 @@
   GrantedLease,
   LeaseId,
   PlatformStore,
+  RandomSource,
   Result,
   Revision,
   StoreCommit,
@@ -34,9 +35,13 @@
   /** Longest wait for the answer of one call. */
   readonly deadlineMs?: number;
   readonly maxConnections?: number;
+  readonly random?: RandomSource;
   /** Base URL of the JSON gateway. */
   readonly url: string;
-  /** A watch that says nothing for this long is taken to be silent and ends. */
+  /**
+   * A watch that says nothing for this long is taken to be silent and ends. Each time a share of
+   * up to half is taken off at random, so that clients do not reopen their watches together.
+   */
   readonly watchIdleLimitMs?: number;
 }
 
@@ -46,7 +51,7 @@
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 const DEFAULT_DEADLINE_MS = 2000;
 const DEFAULT_MAX_CONNECTIONS = 32;
-const DEFAULT_WATCH_IDLE_LIMIT_MS = 10_000;
+const DEFAULT_WATCH_IDLE_LIMIT_MS = 5000;
 const HTTP_OK = 200;
 const MS_PER_SECOND = 1000;
 
@@ -117,6 +122,7 @@
         idleLimitMs: options.watchIdleLimitMs ?? DEFAULT_WATCH_IDLE_LIMIT_MS,
         onEvent,
         prefix,
+        random: options.random ?? { nextUnit: Math.random },
       }),
   };
 }
--- a/packages/platform/src/PlatformEtcdWatch.ts
+++ b/packages/platform/src/PlatformEtcdWatch.ts
@@ -1,4 +1,4 @@
-import type { Revision, StoreWatch, WatchEvent } from '@laburnumgap/kernel';
+import type { RandomSource, Revision, StoreWatch, WatchEvent } from '@laburnumgap/kernel';
 import type { Dispatcher } from 'undici';
 import type { PlatformConnections } from './PlatformConnections.js';
 import type { EtcdWatchLine } from './PlatformEtcdSchema.js';
@@ -18,8 +18,11 @@
   readonly idleLimitMs: number;
   readonly onEvent: (event: WatchEvent) => void;
   readonly prefix: string;
+  readonly random: RandomSource;
 }
 
+/** Share of the idle limit that is taken off at random. */
+const IDLE_JITTER = 0.5;
 const HTTP_OK = 200;
 const MAX_LINE_BYTES = 64 * 1024 * 1024;
 
@@ -163,9 +166,10 @@
     if (this.#ended) {
       return;
     }
-    const { idleLimitMs } = this.#options;
+    const { random } = this.#options;
+    const idleLimitMs = this.#options.idleLimitMs * (1 - random.nextUnit() * IDLE_JITTER);
     this.#idleTimer = setTimeout(() => {
-      this.#end(`nothing heard for ${idleLimitMs} ms`);
+      this.#end(`nothing heard for ${Math.round(idleLimitMs)} ms`);
     }, idleLimitMs);
   }
 
