--- a/packages/standins/src/EngineStandin.ts
+++ b/packages/standins/src/EngineStandin.ts
@@ -1,40 +1,41 @@
-import type { EngineStandinCoreOptions, StandinLoad, StandinRefusal } from './EngineStandinCore.js';
+import { ORDER_STATUS, parseJson, refuse } from './EngineStandinAnswers.js';
+import type { EngineStandinCoreOptions } from './EngineStandinCore.js';
 import { EngineStandinCore } from './EngineStandinCore.js';
 import type { StandinGeneration } from './EngineStandinGeneration.js';
-import type { StandinOrder } from './EngineStandinSchema.js';
+import { EngineStandinLoadReports } from './EngineStandinLoadReports.js';
+import type { EngineStandinOrdersOptions } from './EngineStandinOrders.js';
+import { EngineStandinOrders } from './EngineStandinOrders.js';
 import { orderSchema, startSchema } from './EngineStandinSchema.js';
 import { streamGeneration } from './EngineStandinStream.js';
+import type { TriggeredFault } from './EngineStandinTriggers.js';
+import { EngineStandinTriggers } from './EngineStandinTriggers.js';
 import type { Fault } from './StandinFaults.js';
 import { FaultSwitches } from './StandinFaults.js';
 import type { StandinAnswer, StandinRequest, StandinServer } from './StandinServer.js';
 import { startStandinServer, whole } from './StandinServer.js';
 
 /** Options of {@link startEngineStandin}. */
-export interface EngineStandinOptions extends EngineStandinCoreOptions {
+export interface EngineStandinOptions extends EngineStandinCoreOptions, EngineStandinOrdersOptions {
   readonly canContinueFromPrefix?: boolean;
-  readonly checksFencingNumbers?: boolean;
   /** Time of a decoding step with one running generation. */
   readonly decodeIntervalMs?: number;
   /** Share of the decoding step that each further running generation adds. */
   readonly decodeSlowdown?: number;
   readonly kill?: () => void;
   readonly listen: string;
-  readonly models?: readonly string[];
-  /** Loading a model takes its weights from there. */
-  readonly weightStoreUrl?: string;
 }
 
-interface TimedLoad {
-  readonly atMs: number;
-  readonly load: StandinLoad;
-}
-
-type TriggeredFault = Extract<Fault, { kind: 'kill' | 'preempt' | 'silent' }>;
-
 const DEFAULT_DECODE_INTERVAL_MS = 20;
 const DEFAULT_DECODE_SLOWDOWN = 0.02;
 const LOAD_SAMPLE_INTERVAL_MS = 50;
-const MAX_LOAD_SAMPLES = 2000;
+const GENERATION_PATH = /^\/v1\/generations\/([^/]+)(\/stream)?$/;
+
+const ORDER_STATUS: Readonly<Record<OrderOutcome, number>> = {
+  inForce: 200,
+  staleFencingNumber: 409,
+  weightsUnavailable: 503,
+};
+
 const GENERATION_PATH = /^\/v1\/generations\/([^/]+)(\/stream)?$/;
 
 const REFUSAL_STATUS: Readonly<Record<StandinRefusal, number>> = {
@@ -89,26 +90,21 @@
 class EngineStandinService {
   readonly #core: EngineStandinCore;
   readonly #faults: FaultSwitches;
-  readonly #loads: TimedLoad[] = [];
+  readonly #loads: EngineStandinLoadReports;
   readonly #options: EngineStandinOptions;
-  readonly #orders: StandinOrder[] = [];
+  readonly #orders: EngineStandinOrders;
+  readonly #triggers = new EngineStandinTriggers();
   #kill: () => void = () => undefined;
   #silence: () => void = () => undefined;
-  #state: StandinOrder;
   #stepTimer: NodeJS.Timeout | undefined;
   #sampleTimer: NodeJS.Timeout | undefined;
-  #triggers: TriggeredFault[] = [];
 
   constructor(options: EngineStandinOptions, faults: FaultSwitches) {
     this.#core = new EngineStandinCore(options);
     this.#faults = faults;
     this.#options = options;
-    this.#state = {
-      adapters: [],
-      fencingNumber: 0,
-      models: [...(options.models ?? ['default'])],
-      role: 'mixed',
-    };
+    this.#loads = new EngineStandinLoadReports(this.#core);
+    this.#orders = new EngineStandinOrders(options);
   }
 
   run(kill: () => void, silence: () => void): void {
@@ -116,7 +112,7 @@
     this.#silence = silence;
     this.#scheduleStep();
     this.#sampleTimer = setInterval(() => {
-      this.#sampleLoad();
+      this.#loads.sample(performance.now());
     }, LOAD_SAMPLE_INTERVAL_MS);
     this.#sampleTimer.unref();
   }
@@ -135,7 +131,7 @@
       case 'GET /v1/cache-events':
         return this.#cacheEvents(request);
       case 'GET /v1/load':
-        return whole(200, this.#loadReport());
+        return whole(200, this.#loads.report(performance.now(), this.#faults.lagMs));
       case 'GET /v1/state':
         return whole(200, this.#stateReport());
       case 'POST /v1/generations':
@@ -152,7 +148,7 @@
       case '/control/generations':
         return whole(200, this.#generationReport());
       case '/control/orders':
-        return whole(200, { orders: this.#orders });
+        return whole(200, { orders: this.#orders.inForce });
       default:
         return undefined;
     }
@@ -165,16 +161,10 @@
     }
     if (fault.kind === 'clear') {
       this.#core.leaving = false;
-      this.#triggers = [];
-      return true;
-    }
-    const waits =
-      (fault.kind === 'kill' || fault.kind === 'silent') && fault.afterTokens !== undefined;
-    if (fault.kind === 'preempt' || waits) {
-      this.#triggers.push(fault);
+      this.#triggers.clear();
       return true;
     }
-    return false;
+    return this.#triggers.add(fault);
   }
 
   #handleGeneration(request: StandinRequest, id: string, isStream: boolean): StandinAnswer {
@@ -200,7 +190,7 @@
       return whole(400, { error: body.error.issues[0]?.message ?? 'malformed' });
     }
     const start = body.data;
-    if (!this.#state.models.includes(start.model)) {
+    if (!this.#orders.state.models.includes(start.model)) {
       return refuse('unknownModel');
     }
     if (start.prefix.length > 0 && this.#options.canContinueFromPrefix === false) {
@@ -232,41 +222,9 @@
     if (!body.success) {
       return whole(400, { error: body.error.issues[0]?.message ?? 'malformed' });
     }
-    const order = body.data;
-    if (this.#isStale(order)) {
-      return whole(409, { error: 'staleFencingNumber' });
-    }
-    const missing = order.models.filter((model) => !this.#state.models.includes(model));
-    for (const model of missing) {
-      if (!(await this.#loadWeights(model))) {
-        return whole(503, { error: 'weightsUnavailable' });
-      }
-    }
-    if (this.#isStale(order)) {
-      return whole(409, { error: 'staleFencingNumber' });
-    }
-    const fencingNumber = Math.max(order.fencingNumber, this.#state.fencingNumber);
-    this.#state = { ...order, fencingNumber };
-    this.#orders.push(order);
-    return whole(200, this.#stateReport());
-  }
-
-  #isStale(order: StandinOrder): boolean {
-    const checks = this.#options.checksFencingNumbers ?? true;
-    return checks && order.fencingNumber < this.#state.fencingNumber;
-  }
-
-  async #loadWeights(model: string): Promise<boolean> {
-    if (this.#options.weightStoreUrl === undefined) {
-      return true;
-    }
-    try {
-      const answer = await fetch(`${this.#options.weightStoreUrl}/v1/weights/${model}`);
-      await answer.arrayBuffer();
-      return answer.ok;
-    } catch {
-      return false;
-    }
+    const outcome = await this.#orders.carryOut(body.data);
+    const json = outcome === 'inForce' ? this.#stateReport() : { error: outcome };
+    return whole(ORDER_STATUS[outcome], json);
   }
 
   #cacheEvents(request: StandinRequest): StandinAnswer {
@@ -276,24 +234,11 @@
     return whole(200, this.#core.prefixCache.eventsAfter(after, publishedBeforeMs, gap));
   }
 
-  #loadReport(): object {
-    const nowMs = performance.now();
-    const seen = this.#loads.findLast((timed) => timed.atMs <= nowMs - this.#faults.lagMs);
-    const { atMs, load } = seen ?? this.#loads[0] ?? { atMs: nowMs, load: this.#core.load };
-    return {
-      ageMs: Math.round(nowMs - atMs),
-      kvTokensCapacity: this.#core.kvTokensCapacity,
-      leaving: this.#core.leaving,
-      maxRunning: this.#core.maxRunning,
-      ...load,
-    };
-  }
-
   #stateReport(): object {
     return {
-      ...this.#state,
+      ...this.#orders.state,
       canContinueFromPrefix: this.#options.canContinueFromPrefix ?? true,
-      checksFencingNumbers: this.#options.checksFencingNumbers ?? true,
+      checksFencingNumbers: this.#orders.checksFencingNumbers,
       kvTokensCapacity: this.#core.kvTokensCapacity,
       maxRunning: this.#core.maxRunning,
     };
@@ -335,23 +280,9 @@
     for (const generation of produced) {
       generation.notify();
     }
-    this.#fireTriggers(produced);
-  }
-
-  #fireTriggers(produced: readonly StandinGeneration[]): void {
-    for (const trigger of [...this.#triggers]) {
-      const met = produced.find(
-        (generation) =>
-          generation.texts.length >= (trigger.afterTokens ?? 0) &&
-          generation.state === 'running' &&
-          !generation.triggered,
-      );
-      if (met) {
-        met.triggered = true;
-        this.#triggers = this.#triggers.filter((other) => other !== trigger);
-        this.#fire(trigger, met);
-      }
-    }
+    this.#triggers.fire(produced, (fault, generation) => {
+      this.#fire(fault, generation);
+    });
   }
 
   #fire(trigger: TriggeredFault, generation: StandinGeneration): void {
@@ -366,23 +297,4 @@
         this.#silence();
     }
   }
-
-  #sampleLoad(): void {
-    this.#loads.push({ atMs: performance.now(), load: this.#core.load });
-    if (this.#loads.length > MAX_LOAD_SAMPLES) {
-      this.#loads.shift();
-    }
-  }
-}
-
-function refuse(refusal: StandinRefusal): StandinAnswer {
-  return whole(REFUSAL_STATUS[refusal], { error: refusal });
-}
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
 }
--- /dev/null
+++ b/packages/standins/src/EngineStandinAnswers.ts
@@ -0,0 +1,35 @@
+import type { StandinRefusal } from './EngineStandinCore.js';
+import type { OrderOutcome } from './EngineStandinOrders.js';
+import type { StandinAnswer } from './StandinServer.js';
+import { whole } from './StandinServer.js';
+
+/** HTTP status of each outcome of an order. */
+export const ORDER_STATUS: Readonly<Record<OrderOutcome, number>> = {
+  inForce: 200,
+  staleFencingNumber: 409,
+  weightsUnavailable: 503,
+};
+
+/**
+ * Answers a call that the engine refuses.
+ *
+ * @param refusal - why
+ * @returns the answer
+ */
+export function refuse(refusal: StandinRefusal): StandinAnswer {
+  return whole(REFUSAL_STATUS[refusal], { error: refusal });
+}
+
+/**
+ * Parses a body.
+ *
+ * @param text - JSON text
+ * @returns the value, or undefined when it is not JSON
+ */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/standins/src/PlatformStandin.ts
+++ b/packages/standins/src/PlatformStandin.ts
@@ -1,12 +1,4 @@
-import type {
-  LeaseId,
-  MonotonicClock,
-  Revision,
-  RevisionGuard,
-  StoreChange,
-  StoredValue,
-  StoreWrite,
-} from '@laburnumgap/kernel';
+import type { LeaseId, MonotonicClock, Revision, RevisionGuard } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import type { RevisionChanges } from '@laburnumgap/platform';
 import {
@@ -15,9 +7,17 @@
   NO_LEADER_MESSAGE,
   PlatformStoreState,
   fromBase64,
-  toBase64,
 } from '@laburnumgap/platform';
-import { z } from 'zod';
+import type { z } from 'zod';
+import {
+  grantSchema,
+  leaseSchema,
+  rangeSchema,
+  txnSchema,
+  watchSchema,
+} from './PlatformStandinSchema.js';
+import { toEvent, toKeyValue, toStoreWrite } from './PlatformStandinUtils.js';
+import { RateCap } from './StandinRateCap.js';
 import type {
   StandinAnswer,
   StandinRequest,
@@ -46,47 +46,6 @@
 const MS_PER_SECOND = 1000;
 const READ_PATHS: ReadonlySet<string> = new Set(['/v3/kv/range', '/v3/watch']);
 
-const int64Schema = z.union([z.number(), z.string()]).transform(Number);
-
-const rangeSchema = z.object({ key: z.string(), range_end: z.string().optional() });
-
-const txnSchema = z.object({
-  compare: z
-    .array(
-      z.object({
-        key: z.string(),
-        mod_revision: int64Schema.default(0),
-        result: z.literal('EQUAL').default('EQUAL'),
-        target: z.literal('MOD'),
-      }),
-    )
-    .default([]),
-  success: z
-    .array(
-      z.union([
-        z.object({
-          request_put: z.object({
-            key: z.string(),
-            lease: z.coerce.string().default('0'),
-            value: z.string().default(''),
-          }),
-        }),
-        z.object({ request_delete_range: z.object({ key: z.string() }) }),
-      ]),
-    )
-    .default([]),
-});
-
-const grantSchema = z.object({ TTL: int64Schema });
-const leaseSchema = z.object({ ID: z.coerce.string() });
-const watchSchema = z.object({
-  create_request: z.object({
-    key: z.string(),
-    range_end: z.string().optional(),
-    start_revision: int64Schema.default(0),
-  }),
-});
-
 /**
  * Starts a stand-in of the platform's key-value service: a subset of the etcd v3 JSON gateway.
  *
@@ -276,33 +235,6 @@
   }
 }
 
-/** Refuses calls above a rate, with a burst of one second. */
-class RateCap {
-  readonly #perSecond: number;
-  #left: number;
-  #updatedAtMs: number | undefined;
-
-  constructor(perSecond = Infinity) {
-    this.#perSecond = perSecond;
-    this.#left = perSecond;
-  }
-
-  take(nowMs: number): boolean {
-    if (this.#perSecond === Infinity) {
-      return true;
-    }
-    const elapsedMs = nowMs - (this.#updatedAtMs ?? nowMs);
-    this.#updatedAtMs = nowMs;
-    const refill = (elapsedMs * this.#perSecond) / MS_PER_SECOND;
-    this.#left = Math.min(this.#perSecond, this.#left + refill);
-    if (this.#left < 1) {
-      return false;
-    }
-    this.#left -= 1;
-    return true;
-  }
-}
-
 function keyFilter(key: string, rangeEnd: string | undefined): (key: string) => boolean {
   const start = fromBase64(key);
   const end = rangeEnd === undefined ? undefined : fromBase64(rangeEnd);
@@ -316,33 +248,6 @@
   return Buffer.byteLength(value) > MAX_VALUE_BYTES;
 }
 
-function toStoreWrite(op: z.infer<typeof txnSchema>['success'][number]): StoreWrite {
-  if ('request_delete_range' in op) {
-    return { key: fromBase64(op.request_delete_range.key), kind: 'delete' };
-  }
-  const { key, lease, value } = op.request_put;
-  const leaseId = lease === '0' ? undefined : toId<LeaseId>(lease);
-  return { key: fromBase64(key), kind: 'put', leaseId, value: fromBase64(value) };
-}
-
-function toKeyValue(value: StoredValue): object {
-  return {
-    key: toBase64(value.key),
-    lease: value.leaseId,
-    mod_revision: String(value.modRevision),
-    value: toBase64(value.value),
-  };
-}
-
-function toEvent(change: StoreChange): object {
-  const key = toBase64(change.key);
-  const revision = String(change.modRevision);
-  if (change.value === undefined) {
-    return { kv: { key, mod_revision: revision }, type: 'DELETE' };
-  }
-  return { kv: { key, mod_revision: revision, value: toBase64(change.value) } };
-}
-
 function refused(status: number, code: number, message: string): StandinAnswer {
   return whole(status, { code, message });
 }
