--- a/packages/standins/src/EngineStandin.ts
+++ b/packages/standins/src/EngineStandin.ts
@@ -30,23 +30,6 @@
 const LOAD_SAMPLE_INTERVAL_MS = 50;
 const GENERATION_PATH = /^\/v1\/generations\/([^/]+)(\/stream)?$/;
 
-const ORDER_STATUS: Readonly<Record<OrderOutcome, number>> = {
-  inForce: 200,
-  staleFencingNumber: 409,
-  weightsUnavailable: 503,
-};
-
-const GENERATION_PATH = /^\/v1\/generations\/([^/]+)(\/stream)?$/;
-
-const REFUSAL_STATUS: Readonly<Record<StandinRefusal, number>> = {
-  cannotContinue: 422,
-  leaving: 503,
-  queueFull: 429,
-  superseded: 409,
-  unknownGeneration: 404,
-  unknownModel: 404,
-};
-
 /**
  * Starts a stand-in of a model engine.
  *
--- a/packages/standins/src/EngineStandinAnswers.ts
+++ b/packages/standins/src/EngineStandinAnswers.ts
@@ -3,6 +3,15 @@
 import type { StandinAnswer } from './StandinServer.js';
 import { whole } from './StandinServer.js';
 
+const REFUSAL_STATUS: Readonly<Record<StandinRefusal, number>> = {
+  cannotContinue: 422,
+  leaving: 503,
+  queueFull: 429,
+  superseded: 409,
+  unknownGeneration: 404,
+  unknownModel: 404,
+};
+
 /** HTTP status of each outcome of an order. */
 export const ORDER_STATUS: Readonly<Record<OrderOutcome, number>> = {
   inForce: 200,
