Closing connections under a running call no longer rejects unheard; permits end to end

Cause: after close(), a running call that failed replaced the connections and closed the destroyed ones again: an unhandled rejection (ClientDestroyedError), seen in EngineOrders.test.ts, that would end a daemon. Six engines of three schedulers loading at once: with permits 6 transfers and no refusal by the weight store; without them it refuses.

--- a/packages/platform/src/PlatformConnections.ts
+++ b/packages/platform/src/PlatformConnections.ts
@@ -25,6 +25,7 @@
   readonly #basePath: string;
   readonly #options: PlatformConnectionsOptions;
   #agent: Agent;
+  #closed = false;
 
   constructor(options: PlatformConnectionsOptions) {
     const url = new URL(options.url);
@@ -54,7 +55,7 @@
       origin: this.origin,
       path: this.pathOf(request.path),
     });
-    if (outcome.kind !== 'answered' && agent === this.#agent) {
+    if (outcome.kind !== 'answered' && agent === this.#agent && !this.#closed) {
       this.#agent = this.#newAgent();
       void agent.close();
     }
@@ -63,6 +64,7 @@
 
   /** Ends every connection. */
   async close(): Promise<void> {
+    this.#closed = true;
     await this.#agent.destroy();
   }
 
--- a/packages/standins/src/WeightsStandin.ts
+++ b/packages/standins/src/WeightsStandin.ts
@@ -1,9 +1,12 @@
+import type { MonotonicClock } from '@laburnumgap/kernel';
 import type { StandinServer } from './StandinServer.js';
 import { startStandinServer, whole } from './StandinServer.js';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 /** Options of {@link startWeightsStandin}. */
 export interface WeightsStandinOptions {
+  /** Measures the window. */
+  readonly clock?: MonotonicClock;
   readonly kill?: () => void;
   readonly listen: string;
   /** Transfers that may start within one window. */
@@ -27,6 +30,7 @@
 export async function startWeightsStandin(options: WeightsStandinOptions): Promise<StandinServer> {
   const windowMs = options.windowMs ?? DEFAULT_WINDOW_MS;
   const maxTransfers = options.maxTransfers ?? DEFAULT_MAX_TRANSFERS;
+  const clock = options.clock ?? { nowMs: () => performance.now() };
   const counts = { refused: 0, transfers: 0 };
   let startsMs: number[] = [];
   return startStandinServer({
@@ -35,7 +39,7 @@
       if (!request.path.startsWith('/v1/weights/')) {
         return whole(404, { error: 'unknownPath' });
       }
-      const nowMs = performance.now();
+      const nowMs = clock.nowMs();
       startsMs = startsMs.filter((startMs) => startMs > nowMs - windowMs);
       if (startsMs.length >= maxTransfers) {
         counts.refused += 1;
--- a/packages/standins/src/__tests__/integration/EngineOrders.test.ts
+++ b/packages/standins/src/__tests__/integration/EngineOrders.test.ts
@@ -1,12 +1,16 @@
-import type { EngineOrder } from '@laburnumgap/kernel';
+import type { EngineId, EngineOrder } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import { createWeightPermits } from '@laburnumgap/membership';
 import { createMemoryStore, PlatformStoreState } from '@laburnumgap/platform';
+import type { ExecutionContext } from 'ava';
 import test from 'ava';
 import { startWeightsStandin } from '../../WeightsStandin.js';
 import { engineFixture, ordersFixture, ordersInForce } from '../support/OrdersFixtures.js';
 import { HandClock, orderFault } from '../support/StoreFixtures.js';
 
+const CLOCK_STEP_MS = 50;
+const TRANSFERS_PER_WINDOW = 2;
+const WINDOW_MS = 2000;
 const WANTED = { adapters: [], models: ['m0', 'm1'], role: 'mixed' } as const;
 
 test('an order whose answer was lost is read back and not repeated', async (t) => {
@@ -123,3 +127,60 @@
   clock.advance(1);
   t.is([...(await takeAll()), ...(await takeAll())].length, 3);
 });
+
+/** Six engines of three schedulers load a model at once; counts what the weight store saw. */
+async function loadEverywhere(t: ExecutionContext, withPermits: boolean) {
+  const clock = new HandClock();
+  const state = new PlatformStoreState();
+  const weights = await startWeightsStandin({
+    clock,
+    listen: '127.0.0.1:0',
+    maxTransfers: TRANSFERS_PER_WINDOW,
+    windowMs: WINDOW_MS,
+  });
+  t.teardown(() => weights.close());
+  const timers = {
+    after: (delayMs: number, run: () => void) => {
+      const timer = setTimeout(() => {
+        clock.advance(Math.min(delayMs, CLOCK_STEP_MS));
+        run();
+      }, 1);
+      return () => {
+        clearTimeout(timer);
+      };
+    },
+  };
+  const outcomes = Array.from({ length: 6 }, async (_, index) => {
+    const store = createMemoryStore({ clock, state });
+    const random = { nextUnit: () => index / 6 };
+    const permits = createWeightPermits({
+      clock,
+      orderTimeoutMs: 1000,
+      random,
+      store,
+      transfersPerWindow: TRANSFERS_PER_WINDOW,
+      windowMs: WINDOW_MS,
+    });
+    const { control } = await engineFixture(t, { weightStoreUrl: weights.url });
+    const self = { incarnation: toId<never>('1'), memberId: toId<never>(`s${index % 3}`) };
+    const { orders, untilOutcome } = ordersFixture(t, control, store, {
+      clock,
+      engineId: toId<EngineId>(`e${index}`),
+      permits: withPermits ? permits : undefined,
+      random,
+      self,
+      timers,
+    });
+    orders.want(WANTED);
+    await untilOutcome('inForce');
+  });
+  await Promise.all(outcomes);
+  const counts = await fetch(`${weights.url}/control/counts`);
+  return (await counts.json()) as { readonly refused: number; readonly transfers: number };
+}
+
+test('with permits the weight store never refuses; without them it does', async (t) => {
+  t.deepEqual(await loadEverywhere(t, true), { refused: 0, transfers: 6 });
+  const naive = await loadEverywhere(t, false);
+  t.true(naive.refused > 0);
+});
--- a/packages/standins/src/__tests__/support/StoreFixtures.ts
+++ b/packages/standins/src/__tests__/support/StoreFixtures.ts
@@ -54,7 +54,12 @@
     writesPerSecond,
   });
   const { deadlineMs, watchIdleLimitMs } = options;
-  const store = createEtcdStore({ deadlineMs, url: server.url, watchIdleLimitMs });
+  const store = createEtcdStore({
+    deadlineMs,
+    random: { nextUnit: () => 0 },
+    url: server.url,
+    watchIdleLimitMs,
+  });
   t.teardown(async () => {
     await store.close();
     await server.close();
