--- a/packages/membership/src/MembershipRank.ts
+++ b/packages/membership/src/MembershipRank.ts
@@ -6,21 +6,58 @@
   readonly score: number;
 }
 
+const MAX_CACHED_KEYS = 4096;
+const encoder = new TextEncoder();
+
+/**
+ * Orders members for keys by rendezvous hashing: when a member comes or goes, only the keys that it
+ * owns or owned change their owner. The order depends on the ids alone, so that every process that
+ * knows the same members ranks them alike.
+ */
+export class MemberRanking {
+  readonly #cache = new Map<string, readonly Member[]>();
+  readonly #members: readonly Member[];
+  readonly #seeds: readonly number[];
+
+  constructor(members: readonly Member[]) {
+    this.#members = members;
+    this.#seeds = members.map((member) => murmurhash.v3(member.memberId));
+  }
+
+  /** Members in order for a key, the owner first. */
+  rank(key: string): readonly Member[] {
+    const cached = this.#cache.get(key);
+    if (cached) {
+      return cached;
+    }
+    const ranked = this.#compute(key);
+    if (this.#cache.size >= MAX_CACHED_KEYS) {
+      this.#cache.clear();
+    }
+    this.#cache.set(key, ranked);
+    return ranked;
+  }
+
+  #compute(key: string): readonly Member[] {
+    const bytes = encoder.encode(key);
+    const scored: Scored[] = this.#members.map((member, index) => ({
+      member,
+      score: murmurhash.v3(bytes, this.#seeds[index]),
+    }));
+    scored.sort(byScore);
+    return scored.map((entry) => entry.member);
+  }
+}
+
 /**
- * Orders members for a key by rendezvous hashing: when a member comes or goes, only the keys that
- * it owns or owned change their owner.
+ * Orders members for one key.
  *
  * @param members - the members
  * @param key - the key
  * @returns the members, the owner first
  */
 export function rankMembers(members: readonly Member[], key: string): readonly Member[] {
-  const scored: Scored[] = members.map((member) => ({
-    member,
-    score: murmurhash.v3(`${member.memberId}\n${key}`),
-  }));
-  scored.sort(byScore);
-  return scored.map((entry) => entry.member);
+  return new MemberRanking(members).rank(key);
 }
 
 function byScore(a: Scored, b: Scored): number {
--- a/packages/membership/src/MembershipView.ts
+++ b/packages/membership/src/MembershipView.ts
@@ -1,6 +1,6 @@
 import type { Member, MemberId, MemberRole, Revision } from '@laburnumgap/kernel';
 import { OUTAGE_MS, REJOIN_GRACE_MS, SUSPECT_MS } from './MembershipConstants.js';
-import { rankMembers } from './MembershipRank.js';
+import { MemberRanking } from './MembershipRank.js';
 
 interface ViewEntry {
   readonly member: Member;
@@ -8,6 +8,11 @@
   removeAtMs?: number;
 }
 
+interface RoleView {
+  readonly members: readonly Member[];
+  readonly ranking: MemberRanking;
+}
+
 /** A registered member with the key it is registered under. */
 export interface RegisteredMember {
   readonly key: string;
@@ -21,6 +26,7 @@
  */
 export class MembershipView {
   readonly #entries = new Map<string, ViewEntry>();
+  readonly #roles = new Map<MemberRole, RoleView>();
   readonly #suspectedUntilMs = new Map<MemberId, number>();
   #graceUntilMs = -Infinity;
   #lastContactMs: number;
@@ -57,6 +63,7 @@
     for (const { key, member } of registered) {
       this.#entries.set(key, { member });
     }
+    this.#roles.clear();
   }
 
   /** Applies one change; an older one than the view is ignored. */
@@ -67,6 +74,7 @@
     this.#revision = modRevision;
     if (member) {
       this.#entries.set(key, { member });
+      this.#roles.clear();
       this.#suspectedUntilMs.delete(member.memberId);
     } else {
       this.#remove(key, nowMs);
@@ -79,6 +87,7 @@
     const due = [...this.#entries].filter(([, entry]) => (entry.removeAtMs ?? Infinity) <= nowMs);
     for (const [key] of due) {
       this.#entries.delete(key);
+      this.#roles.clear();
     }
     return due.length > 0;
   }
@@ -92,20 +101,17 @@
 
   /** Live members of a role, sorted by id. */
   members(role: MemberRole): readonly Member[] {
-    const members = [...this.#entries.values()].map((entry) => entry.member);
-    return members
-      .filter((member) => member.role === role)
-      .sort((a, b) => (a.memberId < b.memberId ? -1 : 1));
+    return this.#roleView(role).members;
   }
 
   /** Members of a role in rendezvous order for a key, suspected ones last. */
   rank(role: MemberRole, key: string, nowMs: number): readonly Member[] {
-    const ranked = rankMembers(this.members(role), key);
-    const isSuspect = (member: Member): boolean =>
-      (this.#suspectedUntilMs.get(member.memberId) ?? -Infinity) > nowMs;
+    const ranked = this.#roleView(role).ranking.rank(key);
     if (this.#suspectedUntilMs.size === 0) {
       return ranked;
     }
+    const isSuspect = (member: Member): boolean =>
+      (this.#suspectedUntilMs.get(member.memberId) ?? -Infinity) > nowMs;
     return [
       ...ranked.filter((member) => !isSuspect(member)),
       ...ranked.filter((member) => isSuspect(member)),
@@ -122,6 +128,20 @@
     }
   }
 
+  #roleView(role: MemberRole): RoleView {
+    const known = this.#roles.get(role);
+    if (known) {
+      return known;
+    }
+    const members = [...this.#entries.values()]
+      .map((entry) => entry.member)
+      .filter((member) => member.role === role)
+      .sort((a, b) => (a.memberId < b.memberId ? -1 : 1));
+    const view = { members, ranking: new MemberRanking(members) };
+    this.#roles.set(role, view);
+    return view;
+  }
+
   #remove(key: string, nowMs: number): void {
     const entry = this.#entries.get(key);
     if (!entry) {
@@ -131,6 +151,7 @@
     const graceUntilMs = wasAway ? nowMs + REJOIN_GRACE_MS : this.#graceUntilMs;
     if (graceUntilMs <= nowMs) {
       this.#entries.delete(key);
+      this.#roles.clear();
       return;
     }
     entry.removeAtMs ??= graceUntilMs;
--- a/packages/membership/src/__tests__/unit/MembershipRank.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipRank.test.ts
@@ -1,4 +1,5 @@
-import { toId } from '@laburnumgap/kernel';
+import type { Revision } from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
 import fc from 'fast-check';
 import { rankMembers } from '../../MembershipRank.js';
@@ -72,10 +73,37 @@
 test('a suspected member is ranked last for a while', (t) => {
   const view = new MembershipView(0);
   const registered = membersOf(3).map((member) => ({ key: member.memberId, member }));
-  view.applySnapshot(registered, toId<never>('1'), 0);
+  view.applySnapshot(registered, toNumberId<Revision>(1), 0);
   const [first, second] = view.rank('scheduler', 'k', 0);
   view.suspect(first?.memberId ?? toId('none'), 0);
   t.is(view.rank('scheduler', 'k', 9999)[0], second);
   t.is(view.rank('scheduler', 'k', 9999).length, 3);
   t.is(view.rank('scheduler', 'k', 10_000)[0], first);
 });
+
+test('after any changes the view ranks as if it were computed anew', (t) => {
+  const changes = fc.array(
+    fc.record({ appears: fc.boolean(), index: fc.nat({ max: 5 }), key: fc.nat({ max: 3 }) }),
+  );
+  const property = fc.property(changes, (list) => {
+    const view = new MembershipView(0);
+    const present = new Map<string, ReturnType<typeof memberOf>>();
+    return list.every(({ appears, index, key }, step) => {
+      const member = memberOf(`m${index}`);
+      const revision = toNumberId<Revision>(step + 1);
+      view.applyChange(member.memberId, appears ? member : undefined, revision, 0);
+      if (appears) {
+        present.set(member.memberId, member);
+      } else {
+        present.delete(member.memberId);
+      }
+      const expected = rankMembers([...present.values()], `k${key}`);
+      const actual = view.rank('scheduler', `k${key}`, 0);
+      const idsOf = (members: typeof expected) => members.map((entry) => entry.memberId).join();
+      return idsOf(actual) === idsOf(expected);
+    });
+  });
+  t.notThrows(() => {
+    fc.assert(property, { seed: 13 });
+  });
+});
