--- a/packages/admission/src/PrefixCacheView.ts
+++ b/packages/admission/src/PrefixCacheView.ts
@@ -5,6 +5,12 @@
   readonly maxPrefixes?: number;
 }
 
+/** Cache events after a sequence number, in order. */
+export interface CacheEventPage {
+  readonly events: readonly EngineCacheEvent[];
+  readonly latestSequence: number;
+}
+
 interface CachedPrefix {
   confidence: number;
   readonly notedMs: number;
@@ -40,12 +46,13 @@
     return this.prefixes.size;
   }
 
-  /**
-   * Takes events in order of their sequence. A sequence that goes back means that the engine was
-   * restarted with an empty cache.
-   */
-  apply(events: readonly EngineCacheEvent[], nowMs: number): void {
-    for (const event of events) {
+  /** Takes a page of events. Numbers that went back mean a restarted engine with an empty cache. */
+  apply(page: CacheEventPage, nowMs: number): void {
+    if (page.latestSequence < this.latestSequence) {
+      this.prefixes.clear();
+      this.latestSequence = 0;
+    }
+    for (const event of page.events) {
       this.noteSequence(event.sequence);
       this.prefixes.delete(event.prefixHash);
       if (event.kind === 'stored') {
@@ -92,9 +99,7 @@
   }
 
   private noteSequence(sequence: number): void {
-    if (sequence <= this.latestSequence) {
-      this.prefixes.clear();
-    } else if (sequence > this.latestSequence + 1 && this.latestSequence > 0) {
+    if (sequence > this.latestSequence + 1 && this.latestSequence > 0) {
       for (const prefix of this.prefixes.values()) {
         prefix.confidence *= GAP_CONFIDENCE;
       }
--- a/packages/admission/src/__tests__/unit/AdmissionKernels.test.ts
+++ b/packages/admission/src/__tests__/unit/AdmissionKernels.test.ts
@@ -1,7 +1,7 @@
 import type { EngineCacheEvent } from '@laburnumgap/kernel';
 import test from 'ava';
 import fc from 'fast-check';
-import type { VictimCandidate } from '../../index.js';
+import type { CacheEventPage, VictimCandidate } from '../../index.js';
 import {
   DrainRate,
   FORECAST_STEPS_TOKENS,
@@ -155,18 +155,22 @@
   return { kind: 'stored', prefixHash, sequence, tokens };
 }
 
+function pageOf(events: readonly EngineCacheEvent[]): CacheEventPage {
+  return { events, latestSequence: events.at(-1)?.sequence ?? 0 };
+}
+
 test('a cache view loses confidence by gaps and age, and never names what was evicted', (t) => {
   const view = new PrefixCacheView({ maxPrefixes: 3 });
-  view.apply([stored(1, 'a', 16), stored(2, 'ab', 32)], 0);
+  view.apply(pageOf([stored(1, 'a', 16), stored(2, 'ab', 32)]), 0);
   t.is(view.expectedTokens(['a', 'ab', 'abc'], 0), 32);
   t.is(view.expectedTokens(['a', 'ab'], 60_000), 16);
-  view.apply([stored(9, 'x', 64)], 0);
+  view.apply(pageOf([stored(9, 'x', 64)]), 0);
   t.is(view.expectedTokens(['a', 'ab'], 0), 16);
   t.is(view.expectedTokens(['x'], 0), 64);
-  view.apply([{ kind: 'evicted', prefixHash: 'x', sequence: 10, tokens: 64 }], 0);
+  view.apply(pageOf([{ kind: 'evicted', prefixHash: 'x', sequence: 10, tokens: 64 }]), 0);
   t.is(view.expectedTokens(['x'], 0), 0);
-  view.apply([stored(11, 'y', 8), stored(12, 'z', 8)], 0);
+  view.apply(pageOf([stored(11, 'y', 8), stored(12, 'z', 8)]), 0);
   t.is(view.size(), 3);
-  view.apply([stored(1, 'q', 8)], 0);
+  view.apply(pageOf([stored(1, 'q', 8)]), 0);
   t.is(view.size(), 1);
 });
--- a/packages/admission/src/__tests__/unit/EngineAdmission.test.ts
+++ b/packages/admission/src/__tests__/unit/EngineAdmission.test.ts
@@ -50,6 +50,16 @@
       h.send(5_000, { kind: 'woke' });
     },
   },
+  {
+    expected: ['grant a', 'queue b'],
+    name: 'what a generation has produced counts as used',
+    run: (h) => {
+      h.settle(0);
+      h.arrive(2_000, { id: 'a', promptTokens: 300 });
+      h.progress(2_500, 'a', 500);
+      h.arrive(2_600, { id: 'b', promptTokens: 300 });
+    },
+  },
   {
     expected: ['grant a', 'grant b'],
     name: 'a report that comes after the end of its generation counts for nothing',
--- a/packages/scheduler/src/SchedulerAdmissionService.ts
+++ b/packages/scheduler/src/SchedulerAdmissionService.ts
@@ -5,6 +5,7 @@
   EngineId,
   GenerationId,
   ModelId,
+  MonotonicClock,
   Refusal,
   RequestId,
   TeamId,
@@ -24,15 +25,14 @@
 
 /** What the admission service is built from. */
 export interface SchedulerAdmissionOptions {
-  /** Tokens of the prompt that the engine is thought to have in its cache. */
-  cachedPrefixTokens(engineId: EngineId, prefixHashes: readonly string[]): number;
+  readonly clock: MonotonicClock;
   readonly engines: SchedulerEngines;
 }
 
 /**
  * Creates the handlers of the Admission service.
  *
- * @param options - the engines and the view of their caches
+ * @param options - the clock and the engines
  * @returns the handlers
  */
 export function createAdmissionHandlers(options: SchedulerAdmissionOptions): AdmissionHandlers {
@@ -142,7 +142,8 @@
     engines.map(async (engine) => {
       const { acceptsWork, waitMs } = await engine.estimate(query);
       const { engineId } = engine;
-      const cachedPrefixTokens = options.cachedPrefixTokens(engineId, request.prefixHashes);
+      const nowMs = options.clock.nowMs();
+      const cachedPrefixTokens = engine.cache.expectedTokens(request.prefixHashes, nowMs);
       return { acceptsWork, cachedPrefixTokens, engineId, waitMs };
     }),
   );
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -7,11 +7,11 @@
 import type { Node } from '@laburnumgap/node';
 import type { DaemonSettings } from '@laburnumgap/settings';
 import { createAdmissionHandlers } from './SchedulerAdmissionService.js';
-import type { EngineProbe } from './SchedulerEngineProbe.js';
-import { createEngineProbe } from './SchedulerEngineProbe.js';
+import type { EngineReports } from './SchedulerEnginePoll.js';
+import { SchedulerEnginePoll } from './SchedulerEnginePoll.js';
 import { SchedulerEngines } from './SchedulerEngines.js';
 import { createInspectHandlers } from './SchedulerInspectService.js';
-import { SchedulerLoadPoll } from './SchedulerLoadPoll.js';
+import { createQuotaService } from './SchedulerQuotaService.js';
 import { createRequestHomeHandlers } from './SchedulerRequestHomeService.js';
 
 /** What a scheduler is started with. */
@@ -19,9 +19,10 @@
   readonly context: DaemonContext<DaemonSettings>;
   /** Builds the admission kernel of an engine. */
   readonly createController?: (engineId: EngineId, nowMs: number) => AdmissionController;
+  /** Reads the reports of an engine. */
+  readonly createReports?: (url: string) => EngineReports;
   readonly loadIntervalMs?: number;
   readonly node: Node;
-  readonly probe?: EngineProbe;
 }
 
 /**
@@ -51,27 +52,31 @@
     onOpened: (engineId) => void poll.poll(engineId),
     servers,
   });
-  const poll = new SchedulerLoadPoll({
+  const poll = new SchedulerEnginePoll({
+    clock,
+    createReports: options.createReports,
     engines,
     intervalMs: options.loadIntervalMs,
     log,
-    probe: options.probe ?? createEngineProbe(),
     servers,
   });
+  const quota = createQuotaService({ clock, configuration, decisions, directory });
   const http = await startHttpServer({
     address: settings.listen.http,
     stage: () => context.stage(),
   });
   const member = await node.serve({
-    Admission: createAdmissionHandlers({ cachedPrefixTokens: () => 0, engines }),
+    Admission: createAdmissionHandlers({ clock, engines }),
     Inspect: createInspectHandlers({
       configuration,
       decisions,
       draining: () => context.stage() === 'draining',
       engines,
-      homeRecords: () => home.size(),
+      configurationAgeMs: () => node.configurationAgeMs(),
+      counts: () => ({ homeRecords: home.size(), quotaTeams: quota.teamCount() }),
       memberId,
     }),
+    Quota: quota.handlers,
     RequestHome: createRequestHomeHandlers({ clock, decisions, home }),
   });
   engines.sync();
@@ -79,7 +84,8 @@
     addresses: { http: http.address, rpc: member.rpcAddress },
     drain: async () => {
       await engines.drain();
-      poll.stop();
+      await poll.stop();
+      quota.stop();
       await node.drain();
       engines.stop();
       http.destroy();
--- a/packages/scheduler/src/SchedulerEngine.ts
+++ b/packages/scheduler/src/SchedulerEngine.ts
@@ -8,6 +8,7 @@
   AdmissionStatus,
   ReservationId,
 } from '@laburnumgap/admission';
+import { PrefixCacheView } from '@laburnumgap/admission';
 import type { Actor, ActorSystem } from '@laburnumgap/daemon';
 import type { DecisionSink, EngineId, MonotonicClock } from '@laburnumgap/kernel';
 import type { Metrics } from '@laburnumgap/telemetry';
@@ -39,19 +40,25 @@
       readonly query: AdmissionEstimateQuery;
     };
 
+const UNUSED_AFTER_MS = 60_000;
+
 let actorCount = 0;
 
 /** One engine's admission: an actor that owns the kernel, its wake timer and its listeners. */
 export class SchedulerEngine {
+  /** What the engine's prefix cache probably holds. */
+  readonly cache = new PrefixCacheView();
   readonly engineId: EngineId;
   private readonly actor: Actor<EngineMessage>;
   private readonly listeners = new Map<ReservationId, ReservationListener>();
   private readonly options: SchedulerEngineOptions;
+  private usedMs: number;
   private wakeTimer: NodeJS.Timeout | undefined;
 
   constructor(options: SchedulerEngineOptions) {
     this.engineId = options.engineId;
     this.options = options;
+    this.usedMs = options.clock.nowMs();
     actorCount += 1;
     this.actor = options.actors.spawn<EngineMessage>(`admission-${actorCount}`, (message) => {
       this.receive(message);
@@ -60,6 +67,7 @@
 
   /** Asks for admission; the listener gets every action on the reservation until it is released. */
   admit(request: AdmissionRequest, listener: ReservationListener): void {
+    this.usedMs = this.options.clock.nowMs();
     this.listeners.set(request.reservationId, listener);
     this.send({ kind: 'arrived', request });
   }
@@ -72,14 +80,16 @@
   }
 
   estimate(query: AdmissionEstimateQuery): Promise<AdmissionEstimate> {
+    this.usedMs = this.options.clock.nowMs();
     return new Promise((answer) => {
       this.actor.send({ answer, kind: 'estimate', query });
     });
   }
 
-  /** Whether any router holds a stream here. */
-  isIdle(): boolean {
-    return this.listeners.size === 0;
+  /** Whether no router holds a stream here, or has asked for anything lately. */
+  isUnused(): boolean {
+    const idleMs = this.options.clock.nowMs() - this.usedMs;
+    return this.listeners.size === 0 && idleMs >= UNUSED_AFTER_MS;
   }
 
   release(reservationId: ReservationId): void {
--- a/packages/scheduler/src/SchedulerEngines.ts
+++ b/packages/scheduler/src/SchedulerEngines.ts
@@ -66,13 +66,24 @@
     return [...this.engines.values()].sort((a, b) => (a.engineId < b.engineId ? -1 : 1));
   }
 
+  /** Closes engines that this member has nothing to do with any more. */
+  closeUnused(): void {
+    for (const [engineId, engine] of this.engines) {
+      const isListed = this.serverOf(engineId) !== undefined;
+      if (engine.isUnused() && !(isListed && this.owns(engineId))) {
+        this.engines.delete(engineId);
+        engine.stop();
+      }
+    }
+  }
+
   /** Whether this member comes first for the engine. */
   owns(engineId: EngineId): boolean {
     const [owner] = this.options.directory.rank('scheduler', `engine/${engineId}`);
     return owner?.memberId === this.options.memberId;
   }
 
-  /** Opens what this member owns, closes what is gone, and marks what is leaving. */
+  /** Opens what this member owns, and marks what is leaving or gone. */
   sync(): void {
     for (const server of this.modelServers()) {
       const engineId = engineIdOf(server);
@@ -83,6 +94,11 @@
         this.engines.get(engineId)?.send({ kind: 'engineStopped', reason: 'leaving' });
       }
     }
+    for (const [engineId, engine] of this.engines) {
+      if (!this.serverOf(engineId)) {
+        engine.send({ kind: 'engineStopped', reason: 'lost' });
+      }
+    }
     this.closeUnused();
   }
 
@@ -128,19 +144,6 @@
     return engine;
   }
 
-  private closeUnused(): void {
-    for (const [engineId, engine] of this.engines) {
-      const listed = this.serverOf(engineId) !== undefined;
-      if (!listed) {
-        engine.send({ kind: 'engineStopped', reason: 'lost' });
-      }
-      if (engine.isIdle() && (!listed || !this.owns(engineId))) {
-        this.engines.delete(engineId);
-        engine.stop();
-      }
-    }
-  }
-
   private modelServers(): readonly KnownServer[] {
     return this.options.servers.servers().filter((server) => server.backend.kind === 'model');
   }
--- a/packages/scheduler/src/SchedulerInspectService.ts
+++ b/packages/scheduler/src/SchedulerInspectService.ts
@@ -7,13 +7,18 @@
 /** What the inspect service is built from. */
 export interface SchedulerInspectOptions {
   readonly configuration: ConfigurationView;
+  readonly configurationAgeMs: () => number;
+  /** Further figures by name. */
+  readonly counts: () => Readonly<Record<string, number>>;
   readonly decisions: DecisionLog;
   readonly draining: () => boolean;
   readonly engines: SchedulerEngines;
-  readonly homeRecords: () => number;
   readonly memberId: MemberId;
 }
 
+/** Age of a configuration that was never confirmed. */
+const NEVER_CONFIRMED = -1;
+
 /**
  * Creates the handlers of the Inspect service.
  *
@@ -31,7 +36,9 @@
       callback(null, { decisions });
     },
     GetStatus: (_call, callback) => {
+      const ageMs = options.configurationAgeMs();
       callback(null, {
+        configAgeMs: Number.isFinite(ageMs) ? ageMs : NEVER_CONFIRMED,
         configRevision: options.configuration.snapshot().revision,
         draining: options.draining(),
         facts: factsOf(options),
@@ -50,7 +57,11 @@
       value: String(value),
     }));
   });
-  return [{ name: 'homeRecords', value: String(options.homeRecords()) }, ...engines];
+  const counts = Object.entries(options.counts()).map(([name, value]) => ({
+    name,
+    value: String(value),
+  }));
+  return [...counts, ...engines];
 }
 
 function lineOf(decision: DecisionRecord): string {
--- a/packages/scheduler/src/__tests__/SchedulerFakes.ts
+++ b/packages/scheduler/src/__tests__/SchedulerFakes.ts
@@ -1,13 +1,20 @@
 import type { DaemonContext } from '@laburnumgap/daemon';
 import { createActorSystem } from '@laburnumgap/daemon';
-import type { EngineLoad, KnownServer, Member, MemberRole, Teardown } from '@laburnumgap/kernel';
+import type {
+  EngineCacheEvent,
+  EngineLoad,
+  KnownServer,
+  Member,
+  MemberRole,
+  Teardown,
+} from '@laburnumgap/kernel';
 import { success, toId, toNumberId } from '@laburnumgap/kernel';
 import type { Node } from '@laburnumgap/node';
 import { createRpcClients, startRpcServer } from '@laburnumgap/rpc';
 import type { DaemonSettings } from '@laburnumgap/settings';
 import { daemonSettingsSchema } from '@laburnumgap/settings';
 import { NO_LOG, NO_METRICS, createDecisionLog } from '@laburnumgap/telemetry';
-import type { EngineProbe } from '../index.js';
+import type { EngineReports } from '../index.js';
 
 /** Peer secret of the fakes. */
 export const FAKE_SECRET = 'a-secret-for-tests-only';
@@ -24,11 +31,19 @@
   runningGenerations: 0,
 };
 
-/** A context, node and probe in this process, with the means to change what they say. */
+/** A prefix in the cache of every engine. */
+export const CACHED_PREFIX: EngineCacheEvent = {
+  kind: 'stored',
+  prefixHash: 'cached',
+  sequence: 1,
+  tokens: 64,
+};
+
+/** A context, node and reports in this process, with the means to change what they say. */
 export interface SchedulerFakes {
   readonly context: DaemonContext<DaemonSettings>;
   readonly node: Node;
-  readonly probe: EngineProbe;
+  readonly createReports: () => EngineReports;
   /** Replaces the server list. */
   setServers(servers: readonly KnownServer[]): void;
 }
@@ -83,10 +98,11 @@
   return {
     context,
     node: fakeNode(() => servers, onChange),
-    probe: {
-      cacheEvents: () => Promise.resolve(success([])),
+    createReports: () => ({
+      cacheEvents: () => Promise.resolve(success({ events: [CACHED_PREFIX], latestSequence: 1 })),
+      close: () => Promise.resolve(),
       load: () => Promise.resolve(success(IDLE_LOAD)),
-    },
+    }),
     setServers: (next) => {
       servers = next;
       for (const listener of listeners) {
--- a/packages/scheduler/src/__tests__/integration/SchedulerDaemon.test.ts
+++ b/packages/scheduler/src/__tests__/integration/SchedulerDaemon.test.ts
@@ -20,8 +20,8 @@
 
 async function start(t: ExecutionContext): Promise<Started> {
   const fakes = createSchedulerFakes();
-  const { context, node, probe } = fakes;
-  const scheduler = await startScheduler({ context, node, probe });
+  const { context, createReports, node } = fakes;
+  const scheduler = await startScheduler({ context, createReports, node });
   const clients = createRpcClients(FAKE_SECRET);
   const admission = clients.get('Admission', scheduler.addresses.rpc ?? '');
   t.teardown(async () => {
