--- a/packages/scheduler/src/__tests__/SchedulerFakes.ts
+++ b/packages/scheduler/src/__tests__/SchedulerFakes.ts
@@ -1,14 +1,18 @@
+import type { ContractInForce } from '@laburnumgap/contracts';
+import { contractSchema } from '@laburnumgap/contracts';
 import type { DaemonContext } from '@laburnumgap/daemon';
 import { createActorSystem } from '@laburnumgap/daemon';
+import type { EngineControlError } from '@laburnumgap/engine';
 import type {
   EngineCacheEvent,
   EngineLoad,
   KnownServer,
   Member,
   MemberRole,
+  TeamId,
   Teardown,
 } from '@laburnumgap/kernel';
-import { success, toId, toNumberId } from '@laburnumgap/kernel';
+import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
 import type { Node } from '@laburnumgap/node';
 import { createRpcClients, startRpcServer } from '@laburnumgap/rpc';
 import type { DaemonSettings } from '@laburnumgap/settings';
@@ -31,6 +35,8 @@
   runningGenerations: 0,
 };
 
+const NO_ANSWER: EngineControlError = { detail: 'no answer', kind: 'unavailable' };
+
 /** A prefix in the cache of every engine. */
 export const CACHED_PREFIX: EngineCacheEvent = {
   kind: 'stored',
@@ -39,11 +45,27 @@
   tokens: 64,
 };
 
+const FAKE_CONTRACT: ContractInForce = {
+  contract: contractSchema.parse({
+    customer: 'customer-1',
+    keys: [{ id: 'key-1', sha256: '0'.repeat(64) }],
+    limits: { concurrentRequests: 10, requestsPerSecond: 5, tokensPerSecond: 1_000 },
+    scheduling: { class: 'standard' },
+    team: 'team-1',
+    waitBoundMs: 10_000,
+  }),
+  revision: toNumberId(1),
+};
+
 /** A context, node and reports in this process, with the means to change what they say. */
 export interface SchedulerFakes {
   readonly context: DaemonContext<DaemonSettings>;
   readonly node: Node;
   readonly createReports: () => EngineReports;
+  /** Servers that were marked as leaving on their own notice. */
+  readonly notedLeaving: Set<string>;
+  /** Replaces the reports of every engine; without one, reads fail. */
+  setLoad(load: EngineLoad | undefined): void;
   /** Replaces the server list. */
   setServers(servers: readonly KnownServer[]): void;
 }
@@ -80,6 +102,8 @@
     platform: { storeUrl: 'http://127.0.0.1:1', vmListUrl: 'http://127.0.0.1:1' },
   });
   const listeners = new Set<() => void>();
+  const notedLeaving = new Set<string>();
+  let load: EngineLoad | undefined = IDLE_LOAD;
   let servers: readonly KnownServer[] = [fakeServer('engine-1')];
   const context: DaemonContext<DaemonSettings> = {
     actors: createActorSystem(NO_LOG),
@@ -97,12 +121,16 @@
   };
   return {
     context,
-    node: fakeNode(() => servers, onChange),
+    node: fakeNode(() => servers, onChange, notedLeaving),
     createReports: () => ({
       cacheEvents: () => Promise.resolve(success({ events: [CACHED_PREFIX], latestSequence: 1 })),
       close: () => Promise.resolve(),
-      load: () => Promise.resolve(success(IDLE_LOAD)),
+      load: () => Promise.resolve(load ? success(load) : failure(NO_ANSWER)),
     }),
+    notedLeaving,
+    setLoad: (next) => {
+      load = next;
+    },
     setServers: (next) => {
       servers = next;
       for (const listener of listeners) {
@@ -115,6 +143,7 @@
 function fakeNode(
   servers: () => readonly KnownServer[],
   onChange: (listener: () => void) => Teardown,
+  notedLeaving: Set<string>,
 ): Node {
   const clients = createRpcClients(FAKE_SECRET);
   const members: Member[] = [];
@@ -125,7 +154,11 @@
     configuration: {
       contractOfKey: () => 'unknown',
       onChange: () => () => undefined,
-      snapshot: () => ({ contracts: new Map(), revision: toNumberId(1), stops: [] }),
+      snapshot: () => ({
+        contracts: new Map([[toId<TeamId>('team-1'), FAKE_CONTRACT]]),
+        revision: toNumberId(1),
+        stops: [],
+      }),
     },
     configurationAgeMs: () => 0,
     directory: {
@@ -162,7 +195,7 @@
       members.push(member);
       return member;
     },
-    servers: { noteLeaving: () => undefined, onChange, servers },
+    servers: { noteLeaving: (id) => notedLeaving.add(id), onChange, servers },
     store: undefined as never,
   };
 }
--- a/packages/scheduler/src/__tests__/integration/SchedulerDaemon.test.ts
+++ b/packages/scheduler/src/__tests__/integration/SchedulerDaemon.test.ts
@@ -1,19 +1,34 @@
 import type { ClientReadableStream } from '@grpc/grpc-js';
 import type { StartedDaemon } from '@laburnumgap/daemon';
 import { toId } from '@laburnumgap/kernel';
-import type { AdmitEvent__Output, AdmitRequest, RpcClient } from '@laburnumgap/rpc';
+import type {
+  AdmitEvent__Output,
+  AdmitRequest,
+  EstimateReply__Output,
+  EstimateRequest,
+  RpcClient,
+  RpcClients,
+  ShareReply__Output,
+  ShareRequest,
+  StatusReply__Output,
+  StatusRequest,
+} from '@laburnumgap/rpc';
 import { createRpcClients } from '@laburnumgap/rpc';
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 import { startScheduler } from '../../index.js';
 import type { SchedulerFakes } from '../SchedulerFakes.js';
-import { FAKE_SECRET, createSchedulerFakes, fakeServer } from '../SchedulerFakes.js';
+import { FAKE_SECRET, IDLE_LOAD, createSchedulerFakes, fakeServer } from '../SchedulerFakes.js';
 
 type AdmitStream = ClientReadableStream<AdmitEvent__Output>;
 
+const DEADLINE_MS = 60_000;
+const LOAD_INTERVAL_MS = 10;
+
 interface Started {
   readonly admit: (request: AdmitRequest) => AdmitStream;
   readonly admission: RpcClient<'Admission'>;
+  readonly clients: RpcClients;
   readonly fakes: SchedulerFakes;
   readonly scheduler: StartedDaemon;
 }
@@ -21,7 +36,12 @@
 async function start(t: ExecutionContext): Promise<Started> {
   const fakes = createSchedulerFakes();
   const { context, createReports, node } = fakes;
-  const scheduler = await startScheduler({ context, createReports, node });
+  const scheduler = await startScheduler({
+    context,
+    createReports,
+    loadIntervalMs: LOAD_INTERVAL_MS,
+    node,
+  });
   const clients = createRpcClients(FAKE_SECRET);
   const admission = clients.get('Admission', scheduler.addresses.rpc ?? '');
   t.teardown(async () => {
@@ -34,7 +54,7 @@
     stream.on('error', () => undefined);
     return stream;
   };
-  return { admission, admit, fakes, scheduler };
+  return { admission, admit, clients, fakes, scheduler };
 }
 
 const ADMIT_REQUEST: AdmitRequest = {
@@ -111,3 +131,100 @@
   const kept = fakes.context.decisions.explain(toId('request-1'));
   t.is(kept.at(-1)?.decision, 'admit');
 });
+
+test('an engine that does not answer is left, and used again when it does', async (t) => {
+  const { admit, fakes } = await start(t);
+  await untilGranted(admit({}));
+  const waiting = admit({ generationId: 'generation-2', requestId: 'request-2' });
+  t.is((await nextEvent(waiting)).event, 'queued');
+  fakes.setLoad(undefined);
+  t.is((await nextEvent(waiting)).refused?.code, 'NO_ENGINE');
+  fakes.setLoad(IDLE_LOAD);
+  let event = await untilGranted(admit({ promptTokens: 10, requestId: 'request-3' }));
+  while (event.event === 'refused') {
+    event = await untilGranted(admit({ promptTokens: 10, requestId: 'request-3' }));
+  }
+  t.is(event.event, 'granted');
+});
+
+test('the own notice of an engine marks its server as leaving', async (t) => {
+  const { admit, fakes } = await start(t);
+  await untilGranted(admit({}));
+  const waiting = admit({ generationId: 'generation-2', requestId: 'request-2' });
+  t.is((await nextEvent(waiting)).event, 'queued');
+  fakes.setLoad({ ...IDLE_LOAD, leaving: true });
+  t.is((await nextEvent(waiting)).refused?.code, 'NO_ENGINE');
+  t.deepEqual([...fakes.notedLeaving], ['engine-1']);
+});
+
+test('an estimate names the cached prefix and leaves unknown engines out', async (t) => {
+  const { admission, clients } = await start(t);
+  const query = { engineIds: ['engine-1', 'engine-9'], prefixHashes: ['other', 'cached'] };
+  const estimate = admission.estimate.bind(admission);
+  let reply = await clients.unary<EstimateRequest, EstimateReply__Output>(
+    estimate,
+    query,
+    DEADLINE_MS,
+  );
+  while (reply.ok && reply.value.estimates[0]?.cachedPrefixTokens === 0) {
+    reply = await clients.unary<EstimateRequest, EstimateReply__Output>(
+      estimate,
+      query,
+      DEADLINE_MS,
+    );
+  }
+  const estimates = reply.ok ? reply.value.estimates : [];
+  t.is(estimates.length, 1);
+  t.like(estimates[0], { acceptsWork: true, cachedPrefixTokens: 64, engineId: 'engine-1' });
+});
+
+test('a scheduler that is new in charge counts what routers report', async (t) => {
+  const { admission, clients, scheduler } = await start(t);
+  const progress = { attempt: 1, engineId: 'engine-1', generationId: 'elsewhere' };
+  const report = { progress: [{ ...progress, producedTokens: 90 }], routerId: 'router-1' };
+  await clients.unary(admission.reportProgress.bind(admission), report, DEADLINE_MS);
+  const inspect = clients.get('Inspect', scheduler.addresses.rpc ?? '');
+  const status = await clients.unary<StatusRequest, StatusReply__Output>(
+    inspect.getStatus.bind(inspect),
+    {},
+    DEADLINE_MS,
+  );
+  const facts = status.ok ? status.value.facts : [];
+  const adopted = facts.find(({ name }) => name === 'engine.engine-1.adoptedGenerations');
+  t.is(adopted?.value, '1');
+});
+
+test('a request home fences the earlier router and refuses other teams', async (t) => {
+  const { clients, scheduler } = await start(t);
+  const homes = clients.get('RequestHome', scheduler.addresses.rpc ?? '');
+  const record = { attempt: 1, bodyHash: 'body', requestId: 'request-1', teamId: 'team-1' };
+  const recordGeneration = homes.recordGeneration.bind(homes);
+  const takeOver = homes.takeOver.bind(homes);
+  await clients.unary(recordGeneration, { ...record, routerId: 'router-1' }, DEADLINE_MS);
+  const taken = await clients.unary(takeOver, { ...record, routerId: 'router-2' }, DEADLINE_MS);
+  t.like(taken, { value: { outcome: 'found', record: { attempt: 2, routerId: 'router-2' } } });
+  const late = { ...record, deliveredIndex: 9, routerId: 'router-1' };
+  t.like(await clients.unary(recordGeneration, late, DEADLINE_MS), {
+    value: { accepted: false, attempt: 2 },
+  });
+  const other = { ...record, teamId: 'team-2' };
+  t.like(await clients.unary(takeOver, other, DEADLINE_MS), { value: { outcome: 'otherTeam' } });
+});
+
+test('shares of a limit are handed out to teams with a contract only', async (t) => {
+  const { clients, scheduler } = await start(t);
+  const quota = clients.get('Quota', scheduler.addresses.rpc ?? '');
+  const demand = { requestsPerSecond: 1, runningRequests: 1, tokensPerSecond: 10 };
+  const demands = ['team-1', 'team-9'].map((teamId) => ({ ...demand, teamId }));
+  const request = { demands, routerId: 'router-1' };
+  const reply = await clients.unary<ShareRequest, ShareReply__Output>(
+    quota.acquireShare.bind(quota),
+    request,
+    DEADLINE_MS,
+  );
+  const shares = reply.ok ? reply.value.shares : [];
+  t.deepEqual(
+    shares.map(({ contractRevision, teamId }) => ({ contractRevision, teamId })),
+    [{ contractRevision: 1, teamId: 'team-1' }],
+  );
+});
