--- /dev/null
+++ b/packages/tools/src/policyBench/PolicyBenchCost.ts
@@ -0,0 +1,98 @@
+import { performance } from 'node:perf_hooks';
+import type { AdmissionRequest } from '@laburnumgap/admission';
+import { EngineAdmission, LengthModel } from '@laburnumgap/admission';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+
+/** Cost of the admission kernel on this machine. */
+export interface PolicyCost {
+  /** Processor time of one progress report of one generation. */
+  readonly eventUs: number;
+  /** Growth of the heap by a full length model, with its keys. */
+  readonly heapBytes: number;
+  /** Memory of the length counts. */
+  readonly slabBytes: number;
+}
+
+const RUNNING = 200;
+const ROUNDS = 400;
+const ROUND_MS = 500;
+const TEAMS = 1_200;
+const MODELS = 27;
+const KINDS_MAX_TOKENS = [100, 8_000];
+
+/**
+ * Measures the cost of reports on a busy engine, and of the length model at the target's size.
+ *
+ * @returns the figures
+ */
+export function measureCost(): PolicyCost {
+  const { heapBytes, slabBytes } = measureMemory();
+  return { eventUs: measureEvents(), heapBytes, slabBytes };
+}
+
+function measureEvents(): number {
+  const lengths = new LengthModel();
+  const random = { nextUnit: () => 0.5 };
+  const admission = new EngineAdmission({ lengths, random, startedMs: 0 });
+  const load = {
+    ageMs: 0,
+    kvTokensCapacity: 10_000_000,
+    kvTokensUsed: 0,
+    leaving: false,
+    maxRunning: RUNNING,
+    preemptions: 0,
+    queuedGenerations: 0,
+    runningGenerations: 0,
+  };
+  admission.handle({ kind: 'loadReported', load }, 0);
+  for (let index = 0; index < RUNNING; index += 1) {
+    admission.handle({ kind: 'arrived', request: requestOf(`generation-${index}`) }, 1);
+  }
+  const startedMs = performance.now();
+  for (let round = 1; round <= ROUNDS; round += 1) {
+    for (let index = 0; index < RUNNING; index += 1) {
+      const progress = {
+        attempt: toNumberId<AdmissionRequest['attempt']>(1),
+        enginePreempted: false,
+        finished: false,
+        generationId: toId<AdmissionRequest['generationId']>(`generation-${index}`),
+        producedTokens: round * 10,
+      };
+      admission.handle({ kind: 'progressed', progress }, round * ROUND_MS + index);
+    }
+  }
+  return ((performance.now() - startedMs) * 1000) / (ROUNDS * RUNNING);
+}
+
+function measureMemory(): { readonly heapBytes: number; readonly slabBytes: number } {
+  const before = process.memoryUsage().heapUsed;
+  const lengths = new LengthModel();
+  for (let team = 0; team < TEAMS; team += 1) {
+    for (let model = 0; model < MODELS; model += 1) {
+      for (const maxTokens of KINDS_MAX_TOKENS) {
+        const key = { maxTokens, model: toId<AdmissionRequest['model']>(`model-${model}`) };
+        lengths.observe({ ...key, teamId: toId<AdmissionRequest['teamId']>(`team-${team}`) }, 50);
+      }
+    }
+  }
+  const heapBytes = process.memoryUsage().heapUsed - before;
+  return { heapBytes, slabBytes: lengths.slabBytes() };
+}
+
+function requestOf(id: string): AdmissionRequest {
+  return {
+    attempt: toNumberId(1),
+    generationId: toId(id),
+    maxTokens: 8_000,
+    model: toId('model-1'),
+    preemptions: 0,
+    priorityClass: 1,
+    producedTokens: 0,
+    promptTokens: 100,
+    requestId: toId(id),
+    reservationId: toId(id),
+    teamId: toId('team-1'),
+    waitBoundMs: 60_000,
+    weight: 1,
+  };
+}
--- a/packages/tools/src/policyBench/PolicyBenchFigures.ts
+++ b/packages/tools/src/policyBench/PolicyBenchFigures.ts
@@ -8,17 +8,19 @@
   readonly gapP99Ms: number;
   readonly preemptionsPer100: number;
   readonly refusedPercent: number;
-  readonly smallTeamWaitMs: number;
-  readonly stallP50Ms: number;
-  readonly stallP95Ms: number;
-  readonly stallP99Ms: number;
+  readonly smallTeamWaitS: number;
+  readonly stallP50S: number;
+  readonly stallP95S: number;
+  readonly stallP99S: number;
   readonly tokensPerSecond: number;
   /** Generations that were preempted three times or more. */
-  readonly worstPreempted: number;
+  readonly oftenPreempted: number;
 }
 
 /** Gaps up to this length between two tokens do not count as a stall. */
 const STALL_GAP_MS = 200;
+const MS_PER_S = 1_000;
+const OFTEN_PREEMPTED = 3;
 const HIGHEST_MS = 3_600_000;
 
 /** Gathers the figures of one run. */
@@ -31,7 +33,7 @@
   private refused = 0;
   private smallTeamWaitMs = 0;
   private readonly stalls: Histogram = newHistogram();
-  private worstPreempted = 0;
+  private oftenPreempted = 0;
 
   noteArrived(): void {
     this.arrived += 1;
@@ -47,7 +49,7 @@
     this.finished += 1;
     this.finishedTokens += tokens;
     this.stalls.recordValue(Math.round(stallMs));
-    this.worstPreempted += preemptions >= 3 ? 1 : 0;
+    this.oftenPreempted += preemptions >= OFTEN_PREEMPTED ? 1 : 0;
   }
 
   notePreempted(): void {
@@ -69,12 +71,12 @@
       gapP99Ms: this.gaps.getValueAtPercentile(99),
       preemptionsPer100: (100 * this.preemptions) / Math.max(1, this.finished),
       refusedPercent: (100 * this.refused) / Math.max(1, this.arrived),
-      smallTeamWaitMs: this.smallTeamWaitMs,
-      stallP50Ms: this.stalls.getValueAtPercentile(50),
-      stallP95Ms: this.stalls.getValueAtPercentile(95),
-      stallP99Ms: this.stalls.getValueAtPercentile(99),
-      tokensPerSecond: (1000 * this.finishedTokens) / durationMs,
-      worstPreempted: this.worstPreempted,
+      smallTeamWaitS: this.smallTeamWaitMs / MS_PER_S,
+      stallP50S: this.stalls.getValueAtPercentile(50) / MS_PER_S,
+      stallP95S: this.stalls.getValueAtPercentile(95) / MS_PER_S,
+      stallP99S: this.stalls.getValueAtPercentile(99) / MS_PER_S,
+      tokensPerSecond: (MS_PER_S * this.finishedTokens) / durationMs,
+      oftenPreempted: this.oftenPreempted,
     };
   }
 }
--- a/packages/tools/src/policyBench/main.ts
+++ b/packages/tools/src/policyBench/main.ts
@@ -1,14 +1,16 @@
 import type { AdmissionController } from '@laburnumgap/admission';
 import { EngineAdmission, FifoAdmission, LengthModel } from '@laburnumgap/admission';
-import Table from 'cli-table3';
+import { measureCost } from './PolicyBenchCost.js';
+import { FAKE_STEP_BASE_MS, FAKE_STEP_PER_GENERATION_MS } from './PolicyBenchEngine.js';
 import type { BenchFigures } from './PolicyBenchFigures.js';
 import type { BenchMix } from './PolicyBenchMix.js';
 import { BENCH_MIXES, drawWorkload, meanTokenSteps } from './PolicyBenchMix.js';
-import { FAKE_STEP_BASE_MS, FAKE_STEP_PER_GENERATION_MS } from './PolicyBenchEngine.js';
 import { createBenchRandom } from './PolicyBenchRandom.js';
+import type { BenchRow } from './PolicyBenchReport.js';
+import { formatBySeed, formatMeans } from './PolicyBenchReport.js';
 import { BenchRun } from './PolicyBenchRun.js';
 
-const SEEDS = [1, 2, 3, 4, 5];
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 const LOADS = [0.6, 0.9, 1.2, 2];
 const ENGINES = 2;
 const KV_TOKENS_CAPACITY = 32_000;
@@ -33,19 +35,7 @@
   },
 ];
 
-const COLUMNS: readonly (keyof BenchFigures)[] = [
-  'stallP50Ms',
-  'stallP95Ms',
-  'stallP99Ms',
-  'preemptionsPer100',
-  'worstPreempted',
-  'gapP99Ms',
-  'tokensPerSecond',
-  'finished',
-  'refusedPercent',
-  'smallTeamWaitMs',
-];
-
+/** At load 1 the mix needs as much memory-time as the engines have. */
 function requestsPerSecond(mix: BenchMix, load: number): number {
   const stepMs = FAKE_STEP_BASE_MS + FAKE_STEP_PER_GENERATION_MS * TYPICAL_BATCH;
   const tokenStepsPerSecond = (ENGINES * KV_TOKENS_CAPACITY * 1000) / stepMs;
@@ -69,24 +59,22 @@
   }).run();
 }
 
-function mean(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / values.length;
-}
-
 function main(): void {
-  const table = new Table({ head: ['mix', 'load', 'policy', ...COLUMNS] });
+  const rows: BenchRow[] = [];
   for (const mix of BENCH_MIXES) {
     for (const load of LOADS) {
       for (const policy of POLICIES) {
-        const figures = SEEDS.map((seed) => run(mix, load, policy, seed));
-        const cells = COLUMNS.map((column) =>
-          mean(figures.map((figure) => figure[column])).toFixed(1),
-        );
-        table.push([mix.name, load, policy.name, ...cells]);
+        const runs = SEEDS.map((seed) => run(mix, load, policy, seed));
+        rows.push({ load, mix: mix.name, policy: policy.name, runs });
       }
     }
   }
-  process.stdout.write(`${table.toString()}\n`);
+  process.stdout.write(`Means over seeds ${SEEDS.join(', ')}\n${formatMeans(rows)}\n\n`);
+  process.stdout.write(`Seeds in which the predictive policy is better/equal/worse (lower)\n`);
+  process.stdout.write(`${formatBySeed(rows)}\n\n`);
+  const { eventUs, heapBytes, slabBytes } = measureCost();
+  process.stdout.write(`progress report, 200 running generations: ${eventUs.toFixed(1)} us\n`);
+  process.stdout.write(`length model at its bound: counts ${slabBytes} B, heap ${heapBytes} B\n`);
 }
 
 main();
