--- a/packages/plain-calls/src/PlainCallOnce.ts
+++ b/packages/plain-calls/src/PlainCallOnce.ts
@@ -1,10 +1,10 @@
 import type { Socket } from 'node:net';
 import type { Result } from '@laburnumgap/kernel';
 import { failure, success } from '@laburnumgap/kernel';
-import type { buildConnector } from 'undici';
 import { Client } from 'undici';
 import { forwardedAnswerHeaders, hasKnownLength } from './PlainCallHeaders.js';
 import type { PlainAnswer, PlainCall } from './PlainCallMessages.js';
+import { connectOnce } from './PlainConnection.js';
 
 /** Options of {@link sendPlainCallOnce}. */
 export interface PlainCallOnceOptions {
@@ -60,18 +60,3 @@
     socket.destroy();
   }
 }
-
-function connectOnce(socket: Socket): buildConnector.connector {
-  let isUsed = false;
-  return (_options, callback) => {
-    if (isUsed) {
-      callback(new Error('the connection of this call is gone'), null);
-      return;
-    }
-    isUsed = true;
-    // The client does not resume when it is called back before its connector has returned.
-    queueMicrotask(() => {
-      callback(null, socket);
-    });
-  };
-}
--- a/packages/plain-calls/src/PlainConnection.ts
+++ b/packages/plain-calls/src/PlainConnection.ts
@@ -3,6 +3,7 @@
 import { connect as connectTls } from 'node:tls';
 import type { Result } from '@laburnumgap/kernel';
 import { failure, success } from '@laburnumgap/kernel';
+import type { buildConnector } from 'undici';
 
 const DEFAULT_PORTS: Readonly<Record<string, number>> = { 'http:': 80, 'https:': 443 };
 
@@ -43,3 +44,24 @@
     });
   });
 }
+
+/**
+ * Creates a connector that gives one connection once; a client that asks for another gets none.
+ *
+ * @param socket - the connection
+ * @returns the connector
+ */
+export function connectOnce(socket: Socket): buildConnector.connector {
+  let isUsed = false;
+  return (_options, callback) => {
+    if (isUsed) {
+      callback(new Error('the connection of this call is gone'), null);
+      return;
+    }
+    isUsed = true;
+    // The client does not resume when it is called back before its connector has returned.
+    queueMicrotask(() => {
+      callback(null, socket);
+    });
+  };
+}
--- a/packages/plain-calls/src/__tests__/unit/PlainCallOnce.test.ts
+++ b/packages/plain-calls/src/__tests__/unit/PlainCallOnce.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import { Client } from 'undici';
 import type { PlainCall } from '../../index.js';
-import { openPlainConnection, sendPlainCallOnce } from '../../index.js';
+import { connectOnce, openPlainConnection, sendPlainCallOnce } from '../../index.js';
 
 const CALL: PlainCall = {
   body: Buffer.from('{"quantity":4}'),
@@ -117,8 +117,11 @@
   t.false((await openPlainConnection(`http://127.0.0.1:${port}`, 5_000)).ok);
 });
 
-// Why a shared client is not used: behind the head of a pipeline it sends a call again by itself.
-test('a shared undici client repeats pipelined calls after a reset', async (t) => {
+/** Makes three calls on one client; the connection is reset in the third. */
+async function pipelineWithReset(
+  t: ExecutionContext,
+  connect: (address: string) => Promise<Client.Options['connect']>,
+): Promise<{ failed: number; ran: number }> {
   const server = await startRawServer(t, (socket, calls) => {
     if (calls === 3) {
       socket.resetAndDestroy();
@@ -128,7 +131,10 @@
       socket.write(OK);
     }
   });
-  const client = new Client(server.address, { pipelining: 4 });
+  const client = new Client(server.address, {
+    connect: await connect(server.address),
+    pipelining: 4,
+  });
   t.teardown(() => client.destroy());
   const send = async () => {
     const { body } = await client.request({
@@ -141,6 +147,20 @@
   };
   await send();
   const results = await Promise.allSettled([send(), send()]);
-  t.is(results.filter((result) => result.status === 'rejected').length, 1);
-  t.is(server.calls(), 4, 'three calls were made, one of them ran twice');
+  const failed = results.filter((result) => result.status === 'rejected').length;
+  return { failed, ran: server.calls() };
+}
+
+// Why a shared client is not used: behind the head of a pipeline it sends a call again by itself.
+test('a shared undici client repeats pipelined calls after a reset', async (t) => {
+  const result = await pipelineWithReset(t, () => Promise.resolve(undefined));
+  t.deepEqual(result, { failed: 1, ran: 4 });
+});
+
+test('a client with one connection does not', async (t) => {
+  const result = await pipelineWithReset(t, async (address) => {
+    const socket = await openPlainConnection(address, 5_000);
+    return socket.ok ? connectOnce(socket.value) : undefined;
+  });
+  t.deepEqual(result, { failed: 2, ran: 3 });
 });
--- /dev/null
+++ b/packages/plain-calls/src/__tests__/unit/PlainCallPolicy.test.ts
@@ -0,0 +1,145 @@
+import type { KnownServer, ServerId, ServiceId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import test from 'ava';
+import fc from 'fast-check';
+import { CallLatency, RetryBudget, ServerOutliers, choosePlainServers } from '../../index.js';
+
+const SEED = 20261203;
+const SERVICE = toId<ServiceId>('stock');
+
+function server(name: string, changes: Partial<KnownServer> = {}): KnownServer {
+  return {
+    address: `http://${name}`,
+    backend: { kind: 'service', service: SERVICE },
+    failureDomain: toId('a'),
+    leaving: false,
+    region: toId('north'),
+    serverId: toId(name),
+    state: 'live',
+    ...changes,
+  };
+}
+
+test('retries stay within the saved ones and a fraction of first tries, in any order', (t) => {
+  const events = fc.array(fc.tuple(fc.constantFrom('first', 'retry'), fc.nat(1)), {
+    maxLength: 400,
+  });
+  fc.assert(
+    fc.property(events, (drawn) => {
+      const budget = new RetryBudget({ maxSaved: 5, perFirstTry: 0.1 });
+      const counts = [0, 1].map(() => ({ first: 0, retries: 0 }));
+      for (const [kind, team] of drawn) {
+        const count = counts[team];
+        if (count === undefined) {
+          continue;
+        }
+        if (kind === 'first') {
+          budget.firstTry(`team-${team}`);
+          count.first += 1;
+        } else if (budget.takeRetry(`team-${team}`)) {
+          count.retries += 1;
+        }
+      }
+      return counts.every(({ first, retries }) => retries <= 5 + 0.1 * first + 1e-9);
+    }),
+    { numRuns: 500, seed: SEED },
+  );
+  t.pass();
+});
+
+test('against retries without a budget: trouble is not multiplied', (t) => {
+  const budget = new RetryBudget();
+  let sent = 0;
+  let naiveSent = 0;
+  for (let call = 0; call < 1_000; call += 1) {
+    budget.firstTry('team');
+    sent += 1;
+    naiveSent += 1;
+    // Every try fails; the naive version uses its two retries each time.
+    for (let retry = 0; retry < 2; retry += 1) {
+      naiveSent += 1;
+      sent += budget.takeRetry('team') ? 1 : 0;
+    }
+  }
+  t.is(naiveSent, 3_000);
+  t.true(sent <= 1_110, `${sent}`);
+});
+
+test('a server that fails in a row is ejected, for longer each time', (t) => {
+  const outliers = new ServerOutliers({ failuresInRow: 3, maxEjectionMs: 300, minEjectionMs: 100 });
+  const id = toId<ServerId>('app-1');
+  const fail = (times: number, nowMs: number) =>
+    Array.from({ length: times }, () => outliers.failed(id, nowMs)).at(-1);
+  t.false(fail(2, 0));
+  outliers.succeeded(id);
+  t.false(fail(2, 0));
+  t.true(fail(1, 0));
+  t.true(outliers.isEjected(id, 99));
+  t.false(outliers.isEjected(id, 100));
+  t.true(fail(1, 100));
+  t.true(outliers.isEjected(id, 299));
+  t.true(fail(1, 300));
+  t.true(outliers.isEjected(id, 599));
+  t.false(outliers.isEjected(id, 600));
+  outliers.keepOnly(new Set());
+  t.false(fail(2, 600));
+});
+
+test('servers are chosen by what is known of them', (t) => {
+  const far = { failureDomain: toId<KnownServer['failureDomain']>('b') };
+  const cases: {
+    calls?: Record<string, number>;
+    ejected?: string[];
+    expected: string[];
+    servers: KnownServer[];
+  }[] = [
+    { expected: [], servers: [] },
+    { expected: ['one'], servers: [server('one'), server('two', { leaving: true })] },
+    { expected: ['two', 'one'], servers: [server('one', far), server('two')] },
+    {
+      calls: { two: 2 },
+      expected: ['one', 'two'],
+      servers: [server('one', far), server('two')],
+    },
+    { ejected: ['one'], expected: ['two'], servers: [server('one'), server('two')] },
+    { ejected: ['one'], expected: ['one'], servers: [server('one')] },
+    {
+      expected: ['one'],
+      servers: [
+        server('one'),
+        server('engine', { backend: { kind: 'model', pool: toId('pool') } }),
+        server('other', { backend: { kind: 'service', service: toId('orders') } }),
+      ],
+    },
+  ];
+  for (const { calls = {}, ejected = [], expected, servers } of cases) {
+    const chosen = choosePlainServers({
+      callsInFlight: new Map(Object.entries(calls).map(([name, count]) => [toId(name), count])),
+      failureDomain: toId('a'),
+      nowMs: 0,
+      outliers: { isEjected: (serverId) => ejected.includes(serverId) },
+      random: { nextUnit: () => 0.5 },
+      servers,
+      service: SERVICE,
+    });
+    t.deepEqual(
+      chosen.map(({ serverId }) => serverId as string),
+      expected,
+    );
+  }
+});
+
+test('a call is slow from the 95th percentile of its latest durations on', (t) => {
+  const latency = new CallLatency({ keptSamples: 100, maxCalls: 2, minSamples: 20 });
+  for (let ms = 1; ms < 20; ms += 1) {
+    latency.observe('lookup', ms);
+  }
+  t.is(latency.slowMs('lookup'), undefined);
+  for (let ms = 20; ms <= 200; ms += 1) {
+    latency.observe('lookup', ms);
+  }
+  t.is(latency.slowMs('lookup'), 195);
+  latency.observe('second', 1);
+  latency.observe('third', 1);
+  t.is(latency.slowMs('lookup'), undefined, 'the call unused for longest is dropped');
+});
--- a/packages/router/src/RouterPlainCallsSettler.ts
+++ b/packages/router/src/RouterPlainCallsSettler.ts
@@ -25,6 +25,8 @@
  */
 export class PlainCallSettler {
   private readonly idleListeners: (() => void)[] = [];
+  private isStopped = false;
+  private readonly pauses = new Set<() => void>();
   private waiting = 0;
 
   constructor(private readonly options: PlainCallSettlerOptions) {}
@@ -66,6 +68,16 @@
     });
   }
 
+  /** Resolves when no settlement waits; what still does once the bound has passed is given up. */
+  async drain(boundMs: number): Promise<void> {
+    const stopTimer = this.options.timers.after(boundMs, () => {
+      this.isStopped = true;
+      this.endPauses();
+    });
+    await this.whenIdle();
+    stopTimer();
+  }
+
   private async repeat(claim: RouterClaim, outcome: SettleOutcome): Promise<boolean> {
     const { clock, ledger } = this.options;
     const giveUpAtMs = clock.nowMs() + GIVE_UP_AFTER_MS;
@@ -74,7 +86,7 @@
       if (await ledger.settle(claim, outcome, attempt)) {
         return true;
       }
-      if (clock.nowMs() >= giveUpAtMs) {
+      if (this.isStopped || clock.nowMs() >= giveUpAtMs) {
         return false;
       }
       await this.pause(pauseMs);
@@ -84,7 +96,19 @@
 
   private pause(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
-      this.options.timers.after(delayMs, resolve);
+      const end = (): void => {
+        stopTimer();
+        this.pauses.delete(end);
+        resolve();
+      };
+      const stopTimer = this.options.timers.after(delayMs, end);
+      this.pauses.add(end);
     });
   }
+
+  private endPauses(): void {
+    for (const end of [...this.pauses]) {
+      end();
+    }
+  }
 }
--- a/packages/router/src/RouterPlainCallsStart.ts
+++ b/packages/router/src/RouterPlainCallsStart.ts
@@ -31,6 +31,8 @@
 }
 
 const DEFAULT_SLOTS = 16;
+/** Longest time that ends of claimed calls hold up a shutdown while no ledger records them. */
+const SETTLEMENTS_DRAIN_MS = 3_000;
 
 /**
  * Adds plain calls to a router.
@@ -89,7 +91,7 @@
   return registerRequestHandler(router, {
     ...handler,
     drain: async () => {
-      await settler.whenIdle();
+      await settler.drain(SETTLEMENTS_DRAIN_MS);
       stopWatching();
       await client.close();
     },
