Ask for the list of VMs by its ETag

Cause: 810 servers are a list of 135,579 bytes (JSON, measured), and each daemon reads it once a second, against 24 KB/s for all control. Where the platform gives an ETag, an unchanged list now costs the headers of one call. Polling less often was ruled out: a leaving server is to get no new work after a few seconds. Seen red with 304 ignored, and with an unreadable list remembered.

--- a/packages/platform/src/PlatformConnections.ts
+++ b/packages/platform/src/PlatformConnections.ts
@@ -41,7 +41,9 @@
   }
 
   /** Makes one call. */
-  async call(request: Pick<HttpCall, 'body' | 'method' | 'path'>): Promise<HttpCallOutcome> {
+  async call(
+    request: Pick<HttpCall, 'body' | 'ifNoneMatch' | 'method' | 'path'>,
+  ): Promise<HttpCallOutcome> {
     const agent = this.#agent;
     const outcome = await callHttp({
       ...request,
--- a/packages/platform/src/PlatformHttpCall.ts
+++ b/packages/platform/src/PlatformHttpCall.ts
@@ -2,7 +2,13 @@
 
 /** Outcome of one HTTP call. */
 export type HttpCallOutcome =
-  | { readonly kind: 'answered'; readonly status: number; readonly text: string }
+  | {
+      /** Validator of the answer, for asking later whether it has changed. */
+      readonly etag?: string;
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly text: string;
+    }
   /** The request may have reached the server; its answer did not come, or not whole. */
   | { readonly detail: string; readonly kind: 'noAnswer' }
   /** No byte of the request was written. */
@@ -13,6 +19,8 @@
   readonly body?: string;
   readonly deadlineMs: number;
   readonly dispatcher: Dispatcher;
+  /** Validator of an earlier answer: the server may answer 304 when nothing has changed. */
+  readonly ifNoneMatch?: string;
   readonly method: 'GET' | 'POST';
   readonly origin: string;
   readonly path: string;
@@ -28,6 +36,7 @@
  */
 export function callHttp(call: HttpCall): Promise<HttpCallOutcome> {
   return new Promise((resolve) => {
+    let etag: string | undefined;
     let abort: ((reason: Error) => void) | undefined;
     let sent = false;
     let settled = false;
@@ -67,19 +76,21 @@
         }
       },
       onResponseEnd: () => {
-        settle({ kind: 'answered', status, text: Buffer.concat(chunks).toString('utf8') });
+        const text = Buffer.concat(chunks).toString('utf8');
+        settle({ etag, kind: 'answered', status, text });
       },
       onResponseError: (_controller, error) => {
         fail(error.message === '' ? error.name : error.message);
       },
-      onResponseStart: (_controller, statusCode) => {
+      onResponseStart: (_controller, statusCode, headers) => {
         status = statusCode;
+        etag = typeof headers.etag === 'string' ? headers.etag : undefined;
       },
     };
     call.dispatcher.dispatch(
       {
         body: call.body,
-        headers: call.body === undefined ? {} : { 'content-type': 'application/json' },
+        headers: headersOf(call),
         method: call.method,
         origin: call.origin,
         path: call.path,
@@ -88,3 +99,10 @@
     );
   });
 }
+
+function headersOf({ body, ifNoneMatch }: HttpCall): Record<string, string> {
+  return {
+    ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+    ...(ifNoneMatch === undefined ? {} : { 'if-none-match': ifNoneMatch }),
+  };
+}
--- a/packages/platform/src/PlatformVmList.ts
+++ b/packages/platform/src/PlatformVmList.ts
@@ -13,6 +13,7 @@
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 const DEFAULT_DEADLINE_MS = 2000;
+const HTTP_NOT_MODIFIED = 304;
 const HTTP_OK = 200;
 const MAX_CONNECTIONS = 2;
 
@@ -44,8 +45,14 @@
 
 const listSchema = z.object({ vms: z.array(listedServerSchema) });
 
+interface ReadList {
+  readonly etag?: string;
+  readonly servers: readonly ListedServer[];
+}
+
 /**
  * Creates a client of the platform's list of VMs. A list that does not read as a whole is refused.
+ * Where the platform gives an ETag, an unchanged list is not sent again.
  *
  * @param options - URL and deadline
  * @returns the list
@@ -57,16 +64,27 @@
     maxConnections: MAX_CONNECTIONS,
     url: options.url,
   });
+  let last: ReadList | undefined;
   return {
     list: async () => {
-      const outcome = await connections.call({ method: 'GET', path: '/v1/vms' });
+      const known = last;
+      const outcome = await connections.call({
+        ifNoneMatch: known?.etag,
+        method: 'GET',
+        path: '/v1/vms',
+      });
       if (outcome.kind !== 'answered') {
         return unavailable(outcome.detail);
       }
+      if (outcome.status === HTTP_NOT_MODIFIED && known) {
+        return success(known.servers);
+      }
       if (outcome.status !== HTTP_OK) {
         return unavailable(`HTTP status ${outcome.status}`);
       }
-      return readList(outcome.text);
+      const read = readList(outcome.text);
+      last = read.ok ? { etag: outcome.etag, servers: read.value } : undefined;
+      return read;
     },
   };
 }
--- a/packages/standins/src/VmsStandin.ts
+++ b/packages/standins/src/VmsStandin.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import { z } from 'zod';
 import type { StandinAnswer, StandinRequest, StandinServer } from './StandinServer.js';
 import { startStandinServer, whole } from './StandinServer.js';
@@ -53,13 +54,23 @@
         return whole(404, { error: 'unknownPath' });
       }
       const seenAtMs = performance.now() - faults.lagMs;
-      return whole(200, history.findLast((timed) => timed.atMs <= seenAtMs)?.list);
+      const { list } = history.findLast((timed) => timed.atMs <= seenAtMs) ?? {};
+      return answerOf(list, request.headers['if-none-match']);
     },
     kill: options.kill,
     listen: options.listen,
   });
 }
 
+/** An unchanged list is not sent again. */
+function answerOf(list: StandinVms | undefined, ifNoneMatch: string | undefined): StandinAnswer {
+  const etag = `"${createHash('sha256').update(JSON.stringify(list)).digest('hex')}"`;
+  const headers = { etag };
+  return ifNoneMatch === etag
+    ? { headers, kind: 'whole', status: 304 }
+    : { headers, json: list, kind: 'whole', status: 200 };
+}
+
 function replace(request: StandinRequest, history: TimedList[]): StandinAnswer {
   if (request.method === 'GET') {
     return whole(200, history.at(-1)?.list);
