--- a/packages/ctl/src/CtlContracts.ts
+++ b/packages/ctl/src/CtlContracts.ts
@@ -200,7 +200,9 @@
   const own = new Map(
     contract.keys.filter((key) => !key.revoked).map((key) => [key.sha256, key.id]),
   );
-  return stored.flatMap(({ key, value }) => {
+  const hashes = [...own.keys()];
+  const mentions = stored.filter(({ value }) => hashes.some((hash) => value.includes(hash)));
+  return mentions.flatMap(({ key, value }) => {
     const parsed = parseConfigDocument(key, value);
     const other = parsed.ok && parsed.value.kind === 'contract' ? parsed.value.contract : undefined;
     if (!other || other.team === contract.team) {
