Leave a dead router's share to the others once it has lapsed

Cause: its last demand counted for 15 s, so that the others got their part only for that long. Seen red before: 6 of 12 requests a second after 3 s; now 12.

--- a/packages/quota/src/QuotaHomeTeam.ts
+++ b/packages/quota/src/QuotaHomeTeam.ts
@@ -145,7 +145,10 @@
     available: number,
     liveRouters: number,
   ): number {
-    const demands = [...this.accounts.values()].map((account) => account.demand[limit]);
+    const asking = [...this.accounts].filter(
+      ([id, account]) => id === routerId || account.grants.length > 0,
+    );
+    const demands = asking.map(([, account]) => account.demand[limit]);
     const own = this.accounts.get(routerId)?.demand[limit] ?? 0;
     const spare = available - sum(demands);
     if (spare >= 0) {
--- a/packages/quota/src/__tests__/unit/QuotaHome.test.ts
+++ b/packages/quota/src/__tests__/unit/QuotaHome.test.ts
@@ -124,6 +124,18 @@
   t.is(rateOf('b', demandOf(), 3_000), 9);
 });
 
+test('a router that has gone leaves its share to the others once it has lapsed', (t) => {
+  const home = homeAt(0);
+  const rateOf = (router: string, atMs: number): number =>
+    shareOf(home, router, demandOf(), SHARE_TTL_MS + atMs).requestsPerSecond;
+  for (const atMs of [0, 1_000, 2_000, 3_000, 4_000, 5_000]) {
+    rateOf('a', atMs);
+    rateOf('b', atMs);
+  }
+  t.deepEqual([rateOf('a', 6_000), rateOf('b', 6_000)], [6, 6]);
+  t.deepEqual([rateOf('b', 8_999), rateOf('b', 9_000)], [6, 12]);
+});
+
 test('a refusal names the limit and when to come back', (t) => {
   const share = createQuotaShare({ contractOf: () => CONTRACT, liveRouters: () => ROUTERS });
   const outcomes: string[] = [];
