--- a/packages/quota/src/QuotaHome.ts
+++ b/packages/quota/src/QuotaHome.ts
@@ -1,4 +1,5 @@
-import type { TeamId } from '@laburnumgap/kernel';
+import type { DecisionSink, TeamId } from '@laburnumgap/kernel';
+import { NO_DECISION_SINK } from '@laburnumgap/kernel';
 import { PAYBACK_MS, SHARE_TTL_MS } from './QuotaConstants.js';
 import { QuotaHomeTeam } from './QuotaHomeTeam.js';
 import type { QuotaContract, QuotaDemand, QuotaTeamShare } from './QuotaTypes.js';
@@ -6,6 +7,8 @@
 /** Options of {@link createQuotaHome}. */
 export interface QuotaHomeOptions {
   readonly contractOf: (teamId: TeamId) => QuotaContract | undefined;
+  /** Told when the demands of all routers begin or cease to exceed a limit. */
+  readonly decisions?: DecisionSink;
   readonly liveRouters: () => number;
   readonly paybackMs?: number;
   readonly shareTtlMs?: number;
@@ -38,6 +41,7 @@
  * @returns the home
  */
 export function createQuotaHome(options: QuotaHomeOptions): QuotaHome {
+  const decisions = options.decisions ?? NO_DECISION_SINK;
   const shareTtlMs = options.shareTtlMs ?? SHARE_TTL_MS;
   const steadySinceMs = options.steadySinceMs ?? ((): number => options.startedAtMs);
   const teams = new Map<TeamId, QuotaHomeTeam>();
@@ -63,6 +67,10 @@
       shareTtlMs,
     });
     const { teamId } = demand;
+    for (const { isContended, limit } of team.takeContention()) {
+      const outcome = isContended ? 'divided' : 'free';
+      decisions.record({ decision: 'limit', fields: { limit, outcome, teamId } });
+    }
     return { ...amounts, contractRevision: contract.revision, teamId, validForMs: shareTtlMs };
   };
 
--- a/packages/quota/src/QuotaHomeTeam.ts
+++ b/packages/quota/src/QuotaHomeTeam.ts
@@ -12,6 +12,12 @@
   readonly shareTtlMs: number;
 }
 
+/** A limit that the demands of all routers have begun, or ceased, to exceed. */
+export interface QuotaContention {
+  readonly isContended: boolean;
+  readonly limit: keyof QuotaAmounts;
+}
+
 interface Grant {
   readonly amounts: QuotaAmounts;
   readonly expiresAtMs: number;
@@ -28,14 +34,25 @@
 type Limit = keyof QuotaAmounts;
 
 const MS_PER_SECOND = 1_000;
+/** Part of a limit that must be spare again before it counts as free. */
+const CONTENTION_MARGIN = 0.1;
 
 /** Shares of one team at its home. */
 export class QuotaHomeTeam {
   private readonly accounts = new Map<string, RouterAccount>();
+  private changes: QuotaContention[] = [];
+  private readonly contended = new Set<Limit>();
   private debtUpdatedAtMs = -Infinity;
   private requestDebt = 0;
   private tokenDebt = 0;
 
+  /** Takes the changes in contention since the last call. */
+  takeContention(): readonly QuotaContention[] {
+    const { changes } = this;
+    this.changes = [];
+    return changes;
+  }
+
   /** Whether no router has used the team for so long that nothing has to be remembered. */
   isIdle(nowMs: number): boolean {
     return [...this.accounts.values()].every(
@@ -151,12 +168,27 @@
     const demands = asking.map(([, account]) => account.demand[limit]);
     const own = this.accounts.get(routerId)?.demand[limit] ?? 0;
     const spare = available - sum(demands);
+    this.noteContention(limit, spare, available);
     if (spare >= 0) {
       return own + spare / Math.max(liveRouters, demands.length);
     }
     return Math.min(own, waterLevel(demands, available));
   }
 
+  private noteContention(limit: Limit, spare: number, available: number): void {
+    const wasContended = this.contended.has(limit);
+    const isContended = spare < (wasContended ? available * CONTENTION_MARGIN : 0);
+    if (isContended === wasContended) {
+      return;
+    }
+    if (isContended) {
+      this.contended.add(limit);
+    } else {
+      this.contended.delete(limit);
+    }
+    this.changes.push({ isContended, limit });
+  }
+
   private smallestRunning(limit: number): number {
     const inFlight = sum([...this.accounts.values()].map((account) => account.reportedRunning));
     if (inFlight >= limit) {
--- a/packages/quota/src/__tests__/unit/QuotaHome.test.ts
+++ b/packages/quota/src/__tests__/unit/QuotaHome.test.ts
@@ -136,6 +136,27 @@
   t.deepEqual([rateOf('b', 8_999), rateOf('b', 9_000)], [6, 12]);
 });
 
+test('a limit that is divided, and is free again, is decided once each', (t) => {
+  const decided: string[] = [];
+  const home = createQuotaHome({
+    contractOf: () => CONTRACT,
+    decisions: {
+      record: ({ decision, fields }) =>
+        decided.push([decision, fields.limit, fields.outcome, fields.teamId].join(' ')),
+    },
+    liveRouters: () => ROUTERS,
+    startedAtMs: 0,
+  });
+  for (const [place, requestsPerSecond] of [6, 14, 13, 11.5, 6, 6].entries()) {
+    const demand = { requestsPerSecond, runningRequests: 1, tokensPerSecond: 1 };
+    home.acquire('a', [demandOf(demand)], SHARE_TTL_MS + place * 1_000);
+  }
+  t.deepEqual(decided, [
+    'limit requestsPerSecond divided drafts',
+    'limit requestsPerSecond free drafts',
+  ]);
+});
+
 test('a refusal names the limit and when to come back', (t) => {
   const share = createQuotaShare({ contractOf: () => CONTRACT, liveRouters: () => ROUTERS });
   const outcomes: string[] = [];
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -63,7 +63,7 @@
     address: settings.listen.http,
     stage: () => context.stage(),
   });
-  const quota = createSchedulerQuota({ clock, configuration, directory });
+  const quota = createSchedulerQuota({ clock, configuration, decisions, directory });
   const member = await node.serve({
     Admission: createAdmissionHandlers({ cachedPrefixTokens: () => 0, engines }),
     Inspect: createInspectHandlers({
--- a/packages/scheduler/src/SchedulerQuotaService.ts
+++ b/packages/scheduler/src/SchedulerQuotaService.ts
@@ -1,6 +1,6 @@
 import { status } from '@grpc/grpc-js';
 import type { ConfigurationView } from '@laburnumgap/contracts';
-import type { MemberDirectory, MonotonicClock, Teardown } from '@laburnumgap/kernel';
+import type { DecisionSink, MemberDirectory, MonotonicClock, Teardown } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { QuotaDemand } from '@laburnumgap/quota';
 import { createQuotaHome } from '@laburnumgap/quota';
@@ -10,6 +10,7 @@
 export interface SchedulerQuotaOptions {
   readonly clock: MonotonicClock;
   readonly configuration: ConfigurationView;
+  readonly decisions?: DecisionSink;
   readonly directory: MemberDirectory;
 }
 
@@ -43,6 +44,7 @@
       const inForce = configuration.snapshot().contracts.get(teamId);
       return inForce && { limits: inForce.contract.limits, revision: inForce.revision };
     },
+    decisions: options.decisions,
     liveRouters: () => Math.max(1, directory.members('router').length),
     startedAtMs: clock.nowMs(),
     steadySinceMs: () => steadySinceMs,
