--- a/packages/quota/src/__tests__/unit/QuotaHome.test.ts
+++ b/packages/quota/src/__tests__/unit/QuotaHome.test.ts
@@ -147,7 +147,7 @@
     liveRouters: () => ROUTERS,
     startedAtMs: 0,
   });
-  for (const [place, requestsPerSecond] of [6, 14, 13, 11.5, 6, 6].entries()) {
+  for (const [place, requestsPerSecond] of [6, 14, 11.5, 13, 11.5, 6].entries()) {
     const demand = { requestsPerSecond, runningRequests: 1, tokensPerSecond: 1 };
     home.acquire('a', [demandOf(demand)], SHARE_TTL_MS + place * 1_000);
   }
