--- a/packages/ctl/src/CtlConstants.ts
+++ b/packages/ctl/src/CtlConstants.ts
@@ -7,9 +7,6 @@
 /** Exit code of a change that came after another operator's change. */
 export const EXIT_CONFLICT = 3;
 
-/** Longest wait for one daemon's answer. */
-export const INSPECT_DEADLINE_MS = 2_000;
-
 /** Daemons that are asked at the same time. */
 export const INSPECT_CONCURRENCY = 32;
 
--- a/packages/ctl/src/CtlInspect.ts
+++ b/packages/ctl/src/CtlInspect.ts
@@ -3,7 +3,7 @@
 import { failure, success, toNumberId } from '@laburnumgap/kernel';
 import { MEMBER_PREFIX, decodeMember } from '@laburnumgap/membership';
 import type { ExplainReply__Output, RpcError, StatusReply__Output } from '@laburnumgap/rpc';
-import { INSPECT_CONCURRENCY, INSPECT_DEADLINE_MS } from './CtlConstants.js';
+import { INSPECT_CONCURRENCY } from './CtlConstants.js';
 import type { CtlContext, CtlOutcome } from './CtlContext.js';
 import type { CtlError } from './CtlError.js';
 import { formatTable } from './CtlTable.js';
@@ -19,9 +19,10 @@
   }
   const head = await context.store.read(CONFIG_HEAD_KEY);
   const newest = head.ok ? (head.value?.modRevision ?? NO_REVISION) : undefined;
+  const { deadlineMs } = context.settings.peers;
   const asked = await askAll<StatusReply__Output>(members.value, (member) => {
     const client = context.clients.get('Inspect', member.rpcAddress);
-    return context.clients.unary(client.getStatus.bind(client), {}, INSPECT_DEADLINE_MS);
+    return context.clients.unary(client.getStatus.bind(client), {}, deadlineMs);
   });
   const daemons = asked.map(([member, reply]) => statusOf(member, reply, newest));
   const titles = ['MEMBER', 'ROLE', 'ENTRY VM', 'FAILURE DOMAIN', 'STATE', 'REVISION', 'AGE MS'];
@@ -49,9 +50,10 @@
   if (!members.ok) {
     return members;
   }
+  const { deadlineMs } = context.settings.peers;
   const asked = await askAll<ExplainReply__Output>(members.value, (member) => {
     const client = context.clients.get('Inspect', member.rpcAddress);
-    return context.clients.unary(client.explain.bind(client), { requestId }, INSPECT_DEADLINE_MS);
+    return context.clients.unary(client.explain.bind(client), { requestId }, deadlineMs);
   });
   const decisions = asked
     .flatMap(([member, reply]) =>
--- a/packages/ctl/src/CtlSettings.ts
+++ b/packages/ctl/src/CtlSettings.ts
@@ -1,6 +1,7 @@
-import { nameSchema, urlSchema } from '@laburnumgap/settings';
+import { durationMsSchema, nameSchema, urlSchema } from '@laburnumgap/settings';
 import { z } from 'zod';
 
+const DEFAULT_DEADLINE_MS = 2_000;
 const MIN_SECRET_CHARACTERS = 16;
 
 /** Schema of the settings of `laburnumctl`. */
@@ -8,12 +9,18 @@
   /** Name that is kept with each change. */
   operator: nameSchema,
   peers: z.strictObject({
+    /** Longest wait for the answer of one daemon. */
+    deadlineMs: durationMsSchema.default(DEFAULT_DEADLINE_MS),
     /** The secret of the daemons. */
     secret: z
       .string()
       .min(MIN_SECRET_CHARACTERS, `expected at least ${MIN_SECRET_CHARACTERS} characters`),
   }),
-  platform: z.strictObject({ storeUrl: urlSchema }),
+  platform: z.strictObject({
+    /** Longest wait for the answer of one call. */
+    deadlineMs: durationMsSchema.default(DEFAULT_DEADLINE_MS),
+    storeUrl: urlSchema,
+  }),
 });
 
 /** Checked settings of `laburnumctl`. */
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -8,7 +8,8 @@
 
 process.exitCode = await runCtl(process.argv, {
   connectClients: (settings) => createRpcClients(settings.peers.secret),
-  connectStore: (settings) => createEtcdStore({ url: settings.platform.storeUrl }),
+  connectStore: ({ platform }) =>
+    createEtcdStore({ deadlineMs: platform.deadlineMs, url: platform.storeUrl }),
   newId: () => randomUUID(),
   nowEpochMs: () => Date.now(),
   readStdin: () => text(process.stdin),
