Split reading from running; keep an order to move that comes early; follow the homes

Cause: an order to move that came between the grant and the opened stream was forgotten. The homes were refreshed with tokens only, so that a generation that waits lost its homes when they were replaced; they are now followed with the progress reports.

--- a/packages/router/src/RouterConstants.ts
+++ b/packages/router/src/RouterConstants.ts
@@ -17,7 +17,7 @@
 /** When to come back while no engine can be reached. */
 export const NO_ENGINE_RETRY_MS = 1_000;
 /** Pause between keepalive comments on a caller's stream. */
-export const KEEPALIVE_MS = 5_000;
+export const KEEPALIVE_MS = 1_500;
 /** Time in which a scheduler says whether a request is queued, granted or refused. */
 export const ADMIT_FIRST_EVENT_MS = 1_000;
 /** Deadline of calls between own processes. */
--- a/packages/router/src/RouterRpcAdmission.ts
+++ b/packages/router/src/RouterRpcAdmission.ts
@@ -24,6 +24,7 @@
 export interface RpcAdmissionOptions {
   readonly clients: RpcClients;
   readonly directory: MemberDirectory;
+  readonly estimateDeadlineMs?: number;
   readonly routerId: MemberId;
 }
 
@@ -31,11 +32,13 @@
 export class RpcAdmission implements AdmissionPort {
   private readonly clients: RpcClients;
   private readonly directory: MemberDirectory;
+  private readonly estimateDeadlineMs: number;
   private readonly routerId: MemberId;
 
   constructor(options: RpcAdmissionOptions) {
     this.clients = options.clients;
     this.directory = options.directory;
+    this.estimateDeadlineMs = options.estimateDeadlineMs ?? ESTIMATE_DEADLINE_MS;
     this.routerId = options.routerId;
   }
 
@@ -129,7 +132,7 @@
         promptTokens: query.promptTokens,
         teamId: query.teamId,
       },
-      ESTIMATE_DEADLINE_MS,
+      this.estimateDeadlineMs,
     );
     if (!answer.ok) {
       this.noteFailure(owner, answer.error);
--- a/packages/router/src/RouterRpcHomes.ts
+++ b/packages/router/src/RouterRpcHomes.ts
@@ -33,6 +33,7 @@
 /** What the homes are called with. */
 export interface RpcRequestHomesOptions {
   readonly clients: RpcClients;
+  readonly deadlineMs?: number;
   readonly directory: MemberDirectory;
   readonly routerId: MemberId;
 }
@@ -44,11 +45,13 @@
 export class RpcRequestHomes implements RequestHomes {
   private changes = 0;
   private readonly clients: RpcClients;
+  private readonly deadlineMs: number;
   private readonly directory: MemberDirectory;
   private readonly routerId: MemberId;
 
   constructor(options: RpcRequestHomesOptions) {
     this.clients = options.clients;
+    this.deadlineMs = options.deadlineMs ?? HOME_DEADLINE_MS;
     this.directory = options.directory;
     this.routerId = options.routerId;
     this.directory.onChange(() => {
@@ -60,7 +63,7 @@
     for (const home of this.homesOf(teamId, requestId)) {
       const client = this.clients.get('RequestHome', home.rpcAddress);
       const message = { attempt, requestId, teamId };
-      void this.clients.unary(client.forget.bind(client), message, HOME_DEADLINE_MS);
+      void this.clients.unary(client.forget.bind(client), message, this.deadlineMs);
     }
   }
 
@@ -74,7 +77,7 @@
         const answer = await this.clients.unary<GenerationRecord, RecordReply__Output>(
           client.recordGeneration.bind(client),
           message,
-          HOME_DEADLINE_MS,
+          this.deadlineMs,
         );
         if (!answer.ok) {
           this.noteFailure(home, answer.error);
@@ -129,7 +132,7 @@
     const answer = await this.clients.unary<TakeOverRequest, TakeOverReply__Output>(
       client.takeOver.bind(client),
       message,
-      HOME_DEADLINE_MS,
+      this.deadlineMs,
     );
     if (!answer.ok) {
       this.noteFailure(home, answer.error);
--- a/packages/router/src/RouterRunAssignment.ts
+++ b/packages/router/src/RouterRunAssignment.ts
@@ -6,7 +6,7 @@
 import { HOME_REFRESH_TOKENS, NO_ENGINE_INVARIANT } from './RouterConstants.js';
 import type { PlacementRequest } from './RouterPlacement.js';
 import type { HomeRecorded, ProgressReport } from './RouterPorts.js';
-import type { GenerationRunOptions, RunEngine } from './RouterRunTypes.js';
+import type { GenerationRunOptions, HandedOverRun, RunEngine } from './RouterRunTypes.js';
 
 /** What an assignment is made with. */
 export interface RunAssignmentOptions {
@@ -38,7 +38,7 @@
   private readonly tracker: GenerationTracker;
 
   constructor(options: RunAssignmentOptions) {
-    const { completion, contract, from } = options.run;
+    const { completion, contract } = options.run;
     this.onMoveOrdered = options.onMoveOrdered;
     this.prefixHashes = prefixHashesOf(completion.prompt);
     this.promptTokens = promptTokensOf(completion.prompt);
@@ -46,8 +46,12 @@
     this.signal = options.signal;
     this.teamId = toId(contract.team);
     this.tracker = options.tracker;
-    this.current = from?.engine;
-    if (from?.reservation) {
+  }
+
+  /** Takes over what an earlier run of the request left. */
+  adopt(from: HandedOverRun): void {
+    this.current = from.engine;
+    if (from.reservation) {
       this.hold(from.reservation);
     }
   }
@@ -121,6 +125,7 @@
 
   /** How far the generation is, for the scheduler of its engine. */
   progress(): ProgressReport | undefined {
+    this.followHomes();
     return this.current ? this.report({ finished: false }) : undefined;
   }
 
@@ -146,10 +151,9 @@
     });
   }
 
-  /** Refreshes the homes now and then, and when they may have changed. */
+  /** Refreshes the homes now and then. */
   refreshHomes(index: number): void {
-    const changed = this.homesVersion !== this.run.services.homes.version();
-    if (changed || index % HOME_REFRESH_TOKENS === HOME_REFRESH_TOKENS - 1) {
+    if (index % HOME_REFRESH_TOKENS === HOME_REFRESH_TOKENS - 1) {
       void this.record();
     }
   }
@@ -167,6 +171,13 @@
     return { engine: current, reservation };
   }
 
+  /** Records again when members came or went: the homes may be others now. */
+  private followHomes(): void {
+    if (this.current && this.homesVersion !== this.run.services.homes.version()) {
+      void this.record();
+    }
+  }
+
   private hold(reservation: GrantedReservation): void {
     this.reservation = reservation;
     reservation.onMoveOrdered(() => {
--- /dev/null
+++ b/packages/router/src/RouterRunReading.ts
@@ -0,0 +1,174 @@
+import type { EngineStream } from '@laburnumgap/engine';
+import type { GenerationAction, GenerationTracker } from '@laburnumgap/generation';
+import type { EngineStreamEvent, GeneratedToken } from '@laburnumgap/kernel';
+import { invariant } from '@laburnumgap/kernel';
+import { ENGINE_LEAVING, NO_STREAM_INVARIANT, PAUSE_CHECK_MS } from './RouterConstants.js';
+import type { RouterRunAssignment } from './RouterRunAssignment.js';
+import type { RouterRunMetrics } from './RouterRunMetrics.js';
+import type { GenerationRunOptions, RunServices } from './RouterRunTypes.js';
+import { SUPERSEDED_END } from './RouterRunUtils.js';
+import { RouterStreamReader } from './RouterStreamReader.js';
+
+/** What a reading is made with. */
+export interface RunReadingOptions {
+  readonly assignment: RouterRunAssignment;
+  readonly isStopped: () => boolean;
+  readonly run: GenerationRunOptions;
+  readonly runMetrics: RouterRunMetrics;
+  readonly tracker: GenerationTracker;
+}
+
+/** Reads the streams of one generation, one after the other, and hands its tokens to the caller. */
+export class RouterRunReading {
+  private activeMs: number;
+  private readonly assignment: RouterRunAssignment;
+  private readonly isStopped: () => boolean;
+  private moveOrdered = false;
+  private reader: RouterStreamReader | undefined;
+  private readonly run: GenerationRunOptions;
+  private readonly runMetrics: RouterRunMetrics;
+  private readonly services: RunServices;
+  private readonly tracker: GenerationTracker;
+
+  constructor(options: RunReadingOptions) {
+    this.assignment = options.assignment;
+    this.isStopped = options.isStopped;
+    this.run = options.run;
+    this.runMetrics = options.runMetrics;
+    this.services = options.run.services;
+    this.tracker = options.tracker;
+    this.activeMs = this.services.clock.nowMs();
+  }
+
+  /** Asks the engine, on a new connection, what it knows of the generation. */
+  async ask(): Promise<GenerationAction> {
+    const { engineId, url } = this.assignment.engine();
+    const status = await this.services.engines.status(url, this.run.generationId);
+    if (this.reader?.hasArrived()) {
+      return { kind: 'await' };
+    }
+    if (status.ok) {
+      const streamOpen = this.reader !== undefined;
+      return this.tracker.decide({ kind: 'status', status: status.value, streamOpen });
+    }
+    const { detail, refused } = status.error;
+    const action = this.tracker.decide({ detail, kind: 'statusFailed', refused });
+    if (action.kind !== 'ask') {
+      this.services.health.suspect(engineId);
+    }
+    return action;
+  }
+
+  /** Closes the present stream. */
+  close(): void {
+    this.reader?.close();
+    this.reader = undefined;
+  }
+
+  /** Forgets an order to move that the engine left behind. */
+  forgetMove(): void {
+    this.moveOrdered = false;
+  }
+
+  /** Ends a read that waits. */
+  interrupt(): void {
+    this.reader?.interrupt();
+  }
+
+  /** Opens a stream in place of the present one. */
+  open(stream: EngineStream): void {
+    this.close();
+    const { clock, health, timers } = this.services;
+    const gaps = health.gapsOf(this.assignment.engine().engineId);
+    this.reader = new RouterStreamReader({ clock, gaps, stream, timers });
+  }
+
+  /** Ends the reading at the present engine because its scheduler wants the memory back. */
+  orderMove(): void {
+    this.moveOrdered = true;
+    this.interrupt();
+  }
+
+  /** Reads and delivers until there is something else to do. */
+  async read(): Promise<GenerationAction> {
+    const { reader } = this;
+    invariant(reader, NO_STREAM_INVARIANT, 'a stream is open');
+    while (!this.isStopped()) {
+      if (this.moveOrdered) {
+        return this.move('moveOrdered');
+      }
+      const event = await reader.next();
+      if (event.kind === 'token') {
+        const action = await this.takeToken(event.token, reader);
+        if (action) {
+          return action;
+        }
+      } else if (event.kind === 'preempted') {
+        return this.move('preempted');
+      } else if (event.kind === 'silent') {
+        return this.tracker.decide(event);
+      } else if (event.kind !== 'interrupted') {
+        this.close();
+        this.noteLeaving(event);
+        return this.tracker.decide(event);
+      }
+    }
+    return { kind: 'await' };
+  }
+
+  private move(kind: 'moveOrdered' | 'preempted'): GenerationAction {
+    this.forgetMove();
+    this.close();
+    this.runMetrics.notePreemption(kind);
+    this.assignment.notePreempted(kind === 'preempted');
+    return this.tracker.decide({ kind });
+  }
+
+  private noteLeaving(event: EngineStreamEvent): void {
+    if (event.kind === 'lost' && event.detail === ENGINE_LEAVING) {
+      this.services.placement.noteLeaving(this.assignment.engine().engineId);
+    }
+  }
+
+  private async takeToken(
+    token: GeneratedToken,
+    reader: RouterStreamReader,
+  ): Promise<GenerationAction | undefined> {
+    if (await this.wasTakenOver()) {
+      this.close();
+      return SUPERSEDED_END;
+    }
+    const verdict = this.tracker.take(token);
+    if (verdict === 'deliver') {
+      this.runMetrics.noteToken(this.services.clock.nowMs(), reader.usualGapMs());
+      this.run.hold.charge(1);
+      this.assignment.refreshHomes(token.index);
+      await this.run.sink.deliver(token.index, token.text);
+      return undefined;
+    }
+    if (verdict === 'gap') {
+      this.close();
+      const detail = `the engine left out tokens before ${token.index}`;
+      return this.tracker.decide({ detail, kind: 'sequenceBroken' });
+    }
+    return undefined;
+  }
+
+  /**
+   * After a pause, of the process or of the caller, tokens may be at hand that were read before
+   * another router took over: the engine and the homes are asked before any of them is delivered.
+   */
+  private async wasTakenOver(): Promise<boolean> {
+    const pausedMs = this.services.clock.nowMs() - this.activeMs;
+    this.activeMs = this.services.clock.nowMs();
+    if (pausedMs < PAUSE_CHECK_MS) {
+      return false;
+    }
+    const { url } = this.assignment.engine();
+    const status = await this.services.engines.status(url, this.run.generationId);
+    if (status.ok && status.value.attempt > this.tracker.attempt) {
+      return true;
+    }
+    return (await this.assignment.record()) === 'superseded';
+  }
+}
