--- a/packages/router/src/RouterCallerSink.ts
+++ b/packages/router/src/RouterCallerSink.ts
@@ -11,6 +11,8 @@
   deliver(index: number, text: string): Promise<void> | undefined;
   fail(refusal: Refusal): void;
   finish(finishReason: FinishReason, totalTokens: number): void;
+  /** Ends a delivery that waits for the caller to read. */
+  interrupt(): void;
   /** Whether the caller's connection is closed. */
   isGone(): boolean;
   /** Calls the listener when the caller goes away before the answer has ended. */
@@ -29,6 +31,7 @@
 abstract class ResponseSink implements CallerSink {
   protected readonly requestId: RequestId;
   protected readonly response: ServerResponse;
+  protected stopWaiting: (() => void) | undefined;
 
   constructor(options: CallerSinkOptions) {
     this.requestId = options.requestId;
@@ -39,6 +42,10 @@
     this.response.destroy();
   }
 
+  interrupt(): void {
+    this.stopWaiting?.();
+  }
+
   isGone(): boolean {
     return this.response.destroyed || this.response.closed;
   }
@@ -105,6 +112,7 @@
         this.response.off('close', settle);
         resolve();
       };
+      this.stopWaiting = settle;
       this.response.on('drain', settle);
       this.response.on('close', settle);
     });
--- a/packages/router/src/RouterDaemon.ts
+++ b/packages/router/src/RouterDaemon.ts
@@ -140,6 +140,7 @@
       registry.leaveAll();
     });
     await registry.whenIdle();
+    log.info('generationsEnded');
     stopTimer();
     stopWatching();
     const closed = http.drain();
@@ -147,8 +148,10 @@
       http.destroy();
     });
     await closed;
+    log.info('callersClosed');
     stopDestroy();
     await Promise.all(handlers.names().map(async (name) => handlers.find(name)?.drain?.()));
+    log.info('handlersDrained');
     progress.stop();
     quota.stop();
     await node.drain();
--- a/packages/router/src/RouterGenerationRun.ts
+++ b/packages/router/src/RouterGenerationRun.ts
@@ -311,6 +311,7 @@
     this.stopReason = reason;
     this.abort.abort();
     this.reading.interrupt();
+    this.options.sink.interrupt();
     this.unpark?.();
   }
 }
--- a/packages/router/src/__tests__/unit/RouterTakeOver.test.ts
+++ b/packages/router/src/__tests__/unit/RouterTakeOver.test.ts
@@ -14,7 +14,7 @@
 
 /** Lets a caller receive some tokens from a router that then never goes on by itself. */
 async function receiveAndFreeze(world: FakeWorld, tokens: number): Promise<FakeSink> {
-  const sink = new FakeSink({ stuckAfter: tokens });
+  const sink = new FakeSink({ frozen: true, stuckAfter: tokens });
   const arrived = async (): Promise<void> => {
     while (sink.tokens.length < tokens) {
       await settleMicrotasks();
@@ -242,7 +242,6 @@
   await settleMicrotasks();
   await settleMicrotasks();
   router.registry.leaveAll();
-  first.wake();
   await world.timers.runUntil(served);
   t.true(first.abandoned);
   t.deepEqual(world.client.cancels, []);
--- a/packages/router/src/__tests__/utils/FakeWorld.ts
+++ b/packages/router/src/__tests__/utils/FakeWorld.ts
@@ -60,6 +60,8 @@
 
   constructor(
     private readonly behaviour: {
+      /** The whole process stands still, so that nothing but `wake` ends a delivery. */
+      readonly frozen?: boolean;
       /** The caller goes away after so many tokens. */
       readonly goneAfter?: number;
       /** Delivery stops after so many tokens, until `wake`. */
@@ -95,6 +97,12 @@
     this.end = { finishReason, totalTokens };
   }
 
+  interrupt(): void {
+    if (this.behaviour.frozen !== true) {
+      this.thaw?.();
+    }
+  }
+
   isGone(): boolean {
     return this.gone;
   }
