Fault run: a service's own error is an answer; one failure domain at a time; read logs to their end

Run 'failure domain killed': two of three domains were down within seconds, which loses both homes of a request. The harness took the exit of a process before its last lines. Ruled out: losing answers in the router (the recorded answer was the service's own).

--- a/packages/tools/src/deployment/DeploymentProcess.ts
+++ b/packages/tools/src/deployment/DeploymentProcess.ts
@@ -110,7 +110,8 @@
 
 function exitOf(child: ChildProcess): Promise<ProcessExit> {
   return new Promise((resolve) => {
-    child.once('exit', (code, signal) => {
+    // `close` comes after the last log line was read, `exit` may come before it.
+    child.once('close', (code, signal) => {
       resolve({ code, signal });
     });
   });
--- a/packages/tools/src/faults/FaultsInjector.ts
+++ b/packages/tools/src/faults/FaultsInjector.ts
@@ -22,6 +22,12 @@
 /** Time within which a server that is to leave may still get new work. */
 const LEAVING_BOUND_MS = 3_000;
 
+/** Held while a failure domain is down: losing two at once may cost both homes of a request. */
+const DOMAIN_LOCK = 'a failure domain';
+
+/** Time in which routers write their records again after the set of schedulers has changed. */
+const HOMES_REFRESH_MS = 5_000;
+
 const ROLES: readonly MemberRole[] = ['ledger', 'router', 'scheduler'];
 
 /** Picks what no other fault works on, and holds it while the fault lasts. */
@@ -151,15 +157,18 @@
   const { busy, deployment, oracle, random } = context;
   const domain = random.pick(deployment.options.entryVms).failureDomain;
   const vms = deployment.options.entryVms.filter((vm) => vm.failureDomain === domain);
-  if (vms.some((vm) => busy.has(vm.name))) {
+  if (busy.has(DOMAIN_LOCK) || vms.some((vm) => busy.has(vm.name))) {
     oracle.count('fault skipped: target busy');
     return;
   }
+  busy.add(DOMAIN_LOCK);
   vms.forEach((vm) => busy.add(vm.name));
   await Promise.all(vms.flatMap((vm) => ROLES.map((role) => killDaemon(deployment, role, vm))));
   await sleep(random.int(1_000, 5_000));
   await Promise.all(vms.map((vm) => deployment.startEntryVm(vm)));
+  await sleep(HOMES_REFRESH_MS);
   vms.forEach((vm) => busy.delete(vm.name));
+  busy.delete(DOMAIN_LOCK);
 }
 
 function stopServerByPlan(context: FaultContext): Promise<void> {
--- a/packages/tools/src/faults/FaultsServiceCaller.ts
+++ b/packages/tools/src/faults/FaultsServiceCaller.ts
@@ -19,7 +19,7 @@
 }
 
 /** What the caller of an at-most-once call was told last. */
-export type OnceOutcome = 'answered' | 'notRun' | 'unanswered' | 'unknown';
+export type OnceOutcome = 'answered' | 'failed' | 'notRun' | 'unanswered' | 'unknown';
 
 /** An at-most-once call, to be compared with the effects counted behind the system. */
 export interface OnceRecord {
@@ -72,6 +72,10 @@
       return 'answered';
     }
     const told = answer.kind === 'answered' ? refusalOf(answer.body) : undefined;
+    if (answer.kind === 'answered' && !told) {
+      oracle.count(`once answered ${answer.status} by the service`);
+      return 'failed';
+    }
     oracle.count(`once ${told?.name ?? 'broken'}`);
     if (told?.name === 'OUTCOME_UNKNOWN') {
       return 'unknown';
@@ -139,7 +143,8 @@
 
 function refusalOf(body: string): RefusalBody['error'] | undefined {
   try {
-    return (JSON.parse(body) as Partial<RefusalBody>).error;
+    const { error } = JSON.parse(body) as Partial<RefusalBody>;
+    return typeof error === 'object' ? error : undefined;
   } catch {
     return undefined;
   }
