--- a/packages/engine/src/EngineStream.ts
+++ b/packages/engine/src/EngineStream.ts
@@ -160,12 +160,16 @@
 function readJson(text: string): Readonly<Record<string, unknown>> {
   try {
     const parsed: unknown = JSON.parse(text);
-    return typeof parsed === 'object' && parsed !== null ? { ...parsed } : {};
+    return isRecord(parsed) ? parsed : {};
   } catch {
     return {};
   }
 }
 
+function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null;
+}
+
 function readFinished(data: Readonly<Record<string, unknown>>): EngineStreamEvent {
   const { finishReason, totalTokens } = data;
   if (typeof finishReason !== 'string' || !FINISH_REASONS.includes(finishReason)) {
--- a/packages/generation/src/GenerationTracker.ts
+++ b/packages/generation/src/GenerationTracker.ts
@@ -24,22 +24,8 @@
   NO_ATTEMPT_INVARIANT,
   PLACEMENT_RETRY_MS,
 } from './GenerationConstants.js';
-
-/** Options of a tracker. */
-export interface GenerationTrackerOptions {
-  /** Whether tokens reach the caller only once the answer is whole. */
-  readonly buffered?: boolean;
-  /** Index of the first token that the caller wants; it has the ones before. */
-  readonly firstWantedIndex?: number;
-  readonly generationId: GenerationId;
-  /** Texts of leading tokens that are known already. */
-  readonly knownTexts?: readonly string[];
-  readonly maxFailuresWithoutProgress?: number;
-  readonly patienceMs?: number;
-  readonly policy?: ContinuationPolicy;
-  /** Number of the latest attempt that is known to have been started; 0 for none. */
-  readonly startedAttempt?: number;
-}
+import type { GenerationTrackerOptions } from './GenerationTrackerOptions.js';
+import { earlyEndOf } from './GenerationUtils.js';
 
 /**
  * Follows one generation over all its attempts: which token is taken, and what is done when an
@@ -174,12 +160,7 @@
   }
 
   private earlyEnd(detail: string, retryAfterMs?: number): Refusal {
-    const valid = this.deliveredTokens;
-    if (valid > 0) {
-      const text = `${detail}; ${valid} tokens (0 to ${valid - 1}) are valid`;
-      return refusal('GENERATION_ENDED_EARLY', text, retryAfterMs);
-    }
-    return refusal('UPSTREAM_FAILED', detail, retryAfterMs ?? PLACEMENT_RETRY_MS);
+    return earlyEndOf(this.deliveredTokens, detail, retryAfterMs);
   }
 
   private giveEngineUp(detail: string): GenerationAction {
--- a/packages/generation/src/__tests__/unit/GenerationTracker.test.ts
+++ b/packages/generation/src/__tests__/unit/GenerationTracker.test.ts
@@ -10,8 +10,8 @@
 import fc from 'fast-check';
 import { StrictContinuationPolicy } from '../../ContinuationPolicy.js';
 import type { GenerationAction, GenerationEvent } from '../../GenerationActions.js';
-import type { GenerationTrackerOptions } from '../../GenerationTracker.js';
 import { GenerationTracker } from '../../GenerationTracker.js';
+import type { GenerationTrackerOptions } from '../../GenerationTrackerOptions.js';
 
 const SEED = 20_261_205;
 const GENERATION = toId<GenerationId>('g-1');
--- a/packages/generation/src/index.ts
+++ b/packages/generation/src/index.ts
@@ -2,3 +2,4 @@
 export * from './GapEstimator.js';
 export type * from './GenerationActions.js';
 export * from './GenerationTracker.js';
+export type * from './GenerationTrackerOptions.js';
--- a/packages/router/src/RouterCallerSink.ts
+++ b/packages/router/src/RouterCallerSink.ts
@@ -65,6 +65,7 @@
 
 /** Streams tokens as server-sent events whose ids are token indexes. */
 export class StreamSink extends ResponseSink {
+  private readonly idJson: string;
   private readonly keepaliveMs: number;
   private stopKeepalive: Teardown;
   private readonly timers: Timers;
@@ -72,6 +73,7 @@
 
   constructor(options: CallerSinkOptions) {
     super(options);
+    this.idJson = JSON.stringify(this.requestId);
     this.keepaliveMs = options.keepaliveMs;
     this.timers = options.timers;
     this.stopKeepalive = this.scheduleKeepalive();
@@ -81,8 +83,10 @@
   }
 
   deliver(index: number, text: string): Promise<void> | undefined {
-    const chunk = { choices: [{ index: 0, text }], id: this.requestId };
-    const flowing = this.write(`id: ${index}\ndata: ${JSON.stringify(chunk)}\n\n`);
+    const textJson = JSON.stringify(text);
+    const flowing = this.write(
+      `id: ${index}\ndata: {"choices":[{"index":0,"text":${textJson}}],"id":${this.idJson}}\n\n`,
+    );
     return flowing ? undefined : this.drained();
   }
 
--- a/packages/router/src/RouterGenerationRun.ts
+++ b/packages/router/src/RouterGenerationRun.ts
@@ -8,7 +8,8 @@
 import { RouterRunMetrics } from './RouterRunMetrics.js';
 import { RouterRunReading } from './RouterRunReading.js';
 import type { GenerationRunOptions, HandedOverRun, RunServices } from './RouterRunTypes.js';
-import { SUPERSEDED_END } from './RouterRunUtils.js';
+import { SUPERSEDED_END, decisionOf } from './RouterRunUtils.js';
+import { pause } from './RouterTimers.js';
 
 type EndAction = Extract<GenerationAction, { kind: 'end' }>;
 type FinishAction = Extract<GenerationAction, { kind: 'finish' }>;
@@ -118,7 +119,7 @@
         this.finish(action);
         return;
       }
-      this.logAction(action);
+      this.log(action);
       action = await this.perform(action);
     }
     await this.stop(this.stopReason);
@@ -161,9 +162,7 @@
     this.reading.close();
     this.assignment.leave(action.attempt);
     this.reading.forgetMove();
-    if (action.delayMs > 0) {
-      await this.pause(action.delayMs);
-    }
+    await pause(this.services.timers, action.delayMs, this.abort.signal);
     const placed = await this.assignment.place(action);
     if (placed.ok) {
       this.tracker.noteStarted(this.assignment.engine().engineId);
@@ -281,27 +280,11 @@
     this.assignment.end({ forgetAfterMs: 0 });
   }
 
-  private logAction(action: GenerationAction): void {
-    if (action.kind === 'await' || (action.kind === 'place' && action.attempt === 1)) {
-      return;
+  private log(action: GenerationAction): void {
+    const decision = decisionOf(action, this.tracker, this.options.requestId);
+    if (decision) {
+      this.services.decisions.record(decision);
     }
-    const { attempt, nextIndex } = this.tracker;
-    const reason = action.kind === 'place' ? action.reason : undefined;
-    this.services.decisions.record({
-      decision: action.kind === 'place' ? 'retry' : action.kind,
-      fields: { attempt, nextIndex, reason },
-      requestId: this.options.requestId,
-    });
-  }
-
-  private pause(delayMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const stopTimer = this.services.timers.after(delayMs, resolve);
-      this.abort.signal.addEventListener('abort', () => {
-        stopTimer();
-        resolve();
-      });
-    });
   }
 
   private stopWith(reason: StopReason): void {
--- a/packages/router/src/RouterTimers.ts
+++ b/packages/router/src/RouterTimers.ts
@@ -15,3 +15,25 @@
     };
   },
 };
+
+/**
+ * Waits, unless the signal ends the wait.
+ *
+ * @param timers - the timers
+ * @param delayMs - how long
+ * @param signal - ends the wait
+ */
+export function pause(timers: Timers, delayMs: number, signal: AbortSignal): Promise<void> {
+  if (delayMs <= 0 || signal.aborted) {
+    return Promise.resolve();
+  }
+  return new Promise((resolve) => {
+    const settle = (): void => {
+      stopTimer();
+      signal.removeEventListener('abort', settle);
+      resolve();
+    };
+    const stopTimer = timers.after(delayMs, settle);
+    signal.addEventListener('abort', settle, { once: true });
+  });
+}
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -10,4 +10,4 @@
 export * from './RouterQuota.js';
 export type * from './RouterRequestHandler.js';
 export * from './RouterSettings.js';
-export type * from './RouterTimers.js';
+export * from './RouterTimers.js';
