--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -7,11 +7,10 @@
 import type { Node } from '@laburnumgap/node';
 import type { DaemonSettings } from '@laburnumgap/settings';
 import { createAdmissionHandlers } from './SchedulerAdmissionService.js';
-import type { EngineProbe } from './SchedulerEngineProbe.js';
-import { createEngineProbe } from './SchedulerEngineProbe.js';
+import type { EngineReports } from './SchedulerEnginePoll.js';
+import { SchedulerEnginePoll } from './SchedulerEnginePoll.js';
 import { SchedulerEngines } from './SchedulerEngines.js';
 import { createInspectHandlers } from './SchedulerInspectService.js';
-import { SchedulerLoadPoll } from './SchedulerLoadPoll.js';
 import { createSchedulerQuota } from './SchedulerQuotaService.js';
 import { createRequestHomeHandlers } from './SchedulerRequestHomeService.js';
 
@@ -20,9 +19,10 @@
   readonly context: DaemonContext<DaemonSettings>;
   /** Builds the admission kernel of an engine. */
   readonly createController?: (engineId: EngineId, nowMs: number) => AdmissionController;
+  /** Reads the reports of an engine. */
+  readonly createReports?: (url: string) => EngineReports;
   readonly loadIntervalMs?: number;
   readonly node: Node;
-  readonly probe?: EngineProbe;
 }
 
 /**
@@ -52,26 +52,28 @@
     onOpened: (engineId) => void poll.poll(engineId),
     servers,
   });
-  const poll = new SchedulerLoadPoll({
+  const poll = new SchedulerEnginePoll({
+    clock,
+    createReports: options.createReports,
     engines,
     intervalMs: options.loadIntervalMs,
     log,
-    probe: options.probe ?? createEngineProbe(),
     servers,
   });
   const http = await startHttpServer({
     address: settings.listen.http,
     stage: () => context.stage(),
   });
-  const quota = createSchedulerQuota({ clock, configuration, directory });
+  const quota = createSchedulerQuota({ clock, configuration, decisions, directory });
   const member = await node.serve({
-    Admission: createAdmissionHandlers({ cachedPrefixTokens: () => 0, engines }),
+    Admission: createAdmissionHandlers({ clock, engines }),
     Inspect: createInspectHandlers({
       configuration,
       decisions,
       draining: () => context.stage() === 'draining',
       engines,
-      homeRecords: () => home.size(),
+      configurationAgeMs: () => node.configurationAgeMs(),
+      counts: () => ({ homeRecords: home.size(), quotaTeams: quota.teamCount() }),
       memberId,
     }),
     Quota: quota.handlers,
@@ -82,7 +84,7 @@
     addresses: { http: http.address, rpc: member.rpcAddress },
     drain: async () => {
       await engines.drain();
-      poll.stop();
+      await poll.stop();
       quota.stop();
       await node.drain();
       engines.stop();
