--- a/packages/router/src/RouterRpcHomes.ts
+++ b/packages/router/src/RouterRpcHomes.ts
@@ -38,12 +38,16 @@
   readonly routerId: MemberId;
 }
 
-/** Schedulers asked besides the two homes, for a record written under another view of members. */
+/** Homes of a request, in as many failure domains: two domains and a router may go at once. */
+const MAX_HOMES = 3;
+/** Homes where all members are in one failure domain. */
+const MIN_HOMES = 2;
+/** Schedulers asked besides the homes, for a record written under another view of members. */
 const MAX_FURTHER_HOMES = 6;
 
 /**
- * Calls the two homes of a request: the scheduler that ranks first for it, and the next one in
- * another failure domain. While members come and go, routers disagree on which these are. A caller
+ * Calls the homes of a request: the schedulers that rank first for it, each in a failure domain of
+ * its own. While members come and go, routers disagree on which these are. A caller
  * that has tokens already is told that nobody knows its generation only after the next schedulers in
  * rank were asked as well and none of those asked was unreachable.
  */
@@ -129,15 +133,17 @@
     return Promise.all(homes.map((home) => this.takeOverAt(home, takeOver)));
   }
 
+  /** The first member in rank of each failure domain, up to the number of homes. */
   private homesOf(teamId: TeamId, requestId: RequestId): readonly Member[] {
     const ranked = this.rankOf(teamId, requestId);
-    const [first, ...others] = ranked;
-    if (!first) {
-      return [];
+    const homes: Member[] = [];
+    for (const member of ranked) {
+      const isNewDomain = homes.every((home) => home.failureDomain !== member.failureDomain);
+      if (isNewDomain && homes.length < MAX_HOMES) {
+        homes.push(member);
+      }
     }
-    const elsewhere = others.find((member) => member.failureDomain !== first.failureDomain);
-    const second = elsewhere ?? others[0];
-    return second ? [first, second] : [first];
+    return homes.length > 1 ? homes : ranked.slice(0, MIN_HOMES);
   }
 
   private noteFailure(home: Member, error: RpcError): void {
--- a/packages/router/src/__tests__/integration/RouterRpc.test.ts
+++ b/packages/router/src/__tests__/integration/RouterRpc.test.ts
@@ -213,6 +213,18 @@
   t.snapshot(schedulers[2].records[0]);
 });
 
+test('recorded in three failure domains where there are as many', async (t) => {
+  const schedulers = ['a', 'b', 'a', 'c', 'b'].map(
+    (domain, number) => new FakeSchedulerServer(`s-${number}`, domain),
+  );
+  const peers = await connect(t, schedulers);
+  t.is(await peers.homes.record(RECORD), 'recorded');
+  t.deepEqual(
+    schedulers.map((scheduler) => scheduler.records.length),
+    [1, 1, 0, 1, 0],
+  );
+});
+
 const RECORD_OUTCOMES = [
   { expected: 'superseded', replies: [true, false], title: 'one home knows a newer holder' },
   { expected: 'recorded', replies: [true, undefined], title: 'one home is down' },
