--- a/packages/standins/src/PlatformStandin.ts
+++ b/packages/standins/src/PlatformStandin.ts
@@ -1,4 +1,10 @@
-import type { LeaseId, MonotonicClock, Revision, RevisionGuard } from '@laburnumgap/kernel';
+import type {
+  LeaseId,
+  MonotonicClock,
+  Revision,
+  RevisionGuard,
+  StoredValue,
+} from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import type { RevisionChanges } from '@laburnumgap/platform';
 import {
@@ -16,8 +22,9 @@
   txnSchema,
   watchSchema,
 } from './PlatformStandinSchema.js';
-import { toEvent, toKeyValue, toStoreWrite } from './PlatformStandinUtils.js';
+import { keyFilter, toEvent, toKeyValue, toStoreWrite } from './PlatformStandinUtils.js';
 import { RateCap } from './StandinRateCap.js';
+import type { Fault } from './StandinFaults.js';
 import type {
   StandinAnswer,
   StandinRequest,
@@ -58,11 +65,14 @@
 ): Promise<StandinServer> {
   const service = new PlatformStandinService(options);
   const server = await startStandinServer({
-    control: (request) =>
-      request.path === '/control/counts' ? whole(200, service.counts) : undefined,
+    control: (request) => service.control(request),
     handle: (request) => service.handle(request),
     kill: options.kill,
     listen: options.listen,
+    onCall: (request) => {
+      service.count(request);
+    },
+    onFault: (fault) => service.applyFault(fault),
     refusedBody: { code: GRPC_STATUS.unavailable, message: NO_LEADER_MESSAGE },
   });
   return {
@@ -91,13 +101,20 @@
   };
 }
 
+/** What lagging reads see. */
+interface StaleRead {
+  readonly revision: Revision;
+  readonly values: readonly StoredValue[];
+}
+
 class PlatformStandinService {
-  readonly counts: CallCounts = {};
   readonly #clock: MonotonicClock;
+  readonly #counts: CallCounts = {};
   readonly #expiry: NodeJS.Timeout;
   readonly #reads: RateCap;
   readonly #state: PlatformStoreState;
   readonly #writes: RateCap;
+  #staleRead: StaleRead | undefined;
 
   constructor(options: PlatformStandinOptions) {
     this.#clock = options.clock ?? { nowMs: () => performance.now() };
@@ -114,8 +131,33 @@
     clearInterval(this.#expiry);
   }
 
+  control(request: StandinRequest): StandinAnswer | undefined {
+    switch (request.path) {
+      case '/control/compact':
+        this.#state.compact(this.#state.revision);
+        return whole(200, {});
+      case '/control/counts':
+        return whole(200, this.#counts);
+      default:
+        return undefined;
+    }
+  }
+
+  count(request: StandinRequest): void {
+    this.#counts[request.path] = (this.#counts[request.path] ?? 0) + 1;
+  }
+
+  /** While it lags, reads see the state of the moment at which that began. */
+  applyFault(fault: Fault): boolean {
+    if (fault.kind === 'clear' || (fault.kind === 'lag' && fault.lagMs === 0)) {
+      this.#staleRead = undefined;
+    } else if (fault.kind === 'lag') {
+      this.#staleRead = { revision: this.#state.revision, values: this.#state.select(() => true) };
+    }
+    return fault.kind === 'lag';
+  }
+
   handle(request: StandinRequest): StandinAnswer {
-    this.counts[request.path] = (this.counts[request.path] ?? 0) + 1;
     const cap = READ_PATHS.has(request.path) ? this.#reads : this.#writes;
     if (!cap.take(this.#clock.nowMs())) {
       return refused(429, GRPC_STATUS.resourceExhausted, 'etcdserver: too many requests');
@@ -150,10 +192,12 @@
   }
 
   #range(body: z.infer<typeof rangeSchema>): StandinAnswer {
-    const values = this.#state.select(keyFilter(body.key, body.range_end));
+    const takes = keyFilter(body.key, body.range_end);
+    const stale = this.#staleRead;
+    const values = stale?.values.filter((value) => takes(value.key)) ?? this.#state.select(takes);
     return whole(200, {
       count: String(values.length),
-      header: this.#header(),
+      header: { revision: String(stale?.revision ?? this.#state.revision) },
       kvs: values.map(toKeyValue),
     });
   }
@@ -235,15 +279,6 @@
   }
 }
 
-function keyFilter(key: string, rangeEnd: string | undefined): (key: string) => boolean {
-  const start = fromBase64(key);
-  const end = rangeEnd === undefined ? undefined : fromBase64(rangeEnd);
-  if (end === undefined || end === '') {
-    return (candidate) => candidate === start;
-  }
-  return (candidate) => candidate >= start && (end === '\0' || candidate < end);
-}
-
 function isTooLarge(value: string): boolean {
   return Buffer.byteLength(value) > MAX_VALUE_BYTES;
 }
--- a/packages/standins/src/PlatformStandinUtils.ts
+++ b/packages/standins/src/PlatformStandinUtils.ts
@@ -48,3 +48,19 @@
   }
   return { kv: { key, mod_revision: revision, value: toBase64(change.value) } };
 }
+
+/**
+ * Reads the keys that a range or watch is about.
+ *
+ * @param key - first key, in base64
+ * @param rangeEnd - first key after the range, in base64; without it, the range is one key
+ * @returns whether a key is in the range
+ */
+export function keyFilter(key: string, rangeEnd: string | undefined): (key: string) => boolean {
+  const start = fromBase64(key);
+  const end = rangeEnd === undefined ? undefined : fromBase64(rangeEnd);
+  if (end === undefined || end === '') {
+    return (candidate) => candidate === start;
+  }
+  return (candidate) => candidate >= start && (end === '\0' || candidate < end);
+}
--- a/packages/standins/src/StandinServer.ts
+++ b/packages/standins/src/StandinServer.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { readBody } from './StandinBody.js';
 import type { Fault, FaultHandler } from './StandinFaults.js';
 import { FaultSwitches, parseFault } from './StandinFaults.js';
 
@@ -46,6 +47,8 @@
   /** Ends the process; without it, a kill closes the server and its connections. */
   readonly kill?: () => void;
   readonly listen: string;
+  /** Called for each call other than control calls, whatever becomes of it. */
+  readonly onCall?: (request: StandinRequest) => void;
   readonly onFault?: FaultHandler;
   /** Body of the answer of a call that a fault refuses. */
   readonly refusedBody?: unknown;
@@ -65,7 +68,6 @@
 }
 
 const CONTROL_PREFIX = '/control/';
-const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
 /**
  * Answers with JSON.
@@ -182,6 +184,7 @@
       this.#send(response, this.#control(call, request.socket));
       return;
     }
+    this.#options.onCall?.(call);
     await this.#serveUnderFaults(call, response);
   }
 
@@ -278,20 +281,3 @@
     }
   }
 }
-
-async function readBody(request: IncomingMessage): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request) {
-      size += (chunk as Buffer).length;
-      if (size > MAX_BODY_BYTES) {
-        return undefined;
-      }
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return '';
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
--- a/packages/standins/src/__tests__/integration/PlatformStoreFaults.test.ts
+++ b/packages/standins/src/__tests__/integration/PlatformStoreFaults.test.ts
@@ -230,3 +230,23 @@
   const later = await store.commit(COMMIT);
   t.is(later.ok ? 'ok' : later.error.kind, 'unavailable');
 });
+
+test('a lagging read shows its older revision', async (t) => {
+  const { server, state, store } = await etcdFixture(t);
+  await store.commit(COMMIT);
+  await orderFault(server, { kind: 'lag', lagMs: 1000 });
+  state.commit({ guards: [], writes: [put('/k/a', '2')] });
+  const lagging = await store.range('/k/');
+  t.like(lagging.ok && lagging.value, { revision: 2, values: [{ modRevision: 2, value: '1' }] });
+  await orderFault(server, { kind: 'clear' });
+  const current = await store.range('/k/');
+  t.like(current.ok && current.value, { revision: 3, values: [{ modRevision: 3, value: '2' }] });
+});
+
+test('calls are counted while they are refused', async (t) => {
+  const { server, store } = await etcdFixture(t);
+  await orderFault(server, { kind: 'refuse' });
+  await store.read('/k/a');
+  const counts = await (await fetch(`${server.url}/control/counts`)).json();
+  t.deepEqual(counts, { '/v3/kv/range': 1 });
+});
