Remember an order given up while a repetition of it is answered

Cause: an order whose outcome was unknown was forgotten when its repetition was answered; a different order could then be sent before the first copy came into force, which put a stale one after it. The scenario is a test now, red without the change for both kinds.

--- a/packages/membership/src/MembershipEngineAuthority.ts
+++ b/packages/membership/src/MembershipEngineAuthority.ts
@@ -87,6 +87,8 @@
   #known: KnownRecord | undefined;
   #sent: SentOrder | undefined;
   #stateRead = false;
+  /** The latest order whose outcome never became known. */
+  #unsettled: SentOrder | undefined;
 
   constructor(options: EngineAuthorityOptions) {
     this.#checksFencingNumbers = options.checksFencingNumbers;
@@ -183,11 +185,12 @@
       ORDER_WITHOUT_AUTHORITY_INVARIANT,
       'an order is sent only with authority',
     );
+    this.#unsettled = this.#sent ?? this.#unsettled;
     this.#sent = { intent: order, untilMs: nowMs + this.#orderTimeoutMs };
     this.#stateRead = false;
   }
 
-  /** The order was answered: it can't come into force later. */
+  /** The order was answered: it can't come into force later. An earlier one still may. */
   orderSettled(): void {
     this.#sent = undefined;
   }
@@ -209,9 +212,10 @@
     if (!this.#checksFencingNumbers && nowMs < held.sendFromMs) {
       return { kind: 'wait', reason: 'quiet', untilMs: held.sendFromMs };
     }
-    const sent = this.#sent;
-    if (sent && nowMs < sent.untilMs && !isSameIntent(sent.intent, intent)) {
-      return { kind: 'wait', reason: 'order', untilMs: sent.untilMs };
+    for (const earlier of [this.#sent, this.#unsettled]) {
+      if (earlier && nowMs < earlier.untilMs && !isSameIntent(earlier.intent, intent)) {
+        return { kind: 'wait', reason: 'order', untilMs: earlier.untilMs };
+      }
     }
     if (nowMs >= held.confirmedUntilMs) {
       return { kind: 'readRecord' };
--- a/packages/membership/src/__tests__/unit/MembershipEngineAuthority.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipEngineAuthority.test.ts
@@ -5,7 +5,7 @@
 
 const eventArbitrary = fc.record<SimulationEvent>({
   answerLost: fc.constantFrom(false, false, false, false, true),
-  effectShare: fc.constantFrom(0, 0.5, 1),
+  effectShare: fc.constantFrom(0, 0.25, 0.5, 0.75, 1),
   elapsedMs: fc.oneof(
     { arbitrary: fc.integer({ max: 300, min: 0 }), weight: 8 },
     { arbitrary: fc.integer({ max: 30_000, min: 0 }), weight: 2 },
@@ -107,6 +107,28 @@
   return [...repeat(1, { holder, kind: 'want' }), ...repeat(3, { holder })];
 }
 
+/** An order is given up, repeated and answered; then something else is wanted. */
+const REPEATED_ORDER: readonly SimulationEvent[] = [
+  ...acquire(OLD),
+  ...repeat(1, {}),
+  ...repeat(1, { answerLost: true, effectShare: 1, latencyMs: 10_000 }),
+  ...repeat(1, { elapsedMs: 6000 }),
+  ...repeat(2, {}),
+  ...repeat(1, { kind: 'want' }),
+  ...repeat(300, { elapsedMs: 100 }),
+];
+
+for (const [name, checksFencingNumbers] of Object.entries(POOLS)) {
+  test(`${name}: a repeated order does not hide that the first may come into force`, (t) => {
+    const options = { checksFencingNumbers, holders: 1, naive: false };
+    const simulation = runEvents(REPEATED_ORDER, options);
+    t.deepEqual(
+      simulation.applied.map((order) => order.intent),
+      [1, 1, 2],
+    );
+  });
+}
+
 const LAST_MOMENTS: Readonly<Record<string, readonly SimulationEvent[]>> = {
   'the old holder sends at the end of its hold and its order takes its whole timeout': [
     ...acquire(OLD),
