Load one model an order, so that a permit stands for one transfer

Cause: an order with several new models made several transfers under one permit. The end-to-end test now loads two models at each of six engines: 12 transfers, none refused; with whole orders it is red. Its clock moves only while every loop waits, so that no wall clock decides.

--- a/packages/membership/src/MembershipEngineOrders.ts
+++ b/packages/membership/src/MembershipEngineOrders.ts
@@ -193,11 +193,15 @@
     return 'answered';
   }
 
-  async #sendOrder(order: EngineOrder): Promise<StepOutcome> {
+  async #sendOrder(wanted: EngineOrder): Promise<StepOutcome> {
     const { clock, control, holdsLease, permits } = this.#options;
-    const loads = order.models.some((model) => !this.#state?.models.includes(model));
-    const permit = permits && loads ? await permits.take() : undefined;
-    if (permits && loads && !permit) {
+    const [firstMissing, ...otherMissing] = this.#missingModels(wanted);
+    const needsPermit = permits !== undefined && firstMissing !== undefined;
+    // A permit is for one transfer: the other models are loaded by later orders.
+    const models = wanted.models.filter((model) => !otherMissing.includes(model));
+    const order = needsPermit ? { ...wanted, models } : wanted;
+    const permit = needsPermit ? await permits.take() : undefined;
+    if (needsPermit && !permit) {
       this.#recordWait('weightPermit');
       return 'failed';
     }
@@ -224,6 +228,10 @@
     return 'failed';
   }
 
+  #missingModels(order: EngineOrder): readonly string[] {
+    return order.models.filter((model) => !this.#state?.models.includes(model));
+  }
+
   #mayWrite(permit: WeightPermit | undefined): boolean {
     const { clock, holdsLease } = this.#options;
     return (
--- a/packages/standins/src/__tests__/integration/EngineOrders.test.ts
+++ b/packages/standins/src/__tests__/integration/EngineOrders.test.ts
@@ -5,10 +5,11 @@
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 import { startWeightsStandin } from '../../WeightsStandin.js';
+import { LoopTimers } from '../support/LoopTimers.js';
 import { engineFixture, ordersFixture, ordersInForce } from '../support/OrdersFixtures.js';
 import { HandClock, orderFault } from '../support/StoreFixtures.js';
 
-const CLOCK_STEP_MS = 50;
+const ENGINES = 6;
 const TRANSFERS_PER_WINDOW = 2;
 const WINDOW_MS = 2000;
 const WANTED = { adapters: [], models: ['m0', 'm1'], role: 'mixed' } as const;
@@ -128,31 +129,21 @@
   t.is([...(await takeAll()), ...(await takeAll())].length, 3);
 });
 
-/** Six engines of three schedulers load a model at once; counts what the weight store saw. */
+/** Six engines of three schedulers load two models each at once; counts what the weight store saw. */
 async function loadEverywhere(t: ExecutionContext, withPermits: boolean) {
-  const clock = new HandClock();
+  const clock = new LoopTimers(ENGINES);
   const state = new PlatformStoreState();
   const weights = await startWeightsStandin({
     clock,
     listen: '127.0.0.1:0',
     maxTransfers: TRANSFERS_PER_WINDOW,
+    transferMs: 0,
     windowMs: WINDOW_MS,
   });
   t.teardown(() => weights.close());
-  const timers = {
-    after: (delayMs: number, run: () => void) => {
-      const timer = setTimeout(() => {
-        clock.advance(Math.min(delayMs, CLOCK_STEP_MS));
-        run();
-      }, 1);
-      return () => {
-        clearTimeout(timer);
-      };
-    },
-  };
-  const outcomes = Array.from({ length: 6 }, async (_, index) => {
+  const outcomes = Array.from({ length: ENGINES }, async (_, index) => {
     const store = createMemoryStore({ clock, state });
-    const random = { nextUnit: () => index / 6 };
+    const random = { nextUnit: () => index / ENGINES };
     const permits = createWeightPermits({
       clock,
       orderTimeoutMs: 1000,
@@ -169,10 +160,10 @@
       permits: withPermits ? permits : undefined,
       random,
       self,
-      timers,
+      timers: clock,
     });
-    orders.want(WANTED);
-    await untilOutcome('inForce');
+    orders.want({ ...WANTED, models: ['m0', 'm1', 'm2'] });
+    await untilOutcome('inForce', 'm0,m1,m2');
   });
   await Promise.all(outcomes);
   const counts = await fetch(`${weights.url}/control/counts`);
@@ -180,7 +171,7 @@
 }
 
 test('with permits the weight store never refuses; without them it does', async (t) => {
-  t.deepEqual(await loadEverywhere(t, true), { refused: 0, transfers: 6 });
+  t.deepEqual(await loadEverywhere(t, true), { refused: 0, transfers: 12 });
   const naive = await loadEverywhere(t, false);
   t.true(naive.refused > 0);
 });
--- a/packages/standins/src/__tests__/support/OrdersFixtures.ts
+++ b/packages/standins/src/__tests__/support/OrdersFixtures.ts
@@ -38,8 +38,8 @@
 export interface OrdersFixture {
   readonly decisions: DecisionRecord[];
   readonly orders: EngineOrders;
-  /** Waits for an order with that outcome. */
-  readonly untilOutcome: (outcome: string) => Promise<void>;
+  /** Waits for an order with that outcome and, where they are given, those models. */
+  readonly untilOutcome: (outcome: string, models?: string) => Promise<void>;
 }
 
 /** Starts the orders of a member. */
@@ -74,8 +74,10 @@
   return {
     decisions,
     orders,
-    untilOutcome: async (outcome) => {
-      while (!decisions.some((decision) => decision.fields.outcome === outcome)) {
+    untilOutcome: async (outcome, models) => {
+      const isWanted = ({ fields }: DecisionRecord): boolean =>
+        fields.outcome === outcome && (models === undefined || fields.models === models);
+      while (!decisions.some(isWanted)) {
         await new Promise<void>((resolve) => (wake = resolve));
       }
     },
