--- a/packages/platform/src/PlatformConnections.ts
+++ b/packages/platform/src/PlatformConnections.ts
@@ -12,7 +12,7 @@
 
 /** A call over the connections; its path is below the base URL. */
 export type ConnectionCall = Partial<Pick<HttpCall, 'deadlineMs'>> &
-  Pick<HttpCall, 'body' | 'mayWrite' | 'method' | 'path'>;
+  Pick<HttpCall, 'body' | 'ifNoneMatch' | 'mayWrite' | 'method' | 'path'>;
 
 const IDLE_CONNECTION_MS = 30_000;
 
