--- a/packages/tools/src/policyBench/PolicyBenchFigures.ts
+++ b/packages/tools/src/policyBench/PolicyBenchFigures.ts
@@ -1,6 +1,13 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { build } from 'hdr-histogram-js';
 
+/** Distributions of one run, to be pooled over runs. */
+export interface BenchHistograms {
+  readonly gaps: Histogram;
+  /** Stalls by the kind of generation. */
+  readonly stallsOfKind: ReadonlyMap<string, Histogram>;
+}
+
 /** Figures of one run. */
 export interface BenchFigures {
   readonly arrived: number;
@@ -33,6 +40,7 @@
   private refused = 0;
   private smallTeamWaitMs = 0;
   private readonly stalls: Histogram = newHistogram();
+  private readonly stallsOfKind = new Map<string, Histogram>();
   private oftenPreempted = 0;
 
   noteArrived(): void {
@@ -45,10 +53,13 @@
     return Math.max(0, gapMs - STALL_GAP_MS);
   }
 
-  noteFinished(tokens: number, stallMs: number, preemptions: number): void {
+  noteFinished(kind: string, tokens: number, stallMs: number, preemptions: number): void {
     this.finished += 1;
     this.finishedTokens += tokens;
     this.stalls.recordValue(Math.round(stallMs));
+    const ofKind = this.stallsOfKind.get(kind) ?? newHistogram();
+    ofKind.recordValue(Math.round(stallMs));
+    this.stallsOfKind.set(kind, ofKind);
     this.oftenPreempted += preemptions >= OFTEN_PREEMPTED ? 1 : 0;
   }
 
@@ -64,6 +75,10 @@
     this.smallTeamWaitMs = Math.max(this.smallTeamWaitMs, waitMs);
   }
 
+  histograms(): BenchHistograms {
+    return { gaps: this.gaps, stallsOfKind: this.stallsOfKind };
+  }
+
   figures(durationMs: number): BenchFigures {
     return {
       arrived: this.arrived,
@@ -81,7 +96,12 @@
   }
 }
 
-function newHistogram(): Histogram {
+/**
+ * Creates a histogram of milliseconds.
+ *
+ * @returns the empty histogram
+ */
+export function newHistogram(): Histogram {
   return build({
     highestTrackableValue: HIGHEST_MS,
     lowestDiscernibleValue: 1,
--- a/packages/tools/src/policyBench/PolicyBenchReport.ts
+++ b/packages/tools/src/policyBench/PolicyBenchReport.ts
@@ -1,33 +1,19 @@
 import Table from 'cli-table3';
+import type { Histogram } from 'hdr-histogram-js';
 import type { BenchFigures } from './PolicyBenchFigures.js';
+import { newHistogram } from './PolicyBenchFigures.js';
+import type { BenchResult } from './PolicyBenchRun.js';
 
-/** Figures of one policy at one mix and load, a run for each seed. */
+/** Results of one policy at one mix and load, a run for each seed. */
 export interface BenchRow {
+  /** The long kind, then the short kind. */
+  readonly kinds: readonly string[];
   readonly load: number;
   readonly mix: string;
   readonly policy: string;
-  readonly runs: readonly BenchFigures[];
+  readonly runs: readonly BenchResult[];
 }
 
-interface Column {
-  readonly digits: number;
-  readonly head: string;
-  readonly key: keyof BenchFigures;
-}
-
-const COLUMNS: readonly Column[] = [
-  { digits: 2, head: 'stall p50 s', key: 'stallP50S' },
-  { digits: 1, head: 'p95 s', key: 'stallP95S' },
-  { digits: 1, head: 'p99 s', key: 'stallP99S' },
-  { digits: 1, head: 'preempted /100', key: 'preemptionsPer100' },
-  { digits: 1, head: '3 times or more', key: 'oftenPreempted' },
-  { digits: 0, head: 'gap p99 ms', key: 'gapP99Ms' },
-  { digits: 0, head: 'tokens/s', key: 'tokensPerSecond' },
-  { digits: 0, head: 'finished', key: 'finished' },
-  { digits: 1, head: 'refused %', key: 'refusedPercent' },
-  { digits: 1, head: 'worst small-team wait s', key: 'smallTeamWaitS' },
-];
-
 /** Figures of which a lower value is better, for the comparison by seed. */
 const LOWER_IS_BETTER: readonly (keyof BenchFigures)[] = [
   'stallP50S',
@@ -39,20 +25,51 @@
   'smallTeamWaitS',
 ];
 
+const FIGURE_HEADS = [
+  'mix',
+  'load',
+  'policy',
+  'stall p50/p95/p99 s',
+  'long kind',
+  'short kind',
+  'preempted /100',
+  '3 times or more',
+  'gap p99 ms',
+  'tokens/s',
+  'finished',
+  'refused %',
+  'worst small-team wait s',
+];
+
+const MS_PER_S = 1_000;
 const PLAIN_STYLE = { border: [], compact: true, head: [] };
 
 /**
- * Prints the mean of each figure over the seeds.
+ * Prints stalls and gaps pooled over the seeds, and the means of the other figures.
  *
- * @param rows - the runs
+ * @param rows - the results
  * @returns the table
  */
-export function formatMeans(rows: readonly BenchRow[]): string {
-  const heads = COLUMNS.map(({ head }) => head);
-  const table = new Table({ head: ['mix', 'load', 'policy', ...heads], style: PLAIN_STYLE });
-  for (const { load, mix, policy, runs } of rows) {
-    const cells = COLUMNS.map(({ digits, key }) => mean(runs, key).toFixed(digits));
-    table.push([mix, load, policy, ...cells]);
+export function formatFigures(rows: readonly BenchRow[]): string {
+  const table = new Table({ head: FIGURE_HEADS, style: PLAIN_STYLE });
+  for (const row of rows) {
+    const { kinds, load, mix, policy, runs } = row;
+    const stalls = kinds.map((kind) => pool(runs.map((run) => stallsOf(run, kind))));
+    const gaps = pool(runs.map(({ histograms }) => histograms.gaps));
+    table.push([
+      mix,
+      load,
+      policy,
+      percentilesOf(pool(stalls)),
+      ...stalls.map((histogram) => percentilesOf(histogram)),
+      mean(runs, 'preemptionsPer100').toFixed(1),
+      mean(runs, 'oftenPreempted').toFixed(1),
+      gaps.getValueAtPercentile(99),
+      mean(runs, 'tokensPerSecond').toFixed(0),
+      mean(runs, 'finished').toFixed(0),
+      mean(runs, 'refusedPercent').toFixed(1),
+      mean(runs, 'smallTeamWaitS').toFixed(1),
+    ]);
   }
   return table.toString();
 }
@@ -60,7 +77,7 @@
 /**
  * Prints in how many seeds the second policy was better, equal or worse than the first.
  *
- * @param rows - the runs, the two policies of each mix and load after one another
+ * @param rows - the results, the two policies of each mix and load after one another
  * @returns the table
  */
 export function formatBySeed(rows: readonly BenchRow[]): string {
@@ -77,16 +94,36 @@
 }
 
 function compare(
-  naive: readonly BenchFigures[],
-  ours: readonly BenchFigures[],
+  naive: readonly BenchResult[],
+  ours: readonly BenchResult[],
   key: keyof BenchFigures,
 ): string {
-  const differences = ours.map((run, index) => run[key] - (naive[index]?.[key] ?? 0));
+  const differences = ours.map(
+    (run, index) => run.figures[key] - (naive[index]?.figures[key] ?? 0),
+  );
   const better = differences.filter((difference) => difference < 0).length;
   const worse = differences.filter((difference) => difference > 0).length;
   return `${better}/${differences.length - better - worse}/${worse}`;
 }
 
-function mean(runs: readonly BenchFigures[], key: keyof BenchFigures): number {
-  return runs.reduce((sum, run) => sum + run[key], 0) / runs.length;
+function mean(runs: readonly BenchResult[], key: keyof BenchFigures): number {
+  return runs.reduce((sum, run) => sum + run.figures[key], 0) / runs.length;
+}
+
+function percentilesOf(histogram: Histogram): string {
+  return [50, 95, 99]
+    .map((percentile) => (histogram.getValueAtPercentile(percentile) / MS_PER_S).toFixed(2))
+    .join('/');
+}
+
+function pool(histograms: readonly Histogram[]): Histogram {
+  const pooled = newHistogram();
+  for (const histogram of histograms) {
+    pooled.add(histogram);
+  }
+  return pooled;
+}
+
+function stallsOf(run: BenchResult, kind: string): Histogram {
+  return run.histograms.stallsOfKind.get(kind) ?? newHistogram();
 }
--- a/packages/tools/src/policyBench/PolicyBenchRun.ts
+++ b/packages/tools/src/policyBench/PolicyBenchRun.ts
@@ -6,7 +6,7 @@
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import type { FakeGeneration, FakeStep } from './PolicyBenchEngine.js';
 import { FakeEngine } from './PolicyBenchEngine.js';
-import type { BenchFigures } from './PolicyBenchFigures.js';
+import type { BenchFigures, BenchHistograms } from './PolicyBenchFigures.js';
 import { BenchRecorder } from './PolicyBenchFigures.js';
 import type { BenchRequest } from './PolicyBenchMix.js';
 
@@ -20,6 +20,12 @@
   readonly requests: readonly BenchRequest[];
 }
 
+/** What a run gave. */
+export interface BenchResult {
+  readonly figures: BenchFigures;
+  readonly histograms: BenchHistograms;
+}
+
 /** One generation between its arrival and its end. */
 interface Flight {
   attempt: number;
@@ -63,7 +69,7 @@
   }
 
   /** Runs to the end, with time after the last arrival for what still runs. */
-  run(): BenchFigures {
+  run(): BenchResult {
     const { durationMs, requests } = this.options;
     let nextRequest = 0;
     let nextProgressMs = 0;
@@ -95,14 +101,15 @@
         this.wakeDue();
       }
     }
-    return this.recorder.figures(durationMs);
+    const figures = this.recorder.figures(durationMs);
+    return { figures, histograms: this.recorder.histograms() };
   }
 
   private arrive(request: BenchRequest): void {
     this.recorder.noteArrived();
     const flight: Flight = {
       attempt: 1,
-      engine: this.leastLoaded(),
+      engine: this.chooseEngine(request),
       generation: {
         id: request.id,
         lengthTokens: request.lengthTokens,
@@ -126,9 +133,25 @@
     this.perform(line, line.controller.handle({ kind: 'arrived', request }, this.nowMs));
   }
 
-  /** The same choice for every policy: the engine with the fewest requests. */
-  private leastLoaded(): EngineLine {
-    return this.lines.reduce((best, line) => (line.flights.size < best.flights.size ? line : best));
+  /** The engine with the shortest estimated wait; among equals the one with fewest requests. */
+  private chooseEngine(request: BenchRequest): EngineLine {
+    const query = {
+      maxTokens: request.kind.maxTokens,
+      model: toId<AdmissionRequest['model']>('model-1'),
+      promptTokens: request.promptTokens,
+      teamId: toId<AdmissionRequest['teamId']>(request.team.name),
+    };
+    const ranked = this.lines.map((line) => ({
+      line,
+      waitMs: line.controller.estimate(query, this.nowMs).waitMs,
+    }));
+    const best = ranked.reduce((chosen, other) => {
+      if (other.waitMs !== chosen.waitMs) {
+        return other.waitMs < chosen.waitMs ? other : chosen;
+      }
+      return other.line.flights.size < chosen.line.flights.size ? other : chosen;
+    });
+    return best.line;
   }
 
   private perform(line: EngineLine, actions: readonly AdmissionAction[]): void {
@@ -177,7 +200,7 @@
   private requeue(): void {
     const due = this.requeued.shift();
     if (due) {
-      due.flight.engine = this.leastLoaded();
+      due.flight.engine = this.chooseEngine(due.flight.request);
       this.ask(due.flight);
     }
   }
@@ -235,8 +258,8 @@
     if (!flight) {
       return;
     }
-    const { lengthTokens } = flight.request;
-    this.recorder.noteFinished(lengthTokens, flight.stallMs, flight.preemptions);
+    const { kind, lengthTokens } = flight.request;
+    this.recorder.noteFinished(kind.name, lengthTokens, flight.stallMs, flight.preemptions);
     line.flights.delete(id);
     this.report(line, flight, true);
     const reservationId = reservationIdOf(flight);
--- a/packages/tools/src/policyBench/main.ts
+++ b/packages/tools/src/policyBench/main.ts
@@ -2,12 +2,12 @@
 import { EngineAdmission, FifoAdmission, LengthModel } from '@laburnumgap/admission';
 import { measureCost } from './PolicyBenchCost.js';
 import { FAKE_STEP_BASE_MS, FAKE_STEP_PER_GENERATION_MS } from './PolicyBenchEngine.js';
-import type { BenchFigures } from './PolicyBenchFigures.js';
 import type { BenchMix } from './PolicyBenchMix.js';
 import { BENCH_MIXES, drawWorkload, meanTokenSteps } from './PolicyBenchMix.js';
 import { createBenchRandom } from './PolicyBenchRandom.js';
 import type { BenchRow } from './PolicyBenchReport.js';
-import { formatBySeed, formatMeans } from './PolicyBenchReport.js';
+import { formatBySeed, formatFigures } from './PolicyBenchReport.js';
+import type { BenchResult } from './PolicyBenchRun.js';
 import { BenchRun } from './PolicyBenchRun.js';
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
@@ -42,7 +42,7 @@
   return (load * tokenStepsPerSecond) / meanTokenSteps(mix);
 }
 
-function run(mix: BenchMix, load: number, policy: Policy, seed: number): BenchFigures {
+function run(mix: BenchMix, load: number, policy: Policy, seed: number): BenchResult {
   const requests = drawWorkload({
     durationMs: DURATION_MS,
     mix,
@@ -65,11 +65,14 @@
     for (const load of LOADS) {
       for (const policy of POLICIES) {
         const runs = SEEDS.map((seed) => run(mix, load, policy, seed));
-        rows.push({ load, mix: mix.name, policy: policy.name, runs });
+        const kinds = mix.kinds.map((kind) => kind.name);
+        rows.push({ kinds, load, mix: mix.name, policy: policy.name, runs });
       }
     }
   }
-  process.stdout.write(`Means over seeds ${SEEDS.join(', ')}\n${formatMeans(rows)}\n\n`);
+  process.stdout.write(
+    `Stalls and gaps pooled, counts as means, over seeds ${SEEDS.join(', ')}\n${formatFigures(rows)}\n\n`,
+  );
   process.stdout.write(`Seeds in which the predictive policy is better/equal/worse (lower)\n`);
   process.stdout.write(`${formatBySeed(rows)}\n\n`);
   const { eventUs, heapBytes, slabBytes } = measureCost();
