--- a/packages/admission/src/EngineMemory.ts
+++ b/packages/admission/src/EngineMemory.ts
@@ -97,7 +97,8 @@
     if (this.running.size() === 0 && this.fitsEmptyEngine(request)) {
       return true;
     }
-    return this.peakTokens(request, curve) <= this.capacityTokens;
+    const limitTokens = this.capacityTokens - this.correction.tokens();
+    return this.running.fits(request, curve, this.deviations(), limitTokens);
   }
 
   /** Whether the request would fit into the whole memory; true while that is not known. */
--- a/packages/admission/src/MemoryForecast.ts
+++ b/packages/admission/src/MemoryForecast.ts
@@ -5,6 +5,9 @@
   0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192, 16_384,
 ];
 
+/** Part of the memory below which a generation's expected use does not matter. */
+const NEGLIGIBLE_SHARE = 0.001;
+
 /** A generation's hold on an engine's memory. */
 export interface MemoryHold {
   readonly curve: LengthCurve;
@@ -79,6 +82,28 @@
     return peakTokens;
   }
 
+  /**
+   * Whether a further generation may come in: at each step, memory suffices or the generation has
+   * most likely ended by then, so that it does not make a shortage worse.
+   *
+   * @param candidate - the further generation
+   * @param deviations - standard deviations added to the mean
+   * @param limitTokens - the memory
+   * @returns whether it may
+   */
+  fits(candidate: MemoryHold, deviations: number, limitTokens: number): boolean {
+    const added = forecastOf(candidate);
+    const negligibleTokens = NEGLIGIBLE_SHARE * limitTokens;
+    return added.meanTokens.every((addedTokens, index) => {
+      if (index > 0 && addedTokens <= negligibleTokens) {
+        return true;
+      }
+      const mean = (this.meanTokens[index] ?? 0) + addedTokens;
+      const variance = (this.varianceTokens[index] ?? 0) + (added.varianceTokens[index] ?? 0);
+      return mean + deviations * Math.sqrt(Math.max(0, variance)) <= limitTokens;
+    });
+  }
+
   private add(forecast: HoldForecast, sign: number): void {
     for (let index = 0; index < this.meanTokens.length; index += 1) {
       this.meanTokens[index] =
--- a/packages/admission/src/RunningGenerations.ts
+++ b/packages/admission/src/RunningGenerations.ts
@@ -1,6 +1,7 @@
 import type { AttemptNumber, GenerationId } from '@laburnumgap/kernel';
 import type { AdmissionRequest, ReportedProgress, ReservationId } from './AdmissionTypes.js';
 import type { LengthCurve } from './LengthCurve.js';
+import type { MemoryHold } from './MemoryForecast.js';
 import { MemoryForecast } from './MemoryForecast.js';
 import type { VictimCandidate } from './VictimChoice.js';
 
@@ -75,18 +76,18 @@
   }
 
   /** Highest memory use to come if the request was admitted now. */
-  peakTokens(
-    request: AdmissionRequest | undefined,
+  peakTokens(request: AdmissionRequest, curve: LengthCurve, deviations: number): number {
+    return this.forecast.peakTokens(holdOf(request, curve), deviations);
+  }
+
+  /** Whether the request fits into the memory, now and later. */
+  fits(
+    request: AdmissionRequest,
     curve: LengthCurve,
     deviations: number,
-  ): number {
-    const candidate = request && {
-      curve,
-      heldTokens: request.promptTokens + request.producedTokens,
-      maxTokens: request.maxTokens,
-      producedTokens: request.producedTokens,
-    };
-    return this.forecast.peakTokens(candidate, deviations);
+    limitTokens: number,
+  ): boolean {
+    return this.forecast.fits(holdOf(request, curve), deviations, limitTokens);
   }
 
   /**
@@ -257,6 +258,11 @@
   }
 }
 
+function holdOf(request: AdmissionRequest, curve: LengthCurve): MemoryHold {
+  const { maxTokens, producedTokens, promptTokens } = request;
+  return { curve, heldTokens: promptTokens + producedTokens, maxTokens, producedTokens };
+}
+
 function keyOf(generationId: GenerationId, attempt: AttemptNumber | number): string {
   return `${generationId}/${attempt}`;
 }
