--- a/packages/platform/src/PlatformConnections.ts
+++ b/packages/platform/src/PlatformConnections.ts
@@ -10,6 +10,10 @@
   readonly url: string;
 }
 
+/** A call over the connections; its path is below the base URL. */
+export type ConnectionCall = Partial<Pick<HttpCall, 'deadlineMs'>> &
+  Pick<HttpCall, 'body' | 'ifNoneMatch' | 'mayWrite' | 'method' | 'path'>;
+
 const IDLE_CONNECTION_MS = 30_000;
 
 /**
@@ -21,6 +25,7 @@
   readonly #basePath: string;
   readonly #options: PlatformConnectionsOptions;
   #agent: Agent;
+  #closed = false;
 
   constructor(options: PlatformConnectionsOptions) {
     const url = new URL(options.url);
@@ -41,16 +46,16 @@
   }
 
   /** Makes one call. */
-  async call(request: Pick<HttpCall, 'body' | 'method' | 'path'>): Promise<HttpCallOutcome> {
+  async call(request: ConnectionCall): Promise<HttpCallOutcome> {
     const agent = this.#agent;
     const outcome = await callHttp({
-      ...request,
       deadlineMs: this.#options.deadlineMs,
+      ...request,
       dispatcher: agent,
       origin: this.origin,
       path: this.pathOf(request.path),
     });
-    if (outcome.kind !== 'answered' && agent === this.#agent) {
+    if (outcome.kind !== 'answered' && agent === this.#agent && !this.#closed) {
       this.#agent = this.#newAgent();
       void agent.close();
     }
@@ -59,6 +64,7 @@
 
   /** Ends every connection. */
   async close(): Promise<void> {
+    this.#closed = true;
     await this.#agent.destroy();
   }
 
--- a/packages/scheduler/src/SchedulerDaemon.ts
+++ b/packages/scheduler/src/SchedulerDaemon.ts
@@ -11,7 +11,7 @@
 import { SchedulerEnginePoll } from './SchedulerEnginePoll.js';
 import { SchedulerEngines } from './SchedulerEngines.js';
 import { createInspectHandlers } from './SchedulerInspectService.js';
-import { createQuotaService } from './SchedulerQuotaService.js';
+import { createSchedulerQuota } from './SchedulerQuotaService.js';
 import { createRequestHomeHandlers } from './SchedulerRequestHomeService.js';
 
 /** What a scheduler is started with. */
@@ -60,11 +60,11 @@
     log,
     servers,
   });
-  const quota = createQuotaService({ clock, configuration, decisions, directory });
   const http = await startHttpServer({
     address: settings.listen.http,
     stage: () => context.stage(),
   });
+  const quota = createSchedulerQuota({ clock, configuration, decisions, directory });
   const member = await node.serve({
     Admission: createAdmissionHandlers({ clock, engines }),
     Inspect: createInspectHandlers({
--- a/packages/scheduler/src/SchedulerQuotaService.ts
+++ b/packages/scheduler/src/SchedulerQuotaService.ts
@@ -1,107 +1,86 @@
+import { status } from '@grpc/grpc-js';
 import type { ConfigurationView } from '@laburnumgap/contracts';
-import type {
-  DecisionSink,
-  MemberDirectory,
-  MonotonicClock,
-  TeamId,
-  Teardown,
-} from '@laburnumgap/kernel';
+import type { DecisionSink, MemberDirectory, MonotonicClock, Teardown } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
-import type { QuotaContract, QuotaDemand, QuotaTeamShare } from '@laburnumgap/quota';
+import type { QuotaDemand } from '@laburnumgap/quota';
 import { createQuotaHome } from '@laburnumgap/quota';
-import type { QuotaHandlers } from '@laburnumgap/rpc';
+import type { QuotaHandlers, TeamDemand__Output } from '@laburnumgap/rpc';
 
-/** What the quota service is built from. */
+/** What the quota home of teams is built from. */
 export interface SchedulerQuotaOptions {
   readonly clock: MonotonicClock;
   readonly configuration: ConfigurationView;
-  readonly decisions: DecisionSink;
+  readonly decisions?: DecisionSink;
   readonly directory: MemberDirectory;
 }
 
-/** The quota service with what it has to give back. */
-export interface SchedulerQuotaService {
+/** The quota home as a service. */
+export interface SchedulerQuota {
   readonly handlers: QuotaHandlers;
-  stop(): void;
+  stop: Teardown;
   /** Number of teams with state here. */
   teamCount(): number;
 }
 
 /**
- * Creates the Quota service over a quota home.
+ * Creates the quota home of the teams whose routers ask this scheduler.
  *
- * @param options - contracts, members and the clock
- * @returns the service
+ * @param options - contracts, members and clock
+ * @returns handlers of the Quota service
  */
-export function createQuotaService(options: SchedulerQuotaOptions): SchedulerQuotaService {
-  const { clock, configuration, decisions, directory } = options;
-  const steady = watchSchedulers(directory, clock);
-  const contractOf = (teamId: TeamId): QuotaContract | undefined => {
-    const inForce = configuration.snapshot().contracts.get(teamId);
-    return inForce && { limits: inForce.contract.limits, revision: inForce.revision };
-  };
+export function createSchedulerQuota(options: SchedulerQuotaOptions): SchedulerQuota {
+  const { clock, configuration, directory } = options;
+  let schedulers = schedulersOf(directory);
+  let steadySinceMs = clock.nowMs();
+  const stop = directory.onChange(() => {
+    const now = schedulersOf(directory);
+    if (now !== schedulers) {
+      schedulers = now;
+      steadySinceMs = clock.nowMs();
+    }
+  });
   const home = createQuotaHome({
-    contractOf,
-    liveRouters: () => directory.members('router').length,
+    contractOf: (teamId) => {
+      const inForce = configuration.snapshot().contracts.get(teamId);
+      return inForce && { limits: inForce.contract.limits, revision: inForce.revision };
+    },
+    decisions: options.decisions,
+    liveRouters: () => Math.max(1, directory.members('router').length),
     startedAtMs: clock.nowMs(),
-    steadySinceMs: steady.sinceMs,
+    steadySinceMs: () => steadySinceMs,
   });
   return {
     handlers: {
       AcquireShare: ({ request }, callback) => {
-        const demands = request.demands.map((demand) => ({
-          ...demand,
-          teamId: toId<TeamId>(demand.teamId),
-        }));
-        const shares = home.acquire(request.routerId, demands, clock.nowMs());
-        for (const share of shares) {
-          recordShortShare(decisions, request.routerId, share, demands);
+        if (!request.demands.every(isValidDemand)) {
+          callback({ code: status.INVALID_ARGUMENT, details: 'demands are not valid' });
+          return;
         }
+        const demands = request.demands.map(demandOf);
+        const shares = home.acquire(request.routerId, demands, clock.nowMs());
         callback(null, { shares: [...shares] });
       },
     },
-    stop: steady.stop,
+    stop,
     teamCount: () => home.teamCount(),
   };
 }
 
-function recordShortShare(
-  decisions: DecisionSink,
-  routerId: string,
-  share: QuotaTeamShare,
-  demands: readonly QuotaDemand[],
-): void {
-  const { contractRevision, requestsPerSecond, runningRequests, teamId, tokensPerSecond } = share;
-  const demand = demands.find((other) => other.teamId === teamId);
-  const isShort =
-    demand !== undefined &&
-    (requestsPerSecond < demand.requestsPerSecond ||
-      runningRequests < demand.runningRequests ||
-      tokensPerSecond < demand.tokensPerSecond);
-  if (isShort) {
-    const fields = { contractRevision, requestsPerSecond, routerId, runningRequests };
-    decisions.record({ decision: 'limit', fields: { ...fields, teamId, tokensPerSecond } });
-  }
+function schedulersOf(directory: MemberDirectory): string {
+  return directory
+    .members('scheduler')
+    .map(({ incarnation }) => incarnation)
+    .join(' ');
 }
 
-/** Since when the set of schedulers has not changed: before that a team had another home. */
-function watchSchedulers(
-  directory: MemberDirectory,
-  clock: MonotonicClock,
-): { readonly sinceMs: () => number; readonly stop: Teardown } {
-  const setOf = (): string =>
-    directory
-      .members('scheduler')
-      .map(({ incarnation, memberId }) => `${memberId}/${incarnation}`)
-      .join(' ');
-  let known = setOf();
-  let sinceMs = clock.nowMs();
-  const stop = directory.onChange(() => {
-    const current = setOf();
-    if (current !== known) {
-      known = current;
-      sinceMs = clock.nowMs();
-    }
-  });
-  return { sinceMs: () => sinceMs, stop };
+/** Amounts of a peer are checked, since one that is not a number would spoil the sums. */
+function isValidDemand(demand: TeamDemand__Output): boolean {
+  const { teamId, ...amounts } = demand;
+  return (
+    teamId !== '' && Object.values(amounts).every((amount) => amount >= 0 && amount < Infinity)
+  );
+}
+
+function demandOf(demand: TeamDemand__Output): QuotaDemand {
+  return { ...demand, teamId: toId(demand.teamId) };
 }
