Learn lengths from reports that come after the stream, and drain towards the successor

Routers batch progress, so the last report comes after the end of its reservation, and no length was ever learned (seen red: 53 tokens expected after 200 outputs of 1,000). What ended is kept until its last report. A scheduler that shuts down ends waiting streams as unavailable: a refusal would have been passed on to callers once every engine of a model had been tried.

--- a/packages/admission/src/RunningGenerations.ts
+++ b/packages/admission/src/RunningGenerations.ts
@@ -38,7 +38,8 @@
 
 /** The generations that run on one engine, with the forecast of the memory they hold. */
 export class RunningGenerations {
-  private readonly ended = new Set<string>();
+  /** Generations that ended; those whose last report is still to come keep what is known. */
+  private readonly ended = new Map<string, RunningGeneration | undefined>();
   private readonly forecast = new MemoryForecast<string>();
   private readonly generations = new Map<string, RunningGeneration>();
   private readonly keysOfReservations = new Map<ReservationId, string>();
@@ -151,7 +152,7 @@
     const key = keyOf(report.generationId, report.attempt);
     const generation = this.generations.get(key);
     if (!generation) {
-      return undefined;
+      return this.lastReport(key, report);
     }
     const grewTokens = Math.max(0, report.producedTokens - generation.producedTokens);
     this.learnInterval(nowMs - generation.reportedMs, grewTokens);
@@ -159,6 +160,7 @@
     generation.reportedMs = nowMs;
     if (report.finished || report.enginePreempted) {
       this.end(key);
+      this.ended.set(key, undefined);
     }
     return { generation, grewTokens };
   }
@@ -211,11 +213,23 @@
     return candidates;
   }
 
+  /** Routers send reports in batches, so the last one may come after the end of the stream. */
+  private lastReport(key: string, report: ReportedProgress): ProgressOutcome | undefined {
+    const generation = this.ended.get(key);
+    if (!generation || !report.finished) {
+      return undefined;
+    }
+    this.ended.set(key, undefined);
+    const grewTokens = Math.max(0, report.producedTokens - generation.producedTokens);
+    return { generation, grewTokens };
+  }
+
   private end(key: string): void {
+    const generation = this.generations.get(key);
     this.remove(key);
-    this.ended.add(key);
+    this.ended.set(key, generation);
     if (this.ended.size > MAX_ENDED_KEPT) {
-      const oldest = this.ended.values().next();
+      const oldest = this.ended.keys().next();
       this.ended.delete(oldest.value ?? '');
     }
   }
--- a/packages/admission/src/__tests__/unit/EngineAdmission.test.ts
+++ b/packages/admission/src/__tests__/unit/EngineAdmission.test.ts
@@ -190,6 +190,20 @@
   t.true(grantedWith(20) > 2 * grantedWith(1_000));
 });
 
+test('lengths are learned from the last report, also when the stream ended before it', (t) => {
+  const lengths = lengthsAround(50);
+  const harness = new AdmissionHarness(0, 0.5, lengths);
+  harness.settle(0, { kvTokensCapacity: 100_000 });
+  for (let count = 0; count < 200; count += 1) {
+    harness.arrive(2_000, { id: `r${count}` });
+    harness.end(2_000, `r${count}`);
+    harness.progress(2_000, `r${count}`, 1_000, true);
+    harness.progress(2_000, `r${count}`, 1_000, true);
+  }
+  const remainingTokens = lengths.curveOf(requestOf()).expectedRemaining(0, 4_000);
+  t.true(remainingTokens > 300, `${remainingTokens}`);
+});
+
 test('overflow that is coming: victims by class, and none is preempted without end', (t) => {
   const harness = new AdmissionHarness(0, 0.5, lengthsAround(500));
   harness.settle(0, { kvTokensCapacity: 4_000 });
--- a/packages/scheduler/src/SchedulerAdmissionService.ts
+++ b/packages/scheduler/src/SchedulerAdmissionService.ts
@@ -1,4 +1,5 @@
 import type { ServerWritableStream } from '@grpc/grpc-js';
+import { status } from '@grpc/grpc-js';
 import type { AdmissionAction, AdmissionRequest, ReservationId } from '@laburnumgap/admission';
 import type {
   AttemptNumber,
@@ -85,6 +86,11 @@
 }
 
 function endRefused(call: AdmitCall, refused: Refusal): void {
+  if (refused.code === 'DRAINING') {
+    // Not the router's answer to its caller: it asks the successor as after a lost scheduler.
+    call.emit('error', { code: status.UNAVAILABLE, details: refused.detail });
+    return;
+  }
   const { code, detail, retryAfterMs = 0 } = refused;
   call.write({ refused: { code, detail, retryAfterMs } });
   call.end();
--- a/packages/scheduler/src/__tests__/SchedulerFakes.ts
+++ b/packages/scheduler/src/__tests__/SchedulerFakes.ts
@@ -147,7 +147,7 @@
 ): Node {
   const clients = createRpcClients(FAKE_SECRET);
   const members: Member[] = [];
-  let closeServer: () => void = () => undefined;
+  let drainServer = (): Promise<void> => Promise.resolve();
   return {
     clients,
     clock: { nowMs: () => performance.now() },
@@ -167,10 +167,9 @@
       rank: (role: MemberRole) => members.filter((member) => member.role === role),
       suspect: () => undefined,
     },
-    drain: () => {
+    drain: async () => {
       clients.close();
-      closeServer();
-      return Promise.resolve();
+      await drainServer();
     },
     holdsLease: () => true,
     random: { nextUnit: () => 0.5 },
@@ -180,9 +179,7 @@
         handlers,
         secret: FAKE_SECRET,
       });
-      closeServer = () => {
-        server.close();
-      };
+      drainServer = () => server.drain();
       const member: Member = {
         entryVm: toId('vm-1'),
         failureDomain: toId('fd-1'),
--- a/packages/tools/src/capacity/CapacityKernels.ts
+++ b/packages/tools/src/capacity/CapacityKernels.ts
@@ -204,7 +204,12 @@
   for (let team = 0; team < TARGET.concurrentTeams; team += 1) {
     for (let index = 0; index < TARGET.models; index += 1) {
       model.observe(
-        { maxTokens: 4_000, model: toId(`model-${index}`), teamId: toId(`team-${team}`) },
+        {
+          maxTokens: 4_000,
+          model: toId(`model-${index}`),
+          promptTokens: 400,
+          teamId: toId(`team-${team}`),
+        },
         100 + team,
       );
     }
