--- a/packages/tools/src/policyBench/PolicyBenchCost.ts
+++ b/packages/tools/src/policyBench/PolicyBenchCost.ts
@@ -1,4 +1,6 @@
 import { performance } from 'node:perf_hooks';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
 import type { AdmissionRequest } from '@laburnumgap/admission';
 import { EngineAdmission, LengthModel } from '@laburnumgap/admission';
 import { toId, toNumberId } from '@laburnumgap/kernel';
@@ -65,7 +67,7 @@
 }
 
 function measureMemory(): { readonly heapBytes: number; readonly slabBytes: number } {
-  const before = process.memoryUsage().heapUsed;
+  const before = collectedHeapBytes();
   const lengths = new LengthModel();
   for (let team = 0; team < TEAMS; team += 1) {
     for (let model = 0; model < MODELS; model += 1) {
@@ -79,10 +81,18 @@
       }
     }
   }
-  const heapBytes = process.memoryUsage().heapUsed - before;
+  const heapBytes = collectedHeapBytes() - before;
   return { heapBytes, slabBytes: lengths.slabBytes() };
 }
 
+/** Heap in use after a garbage collection. */
+function collectedHeapBytes(): number {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  collect();
+  return process.memoryUsage().heapUsed;
+}
+
 function requestOf(id: string): AdmissionRequest {
   return {
     attempt: toNumberId(1),
