--- a/packages/admission/src/RunningGenerations.ts
+++ b/packages/admission/src/RunningGenerations.ts
@@ -1,6 +1,7 @@
 import type { AttemptNumber, GenerationId } from '@laburnumgap/kernel';
 import type { AdmissionRequest, ReportedProgress, ReservationId } from './AdmissionTypes.js';
 import type { LengthCurve } from './LengthCurve.js';
+import type { MemoryHold } from './MemoryForecast.js';
 import { MemoryForecast } from './MemoryForecast.js';
 import type { VictimCandidate } from './VictimChoice.js';
 
@@ -37,7 +38,8 @@
 
 /** The generations that run on one engine, with the forecast of the memory they hold. */
 export class RunningGenerations {
-  private readonly ended = new Set<string>();
+  /** Generations that ended; those whose last report is still to come keep what is known. */
+  private readonly ended = new Map<string, RunningGeneration | undefined>();
   private readonly forecast = new MemoryForecast<string>();
   private readonly generations = new Map<string, RunningGeneration>();
   private readonly keysOfReservations = new Map<ReservationId, string>();
@@ -75,18 +77,18 @@
   }
 
   /** Highest memory use to come if the request was admitted now. */
-  peakTokens(
-    request: AdmissionRequest | undefined,
+  peakTokens(request: AdmissionRequest, curve: LengthCurve, deviations: number): number {
+    return this.forecast.peakTokens(holdOf(request, curve), deviations);
+  }
+
+  /** Whether the request fits into the memory, now and later. */
+  fits(
+    request: AdmissionRequest,
     curve: LengthCurve,
     deviations: number,
-  ): number {
-    const candidate = request && {
-      curve,
-      heldTokens: request.promptTokens + request.producedTokens,
-      maxTokens: request.maxTokens,
-      producedTokens: request.producedTokens,
-    };
-    return this.forecast.peakTokens(candidate, deviations);
+    limitTokens: number,
+  ): boolean {
+    return this.forecast.fits(holdOf(request, curve), deviations, limitTokens);
   }
 
   /**
@@ -150,7 +152,7 @@
     const key = keyOf(report.generationId, report.attempt);
     const generation = this.generations.get(key);
     if (!generation) {
-      return undefined;
+      return this.lastReport(key, report);
     }
     const grewTokens = Math.max(0, report.producedTokens - generation.producedTokens);
     this.learnInterval(nowMs - generation.reportedMs, grewTokens);
@@ -158,6 +160,7 @@
     generation.reportedMs = nowMs;
     if (report.finished || report.enginePreempted) {
       this.end(key);
+      this.ended.set(key, undefined);
     }
     return { generation, grewTokens };
   }
@@ -210,11 +213,23 @@
     return candidates;
   }
 
+  /** Routers send reports in batches, so the last one may come after the end of the stream. */
+  private lastReport(key: string, report: ReportedProgress): ProgressOutcome | undefined {
+    const generation = this.ended.get(key);
+    if (!generation || !report.finished) {
+      return undefined;
+    }
+    this.ended.set(key, undefined);
+    const grewTokens = Math.max(0, report.producedTokens - generation.producedTokens);
+    return { generation, grewTokens };
+  }
+
   private end(key: string): void {
+    const generation = this.generations.get(key);
     this.remove(key);
-    this.ended.add(key);
+    this.ended.set(key, generation);
     if (this.ended.size > MAX_ENDED_KEPT) {
-      const oldest = this.ended.values().next();
+      const oldest = this.ended.keys().next();
       this.ended.delete(oldest.value ?? '');
     }
   }
@@ -257,6 +272,11 @@
   }
 }
 
+function holdOf(request: AdmissionRequest, curve: LengthCurve): MemoryHold {
+  const { maxTokens, producedTokens, promptTokens } = request;
+  return { curve, heldTokens: promptTokens + producedTokens, maxTokens, producedTokens };
+}
+
 function keyOf(generationId: GenerationId, attempt: AttemptNumber | number): string {
   return `${generationId}/${attempt}`;
 }
