--- a/packages/claims/src/ClaimCommit.ts
+++ b/packages/claims/src/ClaimCommit.ts
@@ -144,11 +144,13 @@
   ];
 }
 
+/** Records are in the order of their first entry: the rest waits behind one that is still kept. */
 function dropRecords(records: Map<string, ClaimRecord>, prunedKeyEpochMs: number): void {
   for (const name of records.keys()) {
-    if (claimRecordEpochMs(name) <= prunedKeyEpochMs) {
-      records.delete(name);
+    if (claimRecordEpochMs(name) > prunedKeyEpochMs) {
+      return;
     }
+    records.delete(name);
   }
 }
 
