--- a/packages/router/src/__tests__/utils/FakeWorld.ts
+++ b/packages/router/src/__tests__/utils/FakeWorld.ts
@@ -128,7 +128,7 @@
   readonly homes = new FakeHomes();
   readonly timers = new FakeTimers();
   private readonly policy: ContinuationPolicy;
-  private readonly servers: ServerDirectory;
+  readonly servers: ServerDirectory;
 
   constructor(options: FakeWorldOptions = {}) {
     const faults = options.faults ?? [];
@@ -155,10 +155,12 @@
       engines: this.client,
       health,
       homes: this.homes.portOf(routerId),
+      isDraining: () => false,
       metrics: NO_METRICS,
       placement: new RouterPlacement({
         admission,
         chooser: new RouteChooser({ random: { nextUnit: () => 0 } }),
+        clock: timers,
         decisions: NO_DECISION_SINK,
         health,
         pools: [{ models: ['drafts'], name: 'drafts' }],
--- a/packages/tools/src/faults/FaultsRun.ts
+++ b/packages/tools/src/faults/FaultsRun.ts
@@ -18,6 +18,8 @@
   readonly cases?: readonly string[];
   readonly durationMs: number;
   readonly firm: FirmName;
+  /** Where the daemons' logs are written; nowhere without it. */
+  readonly logFolder?: string;
   readonly seed: number;
 }
 
@@ -44,6 +46,9 @@
     await deployment.start();
     await runUnderFaults(options, firm, deployment, oracle);
   } finally {
+    if (options.logFolder !== undefined) {
+      await deployment.writeLogs(options.logFolder);
+    }
     await deployment.kill();
   }
   return oracle;
@@ -60,7 +65,7 @@
   const configuration = watchConfiguration(deployment, oracle);
   const untilMs = performance.now() + options.durationMs;
   const callers = startCallers(firm, deployment, oracle, random, records, untilMs);
-  await injectFaults({ deployment, oracle, random }, options.cases, untilMs);
+  await injectFaults({ busy: new Set(), deployment, oracle, random }, options.cases, untilMs);
   await Promise.all(callers);
   await deployment.waitUntilReady();
   const revision = await deployment.putContract(firm.deployment.contracts[0] ?? '');
