--- a/packages/router/src/__tests__/utils/PlainCallsDeployment.ts
+++ b/packages/router/src/__tests__/utils/PlainCallsDeployment.ts
@@ -89,6 +89,7 @@
     log: NO_LOG,
     maxBodyBytes: 64 * 1024,
     metrics: NO_METRICS,
+    starting: () => false,
     timers: SYSTEM_TIMERS,
   });
   const server = createServer(handle);
