Count calls that run once in the choice of servers

A refused connection or a lost answer now counts towards ejection as it does for repeatable calls; a server that takes no connection is passed over before anything was sent.

--- a/packages/router/src/RouterPlainCallsOnce.ts
+++ b/packages/router/src/RouterPlainCallsOnce.ts
@@ -11,7 +11,12 @@
   TeamId,
 } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
-import type { PlainAnswer, PlainCall, PlainCallOnceOptions } from '@laburnumgap/plain-calls';
+import type {
+  PlainAnswer,
+  PlainCall,
+  PlainCallOnceOptions,
+  ServerOutliers,
+} from '@laburnumgap/plain-calls';
 import { CONNECT_TIMEOUT_MS, MAX_ANSWER_BODY_BYTES } from '@laburnumgap/plain-calls';
 import type { LedgerPort, RouterClaim, RouterClaimReply } from './RouterPlainCallsLedger.js';
 import { recordAnswer } from './RouterPlainCallsLedger.js';
@@ -43,6 +48,7 @@
   readonly decisions: DecisionSink;
   readonly ledger: LedgerPort;
   newClaimId(): string;
+  readonly outliers: Pick<ServerOutliers, 'failed' | 'succeeded'>;
   send(options: PlainCallOnceOptions): Promise<Result<PlainAnswer, string>>;
   /** Servers of a service, best first. */
   servers(service: string): readonly KnownServer[];
@@ -112,10 +118,12 @@
       timeoutMs: request.timeoutMs,
     });
     if (!result.ok) {
+      this.options.outliers.failed(server.serverId, this.options.clock.nowMs());
       void this.options.settler.settle(claim, { kind: 'unknown' });
       this.record(request, claim, 'outcomeUnknown', result.error);
       return refused(refusal('OUTCOME_UNKNOWN', result.error));
     }
+    this.options.outliers.succeeded(server.serverId);
     this.record(request, claim, 'answered');
     await this.recordedOrLate(claim, result.value);
     return { answer: result.value, kind: 'answer' };
@@ -130,6 +138,7 @@
       if (socket.ok) {
         return { server, socket: socket.value };
       }
+      this.options.outliers.failed(server.serverId, this.options.clock.nowMs());
     }
     return undefined;
   }
--- a/packages/router/src/RouterPlainCallsStart.ts
+++ b/packages/router/src/RouterPlainCallsStart.ts
@@ -71,6 +71,7 @@
     decisions,
     ledger,
     newClaimId: v7,
+    outliers,
     send: sendPlainCallOnce,
     servers,
     settler,
--- a/packages/router/src/__tests__/integration/RouterPlainCallsHttp.test.ts
+++ b/packages/router/src/__tests__/integration/RouterPlainCallsHttp.test.ts
@@ -89,6 +89,17 @@
   );
 });
 
+test('a server that takes no connection is passed over: nothing was sent to it', async (t) => {
+  const deployment = await startPlainCallsDeployment(t, { servers: 3 });
+  const [one, two, three] = deployment.services;
+  await Promise.all([one?.stop(), two?.stop()]);
+  for (let count = 0; count < 4; count += 1) {
+    const key = v7();
+    t.is((await transfer(deployment, key)).status, 201);
+    t.is(three?.effects.get(key), 1);
+  }
+});
+
 test('an answer too large to keep is given once, then named', async (t) => {
   const deployment = await startPlainCallsDeployment(t);
   const [service] = deployment.services;
--- a/packages/router/src/__tests__/utils/PlainCallsDeployment.ts
+++ b/packages/router/src/__tests__/utils/PlainCallsDeployment.ts
@@ -32,6 +32,8 @@
   behave: ServiceBehaviour;
   readonly effects: Map<string, number>;
   readonly requests: IncomingMessage[];
+  /** Takes no further connections. */
+  stop(): Promise<void>;
 }
 
 /** A router, a ledger and servers of one service, over real connections. */
@@ -119,6 +121,13 @@
     }) as ServiceBehaviour,
     effects,
     requests,
+    stop: () =>
+      new Promise<void>((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        server.closeAllConnections();
+      }),
   };
   const server = createServer((request, response) => {
     const chunks: Buffer[] = [];
--- a/packages/router/src/__tests__/utils/PlainCallsWorld.ts
+++ b/packages/router/src/__tests__/utils/PlainCallsWorld.ts
@@ -14,6 +14,7 @@
 import type { LedgerSlots } from '@laburnumgap/ledger';
 import { startLedgerSlots } from '@laburnumgap/ledger';
 import type { PlainAnswer } from '@laburnumgap/plain-calls';
+import { ServerOutliers } from '@laburnumgap/plain-calls';
 import { PlatformStoreState, createMemoryStore } from '@laburnumgap/platform';
 import { NO_LOG, NO_METRICS } from '@laburnumgap/telemetry';
 import type { LedgerPort, RouterClaim, RouterClaimReply } from '../../RouterPlainCallsLedger.js';
@@ -264,6 +265,7 @@
       decisions: NO_DECISION_SINK,
       ledger: this,
       newClaimId: () => `claim-${number}`,
+      outliers: new ServerOutliers(),
       send: ({ call }) => this.send(call.headers['idempotency-key'] ?? ''),
       servers: () => [SERVER],
       settler: this.settler,
