--- a/packages/config-sync/src/ConfigKeeper.ts
+++ b/packages/config-sync/src/ConfigKeeper.ts
@@ -14,7 +14,7 @@
 import { ConfigStoreCalls } from './ConfigStoreCalls.js';
 import type { StoreAction } from './ConfigStorePlan.js';
 import { ConfigStorePlan } from './ConfigStorePlan.js';
-import { PARENT_AVOIDANCE_MS } from './ConfigSyncConstants.js';
+import { FALLBACK_AGE_MS, PARENT_AVOIDANCE_MS, START_GRACE_MS } from './ConfigSyncConstants.js';
 import type { ConfigTopology } from './ConfigTopology.js';
 import { allMembers, planTopology } from './ConfigTopology.js';
 import { createConfigView } from './ConfigView.js';
@@ -31,11 +31,13 @@
   private readonly movableView;
   private readonly plan: ConfigStorePlan;
   private readonly server: ConfigPeerServer;
+  private readonly startedAtMs: number;
   private readonly state = new ConfigState();
-  private topology: ConfigTopology = { parents: [], watches: true };
+  private topology: ConfigTopology = { parents: [], watches: false };
 
   constructor(private readonly options: ConfigKeeperOptions) {
     const { clients, clock, member, random, send, store } = options;
+    this.startedAtMs = clock.nowMs();
     this.calls = new ConfigStoreCalls(store, send);
     this.movableView = createConfigView(this.state.snapshot);
     this.plan = new ConfigStorePlan(random);
@@ -111,6 +113,12 @@
     this.server.stop();
   }
 
+  /** Without any confirmation yet, peers are given a while from the start on. */
+  private ageForPlanMs(nowMs: number): number {
+    const sinceStartMs = nowMs - this.startedAtMs;
+    return Math.min(this.ageMs(), sinceStartMs + FALLBACK_AGE_MS - START_GRACE_MS);
+  }
+
   private apply(changes: readonly ConfigChange[], source: string): void {
     const { decisions, log } = this.options;
     const outcome = this.state.apply(changes);
@@ -214,7 +222,7 @@
       this.chooseParents();
     }
     const actions = this.plan.next({
-      ageMs: this.ageMs(),
+      ageMs: this.ageForPlanMs(nowMs),
       completeRevision: this.state.completeRevision,
       nowMs,
       watches: this.topology.watches,
--- a/packages/config-sync/src/ConfigSyncConstants.ts
+++ b/packages/config-sync/src/ConfigSyncConstants.ts
@@ -14,6 +14,9 @@
 /** Age without news of any parent after which a follower asks the store itself. */
 export const FALLBACK_AGE_MS = 6_000;
 
+/** Time that a daemon gives peers, and the list of members, before it asks the store first. */
+export const START_GRACE_MS = 1_000;
+
 /** Interval at which a parent tells its followers its revision and age. */
 export const HEARTBEAT_INTERVAL_MS = 2_000;
 
--- a/packages/config-sync/src/ConfigTopology.ts
+++ b/packages/config-sync/src/ConfigTopology.ts
@@ -45,8 +45,6 @@
   const watchersPerDomain = options.watchersPerDomain ?? DEFAULT_WATCHERS_PER_DOMAIN;
   const { self } = options;
   const byDomain = groupByDomain(options.members);
-  const own = byDomain.get(self.failureDomain) ?? [];
-  const isListed = own.some((member) => member.memberId === self.memberId);
   const watchers = new Map(
     [...byDomain].map(([domain, members]) => [domain, rankWatchers(domain, members)]),
   );
@@ -58,7 +56,7 @@
     place >= 0
       ? watcherParents(ring.length > 0 ? ring : [ownWatchers], place, self.memberId)
       : followerParents(ring, ownWatchers, self.memberId);
-  return { parents, watches: place >= 0 || !isListed };
+  return { parents, watches: place >= 0 };
 }
 
 function groupByDomain(members: readonly Member[]): Map<FailureDomainId, Member[]> {
--- a/packages/config-sync/src/__tests__/helpers/ConfigFleet.ts
+++ b/packages/config-sync/src/__tests__/helpers/ConfigFleet.ts
@@ -36,6 +36,8 @@
   readonly lines: string[] = [];
   nowMs = 1_000;
   readonly store = new FakeConfigStore();
+  /** Daemons that have not read the members yet. */
+  private readonly blind = new Set<string>();
   private readonly blockedLinks = new Set<string>();
   private readonly listeners = new Set<() => void>();
   private listed: readonly Member[] = [];
@@ -47,7 +49,7 @@
   start(
     id: string,
     failureDomain: string,
-    options: { seeds?: string[]; unlisted?: boolean } = {},
+    options: { blind?: boolean; seeds?: string[]; unlisted?: boolean } = {},
   ): void {
     const member: Member = {
       entryVm: toId(id),
@@ -58,6 +60,9 @@
       role: 'router',
       rpcAddress: id,
     };
+    if (options.blind) {
+      this.blind.add(id);
+    }
     if (!options.unlisted) {
       this.list([...this.listed, member]);
     }
@@ -66,7 +71,7 @@
       clients: this.clientsOf(id),
       clock: { nowMs: () => this.nowMs },
       decisions: NO_DECISION_SINK,
-      directory: this.directoryOf(options.unlisted ?? false),
+      directory: this.directoryOf(() => options.unlisted === true || this.blind.has(id)),
       log: this.logOf(id),
       member,
       random: { nextUnit: this.random },
@@ -112,6 +117,12 @@
     }
   }
 
+  /** Lets the daemons that started blind see the members. */
+  showMembers(): void {
+    this.blind.clear();
+    this.list(this.listed);
+  }
+
   heal(): void {
     this.blockedLinks.clear();
     this.silentLinks.clear();
@@ -209,9 +220,9 @@
     };
   }
 
-  private directoryOf(isEmpty: boolean): MemberDirectory {
+  private directoryOf(isEmpty: () => boolean): MemberDirectory {
     return {
-      members: (role) => (role === 'router' && !isEmpty ? this.listed : []),
+      members: (role) => (role === 'router' && !isEmpty() ? this.listed : []),
       onChange: (listener) => {
         this.listeners.add(listener);
         return () => {
--- a/packages/config-sync/src/__tests__/helpers/FakeConfigStore.ts
+++ b/packages/config-sync/src/__tests__/helpers/FakeConfigStore.ts
@@ -22,6 +22,8 @@
 /** The platform's service as a fake: counts calls, and can be down, lag, or go silent on watches. */
 export class FakeConfigStore {
   calls = 0;
+  /** Reads of every document. */
+  fullReads = 0;
   /** Clients for which every call fails. */
   readonly cutOff = new Set<string>();
   isDown = false;
@@ -80,11 +82,13 @@
       commit: unused,
       grantLease: unused,
       keepAlive: unused,
-      range: (prefix) =>
-        answer(() => ({
+      range: (prefix) => {
+        this.fullReads += 1;
+        return answer(() => ({
           revision: revisionOf(this.readRevision()),
           values: this.current().filter(({ key }) => key.startsWith(prefix)),
-        })),
+        }));
+      },
       read: (key) => answer(() => this.current().find((value) => value.key === key)),
       revokeLease: unused,
       watch: (prefix, after, onEvent) =>
--- a/packages/config-sync/src/__tests__/integration/ConfigSync.test.ts
+++ b/packages/config-sync/src/__tests__/integration/ConfigSync.test.ts
@@ -228,6 +228,27 @@
   t.is(fleet.store.watchCount, 12);
 });
 
+test('a failure domain that starts anew takes the configuration from peers, not from the store', async (t) => {
+  const fleet = await fleetOf(55, ['a', 'b', 'c']);
+  const restarted = [...fleet.daemons.keys()].filter((id) => id.startsWith('a-'));
+  restarted.forEach((id) => {
+    fleet.kill(id, false);
+  });
+  await fleet.advance(1_000);
+  const before = fleet.store.fullReads;
+  restarted.forEach((id) => {
+    fleet.start(id, 'a', { blind: true });
+  });
+  await fleet.advance(500);
+  fleet.showMembers();
+  await fleet.advance(IN_FORCE_BOUND_MS);
+  t.deepEqual(versions(fleet), [1]);
+  t.log(
+    `full reads of the store by ${restarted.length} daemons: ${fleet.store.fullReads - before}`,
+  );
+  t.true(fleet.store.fullReads - before <= 4);
+});
+
 test('a fresh fleet recovers the last accepted version of a contract spoilt past the tool', async (t) => {
   const fleet = new ConfigFleet(() => 0.5);
   fleet.accept(TEAM, 1);
