Keep the sums of a team's shares up to date instead of making them anew

Cause: each call summed over all routers of the team several times. Sums are checked against the shares themselves by a property, seen red without subtraction and without lapse.

--- a/packages/quota/src/QuotaHomeTeam.ts
+++ b/packages/quota/src/QuotaHomeTeam.ts
@@ -1,4 +1,6 @@
-import { MIN_RUNNING, MIN_RUNNING_WHILE_LOW, RUNNING_MEMORY_MS } from './QuotaConstants.js';
+import type { QuotaLimit } from './QuotaAccounts.js';
+import { QuotaAccounts } from './QuotaAccounts.js';
+import { MIN_RUNNING, MIN_RUNNING_WHILE_LOW } from './QuotaConstants.js';
 import type { QuotaAmounts, QuotaContract, QuotaDemand } from './QuotaTypes.js';
 
 /** What a team's share is worked out from, besides the demand. */
@@ -15,34 +17,28 @@
 /** A limit that the demands of all routers have begun, or ceased, to exceed. */
 export interface QuotaContention {
   readonly isContended: boolean;
-  readonly limit: keyof QuotaAmounts;
+  readonly limit: QuotaLimit;
 }
 
-interface Grant {
-  readonly amounts: QuotaAmounts;
-  readonly expiresAtMs: number;
+interface CachedLevel {
+  readonly atMs: number;
+  readonly level: number;
 }
 
-interface RouterAccount {
-  demand: QuotaAmounts;
-  /** Shares that may still be in use: the answer to a call may have been lost. */
-  grants: Grant[];
-  lastAskedAtMs: number;
-  reportedRunning: number;
-}
-
-type Limit = keyof QuotaAmounts;
-
 const MS_PER_SECOND = 1_000;
 /** Part of a limit that must be spare again before it counts as free. */
 const CONTENTION_MARGIN = 0.1;
+/** Above so many routers the level of a divided limit is kept for a while. */
+const FEW_ROUTERS = 16;
+const LEVEL_MEMORY_MS = 200;
 
 /** Shares of one team at its home. */
 export class QuotaHomeTeam {
-  private readonly accounts = new Map<string, RouterAccount>();
+  private readonly accounts = new QuotaAccounts();
   private changes: QuotaContention[] = [];
-  private readonly contended = new Set<Limit>();
+  private readonly contended = new Set<QuotaLimit>();
   private debtUpdatedAtMs = -Infinity;
+  private readonly levels = new Map<QuotaLimit, CachedLevel>();
   private requestDebt = 0;
   private tokenDebt = 0;
 
@@ -55,9 +51,8 @@
 
   /** Whether no router has used the team for so long that nothing has to be remembered. */
   isIdle(nowMs: number): boolean {
-    return [...this.accounts.values()].every(
-      (account) => nowMs - account.lastAskedAtMs > RUNNING_MEMORY_MS,
-    );
+    this.accounts.forgetLapsed(nowMs);
+    return this.accounts.size === 0;
   }
 
   /**
@@ -75,47 +70,29 @@
     demand: QuotaDemand,
     circumstances: QuotaHomeCircumstances,
   ): QuotaAmounts {
-    const { nowMs, shareTtlMs } = circumstances;
-    this.forgetLapsed(nowMs);
+    const { limits, nowMs, shareTtlMs } = circumstances;
+    this.accounts.forgetLapsed(nowMs);
     this.payBack(demand, circumstances);
-    const account = this.accountOf(routerId);
-    account.demand = demand;
-    account.lastAskedAtMs = nowMs;
-    account.reportedRunning = demand.inFlightRequests;
+    this.accounts.withdraw(routerId);
     const amounts: QuotaAmounts = {
-      requestsPerSecond: this.shareOf('requestsPerSecond', routerId, demand, circumstances),
-      runningRequests: Math.floor(this.shareOf('runningRequests', routerId, demand, circumstances)),
-      tokensPerSecond: this.shareOf('tokensPerSecond', routerId, demand, circumstances),
+      requestsPerSecond: this.shareOf('requestsPerSecond', demand, circumstances),
+      runningRequests: Math.floor(this.shareOf('runningRequests', demand, circumstances)),
+      tokensPerSecond: this.shareOf('tokensPerSecond', demand, circumstances),
     };
-    account.grants.push({ amounts, expiresAtMs: nowMs + shareTtlMs });
-    const smallest = this.smallestRunning(circumstances.limits.concurrentRequests);
+    const { requestsPerSecond, runningRequests, tokensPerSecond } = demand;
+    this.accounts.record(routerId, {
+      demand: { requestsPerSecond, runningRequests, tokensPerSecond },
+      grant: { amounts, expiresAtMs: nowMs + shareTtlMs },
+      inFlight: demand.inFlightRequests,
+      nowMs,
+    });
+    const smallest = this.smallestRunning(limits.concurrentRequests);
     return { ...amounts, runningRequests: Math.max(smallest, amounts.runningRequests) };
   }
 
   /** Sum of the shares of one limit that may be in use. */
-  outstanding(limit: Limit, nowMs: number): number {
-    this.forgetLapsed(nowMs);
-    return sum([...this.accounts.values()].map((account) => holding(account, limit, nowMs)));
-  }
-
-  private accountOf(routerId: string): RouterAccount {
-    const known = this.accounts.get(routerId);
-    if (known) {
-      return known;
-    }
-    const demand = { requestsPerSecond: 0, runningRequests: 0, tokensPerSecond: 0 };
-    const created = { demand, grants: [], lastAskedAtMs: 0, reportedRunning: 0 };
-    this.accounts.set(routerId, created);
-    return created;
-  }
-
-  private forgetLapsed(nowMs: number): void {
-    for (const [routerId, account] of this.accounts) {
-      account.grants = account.grants.filter((grant) => grant.expiresAtMs > nowMs);
-      if (account.grants.length === 0 && nowMs - account.lastAskedAtMs > RUNNING_MEMORY_MS) {
-        this.accounts.delete(routerId);
-      }
-    }
+  outstanding(limit: QuotaLimit, nowMs: number): number {
+    return this.accounts.outstanding(limit, nowMs);
   }
 
   /** Use leaks out at the contract's rate; what is left over is paid back by smaller shares. */
@@ -130,22 +107,15 @@
   }
 
   private shareOf(
-    limit: Limit,
-    routerId: string,
+    limit: QuotaLimit,
     demand: QuotaDemand,
     circumstances: QuotaHomeCircumstances,
   ): number {
-    const { isWarmingUp, liveRouters, nowMs } = circumstances;
+    const { isWarmingUp, liveRouters } = circumstances;
     const contractLimit = limitOf(circumstances.limits, limit);
-    const others = [...this.accounts].filter(([id]) => id !== routerId);
-    const taken = sum(others.map(([, account]) => holding(account, limit, nowMs)));
-    const free = Math.max(0, contractLimit - taken);
-    const fair = this.fairShare(
-      limit,
-      routerId,
-      contractLimit * this.payFactor(limit, circumstances),
-      liveRouters,
-    );
+    const free = Math.max(0, contractLimit - this.accounts.totals.held[limit]);
+    const available = contractLimit * this.payFactor(limit, circumstances);
+    const fair = this.fairShare(limit, demand[limit], available, circumstances);
     const equalPart = contractLimit / Math.max(1, liveRouters);
     const firstPart = limit === 'runningRequests' ? Math.ceil(equalPart) : equalPart;
     const cap = isWarmingUp ? Math.max(heldOf(demand, limit), firstPart) : Infinity;
@@ -157,25 +127,32 @@
    * routers without demand stay free for them; or max-min fair.
    */
   private fairShare(
-    limit: Limit,
-    routerId: string,
+    limit: QuotaLimit,
+    own: number,
     available: number,
-    liveRouters: number,
+    { liveRouters, nowMs }: QuotaHomeCircumstances,
   ): number {
-    const asking = [...this.accounts].filter(
-      ([id, account]) => id === routerId || account.grants.length > 0,
-    );
-    const demands = asking.map(([, account]) => account.demand[limit]);
-    const own = this.accounts.get(routerId)?.demand[limit] ?? 0;
-    const spare = available - sum(demands);
+    const { totals } = this.accounts;
+    const spare = available - totals.demand[limit] - own;
     this.noteContention(limit, spare, available);
     if (spare >= 0) {
-      return own + spare / Math.max(liveRouters, demands.length);
+      return own + spare / Math.max(liveRouters, totals.asking + 1);
     }
-    return Math.min(own, waterLevel(demands, available));
+    return Math.min(own, this.levelOf(limit, own, available, nowMs));
   }
 
-  private noteContention(limit: Limit, spare: number, available: number): void {
+  private levelOf(limit: QuotaLimit, own: number, available: number, nowMs: number): number {
+    const known = this.levels.get(limit);
+    const isMany = this.accounts.size > FEW_ROUTERS;
+    if (known && isMany && nowMs - known.atMs < LEVEL_MEMORY_MS) {
+      return known.level;
+    }
+    const level = waterLevel([...this.accounts.demands(limit), own], available);
+    this.levels.set(limit, { atMs: nowMs, level });
+    return level;
+  }
+
+  private noteContention(limit: QuotaLimit, spare: number, available: number): void {
     const wasContended = this.contended.has(limit);
     const isContended = spare < (wasContended ? available * CONTENTION_MARGIN : 0);
     if (isContended === wasContended) {
@@ -190,14 +167,14 @@
   }
 
   private smallestRunning(limit: number): number {
-    const inFlight = sum([...this.accounts.values()].map((account) => account.reportedRunning));
+    const { inFlight } = this.accounts.totals;
     if (inFlight >= limit) {
       return 0;
     }
     return Math.min(limit, inFlight < limit / 2 ? MIN_RUNNING_WHILE_LOW : MIN_RUNNING);
   }
 
-  private payFactor(limit: Limit, { limits, paybackMs }: QuotaHomeCircumstances): number {
+  private payFactor(limit: QuotaLimit, { limits, paybackMs }: QuotaHomeCircumstances): number {
     if (limit === 'runningRequests') {
       return 1;
     }
@@ -207,17 +184,7 @@
   }
 }
 
-/** The most that a router may be using: any valid share, and what it said is still running. */
-function holding(account: RouterAccount, limit: Limit, nowMs: number): number {
-  const valid = account.grants.filter((grant) => grant.expiresAtMs > nowMs);
-  const granted = Math.max(0, ...valid.map((grant) => grant.amounts[limit]));
-  if (limit !== 'runningRequests') {
-    return granted;
-  }
-  return Math.max(granted, account.reportedRunning);
-}
-
-function heldOf(demand: QuotaDemand, limit: Limit): number {
+function heldOf(demand: QuotaDemand, limit: QuotaLimit): number {
   switch (limit) {
     case 'requestsPerSecond':
       return demand.heldRequestsPerSecond;
@@ -228,7 +195,7 @@
   }
 }
 
-function limitOf(limits: QuotaContract['limits'], limit: Limit): number {
+function limitOf(limits: QuotaContract['limits'], limit: QuotaLimit): number {
   return limit === 'runningRequests' ? limits.concurrentRequests : limits[limit];
 }
 
@@ -247,7 +214,3 @@
   }
   return level;
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
