Fault run: answers that are not streamed, and operators who race

Ruled out: a separate run (the faults are the same). Conclusion: whole answers are compared as one text, two accepted operators are a violation.

--- a/packages/tools/src/deployment/Deployment.ts
+++ b/packages/tools/src/deployment/Deployment.ts
@@ -2,9 +2,8 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import type { MemberRole } from '@laburnumgap/kernel';
+import type { MemberRole, PlatformStore, Result, Revision, StoreError } from '@laburnumgap/kernel';
 import { toNumberId } from '@laburnumgap/kernel';
-import type { PlatformStore } from '@laburnumgap/kernel';
 import { CONTRACT_PREFIX, parseContract } from '@laburnumgap/contracts';
 import { createEtcdStore } from '@laburnumgap/platform';
 import logfmt from 'logfmt';
@@ -220,21 +219,33 @@
 
   /** Writes a contract past the operators' tool; returns its revision. */
   async putContract(text: string): Promise<number> {
+    const committed = await this.#commitContract(text);
+    if (!committed.ok) {
+      throw new Error(`contract not committed: ${JSON.stringify(committed.error)}`);
+    }
+    return committed.value;
+  }
+
+  /** Writes a contract under the revision that is in the store now, as a racing operator does. */
+  async tryContract(text: string): Promise<'accepted' | StoreError['kind']> {
+    const committed = await this.#commitContract(text);
+    return committed.ok ? 'accepted' : committed.error.kind;
+  }
+
+  async #commitContract(text: string): Promise<Result<Revision, StoreError>> {
     const parsed = parseContract({ file: 'contract', text });
     if (!parsed.ok) {
       throw new Error(JSON.stringify(parsed.error));
     }
     const key = `${CONTRACT_PREFIX}${parsed.value.team}`;
     const current = await this.store.read(key);
-    const modRevision = current.ok ? current.value?.modRevision : undefined;
-    const committed = await this.store.commit({
-      guards: [{ key, modRevision: modRevision ?? toNumberId(0) }],
+    if (!current.ok) {
+      return current;
+    }
+    return this.store.commit({
+      guards: [{ key, modRevision: current.value?.modRevision ?? toNumberId(0) }],
       writes: [{ key, kind: 'put', value: text }],
     });
-    if (!committed.ok) {
-      throw new Error(`contract not committed: ${JSON.stringify(committed.error)}`);
-    }
-    return committed.value;
   }
 
   /** Reads JSON from a stand-in. */
--- a/packages/tools/src/deployment/DeploymentCaller.ts
+++ b/packages/tools/src/deployment/DeploymentCaller.ts
@@ -114,6 +114,44 @@
   return { end: end ?? { detail: 'stream ended without [DONE]', kind: 'broken' }, tokens };
 }
 
+/** What a caller of an answer that is not streamed got. */
+export type WholeAnswer =
+  | { readonly detail: string; readonly kind: 'broken' }
+  | { readonly kind: 'done'; readonly text: string }
+  | { readonly body: RefusalBody; readonly kind: 'refused'; readonly status: number };
+
+/**
+ * Asks for a completion that is not streamed.
+ *
+ * @param options - the request
+ * @returns the whole answer, or why there is none
+ */
+export async function wholeCompletion(options: StreamOptions): Promise<WholeAnswer> {
+  try {
+    const response = await request(`http://${options.router}/v1/completions`, {
+      body: JSON.stringify({
+        max_tokens: options.maxTokens,
+        model: options.model,
+        prompt: options.prompt,
+        seed: options.seed,
+      }),
+      bodyTimeout: options.idleLimitMs ?? 0,
+      dispatcher,
+      headers: headersOf(options),
+      headersTimeout: options.idleLimitMs ?? 0,
+      method: 'POST',
+    });
+    const body: unknown = await response.body.json();
+    if (response.statusCode !== 200) {
+      return { body: body as RefusalBody, kind: 'refused', status: response.statusCode };
+    }
+    const { choices } = body as { choices: { text: string }[] };
+    return { kind: 'done', text: choices[0]?.text ?? '' };
+  } catch (error) {
+    return { detail: error instanceof Error ? error.message : String(error), kind: 'broken' };
+  }
+}
+
 function headersOf(options: StreamOptions): Record<string, string> {
   const headers: Record<string, string> = {
     authorization: `Bearer ${options.apiKey}`,
--- a/packages/tools/src/faults/FaultsGenerationCaller.ts
+++ b/packages/tools/src/faults/FaultsGenerationCaller.ts
@@ -2,8 +2,13 @@
 import { outputLength, tokenText } from '@laburnumgap/standins';
 import type { OutputLengthRange, TokenSource } from '@laburnumgap/standins';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { ReceivedToken, StreamAnswer } from '../deployment/DeploymentCaller.js';
-import { streamCompletion } from '../deployment/DeploymentCaller.js';
+import type {
+  ReceivedToken,
+  RefusalBody,
+  StreamAnswer,
+  StreamOptions,
+} from '../deployment/DeploymentCaller.js';
+import { streamCompletion, wholeCompletion } from '../deployment/DeploymentCaller.js';
 import type { FaultsOracle } from './FaultsOracle.js';
 import type { FaultsRandom } from './FaultsRandom.js';
 
@@ -22,6 +27,8 @@
 }
 
 const IDLE_LIMIT_MS = 5_000;
+/** A caller of an answer that is not streamed waits for all of it. */
+const WHOLE_LIMIT_MS = 20_000;
 const MAX_PAUSE_MS = 2_000;
 const MIN_PAUSE_MS = 100;
 const PROMPT_WORDS = 200;
@@ -32,13 +39,9 @@
  * @param options - team, model, balancer and oracle
  */
 export async function callGeneration(options: GenerationCallOptions): Promise<void> {
-  const { model, oracle, random } = options;
+  const { oracle } = options;
   const requestId = randomUUID();
-  const source: TokenSource = {
-    model,
-    prompt: `${requestId} ${'stock '.repeat(random.int(1, PROMPT_WORDS))}`,
-    seed: random.int(1, 1_000_000),
-  };
+  const source = sourceOf(options, requestId);
   const expected = Math.min(options.maxTokens, outputLength(source, options.outputRange));
   const received: ReceivedToken[] = [];
   const startedMs = performance.now();
@@ -49,32 +52,90 @@
       checkWhole(oracle, requestId, received.length, expected);
       return;
     }
-    if (isFinal(oracle, requestId, answer, received.length)) {
+    const refused = answer.end.kind === 'refused' ? answer.end : undefined;
+    if (refused && isFinalRefusal(oracle, requestId, refused, received.length)) {
       return;
     }
     oracle.count('comeback');
-    await sleep(pauseOf(answer));
+    await sleep(pauseOf(refused?.body));
   }
   oracle.violate('unanswered', `${requestId} has ${received.length} of ${expected} tokens`);
 }
 
-function ask(
+/**
+ * Asks for one generation that is not streamed and comes back by its request id until it is whole.
+ *
+ * @param options - team, model, balancer and oracle
+ */
+export async function callWholeGeneration(options: GenerationCallOptions): Promise<void> {
+  const { oracle } = options;
+  const requestId = randomUUID();
+  const source = sourceOf(options, requestId);
+  const expected = Math.min(options.maxTokens, outputLength(source, options.outputRange));
+  const startedMs = performance.now();
+  while (performance.now() - startedMs < options.giveUpMs) {
+    const answer = await wholeCompletion(requestOf(options, source, requestId, WHOLE_LIMIT_MS));
+    if (answer.kind === 'done') {
+      checkWholeText(oracle, requestId, source, expected, answer.text);
+      return;
+    }
+    if (answer.kind === 'refused' && isFinalRefusal(oracle, requestId, answer, 0)) {
+      return;
+    }
+    oracle.count('comeback');
+    await sleep(pauseOf(answer.kind === 'refused' ? answer.body : undefined));
+  }
+  oracle.violate('unanswered', `${requestId}, not streamed`);
+}
+
+function checkWholeText(
+  oracle: FaultsOracle,
+  requestId: string,
+  source: TokenSource,
+  expected: number,
+  text: string,
+): void {
+  oracle.count('wholeGenerationChecked');
+  const tokens = Array.from({ length: expected }, (_, index) => tokenText(source, index));
+  if (text !== tokens.join('')) {
+    oracle.violate('tokenWrong', `${requestId}, not streamed: ${text.length} characters`);
+  }
+}
+
+function sourceOf({ model, random }: GenerationCallOptions, requestId: string): TokenSource {
+  return {
+    model,
+    prompt: `${requestId} ${'stock '.repeat(random.int(1, PROMPT_WORDS))}`,
+    seed: random.int(1, 1_000_000),
+  };
+}
+
+function requestOf(
   options: GenerationCallOptions,
   source: TokenSource,
   requestId: string,
-  lastEventId: number | undefined,
-): Promise<StreamAnswer> {
-  return streamCompletion({
+  idleLimitMs: number,
+): StreamOptions {
+  return {
     apiKey: options.apiKey,
-    idleLimitMs: IDLE_LIMIT_MS,
-    ...(lastEventId === undefined ? {} : { lastEventId }),
+    idleLimitMs,
     maxTokens: options.maxTokens,
     model: source.model,
     prompt: source.prompt,
     requestId,
     router: options.balancer(),
     seed: source.seed,
-  });
+  };
+}
+
+function ask(
+  options: GenerationCallOptions,
+  source: TokenSource,
+  requestId: string,
+  lastEventId: number | undefined,
+): Promise<StreamAnswer> {
+  const request = requestOf(options, source, requestId, IDLE_LIMIT_MS);
+  return streamCompletion(lastEventId === undefined ? request : { ...request, lastEventId });
 }
 
 function checkTokens(
@@ -113,36 +174,37 @@
   }
 }
 
+/** A refusal or error answer with its status. */
+interface RefusedAnswer {
+  readonly body: RefusalBody;
+  readonly status: number;
+}
+
 /** Whether the answer says that coming back does not help. */
-function isFinal(
+function isFinalRefusal(
   oracle: FaultsOracle,
   requestId: string,
-  answer: StreamAnswer,
+  { body, status }: RefusedAnswer,
   received: number,
 ): boolean {
-  const { end } = answer;
-  if (end.kind !== 'refused') {
-    return false;
-  }
-  const { name, run } = end.body.error;
+  const { detail, name, retryAfterMs, run } = body.error;
   oracle.count(`refusal ${name}`);
   if (name === 'GENERATION_ENDED_EARLY') {
-    oracle.violate('answerEndedEarly', `${requestId} after ${received} tokens`);
+    oracle.violate('answerEndedEarly', `${requestId} after ${received} tokens: ${detail}`);
     return true;
   }
-  if (name === 'GENERATION_UNKNOWN' && end.body.error.retryAfterMs === undefined) {
+  if (name === 'GENERATION_UNKNOWN' && retryAfterMs === undefined) {
     oracle.violate('answerLost', `${requestId} after ${received} tokens`);
     return true;
   }
-  if (run === 'not_run' && end.status >= 400 && end.status < 500 && end.status !== 429) {
-    oracle.violate('answerLost', `${requestId}: ${name} ${end.body.error.detail}`);
+  if (run === 'not_run' && status >= 400 && status < 500 && status !== 429) {
+    oracle.violate('answerLost', `${requestId}: ${name} ${detail}`);
     return true;
   }
   return false;
 }
 
-function pauseOf(answer: StreamAnswer): number {
-  const { end } = answer;
-  const wished = end.kind === 'refused' ? (end.body.error.retryAfterMs ?? MIN_PAUSE_MS) : 0;
+function pauseOf(refused: RefusalBody | undefined): number {
+  const wished = refused?.error.retryAfterMs ?? 0;
   return Math.min(MAX_PAUSE_MS, Math.max(MIN_PAUSE_MS, wished));
 }
--- a/packages/tools/src/faults/FaultsInjector.ts
+++ b/packages/tools/src/faults/FaultsInjector.ts
@@ -118,6 +118,7 @@
     });
   },
   'failure domain of entry VMs killed': killFailureDomain,
+  'operators race': raceOperators,
   'platform frozen': (context) => freezeStandin(context, 'platform', 500, 8_000),
   'platform loses answers': (context) =>
     order(context, 'platform', {
@@ -171,6 +172,20 @@
   busy.delete(DOMAIN_LOCK);
 }
 
+/** Two operators change one contract under the same expected revision: one of them may win. */
+async function raceOperators(context: FaultContext): Promise<void> {
+  const { deployment, oracle, random } = context;
+  const contract = random.pick(deployment.options.contracts);
+  const fates = await Promise.all([
+    deployment.tryContract(contract),
+    deployment.tryContract(contract),
+  ]);
+  oracle.count('operatorRaceChecked');
+  if (fates.filter((fate) => fate === 'accepted').length > 1) {
+    oracle.violate('bothOperatorsAccepted', contract.slice(0, 80));
+  }
+}
+
 function stopServerByPlan(context: FaultContext): Promise<void> {
   return withTarget(context, context.deployment.options.engines, (engine) =>
     stopEngineByPlan(context, engine),
--- a/packages/tools/src/faults/FaultsOracle.ts
+++ b/packages/tools/src/faults/FaultsOracle.ts
@@ -2,6 +2,7 @@
 export type ViolationKind =
   | 'answerEndedEarly'
   | 'answerLost'
+  | 'bothOperatorsAccepted'
   | 'configurationBehind'
   | 'configurationReverted'
   | 'crossedAnswer'
--- a/packages/tools/src/faults/FaultsRun.ts
+++ b/packages/tools/src/faults/FaultsRun.ts
@@ -3,7 +3,7 @@
 import { watchConfiguration } from './FaultsConfiguration.js';
 import type { Firm, FirmName } from './FaultsFirms.js';
 import { exampleKey, loadFirm } from './FaultsFirms.js';
-import { callGeneration } from './FaultsGenerationCaller.js';
+import { callGeneration, callWholeGeneration } from './FaultsGenerationCaller.js';
 import type { FaultContext } from './FaultsInjector.js';
 import { FAULT_CASES } from './FaultsInjector.js';
 import { FaultsOracle } from './FaultsOracle.js';
@@ -31,6 +31,8 @@
 const LEAST_FAULT_PAUSE_MS = 300;
 const MOST_FAULT_PAUSE_MS = 2_500;
 const FAULTS_AT_ONCE = 2;
+/** Share of generations that are not streamed. */
+const WHOLE_SHARE = 0.2;
 
 /**
  * Runs a firm's deployment as processes under load and random faults, and checks every answer.
@@ -100,7 +102,8 @@
   const generation = (): Promise<void> => {
     const { maxTokens, model, team } = random.pick(firm.generations);
     const { outputRange } = firm;
-    return callGeneration({ ...base, apiKey: keyOf(team), maxTokens, model, outputRange });
+    const call = random.chance(WHOLE_SHARE) ? callWholeGeneration : callGeneration;
+    return call({ ...base, apiKey: keyOf(team), maxTokens, model, outputRange });
   };
   const { lookup, once, service } = firm;
   const onceCall = async (): Promise<void> => {
