Take a new fencing number when an engine comes back to its owner

Cause: a new authority of the same process adopted the process's own record, and with it the number under which an order could still be under way; a different order under the same number could come into force before that one. Seen red by a table for engines that check numbers; the draws restart authorities as well now.

--- a/packages/membership/src/MembershipEngineAuthority.ts
+++ b/packages/membership/src/MembershipEngineAuthority.ts
@@ -148,10 +148,14 @@
     nowMs: number,
   ): void {
     this.#known = { modRevision, record };
-    if (record && this.#isSelf(record)) {
+    const isConfirmed =
+      record && this.#isSelf(record) && Number(modRevision) === this.#held?.fencingNumber;
+    if (isConfirmed) {
       this.#hold(modRevision, sentAtMs, nowMs, true);
       return;
     }
+    // This process's own record under a number that it does not hold, from a swap whose answer was
+    // lost or from an earlier charge of the engine, is swapped anew: orders may be under way.
     if (this.#held) {
       this.#contestFromMs = nowMs + CONTEST_DELAY_MS;
       this.recheck();
--- a/packages/membership/src/__tests__/support/AuthoritySimulation.ts
+++ b/packages/membership/src/__tests__/support/AuthoritySimulation.ts
@@ -18,7 +18,8 @@
   /** When within the latency the call takes effect. */
   readonly effectShare: number;
   readonly holder: number;
-  readonly kind: 'step' | 'unwant' | 'want';
+  /** A restart is a new authority in the same process, as when an engine comes back to its owner. */
+  readonly kind: 'restart' | 'step' | 'unwant' | 'want';
   /** Time until the holder has the answer; it may have been paused meanwhile. */
   readonly latencyMs: number;
 }
@@ -36,7 +37,7 @@
 const KEY = 'record';
 
 interface Holder {
-  readonly authority: AuthorityKernel;
+  authority: AuthorityKernel;
   busy: boolean;
   readonly self: AuthorityRecord;
 }
@@ -88,6 +89,10 @@
       return;
     }
     switch (event.kind) {
+      case 'restart':
+        holder.authority = this.#authority(holder.self);
+        holder.busy = false;
+        return;
       case 'step':
         this.#step(holder, event);
         return;
@@ -109,35 +114,39 @@
 
   #holder(index: number): Holder {
     const self = { incarnation: toId<never>(`i${index}`), memberId: toId<never>(`h${index}`) };
+    return { authority: this.#authority(self), busy: false, self };
+  }
+
+  #authority(self: AuthorityRecord): AuthorityKernel {
     const { checksFencingNumbers, naive } = this.#options;
-    const authority = naive
+    return naive
       ? new NaiveAuthority()
       : new EngineAuthority({ checksFencingNumbers, orderTimeoutMs: ORDER_TIMEOUT_MS, self });
-    return { authority, busy: false, self };
   }
 
   #step(holder: Holder, event: SimulationEvent): void {
     if (holder.busy) {
       return;
     }
-    const step = holder.authority.next(this.#nowMs, true);
+    const { authority } = holder;
+    const step = authority.next(this.#nowMs, true);
     switch (step.kind) {
       case 'idle':
       case 'wait':
         return;
       case 'readRecord':
-        this.#call(holder, event, () => this.#readRecord(holder));
+        this.#call(holder, event, () => this.#readRecord(authority));
         return;
       case 'readState':
         this.#call(holder, event, () => {
           const state = this.#state();
           return () => {
-            holder.authority.stateSeen(state);
+            authority.stateSeen(state);
           };
         });
         return;
       case 'sendOrder':
-        holder.authority.sending(step.order, this.#nowMs);
+        authority.sending(step.order, this.#nowMs);
         this.#sendOrder(holder, event, step.order);
         return;
       case 'swapRecord':
@@ -146,7 +155,7 @@
           event,
           () => this.#swap(holder, step.guard),
           () => {
-            holder.authority.swapFailed();
+            authority.swapFailed();
           },
         );
     }
@@ -160,13 +169,16 @@
     onLost: () => void = () => undefined,
   ): void {
     const sentAtMs = this.#nowMs;
+    const { authority } = holder;
     let deliver: (sentAtMs: number) => void = () => undefined;
     holder.busy = true;
     this.#schedule(sentAtMs + event.latencyMs * event.effectShare, () => {
       deliver = takeEffect();
     });
     this.#schedule(sentAtMs + event.latencyMs, () => {
-      holder.busy = false;
+      if (holder.authority === authority) {
+        holder.busy = false;
+      }
       if (event.answerLost) {
         onLost();
       } else {
@@ -175,31 +187,33 @@
     });
   }
 
-  #readRecord(holder: Holder): (sentAtMs: number) => void {
+  #readRecord(authority: AuthorityKernel): (sentAtMs: number) => void {
     const stored = this.#store.read(KEY);
     const record = stored && decodeAuthorityRecord(stored.value);
     const modRevision = stored?.modRevision ?? toNumberId<Revision>(0);
     return (sentAtMs) => {
-      holder.authority.recordRead(record, modRevision, sentAtMs, this.#nowMs);
+      authority.recordRead(record, modRevision, sentAtMs, this.#nowMs);
     };
   }
 
   #swap(holder: Holder, guard: Revision): (sentAtMs: number) => void {
+    const { authority } = holder;
     const swapped = this.#store.commit({
       guards: [{ key: KEY, modRevision: guard }],
       writes: [{ key: KEY, kind: 'put', value: encodeAuthorityRecord(holder.self) }],
     });
     return (sentAtMs) => {
       if (swapped.ok) {
-        holder.authority.swapped(swapped.value, sentAtMs, this.#nowMs);
+        authority.swapped(swapped.value, sentAtMs, this.#nowMs);
       } else {
-        holder.authority.swapFailed();
+        authority.swapFailed();
       }
     };
   }
 
   /** An order is in force or has failed within its timeout, whenever its sender learns of it. */
   #sendOrder(holder: Holder, event: SimulationEvent, order: EngineOrder): void {
+    const { authority } = holder;
     const sentAtMs = this.#nowMs;
     const effectMs = Math.min(event.latencyMs, ORDER_TIMEOUT_MS - 1) * event.effectShare;
     let isStale = false;
@@ -211,15 +225,17 @@
     const gaveUp = event.answerLost;
     const answerMs = gaveUp ? effectMs / 2 : event.latencyMs;
     this.#schedule(sentAtMs + answerMs, () => {
-      holder.busy = false;
+      if (holder.authority === authority) {
+        holder.busy = false;
+      }
       if (gaveUp) {
         return;
       }
       if (isStale) {
-        holder.authority.orderStale();
+        authority.orderStale();
         return;
       }
-      holder.authority.orderSettled();
+      authority.orderSettled();
     });
   }
 
--- a/packages/membership/src/__tests__/unit/MembershipEngineAuthority.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipEngineAuthority.test.ts
@@ -15,6 +15,7 @@
     { arbitrary: fc.constant('step' as const), weight: 14 },
     { arbitrary: fc.constant('want' as const), weight: 2 },
     { arbitrary: fc.constant('unwant' as const), weight: 1 },
+    { arbitrary: fc.constant('restart' as const), weight: 1 },
   ),
   latencyMs: fc.oneof(
     { arbitrary: fc.integer({ max: 50, min: 0 }), weight: 4 },
@@ -46,7 +47,7 @@
       return !simulation.hadStaleOrder;
     });
     t.notThrows(() => {
-      fc.assert(property, { numRuns: 1000, seed: 71 });
+      fc.assert(property, { numRuns: 2000, seed: 71 });
     });
     t.log(`${applied} orders in force`);
     t.true(applied > 1000);
@@ -82,7 +83,7 @@
     const property = fc.property(eventsArbitrary, (events) => {
       return !runEvents(events, { checksFencingNumbers, holders: 3, naive: true }).hadStaleOrder;
     });
-    const outcome = fc.check(property, { numRuns: 1000, seed: 71 });
+    const outcome = fc.check(property, { numRuns: 2000, seed: 71 });
     t.true(outcome.failed);
   });
 }
@@ -129,6 +130,25 @@
   });
 }
 
+/** A new authority of the same process finds its own record, and an order may be under way. */
+const RETURNED_ENGINE: readonly SimulationEvent[] = [
+  ...acquire(OLD),
+  ...repeat(1, {}),
+  ...repeat(1, { effectShare: 1, latencyMs: 10_000 }),
+  ...repeat(1, { kind: 'restart' }),
+  ...repeat(1, { kind: 'want' }),
+  ...repeat(1200, { elapsedMs: 100 }),
+];
+
+for (const [name, checksFencingNumbers] of Object.entries(POOLS)) {
+  test(`${name}: an engine that comes back to its owner gets no stale order`, (t) => {
+    const options = { checksFencingNumbers, holders: 1, naive: false };
+    const simulation = runEvents(RETURNED_ENGINE, options);
+    t.false(simulation.hadStaleOrder);
+    t.deepEqual(simulation.models, ['m2']);
+  });
+}
+
 const LAST_MOMENTS: Readonly<Record<string, readonly SimulationEvent[]>> = {
   'the old holder sends at the end of its hold and its order takes its whole timeout': [
     ...acquire(OLD),
