--- a/packages/admission/src/EngineAdmission.ts
+++ b/packages/admission/src/EngineAdmission.ts
@@ -87,7 +87,7 @@
   handle(event: AdmissionEvent, nowMs: number): readonly AdmissionAction[] {
     this.memory.noteTime(nowMs);
     const actions = [...this.take(event, nowMs)];
-    this.memory.advance(nowMs);
+    this.memory.advance(nowMs, this.queue.size() > 0);
     actions.push(...this.refuseLate(nowMs), ...this.preempt(), ...this.grantWhatFits(nowMs));
     this.drainRate.noteWaiting(this.queue.size() > 0, nowMs);
     return actions;
--- a/packages/admission/src/EngineMemory.ts
+++ b/packages/admission/src/EngineMemory.ts
@@ -23,6 +23,7 @@
 /** Longest time without an event of a scheduler that runs. */
 const PAUSE_MS = 5_000;
 const REFRESH_INTERVAL_MS = 100;
+const QUIET_REFRESH_INTERVAL_MS = 500;
 /** Memory of unknown use, as a share, with which the engine still counts as empty. */
 const EMPTY_ENGINE_SHARE = 0.1;
 const START_PROMPT_TOKENS = 512;
@@ -180,11 +181,17 @@
     return outcome;
   }
 
-  /** Brings the forecast up to the time; called after each event. */
-  advance(nowMs: number): void {
-    this.running.expireAdopted(nowMs);
-    if (nowMs - this.refreshedMs >= REFRESH_INTERVAL_MS) {
+  /**
+   * Brings the forecast up to the time; called after each event.
+   *
+   * @param nowMs - the time
+   * @param isAwaited - whether requests wait for the outcome
+   */
+  advance(nowMs: number, isAwaited: boolean): void {
+    const intervalMs = isAwaited ? REFRESH_INTERVAL_MS : QUIET_REFRESH_INTERVAL_MS;
+    if (nowMs - this.refreshedMs >= intervalMs) {
       this.refreshedMs = nowMs;
+      this.running.expireAdopted(nowMs);
       this.running.refresh(nowMs, this.curveOf);
     }
     this.correction.sample(this.running.heldTokens(), nowMs);
--- a/packages/admission/src/MemoryForecast.ts
+++ b/packages/admission/src/MemoryForecast.ts
@@ -5,6 +5,8 @@
   0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192, 16_384,
 ];
 
+/** Smallest chance used as a divisor. */
+const SMALLEST_CHANCE = 1e-9;
 /** Part of the memory below which a generation's expected use does not matter. */
 const NEGLIGIBLE_SHARE = 0.001;
 
@@ -118,21 +120,23 @@
   const steps = FORECAST_STEPS_TOKENS.length;
   const meanTokens = new Float64Array(steps);
   const varianceTokens = new Float64Array(steps);
+  const reached = hold.curve.chanceBeyond(hold.producedTokens);
   FORECAST_STEPS_TOKENS.forEach((stepTokens, index) => {
     const tokens = hold.heldTokens + stepTokens;
-    const chance = chanceOfHolding(hold, stepTokens);
+    const chance = chanceOfHolding(hold, stepTokens, reached);
     meanTokens[index] = chance * tokens;
     varianceTokens[index] = chance * (1 - chance) * tokens * tokens;
   });
   return { meanTokens, varianceTokens };
 }
 
-function chanceOfHolding(hold: MemoryHold, stepTokens: number): number {
+function chanceOfHolding(hold: MemoryHold, stepTokens: number, reached: number): number {
   if (stepTokens === 0) {
     return 1;
   }
-  if (hold.producedTokens + stepTokens >= hold.maxTokens) {
+  const tokens = hold.producedTokens + stepTokens;
+  if (tokens >= hold.maxTokens || reached < SMALLEST_CHANCE) {
     return 0;
   }
-  return hold.curve.chanceOfGrowth(hold.producedTokens, stepTokens);
+  return hold.curve.chanceBeyond(tokens) / reached;
 }
