--- a/packages/router/src/__tests__/unit/RouterPlainCallsSteps.test.ts
+++ b/packages/router/src/__tests__/unit/RouterPlainCallsSteps.test.ts
@@ -3,7 +3,8 @@
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 import { v7 } from 'uuid';
-import type { CallFaults, SeenCall } from '../utils/PlainCallsWorld.js';
+import type { CallFaults } from '../utils/PlainCallsFaults.js';
+import type { SeenCall } from '../utils/PlainCallsWorld.js';
 import { PlainCallsWorld } from '../utils/PlainCallsWorld.js';
 
 /** Every step between claim and answer, and who or what fails there. */
--- a/packages/router/src/__tests__/utils/PlainCallsWorld.ts
+++ b/packages/router/src/__tests__/utils/PlainCallsWorld.ts
@@ -1,67 +1,18 @@
 import { Socket } from 'node:net';
-import type { ClaimSettings } from '@laburnumgap/claims';
-import { DEFAULT_CLAIM_SETTINGS } from '@laburnumgap/claims';
-import { createActorSystem } from '@laburnumgap/daemon';
-import type {
-  IdempotencyKey,
-  KnownServer,
-  PlatformStore,
-  Result,
-  StoreError,
-  TeamId,
-} from '@laburnumgap/kernel';
+import type { IdempotencyKey, KnownServer, Result, TeamId } from '@laburnumgap/kernel';
 import { NO_DECISION_SINK, failure, success, toId } from '@laburnumgap/kernel';
-import type { LedgerSlots } from '@laburnumgap/ledger';
-import { startLedgerSlots } from '@laburnumgap/ledger';
 import type { PlainAnswer } from '@laburnumgap/plain-calls';
 import { ServerOutliers } from '@laburnumgap/plain-calls';
-import { PlatformStoreState, createMemoryStore } from '@laburnumgap/platform';
-import { NO_LOG, NO_METRICS } from '@laburnumgap/telemetry';
+import { PlatformStoreState } from '@laburnumgap/platform';
+import { NO_LOG } from '@laburnumgap/telemetry';
 import type { LedgerPort, RouterClaim, RouterClaimReply } from '../../RouterPlainCallsLedger.js';
 import { claimInOrder } from '../../RouterPlainCallsLedger.js';
 import type { PlainCallOutcome } from '../../RouterPlainCallsOnce.js';
 import { PlainCallsOnce } from '../../RouterPlainCallsOnce.js';
 import { PlainCallSettler } from '../../RouterPlainCallsSettler.js';
 import { FakeTimers, settleMicrotasks } from './FakeTimers.js';
-
-/** Where on the way of a call the fault strikes. */
-export type CallStep =
-  | 'answer received'
-  | 'answer recorded'
-  | 'before the claim'
-  | 'claim granted'
-  | 'connected'
-  | 'none';
-
-/** What a ledger's call to the platform's service meets. */
-export type StoreFault = 'applied, no answer' | 'none' | 'not applied, no answer' | 'unavailable';
-
-/** What a call meets at its server. */
-export type ServerFault =
-  | 'answer too late'
-  | 'no connection'
-  | 'none'
-  | 'reset after the effect'
-  | 'reset before the effect';
-
-/** Faults of one call. */
-export interface CallFaults {
-  /** Fault of the commit of the claim. */
-  readonly claimCommit?: StoreFault;
-  /** The first ledger dies with the fault of the commit of the claim. */
-  readonly ledgerDiesAtClaim?: boolean;
-  /** The first ledger dies once the call is to be settled. */
-  readonly ledgerDiesAtSettle?: boolean;
-  readonly loseClaimReply?: boolean;
-  readonly loseClaimRequest?: boolean;
-  /** The router is paused for longer than a claim lasts. */
-  readonly routerPausesAt?: CallStep;
-  readonly routerDiesAt?: CallStep;
-  readonly server?: ServerFault;
-  readonly settleCommit?: StoreFault;
-  /** The caller goes away before the call is sent. */
-  readonly callerGone?: boolean;
-}
+import type { CallFaults, CallStep } from './PlainCallsFaults.js';
+import { WorldLedger } from './PlainCallsLedger.js';
 
 /** What a caller saw of one call: nothing when its router died. */
 export interface SeenCall {
@@ -73,14 +24,6 @@
 const BETWEEN_CALLS_MS = 1_000;
 const PAUSE_MS = 30_000;
 const CALL_TIMEOUT_MS = 5_000;
-const SETTINGS: ClaimSettings = {
-  ...DEFAULT_CLAIM_SETTINGS,
-  backoffMaxMs: 1,
-  backoffMinMs: 1,
-  commitBurst: 1_000,
-  commitIntervalMs: 1,
-};
-
 const SERVER: KnownServer = {
   address: 'http://127.0.0.1:1',
   backend: { kind: 'service', service: toId('stock') },
@@ -91,75 +34,6 @@
   state: 'live',
 };
 
-/** A ledger process. Dead, it replies to nothing; what it had written stays. */
-class WorldLedger {
-  readonly slots: LedgerSlots;
-  commitFaults: StoreFault[] = [];
-  dieAtCommit = false;
-  private readonly actors = createActorSystem(NO_LOG);
-  private readonly deathListeners: (() => void)[] = [];
-  private dead = false;
-
-  constructor(world: PlainCallsWorld, index: number) {
-    this.slots = startLedgerSlots({
-      actors: this.actors,
-      clock: { nowMs: () => world.ledgerMs },
-      decisions: NO_DECISION_SINK,
-      log: NO_LOG,
-      metrics: NO_METRICS,
-      random: { nextUnit: () => 0.5 },
-      settings: SETTINGS,
-      store: this.storeOver(createMemoryStore({ state: world.state })),
-      wallClock: { nowEpochMs: () => world.epochMs },
-      writer: `ledger-${index}`,
-    });
-  }
-
-  /** Resolves to undefined when the ledger is or gets dead first. */
-  async ask<T>(work: () => Promise<T>): Promise<T | undefined> {
-    if (this.dead) {
-      return undefined;
-    }
-    const death = new Promise<undefined>((resolve) => {
-      this.deathListeners.push(() => {
-        resolve(undefined);
-      });
-    });
-    return Promise.race([work(), death]);
-  }
-
-  die(): void {
-    this.dead = true;
-    this.deathListeners.splice(0).forEach((listener) => {
-      listener();
-    });
-  }
-
-  stop(): void {
-    this.slots.stop();
-    this.actors.stop();
-  }
-
-  private storeOver(store: PlatformStore): PlatformStore {
-    return {
-      ...store,
-      commit: async (commit) => {
-        const fault = this.commitFaults.shift() ?? 'none';
-        const applies = fault === 'applied, no answer' || fault === 'none';
-        const result = applies ? await store.commit(commit) : undefined;
-        if (this.dieAtCommit) {
-          this.die();
-        }
-        const noAnswer: Result<never, StoreError> = failure({
-          detail: 'test',
-          kind: fault === 'unavailable' ? 'unavailable' : 'outcomeUnknown',
-        });
-        return fault === 'none' && result ? result : noAnswer;
-      },
-    };
-  }
-}
-
 /** Routers, ledgers and a server around one store; a call at a time, each with its faults. */
 export class PlainCallsWorld {
   /** Effects at the server by idempotency key. */
@@ -249,6 +123,11 @@
   private readonly ledgers: readonly WorldLedger[];
   private readonly once: PlainCallsOnce;
   private onDeath: () => void = () => undefined;
+  private readonly death = new Promise<undefined>((resolve) => {
+    this.onDeath = () => {
+      resolve(undefined);
+    };
+  });
   private readonly settler: PlainCallSettler;
 
   constructor(
@@ -274,11 +153,6 @@
   }
 
   call(key: IdempotencyKey, body: string): Promise<PlainCallOutcome | undefined> {
-    const death = new Promise<undefined>((resolve) => {
-      this.onDeath = () => {
-        resolve(undefined);
-      };
-    });
     const outcome = this.once.run({
       call: {
         body: Buffer.from(body),
@@ -294,11 +168,11 @@
       teamId: TEAM,
       timeoutMs: CALL_TIMEOUT_MS,
     });
-    return Promise.race([outcome, death]);
+    return Promise.race([outcome, this.death]);
   }
 
-  idle(): Promise<void> {
-    return this.dead ? Promise.resolve() : this.settler.whenIdle();
+  async idle(): Promise<void> {
+    await Promise.race([this.settler.whenIdle(), this.death]);
   }
 
   async claim(claim: RouterClaim): Promise<RouterClaimReply> {
