Hedge lookups around silent connections, also at the only server

A lookup on a pooled connection that had gone silent waited for its whole time: the only server was never hedged, and nothing before 20 calls had been seen. The second try has a connection of its own, and starts at half the call's time while it is not known what is slow.

--- a/packages/router/src/RouterPlainCallsRepeat.ts
+++ b/packages/router/src/RouterPlainCallsRepeat.ts
@@ -58,12 +58,15 @@
 type TryResult = Result<PlainAnswer, PlainCallFailure>;
 
 const MAX_TRIES = 3;
+/** While it is not known from when on a call is slow, this share of its time counts as slow. */
+const UNKNOWN_SLOW_SHARE = 0.5;
 const RETRY_AFTER_MS = 1_000;
 const RETRIED_STATUS = new Set([502, 503, 504]);
 
 /**
  * Makes calls that may be repeated: on another server after a failure, and a second time beside
- * the first when a lookup is slow; both within the team's retry budget and the call's time.
+ * the first when a lookup is slow; both within the team's retry budget and the call's time. The
+ * second one has a connection of its own also at the same server: the first may have gone silent.
  */
 export class PlainCallsRepeat {
   constructor(private readonly options: PlainCallsRepeatOptions) {}
@@ -111,10 +114,11 @@
   }
 
   private armHedge(finish: (outcome: PlainCallOutcome) => void): (() => void) | undefined {
-    const slowMs = this.options.latency.slowMs(this.request.name);
-    if (!this.request.isLookup || slowMs === undefined || this.servers.length < 2) {
+    if (!this.request.isLookup) {
       return undefined;
     }
+    const { name, timeoutMs } = this.request;
+    const slowMs = this.options.latency.slowMs(name) ?? timeoutMs * UNKNOWN_SLOW_SHARE;
     return this.options.timers.after(slowMs, () => {
       if (this.running === 1 && this.mayTryAgain()) {
         this.startTry('hedge', finish);
--- a/packages/router/src/__tests__/integration/RouterPlainCallsHttp.test.ts
+++ b/packages/router/src/__tests__/integration/RouterPlainCallsHttp.test.ts
@@ -145,3 +145,22 @@
     t.is(await response.text(), 'done: ');
   }
 });
+
+test('a lookup goes around a connection that has gone silent', async (t) => {
+  const deployment = await startPlainCallsDeployment(t);
+  const [service] = deployment.services;
+  const lookup = () => deployment.call('/services/stock/v1/stock/7');
+  t.is((await lookup()).status, 201);
+  const [first] = service?.requests ?? [];
+  const answer = service?.behave;
+  if (service && answer) {
+    service.behave = (request, response, body) => {
+      if (request.socket !== first?.socket) {
+        answer(request, response, body);
+      }
+    };
+  }
+  t.is((await lookup()).status, 201);
+  t.is(service?.requests.length, 3);
+  t.is(service?.requests[1]?.socket, first?.socket, 'the silent connection was tried');
+});
