--- a/packages/router/src/RouterStreamReader.ts
+++ b/packages/router/src/RouterStreamReader.ts
@@ -1,6 +1,7 @@
 import type { EngineStream } from '@laburnumgap/engine';
 import type { GapEstimator } from '@laburnumgap/generation';
 import type { EngineStreamEvent, MonotonicClock, Teardown } from '@laburnumgap/kernel';
+import { MAX_SILENCE_MS } from './RouterConstants.js';
 import type { EngineGaps } from './RouterEngineHealth.js';
 import type { Timers } from './RouterTimers.js';
 
@@ -109,7 +110,7 @@
   }
 
   private suspectAfterMs(): number {
-    return this.usualGapMs() * this.silenceFactor;
+    return Math.min(this.usualGapMs() * this.silenceFactor, MAX_SILENCE_MS);
   }
 
   private take(event: EngineStreamEvent): void {
--- a/packages/router/src/__tests__/utils/FakeWorld.ts
+++ b/packages/router/src/__tests__/utils/FakeWorld.ts
@@ -134,6 +134,8 @@
   readonly client: FakeEngineClient;
   readonly engines: readonly FakeEngine[];
   readonly homes = new FakeHomes();
+  /** Engines that a router has seen to leave. */
+  readonly notedLeaving: ServerId[] = [];
   readonly timers = new FakeTimers();
   private readonly policy: ContinuationPolicy;
   readonly servers: ServerDirectory;
@@ -147,7 +149,9 @@
     this.client = new FakeEngineClient(new Map(this.engines.map((engine) => [engine.url, engine])));
     this.admission = new FakeAdmission((engineId) => engineId);
     this.servers = {
-      noteLeaving: () => undefined,
+      noteLeaving: (serverId) => {
+        this.notedLeaving.push(serverId);
+      },
       onChange: () => () => undefined,
       servers: () => this.engines.map((engine, number) => serverOf(engine, number)),
     };
@@ -245,7 +249,7 @@
     address: engine.url,
     backend: { kind: 'model', pool: toId<PoolId>('drafts') },
     failureDomain: toId<FailureDomainId>(`domain-${number}`),
-    leaving: engine.leaving,
+    leaving: false,
     region: toId<RegionId>('region'),
     serverId: toId<ServerId>(engine.url),
     state: 'live',
