--- a/packages/router/src/RouterRunAssignment.ts
+++ b/packages/router/src/RouterRunAssignment.ts
@@ -3,7 +3,7 @@
 import { failure, invariant, success, toId } from '@laburnumgap/kernel';
 import { prefixHashesOf, promptTokensOf } from '@laburnumgap/routing';
 import type { GrantedReservation } from './RouterAdmissionWait.js';
-import { HOME_REFRESH_TOKENS, NO_ENGINE_INVARIANT } from './RouterConstants.js';
+import { HOME_REFRESH_TOKENS, MAX_RECORD_KEPT_MS, NO_ENGINE_INVARIANT } from './RouterConstants.js';
 import type { PlacementRequest } from './RouterPlacement.js';
 import type { HomeRecorded, ProgressReport } from './RouterPorts.js';
 import type { GenerationRunOptions, HandedOverRun, RunEngine } from './RouterRunTypes.js';
@@ -79,18 +79,21 @@
    */
   end({ forgetAfterMs }: { readonly forgetAfterMs: number }): void {
     const { requestId, services } = this.run;
+    const { homes, progress, timers } = services;
+    const { teamId } = this;
+    const { attempt } = this.tracker;
     if (this.current) {
-      services.progress.noteEnded(this.report({ finished: true }));
+      progress.noteEnded(this.report({ finished: true }));
     }
-    const { attempt } = this.tracker;
+    // Holds nothing of the run, whose texts would else stay in memory until the timer fires.
     const forget = (): void => {
-      services.homes.forget(this.teamId, requestId, attempt);
+      homes.forget(teamId, requestId, attempt);
     };
     if (forgetAfterMs === 0) {
       forget();
       return;
     }
-    services.timers.after(forgetAfterMs, forget);
+    timers.after(Math.min(forgetAfterMs, MAX_RECORD_KEPT_MS), forget);
   }
 
   /** Leaves the engine, before the next attempt is placed. */
--- a/packages/router/src/__tests__/unit/RouterGenerationFaults.test.ts
+++ b/packages/router/src/__tests__/unit/RouterGenerationFaults.test.ts
@@ -101,6 +101,19 @@
   t.deepEqual(violationsOf({ ...GENERATION, sinks: [sink] }), []);
 });
 
+test('an engine that is reclaimed and was not known to leave: noted, and another runs it', async (t) => {
+  const world = new FakeWorld();
+  const [reclaimed] = world.engines;
+  if (reclaimed) {
+    reclaimed.leaving = true;
+  }
+  const sink = new FakeSink();
+  await world.timers.runUntil(world.router('a').serve({ sink }));
+  t.deepEqual(violationsOf({ ...GENERATION, sinks: [sink] }), []);
+  t.truthy(sink.end);
+  t.deepEqual(world.notedLeaving.map(String), ['engine-0']);
+});
+
 test('a silent link with the engine alive is resumed there and moves nothing', async (t) => {
   const world = new FakeWorld({ faults: [[{ atIndex: 6, fault: 'silent' }]] });
   const sink = new FakeSink();
