Serve one of two connections that ask for the same request at once

Cause: two connections with one request id at one router, both before the first was on record, started two generations (seen red: 2 whole answers). A caller that came back later could have been given tokens of the other one. The second now ends with ATTEMPT_SUPERSEDED, as it does at two routers.

--- a/packages/router/src/RouterGenerationRun.ts
+++ b/packages/router/src/RouterGenerationRun.ts
@@ -8,7 +8,7 @@
 import { RouterRunMetrics } from './RouterRunMetrics.js';
 import { RouterRunReading } from './RouterRunReading.js';
 import type { GenerationRunOptions, HandedOverRun, RunServices } from './RouterRunTypes.js';
-import { SUPERSEDED_END, decisionOf } from './RouterRunUtils.js';
+import { SUPERSEDED_END, recordAction } from './RouterRunUtils.js';
 import { pause } from './RouterTimers.js';
 
 type EndAction = Extract<GenerationAction, { kind: 'end' }>;
@@ -60,6 +60,17 @@
     }
   }
 
+  /** Whether it goes on with what an earlier connection of the request left. */
+  continuesEarlier(): boolean {
+    return this.options.from !== undefined;
+  }
+
+  /** Ends before it has begun, because another connection of the request is served. */
+  giveWay(): void {
+    this.options.sink.fail(SUPERSEDED_END.refusal);
+    this.options.hold.release();
+  }
+
   /** Ends the run so that another one can go on with the generation. */
   handOver(): HandedOverRun {
     this.stopWith('handedOver');
@@ -77,6 +88,11 @@
     return this.unpark !== undefined;
   }
 
+  /** Whether it is to end, or has ended, without an answer of its own. */
+  isStopped(): boolean {
+    return this.stopReason !== undefined;
+  }
+
   /** Closes the caller's connection and leaves the generation running for another router. */
   leaveToOthers(): void {
     this.stopWith('draining');
@@ -119,14 +135,14 @@
         this.finish(action);
         return;
       }
-      this.log(action);
+      recordAction(this.services.decisions, action, this.tracker, this.options.requestId);
       action = await this.perform(action);
     }
     await this.stop(this.stopReason);
   }
 
   private async begin(): Promise<GenerationAction> {
-    await this.deliverKnown();
+    await this.reading.deliverKnown();
     if (!this.assignment.isPlaced()) {
       return this.tracker.begin();
     }
@@ -137,14 +153,6 @@
     return this.tracker.decide({ engineId, kind: 'adopted' });
   }
 
-  private async deliverKnown(): Promise<void> {
-    const { firstWantedIndex, sink } = this.options;
-    const texts = this.tracker.knownTexts();
-    for (let index = firstWantedIndex; index < texts.length; index += 1) {
-      await sink.deliver(index, texts[index] ?? '');
-    }
-  }
-
   private perform(action: Exclude<GenerationAction, EndAction | FinishAction>) {
     switch (action.kind) {
       case 'ask':
@@ -280,13 +288,6 @@
     this.assignment.end({ forgetAfterMs: 0 });
   }
 
-  private log(action: GenerationAction): void {
-    const decision = decisionOf(action, this.tracker, this.options.requestId);
-    if (decision) {
-      this.services.decisions.record(decision);
-    }
-  }
-
   private stopWith(reason: StopReason): void {
     if (this.stopReason !== undefined && reason === 'callerGone') {
       return;
--- a/packages/router/src/RouterRunReading.ts
+++ b/packages/router/src/RouterRunReading.ts
@@ -65,6 +65,15 @@
     this.reader = undefined;
   }
 
+  /** Delivers what an earlier run of the request has read and the caller lacks. */
+  async deliverKnown(): Promise<void> {
+    const { firstWantedIndex, sink } = this.run;
+    const texts = this.tracker.knownTexts();
+    for (let index = firstWantedIndex; index < texts.length; index += 1) {
+      await sink.deliver(index, texts[index] ?? '');
+    }
+  }
+
   /** Forgets an order to move that the engine left behind. */
   forgetMove(): void {
     this.moveOrdered = false;
--- a/packages/router/src/RouterRunRegistry.ts
+++ b/packages/router/src/RouterRunRegistry.ts
@@ -17,9 +17,20 @@
     return this.runs.get(keyOf(teamId, requestId));
   }
 
-  /** Keeps a run until it has ended; the latest run of a request is the one that is found. */
+  /**
+   * Keeps a run until it has ended. Of two connections that ask at once, before either is on record,
+   * the first is served; one that goes on with an earlier run replaces what serves it.
+   */
   async follow(teamId: TeamId, requestId: RequestId, registered: RegisteredRun): Promise<void> {
     const key = keyOf(teamId, requestId);
+    const rival = this.runs.get(key)?.run;
+    if (rival && !rival.isStopped()) {
+      if (!registered.run.continuesEarlier()) {
+        registered.run.giveWay();
+        return;
+      }
+      rival.handOver().reservation?.release();
+    }
     this.runs.set(key, registered);
     this.running.add(registered.run);
     try {
--- a/packages/router/src/RouterRunUtils.ts
+++ b/packages/router/src/RouterRunUtils.ts
@@ -1,5 +1,5 @@
 import type { GenerationAction, GenerationTracker } from '@laburnumgap/generation';
-import type { DecisionRecord, RequestId } from '@laburnumgap/kernel';
+import type { DecisionSink, RequestId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 
 /** The end of a run whose generation another run has taken over. */
@@ -9,27 +9,28 @@
 };
 
 /**
- * Describes what is done next with a generation, for the decision log.
+ * Records what is done next with a generation, where that is a decision of its own.
  *
+ * @param decisions - takes the record
  * @param action - what is done
  * @param tracker - the generation
  * @param requestId - its request
- * @returns the record; undefined for what is no decision of its own
  */
-export function decisionOf(
+export function recordAction(
+  decisions: DecisionSink,
   action: GenerationAction,
   tracker: GenerationTracker,
   requestId: RequestId,
-): DecisionRecord | undefined {
+): void {
   if (action.kind === 'await' || (action.kind === 'place' && action.attempt === 1)) {
-    return undefined;
+    return;
   }
   const { attempt, nextIndex } = tracker;
   const isPlacement = action.kind === 'place';
   const reason = isPlacement ? action.reason : undefined;
-  return {
+  decisions.record({
     decision: isPlacement ? 'retry' : action.kind,
     fields: { attempt, nextIndex, reason },
     requestId,
-  };
+  });
 }
--- a/packages/router/src/__tests__/unit/RouterTakeOver.test.ts
+++ b/packages/router/src/__tests__/unit/RouterTakeOver.test.ts
@@ -195,6 +195,25 @@
   t.is(starts.length, 1, 'it was generated once');
 });
 
+for (const second of ['a', 'b']) {
+  test(`the same request twice at once, at router a and ${second}: one answer`, async (t) => {
+    const world = new FakeWorld();
+    const routers = { a: world.router('a'), b: world.router('b') };
+    const sinks = [new FakeSink(), new FakeSink()] as const;
+    const served = [
+      routers.a.serve({ sink: sinks[0] }),
+      routers[second === 'a' ? 'a' : 'b'].serve({ sink: sinks[1] }),
+    ];
+    await world.timers.runUntil(Promise.all(served));
+    const whole = sinks.filter((sink) => sink.end);
+    t.is(whole.length, 1);
+    t.deepEqual(violationsOf({ ...GENERATION, sinks: whole }), []);
+    const other = sinks.find((sink) => !sink.end);
+    t.is(other?.refusal?.code, 'ATTEMPT_SUPERSEDED');
+    t.is(world.admission.held.size, 0);
+  });
+}
+
 const REFUSED = [
   { code: 'MALFORMED_REQUEST', request: { bodyHash: 'other' }, title: 'another body' },
   { code: 'NOT_YOURS', request: { teamId: toId<TeamId>('other') }, title: 'another team' },
--- a/packages/router/src/__tests__/utils/FakeWorld.ts
+++ b/packages/router/src/__tests__/utils/FakeWorld.ts
@@ -183,7 +183,7 @@
       progress: new RouterProgress(admission, timers),
       timers,
     };
-    return new FakeRouter(services);
+    return new FakeRouter(services, routerId);
   }
 }
 
@@ -201,7 +201,10 @@
 export class FakeRouter {
   readonly registry = new RouterRunRegistry();
 
-  constructor(readonly services: RunServices) {}
+  constructor(
+    readonly services: RunServices,
+    private readonly routerId: string,
+  ) {}
 
   /** Serves a connection to its end. */
   async serve(request: FakeRequest): Promise<void> {
@@ -233,7 +236,7 @@
       contract: { ...CONTRACT, team: teamId },
       firstWantedIndex: continues ? lastEventId + 1 : 0,
       from: from.value,
-      generationId: from.value?.generationId ?? toId<GenerationId>(`generation-of-${requestId}`),
+      generationId: from.value?.generationId ?? this.freshId(requestId),
       hold: hold.value,
       requestId,
       seed: from.value?.seed ?? 5,
@@ -242,6 +245,11 @@
     });
     await registry.follow(teamId, requestId, { bodyHash, run });
   }
+
+  private freshId(requestId: RequestId): GenerationId {
+    const suffix = this.routerId === 'a' ? '' : `-at-${this.routerId}`;
+    return toId(`generation-of-${requestId}${suffix}`);
+  }
 }
 
 function serverOf(engine: FakeEngine, number: number): KnownServer {
