--- a/packages/settings/src/SettingsSchema.ts
+++ b/packages/settings/src/SettingsSchema.ts
@@ -65,7 +65,13 @@
   platform: z.strictObject({
     storeUrl: urlSchema,
     vmListUrl: urlSchema,
-    weightStoreUrl: urlSchema.optional(),
+    /** Rate of the weight store over all schedulers; without it loads are not limited. */
+    weightStore: z
+      .strictObject({
+        transfersPerWindow: z.number().int().positive(),
+        windowMs: durationMsSchema,
+      })
+      .optional(),
   }),
   shutdown: z
     .strictObject({ boundMs: durationMsSchema.default(30_000) })
--- a/packages/tools/src/deployment/Deployment.ts
+++ b/packages/tools/src/deployment/Deployment.ts
@@ -72,6 +72,7 @@
 const ROLES: readonly MemberRole[] = ['scheduler', 'ledger', 'router'];
 const PEER_SECRET = 'peer-secret-of-the-deployment';
 const SHUTDOWN_BOUND_MS = 20_000;
+const WEIGHT_STORE_RATE = { transfersPerWindow: 4, windowMs: 60_000 };
 
 /** Path of a compiled program of a package. */
 function programOf(packageName: string): string {
@@ -172,7 +173,7 @@
       platform: {
         storeUrl: `http://${this.addressOf('platform')}`,
         vmListUrl: `http://${this.addressOf('vms')}`,
-        weightStoreUrl: `http://${this.addressOf('weights')}`,
+        weightStore: WEIGHT_STORE_RATE,
       },
       shutdown: { boundMs: SHUTDOWN_BOUND_MS },
       ...this.options.settings,
