Split the deployment harness: options, VM list, processes

Ruled out: splitting by stand-in and daemon (they share the process table). Conclusion: one concept a file.

--- a/packages/tools/src/deployment/Deployment.ts
+++ b/packages/tools/src/deployment/Deployment.ts
@@ -9,65 +9,16 @@
 import logfmt from 'logfmt';
 import { request } from 'undici';
 import { stringify } from 'yaml';
+import type {
+  DeploymentOptions,
+  EngineSpec,
+  EntryVmSpec,
+  ServiceSpec,
+} from './DeploymentOptions.js';
 import type { DeploymentProcess, LogLine } from './DeploymentProcess.js';
 import { startProcess } from './DeploymentProcess.js';
-
-/** A model engine of the deployment. */
-export interface EngineSpec {
-  readonly args?: readonly string[];
-  readonly failureDomain: string;
-  readonly name: string;
-  readonly pool: string;
-}
-
-/** A plain service's server. */
-export interface ServiceSpec {
-  readonly failureDomain: string;
-  readonly name: string;
-  readonly service: string;
-}
-
-/** A pool as the daemons' settings name it. */
-export interface PoolSpec {
-  readonly checksFencingNumbers: boolean;
-  readonly models: readonly string[];
-  readonly name: string;
-}
-
-/** An entry VM. */
-export interface EntryVmSpec {
-  readonly failureDomain: string;
-  readonly name: string;
-}
-
-/** Options of {@link startDeployment}. */
-export interface DeploymentOptions {
-  /** YAML texts of the contracts in force from the start. */
-  readonly contracts: readonly string[];
-  readonly engines: readonly EngineSpec[];
-  readonly entryVms: readonly EntryVmSpec[];
-  readonly pools: readonly PoolSpec[];
-  readonly region: string;
-  readonly services: readonly ServiceSpec[];
-  /** Settings added to those of every daemon. */
-  readonly settings?: Readonly<Record<string, unknown>>;
-  /** Settings added to those of the daemons of a role. */
-  readonly settingsOfRole?: Readonly<
-    Partial<Record<MemberRole, Readonly<Record<string, unknown>>>>
-  >;
-}
-
-/** A backend server as the VM list stand-in takes it. */
-interface ListedVm {
-  readonly address: string;
-  readonly backend:
-    | { readonly kind: 'model'; readonly pool: string }
-    | { readonly kind: 'service'; readonly service: string };
-  readonly failureDomain: string;
-  readonly region: string;
-  readonly serverId: string;
-  state: 'leaving' | 'live';
-}
+import type { ListedState, ListedVm } from './DeploymentVmList.js';
+import { DeploymentVmList } from './DeploymentVmList.js';
 
 const ROLES: readonly MemberRole[] = ['scheduler', 'ledger', 'router'];
 const PEER_SECRET = 'peer-secret-of-the-deployment';
@@ -87,7 +38,7 @@
   readonly daemons = new Map<string, DeploymentProcess>();
   readonly standins = new Map<string, DeploymentProcess>();
   readonly #everStarted: DeploymentProcess[] = [];
-  readonly #vms: ListedVm[] = [];
+  readonly #vms = new DeploymentVmList();
   #directory = '';
   #store: PlatformStore | undefined;
 
@@ -194,23 +145,14 @@
   }
 
   /** Sets the state of a listed server. */
-  async setVmState(serverId: string, state: 'gone' | 'leaving' | 'live'): Promise<void> {
-    const index = this.#vms.findIndex((vm) => vm.serverId === serverId);
-    const vm = this.#vms[index];
-    if (!vm) {
-      return;
-    }
-    if (state === 'gone') {
-      this.#vms.splice(index, 1);
-    } else {
-      vm.state = state;
-    }
+  async setVmState(serverId: string, state: ListedState): Promise<void> {
+    this.#vms.setState(serverId, state);
     await this.publishVms();
   }
 
   /** Gives the list of VMs to its stand-in. */
   async publishVms(): Promise<void> {
-    await this.post('vms', '/control/vms', { vms: this.#vms });
+    await this.post('vms', '/control/vms', { vms: this.#vms.vms });
   }
 
   /** Orders a fault of a stand-in. */
@@ -340,11 +282,7 @@
     failureDomain: string,
     backend: ListedVm['backend'],
   ): void {
-    const listed = this.#vms.findIndex((vm) => vm.serverId === serverId);
-    if (listed >= 0) {
-      this.#vms.splice(listed, 1);
-    }
-    this.#vms.push({
+    this.#vms.put({
       address: `http://${address}`,
       backend,
       failureDomain,
--- a/packages/tools/src/faults/FaultsFirms.ts
+++ b/packages/tools/src/faults/FaultsFirms.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import type { OutputLengthRange } from '@laburnumgap/standins';
-import type { DeploymentOptions } from '../deployment/Deployment.js';
+import type { DeploymentOptions } from '../deployment/DeploymentOptions.js';
 
 /** Work that a firm's callers bring. */
 export interface FirmGenerations {
--- a/packages/tools/src/faults/FaultsInjector.ts
+++ b/packages/tools/src/faults/FaultsInjector.ts
@@ -3,7 +3,8 @@
 import { toNumberId } from '@laburnumgap/kernel';
 import { STOP_PREFIX, TOMBSTONE_TEXT } from '@laburnumgap/contracts';
 import { stringify } from 'yaml';
-import type { Deployment, EngineSpec, EntryVmSpec } from '../deployment/Deployment.js';
+import type { Deployment } from '../deployment/Deployment.js';
+import type { EngineSpec, EntryVmSpec } from '../deployment/DeploymentOptions.js';
 import type { FaultsOracle } from './FaultsOracle.js';
 import type { FaultsRandom } from './FaultsRandom.js';
 
