Ignore admission calls that are over already, and move the retry time out of the admission kernel

A call whose router was gone before its handler ran would never have said so, and its reservation would have stayed; found by reading, not by a test.

--- a/packages/admission/src/AdmissionRequests.ts
+++ b/packages/admission/src/AdmissionRequests.ts
@@ -1,9 +1,12 @@
-import type { ModelId, TeamId } from '@laburnumgap/kernel';
+import type { ModelId, RandomSource, TeamId } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import type { AdmissionEstimateQuery, AdmissionRequest } from './AdmissionTypes.js';
 import type { LengthCurve } from './LengthCurve.js';
 import type { LengthKey } from './LengthModel.js';
 
+const MIN_RETRY_AFTER_MS = 250;
+const LOWEST_JITTER = 0.75;
+const JITTER_RANGE = 0.5;
 /** Engine priorities of a class and the next; preempted generations lie in between. */
 const PRIORITY_STEP = 10;
 const PREEMPTED_PRIORITY_GAIN = 4;
@@ -62,3 +65,15 @@
   const gains = Math.min(request.preemptions, MAX_PRIORITY_GAINS);
   return (request.priorityClass + 1) * PRIORITY_STEP - gains * PREEMPTED_PRIORITY_GAIN;
 }
+
+/**
+ * Time after which a refused caller should come back, spread so that callers don't come together.
+ *
+ * @param waitMs - time until there is room
+ * @param random - source of the jitter
+ * @returns the time
+ */
+export function jitteredRetryMs(waitMs: number, random: RandomSource): number {
+  const jitter = LOWEST_JITTER + JITTER_RANGE * random.nextUnit();
+  return Math.round(Math.max(MIN_RETRY_AFTER_MS, waitMs) * jitter);
+}
--- a/packages/admission/src/EngineAdmission.ts
+++ b/packages/admission/src/EngineAdmission.ts
@@ -3,6 +3,7 @@
 import {
   UNKNOWN_LENGTH_KEY,
   enginePriorityOf,
+  jitteredRetryMs,
   requestOfQuery,
   workOf,
 } from './AdmissionRequests.js';
@@ -38,9 +39,6 @@
 }
 
 const TICK_MS = 250;
-const MIN_RETRY_AFTER_MS = 250;
-const LOWEST_JITTER = 0.75;
-const JITTER_RANGE = 0.5;
 /** A wait below one millisecond stands for the use of an engine that has no queue. */
 const MAX_UNQUEUED_WAIT_MS = 0.99;
 
@@ -184,22 +182,17 @@
     if (waitMs === undefined || waitMs <= request.waitBoundMs) {
       return undefined;
     }
-    const retryAfterMs = this.retryAfterMs(waitMs - request.waitBoundMs / 2);
+    const retryAfterMs = jitteredRetryMs(waitMs - request.waitBoundMs / 2, this.random);
     return refusal('QUEUE_WAIT_TOO_LONG', 'the queue is longer than the wait bound', retryAfterMs);
   }
 
-  private retryAfterMs(waitMs: number): number {
-    const jitter = LOWEST_JITTER + JITTER_RANGE * this.random.nextUnit();
-    return Math.round(Math.max(MIN_RETRY_AFTER_MS, waitMs) * jitter);
-  }
-
   private refuse(request: AdmissionRequest, refused: Refusal): AdmissionAction {
     return { kind: 'refuse', reason: this.reasonOf(request), refusal: refused, request };
   }
 
   private refuseLate(nowMs: number): readonly AdmissionAction[] {
     return this.queue.removeLate(nowMs).map(({ request }) => {
-      const retryAfterMs = this.retryAfterMs(this.expectedWaitMs(request));
+      const retryAfterMs = jitteredRetryMs(this.expectedWaitMs(request), this.random);
       const detail = 'the wait bound passed in the queue';
       return this.refuse(request, refusal('DEADLINE_BEFORE_RUN', detail, retryAfterMs));
     });
--- a/packages/scheduler/src/SchedulerAdmissionService.ts
+++ b/packages/scheduler/src/SchedulerAdmissionService.ts
@@ -56,6 +56,9 @@
 }
 
 function admit(engines: SchedulerEngines, call: AdmitCall, reservationId: ReservationId): void {
+  if (call.cancelled) {
+    return;
+  }
   const engine = engines.open(toId<EngineId>(call.request.engineId));
   if (!engine) {
     const unknown = refusal('NO_ENGINE', 'the scheduler does not know the engine');
