Check that draining ends running reservations in order

The test did not notice when streams were left to the closing server; it now asks for status OK (seen red without the mechanism).

--- a/packages/admission/src/EngineAdmission.ts
+++ b/packages/admission/src/EngineAdmission.ts
@@ -200,10 +200,8 @@
 
   private refuseQueued(): readonly AdmissionAction[] {
     const closed = this.closedRefusal();
-    if (!closed) {
-      return [];
-    }
-    return this.queue.removeAll().map(({ request }) => this.refuse(request, closed));
+    const queued = closed ? this.queue.removeAll() : [];
+    return queued.flatMap(({ request }) => (closed ? this.refuse(request, closed) : []));
   }
 
   /** A leaving engine stays closed; one that was lost may come back. */
--- a/packages/scheduler/src/__tests__/integration/SchedulerDaemon.test.ts
+++ b/packages/scheduler/src/__tests__/integration/SchedulerDaemon.test.ts
@@ -1,4 +1,4 @@
-import type { ClientReadableStream, ServiceError } from '@grpc/grpc-js';
+import type { ClientReadableStream, ServiceError, StatusObject } from '@grpc/grpc-js';
 import { status } from '@grpc/grpc-js';
 import type { StartedDaemon } from '@laburnumgap/daemon';
 import { toId } from '@laburnumgap/kernel';
@@ -120,10 +120,10 @@
   const waiting = admit({ generationId: 'generation-2', requestId: 'request-2' });
   t.is((await nextEvent(waiting)).event, 'queued');
   const lost = new Promise<ServiceError>((resolve) => waiting.once('error', resolve));
-  const ended = new Promise((resolve) => running.once('end', resolve));
+  const ended = new Promise<StatusObject>((resolve) => running.once('status', resolve));
   await scheduler.drain();
   t.is((await lost).code, status.UNAVAILABLE);
-  await ended;
+  t.is((await ended).code, status.OK);
 });
 
 test('decisions on a request are kept for operators', async (t) => {
