--- a/packages/router/src/__tests__/utils/FakeEngines.ts
+++ b/packages/router/src/__tests__/utils/FakeEngines.ts
@@ -315,10 +315,13 @@
     if (start.prefix.length > 0 && !engine.canContinue) {
       return lost('rejected');
     }
-    return engine.leaving ? lost('rejected') : undefined;
+    return engine.leaving ? lost('rejected', 'leaving') : undefined;
   }
 }
 
-function lost(reason: Extract<EngineStreamEvent, { kind: 'lost' }>['reason']): EngineStreamEvent {
-  return { detail: reason, kind: 'lost', reason };
+function lost(
+  reason: Extract<EngineStreamEvent, { kind: 'lost' }>['reason'],
+  detail: string = reason,
+): EngineStreamEvent {
+  return { detail, kind: 'lost', reason };
 }
--- a/packages/router/src/__tests__/utils/FakeWorld.ts
+++ b/packages/router/src/__tests__/utils/FakeWorld.ts
@@ -134,6 +134,8 @@
   readonly client: FakeEngineClient;
   readonly engines: readonly FakeEngine[];
   readonly homes = new FakeHomes();
+  /** Engines that a router has seen to leave. */
+  readonly notedLeaving: ServerId[] = [];
   readonly timers = new FakeTimers();
   private readonly policy: ContinuationPolicy;
   readonly servers: ServerDirectory;
@@ -147,7 +149,9 @@
     this.client = new FakeEngineClient(new Map(this.engines.map((engine) => [engine.url, engine])));
     this.admission = new FakeAdmission((engineId) => engineId);
     this.servers = {
-      noteLeaving: () => undefined,
+      noteLeaving: (serverId) => {
+        this.notedLeaving.push(serverId);
+      },
       onChange: () => () => undefined,
       servers: () => this.engines.map((engine, number) => serverOf(engine, number)),
     };
@@ -179,7 +183,7 @@
       progress: new RouterProgress(admission, timers),
       timers,
     };
-    return new FakeRouter(services);
+    return new FakeRouter(services, routerId);
   }
 }
 
@@ -197,7 +201,10 @@
 export class FakeRouter {
   readonly registry = new RouterRunRegistry();
 
-  constructor(readonly services: RunServices) {}
+  constructor(
+    readonly services: RunServices,
+    private readonly routerId: string,
+  ) {}
 
   /** Serves a connection to its end. */
   async serve(request: FakeRequest): Promise<void> {
@@ -229,7 +236,7 @@
       contract: { ...CONTRACT, team: teamId },
       firstWantedIndex: continues ? lastEventId + 1 : 0,
       from: from.value,
-      generationId: from.value?.generationId ?? toId<GenerationId>(`generation-of-${requestId}`),
+      generationId: from.value?.generationId ?? this.freshId(requestId),
       hold: hold.value,
       requestId,
       seed: from.value?.seed ?? 5,
@@ -238,6 +245,11 @@
     });
     await registry.follow(teamId, requestId, { bodyHash, run });
   }
+
+  private freshId(requestId: RequestId): GenerationId {
+    const suffix = this.routerId === 'a' ? '' : `-at-${this.routerId}`;
+    return toId(`generation-of-${requestId}${suffix}`);
+  }
 }
 
 function serverOf(engine: FakeEngine, number: number): KnownServer {
@@ -245,7 +257,7 @@
     address: engine.url,
     backend: { kind: 'model', pool: toId<PoolId>('drafts') },
     failureDomain: toId<FailureDomainId>(`domain-${number}`),
-    leaving: engine.leaving,
+    leaving: false,
     region: toId<RegionId>('region'),
     serverId: toId<ServerId>(engine.url),
     state: 'live',
