--- a/packages/router/src/RouterPlainCallsOnce.ts
+++ b/packages/router/src/RouterPlainCallsOnce.ts
@@ -124,7 +124,7 @@
       return refused(refusal('OUTCOME_UNKNOWN', result.error));
     }
     this.options.outliers.succeeded(server.serverId);
-    this.record(request, claim, 'answered');
+    this.record(request, claim, 'answered', `status ${result.value.status}`);
     await this.recordedOrLate(claim, result.value);
     return { answer: result.value, kind: 'answer' };
   }
