--- a/packages/router/src/RouterConstants.ts
+++ b/packages/router/src/RouterConstants.ts
@@ -44,3 +44,7 @@
 export const PAUSE_CHECK_MS = 2_000;
 /** Reason that an engine gives for taking no new work when it is about to leave. */
 export const ENGINE_LEAVING = 'leaving';
+/** How long records of ended generations are kept at most; engines keep their tokens as long. */
+export const MAX_RECORD_KEPT_MS = 60_000;
+/** Longest wait on a silent stream before the engine is asked again. */
+export const MAX_SILENCE_MS = 10_000;
--- a/packages/router/src/__tests__/integration/RouterRpc.test.ts
+++ b/packages/router/src/__tests__/integration/RouterRpc.test.ts
@@ -23,6 +23,8 @@
 const TEAM = toId<TeamId>('stock');
 const REQUEST = toId<RequestId>('r-1');
 
+/** Far beyond what any of these calls takes, so that no deadline decides a verdict. */
+const DEADLINE_MS = 60_000;
 const NO_TIMERS: Timers = { after: () => () => undefined };
 
 const ADMISSION: AdmissionRequest = {
@@ -58,9 +60,6 @@
   teamId: TEAM,
 };
 
-/** Longer than a loaded machine takes; no case waits for it. */
-const DEADLINE_MS = 30_000;
-
 const TAKE_OVER: HomeTakeOver = {
   bodyHash: 'hash',
   continues: false,
@@ -87,14 +86,12 @@
     }
   });
   const directory = new FakeDirectory(schedulers.map((scheduler) => scheduler.member));
-  const options = {
-    clients,
-    deadlineMs: DEADLINE_MS,
+  const options = { clients, directory, routerId: ROUTER };
+  return {
+    admission: new RpcAdmission({ ...options, estimateDeadlineMs: DEADLINE_MS }),
     directory,
-    estimateDeadlineMs: DEADLINE_MS,
-    routerId: ROUTER,
+    homes: new RpcRequestHomes({ ...options, deadlineMs: DEADLINE_MS }),
   };
-  return { admission: new RpcAdmission(options), directory, homes: new RpcRequestHomes(options) };
 }
 
 function admit(admission: RpcAdmission): ReturnType<typeof waitForAdmission> {
--- a/packages/standins/src/__tests__/integration/PoolOrders.test.ts
+++ b/packages/standins/src/__tests__/integration/PoolOrders.test.ts
@@ -1,3 +1,4 @@
+import { createEngineControl } from '@laburnumgap/engine';
 import type {
   KnownServer,
   Member,
@@ -70,9 +71,15 @@
   };
 }
 
+/** Starts the orders; gives the URLs of the engines that were taken charge of. */
 function start(t: ExecutionContext, directories: Directories, onOrder: (id: string) => void) {
+  const takenUrls: string[] = [];
   const orders = startPoolOrders({
     clock: { nowMs: () => performance.now() },
+    controlOf: (url) => {
+      takenUrls.push(url);
+      return createEngineControl({ url });
+    },
     decisions: {
       record: ({ decision, fields }) => {
         if (decision === 'order') {
@@ -89,6 +96,7 @@
     store: createMemoryStore(),
   });
   t.teardown(() => orders.stop());
+  return takenUrls;
 }
 
 test('engines that are owned and stay get their models, others are left alone', async (t) => {
@@ -123,17 +131,17 @@
   const directories = new Directories();
   directories.owner = OTHER;
   directories.servers = [serverOf('e1', server.url)];
-  let ownedSince = 'nobody';
-  const ordered = new Promise<string>((resolve) => {
-    start(t, directories, () => {
-      resolve(ownedSince);
+  let takenUrls: readonly string[] = [];
+  const ordered = new Promise<void>((resolve) => {
+    takenUrls = start(t, directories, () => {
+      resolve();
     });
   });
   directories.changed();
-  t.deepEqual(await ordersInForce(server), []);
-  ownedSince = 'this';
+  t.deepEqual(takenUrls, []);
   directories.owner = MEMBER;
   directories.changed();
-  t.is(await ordered, 'this');
+  t.deepEqual(takenUrls, [server.url]);
+  await ordered;
   t.deepEqual(await ordersInForce(server), ['m0,m1']);
 });
