Let two of three failure domains be down at once in the fault run

Cause: requests have homes in three failure domains now, so two lost domains are covered. Ruled out: keeping the lock of one domain (it would hide a loss). Conclusion: only the loss of all three domains at once is left out of the run.

--- a/packages/tools/src/faults/FaultsInjector.ts
+++ b/packages/tools/src/faults/FaultsInjector.ts
@@ -23,8 +23,10 @@
 /** Time within which a server that is to leave may still get new work. */
 const LEAVING_BOUND_MS = 3_000;
 
-/** Held while a failure domain is down: losing two at once may cost both homes of a request. */
-const DOMAIN_LOCK = 'a failure domain';
+/** A request has homes in three failure domains: with all three lost at once its place is lost. */
+const MOST_DOMAINS_DOWN = 2;
+
+const DOMAIN_LOCK_PREFIX = 'failure domain ';
 
 /** Time in which routers write their records again after the set of schedulers has changed. */
 const HOMES_REFRESH_MS = 5_000;
@@ -159,18 +161,19 @@
   const { busy, deployment, oracle, random } = context;
   const domain = random.pick(deployment.options.entryVms).failureDomain;
   const vms = deployment.options.entryVms.filter((vm) => vm.failureDomain === domain);
-  if (busy.has(DOMAIN_LOCK) || vms.some((vm) => busy.has(vm.name))) {
+  const isLast = domainsDown(context) >= MOST_DOMAINS_DOWN;
+  if (isLast || vms.some((vm) => busy.has(vm.name))) {
     oracle.count('fault skipped: target busy');
     return;
   }
-  busy.add(DOMAIN_LOCK);
+  busy.add(lockOf(domain));
   vms.forEach((vm) => busy.add(vm.name));
   await Promise.all(vms.flatMap((vm) => ROLES.map((role) => killDaemon(deployment, role, vm))));
   await sleep(random.int(1_000, 5_000));
   await Promise.all(vms.map((vm) => deployment.startEntryVm(vm)));
   await sleep(HOMES_REFRESH_MS);
   vms.forEach((vm) => busy.delete(vm.name));
-  busy.delete(DOMAIN_LOCK);
+  busy.delete(lockOf(domain));
 }
 
 /** Two operators change one contract under the same expected revision: one of them may win. */
@@ -187,6 +190,14 @@
   }
 }
 
+function lockOf(domain: string): string {
+  return `${DOMAIN_LOCK_PREFIX}${domain}`;
+}
+
+function domainsDown({ busy }: FaultContext): number {
+  return [...busy].filter((name) => name.startsWith(DOMAIN_LOCK_PREFIX)).length;
+}
+
 function stopServerByPlan(context: FaultContext): Promise<void> {
   return withTarget(context, context.deployment.options.engines, (engine) =>
     stopEngineByPlan(context, engine),
