Run the bench with the logs that daemons write

Cause: at log level error the listening line, on which the harness waits, was not written; the bench did not start. Ruled out: a harness that polls ports (the line is the interface).

--- a/packages/tools/src/bench/BenchDeployment.ts
+++ b/packages/tools/src/bench/BenchDeployment.ts
@@ -56,7 +56,6 @@
     pools: [{ checksFencingNumbers: true, models: [BENCH_MODEL], name: 'bench' }],
     region: 'region-1',
     services: [{ failureDomain: 'zone-1', name: 'app-1', service: 'stock' }],
-    settings: { log: { level: 'error' } },
   });
   await deployment.start();
   return deployment;
