Test that a second signal does not drain again

Cause: of six trials with one part of the shutdown off, five were red (conditions of readiness, a failed drain's exit code, a planned stop told twice, a target not compared, runs not left near the bound); the check of a second signal could be taken out unseen. Ruled out: nothing. Measured: the new test is red with the check off, green with it. Conclusion: each check of the lifecycle has a test that can fail.

--- a/packages/daemon/src/__tests__/unit/DaemonLifecycle.test.ts
+++ b/packages/daemon/src/__tests__/unit/DaemonLifecycle.test.ts
@@ -46,6 +46,21 @@
   t.is(lifecycle.stage, 'ready');
 });
 
+test('a second signal does not drain again', async (t) => {
+  const { exit, lifecycle } = createRun();
+  let drains = 0;
+  await lifecycle.start(
+    daemonThatDrains(() => {
+      drains += 1;
+      return Promise.resolve();
+    }),
+  );
+  lifecycle.shutDown('SIGTERM');
+  lifecycle.shutDown('SIGTERM');
+  await exit;
+  t.is(drains, 1);
+});
+
 const ENDINGS: readonly {
   readonly code: number;
   readonly name: string;
