--- a/packages/tools/src/capacity/CapacityTable.ts
+++ b/packages/tools/src/capacity/CapacityTable.ts
@@ -180,12 +180,12 @@
     }),
     row('scheduler', 'progress decisions', kernels.admissionProgressUs, 'µs a report', {
       atTarget: percent(kernels.admissionProgressUs * RUNNING_OF_ROUTER),
-      formula: 'slope x 1,136 generations a second',
+      formula: `slope x ${readable(RUNNING_OF_ROUTER)} generations a second`,
       unit: '% of a core',
     }),
     row('scheduler', 'running generations', kernels.admissionRunningBytes / 1024, 'KiB each', {
       atTarget: mebibytes(kernels.admissionRunningBytes * RUNNING_OF_ROUTER),
-      formula: 'slope x 1,136 generations',
+      formula: `slope x ${readable(RUNNING_OF_ROUTER)} generations`,
       unit: 'MiB',
     }),
     row('scheduler', 'length model', kernels.lengthModelBytes / 1024 / 1024, 'MiB, bounded', {
--- a/packages/tools/src/capacity/CapacityTarget.ts
+++ b/packages/tools/src/capacity/CapacityTarget.ts
@@ -26,7 +26,7 @@
 export const ONCE_SHARE = 0.05;
 
 /** Time between two tokens of one generation at the target. */
-export const TOKEN_GAP_MS = 50;
+export const TOKEN_GAP_MS = 76;
 
 /** Generations that run at once at the target. */
 export const RUNNING_GENERATIONS = (TARGET.tokensPerSecond * TOKEN_GAP_MS) / 1_000;
