--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,15 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/generated/**', 'node_modules/**', 'eslint.config.js'] },
+  {
+    ignores: [
+      '**/dist/**',
+      '**/generated/**',
+      'eslint.config.js',
+      'node_modules/**',
+      'packages/*/bin/**',
+    ],
+  },
   eslint.configs.recommended,
   tseslint.configs.strictTypeChecked,
   tseslint.configs.stylisticTypeChecked,
--- /dev/null
+++ b/packages/ledger/bin/laburnum-ledger.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
