Name the place of a fault in the list of VMs

Cause: a list with one address without http:// was refused with the pattern alone; which server and key it was about had to be guessed. The detail now names the place, as vms.0.address. Seen red: the new test fails against the message without the place.

--- a/packages/platform/src/PlatformVmList.ts
+++ b/packages/platform/src/PlatformVmList.ts
@@ -98,7 +98,9 @@
   }
   const checked = listSchema.safeParse(body);
   if (!checked.success) {
-    return unavailable(`the list is malformed: ${checked.error.issues[0]?.message ?? ''}`);
+    const [issue] = checked.error.issues;
+    const place = issue?.path.join('.') ?? '';
+    return unavailable(`the list is malformed: ${place}: ${issue?.message ?? ''}`);
   }
   return success(checked.data.vms);
 }
--- a/packages/platform/src/__tests__/unit/PlatformVmList.test.ts
+++ b/packages/platform/src/__tests__/unit/PlatformVmList.test.ts
@@ -94,3 +94,11 @@
   ]);
   t.deepEqual(asked, [undefined, undefined, '"1"', undefined, '"2"', '"2"']);
 });
+
+test('a malformed list is refused with the place of the fault', async (t) => {
+  const { list, next } = await createBench(t);
+  const body = bodyOf('a', 'b').replace('"http://10.0.0.1:1"', '"10.0.0.1:1"');
+  next.push({ body, status: 200 }, { body: '{}', status: 200 });
+  t.regex(await idsOf(list), /^the list is malformed: vms\.0\.address: /);
+  t.regex(await idsOf(list), /^the list is malformed: vms: /);
+});
