--- a/packages/admission/src/RequestHome.ts
+++ b/packages/admission/src/RequestHome.ts
@@ -70,10 +70,10 @@
  *
  * Attempt numbers of a request only go up, and a takeover hands attempt n + 1 to one router: every
  * earlier holder is refused here and at the engine, which ends streams of lower attempts. A request
- * has two homes. They can disagree, when one of them missed a record or was restarted: a router
- * takes the answer with the higher attempt and records it at both, after which they agree. Two
- * routers that each reached only one home may both hold attempt n + 1. The engine accepts an
- * attempt number for one start only, so the second one is refused there and takes over once more.
+ * has several homes. They can disagree, when one of them missed a record or was restarted: a router
+ * takes the answer with the highest attempt and records it at all, after which they agree. Two
+ * routers that reached different homes may both hold attempt n + 1. The engine accepts an attempt
+ * number for one start only, so the second one is refused there and takes over once more.
  */
 export class RequestHome {
   private readonly maxAgeMs: number;
