Keep the record of a generation's home in one place

Cause: its 13 fields stood in admission and router, and the reading of its message in router and scheduler. The kernel now holds GenerationHomeRecord, rpc reads it from the message; admission adds the router that wrote it.

--- a/packages/admission/src/RequestHome.ts
+++ b/packages/admission/src/RequestHome.ts
@@ -1,31 +1,15 @@
 import type {
   AttemptNumber,
-  EngineId,
-  GenerationId,
+  GenerationHomeRecord,
   MemberId,
-  ModelId,
   RequestId,
   TeamId,
 } from '@laburnumgap/kernel';
 import { toNumberId } from '@laburnumgap/kernel';
 
-/** Where a request's generation runs, as its router recorded it. */
-export interface HomeRecord {
-  readonly attempt: AttemptNumber;
-  readonly bodyHash: string;
-  /** Highest token index handed to the caller's connection, -1 for none. */
-  readonly deliveredIndex: number;
-  readonly engineId: EngineId;
-  readonly engineUrl: string;
-  readonly generationId: GenerationId;
-  readonly maxTokens: number;
-  readonly model: ModelId;
-  readonly prompt: string;
-  readonly requestId: RequestId;
+/** Where a request's generation runs, and the router that recorded it. */
+export interface HomeRecord extends GenerationHomeRecord {
   readonly routerId: MemberId;
-  readonly seed: number;
-  readonly streamed: boolean;
-  readonly teamId: TeamId;
 }
 
 /** A router that wants to go on with a request. */
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -2,6 +2,7 @@
 export * from './KernelCommands.js';
 export * from './KernelDecision.js';
 export type * from './KernelEngine.js';
+export type * from './KernelGenerationHome.js';
 export * from './KernelIds.js';
 export * from './KernelInvariant.js';
 export type * from './KernelMembership.js';
--- a/packages/router/src/RouterEarlierRuns.ts
+++ b/packages/router/src/RouterEarlierRuns.ts
@@ -1,7 +1,7 @@
-import type { Refusal, RequestId, Result, TeamId } from '@laburnumgap/kernel';
+import type { GenerationHomeRecord, Refusal, RequestId, Result, TeamId } from '@laburnumgap/kernel';
 import { failure, refusal, success } from '@laburnumgap/kernel';
 import { NO_ENGINE_RETRY_MS } from './RouterConstants.js';
-import type { HomeRecord, RequestHomes } from './RouterPorts.js';
+import type { RequestHomes } from './RouterPorts.js';
 import type { RouterRunRegistry } from './RouterRunRegistry.js';
 import type { HandedOverRun } from './RouterRunTypes.js';
 
@@ -61,7 +61,10 @@
 }
 
 /** The homes know the attempt to go on with; a run of this router may know the texts as well. */
-function mergeEarlier(record: HomeRecord, local: HandedOverRun | undefined): HandedOverRun {
+function mergeEarlier(
+  record: GenerationHomeRecord,
+  local: HandedOverRun | undefined,
+): HandedOverRun {
   const isSame = local?.generationId === record.generationId;
   return {
     attempt: record.attempt,
--- a/packages/router/src/RouterPorts.ts
+++ b/packages/router/src/RouterPorts.ts
@@ -1,6 +1,7 @@
 import type {
   AttemptNumber,
   EngineId,
+  GenerationHomeRecord,
   GenerationId,
   ModelId,
   Refusal,
@@ -75,23 +76,6 @@
   report(reports: readonly ProgressReport[]): void;
 }
 
-/** Where a generation can be found again. */
-export interface HomeRecord {
-  readonly attempt: AttemptNumber;
-  readonly bodyHash: string;
-  readonly deliveredIndex: number;
-  readonly engineId: EngineId;
-  readonly engineUrl: string;
-  readonly generationId: GenerationId;
-  readonly maxTokens: number;
-  readonly model: ModelId;
-  readonly prompt: string;
-  readonly requestId: RequestId;
-  readonly seed: number;
-  readonly streamed: boolean;
-  readonly teamId: TeamId;
-}
-
 /** Outcome of a record: superseded when a home knows a newer holder. */
 export type HomeRecorded = 'recorded' | 'superseded' | 'unreachable';
 
@@ -106,7 +90,7 @@
 
 /** Outcome of a takeover. */
 export type HomeTakenOver =
-  | { readonly outcome: 'found'; readonly record: HomeRecord }
+  | { readonly outcome: 'found'; readonly record: GenerationHomeRecord }
   | { readonly outcome: 'otherBody' | 'otherTeam' | 'unknown' };
 
 /** No home could be asked, or none knew the request and one could not be asked. */
@@ -117,7 +101,7 @@
 /** Port to the homes of requests. */
 export interface RequestHomes {
   forget(teamId: TeamId, requestId: RequestId, attempt: AttemptNumber): void;
-  record(record: HomeRecord): Promise<HomeRecorded>;
+  record(record: GenerationHomeRecord): Promise<HomeRecorded>;
   takeOver(takeOver: HomeTakeOver): Promise<Result<HomeTakenOver, HomesUnreachable>>;
   /** Grows whenever the homes of a request may have changed. */
   version(): number;
--- a/packages/router/src/RouterRpcHomes.ts
+++ b/packages/router/src/RouterRpcHomes.ts
@@ -1,5 +1,6 @@
 import type {
   AttemptNumber,
+  GenerationHomeRecord,
   Member,
   MemberDirectory,
   MemberId,
@@ -7,19 +8,18 @@
   Result,
   TeamId,
 } from '@laburnumgap/kernel';
-import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
+import { failure, success } from '@laburnumgap/kernel';
 import type {
   GenerationRecord,
-  GenerationRecord__Output,
   RecordReply__Output,
   RpcClients,
   RpcError,
   TakeOverReply__Output,
   TakeOverRequest,
 } from '@laburnumgap/rpc';
+import { homeRecordOf } from '@laburnumgap/rpc';
 import { HOME_DEADLINE_MS } from './RouterConstants.js';
 import type {
-  HomeRecord,
   HomeRecorded,
   HomeTakeOver,
   HomeTakenOver,
@@ -76,7 +76,7 @@
     }
   }
 
-  async record(record: HomeRecord): Promise<HomeRecorded> {
+  async record(record: GenerationHomeRecord): Promise<HomeRecorded> {
     const { model, ...fields } = record;
     const message = { ...fields, modelId: model, routerId: this.routerId };
     const homes = this.homesOf(record.teamId, record.requestId);
@@ -204,22 +204,3 @@
   }
   return { outcome: 'unknown' };
 }
-
-function homeRecordOf(record: GenerationRecord__Output): HomeRecord {
-  const { bodyHash, deliveredIndex, engineUrl, maxTokens, prompt, seed, streamed } = record;
-  return {
-    attempt: toNumberId(record.attempt),
-    bodyHash,
-    deliveredIndex,
-    engineId: toId(record.engineId),
-    engineUrl,
-    generationId: toId(record.generationId),
-    maxTokens,
-    model: toId(record.modelId),
-    prompt,
-    requestId: toId(record.requestId),
-    seed,
-    streamed,
-    teamId: toId(record.teamId),
-  };
-}
--- a/packages/router/src/__tests__/integration/RouterRpc.test.ts
+++ b/packages/router/src/__tests__/integration/RouterRpc.test.ts
@@ -1,5 +1,6 @@
 import type {
   EngineId,
+  GenerationHomeRecord,
   GenerationId,
   MemberId,
   ModelId,
@@ -12,7 +13,7 @@
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 import { waitForAdmission } from '../../RouterAdmissionWait.js';
-import type { AdmissionRequest, HomeRecord, HomeTakeOver } from '../../RouterPorts.js';
+import type { AdmissionRequest, HomeTakeOver } from '../../RouterPorts.js';
 import { RpcAdmission } from '../../RouterRpcAdmission.js';
 import { RpcRequestHomes } from '../../RouterRpcHomes.js';
 import type { Timers } from '../../RouterTimers.js';
@@ -44,7 +45,7 @@
   weight: 2,
 };
 
-const RECORD: HomeRecord = {
+const RECORD: GenerationHomeRecord = {
   attempt: toNumberId(1),
   bodyHash: 'hash',
   deliveredIndex: 6,
--- a/packages/router/src/__tests__/utils/FakeSchedulers.ts
+++ b/packages/router/src/__tests__/utils/FakeSchedulers.ts
@@ -1,4 +1,10 @@
-import type { AttemptNumber, RequestId, Result, TeamId } from '@laburnumgap/kernel';
+import type {
+  AttemptNumber,
+  GenerationHomeRecord,
+  RequestId,
+  Result,
+  TeamId,
+} from '@laburnumgap/kernel';
 import { failure, refusal, success, toNumberId } from '@laburnumgap/kernel';
 import type { RouteEstimate } from '@laburnumgap/routing';
 import type {
@@ -6,7 +12,6 @@
   AdmissionPort,
   AdmissionRequest,
   EstimateQuery,
-  HomeRecord,
   HomeRecorded,
   HomeTakeOver,
   HomeTakenOver,
@@ -78,7 +83,7 @@
 }
 
 interface KeptRecord {
-  readonly record: HomeRecord;
+  readonly record: GenerationHomeRecord;
   readonly routerId: string;
 }
 
@@ -112,7 +117,7 @@
     }
   }
 
-  private record(record: HomeRecord, routerId: string): HomeRecorded {
+  private record(record: GenerationHomeRecord, routerId: string): HomeRecorded {
     if (!this.reachable) {
       return 'unreachable';
     }
--- /dev/null
+++ b/packages/rpc/src/RpcGenerationRecord.ts
@@ -0,0 +1,28 @@
+import type { GenerationHomeRecord } from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import type { GenerationRecord__Output } from './generated/laburnum/v1/GenerationRecord.js';
+
+/**
+ * Reads a record of a generation from its message.
+ *
+ * @param record - the message
+ * @returns the record without the router that wrote it
+ */
+export function homeRecordOf(record: GenerationRecord__Output): GenerationHomeRecord {
+  const { bodyHash, deliveredIndex, engineUrl, maxTokens, prompt, seed, streamed } = record;
+  return {
+    attempt: toNumberId(record.attempt),
+    bodyHash,
+    deliveredIndex,
+    engineId: toId(record.engineId),
+    engineUrl,
+    generationId: toId(record.generationId),
+    maxTokens,
+    model: toId(record.modelId),
+    prompt,
+    requestId: toId(record.requestId),
+    seed,
+    streamed,
+    teamId: toId(record.teamId),
+  };
+}
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,6 +1,7 @@
 export * from './RpcClients.js';
 export * from './RpcConstants.js';
 export * from './RpcDefinitions.js';
+export * from './RpcGenerationRecord.js';
 export * from './RpcServer.js';
 export type * from './generated/laburnum/v1/Admission.js';
 export type * from './generated/laburnum/v1/AdmitEvent.js';
--- a/packages/scheduler/src/SchedulerRequestHomeService.ts
+++ b/packages/scheduler/src/SchedulerRequestHomeService.ts
@@ -2,20 +2,14 @@
 import type {
   AttemptNumber,
   DecisionSink,
-  EngineId,
-  GenerationId,
   MemberId,
-  ModelId,
   MonotonicClock,
   RequestId,
   TeamId,
 } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
-import type {
-  GenerationRecord,
-  GenerationRecord__Output,
-  RequestHomeHandlers,
-} from '@laburnumgap/rpc';
+import type { GenerationRecord, RequestHomeHandlers } from '@laburnumgap/rpc';
+import { homeRecordOf } from '@laburnumgap/rpc';
 
 /** What the request home service is built from. */
 export interface SchedulerRequestHomeOptions {
@@ -41,7 +35,8 @@
       callback(null, {});
     },
     RecordGeneration: ({ request }, callback) => {
-      callback(null, home.record(homeRecordOf(request), clock.nowMs()));
+      const record = { ...homeRecordOf(request), routerId: toId<MemberId>(request.routerId) };
+      callback(null, home.record(record, clock.nowMs()));
     },
     TakeOver: ({ request }, callback) => {
       const { bodyHash, requestId, routerId, teamId } = request;
@@ -68,26 +63,6 @@
   };
 }
 
-function homeRecordOf(record: GenerationRecord__Output): HomeRecord {
-  const { bodyHash, deliveredIndex, engineUrl, maxTokens, prompt, seed, streamed } = record;
-  return {
-    attempt: toNumberId<AttemptNumber>(record.attempt),
-    bodyHash,
-    deliveredIndex,
-    engineId: toId<EngineId>(record.engineId),
-    engineUrl,
-    generationId: toId<GenerationId>(record.generationId),
-    maxTokens,
-    model: toId<ModelId>(record.modelId),
-    prompt,
-    requestId: toId<RequestId>(record.requestId),
-    routerId: toId<MemberId>(record.routerId),
-    seed,
-    streamed,
-    teamId: toId<TeamId>(record.teamId),
-  };
-}
-
 function generationRecordOf(record: HomeRecord): GenerationRecord {
   const { model, ...fields } = record;
   return { ...fields, modelId: model };
