--- a/packages/config-sync/src/ConfigSync.ts
+++ b/packages/config-sync/src/ConfigSync.ts
@@ -1,49 +1,12 @@
 import type { ConfigurationView } from '@laburnumgap/contracts';
-import type {
-  DecisionSink,
-  Member,
-  MemberDirectory,
-  MonotonicClock,
-  PlatformStore,
-  RandomSource,
-} from '@laburnumgap/kernel';
-import type { RpcClients } from '@laburnumgap/rpc';
-import type { Log, Metrics } from '@laburnumgap/telemetry';
+import type { RandomSource } from '@laburnumgap/kernel';
 import { NO_METRICS } from '@laburnumgap/telemetry';
 import { ConfigKeeper } from './ConfigKeeper.js';
 import type { ConfigMessage } from './ConfigMessages.js';
+import type { ConfigActors, ConfigSyncOptions } from './ConfigOptions.js';
 import type { ConfigPeerHandlers } from './ConfigPeerServer.js';
 import { METRICS_INTERVAL_MS, TICK_INTERVAL_MS } from './ConfigSyncConstants.js';
 
-/** Starts the actor that owns the configuration; `createActorSystem` of the daemon package fits. */
-export interface ConfigActors {
-  spawn<Message>(
-    name: string,
-    handler: (message: Message) => Promise<void> | void,
-  ): { send(message: Message): void; stop(): void };
-}
-
-/** Calls a function at an interval until torn down. */
-export type StartInterval = (intervalMs: number, run: () => void) => () => void;
-
-/** Options of {@link startConfigSync}. */
-export interface ConfigSyncOptions {
-  readonly actors?: ConfigActors;
-  readonly clients: RpcClients;
-  readonly clock: MonotonicClock;
-  readonly decisions: DecisionSink;
-  readonly directory: MemberDirectory;
-  readonly log: Log;
-  readonly member: Pick<Member, 'failureDomain' | 'memberId'>;
-  readonly metrics?: Metrics;
-  readonly random?: RandomSource;
-  /** Addresses of peers to ask while the directory knows none. */
-  readonly seedAddresses?: readonly string[];
-  readonly startInterval?: StartInterval;
-  readonly store: PlatformStore;
-  readonly watchersPerDomain?: number;
-}
-
 /** The configuration of one daemon, kept up to date. */
 export interface ConfigSync {
   /** Time since the configuration was last confirmed to be the newest; infinite if never. */
--- a/packages/config-sync/src/index.ts
+++ b/packages/config-sync/src/index.ts
@@ -1,4 +1,10 @@
 export * from './ConfigHistory.js';
+export type {
+  ConfigActors,
+  ConfigFollowOptions,
+  ConfigSyncOptions,
+  StartInterval,
+} from './ConfigOptions.js';
 export * from './ConfigPeerServer.js';
 export * from './ConfigState.js';
 export * from './ConfigStorePlan.js';
