Refuse at a closed engine in one place

Cause: FifoAdmission and EngineAdmission each wrote the refusals of a draining scheduler and a stopped engine. The text that the naive policy gives while draining becomes that of the real one.

--- a/packages/admission/src/AdmissionFifo.ts
+++ b/packages/admission/src/AdmissionFifo.ts
@@ -1,5 +1,6 @@
 import type { Refusal } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
+import { closedRefusalOf } from './AdmissionRequests.js';
 import type {
   AdmissionAction,
   AdmissionController,
@@ -96,13 +97,7 @@
   }
 
   private closedRefusal(): Refusal | undefined {
-    if (this.draining) {
-      return refusal('DRAINING', 'the scheduler is shutting down');
-    }
-    if (this.stopReason) {
-      return refusal('NO_ENGINE', `the engine is ${this.stopReason}`);
-    }
-    return undefined;
+    return closedRefusalOf(this.draining, this.stopReason);
   }
 
   private grantWhatFits(nowMs: number): readonly AdmissionAction[] {
--- a/packages/admission/src/AdmissionRequests.ts
+++ b/packages/admission/src/AdmissionRequests.ts
@@ -1,6 +1,10 @@
-import type { ModelId, RandomSource, TeamId } from '@laburnumgap/kernel';
-import { toId, toNumberId } from '@laburnumgap/kernel';
-import type { AdmissionEstimateQuery, AdmissionRequest } from './AdmissionTypes.js';
+import type { ModelId, RandomSource, Refusal, TeamId } from '@laburnumgap/kernel';
+import { refusal, toId, toNumberId } from '@laburnumgap/kernel';
+import type {
+  AdmissionEstimateQuery,
+  AdmissionRequest,
+  EngineStopReason,
+} from './AdmissionTypes.js';
 import type { LengthCurve } from './LengthCurve.js';
 import type { LengthKey } from './LengthModel.js';
 
@@ -66,6 +70,26 @@
   return (request.priorityClass + 1) * PRIORITY_STEP - gains * PREEMPTED_PRIORITY_GAIN;
 }
 
+/**
+ * Refusal of every request at an engine that takes none.
+ *
+ * @param draining - whether the scheduler is shutting down
+ * @param stopReason - why the engine takes no work, if it takes none
+ * @returns the refusal, or undefined where requests are taken
+ */
+export function closedRefusalOf(
+  draining: boolean,
+  stopReason: EngineStopReason | undefined,
+): Refusal | undefined {
+  if (draining) {
+    return refusal('DRAINING', 'the scheduler is shutting down; ask its successor');
+  }
+  if (stopReason) {
+    return refusal('NO_ENGINE', `the engine is ${stopReason}`);
+  }
+  return undefined;
+}
+
 /**
  * Time after which a refused caller should come back, spread so that callers don't come together.
  *
--- a/packages/admission/src/EngineAdmission.ts
+++ b/packages/admission/src/EngineAdmission.ts
@@ -2,6 +2,7 @@
 import { refusal } from '@laburnumgap/kernel';
 import {
   UNKNOWN_LENGTH_KEY,
+  closedRefusalOf,
   enginePriorityOf,
   jitteredRetryMs,
   requestOfQuery,
@@ -157,13 +158,7 @@
   }
 
   private closedRefusal(): Refusal | undefined {
-    if (this.draining) {
-      return refusal('DRAINING', 'the scheduler is shutting down; ask its successor');
-    }
-    if (this.stopReason) {
-      return refusal('NO_ENGINE', `the engine is ${this.stopReason}`);
-    }
-    return undefined;
+    return closedRefusalOf(this.draining, this.stopReason);
   }
 
   private tooLarge(request: AdmissionRequest): Refusal | undefined {
