--- a/packages/tools/src/deployment/Deployment.ts
+++ b/packages/tools/src/deployment/Deployment.ts
@@ -17,6 +17,7 @@
 } from './DeploymentOptions.js';
 import type { DeploymentProcess, LogLine } from './DeploymentProcess.js';
 import { startProcess } from './DeploymentProcess.js';
+import { untilReady } from './DeploymentReadiness.js';
 import type { ListedState, ListedVm } from './DeploymentVmList.js';
 import { DeploymentVmList } from './DeploymentVmList.js';
 
@@ -292,18 +293,3 @@
     });
   }
 }
-
-const READY_POLL_MS = 50;
-const READY_POLLS = 400;
-
-async function untilReady(address: string): Promise<void> {
-  for (let poll = 0; poll < READY_POLLS; poll += 1) {
-    const response = await request(`http://${address}/readyz`).catch(() => undefined);
-    await response?.body.dump();
-    if (response?.statusCode === 200) {
-      return;
-    }
-    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
-  }
-  throw new Error(`${address} does not become ready`);
-}
--- a/packages/tools/src/faults/FaultsRun.ts
+++ b/packages/tools/src/faults/FaultsRun.ts
@@ -4,13 +4,13 @@
 import type { Firm, FirmName } from './FaultsFirms.js';
 import { exampleKey, loadFirm } from './FaultsFirms.js';
 import { callGeneration, callWholeGeneration } from './FaultsGenerationCaller.js';
-import type { FaultContext } from './FaultsInjector.js';
 import { FAULT_CASES } from './FaultsInjector.js';
 import { FaultsOracle } from './FaultsOracle.js';
 import type { FaultsRandom } from './FaultsRandom.js';
 import { createFaultsRandom } from './FaultsRandom.js';
 import type { OnceRecord } from './FaultsServiceCaller.js';
 import { callLookup, callOnce } from './FaultsServiceCaller.js';
+import type { FaultContext } from './FaultsTargets.js';
 
 /** Options of {@link runFaults}. */
 export interface FaultsRunOptions {
