Sort keys, part the router's shutdown, and mend comments that were no longer true

Read as a newcomer: the comment of RpcError named a kind that does not exist, one of EngineOrder stood at the wrong field, six interfaces and an import list were unsorted, and startRouter was 98 lines with the shutdown inside it. The shutdown's steps and their order are the same. 42 tests of daemon, node, the router's drain and its integration tests pass.

--- a/packages/admission/src/RunningGenerations.ts
+++ b/packages/admission/src/RunningGenerations.ts
@@ -8,13 +8,14 @@
 /** A generation that holds memory of the engine. */
 export interface RunningGeneration {
   curve: LengthCurve;
-  /** Absent for a generation that another scheduler admitted. */
-  readonly request?: AdmissionRequest;
   isBeingPreempted: boolean;
   readonly maxTokens: number;
   producedTokens: number;
   readonly promptTokens: number;
+  /** When its progress was last reported. */
   reportedMs: number;
+  /** Absent for a generation that another scheduler admitted. */
+  readonly request?: AdmissionRequest;
 }
 
 /** A running generation with its preemption figures. */
--- a/packages/config-sync/src/ConfigSyncConstants.ts
+++ b/packages/config-sync/src/ConfigSyncConstants.ts
@@ -7,8 +7,10 @@
 /** Interval of a watcher's full read, which finds content written past the tool. */
 export const FULL_READ_INTERVAL_MS = 10 * 60_000;
 
-/** Shortest and longest wait after a failed call to the store. */
+/** Shortest wait after a failed call to the store. */
 export const STORE_BACKOFF_MIN_MS = 500;
+
+/** Longest wait after failed calls to the store. */
 export const STORE_BACKOFF_MAX_MS = 8_000;
 
 /** Age without news of any parent after which a follower asks the store itself. */
--- a/packages/daemon/src/DaemonHealth.ts
+++ b/packages/daemon/src/DaemonHealth.ts
@@ -19,10 +19,10 @@
 /** A running HTTP server. */
 export interface HttpServer {
   readonly address: string;
-  /** Takes no new connections and closes idle ones; resolves when the last one has ended. */
-  drain(): Promise<void>;
   /** Closes the port and every connection. */
   destroy(): void;
+  /** Takes no new connections and closes idle ones; resolves when the last one has ended. */
+  drain(): Promise<void>;
 }
 
 const MAX_HEADER_BYTES = 16 * 1024;
--- a/packages/daemon/src/DaemonProgram.ts
+++ b/packages/daemon/src/DaemonProgram.ts
@@ -30,8 +30,8 @@
   readonly description: string;
   readonly name: string;
   readonly schema: ZodType<Settings>;
-  readonly version: string;
   start(context: DaemonContext<Settings>): Promise<StartedDaemon>;
+  readonly version: string;
 }
 
 /**
--- a/packages/generation/src/GapEstimator.ts
+++ b/packages/generation/src/GapEstimator.ts
@@ -1,13 +1,13 @@
 /** Options of a gap estimator. */
 export interface GapEstimatorOptions {
+  /** Suspicion is never raised later. */
+  readonly ceilingMs?: number;
   /** Deviations above the mean at which a gap is suspect. */
   readonly deviations?: number;
   /** Suspicion is never raised sooner. */
   readonly floorMs?: number;
   /** Used until the first gap was seen. */
   readonly initialMs?: number;
-  /** Suspicion is never raised later. */
-  readonly ceilingMs?: number;
 }
 
 const DEFAULT_DEVIATIONS = 6;
--- a/packages/kernel/src/KernelEngine.ts
+++ b/packages/kernel/src/KernelEngine.ts
@@ -63,9 +63,9 @@
 
 /** A declarative order to an engine. */
 export interface EngineOrder {
-  readonly fencingNumber: FencingNumber;
-  /** Models with their version and the role that the engine is to have. */
   readonly adapters: readonly string[];
+  readonly fencingNumber: FencingNumber;
+  /** Models with their version. */
   readonly models: readonly string[];
   readonly role: 'decode' | 'mixed' | 'prefill';
 }
--- a/packages/node/src/Node.ts
+++ b/packages/node/src/Node.ts
@@ -22,7 +22,7 @@
   /** Whether this member's lease is certain to be held still, by its own monotonic clock. */
   holdsLease(): boolean;
   readonly random: RandomSource;
-  /** Offers the handlers on the gRPC server, next to those that every daemon has. */
+  /** Offers the handlers on the gRPC server, next to those that every daemon has; gives this member. */
   serve(handlers: RpcHandlers): Promise<Member>;
   readonly servers: ServerDirectory;
   readonly store: PlatformStore;
--- a/packages/node/src/NodeStart.ts
+++ b/packages/node/src/NodeStart.ts
@@ -11,8 +11,8 @@
 import type { DaemonSettings } from '@laburnumgap/settings';
 import { startServerDirectory } from '@laburnumgap/stops';
 import type { Node } from './Node.js';
-import { startPlannedStopCheck } from './NodePlannedStop.js';
 import { PROCESS_CLOCK, createRandomSource } from './NodeClocks.js';
+import { startPlannedStopCheck } from './NodePlannedStop.js';
 
 /** Longest time that running calls of peers hold up the end of a drain. */
 const RPC_DRAIN_BOUND_MS = 2_000;
--- a/packages/router/src/RouterDaemon.ts
+++ b/packages/router/src/RouterDaemon.ts
@@ -1,4 +1,4 @@
-import type { DaemonContext, StartedDaemon } from '@laburnumgap/daemon';
+import type { DaemonContext, HttpServer, StartedDaemon } from '@laburnumgap/daemon';
 import { startHttpServer } from '@laburnumgap/daemon';
 import type { EngineStreamClient } from '@laburnumgap/engine';
 import { createEngineStreamClient } from '@laburnumgap/engine';
@@ -8,6 +8,7 @@
 import type { Node } from '@laburnumgap/node';
 import { RouteChooser } from '@laburnumgap/routing';
 import type { RpcHandlers } from '@laburnumgap/rpc';
+import type { Log } from '@laburnumgap/telemetry';
 import { RouterCompletions } from './RouterCompletions.js';
 import { DRAIN_RESERVE_SHARE, UNKNOWN_POLICY_INVARIANT } from './RouterConstants.js';
 import { RouterEngineHealth } from './RouterEngineHealth.js';
@@ -132,34 +133,16 @@
   const rpcHandlers: RpcHandlers = { Inspect: createRouterInspect({ context, node, registry }) };
   const member = await node.serve(rpcHandlers);
 
-  const drain = async (): Promise<void> => {
-    draining = true;
-    registry.leaveParked();
-    const reserveMs = settings.shutdown.boundMs * DRAIN_RESERVE_SHARE;
-    const stopTimer = timers.after(settings.shutdown.boundMs - reserveMs, () => {
-      registry.leaveAll();
-    });
-    await registry.whenIdle();
-    log.info('generationsEnded');
-    stopTimer();
-    stopWatching();
-    const closed = http.drain();
-    const stopDestroy = timers.after(reserveMs / 2, () => {
-      http.destroy();
-    });
-    await closed;
-    log.info('callersClosed');
-    stopDestroy();
-    await Promise.all(handlers.names().map(async (name) => handlers.find(name)?.drain?.()));
-    log.info('handlersDrained');
-    progress.stop();
-    quota.stop();
-    await node.drain();
-  };
   return {
     addresses: { http: http.address, rpc: member.rpcAddress },
     context,
-    drain,
+    drain: async () => {
+      draining = true;
+      await endCallers({ handlers, http, log, registry, settings, stopWatching, timers });
+      progress.stop();
+      quota.stop();
+      await node.drain();
+    },
     handlers,
     node,
     quota,
@@ -167,6 +150,37 @@
   };
 }
 
+interface EndingRouter extends Pick<Router, 'handlers' | 'timers'> {
+  readonly http: HttpServer;
+  readonly log: Log;
+  readonly registry: RouterRunRegistry;
+  readonly settings: RouterSettings;
+  readonly stopWatching: Teardown;
+}
+
+/** Lets generations and connections end, and cuts off what does not end in time. */
+async function endCallers(router: EndingRouter): Promise<void> {
+  const { handlers, http, log, registry, settings, stopWatching, timers } = router;
+  registry.leaveParked();
+  const reserveMs = settings.shutdown.boundMs * DRAIN_RESERVE_SHARE;
+  const stopTimer = timers.after(settings.shutdown.boundMs - reserveMs, () => {
+    registry.leaveAll();
+  });
+  await registry.whenIdle();
+  log.info('generationsEnded');
+  stopTimer();
+  stopWatching();
+  const closed = http.drain();
+  const stopDestroy = timers.after(reserveMs / 2, () => {
+    http.destroy();
+  });
+  await closed;
+  log.info('callersClosed');
+  stopDestroy();
+  await Promise.all(handlers.names().map(async (name) => handlers.find(name)?.drain?.()));
+  log.info('handlersDrained');
+}
+
 function policyOf(name: RouterSettings['router']['continuation']): RunServices['policy'] {
   const policy = createContinuationPolicies().find(name);
   invariant(policy, UNKNOWN_POLICY_INVARIANT, `continuation policy ${name} is registered`);
--- a/packages/rpc/src/RpcClients.ts
+++ b/packages/rpc/src/RpcClients.ts
@@ -9,7 +9,7 @@
 /** Client type of a service. */
 export type RpcClient<Name extends RpcServiceName> = InstanceType<(typeof RPC_SERVICES)[Name]>;
 
-/** Why a call between own processes failed. The call may have taken effect unless `notSent`. */
+/** Why a call between own processes failed. The call may have taken effect. */
 export interface RpcError {
   readonly detail: string;
   readonly kind: 'rpcError';
--- a/packages/standins/src/EngineStandinGeneration.ts
+++ b/packages/standins/src/EngineStandinGeneration.ts
@@ -17,10 +17,10 @@
 /** Reads a generation's tokens from an index on. */
 export interface GenerationReader {
   readonly attempt: number;
-  /** Called when there may be more to read. */
-  onProgress(): void;
   /** Called once when the reader's stream ends before the generation does. */
   onEnd(end: ReaderEnd): void;
+  /** Called when there may be more to read. */
+  onProgress(): void;
 }
 
 /** State of a generation of an engine. */
--- a/packages/tools/src/policyBench/PolicyBenchFigures.ts
+++ b/packages/tools/src/policyBench/PolicyBenchFigures.ts
@@ -13,6 +13,8 @@
   readonly arrived: number;
   readonly finished: number;
   readonly gapP99Ms: number;
+  /** Generations that were preempted three times or more. */
+  readonly oftenPreempted: number;
   readonly preemptionsPer100: number;
   readonly refusedPercent: number;
   readonly smallTeamWaitS: number;
@@ -20,8 +22,6 @@
   readonly stallP95S: number;
   readonly stallP99S: number;
   readonly tokensPerSecond: number;
-  /** Generations that were preempted three times or more. */
-  readonly oftenPreempted: number;
 }
 
 /** Gaps up to this length between two tokens do not count as a stall. */
