--- a/packages/daemon/src/DaemonHealth.ts
+++ b/packages/daemon/src/DaemonHealth.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
+import { socketAddressOf } from '@laburnumgap/kernel';
 
 /** Stage in the life of a daemon. */
 export type DaemonStage = 'draining' | 'ready' | 'starting';
@@ -94,9 +95,7 @@
 }
 
 function listen(server: Server, address: string): Promise<string> {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator);
-  const port = Number(address.slice(separator + 1));
+  const { host, port } = socketAddressOf(address);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen({ host: host.replace(/^\[|\]$/g, ''), port }, () => {
--- a/packages/daemon/src/DaemonProgram.ts
+++ b/packages/daemon/src/DaemonProgram.ts
@@ -1,3 +1,4 @@
+import { socketAddressOf } from '@laburnumgap/kernel';
 import type { DaemonSettings } from '@laburnumgap/settings';
 import { formatDocumentProblem, loadSettingsFile } from '@laburnumgap/settings';
 import type { DecisionLog, Log, Metrics } from '@laburnumgap/telemetry';
@@ -131,10 +132,8 @@
   if (!settings.metrics) {
     return NO_METRICS;
   }
-  const separator = settings.metrics.address.lastIndexOf(':');
   return createMetrics({
-    host: settings.metrics.address.slice(0, separator),
-    port: Number(settings.metrics.address.slice(separator + 1)),
+    ...socketAddressOf(settings.metrics.address),
     tags: { member: settings.member.id, program },
   });
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,3 +1,4 @@
+export * from './KernelAddress.js';
 export type * from './KernelClock.js';
 export * from './KernelCommands.js';
 export * from './KernelDecision.js';
