--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,7 +1,9 @@
+export * from './KernelAddress.js';
 export type * from './KernelClock.js';
 export * from './KernelCommands.js';
 export * from './KernelDecision.js';
 export type * from './KernelEngine.js';
+export type * from './KernelGenerationHome.js';
 export * from './KernelIds.js';
 export * from './KernelInvariant.js';
 export type * from './KernelMembership.js';
