--- a/packages/tools/src/bench/BenchStreams.ts
+++ b/packages/tools/src/bench/BenchStreams.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent, request } from 'undici';
 import type { Deployment } from '../deployment/Deployment.js';
@@ -38,6 +39,7 @@
 ): Promise<StreamsResult> {
   const counter = { open: 0, tokens: 0 };
   const ending = new AbortController();
+  setMaxListeners(options.streams, ending.signal);
   const dispatcher = new Agent({ bodyTimeout: 0, connections: null, headersTimeout: 0 });
   const router = deployment.routers()[0]?.address ?? '';
   const streams: Promise<void>[] = [];
