--- a/packages/router/src/RouterRpcAdmission.ts
+++ b/packages/router/src/RouterRpcAdmission.ts
@@ -104,11 +104,15 @@
   }
 
   report(reports: readonly ProgressReport[]): void {
-    const byOwner = new Map<Member, GenerationProgress[]>();
+    const byEngine = new Map<string, GenerationProgress[]>();
     for (const report of reports) {
-      const owner = this.ownerOf(report.engineId);
+      addTo(byEngine, report.engineId, report);
+    }
+    const byOwner = new Map<Member, GenerationProgress[]>();
+    for (const [engineId, progress] of byEngine) {
+      const owner = this.ownerOf(engineId);
       if (owner) {
-        byOwner.set(owner, [...(byOwner.get(owner) ?? []), report]);
+        byOwner.set(owner, [...(byOwner.get(owner) ?? []), ...progress]);
       }
     }
     for (const [owner, progress] of byOwner) {
@@ -167,6 +171,15 @@
   }
 }
 
+function addTo<Key, Value>(groups: Map<Key, Value[]>, key: Key, value: Value): void {
+  const group = groups.get(key);
+  if (group) {
+    group.push(value);
+    return;
+  }
+  groups.set(key, [value]);
+}
+
 function admissionEventOf(event: AdmitEvent__Output): AdmissionEvent | undefined {
   if (event.granted) {
     return { kind: 'granted', ...event.granted };
