--- a/packages/admission/src/EngineAdmission.ts
+++ b/packages/admission/src/EngineAdmission.ts
@@ -77,7 +77,7 @@
     const acceptsWork = this.closedRefusal() === undefined;
     const request = requestOfQuery(query);
     if (this.queue.size() === 0 && this.memory.fits(request, this.curveOf(request))) {
-      const share = this.memory.heldTokens() / this.memory.capacity();
+      const share = this.memory.heldTokens() / this.memory.kvTokensCapacity();
       return { acceptsWork, waitMs: Math.min(MAX_UNQUEUED_WAIT_MS, Math.max(0, share)) };
     }
     return { acceptsWork, waitMs: Math.max(1, this.expectedWaitMs(request)) };
@@ -97,14 +97,14 @@
       return undefined;
     }
     const deadlineMs = this.queue.nextDeadlineMs() ?? Infinity;
-    return Math.min(deadlineMs, this.memory.lastEvent() + TICK_MS);
+    return Math.min(deadlineMs, this.memory.latestEventMs() + TICK_MS);
   }
 
   status(): AdmissionStatus {
     const usable = this.memory.isRebuilding() ? 'rebuilding' : 'open';
     return {
       adoptedGenerations: this.memory.running.adoptedCount(),
-      kvTokensCapacity: this.memory.capacity(),
+      kvTokensCapacity: this.memory.kvTokensCapacity(),
       kvTokensExpected: Math.round(this.memory.heldTokens()),
       queuedRequests: this.queue.size(),
       runningReservations: this.memory.running.size(),
--- a/packages/admission/src/EngineMemory.ts
+++ b/packages/admission/src/EngineMemory.ts
@@ -60,7 +60,7 @@
   }
 
   /** Memory of the engine; 0 while it is not known. */
-  capacity(): number {
+  kvTokensCapacity(): number {
     return this.capacityTokens;
   }
 
@@ -75,12 +75,13 @@
     return this.running.heldTokens() + this.correction.tokens();
   }
 
+  /** Whether it is not known yet what runs on the engine. */
   isRebuilding(): boolean {
     return this.rebuildingSinceMs !== undefined;
   }
 
   /** When the last event came. */
-  lastEvent(): number {
+  latestEventMs(): number {
     return this.lastEventMs;
   }
 
--- a/packages/config-sync/src/ConfigKeeper.ts
+++ b/packages/config-sync/src/ConfigKeeper.ts
@@ -29,7 +29,7 @@
   private confirmedAtMs = -Infinity;
   private readonly follower: ConfigPeerFollower;
   private membersChanged = true;
-  private readonly movableView;
+  private readonly publishedView;
   private readonly plan: ConfigStorePlan;
   private readonly server: ConfigPeerServer;
   private readonly startedAtMs: number;
@@ -40,7 +40,7 @@
     const { clients, clock, member, random, send, store } = options;
     this.startedAtMs = clock.nowMs();
     this.calls = new ConfigStoreCalls(store, send);
-    this.movableView = createConfigView(this.state.snapshot);
+    this.publishedView = createConfigView(this.state.snapshot);
     this.plan = new ConfigStorePlan(random);
     this.server = new ConfigPeerServer({ ageMs: () => this.ageMs(), clock, state: this.state });
     this.follower = new ConfigPeerFollower({
@@ -64,7 +64,7 @@
 
   /** The configuration in force. */
   get view(): ConfigurationView {
-    return this.movableView;
+    return this.publishedView;
   }
 
   /** Time since the configuration was last confirmed to be the newest. */
@@ -135,7 +135,7 @@
     if (outcome.applied.length === 0) {
       return;
     }
-    this.movableView.publish(this.state.snapshot);
+    this.publishedView.publish(this.state.snapshot);
     this.server.publish();
     for (const { key, modRevision } of outcome.applied) {
       decisions.record({
--- a/packages/router/src/RouterAdmissionWait.ts
+++ b/packages/router/src/RouterAdmissionWait.ts
@@ -48,8 +48,7 @@
   return new Promise((resolve) => {
     const stops: Teardown[] = [];
     let settled = false;
-    let moveOrdered = false;
-    let onMove: (() => void) | undefined;
+    const move = new MoveOrder();
 
     const settle = (outcome: AdmissionOutcome): void => {
       if (settled) {
@@ -67,23 +66,11 @@
     const onEvent = (event: AdmissionEvent): void => {
       stopFirstEvent();
       if (event.kind === 'preempt') {
-        moveOrdered = true;
-        onMove?.();
+        move.order();
         return;
       }
       if (event.kind === 'granted') {
-        const { enginePriority, engineUrl } = event;
-        const onMoveOrdered = (listener: () => void): void => {
-          onMove = listener;
-          if (moveOrdered) {
-            listener();
-          }
-        };
-        const release = (): void => {
-          reservation.release();
-        };
-        const granted = { enginePriority, engineUrl, onMoveOrdered, release };
-        settle({ kind: 'granted', reservation: granted });
+        settle({ kind: 'granted', reservation: grantedOf(event, move, () => reservation) });
         return;
       }
       if (event.kind !== 'queued') {
@@ -109,3 +96,40 @@
     const reservation = admission.admit(request, onEvent);
   });
 }
+
+/** An order to move, which may come before anybody listens for it. */
+class MoveOrder {
+  #isOrdered = false;
+  #listener: (() => void) | undefined;
+
+  onOrdered(listener: () => void): void {
+    this.#listener = listener;
+    if (this.#isOrdered) {
+      listener();
+    }
+  }
+
+  order(): void {
+    this.#isOrdered = true;
+    this.#listener?.();
+  }
+}
+
+/** The reservation is asked for when it is released: the grant may come while it is being made. */
+function grantedOf(
+  event: Extract<AdmissionEvent, { kind: 'granted' }>,
+  move: MoveOrder,
+  reservationOf: () => Reservation,
+): GrantedReservation {
+  const { enginePriority, engineUrl } = event;
+  return {
+    enginePriority,
+    engineUrl,
+    onMoveOrdered: (listener) => {
+      move.onOrdered(listener);
+    },
+    release: () => {
+      reservationOf().release();
+    },
+  };
+}
