Remove the command bus that nothing uses; name the node's two timers plainly

Cause: the read-through found a command bus in the kernel that only its own test called, and an alias of setTimeout in the node's start. Ruled out: keeping it for later (request handlers attach by the plug-in registry). Conclusion: the kernel holds what the daemons use.

--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,6 +1,5 @@
 export * from './KernelAddress.js';
 export type * from './KernelClock.js';
-export * from './KernelCommands.js';
 export * from './KernelDecision.js';
 export type * from './KernelEngine.js';
 export type * from './KernelGenerationHome.js';
--- a/packages/node/src/NodeStart.ts
+++ b/packages/node/src/NodeStart.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import { setTimeout } from 'node:timers/promises';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { ConfigSync } from '@laburnumgap/config-sync';
 import { startConfigSync } from '@laburnumgap/config-sync';
 import type { DaemonContext } from '@laburnumgap/daemon';
@@ -19,8 +19,6 @@
 
 const CONFIGURED_POLL_MS = 20;
 
-const startTimer = globalThis.setTimeout;
-
 /**
  * Wires a daemon: gRPC server, platform clients, membership, configuration and backend servers.
  *
@@ -116,13 +114,13 @@
 /** A daemon without a configuration would refuse callers whose keys are good. */
 async function untilConfigured(configSync: ConfigSync): Promise<void> {
   while (!Number.isFinite(configSync.ageMs())) {
-    await setTimeout(CONFIGURED_POLL_MS);
+    await delay(CONFIGURED_POLL_MS);
   }
 }
 
 function within(boundMs: number, work: Promise<void>): Promise<void> {
   return new Promise((resolve) => {
-    const timer = startTimer(resolve, boundMs);
+    const timer = setTimeout(resolve, boundMs);
     void work.finally(() => {
       clearTimeout(timer);
       resolve();
