--- a/packages/config-sync/src/__tests__/integration/ConfigPeerRpc.test.ts
+++ b/packages/config-sync/src/__tests__/integration/ConfigPeerRpc.test.ts
@@ -1,7 +1,7 @@
 import { CONFIG_HEAD_KEY, CONTRACT_PREFIX, HISTORY_PREFIX } from '@laburnumgap/contracts';
 import type { Member, MemberDirectory, PlatformStore, Revision, TeamId } from '@laburnumgap/kernel';
 import { NO_DECISION_SINK, failure, toId, toNumberId } from '@laburnumgap/kernel';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import type { RpcClients } from '@laburnumgap/rpc';
 import { createRpcClients, startRpcServer } from '@laburnumgap/rpc';
 import { NO_LOG } from '@laburnumgap/telemetry';
--- a/packages/config-sync/src/__tests__/unit/ConfigWriter.test.ts
+++ b/packages/config-sync/src/__tests__/unit/ConfigWriter.test.ts
@@ -1,7 +1,7 @@
 import { CONTRACT_PREFIX, HISTORY_PREFIX } from '@laburnumgap/contracts';
 import type { PlatformStore, Revision } from '@laburnumgap/kernel';
 import { failure, toNumberId } from '@laburnumgap/kernel';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import test from 'ava';
 import type { ConfigWrite } from '../../index.js';
 import { parseHistory, writeConfig } from '../../index.js';
--- a/packages/ctl/src/__tests__/helpers/CtlBench.ts
+++ b/packages/ctl/src/__tests__/helpers/CtlBench.ts
@@ -4,7 +4,7 @@
 import type { Member, PlatformStore } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import { encodeMember, memberKey } from '@laburnumgap/membership';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import type { RpcClients } from '@laburnumgap/rpc';
 import { createRpcClients } from '@laburnumgap/rpc';
 import type { CtlEnvironment } from '../../index.js';
--- a/packages/ctl/src/__tests__/integration/CtlInspect.test.ts
+++ b/packages/ctl/src/__tests__/integration/CtlInspect.test.ts
@@ -1,7 +1,7 @@
 import { CONFIG_HEAD_KEY } from '@laburnumgap/contracts';
 import type { MemberId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import type { InspectHandlers } from '@laburnumgap/rpc';
 import { createRpcClients, startRpcServer } from '@laburnumgap/rpc';
 import test from 'ava';
--- a/packages/ctl/src/__tests__/integration/DocumentedCommands.test.ts
+++ b/packages/ctl/src/__tests__/integration/DocumentedCommands.test.ts
@@ -1,7 +1,7 @@
 import { readFileSync, readdirSync } from 'node:fs';
 import type { InspectHandlers, RpcClients } from '@laburnumgap/rpc';
 import { createRpcClients, startRpcServer } from '@laburnumgap/rpc';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import test from 'ava';
 import { CtlBench, ROOT } from '../helpers/CtlBench.js';
 
--- a/packages/ctl/src/__tests__/unit/CtlProgram.test.ts
+++ b/packages/ctl/src/__tests__/unit/CtlProgram.test.ts
@@ -1,6 +1,6 @@
 import { CONTRACT_PREFIX } from '@laburnumgap/contracts';
 import { failure } from '@laburnumgap/kernel';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import test from 'ava';
 import { CtlBench } from '../helpers/CtlBench.js';
 
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
 import { text } from 'node:stream/consumers';
-import { createEtcdStore } from '@laburnumgap/platform';
+import { createEtcdStore } from '@laburnumgap/key-value';
 import { createRpcClients } from '@laburnumgap/rpc';
 import { runCtl } from './CtlProgram.js';
 
--- /dev/null
+++ b/packages/dispatch/src/EngineLoad.ts
@@ -0,0 +1,101 @@
+import type { MemberId, ServerId } from '@laburnumgap/kernel';
+
+/** What one daemon has at one engine. */
+export interface EngineShare {
+  /** Prompt and output tokens in memory, with the output still expected. */
+  readonly plannedTokens: number;
+  /** Prompt tokens that are not read yet. */
+  readonly readingTokens: number;
+  readonly runs: number;
+  readonly serverId: ServerId;
+  /** Prompt and output tokens in memory now. */
+  readonly usedTokens: number;
+}
+
+/** Sum of what all daemons have at one engine. */
+export interface EngineTotals {
+  readonly plannedTokens: number;
+  readonly readingTokens: number;
+  readonly runs: number;
+  readonly usedTokens: number;
+}
+
+interface MemberShares {
+  readonly atMs: number;
+  readonly shares: ReadonlyMap<ServerId, EngineShare>;
+}
+
+/** Prompt tokens that an engine reads in a millisecond beside other work, until it is measured. */
+const READING_TOKENS_PER_MS = 7;
+/** A daemon that was silent this long is dead, and its connections with it. */
+const MEMBER_SILENT_MS = 3_000;
+
+const NO_TOTALS: EngineTotals = { plannedTokens: 0, readingTokens: 0, runs: 0, usedTokens: 0 };
+
+/**
+ * Load of all engines: what this daemon has there, plus the last word of each other daemon, aged by
+ * the prompt tokens that were read since. Answers many daemons placing on one stale report.
+ */
+export class EngineLoad {
+  private readonly members = new Map<MemberId, MemberShares>();
+  private own: ReadonlyMap<ServerId, EngineShare> = new Map();
+
+  /** Takes the last word of another daemon. */
+  noteMember(memberId: MemberId, shares: readonly EngineShare[], nowMs: number): void {
+    const byServer = new Map(shares.map((share) => [share.serverId, share]));
+    this.members.set(memberId, { atMs: nowMs, shares: byServer });
+  }
+
+  /** Forgets a daemon that ended. */
+  dropMember(memberId: MemberId): void {
+    this.members.delete(memberId);
+  }
+
+  /** Replaces what this daemon has. */
+  setOwn(shares: readonly EngineShare[]): void {
+    this.own = new Map(shares.map((share) => [share.serverId, share]));
+  }
+
+  /** Load of one engine now. */
+  totals(serverId: ServerId, nowMs: number): EngineTotals {
+    const own = this.own.get(serverId) ?? NO_TOTALS;
+    let { plannedTokens, readingTokens, runs, usedTokens } = own;
+    for (const [memberId, { atMs, shares }] of this.members) {
+      const ageMs = nowMs - atMs;
+      if (ageMs > MEMBER_SILENT_MS) {
+        this.members.delete(memberId);
+        continue;
+      }
+      const share = shares.get(serverId);
+      if (share) {
+        plannedTokens += share.plannedTokens;
+        readingTokens += Math.max(0, share.readingTokens - ageMs * READING_TOKENS_PER_MS);
+        runs += share.runs;
+        usedTokens += share.usedTokens;
+      }
+    }
+    return { plannedTokens, readingTokens, runs, usedTokens };
+  }
+
+  /** Tokens that daemons with smaller ids have at an engine: they move their streams first. */
+  usedByEarlierMembers(serverId: ServerId, memberId: MemberId): number {
+    let usedTokens = 0;
+    for (const [other, { shares }] of this.members) {
+      if (other < memberId) {
+        usedTokens += shares.get(serverId)?.usedTokens ?? 0;
+      }
+    }
+    return usedTokens;
+  }
+}
+
+/**
+ * Prompt tokens of a run that are still unread.
+ *
+ * @param promptTokens - length of the prompt
+ * @param sinceSentMs - time since the run was sent
+ * @returns tokens
+ */
+export function unreadTokens(promptTokens: number, sinceSentMs: number): number {
+  return Math.max(0, promptTokens - sinceSentMs * READING_TOKENS_PER_MS);
+}
--- /dev/null
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -0,0 +1,119 @@
+import type { FailureDomainId, ServerId } from '@laburnumgap/kernel';
+import type { BackendServer } from './BackendServer.js';
+import type { EngineTotals } from './EngineLoad.js';
+import type { PromptShape } from './PromptShape.js';
+import type { EngineLimits } from './ServingConfiguration.js';
+
+/** An engine with what decides for or against it. */
+export interface EngineCandidate {
+  /** Prompt tokens that it still holds from earlier requests. */
+  readonly keptTokens: number;
+  readonly server: BackendServer;
+  /** Callers met failures there a moment ago. */
+  readonly suspected: boolean;
+  readonly totals: EngineTotals;
+}
+
+/** What is to be placed. */
+export interface PlacementInput {
+  readonly candidates: readonly EngineCandidate[];
+  readonly engine: EngineLimits;
+  /** Engines of another domain cost more. */
+  readonly failureDomain: FailureDomainId;
+  /** The run comes with its memory, so that its prompt is not read again. */
+  readonly hasMemory?: boolean;
+  readonly otherDomainCostMs?: number;
+  readonly prompt: PromptShape;
+  /** A random number in [0, 1) for each candidate, against herds on equal costs. */
+  readonly randomUnit: () => number;
+}
+
+/** The chosen engine and the figures behind it. */
+export interface Placement {
+  readonly costMs: number;
+  /** Its memory is expected to suffice for all that runs there. */
+  readonly fits: boolean;
+  readonly server: BackendServer;
+  readonly totals: EngineTotals;
+}
+
+/** Prompt tokens read in a millisecond while other requests decode. */
+const READING_TOKENS_PER_MS = 7;
+/** Each run makes every further token of all others later. */
+const COST_PER_RUN_MS = 25;
+/** Tokens over the memory are read again after a preemption, and hold up the whole engine. */
+const COST_PER_OVERRUN_TOKEN_MS = 2;
+/** A run beyond the slots waits for another to end. */
+const NO_SLOT_COST_MS = 4_000;
+const DEFAULT_OTHER_DOMAIN_COST_MS = 15;
+const SUSPECTED_COST_MS = 3_000;
+/** Random part of the cost. */
+const JITTER_MS = 10;
+/** Share of the memory that is planned for; the rest covers outputs longer than expected. */
+const PLANNED_MEMORY_SHARE = 0.95;
+
+/**
+ * Places a generation where its first token comes soonest and memory is least likely to run out.
+ * Answers many long prompts at once and outputs of unknown length: prompts are spread over engines
+ * by unread tokens, and a kept prefix counts only as the reading that it saves.
+ *
+ * @param input - engines, their load and the request
+ * @returns the placement, or undefined without engines
+ */
+export function placeGeneration(input: PlacementInput): Placement | undefined {
+  let best: Placement | undefined;
+  for (const candidate of input.candidates) {
+    const placement = judge(candidate, input);
+    if (!best || placement.costMs < best.costMs) {
+      best = placement;
+    }
+  }
+  return best;
+}
+
+/**
+ * The naive twin of {@link placeGeneration}: round robin over the engines.
+ *
+ * @param candidates - the engines
+ * @param turn - number of placements so far
+ * @returns the engine, or undefined without engines
+ */
+export function placeInTurn(
+  candidates: readonly EngineCandidate[],
+  turn: number,
+): ServerId | undefined {
+  return candidates[turn % Math.max(1, candidates.length)]?.server.serverId;
+}
+
+/**
+ * Output tokens that are planned for.
+ *
+ * @param prompt - the request
+ * @param producedTokens - tokens so far
+ * @returns expected length of the whole output
+ */
+export function plannedOutputTokens(prompt: PromptShape, producedTokens: number): number {
+  const expected = prompt.expectedOutputTokens ?? prompt.maxOutputTokens / 2;
+  const beyond = producedTokens > expected ? producedTokens + expected / 2 : expected;
+  return Math.min(prompt.maxOutputTokens, beyond);
+}
+
+function judge(candidate: EngineCandidate, input: PlacementInput): Placement {
+  const { engine, failureDomain, hasMemory, prompt, randomUnit } = input;
+  const { keptTokens, server, suspected, totals } = candidate;
+  const otherDomainCostMs = input.otherDomainCostMs ?? DEFAULT_OTHER_DOMAIN_COST_MS;
+  const unread = hasMemory ? 0 : Math.max(0, prompt.promptTokens - keptTokens);
+  const plannedTokens = totals.plannedTokens + prompt.promptTokens + plannedOutputTokens(prompt, 0);
+  const limitTokens = PLANNED_MEMORY_SHARE * engine.memoryTokens;
+  const overrunTokens = Math.max(0, plannedTokens - limitTokens);
+  const hasSlot = totals.runs < engine.slots;
+  const costMs =
+    (totals.readingTokens + unread) / READING_TOKENS_PER_MS +
+    totals.runs * COST_PER_RUN_MS +
+    overrunTokens * COST_PER_OVERRUN_TOKEN_MS +
+    (hasSlot ? 0 : NO_SLOT_COST_MS) +
+    (server.failureDomain === failureDomain ? 0 : otherDomainCostMs) +
+    (suspected ? SUSPECTED_COST_MS : 0) +
+    randomUnit() * JITTER_MS;
+  return { costMs, fits: overrunTokens === 0 && hasSlot, server, totals };
+}
--- a/packages/plain-calls/src/RetryBudget.ts
+++ b/packages/dispatch/src/RetryBudget.ts
@@ -18,7 +18,7 @@
  */
 export class RetryBudget {
   private readonly balances = new Map<string, number>();
-  private readonly maxSaved: number;
+  private maxSaved: number;
   private readonly maxTeams: number;
   private readonly perFirstTry: number;
 
@@ -34,6 +34,14 @@
     this.keep(team, Math.min(this.maxSaved, balance + this.perFirstTry));
   }
 
+  /** Changes the retries that may be saved up, because more or fewer processes share them. */
+  setMaxSaved(maxSaved: number): void {
+    this.maxSaved = maxSaved;
+    for (const [team, balance] of this.balances) {
+      this.balances.set(team, Math.min(balance, maxSaved));
+    }
+  }
+
   /** Takes one retry; false when there is none left. */
   takeRetry(team: string): boolean {
     const balance = this.balances.get(team) ?? this.maxSaved;
--- a/packages/engine/src/EngineControlClient.ts
+++ b/packages/engine/src/EngineControlClient.ts
@@ -9,8 +9,8 @@
   Result,
 } from '@laburnumgap/kernel';
 import { failure, success, toNumberId } from '@laburnumgap/kernel';
-import type { ConnectionCall } from '@laburnumgap/platform';
-import { PlatformConnections } from '@laburnumgap/platform';
+import type { ConnectionCall } from '@laburnumgap/key-value';
+import { PlatformConnections } from '@laburnumgap/key-value';
 import { z } from 'zod';
 
 /** Why a control call to an engine failed. */
--- a/packages/membership/src/__tests__/support/AuthoritySimulation.ts
+++ b/packages/membership/src/__tests__/support/AuthoritySimulation.ts
@@ -1,6 +1,6 @@
 import type { EngineOrder, EngineState, Revision } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
-import { PlatformStoreState } from '@laburnumgap/platform';
+import { PlatformStoreState } from '@laburnumgap/key-value';
 import { EngineAuthority } from '../../MembershipEngineAuthority.js';
 import type { AuthorityRecord } from '../../MembershipEngineAuthorityRecord.js';
 import {
--- a/packages/membership/src/__tests__/unit/Membership.test.ts
+++ b/packages/membership/src/__tests__/unit/Membership.test.ts
@@ -1,4 +1,4 @@
-import { createMemoryStore, PlatformStoreState } from '@laburnumgap/platform';
+import { createMemoryStore, PlatformStoreState } from '@laburnumgap/key-value';
 import { NO_LOG } from '@laburnumgap/telemetry';
 import test from 'ava';
 import { startMembership } from '../../Membership.js';
--- a/packages/membership/src/__tests__/unit/MembershipFailures.test.ts
+++ b/packages/membership/src/__tests__/unit/MembershipFailures.test.ts
@@ -1,5 +1,5 @@
 import type { RandomSource } from '@laburnumgap/kernel';
-import { createMemoryStore, PlatformStoreState } from '@laburnumgap/platform';
+import { createMemoryStore, PlatformStoreState } from '@laburnumgap/key-value';
 import { NO_LOG } from '@laburnumgap/telemetry';
 import test from 'ava';
 import type { Membership } from '../../Membership.js';
--- a/packages/node/src/NodeStart.ts
+++ b/packages/node/src/NodeStart.ts
@@ -6,7 +6,7 @@
 import type { Member, MemberRole } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import { startMembership } from '@laburnumgap/membership';
-import { createEtcdStore, createHttpVmList } from '@laburnumgap/platform';
+import { createEtcdStore, createHttpVmList } from '@laburnumgap/key-value';
 import { createRpcClients, startRpcServer } from '@laburnumgap/rpc';
 import type { DaemonSettings } from '@laburnumgap/settings';
 import { startServerDirectory } from '@laburnumgap/stops';
--- a/packages/plain-calls/src/__tests__/unit/PlainCallPolicy.test.ts
+++ b/packages/plain-calls/src/__tests__/unit/PlainCallPolicy.test.ts
@@ -2,7 +2,8 @@
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
 import fc from 'fast-check';
-import { CallLatency, RetryBudget, ServerOutliers, choosePlainServers } from '../../index.js';
+import { RetryBudget } from '@laburnumgap/dispatch';
+import { CallLatency, ServerOutliers, choosePlainServers } from '../../index.js';
 
 const SEED = 20261203;
 const SERVICE = toId<ServiceId>('stock');
--- a/packages/plain-calls/src/index.ts
+++ b/packages/plain-calls/src/index.ts
@@ -8,5 +8,4 @@
 export * from './PlainCallOnce.js';
 export * from './PlainConnection.js';
 export * from './PlainServerChoice.js';
-export * from './RetryBudget.js';
 export * from './ServerOutliers.js';
--- a/packages/router/src/RouterPlainCallsRepeat.ts
+++ b/packages/router/src/RouterPlainCallsRepeat.ts
@@ -8,12 +8,12 @@
   TeamId,
 } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
+import type { RetryBudget } from '@laburnumgap/dispatch';
 import type {
   CallLatency,
   PlainAnswer,
   PlainCall,
   PlainCallFailure,
-  RetryBudget,
   ServerOutliers,
 } from '@laburnumgap/plain-calls';
 import type { PlainCallOutcome } from './RouterPlainCallsOnce.js';
--- a/packages/router/src/RouterPlainCallsStart.ts
+++ b/packages/router/src/RouterPlainCallsStart.ts
@@ -1,8 +1,8 @@
 import type { FailureDomainId, KnownServer, ServerId, Teardown } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
+import { RetryBudget } from '@laburnumgap/dispatch';
 import {
   CallLatency,
-  RetryBudget,
   ServerOutliers,
   choosePlainServers,
   createPlainCallClient,
--- a/packages/router/src/__tests__/integration/RouterPlainCallsHttp.test.ts
+++ b/packages/router/src/__tests__/integration/RouterPlainCallsHttp.test.ts
@@ -1,6 +1,6 @@
 import type { PlatformStore } from '@laburnumgap/kernel';
 import { failure } from '@laburnumgap/kernel';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import test from 'ava';
 import { v4, v7 } from 'uuid';
 import type { PlainCallsDeployment } from '../utils/PlainCallsDeployment.js';
--- a/packages/router/src/__tests__/unit/RouterPlainCallsRepeat.test.ts
+++ b/packages/router/src/__tests__/unit/RouterPlainCallsRepeat.test.ts
@@ -1,7 +1,8 @@
 import type { KnownServer, Result, TeamId } from '@laburnumgap/kernel';
 import { NO_DECISION_SINK, failure, success, toId } from '@laburnumgap/kernel';
 import type { PlainAnswer, PlainCallFailure } from '@laburnumgap/plain-calls';
-import { CallLatency, RetryBudget, ServerOutliers } from '@laburnumgap/plain-calls';
+import { RetryBudget } from '@laburnumgap/dispatch';
+import { CallLatency, ServerOutliers } from '@laburnumgap/plain-calls';
 import test from 'ava';
 import type { PlainCallTry, RepeatRequest } from '../../RouterPlainCallsRepeat.js';
 import { PlainCallsRepeat } from '../../RouterPlainCallsRepeat.js';
--- a/packages/router/src/__tests__/utils/FakeDaemon.ts
+++ b/packages/router/src/__tests__/utils/FakeDaemon.ts
@@ -11,7 +11,7 @@
 } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import type { Node } from '@laburnumgap/node';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import { createRpcClients } from '@laburnumgap/rpc';
 import { NO_METRICS, createDecisionLog, createLog } from '@laburnumgap/telemetry';
 import type { ExecutionContext } from 'ava';
--- a/packages/router/src/__tests__/utils/PlainCallsDeployment.ts
+++ b/packages/router/src/__tests__/utils/PlainCallsDeployment.ts
@@ -8,7 +8,7 @@
 import type { KnownServer, Member, MonotonicClock, PlatformStore } from '@laburnumgap/kernel';
 import { NO_DECISION_SINK, createPluginRegistry, toId, toNumberId } from '@laburnumgap/kernel';
 import { createLedgerHandlers, startLedgerSlots } from '@laburnumgap/ledger';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import { createRpcClients, startRpcServer } from '@laburnumgap/rpc';
 import { NO_LOG, NO_METRICS } from '@laburnumgap/telemetry';
 import type { ExecutionContext } from 'ava';
--- a/packages/router/src/__tests__/utils/PlainCallsLedger.ts
+++ b/packages/router/src/__tests__/utils/PlainCallsLedger.ts
@@ -5,7 +5,7 @@
 import { NO_DECISION_SINK, failure } from '@laburnumgap/kernel';
 import type { LedgerSlots } from '@laburnumgap/ledger';
 import { startLedgerSlots } from '@laburnumgap/ledger';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import { NO_LOG, NO_METRICS } from '@laburnumgap/telemetry';
 import type { StoreFault } from './PlainCallsFaults.js';
 import type { PlainCallsWorld } from './PlainCallsWorld.js';
--- a/packages/router/src/__tests__/utils/PlainCallsWorld.ts
+++ b/packages/router/src/__tests__/utils/PlainCallsWorld.ts
@@ -3,7 +3,7 @@
 import { NO_DECISION_SINK, failure, success, toId } from '@laburnumgap/kernel';
 import type { PlainAnswer } from '@laburnumgap/plain-calls';
 import { ServerOutliers } from '@laburnumgap/plain-calls';
-import { PlatformStoreState } from '@laburnumgap/platform';
+import { PlatformStoreState } from '@laburnumgap/key-value';
 import { NO_LOG } from '@laburnumgap/telemetry';
 import type { LedgerPort, RouterClaim, RouterClaimReply } from '../../RouterPlainCallsLedger.js';
 import { claimInOrder } from '../../RouterPlainCallsLedger.js';
--- /dev/null
+++ b/packages/serving/src/AnswerParser.ts
@@ -0,0 +1,144 @@
+import { HTTPParser } from 'http-parser-js';
+import type { HeaderList } from './ServingPorts.js';
+
+/** Head of a server's answer. */
+export interface AnswerHead {
+  readonly canReuseConnection: boolean;
+  readonly headers: HeaderList;
+  readonly status: number;
+}
+
+/** What a parser tells while it reads. */
+export interface AnswerEvents {
+  onBody(chunk: Buffer): void;
+  onEnd(): void;
+  onHead(head: AnswerHead): void;
+}
+
+/** Members of the library's parser that its types keep private. */
+interface ParserInternals {
+  BODY_CHUNKHEAD: () => void;
+  body_bytes: number;
+  consumeLine(): string | undefined;
+  line: string;
+  state: string;
+}
+
+const INFORMATIONAL_MAX = 199;
+const SWITCHING_PROTOCOLS = 101;
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+/** Value of the library's head callback for a message without a body. */
+const NO_BODY = 2;
+const CHUNK_HEAD = /^[0-9a-f]{1,8}[ \t]*(?:;.*)?$/i;
+const CONTENT_LENGTH = /^\d{1,15}$/;
+
+/**
+ * Reads the answers on one connection. Stricter than the library: a chunk size or a length that is
+ * not a number is an error instead of an end, and so are two lengths.
+ */
+export class AnswerParser {
+  private failureReason: string | undefined;
+  private isInformational = false;
+  private readonly parser = new HTTPParser(HTTPParser.RESPONSE);
+
+  constructor(private readonly events: AnswerEvents) {
+    const { parser } = this;
+    const internals = parser as unknown as ParserInternals;
+    internals.BODY_CHUNKHEAD = () => {
+      readChunkHead(internals);
+    };
+    parser[HTTPParser.kOnHeadersComplete] = (info) =>
+      this.readHead(info.statusCode, info.headers, info.shouldKeepAlive);
+    parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
+      this.events.onBody(chunk.subarray(offset, offset + length));
+    };
+    parser[HTTPParser.kOnMessageComplete] = () => {
+      if (!this.isInformational) {
+        this.events.onEnd();
+      }
+    };
+  }
+
+  /** Reads bytes. Returns why they are no answer, or undefined. */
+  read(chunk: Buffer): string | undefined {
+    const outcome = this.parser.execute(chunk);
+    if (outcome instanceof Error) {
+      this.failureReason ??= outcome.message;
+    }
+    return this.failureReason;
+  }
+
+  /** Reads the clean end of the connection. Returns whether an answer may end there. */
+  end(): boolean {
+    return this.failureReason === undefined && !(this.parser.finish() instanceof Error);
+  }
+
+  /** Whether bytes of a further answer were read. */
+  isBetweenAnswers(): boolean {
+    const { line, state } = this.parser as unknown as ParserInternals;
+    return state === 'RESPONSE_LINE' && line === '';
+  }
+
+  private readHead(status: number, flat: readonly string[], keepsAlive: boolean): number {
+    this.isInformational = status <= INFORMATIONAL_MAX;
+    if (status === SWITCHING_PROTOCOLS) {
+      this.failureReason = 'the server switched protocols';
+    }
+    if (this.isInformational) {
+      return NO_BODY;
+    }
+    const headers = pairsOf(flat);
+    this.failureReason ??= framingFault(headers);
+    if (this.failureReason === undefined) {
+      this.events.onHead({ canReuseConnection: keepsAlive, headers, status });
+    }
+    return status === NO_CONTENT || status === NOT_MODIFIED ? NO_BODY : 0;
+  }
+}
+
+function readChunkHead(parser: ParserInternals): void {
+  const line = parser.consumeLine();
+  if (line === undefined) {
+    return;
+  }
+  if (!CHUNK_HEAD.test(line)) {
+    throw new Error('a chunk size is not a number');
+  }
+  parser.body_bytes = Number.parseInt(line, 16);
+  parser.state = parser.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK';
+}
+
+function pairsOf(flat: readonly string[]): HeaderList {
+  const pairs: [string, string][] = [];
+  for (let index = 0; index + 1 < flat.length; index += 2) {
+    pairs.push([flat[index] ?? '', flat[index + 1] ?? '']);
+  }
+  return pairs;
+}
+
+function framingFault(headers: HeaderList): string | undefined {
+  const lengths = valuesOf(headers, 'content-length');
+  if (lengths.length > 1 || lengths.some((length) => !CONTENT_LENGTH.test(length))) {
+    return 'the length of the body is not one number';
+  }
+  const encodings = valuesOf(headers, 'transfer-encoding');
+  if (encodings.some((encoding) => encoding.trim().toLowerCase() !== 'chunked')) {
+    return 'the transfer encoding is not chunked';
+  }
+  if (encodings.length + lengths.length > 1) {
+    return 'the body has two framings';
+  }
+  return undefined;
+}
+
+/**
+ * Values of a header.
+ *
+ * @param headers - all headers
+ * @param lowerName - name in lower case
+ * @returns the values in their order
+ */
+export function valuesOf(headers: HeaderList, lowerName: string): readonly string[] {
+  return headers.filter(([name]) => name.toLowerCase() === lowerName).map(([, value]) => value);
+}
--- /dev/null
+++ b/packages/serving/src/EngineOrders.ts
@@ -0,0 +1,81 @@
+import type { BackendServer } from '@laburnumgap/dispatch';
+import type { AnswerHead } from './AnswerParser.js';
+import type { BackendConnection } from './BackendConnection.js';
+import type { BackendConnections } from './BackendConnections.js';
+import { ORDER_TIMEOUT_MS } from './ServingConstants.js';
+import type { EngineOrder } from './ServingPorts.js';
+
+/** How an order at an engine ended. */
+export type OrderOutcome =
+  | { readonly body: Buffer; readonly kind: 'answered'; readonly status: number }
+  | { readonly kind: 'notSent'; readonly reason: string }
+  | { readonly kind: 'unknown'; readonly reason: string };
+
+/**
+ * Gives an order to an engine.
+ *
+ * @param connections - connections to servers
+ * @param server - the engine
+ * @param order - the order
+ * @param timeoutMs - bound on the answer
+ * @returns how it ended; never rejects
+ */
+export function giveOrder(
+  connections: BackendConnections,
+  server: BackendServer,
+  order: EngineOrder,
+  timeoutMs = ORDER_TIMEOUT_MS,
+): Promise<OrderOutcome> {
+  return new Promise((resolve) => {
+    connections.acquire(server, {
+      onConnectFailed: (reason) => {
+        resolve({ kind: 'notSent', reason });
+      },
+      onConnected: (connection) => {
+        exchange(connections, server, connection, order, timeoutMs, resolve);
+      },
+    });
+  });
+}
+
+function exchange(
+  connections: BackendConnections,
+  server: BackendServer,
+  connection: BackendConnection,
+  order: EngineOrder,
+  timeoutMs: number,
+  resolve: (outcome: OrderOutcome) => void,
+): void {
+  const chunks: Buffer[] = [];
+  let answer: AnswerHead | undefined;
+  const timer = setTimeout(() => {
+    connection.abort();
+    resolve({ kind: 'unknown', reason: 'no answer in time' });
+  }, timeoutMs);
+  connection.send(
+    {
+      body: Buffer.from(order.body),
+      headers: order.headers,
+      method: order.method,
+      path: order.path,
+    },
+    {
+      accepts: () => true,
+      onBody: (chunk) => {
+        chunks.push(chunk);
+      },
+      onBroken: (reason) => {
+        clearTimeout(timer);
+        resolve({ kind: 'unknown', reason });
+      },
+      onEnd: () => {
+        clearTimeout(timer);
+        connections.release(server, connection);
+        resolve({ body: Buffer.concat(chunks), kind: 'answered', status: answer?.status ?? 0 });
+      },
+      onHead: (head) => {
+        answer = head;
+      },
+    },
+  );
+}
--- /dev/null
+++ b/packages/serving/src/GenerationRun.ts
@@ -0,0 +1,523 @@
+import type {
+  BackendServer,
+  EngineLimits,
+  EngineShare,
+  Placement,
+  PromptShape,
+} from '@laburnumgap/dispatch';
+import { copyMs, placeGeneration, plannedOutputTokens, unreadTokens } from '@laburnumgap/dispatch';
+import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
+import { refusal } from '@laburnumgap/kernel';
+import type { AnswerHead } from './AnswerParser.js';
+import type { BackendConnection } from './BackendConnection.js';
+import { finalAnswerAtMs, timeLeftMs } from './CallBounds.js';
+import type { CallStart } from './CallStart.js';
+import { EventSplitter } from './EventSplitter.js';
+import type { ServingContext } from './ServingContext.js';
+import { DEFAULT_RETRY_AFTER_MS, MAX_REFUSED_SENDS } from './ServingConstants.js';
+import type { AnswerMarks, RunMemory } from './ServingPorts.js';
+
+const SUCCESS_STATUS = 200;
+const MISDIRECTED_STATUS = 421;
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Prompt parts count as kept for this long after they were read. */
+const KEPT_PARTS_MS = 10_000;
+const DEFAULT_URGENCY = 5;
+const MAX_URGENCY = 9;
+
+/** A run at one engine. */
+interface Leg {
+  connection?: BackendConnection;
+  head?: AnswerHead;
+  marks?: AnswerMarks;
+  readonly resumes: boolean;
+  readonly sentMs: number;
+  readonly server: BackendServer;
+  readonly splitter: EventSplitter;
+}
+
+/** Where a stream goes on. */
+export interface Continuation {
+  readonly from: RunMemory;
+  /** Tried when the first target does not take it. */
+  readonly otherwise?: Continuation;
+  readonly server: BackendServer;
+}
+
+/** Where the run is, for the moves. */
+export interface RunPosition {
+  readonly eventsPassedOn: number;
+  readonly expectedRemainingTokens: number;
+  readonly isMoving: boolean;
+  readonly requestId: string;
+  readonly server: BackendServer;
+  readonly usedTokens: number;
+}
+
+/**
+ * One generation: placed once, its events passed on whole and in order. It may go on at another
+ * engine from copied memory as the same run. Without such memory a stream that broke is broken off,
+ * unless its route lets it start anew after its last event.
+ */
+export class GenerationRun {
+  private events = 0;
+  private readonly excluded = new Set<ServerId>();
+  private firstEventMs: number | undefined;
+  private isDone = false;
+  private lastEventId: string | undefined;
+  private leg: Leg | undefined;
+  private moves = 0;
+  /** Set while the run is stopped at one engine to go on at another. */
+  private onLegClosed: (() => void) | undefined;
+  private refusedSends = 0;
+  private sends = 0;
+  private readonly timer: NodeJS.Timeout;
+  private moving = false;
+
+  constructor(
+    private readonly context: ServingContext,
+    private readonly start: CallStart,
+    private readonly engine: EngineLimits,
+    private readonly prompt: PromptShape,
+    private readonly onDone: (run: GenerationRun) => void,
+  ) {
+    const leftMs = finalAnswerAtMs(start) - context.clock.nowMs();
+    this.timer = setTimeout(
+      () => {
+        this.timedOut();
+      },
+      Math.max(0, leftMs),
+    );
+    start.exchange.onLeft(() => {
+      this.callerLeft();
+    });
+    context.budget.firstTry(start.service.service);
+    this.place();
+  }
+
+  /** What the run holds at its engine, or undefined while it is nowhere. */
+  share(nowMs: number): EngineShare | undefined {
+    const { leg, prompt } = this;
+    if (!leg) {
+      return undefined;
+    }
+    const producedTokens = this.producedTokens();
+    const reading =
+      this.events > 0 || leg.resumes ? 0 : unreadTokens(prompt.promptTokens, nowMs - leg.sentMs);
+    return {
+      plannedTokens: prompt.promptTokens + plannedOutputTokens(prompt, producedTokens),
+      readingTokens: reading,
+      runs: 1,
+      serverId: leg.server.serverId,
+      usedTokens: prompt.promptTokens + producedTokens,
+    };
+  }
+
+  /** Where the run is, or undefined when it can't be moved. */
+  position(): RunPosition | undefined {
+    const { leg, prompt } = this;
+    if (!leg || this.isDone || this.events === 0) {
+      return undefined;
+    }
+    const producedTokens = this.producedTokens();
+    return {
+      eventsPassedOn: this.events,
+      expectedRemainingTokens: plannedOutputTokens(prompt, producedTokens) - producedTokens,
+      isMoving: this.moving,
+      requestId: this.start.call.requestId,
+      server: leg.server,
+      usedTokens: prompt.promptTokens + producedTokens,
+    };
+  }
+
+  /** Engine at which the run is, also before its first event. */
+  serverId(): ServerId | undefined {
+    return this.leg?.server.serverId;
+  }
+
+  /** Marks the begin or the end of a move, so that there is one at a time. */
+  setMoving(moving: boolean): void {
+    this.moving = moving;
+  }
+
+  hasEnded(): boolean {
+    return this.isDone;
+  }
+
+  /**
+   * Chooses an engine for this run.
+   *
+   * @param without - engines that are not to be taken
+   * @param moveFrom - the engine that the run's memory comes from, for a move
+   * @returns the engine, or undefined when there is none
+   */
+  chooseTarget(without: ReadonlySet<ServerId>, moveFrom?: BackendServer): Placement | undefined {
+    const { clock, health, load, prefixes, randomUnit, registry } = this.context;
+    const nowMs = clock.nowMs();
+    const { prompt } = this;
+    const candidates = registry
+      .usable(this.start.service.service)
+      .filter(({ serverId }) => !without.has(serverId))
+      .map((server) => ({
+        keptTokens: prefixes.keptTokens(prompt.parts, server.serverId, nowMs - KEPT_PARTS_MS),
+        server,
+        suspected: health.isUnreachable(server.serverId, nowMs),
+        totals: load.totals(server.serverId, nowMs),
+      }));
+    return placeGeneration({
+      candidates,
+      engine: this.engine,
+      failureDomain: moveFrom?.failureDomain ?? this.context.failureDomain,
+      hasMemory: moveFrom !== undefined,
+      otherDomainCostMs: moveFrom && copyMs(prompt.promptTokens, this.engine),
+      prompt,
+      randomUnit,
+    });
+  }
+
+  /**
+   * Calls back once the stream of the stopped run has closed, or at once when it has.
+   *
+   * @param listener - told when no further event comes from the old engine
+   */
+  whenLegClosed(listener: () => void): void {
+    if (this.leg) {
+      this.onLegClosed = listener;
+    } else {
+      listener();
+    }
+  }
+
+  /** Goes on at another engine. The old one must have stopped. */
+  continueAt(continuation: Continuation): void {
+    this.onLegClosed = undefined;
+    if (this.isDone) {
+      return;
+    }
+    this.dropLeg();
+    this.moves += 1;
+    this.sendTo(continuation.server, continuation);
+  }
+
+  /** Ends a stream that can't go on. */
+  breakOff(reason: string): void {
+    if (this.isDone) {
+      return;
+    }
+    this.dropLeg();
+    const { route } = this.start;
+    if (
+      route.mayRestartStream &&
+      this.events > 0 &&
+      this.context.budget.takeRetry(this.start.service.service)
+    ) {
+      this.context.log.info('stream-restarted', {
+        events: this.events,
+        reason,
+        requestId: this.start.call.requestId,
+      });
+      this.place();
+      return;
+    }
+    if (this.start.exchange.hasBegun()) {
+      this.finish(`broken-off: ${reason}`);
+      this.start.exchange.breakOff();
+      return;
+    }
+    this.refuse('OUTCOME_UNKNOWN', `the engine's stream broke: ${reason}`);
+  }
+
+  private producedTokens(): number {
+    return this.events * this.engine.tokensPerEvent;
+  }
+
+  private place(): void {
+    const placement = this.chooseTarget(this.excluded);
+    if (!placement) {
+      this.refuseNotRun('NO_ENGINE', 'no engine of the service takes the request');
+      return;
+    }
+    const { costMs, fits, server, totals } = placement;
+    this.context.log.info('generation-placed', {
+      costMs: Math.round(costMs),
+      fits,
+      plannedTokens: Math.round(totals.plannedTokens),
+      readingTokens: Math.round(totals.readingTokens),
+      requestId: this.start.call.requestId,
+      runs: totals.runs,
+      serverId: server.serverId,
+    });
+    this.sendTo(server, undefined);
+  }
+
+  private sendTo(server: BackendServer, continuation: Continuation | undefined): void {
+    const { clock, connections, health, log, noteLoadChanged, prefixes } = this.context;
+    const nowMs = clock.nowMs();
+    const leg: Leg = {
+      resumes: continuation !== undefined,
+      sentMs: nowMs,
+      server,
+      splitter: new EventSplitter(),
+    };
+    this.leg = leg;
+    prefixes.note(this.prompt.parts, server.serverId, nowMs);
+    noteLoadChanged();
+    connections.acquire(server, {
+      onConnectFailed: (reason) => {
+        health.note(server.serverId, 'unreachable', 0, clock.nowMs());
+        log.warn('server-unreachable', {
+          reason,
+          requestId: this.start.call.requestId,
+          serverId: server.serverId,
+        });
+        this.notTaken(leg, continuation, reason);
+      },
+      onConnected: (connection) => {
+        this.send(leg, connection, continuation);
+      },
+    });
+  }
+
+  private send(
+    leg: Leg,
+    connection: BackendConnection,
+    continuation: Continuation | undefined,
+  ): void {
+    const { clock, connections, protocol, registry } = this.context;
+    if (this.isDone || this.leg !== leg) {
+      connections.release(leg.server, connection);
+      return;
+    }
+    if (!continuation && registry.get(leg.server.serverId)?.leaving !== false) {
+      connections.release(leg.server, connection);
+      this.notTaken(leg, continuation, 'the server leaves');
+      return;
+    }
+    const { body, call, route, team } = this.start;
+    leg.connection = connection;
+    this.sends += continuation ? 0 : 1;
+    const lastEventId = this.lastEventId ?? call.lastEventId;
+    const headers = protocol.requestHeaders(call, {
+      deadlineMs: timeLeftMs(this.start, clock.nowMs()),
+      from: continuation?.from,
+      lastEventId: continuation || this.events > 0 ? (lastEventId ?? '0') : undefined,
+      server: leg.server,
+      teamId: team?.teamId,
+      urgency: Math.min(MAX_URGENCY, Math.max(0, team?.rank ?? route.rank ?? DEFAULT_URGENCY)),
+    });
+    connection.send(
+      { body, headers, method: call.method, path: call.path },
+      {
+        accepts: (head) => protocol.readAnswer(head.headers).requestId === call.requestId,
+        onBody: (chunk) => {
+          this.bodyCame(leg, chunk);
+        },
+        onBroken: (reason) => {
+          this.broke(leg, reason);
+        },
+        onEnd: () => {
+          this.ended(leg, continuation);
+        },
+        onHead: (head) => {
+          leg.head = head;
+          leg.marks = protocol.readAnswer(head.headers);
+          connection.keepAliveMs = leg.marks.keepAliveMs;
+        },
+      },
+    );
+  }
+
+  private bodyCame(leg: Leg, chunk: Buffer): void {
+    if (this.leg !== leg || this.isDone || !isStream(leg)) {
+      return;
+    }
+    const whole = leg.splitter.push(chunk);
+    if (!whole || !leg.head) {
+      return;
+    }
+    const { exchange } = this.start;
+    if (!exchange.hasBegun()) {
+      exchange.begin(leg.head);
+    }
+    if (this.events === 0) {
+      this.firstEventMs = this.context.clock.nowMs();
+      this.context.noteLoadChanged();
+    }
+    this.events += whole.count;
+    this.lastEventId = whole.lastEventId ?? this.lastEventId;
+    if (!exchange.write(whole.bytes)) {
+      leg.connection?.pause();
+      exchange.onDrained(() => leg.connection?.resume());
+    }
+  }
+
+  private ended(leg: Leg, continuation: Continuation | undefined): void {
+    const { head, marks, server } = leg;
+    if (leg.connection) {
+      this.context.connections.release(server, leg.connection);
+    }
+    if (this.leg !== leg || this.isDone || !head || !marks) {
+      return;
+    }
+    if (isStream(leg)) {
+      this.streamEnded(leg);
+      return;
+    }
+    const notRun = marks.notRun || head.status === MISDIRECTED_STATUS;
+    if (notRun || continuation) {
+      this.notTaken(leg, continuation, `status ${head.status}`);
+      return;
+    }
+    this.noteOutcome(leg, 'failed');
+    this.leg = undefined;
+    if (PROMISE_STATUSES.has(head.status) || marks.isEncoded || head.status < 300) {
+      this.refuse('OUTCOME_UNKNOWN', `the engine answered with status ${head.status}`);
+      return;
+    }
+    this.finish(`status ${head.status}`);
+    this.start.exchange.begin(head);
+    this.start.exchange.finish();
+  }
+
+  private streamEnded(leg: Leg): void {
+    if (leg.splitter.pendingBytes() > 0 || !this.start.exchange.hasBegun()) {
+      this.broke(leg, 'the stream ended inside an event');
+      return;
+    }
+    this.noteOutcome(leg, 'answered');
+    this.leg = undefined;
+    this.finish('answered');
+    this.start.exchange.finish();
+  }
+
+  private broke(leg: Leg, reason: string): void {
+    if (this.leg !== leg || this.isDone) {
+      return;
+    }
+    leg.splitter.reset();
+    leg.connection = undefined;
+    if (this.onLegClosed) {
+      const listener = this.onLegClosed;
+      this.onLegClosed = undefined;
+      this.leg = undefined;
+      listener();
+      return;
+    }
+    if (this.moving) {
+      // The move's answer says whether the run goes on; the mover ends the stream otherwise.
+      this.leg = undefined;
+      return;
+    }
+    this.noteOutcome(leg, 'failed');
+    this.breakOff(reason);
+  }
+
+  /** The engine did not begin: nothing was sent, or it said so. */
+  private notTaken(leg: Leg, continuation: Continuation | undefined, reason: string): void {
+    if (this.leg !== leg || this.isDone) {
+      return;
+    }
+    this.leg = undefined;
+    this.context.noteLoadChanged();
+    if (continuation) {
+      this.context.log.warn('continuation-refused', {
+        reason,
+        requestId: this.start.call.requestId,
+        serverId: leg.server.serverId,
+      });
+      if (continuation.otherwise) {
+        this.sendTo(continuation.otherwise.server, continuation.otherwise);
+      } else {
+        this.breakOff(reason);
+      }
+      return;
+    }
+    this.excluded.add(leg.server.serverId);
+    if (this.sends === this.refusedSends) {
+      this.place();
+      return;
+    }
+    this.refusedSends += 1;
+    const mayTryAnother =
+      this.refusedSends < MAX_REFUSED_SENDS &&
+      this.context.budget.takeRetry(this.start.service.service);
+    if (mayTryAnother) {
+      this.place();
+      return;
+    }
+    this.refuseNotRun('NO_ENGINE', `the engines are full: ${reason}`);
+  }
+
+  private timedOut(): void {
+    if (this.isDone) {
+      return;
+    }
+    this.dropLeg();
+    if (this.start.exchange.hasBegun()) {
+      this.finish('deadline');
+      this.start.exchange.breakOff();
+      return;
+    }
+    if (this.sends > this.refusedSends) {
+      this.refuse('OUTCOME_UNKNOWN', 'the engine did not answer in time');
+      return;
+    }
+    this.refuseNotRun('NO_ENGINE', 'no engine was reached in time');
+  }
+
+  private callerLeft(): void {
+    if (this.isDone) {
+      return;
+    }
+    this.dropLeg();
+    this.finish('caller-left');
+  }
+
+  private dropLeg(): void {
+    const { leg } = this;
+    this.leg = undefined;
+    leg?.connection?.abort();
+  }
+
+  private noteOutcome(leg: Leg, outcome: 'answered' | 'failed'): void {
+    const nowMs = this.context.clock.nowMs();
+    this.context.health.note(leg.server.serverId, outcome, nowMs - leg.sentMs, nowMs);
+  }
+
+  private refuseNotRun(code: ResultCodeName, detail: string): void {
+    const mayHaveRun = this.sends > this.refusedSends;
+    this.refuse(mayHaveRun ? 'OUTCOME_UNKNOWN' : code, detail, DEFAULT_RETRY_AFTER_MS);
+  }
+
+  private refuse(code: ResultCodeName, detail: string, retryAfterMs?: number): void {
+    this.finish(code);
+    this.start.exchange.refuse(refusal(code, detail, retryAfterMs));
+  }
+
+  private finish(outcome: string): void {
+    this.isDone = true;
+    clearTimeout(this.timer);
+    const { arrivedMs, call, route } = this.start;
+    const nowMs = this.context.clock.nowMs();
+    this.context.log.info('generation-ended', {
+      events: this.events,
+      firstEventAfterMs:
+        this.firstEventMs === undefined ? undefined : Math.round(this.firstEventMs - arrivedMs),
+      moves: this.moves,
+      outcome,
+      requestId: call.requestId,
+      route: route.name,
+      serverId: this.leg?.server.serverId,
+      tookMs: Math.round(nowMs - arrivedMs),
+    });
+    this.onDone(this);
+    this.context.noteLoadChanged();
+  }
+}
+
+function isStream(leg: Leg): boolean {
+  const { head, marks } = leg;
+  return (
+    head?.status === SUCCESS_STATUS && marks !== undefined && marks.isStamped && !marks.isEncoded
+  );
+}
--- /dev/null
+++ b/packages/serving/src/PeerLink.ts
@@ -0,0 +1,259 @@
+import type { Socket } from 'node:dgram';
+import { createSocket } from 'node:dgram';
+import type { Server } from 'node:http';
+import { createServer, get } from 'node:http';
+import type { EngineLoad, EngineShare } from '@laburnumgap/dispatch';
+import type { MemberId, MonotonicClock, Revision } from '@laburnumgap/kernel';
+import type { PeerBeat, PeerSnapshot } from './PeerMessages.js';
+import { readBeat, readSnapshot } from './PeerMessages.js';
+import type { ServingLog } from './ServingLog.js';
+import type { MemberAddress } from './ServingPorts.js';
+
+/** Options of the link to the other daemons. */
+export interface PeerLinkOptions {
+  readonly beatPort: number;
+  readonly clock: MonotonicClock;
+  readonly host: string;
+  readonly incarnation: number;
+  readonly load: EngineLoad;
+  readonly log: ServingLog;
+  readonly memberId: MemberId;
+  /** Another daemon knows more than this one for a while already. */
+  readonly onBehind: (peer: MemberAddress) => void;
+  readonly ownShares: () => readonly EngineShare[];
+  readonly position: () => { readonly configurationVersion: number; readonly revision: Revision };
+  /** Daemons that may be there before the platform's store was read. */
+  readonly seedHosts: readonly string[];
+  readonly snapshot: () => PeerSnapshot;
+  readonly snapshotPort: number;
+}
+
+interface Peer extends MemberAddress {
+  behindSinceMs: number | undefined;
+  heardMs: number | undefined;
+  incarnation: number;
+  sequence: number;
+}
+
+/** Changes are told at least this much later than the first of them, in one message. */
+const BEAT_DELAY_MS = 10;
+/** Without changes, beats say that the daemon lives. */
+const BEAT_INTERVAL_MS = 500;
+/** The store's own changes reach all daemons well within this. */
+const BEHIND_MS = 250;
+const SNAPSHOT_TIMEOUT_MS = 1_000;
+const SNAPSHOT_PATH = '/peer/snapshot';
+
+/**
+ * Tells the other daemons what this one has at the engines and how much of the platform's store it
+ * knows, and gives all that it knows to a daemon that the store does not answer.
+ */
+export class PeerLink {
+  private beatTimer: NodeJS.Timeout | undefined;
+  private intervalTimer: NodeJS.Timeout | undefined;
+  private isStopping = false;
+  private readonly peers = new Map<string, Peer>();
+  private sequence = 0;
+  private readonly server: Server;
+  private readonly socket: Socket;
+
+  constructor(private readonly options: PeerLinkOptions) {
+    this.socket = createSocket('udp4');
+    this.server = createServer((request, response) => {
+      const isKnown = request.url === SNAPSHOT_PATH;
+      response.writeHead(isKnown ? 200 : 404, { 'Content-Type': 'application/json' });
+      response.end(isKnown ? JSON.stringify(options.snapshot()) : '{}');
+    });
+  }
+
+  async start(): Promise<void> {
+    const { beatPort, host, log, snapshotPort } = this.options;
+    this.socket.on('message', (bytes) => {
+      this.heard(bytes);
+    });
+    this.socket.on('error', (error) => {
+      log.warn('peer-socket-failed', { reason: error.message });
+    });
+    await new Promise<void>((resolve) => {
+      this.socket.bind(beatPort, host, resolve);
+    });
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(snapshotPort, host, resolve);
+    });
+    this.intervalTimer = setInterval(() => {
+      this.beat();
+    }, BEAT_INTERVAL_MS);
+    this.beat();
+  }
+
+  stop(): void {
+    this.isStopping = true;
+    clearTimeout(this.beatTimer);
+    clearInterval(this.intervalTimer);
+    this.beat();
+    this.server.close();
+    this.server.closeAllConnections();
+    setImmediate(() => {
+      this.socket.close();
+    });
+  }
+
+  /** Tells the others soon that something changed. */
+  noteChanged(): void {
+    this.beatTimer ??= setTimeout(() => {
+      this.beat();
+    }, BEAT_DELAY_MS);
+  }
+
+  /** Takes a daemon that the platform's store names. */
+  addMember(member: MemberAddress): void {
+    if (member.host !== this.options.host) {
+      this.peerAt(member.host, member.memberId);
+    }
+  }
+
+  removeMember(memberId: MemberId): void {
+    for (const [host, peer] of this.peers) {
+      if (peer.memberId === memberId) {
+        this.peers.delete(host);
+        this.options.load.dropMember(memberId);
+      }
+    }
+  }
+
+  /** Daemons that are known, this one not included. */
+  members(): readonly MemberAddress[] {
+    return [...this.peers.values()].map(({ host, memberId }) => ({ host, memberId }));
+  }
+
+  /** Daemons that are known, also those that are silent now, this one included. */
+  knownCount(): number {
+    return this.peers.size + 1;
+  }
+
+  /** A daemon to ask for a snapshot: one that was heard, or a seed. */
+  anyHost(randomUnit: () => number): string | undefined {
+    const heard = [...this.peers.values()].filter(({ heardMs }) => heardMs !== undefined);
+    const hosts = heard.length > 0 ? heard.map(({ host }) => host) : this.otherSeeds();
+    return hosts[Math.floor(randomUnit() * hosts.length)];
+  }
+
+  /** Asks a daemon for all that it knows; undefined when it does not answer. */
+  fetchSnapshot(host: string): Promise<PeerSnapshot | undefined> {
+    const { log, snapshotPort } = this.options;
+    return new Promise((resolve) => {
+      const request = get(
+        {
+          agent: false,
+          host,
+          path: SNAPSHOT_PATH,
+          port: snapshotPort,
+          timeout: SNAPSHOT_TIMEOUT_MS,
+        },
+        (response) => {
+          const chunks: Buffer[] = [];
+          response.on('data', (chunk: Buffer) => chunks.push(chunk));
+          response.on('error', () => {
+            resolve(undefined);
+          });
+          response.on('end', () => {
+            resolve(readSnapshot(Buffer.concat(chunks).toString()));
+          });
+        },
+      );
+      request.on('timeout', () => request.destroy(new Error('timeout')));
+      request.on('error', (error) => {
+        log.info('peer-snapshot-failed', { host, reason: error.message });
+        resolve(undefined);
+      });
+    });
+  }
+
+  private otherSeeds(): readonly string[] {
+    return this.options.seedHosts.filter((host) => host !== this.options.host);
+  }
+
+  private beat(): void {
+    clearTimeout(this.beatTimer);
+    this.beatTimer = undefined;
+    const { beatPort, host, incarnation, load, memberId, ownShares, position } = this.options;
+    const shares = ownShares();
+    load.setOwn(shares);
+    this.sequence += 1;
+    const { isStopping, sequence } = this;
+    const beat: PeerBeat = {
+      ...position(),
+      host,
+      incarnation,
+      isStopping,
+      memberId,
+      sequence,
+      shares,
+    };
+    const bytes = Buffer.from(JSON.stringify(beat));
+    const hosts = new Set([...this.peers.keys(), ...this.otherSeeds()]);
+    for (const peerHost of hosts) {
+      this.socket.send(bytes, beatPort, peerHost, () => {
+        // A lost beat is followed by the next one.
+      });
+    }
+  }
+
+  private heard(bytes: Buffer): void {
+    const beat = readBeat(bytes);
+    if (!beat || beat.host === this.options.host) {
+      return;
+    }
+    const { clock, load } = this.options;
+    const peer = this.peerAt(beat.host, beat.memberId);
+    const isOld =
+      beat.incarnation < peer.incarnation ||
+      (beat.incarnation === peer.incarnation && beat.sequence <= peer.sequence);
+    if (isOld) {
+      return;
+    }
+    peer.heardMs = clock.nowMs();
+    peer.incarnation = beat.incarnation;
+    peer.sequence = beat.sequence;
+    if (beat.isStopping) {
+      this.peers.delete(beat.host);
+      load.dropMember(beat.memberId);
+      return;
+    }
+    load.noteMember(beat.memberId, beat.shares, peer.heardMs);
+    this.compare(beat, peer, peer.heardMs);
+  }
+
+  private compare(beat: PeerBeat, peer: Peer, nowMs: number): void {
+    const own = this.options.position();
+    const isBehind =
+      beat.revision > own.revision || beat.configurationVersion > own.configurationVersion;
+    if (!isBehind) {
+      peer.behindSinceMs = undefined;
+      return;
+    }
+    peer.behindSinceMs ??= nowMs;
+    if (own.revision === 0 || nowMs - peer.behindSinceMs >= BEHIND_MS) {
+      peer.behindSinceMs = nowMs;
+      this.options.onBehind(peer);
+    }
+  }
+
+  private peerAt(host: string, memberId: MemberId): Peer {
+    const known = this.peers.get(host);
+    if (known?.memberId === memberId) {
+      return known;
+    }
+    const peer: Peer = {
+      behindSinceMs: undefined,
+      heardMs: undefined,
+      host,
+      incarnation: 0,
+      memberId,
+      sequence: 0,
+    };
+    this.peers.set(host, peer);
+    return peer;
+  }
+}
--- /dev/null
+++ b/packages/serving/src/PeerMessages.ts
@@ -0,0 +1,80 @@
+import type {
+  EngineShare,
+  RegisteredServer,
+  ServerChange,
+  ServingConfiguration,
+} from '@laburnumgap/dispatch';
+import type { MemberId, Revision } from '@laburnumgap/kernel';
+import type { MemberAddress } from './ServingPorts.js';
+
+/** What a daemon tells the others again and again. */
+export interface PeerBeat {
+  readonly configurationVersion: number;
+  readonly host: string;
+  /** Tells a restart of the daemon. */
+  readonly incarnation: number;
+  readonly memberId: MemberId;
+  /** The daemon stops; it is to be forgotten. */
+  readonly isStopping: boolean;
+  readonly revision: Revision;
+  readonly sequence: number;
+  readonly shares: readonly EngineShare[];
+}
+
+/** All that a daemon knows, for one that the store does not answer. */
+export interface PeerSnapshot {
+  readonly configuration?: ServingConfiguration;
+  readonly members: readonly MemberAddress[];
+  readonly revision: Revision;
+  readonly servers: readonly RegisteredServer[];
+}
+
+/**
+ * Reads a beat.
+ *
+ * @param bytes - a datagram
+ * @returns the beat, or undefined when it is none
+ */
+export function readBeat(bytes: Buffer): PeerBeat | undefined {
+  const beat = parse(bytes.toString()) as Partial<PeerBeat> | undefined;
+  const isBeat =
+    typeof beat?.memberId === 'string' &&
+    typeof beat.host === 'string' &&
+    typeof beat.sequence === 'number' &&
+    typeof beat.revision === 'number' &&
+    Array.isArray(beat.shares);
+  return isBeat ? (beat as PeerBeat) : undefined;
+}
+
+/**
+ * Reads a snapshot.
+ *
+ * @param text - the body of an answer
+ * @returns the snapshot, or undefined when it is none
+ */
+export function readSnapshot(text: string): PeerSnapshot | undefined {
+  const snapshot = parse(text) as Partial<PeerSnapshot> | undefined;
+  const isSnapshot =
+    typeof snapshot?.revision === 'number' &&
+    Array.isArray(snapshot.servers) &&
+    Array.isArray(snapshot.members);
+  return isSnapshot ? (snapshot as PeerSnapshot) : undefined;
+}
+
+/** The servers of a snapshot as changes, with the leaving marks of the daemon that sent it. */
+export function serverChangesOf(snapshot: PeerSnapshot): readonly ServerChange[] {
+  return snapshot.servers.map(({ leaving, revision, server }) => ({
+    revision,
+    server: { ...server, leaving },
+    serverId: server.serverId,
+  }));
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // Not ours: the caller treats it as no message.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/serving/src/PlainCallRun.ts
@@ -0,0 +1,380 @@
+import type { BackendServer } from '@laburnumgap/dispatch';
+import { placePlainCall } from '@laburnumgap/dispatch';
+import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
+import { refusal } from '@laburnumgap/kernel';
+import type { AnswerHead } from './AnswerParser.js';
+import type { BackendConnection } from './BackendConnection.js';
+import { finalAnswerAtMs, timeLeftMs } from './CallBounds.js';
+import type { CallStart } from './CallStart.js';
+import type { CallsInFlight } from './CallsInFlight.js';
+import type { ServingContext } from './ServingContext.js';
+import {
+  DEFAULT_RETRY_AFTER_MS,
+  MAX_HELD_ANSWER_BYTES,
+  MAX_REFUSED_SENDS,
+} from './ServingConstants.js';
+import type { AnswerMarks } from './ServingPorts.js';
+
+const FIRST_FAILURE_STATUS = 500;
+const FIRST_SUCCESS_STATUS = 200;
+const LAST_SUCCESS_STATUS = 299;
+const MISDIRECTED_STATUS = 421;
+/** Statuses by which a caller understands that its request has not run. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** An idempotent call is tried elsewhere after this many target latencies without an answer. */
+const PATIENCE_TARGETS = 3;
+
+interface Attempt {
+  readonly chunks: Buffer[];
+  connection?: BackendConnection;
+  head?: AnswerHead;
+  heldBytes: number;
+  isPassedOn: boolean;
+  marks?: AnswerMarks;
+  readonly number: number;
+  readonly sentMs: number;
+  readonly server: BackendServer;
+}
+
+/**
+ * One call to a plain service. Only an idempotent call is sent again after it may have run; any call
+ * is sent again, within the budget of repeats, after a server said that it did not run it.
+ */
+export class PlainCallRun {
+  private attempt: Attempt | undefined;
+  private attempts = 0;
+  private readonly excluded = new Set<ServerId>();
+  private isDone = false;
+  private patienceTimer: NodeJS.Timeout | undefined;
+  private refusedSends = 0;
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(
+    private readonly context: ServingContext,
+    private readonly start: CallStart,
+    private readonly calls: CallsInFlight,
+    private readonly onDone: () => void,
+  ) {
+    const { clock } = context;
+    this.timer = setTimeout(
+      () => {
+        this.timedOut();
+      },
+      Math.max(0, finalAnswerAtMs(start) - clock.nowMs()),
+    );
+    start.exchange.onLeft(() => {
+      this.callerLeft();
+    });
+    context.budget.firstTry(start.service.service);
+    this.sendSomewhere();
+  }
+
+  private sendSomewhere(): void {
+    const { clock, connections, failureDomain, health, randomUnit, registry } = this.context;
+    const server = placePlainCall({
+      callsInFlight: (serverId) => this.calls.at(serverId),
+      excluded: this.excluded,
+      failureDomain,
+      health,
+      nowMs: clock.nowMs(),
+      randomUnit,
+      servers: registry.usable(this.start.service.service),
+    });
+    if (!server) {
+      this.refuseNotRun('NO_SERVER', 'no server of the service takes the call');
+      return;
+    }
+    this.excluded.add(server.serverId);
+    connections.acquire(server, {
+      onConnectFailed: (reason) => {
+        this.connectFailed(server, reason);
+      },
+      onConnected: (connection) => {
+        this.send(server, connection);
+      },
+    });
+  }
+
+  private connectFailed(server: BackendServer, reason: string): void {
+    const { clock, health, log } = this.context;
+    health.note(server.serverId, 'unreachable', 0, clock.nowMs());
+    log.warn('server-unreachable', {
+      requestId: this.start.call.requestId,
+      serverId: server.serverId,
+      reason,
+    });
+    if (!this.isDone) {
+      this.sendSomewhere();
+    }
+  }
+
+  private send(server: BackendServer, connection: BackendConnection): void {
+    const { clock, connections, protocol } = this.context;
+    if (this.isDone || this.context.registry.get(server.serverId)?.leaving !== false) {
+      connections.release(server, connection);
+      if (!this.isDone) {
+        this.sendSomewhere();
+      }
+      return;
+    }
+    const { body, call, route, team } = this.start;
+    const nowMs = clock.nowMs();
+    this.attempts += 1;
+    const attempt: Attempt = {
+      chunks: [],
+      connection,
+      heldBytes: 0,
+      isPassedOn: false,
+      number: this.attempts,
+      sentMs: nowMs,
+      server,
+    };
+    this.attempt = attempt;
+    this.calls.began(server.serverId);
+    const headers = protocol.requestHeaders(call, {
+      deadlineMs: timeLeftMs(this.start, nowMs),
+      server,
+      teamId: team?.teamId,
+    });
+    connection.send(
+      { body, headers, method: call.method, path: call.path },
+      {
+        accepts: (head) => protocol.readAnswer(head.headers).requestId === call.requestId,
+        onBody: (chunk) => {
+          this.bodyCame(attempt, chunk);
+        },
+        onBroken: (reason) => {
+          this.broke(attempt, reason);
+        },
+        onEnd: () => {
+          this.ended(attempt);
+        },
+        onHead: (head) => {
+          attempt.head = head;
+          attempt.marks = protocol.readAnswer(head.headers);
+          connection.keepAliveMs = attempt.marks.keepAliveMs;
+        },
+      },
+    );
+    if (route.kind === 'idempotent') {
+      this.patienceTimer = setTimeout(() => {
+        this.lostPatience(attempt);
+      }, route.targetLatencyMs * PATIENCE_TARGETS);
+    }
+  }
+
+  private bodyCame(attempt: Attempt, chunk: Buffer): void {
+    const { exchange } = this.start;
+    if (!attempt.isPassedOn) {
+      attempt.chunks.push(chunk);
+      attempt.heldBytes += chunk.length;
+      if (attempt.heldBytes <= MAX_HELD_ANSWER_BYTES || !this.mayPassOn(attempt)) {
+        return;
+      }
+      attempt.isPassedOn = true;
+      this.stopTimers();
+      if (attempt.head) {
+        exchange.begin(attempt.head);
+      }
+      attempt.chunks.splice(0).forEach((held) => exchange.write(held));
+      return;
+    }
+    if (!exchange.write(chunk)) {
+      attempt.connection?.pause();
+      exchange.onDrained(() => attempt.connection?.resume());
+    }
+  }
+
+  private ended(attempt: Attempt): void {
+    const { head, marks, server } = attempt;
+    this.leave(attempt, 'reusable');
+    if (this.isDone || !head || !marks) {
+      return;
+    }
+    if (attempt.isPassedOn) {
+      this.finish('passed-on', attempt);
+      this.start.exchange.finish();
+      return;
+    }
+    if (marks.notRun || head.status === MISDIRECTED_STATUS) {
+      this.refusedByServer(attempt, head.status);
+      return;
+    }
+    const isFailure = head.status >= FIRST_FAILURE_STATUS || !isGenuine(head, marks);
+    this.noteOutcome(server, isFailure ? 'failed' : 'answered', attempt);
+    if (isFailure && this.mayRepeat()) {
+      this.repeat(attempt, `status ${head.status}`);
+      return;
+    }
+    this.answer(attempt, head, marks);
+  }
+
+  private answer(attempt: Attempt, head: AnswerHead, marks: AnswerMarks): void {
+    const { exchange, route } = this.start;
+    const isPromise = PROMISE_STATUSES.has(head.status);
+    if (!isGenuine(head, marks) || (isPromise && route.kind === 'once')) {
+      this.refuse('UPSTREAM_FAILED', 'the answer of the server is not usable');
+      return;
+    }
+    this.finish('answered', attempt);
+    exchange.begin(head);
+    exchange.finish(Buffer.concat(attempt.chunks));
+  }
+
+  private broke(attempt: Attempt, reason: string): void {
+    this.leave(attempt, 'gone');
+    this.noteOutcome(attempt.server, 'failed', attempt);
+    if (this.isDone) {
+      return;
+    }
+    if (attempt.isPassedOn) {
+      this.finish('broken-off', attempt);
+      this.start.exchange.breakOff();
+      return;
+    }
+    if (this.mayRepeat()) {
+      this.repeat(attempt, reason);
+      return;
+    }
+    this.refuse('OUTCOME_UNKNOWN', `the connection to the server broke: ${reason}`);
+  }
+
+  private refusedByServer(attempt: Attempt, status: number): void {
+    const { budget, log } = this.context;
+    this.refusedSends += 1;
+    const mayTryAnother =
+      this.refusedSends < MAX_REFUSED_SENDS && budget.takeRetry(this.start.service.service);
+    log.info('call-not-run', {
+      requestId: this.start.call.requestId,
+      serverId: attempt.server.serverId,
+      status,
+      triesAnother: mayTryAnother,
+    });
+    if (mayTryAnother) {
+      this.sendSomewhere();
+      return;
+    }
+    this.refuseNotRun('NO_SERVER', 'the servers are full');
+  }
+
+  private mayRepeat(): boolean {
+    const { route, service } = this.start;
+    return (
+      route.kind === 'idempotent' &&
+      this.attempts < route.maxServers &&
+      this.context.budget.takeRetry(service.service)
+    );
+  }
+
+  private repeat(attempt: Attempt, reason: string): void {
+    this.context.log.info('call-repeated', {
+      attempt: attempt.number,
+      requestId: this.start.call.requestId,
+      serverId: attempt.server.serverId,
+      reason,
+    });
+    this.sendSomewhere();
+  }
+
+  private lostPatience(attempt: Attempt): void {
+    if (this.isDone || this.attempt !== attempt || attempt.isPassedOn || !this.mayRepeat()) {
+      return;
+    }
+    attempt.connection?.abort();
+    this.leave(attempt, 'gone');
+    this.noteOutcome(attempt.server, 'failed', attempt);
+    this.repeat(attempt, 'no answer in time');
+  }
+
+  private timedOut(): void {
+    if (this.isDone) {
+      return;
+    }
+    const { attempt } = this;
+    if (!attempt && this.attempts === 0) {
+      this.refuseNotRun('NO_SERVER', 'no server was reached in time');
+      return;
+    }
+    if (attempt) {
+      attempt.connection?.abort();
+      this.leave(attempt, 'gone');
+      this.noteOutcome(attempt.server, 'failed', attempt);
+    }
+    this.refuse('OUTCOME_UNKNOWN', 'the server did not answer in time');
+  }
+
+  private callerLeft(): void {
+    if (this.isDone) {
+      return;
+    }
+    const { attempt } = this;
+    this.finish('caller-left', attempt);
+    if (attempt) {
+      attempt.connection?.abort();
+      this.leave(attempt, 'gone');
+    }
+  }
+
+  private mayPassOn(attempt: Attempt): boolean {
+    const { head, marks } = attempt;
+    return head !== undefined && marks !== undefined && !marks.notRun && isGenuine(head, marks);
+  }
+
+  private leave(attempt: Attempt, connectionState: 'gone' | 'reusable'): void {
+    if (this.attempt !== attempt) {
+      return;
+    }
+    this.attempt = undefined;
+    clearTimeout(this.patienceTimer);
+    this.calls.ended(attempt.server.serverId);
+    if (connectionState === 'reusable' && attempt.connection) {
+      this.context.connections.release(attempt.server, attempt.connection);
+    }
+  }
+
+  private noteOutcome(
+    server: BackendServer,
+    outcome: 'answered' | 'failed',
+    attempt: Attempt,
+  ): void {
+    const nowMs = this.context.clock.nowMs();
+    this.context.health.note(server.serverId, outcome, nowMs - attempt.sentMs, nowMs);
+  }
+
+  private refuseNotRun(code: ResultCodeName, detail: string): void {
+    const hasRun = this.attempts > this.refusedSends;
+    this.refuse(hasRun ? 'UPSTREAM_FAILED' : code, detail, DEFAULT_RETRY_AFTER_MS);
+  }
+
+  private refuse(code: ResultCodeName, detail: string, retryAfterMs?: number): void {
+    this.finish(code, this.attempt);
+    this.start.exchange.refuse(refusal(code, detail, retryAfterMs));
+  }
+
+  private finish(outcome: string, attempt: Attempt | undefined): void {
+    this.isDone = true;
+    this.onDone();
+    this.stopTimers();
+    const { call, route, arrivedMs } = this.start;
+    const tookMs = Math.round(this.context.clock.nowMs() - arrivedMs);
+    this.context.log.info('call-ended', {
+      attempts: this.attempts,
+      outcome,
+      requestId: call.requestId,
+      route: route.name,
+      serverId: attempt?.server.serverId,
+      status: attempt?.head?.status,
+      tookMs,
+    });
+  }
+
+  private stopTimers(): void {
+    clearTimeout(this.timer);
+    clearTimeout(this.patienceTimer);
+  }
+}
+
+function isGenuine(head: AnswerHead, marks: AnswerMarks): boolean {
+  const isSuccess = head.status >= FIRST_SUCCESS_STATUS && head.status <= LAST_SUCCESS_STATUS;
+  return !marks.isEncoded && (marks.isStamped || !isSuccess);
+}
--- /dev/null
+++ b/packages/serving/src/ServingContext.ts
@@ -0,0 +1,36 @@
+import type {
+  EngineLoad,
+  KeptPrefixes,
+  RouteTable,
+  ServerHealth,
+  ServerRegistry,
+} from '@laburnumgap/dispatch';
+import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
+import type { RetryBudget } from '@laburnumgap/dispatch';
+import type { BackendConnections } from './BackendConnections.js';
+import type { ServingLog } from './ServingLog.js';
+import type { WireProtocol } from './ServingPorts.js';
+
+/** What all requests of a daemon share. */
+export interface ServingContext {
+  /** Repeats that this daemon may still send, by service. */
+  readonly budget: RetryBudget;
+  readonly clock: MonotonicClock;
+  readonly connections: BackendConnections;
+  readonly failureDomain: FailureDomainId;
+  readonly health: ServerHealth;
+  readonly load: EngineLoad;
+  readonly log: ServingLog;
+  readonly memberId: MemberId;
+  /** Tells the other daemons soon what this one has at the engines. */
+  readonly noteLoadChanged: () => void;
+  readonly prefixes: KeptPrefixes;
+  readonly protocol: WireProtocol;
+  readonly randomUnit: () => number;
+  readonly registry: ServerRegistry;
+}
+
+/** The configuration that is in force, replaced as a whole. */
+export interface RoutesInForce {
+  current(): RouteTable | undefined;
+}
--- /dev/null
+++ b/packages/serving/src/ServingDaemon.ts
@@ -0,0 +1,391 @@
+import { createServer } from 'node:http';
+import type { BackendServer, EngineLimits, EngineShare } from '@laburnumgap/dispatch';
+import {
+  EngineLoad,
+  KeptPrefixes,
+  RouteTable,
+  ServerHealth,
+  ServerRegistry,
+} from '@laburnumgap/dispatch';
+import type {
+  FailureDomainId,
+  MemberId,
+  MonotonicClock,
+  Revision,
+  ServerId,
+} from '@laburnumgap/kernel';
+import { toNumberId } from '@laburnumgap/kernel';
+import { RetryBudget } from '@laburnumgap/dispatch';
+import { BackendConnections } from './BackendConnections.js';
+import type { CallStart } from './CallStart.js';
+import { CallsInFlight } from './CallsInFlight.js';
+import { DirectoryFollower } from './DirectoryFollower.js';
+import { GenerationRun } from './GenerationRun.js';
+import { PeerLink } from './PeerLink.js';
+import type { PeerSnapshot } from './PeerMessages.js';
+import { serverChangesOf } from './PeerMessages.js';
+import { PlainCallRun } from './PlainCallRun.js';
+import type { ServingContext } from './ServingContext.js';
+import { ServingFront } from './ServingFront.js';
+import type { ServingLog } from './ServingLog.js';
+import type { DirectoryChanges, PlatformDirectory, WireProtocol } from './ServingPorts.js';
+import { StreamMover } from './StreamMover.js';
+
+/** An address to listen at. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What a serving daemon needs to know. */
+export interface ServingSettings {
+  readonly beatPort: number;
+  readonly failureDomain: FailureDomainId;
+  readonly front: ListenAddress;
+  /** Time between SIGTERM and the end of the process. */
+  readonly graceMs: number;
+  readonly memberId: MemberId;
+  readonly peers: ListenAddress;
+  readonly ready: ListenAddress;
+  /** Repeats that all daemons may send in any window beside the ratio. */
+  readonly repeatsAtLeast: number;
+  /** Repeats for each first try. */
+  readonly repeatsRatio: number;
+  readonly seedHosts: readonly string[];
+}
+
+/** Options of a serving daemon. */
+export interface ServingDaemonOptions {
+  readonly clock: MonotonicClock;
+  readonly directory: PlatformDirectory;
+  /** Start of the process, to tell a restart. */
+  readonly incarnation: number;
+  readonly log: ServingLog;
+  readonly protocol: WireProtocol;
+  readonly randomUnit: () => number;
+  readonly settings: ServingSettings;
+}
+
+/** Streams on leaving engines and lapsed entries are looked at this often. */
+const TICK_MS = 100;
+/** After SIGTERM the balancer has taken the daemon out by then: two questions, a second apart. */
+const BALANCER_NOTICE_MS = 2_800;
+/** Streams are broken off this long before the process is killed. */
+const KILL_MARGIN_MS = 300;
+/** Repeats that are saved up until the number of daemons is known. */
+const START_SAVED_REPEATS = 1;
+/** Part of the budget that is used, so that daemons that disagree on their number stay inside. */
+const BUDGET_SHARE = 0.8;
+
+/** One process that serves callers: takes requests, places them, and follows the platform. */
+export class ServingDaemon {
+  private readonly budget: RetryBudget;
+  private readonly calls = new CallsInFlight();
+  private readonly connections: BackendConnections;
+  private readonly context: ServingContext;
+  private readonly follower: DirectoryFollower;
+  private readonly front: ServingFront;
+  private hasServers = false;
+  private isDraining = false;
+  private readonly load = new EngineLoad();
+  private readonly mover: StreamMover;
+  private openPlainCalls = 0;
+  private readonly peers: PeerLink;
+  private readonly readyServer;
+  private readonly registry = new ServerRegistry();
+  private revision: Revision = toNumberId<Revision>(0);
+  private readonly runs = new Set<GenerationRun>();
+  private table: RouteTable | undefined;
+  private tickTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: ServingDaemonOptions) {
+    const { clock, directory, incarnation, log, protocol, randomUnit, settings } = options;
+    this.budget = new RetryBudget({
+      maxSaved: START_SAVED_REPEATS,
+      perFirstTry: settings.repeatsRatio * BUDGET_SHARE,
+    });
+    this.connections = new BackendConnections(clock);
+    this.context = {
+      budget: this.budget,
+      clock,
+      connections: this.connections,
+      failureDomain: settings.failureDomain,
+      health: new ServerHealth(),
+      load: this.load,
+      log,
+      memberId: settings.memberId,
+      noteLoadChanged: () => {
+        this.load.setOwn(this.ownShares());
+        this.peers.noteChanged();
+      },
+      prefixes: new KeptPrefixes(),
+      protocol,
+      randomUnit,
+      registry: this.registry,
+    };
+    this.mover = new StreamMover(this.context, this.runs, (server) => this.engineOf(server));
+    this.front = new ServingFront({
+      clock,
+      protocol,
+      randomUnit,
+      routes: { current: () => (this.hasServers ? this.table : undefined) },
+      run: (start) => {
+        this.run(start);
+      },
+    });
+    this.peers = new PeerLink({
+      beatPort: settings.beatPort,
+      clock,
+      host: settings.peers.host,
+      incarnation,
+      load: this.load,
+      log,
+      memberId: settings.memberId,
+      onBehind: (peer) => {
+        this.follower.renew();
+        void this.learnFrom(peer.host);
+      },
+      ownShares: () => this.ownShares(),
+      position: () => ({
+        configurationVersion: this.table?.configuration.version ?? 0,
+        revision: this.revision,
+      }),
+      seedHosts: settings.seedHosts,
+      snapshot: () => this.snapshot(),
+      snapshotPort: settings.peers.port,
+    });
+    this.follower = new DirectoryFollower({
+      clock,
+      directory,
+      log,
+      onChanges: (changes, isWhole, storeWasAway) => {
+        this.applyChanges(changes, isWhole, storeWasAway);
+      },
+      onUnanswered: () => {
+        this.askAnyPeer();
+      },
+      randomUnit,
+    });
+    this.readyServer = createServer((_request, response) => {
+      response.writeHead(this.isReady() ? 200 : 503);
+      response.end();
+    });
+  }
+
+  async start(): Promise<void> {
+    const { directory, log, settings } = this.options;
+    this.follower.start();
+    await Promise.all([
+      this.front.listen(settings.front.host, settings.front.port),
+      this.peers.start(),
+      new Promise<void>((resolve) => {
+        this.readyServer.listen(settings.ready.port, settings.ready.host, resolve);
+      }),
+    ]);
+    this.tickTimer = setInterval(() => {
+      this.tick();
+    }, TICK_MS);
+    log.info('started', { memberId: settings.memberId });
+    const member = { host: settings.peers.host, memberId: settings.memberId };
+    const registered = await directory.register(member);
+    if (!registered.ok) {
+      log.warn('member-not-registered', registered.error);
+    }
+  }
+
+  /** Stops gracefully. Resolves when nothing is open or the grace is over. */
+  async drain(): Promise<void> {
+    if (this.isDraining) {
+      return;
+    }
+    const { clock, log, settings } = this.options;
+    this.isDraining = true;
+    this.front.drain();
+    log.info('draining', { openCalls: this.openPlainCalls, openStreams: this.runs.size });
+    const startedMs = clock.nowMs();
+    const untilMs = startedMs + settings.graceMs - KILL_MARGIN_MS;
+    await sleep(BALANCER_NOTICE_MS);
+    this.front.stopListening();
+    while (clock.nowMs() < untilMs && this.runs.size + this.openPlainCalls > 0) {
+      this.front.closeIdle();
+      await sleep(TICK_MS / 2);
+    }
+    log.info('stopped', { openCalls: this.openPlainCalls, openStreams: this.runs.size });
+    this.close();
+  }
+
+  /** Ends everything at once. */
+  close(): void {
+    clearInterval(this.tickTimer);
+    this.follower.stop();
+    this.peers.stop();
+    this.readyServer.close();
+    this.readyServer.closeAllConnections();
+    this.front.stopListening();
+    this.front.closeAll();
+    this.connections.close();
+  }
+
+  isReady(): boolean {
+    return !this.isDraining && this.table !== undefined && this.hasServers;
+  }
+
+  private run(start: CallStart): void {
+    const { engine } = start.service;
+    const { prompt } = start.call;
+    if (engine && prompt && start.route.kind === 'stream') {
+      const run = new GenerationRun(this.context, start, engine, prompt, (ended) => {
+        this.runs.delete(ended);
+      });
+      if (!run.hasEnded()) {
+        this.runs.add(run);
+        this.context.noteLoadChanged();
+      }
+      return;
+    }
+    this.openPlainCalls += 1;
+    new PlainCallRun(this.context, start, this.calls, () => {
+      this.openPlainCalls -= 1;
+    });
+  }
+
+  private applyChanges(changes: DirectoryChanges, isWhole: boolean, storeWasAway: boolean): void {
+    const { clock, log } = this.options;
+    for (const { key, reason } of changes.unreadable) {
+      log.warn('entry-unreadable', { key, reason });
+    }
+    if (changes.configuration) {
+      this.applyConfiguration(new RouteTable(changes.configuration), 'store');
+    }
+    const nowMs = clock.nowMs();
+    const leaving = isWhole
+      ? this.registry.replace(changes.servers, changes.revision, nowMs, storeWasAway)
+      : this.registry.apply(changes.servers, nowMs, storeWasAway);
+    this.hasServers ||= isWhole;
+    changes.members.forEach((member) => {
+      this.peers.addMember(member);
+    });
+    changes.membersGone.forEach((memberId) => {
+      this.peers.removeMember(memberId);
+    });
+    this.noteRevision(changes.revision);
+    this.serversLeave(leaving, 'store');
+  }
+
+  private applyConfiguration(table: RouteTable, source: string): void {
+    const { version } = table.configuration;
+    if (version <= (this.table?.configuration.version ?? 0)) {
+      return;
+    }
+    this.table = table;
+    this.front.applyLimits(table);
+    this.options.log.info('configuration-applied', { source, version });
+  }
+
+  private serversLeave(leaving: readonly ServerId[], source: string): void {
+    for (const serverId of leaving) {
+      this.options.log.info('server-leaves', { revision: this.revision, serverId, source });
+      this.connections.close(serverId);
+      this.context.prefixes.forget(serverId);
+      this.mover.moveFrom(serverId);
+    }
+  }
+
+  private noteRevision(revision: Revision): void {
+    if (revision > this.revision) {
+      this.revision = revision;
+      this.peers.noteChanged();
+    }
+  }
+
+  private askAnyPeer(): void {
+    const host = this.peers.anyHost(this.options.randomUnit);
+    if (host !== undefined) {
+      void this.learnFrom(host);
+    }
+  }
+
+  private async learnFrom(host: string): Promise<void> {
+    const snapshot = await this.peers.fetchSnapshot(host);
+    if (!snapshot) {
+      return;
+    }
+    snapshot.members.forEach((member) => {
+      this.peers.addMember(member);
+    });
+    if (snapshot.configuration) {
+      this.applyConfiguration(new RouteTable(snapshot.configuration), `peer ${host}`);
+    }
+    if (snapshot.revision > this.revision && snapshot.servers.length > 0) {
+      const nowMs = this.options.clock.nowMs();
+      const changes = serverChangesOf(snapshot);
+      const leaving = this.registry.replace(changes, snapshot.revision, nowMs, false);
+      this.hasServers = true;
+      this.noteRevision(snapshot.revision);
+      this.serversLeave(leaving, `peer ${host}`);
+    }
+  }
+
+  private snapshot(): PeerSnapshot {
+    const { memberId, peers } = this.options.settings;
+    return {
+      configuration: this.table?.configuration,
+      members: [{ host: peers.host, memberId }, ...this.peers.members()],
+      revision: this.revision,
+      servers: this.registry.all(),
+    };
+  }
+
+  private ownShares(): readonly EngineShare[] {
+    const nowMs = this.options.clock.nowMs();
+    const byServer = new Map<ServerId, EngineShare>();
+    for (const run of this.runs) {
+      const share = run.share(nowMs);
+      if (share) {
+        byServer.set(share.serverId, addShares(byServer.get(share.serverId), share));
+      }
+    }
+    return [...byServer.values()];
+  }
+
+  /** Each daemon has an equal part of the budget, also while it is cut off. */
+  private shareBudget(): void {
+    if (this.hasServers) {
+      const { repeatsAtLeast } = this.options.settings;
+      const share = (repeatsAtLeast * BUDGET_SHARE) / this.peers.knownCount();
+      this.budget.setMaxSaved(Math.max(START_SAVED_REPEATS, Math.floor(share)));
+    }
+  }
+
+  private engineOf(server: BackendServer): EngineLimits | undefined {
+    return this.table?.service(server.service)?.engine;
+  }
+
+  private tick(): void {
+    const nowMs = this.options.clock.nowMs();
+    this.serversLeave(this.registry.expireLapsed(nowMs), 'lapsed');
+    this.connections.closeExpired();
+    for (const { leaving, server } of this.registry.all()) {
+      if (leaving && this.engineOf(server)) {
+        this.mover.moveFrom(server.serverId);
+      }
+    }
+    this.shareBudget();
+  }
+}
+
+function addShares(sum: EngineShare | undefined, share: EngineShare): EngineShare {
+  return {
+    plannedTokens: Math.round((sum?.plannedTokens ?? 0) + share.plannedTokens),
+    readingTokens: Math.round((sum?.readingTokens ?? 0) + share.readingTokens),
+    runs: (sum?.runs ?? 0) + share.runs,
+    serverId: share.serverId,
+    usedTokens: (sum?.usedTokens ?? 0) + share.usedTokens,
+  };
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/packages/serving/src/ServingPorts.ts
@@ -0,0 +1,146 @@
+import type {
+  BackendServer,
+  PromptShape,
+  ServerChange,
+  ServingConfiguration,
+} from '@laburnumgap/dispatch';
+import type { MemberId, Refusal, Result, Revision, TeamId } from '@laburnumgap/kernel';
+
+/** Header names and values in the order and spelling of the wire. */
+export type HeaderList = readonly (readonly [name: string, value: string])[];
+
+/** Head of a caller's request as it arrived. */
+export interface RequestHead {
+  readonly headers: HeaderList;
+  readonly method: string;
+  readonly path: string;
+}
+
+/** A caller's request, read. */
+export interface CallerCall {
+  readonly apiKey?: string;
+  /** How long the caller waits, from the arrival of the request. */
+  readonly deadlineMs?: number;
+  /** End-to-end headers, without those that only the system sets. */
+  readonly headers: HeaderList;
+  readonly host: string;
+  readonly lastEventId?: string;
+  readonly method: string;
+  readonly path: string;
+  readonly prompt?: PromptShape;
+  readonly requestId: string;
+}
+
+/** Memory of a run that goes on at another engine. */
+export interface RunMemory {
+  readonly handle: string;
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What the system adds to a call that it sends to a server. */
+export interface BackendCallOptions {
+  /** Engine that keeps a copy of the run's memory as it grows. */
+  readonly copyTo?: BackendServer;
+  readonly deadlineMs: number;
+  /** Memory from which the run goes on, after `lastEventId`. */
+  readonly from?: RunMemory;
+  readonly lastEventId?: string;
+  readonly server: BackendServer;
+  readonly teamId?: TeamId;
+  /** 0 is the most urgent, 9 the least. */
+  readonly urgency?: number;
+}
+
+/** What the head of a server's answer says beside its status. */
+export interface AnswerMarks {
+  /** The body is encoded, which no server does. */
+  readonly isEncoded: boolean;
+  /** The server states that it did not run the request. */
+  readonly notRun: boolean;
+  /** The server's own stamp is there: the answer comes from a server at all. */
+  readonly isStamped: boolean;
+  /** Time that the server keeps the idle connection. */
+  readonly keepAliveMs?: number;
+  readonly requestId?: string;
+}
+
+/** A call that the system makes at an engine on its own account. */
+export interface EngineOrder {
+  readonly body: string;
+  readonly headers: HeaderList;
+  readonly method: string;
+  readonly path: string;
+}
+
+/** An engine's answer to an order to move a run. */
+export type MoveAnswer =
+  | { readonly eventsMade: number; readonly handle: string; readonly kind: 'copied' }
+  | { readonly handle?: string; readonly kind: 'noRoom' }
+  | { readonly kind: 'inProgress' }
+  | { readonly kind: 'noSuchRun' }
+  | { readonly kind: 'unreadable'; readonly reason: string };
+
+/** Head of an answer of the system's own. */
+export interface OwnAnswer {
+  readonly body: string;
+  readonly headers: HeaderList;
+  readonly status: number;
+}
+
+/** The words that callers and backend servers use. */
+export interface WireProtocol {
+  /** Answers that a caller gets where no server's answer is passed on. */
+  refuse(refusal: Refusal): OwnAnswer;
+  /** Headers of a server's answer that the caller gets. */
+  forwardedAnswerHeaders(headers: HeaderList): HeaderList;
+  moveOrder(requestId: string, target: BackendServer, isLast: boolean): EngineOrder;
+  /** Frees a copy that is not used. */
+  dropCopyOrder(handle: string): EngineOrder;
+  readAnswer(headers: HeaderList): AnswerMarks;
+  readCall(head: RequestHead): Result<CallerCall, string>;
+  readMoveAnswer(status: number, body: Buffer): MoveAnswer;
+  requestHeaders(call: CallerCall, options: BackendCallOptions): HeaderList;
+}
+
+/** Another daemon of the system. */
+export interface MemberAddress {
+  readonly host: string;
+  readonly memberId: MemberId;
+}
+
+/** Changes of what the platform's store holds, decoded. */
+export interface DirectoryChanges {
+  readonly configuration?: ServingConfiguration;
+  readonly members: readonly MemberAddress[];
+  readonly membersGone: readonly MemberId[];
+  /** Everything up to here is contained. */
+  readonly revision: Revision;
+  readonly servers: readonly ServerChange[];
+  /** Entries that could not be decoded, for the log. */
+  readonly unreadable: readonly UnreadableEntry[];
+}
+
+/** An entry of the store that could not be decoded. */
+export interface UnreadableEntry {
+  readonly key: string;
+  readonly reason: string;
+}
+
+/** Why the store gave nothing. */
+export type DirectoryError =
+  | { readonly kind: 'historyLost' }
+  | { readonly kind: 'refused'; readonly status: number }
+  | { readonly kind: 'unreachable'; readonly reason: string }
+  | { readonly kind: 'unreadable'; readonly reason: string };
+
+/** The platform's store, as far as daemons read it and register themselves there. */
+export interface PlatformDirectory {
+  /** Ends waiting calls. */
+  close(): void;
+  /** Reads everything. Its `revision` is that before the reading began. */
+  readAll(): Promise<Result<DirectoryChanges, DirectoryError>>;
+  register(member: MemberAddress): Promise<Result<undefined, DirectoryError>>;
+  /** Waits for changes after a revision; empty after `waitMs`. */
+  watch(after: Revision, waitMs: number): Promise<Result<DirectoryChanges, DirectoryError>>;
+}
--- /dev/null
+++ b/packages/serving/src/StreamMover.ts
@@ -0,0 +1,188 @@
+import type { BackendServer, EngineLimits } from '@laburnumgap/dispatch';
+import { planMoves } from '@laburnumgap/dispatch';
+import type { ServerId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import { giveOrder } from './EngineOrders.js';
+import type { GenerationRun, RunPosition } from './GenerationRun.js';
+import type { ServingContext } from './ServingContext.js';
+import type { MoveAnswer, RunMemory } from './ServingPorts.js';
+
+/** Expected time for one output token on a busy engine. */
+const MS_PER_TOKEN = 10;
+/** A stream that was stopped has closed by then; later its events are given up. */
+const LEG_CLOSE_TIMEOUT_MS = 200;
+const MAX_TARGETS = 3;
+
+/** Moves streams away from engines that leave, one after the other, while they run. */
+export class StreamMover {
+  constructor(
+    private readonly context: ServingContext,
+    private readonly runs: ReadonlySet<GenerationRun>,
+    private readonly engineOf: (server: BackendServer) => EngineLimits | undefined,
+  ) {}
+
+  /** Starts the moves of all streams on a server that leaves. Called again, it takes new ones. */
+  moveFrom(serverId: ServerId): void {
+    const source = this.context.registry.get(serverId)?.server;
+    const engine = source && this.engineOf(source);
+    if (!source || !engine?.canMove) {
+      return;
+    }
+    const waiting = this.movableAt(serverId);
+    if (waiting.size === 0) {
+      return;
+    }
+    const planned = planMoves({
+      engine,
+      msPerToken: MS_PER_TOKEN,
+      streams: [...waiting.values()].map(({ position }) => ({
+        expectedRemainingTokens: position.expectedRemainingTokens,
+        requestId: toId(position.requestId),
+        usedTokens: position.usedTokens,
+      })),
+      tokensBefore: this.context.load.usedByEarlierMembers(serverId, this.context.memberId),
+    });
+    for (const { afterMs, requestId } of planned) {
+      const run = waiting.get(requestId)?.run;
+      run?.setMoving(true);
+      setTimeout(() => {
+        if (run) {
+          void this.move(run, source);
+        }
+      }, afterMs);
+    }
+  }
+
+  private movableAt(
+    serverId: ServerId,
+  ): ReadonlyMap<string, { position: RunPosition; run: GenerationRun }> {
+    const movable = new Map<string, { position: RunPosition; run: GenerationRun }>();
+    for (const run of this.runs) {
+      const position = run.position();
+      if (position && !position.isMoving && position.server.serverId === serverId) {
+        movable.set(position.requestId, { position, run });
+      }
+    }
+    return movable;
+  }
+
+  private async move(run: GenerationRun, source: BackendServer): Promise<void> {
+    const tried = new Set<ServerId>([source.serverId]);
+    for (let count = 0; count < MAX_TARGETS; count += 1) {
+      const position = run.position();
+      const target = position && run.chooseTarget(tried, source)?.server;
+      if (!position || !target) {
+        break;
+      }
+      tried.add(target.serverId);
+      if (await this.moveTo(run, position, source, target)) {
+        run.setMoving(false);
+        return;
+      }
+    }
+    run.setMoving(false);
+    if (!run.hasEnded() && run.serverId() === undefined) {
+      run.breakOff('the engine left and no other took the run');
+    }
+  }
+
+  /** Returns whether nothing more is to be tried. */
+  private async moveTo(
+    run: GenerationRun,
+    position: RunPosition,
+    source: BackendServer,
+    target: BackendServer,
+  ): Promise<boolean> {
+    const { requestId } = position;
+    const startedMs = this.context.clock.nowMs();
+    const first = await this.order(source, target, requestId, false);
+    this.note('move-copied', position, source, target, first, startedMs);
+    if (first.kind !== 'copied') {
+      return run.hasEnded() || first.kind === 'noSuchRun';
+    }
+    if (run.hasEnded()) {
+      this.dropCopy(source, first.handle);
+      return true;
+    }
+    const stoppedMs = this.context.clock.nowMs();
+    const last = await this.order(source, target, requestId, true);
+    this.note('move-stopped', position, source, target, last, stoppedMs);
+    if (last.kind === 'noSuchRun' || last.kind === 'inProgress') {
+      return run.serverId() !== undefined;
+    }
+    const handle = (last.kind === 'unreadable' ? undefined : last.handle) ?? first.handle;
+    if (last.kind === 'unreadable' && run.serverId() !== undefined) {
+      return true;
+    }
+    await legClosed(run);
+    if (run.hasEnded()) {
+      this.dropCopy(source, handle);
+      return true;
+    }
+    this.continueRun(run, source, target, handle, last.kind === 'noRoom');
+    return true;
+  }
+
+  private continueRun(
+    run: GenerationRun,
+    source: BackendServer,
+    target: BackendServer,
+    handle: string,
+    onlyAtSource: boolean,
+  ): void {
+    const from: RunMemory = { handle, host: source.host, port: source.port };
+    const atSource = { from, server: source };
+    run.continueAt(onlyAtSource ? atSource : { from, otherwise: atSource, server: target });
+  }
+
+  private async order(
+    source: BackendServer,
+    target: BackendServer,
+    requestId: string,
+    isLast: boolean,
+  ): Promise<MoveAnswer> {
+    const { connections, protocol } = this.context;
+    const outcome = await giveOrder(
+      connections,
+      source,
+      protocol.moveOrder(requestId, target, isLast),
+    );
+    if (outcome.kind === 'answered') {
+      return protocol.readMoveAnswer(outcome.status, outcome.body);
+    }
+    return { kind: 'unreadable', reason: `${outcome.kind}: ${outcome.reason}` };
+  }
+
+  private dropCopy(source: BackendServer, handle: string): void {
+    const { connections, protocol } = this.context;
+    void giveOrder(connections, source, protocol.dropCopyOrder(handle));
+  }
+
+  private note(
+    event: string,
+    position: RunPosition,
+    source: BackendServer,
+    target: BackendServer,
+    answer: MoveAnswer,
+    startedMs: number,
+  ): void {
+    this.context.log.info(event, {
+      outcome: answer.kind === 'unreadable' ? answer.reason : answer.kind,
+      requestId: position.requestId,
+      sourceId: source.serverId,
+      targetId: target.serverId,
+      tookMs: Math.round(this.context.clock.nowMs() - startedMs),
+      usedTokens: position.usedTokens,
+    });
+  }
+}
+
+function legClosed(run: GenerationRun): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, LEG_CLOSE_TIMEOUT_MS);
+    run.whenLegClosed(() => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
--- a/packages/standins/src/PlatformStandin.ts
+++ b/packages/standins/src/PlatformStandin.ts
@@ -6,14 +6,14 @@
   StoredValue,
 } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
-import type { RevisionChanges } from '@laburnumgap/platform';
+import type { RevisionChanges } from '@laburnumgap/key-value';
 import {
   GRPC_STATUS,
   MAX_VALUE_BYTES,
   NO_LEADER_MESSAGE,
   PlatformStoreState,
   fromBase64,
-} from '@laburnumgap/platform';
+} from '@laburnumgap/key-value';
 import type { z } from 'zod';
 import {
   grantSchema,
--- a/packages/standins/src/PlatformStandinUtils.ts
+++ b/packages/standins/src/PlatformStandinUtils.ts
@@ -1,6 +1,6 @@
 import type { LeaseId, StoreChange, StoredValue, StoreWrite } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
-import { fromBase64, toBase64 } from '@laburnumgap/platform';
+import { fromBase64, toBase64 } from '@laburnumgap/key-value';
 import type { z } from 'zod';
 import type { txnSchema } from './PlatformStandinSchema.js';
 
--- a/packages/standins/src/__tests__/integration/EngineOrders.test.ts
+++ b/packages/standins/src/__tests__/integration/EngineOrders.test.ts
@@ -1,7 +1,7 @@
 import type { EngineId, EngineOrder } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import { createWeightPermits } from '@laburnumgap/membership';
-import { createMemoryStore, PlatformStoreState } from '@laburnumgap/platform';
+import { createMemoryStore, PlatformStoreState } from '@laburnumgap/key-value';
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 import { startWeightsStandin } from '../../WeightsStandin.js';
--- a/packages/standins/src/__tests__/integration/PoolOrders.test.ts
+++ b/packages/standins/src/__tests__/integration/PoolOrders.test.ts
@@ -8,7 +8,7 @@
 } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import { startPoolOrders } from '@laburnumgap/membership';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
 import { engineFixture, ordersInForce } from '../support/OrdersFixtures.js';
--- a/packages/standins/src/__tests__/integration/VmListContract.test.ts
+++ b/packages/standins/src/__tests__/integration/VmListContract.test.ts
@@ -1,4 +1,4 @@
-import { createHttpVmList } from '@laburnumgap/platform';
+import { createHttpVmList } from '@laburnumgap/key-value';
 import test from 'ava';
 import { startStandinServer, whole } from '../../StandinServer.js';
 import { startVmsStandin } from '../../VmsStandin.js';
--- a/packages/standins/src/__tests__/support/StoreFixtures.ts
+++ b/packages/standins/src/__tests__/support/StoreFixtures.ts
@@ -1,6 +1,6 @@
 import type { PlatformStore, Revision, StoreWrite, WatchEvent } from '@laburnumgap/kernel';
 import { toNumberId } from '@laburnumgap/kernel';
-import { createEtcdStore, createMemoryStore, PlatformStoreState } from '@laburnumgap/platform';
+import { createEtcdStore, createMemoryStore, PlatformStoreState } from '@laburnumgap/key-value';
 import type { ExecutionContext } from 'ava';
 import { startPlatformStandin } from '../../PlatformStandin.js';
 import type { StandinServer } from '../../StandinServer.js';
--- a/packages/tools/src/__tests__/integration/LocalExample.test.ts
+++ b/packages/tools/src/__tests__/integration/LocalExample.test.ts
@@ -2,7 +2,7 @@
 import { readFile } from 'node:fs/promises';
 import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
-import { createHttpVmList } from '@laburnumgap/platform';
+import { createHttpVmList } from '@laburnumgap/key-value';
 import { daemonSettingsSchema, parseYamlDocument } from '@laburnumgap/settings';
 import { startVmsStandin, vmsSchema } from '@laburnumgap/standins';
 import test from 'ava';
--- a/packages/tools/src/capacity/CapacityClaims.ts
+++ b/packages/tools/src/capacity/CapacityClaims.ts
@@ -7,7 +7,7 @@
 } from '@laburnumgap/claims';
 import type { PlatformStore, SlotNumber, StoreCommit } from '@laburnumgap/kernel';
 import { failure, toId, toNumberId } from '@laburnumgap/kernel';
-import { createMemoryStore } from '@laburnumgap/platform';
+import { createMemoryStore } from '@laburnumgap/key-value';
 import { v7 } from 'uuid';
 
 /** What one claim with its settlement costs at a rate. */
--- a/packages/tools/src/deployment/Deployment.ts
+++ b/packages/tools/src/deployment/Deployment.ts
@@ -5,7 +5,7 @@
 import type { MemberRole, PlatformStore, Result, Revision, StoreError } from '@laburnumgap/kernel';
 import { toNumberId } from '@laburnumgap/kernel';
 import { CONTRACT_PREFIX, parseContract } from '@laburnumgap/contracts';
-import { createEtcdStore } from '@laburnumgap/platform';
+import { createEtcdStore } from '@laburnumgap/key-value';
 import logfmt from 'logfmt';
 import { request } from 'undici';
 import { stringify } from 'yaml';
