Give turns on the engines' links for moves; wait only for a mass lapse of entries

Change: the live daemon with the smallest id gives turns, one copy at a time on a source and a target; only when half of the entries go at once are they waited for. Ruled out: delays worked out from other daemons' loads (copies to one target still met).

--- a/packages/dispatch/src/EngineLoad.ts
+++ b/packages/dispatch/src/EngineLoad.ts
@@ -76,17 +76,6 @@
     }
     return { plannedTokens, readingTokens, runs, usedTokens };
   }
-
-  /** Tokens that daemons with smaller ids have at an engine: they move their streams first. */
-  usedByEarlierMembers(serverId: ServerId, memberId: MemberId): number {
-    let usedTokens = 0;
-    for (const [other, { shares }] of this.members) {
-      if (other < memberId) {
-        usedTokens += shares.get(serverId)?.usedTokens ?? 0;
-      }
-    }
-    return usedTokens;
-  }
 }
 
 /**
--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -53,26 +53,21 @@
 const PLANNED_MEMORY_SHARE = 0.95;
 
 /**
- * Places a generation where its first token comes soonest and memory is least likely to run out.
- * Answers many long prompts at once and outputs of unknown length: prompts are spread over engines
- * by unread tokens, and a kept prefix counts only as the reading that it saves.
+ * Ranks engines for a generation: first where its first token comes soonest and memory is least
+ * likely to run out. Answers many long prompts at once and outputs of unknown length: prompts are
+ * spread over engines by unread tokens, and a kept prefix counts only as the reading that it saves.
  *
  * @param input - engines, their load and the request
- * @returns the placement, or undefined without engines
+ * @returns the placements, best first
  */
-export function placeGeneration(input: PlacementInput): Placement | undefined {
-  let best: Placement | undefined;
-  for (const candidate of input.candidates) {
-    const placement = judge(candidate, input);
-    if (!best || placement.costMs < best.costMs) {
-      best = placement;
-    }
-  }
-  return best;
+export function rankEngines(input: PlacementInput): readonly Placement[] {
+  return input.candidates
+    .map((candidate) => judge(candidate, input))
+    .sort((a, b) => a.costMs - b.costMs);
 }
 
 /**
- * The naive twin of {@link placeGeneration}: round robin over the engines.
+ * The naive twin of {@link rankEngines}: round robin over the engines.
  *
  * @param candidates - the engines
  * @param turn - number of placements so far
--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -61,16 +61,11 @@
    *
    * @param changes - changes since the last call
    * @param nowMs - monotonic time
-   * @param storeWasAway - the store did not answer shortly before
    * @returns ids of the servers that now leave
    */
-  apply(
-    changes: readonly ServerChange[],
-    nowMs: number,
-    storeWasAway: boolean,
-  ): readonly ServerId[] {
+  apply(changes: readonly ServerChange[], nowMs: number): readonly ServerId[] {
     const vanished = changes.filter((change) => this.vanishes(change));
-    const isLapse = storeWasAway || this.isMassLapse(vanished);
+    const isLapse = this.isMassLapse(vanished);
     const leaving: ServerId[] = [];
     for (const change of changes) {
       if (this.applyOne(change, nowMs, isLapse)) {
@@ -87,20 +82,14 @@
    * @param servers - all entries that were read
    * @param readAt - revision before the reading began; entries changed later are kept
    * @param nowMs - monotonic time
-   * @param storeWasAway - the store did not answer shortly before
    * @returns ids of the servers that now leave
    */
-  replace(
-    servers: readonly ServerChange[],
-    readAt: Revision,
-    nowMs: number,
-    storeWasAway: boolean,
-  ): readonly ServerId[] {
+  replace(servers: readonly ServerChange[], readAt: Revision, nowMs: number): readonly ServerId[] {
     const listed = new Set(servers.map(({ serverId }) => serverId));
     const missing = [...this.entries.values()]
       .filter(({ revision, server }) => !listed.has(server.serverId) && revision <= readAt)
       .map(({ server }) => ({ revision: readAt, serverId: server.serverId }));
-    return this.apply([...servers, ...missing], nowMs, storeWasAway);
+    return this.apply([...servers, ...missing], nowMs);
   }
 
   /** Ends the wait for lapsed entries. Returns the servers that are gone by it. */
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,12 +1,13 @@
-export type * from './BackendServer.js';
+export * from './BackendServer.js';
 export * from './EngineLoad.js';
 export * from './GenerationPlacement.js';
 export * from './KeptPrefixes.js';
+export * from './MoveTurns.js';
 export * from './PlainPlacement.js';
-export type * from './PromptShape.js';
+export * from './PromptShape.js';
 export * from './RetryBudget.js';
 export * from './RouteTable.js';
 export * from './ServerHealth.js';
 export * from './ServerRegistry.js';
-export type * from './ServingConfiguration.js';
+export * from './ServingConfiguration.js';
 export * from './StreamMoves.js';
--- a/packages/serving/src/DirectoryFollower.ts
+++ b/packages/serving/src/DirectoryFollower.ts
@@ -1,14 +1,13 @@
-import type { MonotonicClock, Result, Revision } from '@laburnumgap/kernel';
+import type { Result, Revision } from '@laburnumgap/kernel';
 import type { ServingLog } from './ServingLog.js';
 import type { DirectoryChanges, DirectoryError, PlatformDirectory } from './ServingPorts.js';
 
 /** Options of a follower. */
 export interface DirectoryFollowerOptions {
-  readonly clock: MonotonicClock;
   readonly directory: PlatformDirectory;
   readonly log: ServingLog;
   /** Takes changes. `isWhole` says that what is not listed is gone. */
-  readonly onChanges: (changes: DirectoryChanges, isWhole: boolean, storeWasAway: boolean) => void;
+  readonly onChanges: (changes: DirectoryChanges, isWhole: boolean) => void;
   /** The store gave nothing; the other daemons may know more. */
   readonly onUnanswered: () => void;
   readonly randomUnit: () => number;
@@ -18,12 +17,9 @@
 const WATCH_WAIT_MS = 5_000;
 const FIRST_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 800;
-/** Entries that vanish this soon after the store came back may have lapsed meanwhile. */
-const AWAY_MEMORY_MS = 1_000;
 
 /** Follows the platform's store: one reading of everything, then a watch. */
 export class DirectoryFollower {
-  private awayUntilMs = -Infinity;
   private backoffMs = FIRST_BACKOFF_MS;
   private generation = 0;
   private isStopped = false;
@@ -68,13 +64,13 @@
       : await directory.watch(after, WATCH_WAIT_MS);
     if (outcome.ok && !this.isStopped) {
       this.revision = outcome.value.revision;
-      onChanges(outcome.value, isWhole, this.options.clock.nowMs() < this.awayUntilMs);
+      onChanges(outcome.value, isWhole);
     }
     return outcome;
   }
 
   private async recover(error: DirectoryError): Promise<void> {
-    const { clock, log, onUnanswered, randomUnit } = this.options;
+    const { log, onUnanswered, randomUnit } = this.options;
     if (this.isStopped) {
       return;
     }
@@ -83,7 +79,6 @@
       this.revision = undefined;
       return;
     }
-    this.awayUntilMs = clock.nowMs() + AWAY_MEMORY_MS + MAX_BACKOFF_MS;
     onUnanswered();
     const waitMs = this.backoffMs * (1 + randomUnit());
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -5,7 +5,7 @@
   Placement,
   PromptShape,
 } from '@laburnumgap/dispatch';
-import { copyMs, placeGeneration, plannedOutputTokens, unreadTokens } from '@laburnumgap/dispatch';
+import { copyMs, plannedOutputTokens, rankEngines, unreadTokens } from '@laburnumgap/dispatch';
 import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 import type { AnswerHead } from './AnswerParser.js';
@@ -22,7 +22,6 @@
 const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Prompt parts count as kept for this long after they were read. */
 const KEPT_PARTS_MS = 10_000;
-const DEFAULT_URGENCY = 5;
 const MAX_URGENCY = 9;
 
 /** A run at one engine. */
@@ -145,13 +144,16 @@
   }
 
   /**
-   * Chooses an engine for this run.
+   * Ranks the engines for this run.
    *
    * @param without - engines that are not to be taken
    * @param moveFrom - the engine that the run's memory comes from, for a move
-   * @returns the engine, or undefined when there is none
+   * @returns the engines, best first
    */
-  chooseTarget(without: ReadonlySet<ServerId>, moveFrom?: BackendServer): Placement | undefined {
+  rankTargets(
+    without: ReadonlySet<ServerId>,
+    moveFrom?: BackendServer,
+  ): readonly Placement[] {
     const { clock, health, load, prefixes, randomUnit, registry } = this.context;
     const nowMs = clock.nowMs();
     const { prompt } = this;
@@ -164,7 +166,7 @@
         suspected: health.isUnreachable(server.serverId, nowMs),
         totals: load.totals(server.serverId, nowMs),
       }));
-    return placeGeneration({
+    return rankEngines({
       candidates,
       engine: this.engine,
       failureDomain: moveFrom?.failureDomain ?? this.context.failureDomain,
@@ -232,7 +234,7 @@
   }
 
   private place(): void {
-    const placement = this.chooseTarget(this.excluded);
+    const placement = this.rankTargets(this.excluded)[0];
     if (!placement) {
       this.refuseNotRun('NO_ENGINE', 'no engine of the service takes the request');
       return;
@@ -303,7 +305,7 @@
       lastEventId: continuation || this.events > 0 ? (lastEventId ?? '0') : undefined,
       server: leg.server,
       teamId: team?.teamId,
-      urgency: Math.min(MAX_URGENCY, Math.max(0, team?.rank ?? route.rank ?? DEFAULT_URGENCY)),
+      urgency: Math.min(MAX_URGENCY, Math.max(0, team?.rank ?? route.rank)),
     });
     connection.send(
       { body, headers, method: call.method, path: call.path },
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -4,8 +4,8 @@
 import { createServer, get } from 'node:http';
 import type { EngineLoad, EngineShare } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, Revision } from '@laburnumgap/kernel';
-import type { PeerBeat, PeerSnapshot } from './PeerMessages.js';
-import { readBeat, readSnapshot } from './PeerMessages.js';
+import type { MoveMessage, PeerBeat, PeerSnapshot } from './PeerMessages.js';
+import { readBeat, readMoveMessage, readSnapshot } from './PeerMessages.js';
 import type { ServingLog } from './ServingLog.js';
 import type { MemberAddress } from './ServingPorts.js';
 
@@ -20,6 +20,7 @@
   readonly memberId: MemberId;
   /** Another daemon knows more than this one for a while already. */
   readonly onBehind: (peer: MemberAddress) => void;
+  readonly onMessage: (message: MoveMessage) => void;
   readonly ownShares: () => readonly EngineShare[];
   readonly position: () => { readonly configurationVersion: number; readonly revision: Revision };
   /** Daemons that may be there before the platform's store was read. */
@@ -39,6 +40,8 @@
 const BEAT_DELAY_MS = 10;
 /** Without changes, beats say that the daemon lives. */
 const BEAT_INTERVAL_MS = 500;
+/** Three beats lost in a row: the daemon is not asked for turns. */
+const LIVE_MS = 1_600;
 /** The store's own changes reach all daemons well within this. */
 const BEHIND_MS = 250;
 const SNAPSHOT_TIMEOUT_MS = 1_000;
@@ -132,6 +135,27 @@
     return this.peers.size + 1;
   }
 
+  /** The live daemon with the smallest id; this one where it is that. */
+  firstLive(): MemberId {
+    const nowMs = this.options.clock.nowMs();
+    let first = this.options.memberId;
+    for (const { heardMs, memberId } of this.peers.values()) {
+      if (heardMs !== undefined && nowMs - heardMs < LIVE_MS && memberId < first) {
+        first = memberId;
+      }
+    }
+    return first;
+  }
+
+  /** Sends a message to one daemon. */
+  tell(message: MoveMessage, memberId: MemberId): void {
+    for (const peer of this.peers.values()) {
+      if (peer.memberId === memberId) {
+        this.socket.send(JSON.stringify(message), this.options.beatPort, peer.host);
+      }
+    }
+  }
+
   /** A daemon to ask for a snapshot: one that was heard, or a seed. */
   anyHost(randomUnit: () => number): string | undefined {
     const heard = [...this.peers.values()].filter(({ heardMs }) => heardMs !== undefined);
@@ -202,7 +226,14 @@
 
   private heard(bytes: Buffer): void {
     const beat = readBeat(bytes);
-    if (!beat || beat.host === this.options.host) {
+    if (!beat) {
+      const message = readMoveMessage(bytes);
+      if (message) {
+        this.options.onMessage(message);
+      }
+      return;
+    }
+    if (beat.host === this.options.host) {
       return;
     }
     const { clock, load } = this.options;
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -1,10 +1,11 @@
 import type {
   EngineShare,
+  MoveWish,
   RegisteredServer,
   ServerChange,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
-import type { MemberId, Revision } from '@laburnumgap/kernel';
+import type { MemberId, RequestId, Revision, ServerId } from '@laburnumgap/kernel';
 import type { MemberAddress } from './ServingPorts.js';
 
 /** What a daemon tells the others again and again. */
@@ -21,6 +22,13 @@
   readonly shares: readonly EngineShare[];
 }
 
+/** Talk about turns on the engines' links. */
+export type MoveMessage =
+  | { readonly kind: 'moveDone'; readonly requestId: RequestId }
+  | { readonly kind: 'moveQueued'; readonly requestId: RequestId }
+  | { readonly kind: 'moveTurn'; readonly requestId: RequestId; readonly targetId: ServerId }
+  | { readonly kind: 'moveWanted'; readonly wish: MoveWish };
+
 /** All that a daemon knows, for one that the store does not answer. */
 export interface PeerSnapshot {
   readonly configuration?: ServingConfiguration;
@@ -46,6 +54,26 @@
   return isBeat ? (beat as PeerBeat) : undefined;
 }
 
+/**
+ * Reads a message about turns.
+ *
+ * @param bytes - a datagram
+ * @returns the message, or undefined when it is none
+ */
+export function readMoveMessage(bytes: Buffer): MoveMessage | undefined {
+  const message = parse(bytes.toString()) as Partial<MoveMessage> | undefined;
+  switch (message?.kind) {
+    case 'moveDone':
+    case 'moveQueued':
+    case 'moveTurn':
+      return typeof message.requestId === 'string' ? (message as MoveMessage) : undefined;
+    case 'moveWanted':
+      return Array.isArray(message.wish?.targetIds) ? (message as MoveMessage) : undefined;
+    default:
+      return undefined;
+  }
+}
+
 /**
  * Reads a snapshot.
  *
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -21,6 +21,7 @@
 import { CallsInFlight } from './CallsInFlight.js';
 import { DirectoryFollower } from './DirectoryFollower.js';
 import { GenerationRun } from './GenerationRun.js';
+import { MoveTurnKeeper } from './MoveTurnKeeper.js';
 import { PeerLink } from './PeerLink.js';
 import type { PeerSnapshot } from './PeerMessages.js';
 import { serverChangesOf } from './PeerMessages.js';
@@ -97,6 +98,7 @@
   private readonly runs = new Set<GenerationRun>();
   private table: RouteTable | undefined;
   private tickTimer: NodeJS.Timeout | undefined;
+  private readonly turns: MoveTurnKeeper;
 
   constructor(private readonly options: ServingDaemonOptions) {
     const { clock, directory, incarnation, log, protocol, randomUnit, settings } = options;
@@ -123,7 +125,17 @@
       randomUnit,
       registry: this.registry,
     };
-    this.mover = new StreamMover(this.context, this.runs, (server) => this.engineOf(server));
+    this.turns = new MoveTurnKeeper({
+      clock,
+      memberId: settings.memberId,
+      ownerId: () => this.peers.firstLive(),
+      send: (message, memberId) => {
+        this.peers.tell(message, memberId);
+      },
+    });
+    this.mover = new StreamMover(this.context, this.runs, this.turns, (server) =>
+      this.engineOf(server),
+    );
     this.front = new ServingFront({
       clock,
       protocol,
@@ -141,6 +153,9 @@
       load: this.load,
       log,
       memberId: settings.memberId,
+      onMessage: (message) => {
+        this.turns.heard(message);
+      },
       onBehind: (peer) => {
         this.follower.renew();
         void this.learnFrom(peer.host);
@@ -155,11 +170,10 @@
       snapshotPort: settings.peers.port,
     });
     this.follower = new DirectoryFollower({
-      clock,
       directory,
       log,
-      onChanges: (changes, isWhole, storeWasAway) => {
-        this.applyChanges(changes, isWhole, storeWasAway);
+      onChanges: (changes, isWhole) => {
+        this.applyChanges(changes, isWhole);
       },
       onUnanswered: () => {
         this.askAnyPeer();
@@ -249,7 +263,7 @@
     });
   }
 
-  private applyChanges(changes: DirectoryChanges, isWhole: boolean, storeWasAway: boolean): void {
+  private applyChanges(changes: DirectoryChanges, isWhole: boolean): void {
     const { clock, log } = this.options;
     for (const { key, reason } of changes.unreadable) {
       log.warn('entry-unreadable', { key, reason });
@@ -259,8 +273,8 @@
     }
     const nowMs = clock.nowMs();
     const leaving = isWhole
-      ? this.registry.replace(changes.servers, changes.revision, nowMs, storeWasAway)
-      : this.registry.apply(changes.servers, nowMs, storeWasAway);
+      ? this.registry.replace(changes.servers, changes.revision, nowMs)
+      : this.registry.apply(changes.servers, nowMs);
     this.hasServers ||= isWhole;
     changes.members.forEach((member) => {
       this.peers.addMember(member);
@@ -319,7 +333,7 @@
     if (snapshot.revision > this.revision && snapshot.servers.length > 0) {
       const nowMs = this.options.clock.nowMs();
       const changes = serverChangesOf(snapshot);
-      const leaving = this.registry.replace(changes, snapshot.revision, nowMs, false);
+      const leaving = this.registry.replace(changes, snapshot.revision, nowMs);
       this.hasServers = true;
       this.noteRevision(snapshot.revision);
       this.serversLeave(leaving, `peer ${host}`);
--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/StreamMover.ts
@@ -1,9 +1,10 @@
 import type { BackendServer, EngineLimits } from '@laburnumgap/dispatch';
-import { planMoves } from '@laburnumgap/dispatch';
-import type { ServerId } from '@laburnumgap/kernel';
+import { orderMoves } from '@laburnumgap/dispatch';
+import type { RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import { giveOrder } from './EngineOrders.js';
 import type { GenerationRun, RunPosition } from './GenerationRun.js';
+import type { MoveTurnKeeper } from './MoveTurnKeeper.js';
 import type { ServingContext } from './ServingContext.js';
 import type { MoveAnswer, RunMemory } from './ServingPorts.js';
 
@@ -12,12 +13,15 @@
 /** A stream that was stopped has closed by then; later its events are given up. */
 const LEG_CLOSE_TIMEOUT_MS = 200;
 const MAX_TARGETS = 3;
+/** Engines among which the daemon that gives the turns may choose. */
+const OFFERED_TARGETS = 6;
 
 /** Moves streams away from engines that leave, one after the other, while they run. */
 export class StreamMover {
   constructor(
     private readonly context: ServingContext,
     private readonly runs: ReadonlySet<GenerationRun>,
+    private readonly turns: MoveTurnKeeper,
     private readonly engineOf: (server: BackendServer) => EngineLimits | undefined,
   ) {}
 
@@ -28,28 +32,17 @@
     if (!source || !engine?.canMove) {
       return;
     }
-    const waiting = this.movableAt(serverId);
-    if (waiting.size === 0) {
-      return;
-    }
-    const planned = planMoves({
-      engine,
-      msPerToken: MS_PER_TOKEN,
-      streams: [...waiting.values()].map(({ position }) => ({
-        expectedRemainingTokens: position.expectedRemainingTokens,
-        requestId: toId(position.requestId),
-        usedTokens: position.usedTokens,
-      })),
-      tokensBefore: this.context.load.usedByEarlierMembers(serverId, this.context.memberId),
-    });
-    for (const { afterMs, requestId } of planned) {
-      const run = waiting.get(requestId)?.run;
-      run?.setMoving(true);
-      setTimeout(() => {
-        if (run) {
-          void this.move(run, source);
-        }
-      }, afterMs);
+    const movable = this.movableAt(serverId);
+    const streams = [...movable.values()].map(({ position }) => ({
+      expectedRemainingTokens: position.expectedRemainingTokens,
+      requestId: toId<RequestId>(position.requestId),
+    }));
+    for (const requestId of orderMoves(streams, MS_PER_TOKEN)) {
+      const run = movable.get(requestId)?.run;
+      if (run) {
+        run.setMoving(true);
+        void this.move(run, source, requestId);
+      }
     }
   }
 
@@ -66,26 +59,49 @@
     return movable;
   }
 
-  private async move(run: GenerationRun, source: BackendServer): Promise<void> {
+  private async move(
+    run: GenerationRun,
+    source: BackendServer,
+    requestId: RequestId,
+  ): Promise<void> {
     const tried = new Set<ServerId>([source.serverId]);
     for (let count = 0; count < MAX_TARGETS; count += 1) {
+      const target = await this.targetFor(run, source, requestId, tried);
       const position = run.position();
-      const target = position && run.chooseTarget(tried, source)?.server;
       if (!position || !target) {
         break;
       }
       tried.add(target.serverId);
       if (await this.moveTo(run, position, source, target)) {
-        run.setMoving(false);
-        return;
+        break;
       }
+      this.turns.done(requestId);
     }
+    this.turns.done(requestId);
     run.setMoving(false);
     if (!run.hasEnded() && run.serverId() === undefined) {
       run.breakOff('the engine left and no other took the run');
     }
   }
 
+  private async targetFor(
+    run: GenerationRun,
+    source: BackendServer,
+    requestId: RequestId,
+    tried: ReadonlySet<ServerId>,
+  ): Promise<BackendServer | undefined> {
+    const ranked = run.rankTargets(tried, source).slice(0, OFFERED_TARGETS);
+    const targetIds = ranked.map(({ server }) => server.serverId);
+    if (targetIds.length === 0) {
+      return undefined;
+    }
+    const outcome = await this.turns.want({ requestId, sourceId: source.serverId, targetIds });
+    if (outcome.kind === 'turn') {
+      return this.context.registry.get(outcome.targetId)?.server;
+    }
+    return ranked[0]?.server;
+  }
+
   /** Returns whether nothing more is to be tried. */
   private async moveTo(
     run: GenerationRun,
