Tell a reset from the end of an answer without length

Change: after such an end an empty line is written; it fails on a connection that was reset. Heads of informational answers no longer stop the parser. Test: BackendConnection.test.ts, red before (reset together with data), green after.

--- a/packages/serving/src/AnswerParser.ts
+++ b/packages/serving/src/AnswerParser.ts
@@ -29,7 +29,7 @@
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
 /** Value of the library's head callback for a message without a body. */
-const NO_BODY = 2;
+const NO_BODY = 1;
 const CHUNK_HEAD = /^[0-9a-f]{1,8}[ \t]*(?:;.*)?$/i;
 const CONTENT_LENGTH = /^\d{1,15}$/;
 
@@ -69,9 +69,15 @@
     return this.failureReason;
   }
 
-  /** Reads the clean end of the connection. Returns whether an answer may end there. */
-  end(): boolean {
-    return this.failureReason === undefined && !(this.parser.finish() instanceof Error);
+  /** Whether the answer may end with its connection, because it has no length. */
+  mayEnd(): boolean {
+    const { state } = this.parser as unknown as ParserInternals;
+    return this.failureReason === undefined && state === 'BODY_RAW';
+  }
+
+  /** Ends an answer that {@link mayEnd} with its connection. */
+  end(): void {
+    this.parser.finish();
   }
 
   /** Whether bytes of a further answer were read. */
--- a/packages/serving/src/BackendConnection.ts
+++ b/packages/serving/src/BackendConnection.ts
@@ -35,6 +35,9 @@
   readonly port: number;
 }
 
+/** An empty line, which receivers skip between messages. */
+const RESET_PROBE = '\r\n';
+
 /**
  * One connection to a backend server, with one request at a time. Bytes that no request waits for
  * end it, so that a late extra answer never reaches another caller.
@@ -50,7 +53,7 @@
   private isConnected = false;
   private isGone = false;
   private readonly parser: AnswerParser;
-  private readonly socket = new Socket();
+  private readonly socket = new Socket({ allowHalfOpen: true });
 
   constructor(private readonly options: BackendConnectionOptions) {
     this.parser = new AnswerParser({
@@ -171,11 +174,20 @@
 
   private ended(): void {
     this.canReuse = false;
-    if (this.exchange && !this.parser.end()) {
+    if (!this.exchange || !this.parser.mayEnd()) {
       this.broken('the connection ended inside the answer');
       return;
     }
-    this.broken('the connection ended before the answer');
+    // The event loop reports a reset that comes together with data as a clean end. Writing tells
+    // them apart: it fails on a connection that was reset.
+    this.socket.write(RESET_PROBE, (error) => {
+      if (error) {
+        this.broken('the connection was reset inside the answer');
+        return;
+      }
+      this.parser.end();
+      this.broken('the connection ended');
+    });
   }
 
   private broken(reason: string): void {
--- /dev/null
+++ b/packages/serving/src/__tests__/integration/BackendConnection.test.ts
@@ -0,0 +1,124 @@
+import type { AddressInfo, Socket } from 'node:net';
+import { createServer } from 'node:net';
+import test from 'ava';
+import type { ExchangeEvents } from '../../index.js';
+import { BackendConnection } from '../../index.js';
+
+interface Outcome {
+  readonly body: string;
+  readonly end: string;
+}
+
+/** Sends one request to a raw server and tells how its answer ended. */
+async function callRaw(
+  answer: (socket: Socket) => void,
+  accepts: ExchangeEvents['accepts'] = () => true,
+): Promise<Outcome> {
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      answer(socket);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const outcome = await new Promise<Outcome>((resolve) => {
+    let body = '';
+    new BackendConnection({
+      connectTimeoutMs: 5_000,
+      host: '127.0.0.1',
+      onConnectFailed: (reason) => {
+        resolve({ body, end: `not connected: ${reason}` });
+      },
+      onConnected: (connection) => {
+        connection.send(
+          { body: undefined, headers: [['Host', 'a']], method: 'GET', path: '/' },
+          {
+            accepts,
+            onBody: (chunk) => {
+              body += chunk.toString();
+            },
+            onBroken: () => {
+              resolve({ body, end: 'broken' });
+            },
+            onEnd: () => {
+              resolve({ body, end: connection.isReusable() ? 'whole, reusable' : 'whole' });
+              connection.abort();
+            },
+            onHead: () => undefined,
+          },
+        );
+      },
+      onGone: () => undefined,
+      port,
+    });
+  });
+  server.close();
+  return outcome;
+}
+
+const OPEN_ENDED = 'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n';
+
+test('an answer without length that is reset together with its data is broken', async (t) => {
+  const outcome = await callRaw((socket) => {
+    socket.write(`${OPEN_ENDED}half`);
+    socket.resetAndDestroy();
+  });
+  t.is(outcome.end, 'broken');
+});
+
+test('an answer without length is whole when its connection ends', async (t) => {
+  const outcome = await callRaw((socket) => {
+    socket.end(`${OPEN_ENDED}all`);
+  });
+  t.deepEqual(outcome, { body: 'all', end: 'whole' });
+});
+
+const BROKEN_ANSWERS: Readonly<Record<string, string>> = {
+  'a body shorter than its length': 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort',
+  'a chunk size that is no number':
+    'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n',
+  'a length and chunks':
+    'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n',
+  'a length that is no number': 'HTTP/1.1 200 OK\r\nContent-Length: 3x\r\n\r\nabc',
+  'chunks without the last one':
+    'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
+  'no answer at all': 'garbage\r\n\r\n',
+  'nothing': '',
+  'two lengths': 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
+};
+
+for (const [name, bytes] of Object.entries(BROKEN_ANSWERS)) {
+  test(`${name} is broken`, async (t) => {
+    const outcome = await callRaw((socket) => {
+      socket.end(bytes);
+    });
+    t.is(outcome.end, 'broken');
+  });
+}
+
+test('an informational answer comes before the final one', async (t) => {
+  const outcome = await callRaw((socket) => {
+    socket.write('HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n');
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+  });
+  t.deepEqual(outcome, { body: 'ok', end: 'whole, reusable' });
+});
+
+test('an answer to another request is skipped', async (t) => {
+  const outcome = await callRaw(
+    (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nContent-Length: 5\r\n\r\nother');
+      socket.write('HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\nmine');
+    },
+    (head) => head.headers.some(([name, value]) => name === 'Request-Id' && value === '1'),
+  );
+  t.deepEqual(outcome, { body: 'mine', end: 'whole, reusable' });
+});
+
+test('bytes behind a whole answer end the connection', async (t) => {
+  const outcome = await callRaw((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n');
+  });
+  t.is(outcome.body, 'ok');
+});
