Ask the store whether it answers, and engines whether they leave while it does not

Change: a cheap stale read shared out over the daemons notices the outage; then each daemon asks the engines of its streams, and one that names the time of its end counts as leaving, told to all in beats. A daemon that stops still takes streams that end within its grace.

--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -47,6 +47,8 @@
   private readonly lapseHoldMs: number;
   private readonly massLapseShare: number;
   private readonly minMassLapse: number;
+  /** Start times of servers that were noted as leaving. */
+  private readonly noted = new Map<ServerId, number>();
   private readonly removedRevisions = new Map<ServerId, Revision>();
   private readonly usableByService = new Map<ServiceId, readonly BackendServer[]>();
 
@@ -92,6 +94,28 @@
     return this.apply([...servers, ...missing], nowMs);
   }
 
+  /**
+   * Notes that a server leaves, by its own word or another daemon's, before the store says so.
+   *
+   * @param serverId - the server
+   * @returns whether that is news
+   */
+  noteLeaving(serverId: ServerId): boolean {
+    const known = this.entries.get(serverId);
+    if (!known || known.leaving) {
+      return false;
+    }
+    this.noted.set(serverId, known.server.startedEpochMs);
+    this.entries.set(serverId, { ...known, leaving: true });
+    this.usableByService.clear();
+    return true;
+  }
+
+  /** Servers that leave by word of mouth, while the store still says otherwise. */
+  notedLeaving(): readonly ServerId[] {
+    return [...this.noted.keys()];
+  }
+
   /** Ends the wait for lapsed entries. Returns the servers that are gone by it. */
   expireLapsed(nowMs: number): readonly ServerId[] {
     const expired: ServerId[] = [];
@@ -147,14 +171,15 @@
     }
     const { server } = change;
     const wasLeaving = known?.leaving ?? false;
+    const isNoted = this.noted.get(change.serverId) === server.startedEpochMs;
+    if (!isNoted || server.leaving) {
+      this.noted.delete(change.serverId);
+    }
+    const leaving = server.leaving || isNoted;
     this.goneAtMs.delete(change.serverId);
     this.removedRevisions.delete(change.serverId);
-    this.entries.set(change.serverId, {
-      leaving: server.leaving,
-      revision: change.revision,
-      server,
-    });
-    return server.leaving && !wasLeaving;
+    this.entries.set(change.serverId, { leaving, revision: change.revision, server });
+    return leaving && !wasLeaving;
   }
 
   private applyGone(
@@ -187,6 +212,7 @@
   private markGone(entry: RegisteredServer, nowMs: number): void {
     const { revision, server } = entry;
     this.goneAtMs.set(server.serverId, nowMs);
+    this.noted.delete(server.serverId);
     this.entries.set(server.serverId, { leaving: true, revision, server });
   }
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,13 +1,13 @@
-export * from './BackendServer.js';
+export type * from './BackendServer.js';
 export * from './EngineLoad.js';
 export * from './GenerationPlacement.js';
 export * from './KeptPrefixes.js';
 export * from './MoveTurns.js';
 export * from './PlainPlacement.js';
-export * from './PromptShape.js';
+export type * from './PromptShape.js';
 export * from './RetryBudget.js';
 export * from './RouteTable.js';
 export * from './ServerHealth.js';
 export * from './ServerRegistry.js';
-export * from './ServingConfiguration.js';
+export type * from './ServingConfiguration.js';
 export * from './StreamMoves.js';
--- a/packages/serving/src/DirectoryFollower.ts
+++ b/packages/serving/src/DirectoryFollower.ts
@@ -23,10 +23,27 @@
   private backoffMs = FIRST_BACKOFF_MS;
   private generation = 0;
   private isStopped = false;
+  private isUnanswered = true;
   private revision: Revision | undefined;
 
   constructor(private readonly options: DirectoryFollowerOptions) {}
 
+  /** Whether the last call was not answered. */
+  isAway(): boolean {
+    return this.isUnanswered;
+  }
+
+  /** Asks whether the store answers: a waiting watch does not show it. */
+  async ping(): Promise<void> {
+    const answers = await this.options.directory.ping();
+    if (!this.isStopped && this.isUnanswered === answers) {
+      this.isUnanswered = !answers;
+      this.options.log.info(answers ? 'store-answers' : 'store-silent', {
+        afterRevision: this.revision,
+      });
+    }
+  }
+
   start(): void {
     this.generation += 1;
     void this.follow(this.generation);
@@ -48,6 +65,7 @@
     while (!this.isStopped && generation === this.generation) {
       const outcome = await this.step();
       if (outcome.ok) {
+        this.isUnanswered = false;
         this.backoffMs = FIRST_BACKOFF_MS;
         continue;
       }
@@ -79,6 +97,7 @@
       this.revision = undefined;
       return;
     }
+    this.isUnanswered = true;
     onUnanswered();
     const waitMs = this.backoffMs * (1 + randomUnit());
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
--- /dev/null
+++ b/packages/serving/src/EngineReports.ts
@@ -0,0 +1,46 @@
+import type { BackendServer } from '@laburnumgap/dispatch';
+import type { ServerId } from '@laburnumgap/kernel';
+import type { BackendConnections } from './BackendConnections.js';
+import { giveOrder } from './EngineOrders.js';
+import type { ServingLog } from './ServingLog.js';
+import type { WireProtocol } from './ServingPorts.js';
+
+/** Options of the reader of reports. */
+export interface EngineReportsOptions {
+  readonly connections: BackendConnections;
+  readonly log: ServingLog;
+  readonly onLeaving: (serverId: ServerId) => void;
+  readonly protocol: Pick<WireProtocol, 'readReport' | 'reportOrder'>;
+}
+
+/** A report is answered at once or of no use any more. */
+const REPORT_TIMEOUT_MS = 500;
+
+/** Asks engines what they say of themselves. Each question costs as much as a health check. */
+export class EngineReports {
+  private readonly asked = new Set<ServerId>();
+
+  constructor(private readonly options: EngineReportsOptions) {}
+
+  /** Asks one engine, unless it is being asked. */
+  async ask(server: BackendServer): Promise<void> {
+    const { connections, log, onLeaving, protocol } = this.options;
+    const { serverId } = server;
+    if (this.asked.has(serverId)) {
+      return;
+    }
+    this.asked.add(serverId);
+    const outcome = await giveOrder(connections, server, protocol.reportOrder(), REPORT_TIMEOUT_MS);
+    this.asked.delete(serverId);
+    if (outcome.kind !== 'answered') {
+      log.info('report-failed', { reason: outcome.reason, serverId });
+      return;
+    }
+    const report = protocol.readReport(outcome.status, outcome.body);
+    if (!report.ok) {
+      log.warn('report-unreadable', { reason: report.error, serverId });
+    } else if (report.value.isLeaving) {
+      onLeaving(serverId);
+    }
+  }
+}
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -150,10 +150,7 @@
    * @param moveFrom - the engine that the run's memory comes from, for a move
    * @returns the engines, best first
    */
-  rankTargets(
-    without: ReadonlySet<ServerId>,
-    moveFrom?: BackendServer,
-  ): readonly Placement[] {
+  rankTargets(without: ReadonlySet<ServerId>, moveFrom?: BackendServer): readonly Placement[] {
     const { clock, health, load, prefixes, randomUnit, registry } = this.context;
     const nowMs = clock.nowMs();
     const { prompt } = this;
--- a/packages/serving/src/MoveTurnKeeper.ts
+++ b/packages/serving/src/MoveTurnKeeper.ts
@@ -14,8 +14,7 @@
 
 /** How a wait for a turn ended. */
 export type TurnOutcome =
-  | { readonly kind: 'alone' }
-  | { readonly kind: 'turn'; readonly targetId: ServerId };
+  { readonly kind: 'alone' } | { readonly kind: 'turn'; readonly targetId: ServerId };
 
 interface Waiter {
   readonly resolve: (outcome: TurnOutcome) => void;
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -3,7 +3,7 @@
 import type { Server } from 'node:http';
 import { createServer, get } from 'node:http';
 import type { EngineLoad, EngineShare } from '@laburnumgap/dispatch';
-import type { MemberId, MonotonicClock, Revision } from '@laburnumgap/kernel';
+import type { MemberId, MonotonicClock, Revision, ServerId } from '@laburnumgap/kernel';
 import type { MoveMessage, PeerBeat, PeerSnapshot } from './PeerMessages.js';
 import { readBeat, readMoveMessage, readSnapshot } from './PeerMessages.js';
 import type { ServingLog } from './ServingLog.js';
@@ -15,11 +15,16 @@
   readonly clock: MonotonicClock;
   readonly host: string;
   readonly incarnation: number;
+  /** The store does not answer this daemon. */
+  readonly isAlone: () => boolean;
   readonly load: EngineLoad;
   readonly log: ServingLog;
+  readonly leavingIds: () => readonly ServerId[];
   readonly memberId: MemberId;
   /** Another daemon knows more than this one for a while already. */
   readonly onBehind: (peer: MemberAddress) => void;
+  /** Another daemon has heard that servers leave. */
+  readonly onLeaving: (serverIds: readonly ServerId[]) => void;
   readonly onMessage: (message: MoveMessage) => void;
   readonly ownShares: () => readonly EngineShare[];
   readonly position: () => { readonly configurationVersion: number; readonly revision: Revision };
@@ -34,6 +39,7 @@
   heardMs: number | undefined;
   incarnation: number;
   sequence: number;
+  storeIsAway: boolean;
 }
 
 /** Changes are told at least this much later than the first of them, in one message. */
@@ -147,6 +153,15 @@
     return first;
   }
 
+  /** Whether a live daemon says that the store does not answer it. */
+  someMissStore(): boolean {
+    const nowMs = this.options.clock.nowMs();
+    return [...this.peers.values()].some(
+      ({ heardMs, storeIsAway }) =>
+        storeIsAway && heardMs !== undefined && nowMs - heardMs < LIVE_MS,
+    );
+  }
+
   /** Sends a message to one daemon. */
   tell(message: MoveMessage, memberId: MemberId): void {
     for (const peer of this.peers.values()) {
@@ -201,7 +216,8 @@
   private beat(): void {
     clearTimeout(this.beatTimer);
     this.beatTimer = undefined;
-    const { beatPort, host, incarnation, load, memberId, ownShares, position } = this.options;
+    const { beatPort, host, incarnation, leavingIds, load, memberId, ownShares, position } =
+      this.options;
     const shares = ownShares();
     load.setOwn(shares);
     this.sequence += 1;
@@ -211,9 +227,11 @@
       host,
       incarnation,
       isStopping,
+      leavingIds: leavingIds(),
       memberId,
       sequence,
       shares,
+      storeIsAway: this.options.isAlone(),
     };
     const bytes = Buffer.from(JSON.stringify(beat));
     const hosts = new Set([...this.peers.keys(), ...this.otherSeeds()]);
@@ -247,12 +265,14 @@
     peer.heardMs = clock.nowMs();
     peer.incarnation = beat.incarnation;
     peer.sequence = beat.sequence;
+    peer.storeIsAway = beat.storeIsAway;
     if (beat.isStopping) {
       this.peers.delete(beat.host);
       load.dropMember(beat.memberId);
       return;
     }
     load.noteMember(beat.memberId, beat.shares, peer.heardMs);
+    this.options.onLeaving(beat.leavingIds);
     this.compare(beat, peer, peer.heardMs);
   }
 
@@ -265,7 +285,7 @@
       return;
     }
     peer.behindSinceMs ??= nowMs;
-    if (own.revision === 0 || nowMs - peer.behindSinceMs >= BEHIND_MS) {
+    if (this.options.isAlone() || nowMs - peer.behindSinceMs >= BEHIND_MS) {
       peer.behindSinceMs = nowMs;
       this.options.onBehind(peer);
     }
@@ -283,6 +303,7 @@
       incarnation: 0,
       memberId,
       sequence: 0,
+      storeIsAway: false,
     };
     this.peers.set(host, peer);
     return peer;
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -14,12 +14,16 @@
   readonly host: string;
   /** Tells a restart of the daemon. */
   readonly incarnation: number;
+  /** Servers that leave by word of mouth, while the store says nothing. */
+  readonly leavingIds: readonly ServerId[];
   readonly memberId: MemberId;
   /** The daemon stops; it is to be forgotten. */
   readonly isStopping: boolean;
   readonly revision: Revision;
   readonly sequence: number;
   readonly shares: readonly EngineShare[];
+  /** The platform's store does not answer this daemon. */
+  readonly storeIsAway: boolean;
 }
 
 /** Talk about turns on the engines' links. */
@@ -50,6 +54,7 @@
     typeof beat.host === 'string' &&
     typeof beat.sequence === 'number' &&
     typeof beat.revision === 'number' &&
+    Array.isArray(beat.leavingIds) &&
     Array.isArray(beat.shares);
   return isBeat ? (beat as PeerBeat) : undefined;
 }
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -20,6 +20,7 @@
 import type { CallStart } from './CallStart.js';
 import { CallsInFlight } from './CallsInFlight.js';
 import { DirectoryFollower } from './DirectoryFollower.js';
+import { EngineReports } from './EngineReports.js';
 import { GenerationRun } from './GenerationRun.js';
 import { MoveTurnKeeper } from './MoveTurnKeeper.js';
 import { PeerLink } from './PeerLink.js';
@@ -69,6 +70,10 @@
 
 /** Streams on leaving engines and lapsed entries are looked at this often. */
 const TICK_MS = 100;
+/** Time between two questions of the whole fleet to the store. */
+const PING_MS_PER_MEMBER = 80;
+/** Engines with streams are asked this often while the store is silent. */
+const ASK_ENGINES_MS = 250;
 /** After SIGTERM the balancer has taken the daemon out by then: two questions, a second apart. */
 const BALANCER_NOTICE_MS = 2_800;
 /** Streams are broken off this long before the process is killed. */
@@ -80,6 +85,7 @@
 
 /** One process that serves callers: takes requests, places them, and follows the platform. */
 export class ServingDaemon {
+  private askedMs = -Infinity;
   private readonly budget: RetryBudget;
   private readonly calls = new CallsInFlight();
   private readonly connections: BackendConnections;
@@ -92,8 +98,10 @@
   private readonly mover: StreamMover;
   private openPlainCalls = 0;
   private readonly peers: PeerLink;
+  private pingedMs = -Infinity;
   private readonly readyServer;
   private readonly registry = new ServerRegistry();
+  private readonly reports: EngineReports;
   private revision: Revision = toNumberId<Revision>(0);
   private readonly runs = new Set<GenerationRun>();
   private table: RouteTable | undefined;
@@ -150,9 +158,14 @@
       clock,
       host: settings.peers.host,
       incarnation,
+      isAlone: () => this.follower.isAway(),
+      leavingIds: () => this.registry.notedLeaving(),
       load: this.load,
       log,
       memberId: settings.memberId,
+      onLeaving: (serverIds) => {
+        this.noteLeaving(serverIds, 'peer');
+      },
       onMessage: (message) => {
         this.turns.heard(message);
       },
@@ -169,6 +182,14 @@
       snapshot: () => this.snapshot(),
       snapshotPort: settings.peers.port,
     });
+    this.reports = new EngineReports({
+      connections: this.connections,
+      log,
+      onLeaving: (serverId) => {
+        this.noteLeaving([serverId], 'engine');
+      },
+      protocol,
+    });
     this.follower = new DirectoryFollower({
       directory,
       log,
@@ -214,7 +235,7 @@
     }
     const { clock, log, settings } = this.options;
     this.isDraining = true;
-    this.front.drain();
+    this.front.drain(clock.nowMs() + settings.graceMs - KILL_MARGIN_MS);
     log.info('draining', { openCalls: this.openPlainCalls, openStreams: this.runs.size });
     const startedMs = clock.nowMs();
     const untilMs = startedMs + settings.graceMs - KILL_MARGIN_MS;
@@ -305,6 +326,14 @@
     }
   }
 
+  private noteLeaving(serverIds: readonly ServerId[], source: string): void {
+    const news = serverIds.filter((serverId) => this.registry.noteLeaving(serverId));
+    if (news.length > 0) {
+      this.serversLeave(news, source);
+      this.peers.noteChanged();
+    }
+  }
+
   private noteRevision(revision: Revision): void {
     if (revision > this.revision) {
       this.revision = revision;
@@ -362,6 +391,32 @@
     return [...byServer.values()];
   }
 
+  /** The daemons take turns, so that the store is asked no more often in a larger fleet. */
+  private pingStore(nowMs: number): void {
+    if (nowMs - this.pingedMs < PING_MS_PER_MEMBER * this.peers.knownCount()) {
+      return;
+    }
+    this.pingedMs = nowMs;
+    void this.follower.ping().then(() => {
+      this.peers.noteChanged();
+    });
+  }
+
+  /** While the store is silent, the engines themselves say whether they leave. */
+  private askEngines(nowMs: number): void {
+    const isSilent = this.follower.isAway() || this.peers.someMissStore();
+    if (!isSilent || nowMs - this.askedMs < ASK_ENGINES_MS) {
+      return;
+    }
+    this.askedMs = nowMs;
+    for (const serverId of new Set([...this.runs].map((run) => run.serverId()))) {
+      const entry = serverId && this.registry.get(serverId);
+      if (entry && !entry.leaving) {
+        void this.reports.ask(entry.server);
+      }
+    }
+  }
+
   /** Each daemon has an equal part of the budget, also while it is cut off. */
   private shareBudget(): void {
     if (this.hasServers) {
@@ -385,6 +440,8 @@
       }
     }
     this.shareBudget();
+    this.pingStore(nowMs);
+    this.askEngines(nowMs);
   }
 }
 
--- a/packages/serving/src/ServingFront.ts
+++ b/packages/serving/src/ServingFront.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { RouteTable } from '@laburnumgap/dispatch';
-import { drawService } from '@laburnumgap/dispatch';
+import { drawService, plannedOutputTokens } from '@laburnumgap/dispatch';
 import type { MonotonicClock } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 import type { CallStart } from './CallStart.js';
@@ -26,12 +26,17 @@
 const START_IDLE_TIMEOUT_MS = 15_000;
 const START_HEADER_TIMEOUT_MS = 3_000;
 const START_MAX_BODY_BYTES = 4_194_304;
+/** Expected time to the first token, and for each further one on a busy engine. */
+const STREAM_START_MS = 600;
+const MS_PER_TOKEN = 10;
+/** Outputs are often longer than expected. */
+const LENGTH_MARGIN = 1.5;
 /** How often connections are checked against the time-outs. */
 const TIMEOUT_CHECK_MS = 500;
 
 /** Takes callers' requests: reads them whole, finds their route and team, and runs them. */
 export class ServingFront {
-  private isDraining = false;
+  private stopsAtMs: number | undefined;
   private readonly server: Server;
 
   constructor(private readonly options: ServingFrontOptions) {
@@ -65,9 +70,14 @@
     });
   }
 
-  /** From now on every answer ends its connection. */
-  drain(): void {
-    this.isDraining = true;
+  /**
+   * From now on every answer ends its connection, and streams that would hardly end in time are
+   * sent elsewhere.
+   *
+   * @param stopsAtMs - when what is open is broken off, monotonic time
+   */
+  drain(stopsAtMs: number): void {
+    this.stopsAtMs = stopsAtMs;
   }
 
   closeIdle(): void {
@@ -87,7 +97,7 @@
     const { clock, protocol } = this.options;
     const arrivedMs = clock.nowMs();
     const exchange = new CallerExchange({
-      closesAfter: () => this.isDraining,
+      closesAfter: () => this.stopsAtMs !== undefined,
       protocol,
       request,
       response,
@@ -136,13 +146,22 @@
       exchange.refuse(refusal('NO_SERVER', 'the route leads to no service'));
       return undefined;
     }
-    if (this.isDraining && route.kind === 'stream') {
+    if (route.kind === 'stream' && !this.endsInTime(call, arrivedMs)) {
       exchange.refuse(refusal('DRAINING', 'this daemon stops', DRAINING_RETRY_AFTER_MS));
       return undefined;
     }
     return { arrivedMs, body: undefined, call, exchange, route, service, team };
   }
 
+  private endsInTime(call: CallerCall, arrivedMs: number): boolean {
+    if (this.stopsAtMs === undefined) {
+      return true;
+    }
+    const outputTokens = call.prompt ? plannedOutputTokens(call.prompt, 0) : 0;
+    const lastsMs = STREAM_START_MS + outputTokens * MS_PER_TOKEN * LENGTH_MARGIN;
+    return arrivedMs + lastsMs < this.stopsAtMs;
+  }
+
   private readBody(request: IncomingMessage, start: CallStart): void {
     const limits = this.options.routes.current()?.configuration.limits;
     const maxBodyBytes = limits?.maxBodyBytes ?? START_MAX_BODY_BYTES;
--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -81,6 +81,12 @@
   | { readonly kind: 'noSuchRun' }
   | { readonly kind: 'unreadable'; readonly reason: string };
 
+/** What an engine says of itself when it is asked. */
+export interface EngineReport {
+  /** It goes within a time that it knows, whether the store was told or not. */
+  readonly isLeaving: boolean;
+}
+
 /** Head of an answer of the system's own. */
 export interface OwnAnswer {
   readonly body: string;
@@ -100,6 +106,8 @@
   readAnswer(headers: HeaderList): AnswerMarks;
   readCall(head: RequestHead): Result<CallerCall, string>;
   readMoveAnswer(status: number, body: Buffer): MoveAnswer;
+  readReport(status: number, body: Buffer): Result<EngineReport, string>;
+  reportOrder(): EngineOrder;
   requestHeaders(call: CallerCall, options: BackendCallOptions): HeaderList;
 }
 
@@ -138,6 +146,8 @@
 export interface PlatformDirectory {
   /** Ends waiting calls. */
   close(): void;
+  /** Whether the store answers at all; the cheapest call there is. */
+  ping(): Promise<boolean>;
   /** Reads everything. Its `revision` is that before the reading began. */
   readAll(): Promise<Result<DirectoryChanges, DirectoryError>>;
   register(member: MemberAddress): Promise<Result<undefined, DirectoryError>>;
--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/StreamMover.ts
@@ -124,7 +124,8 @@
     const last = await this.order(source, target, requestId, true);
     this.note('move-stopped', position, source, target, last, stoppedMs);
     if (last.kind === 'noSuchRun' || last.kind === 'inProgress') {
-      return run.serverId() !== undefined;
+      this.dropCopy(source, first.handle);
+      return run.hasEnded() || run.serverId() !== undefined;
     }
     const handle = (last.kind === 'unreadable' ? undefined : last.handle) ?? first.handle;
     if (last.kind === 'unreadable' && run.serverId() !== undefined) {
--- a/packages/serving/src/__tests__/integration/BackendConnection.test.ts
+++ b/packages/serving/src/__tests__/integration/BackendConnection.test.ts
@@ -84,7 +84,7 @@
   'chunks without the last one':
     'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
   'no answer at all': 'garbage\r\n\r\n',
-  'nothing': '',
+  nothing: '',
   'two lengths': 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
 };
 
