Test the decisions of dispatch and the platform's decoders; plan outputs by their mean

Change: planned length follows the mean over the median and the length so far; beats follow the process's life and not its clock; registration is tried until it is taken.

--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -49,6 +49,10 @@
 const SUSPECTED_COST_MS = 3_000;
 /** Random part of the cost. */
 const JITTER_MS = 10;
+/** Outputs have a long tail: their mean lies above the median that callers name. */
+const MEAN_OVER_MEDIAN = 1.3;
+/** An output that outgrew its estimate goes on in proportion to its length so far. */
+const LENGTH_GROWTH = 1.6;
 /** Share of the memory that is planned for; the rest covers outputs longer than expected. */
 const PLANNED_MEMORY_SHARE = 0.95;
 
@@ -88,9 +92,9 @@
  * @returns expected length of the whole output
  */
 export function plannedOutputTokens(prompt: PromptShape, producedTokens: number): number {
-  const expected = prompt.expectedOutputTokens ?? prompt.maxOutputTokens / 2;
-  const beyond = producedTokens > expected ? producedTokens + expected / 2 : expected;
-  return Math.min(prompt.maxOutputTokens, beyond);
+  const medianTokens = prompt.expectedOutputTokens ?? prompt.maxOutputTokens / 2;
+  const planned = Math.max(medianTokens * MEAN_OVER_MEDIAN, producedTokens * LENGTH_GROWTH);
+  return Math.min(prompt.maxOutputTokens, planned);
 }
 
 function judge(candidate: EngineCandidate, input: PlacementInput): Placement {
--- a/packages/dispatch/src/MoveTurns.ts
+++ b/packages/dispatch/src/MoveTurns.ts
@@ -25,6 +25,8 @@
 const WISH_TIMEOUT_MS = 3_000;
 /** Turns given lately count against a target, because reports don't show them yet. */
 const RECENT_MS = 1_000;
+/** Places in the ranking that a recent turn costs a target. */
+const RECENT_TURN_COST = 1.5;
 
 /**
  * Gives out turns on the engines' links. Answers an engine that leaves with many streams of many
@@ -88,7 +90,7 @@
     wish.targetIds.forEach((targetId, order) => {
       const isBusy = this.given.some((turn) => turn.targetId === targetId);
       const recentTurns = this.recent.filter((turn) => turn.targetId === targetId).length;
-      const cost = order + recentTurns;
+      const cost = order + recentTurns * RECENT_TURN_COST;
       if (!isBusy && cost < bestCost) {
         best = targetId;
         bestCost = cost;
--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -129,6 +129,7 @@
       if (nowMs - goneAtMs > GONE_MEMORY_MS) {
         this.goneAtMs.delete(serverId);
         this.entries.delete(serverId);
+        this.removedRevisions.delete(serverId);
       }
     }
     if (expired.length > 0) {
--- a/packages/dispatch/src/StreamMoves.ts
+++ b/packages/dispatch/src/StreamMoves.ts
@@ -8,7 +8,7 @@
 }
 
 /** A stream that ends within this time is left to end where it runs. */
-const ENDS_SOON_MS = 300;
+const ENDS_SOON_MS = 100;
 const BITS_PER_BYTE = 8;
 const BITS_PER_MEGABIT = 1_000_000;
 const MS_PER_S = 1_000;
--- /dev/null
+++ b/packages/dispatch/src/__tests__/unit/PlainPlacement.test.ts
@@ -0,0 +1,94 @@
+import type { FailureDomainId, ServerId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import test from 'ava';
+import { ServerHealth, placePlainCall } from '../../index.js';
+import { serverOf } from '../support/DispatchFixtures.js';
+
+const SERVERS = [serverOf('a'), serverOf('b'), serverOf('c')];
+const [A, B, C] = SERVERS.map(({ serverId }) => serverId) as [ServerId, ServerId, ServerId];
+
+function place(
+  health: ServerHealth,
+  options: {
+    calls?: ReadonlyMap<ServerId, number>;
+    excluded?: readonly ServerId[];
+    nowMs?: number;
+  } = {},
+): ServerId | undefined {
+  return placePlainCall({
+    callsInFlight: (serverId) => options.calls?.get(serverId) ?? 0,
+    excluded: new Set(options.excluded),
+    failureDomain: toId<FailureDomainId>('a'),
+    health,
+    nowMs: options.nowMs ?? 0,
+    randomUnit: () => 0.5,
+    servers: SERVERS,
+  })?.serverId;
+}
+
+test('the server with the fewest calls is taken', (t) => {
+  t.is(
+    place(new ServerHealth(), {
+      calls: new Map([
+        [A, 2],
+        [B, 1],
+        [C, 3],
+      ]),
+    }),
+    B,
+  );
+});
+
+test('a server is tried once', (t) => {
+  t.is(place(new ServerHealth(), { excluded: [A, B] }), C);
+  t.is(place(new ServerHealth(), { excluded: [A, B, C] }), undefined);
+});
+
+test('a server that fails part of its calls gets fewer', (t) => {
+  const health = new ServerHealth();
+  for (let call = 0; call < 20; call += 1) {
+    health.note(A, call % 2 === 0 ? 'failed' : 'answered', 20, call);
+    health.note(B, 'answered', 20, call);
+    health.note(C, 'answered', 20, call);
+  }
+  t.is(
+    place(health, {
+      calls: new Map([
+        [B, 1],
+        [C, 1],
+      ]),
+    }),
+    B,
+  );
+});
+
+test('a service whose servers all fail alike is never shut out', (t) => {
+  const health = new ServerHealth();
+  for (const serverId of [A, B, C]) {
+    health.note(serverId, 'unreachable', 0, 0);
+    for (let call = 0; call < 20; call += 1) {
+      health.note(serverId, 'failed', 20, 0);
+    }
+    health.note(serverId, 'unreachable', 0, 0);
+  }
+  t.not(place(health, { nowMs: 1 }), undefined);
+});
+
+test('a server that was not reached is left out for a while, longer each time', (t) => {
+  const health = new ServerHealth();
+  health.note(A, 'unreachable', 0, 0);
+  t.true(health.isUnreachable(A, 499));
+  t.false(health.isUnreachable(A, 500));
+  health.note(A, 'unreachable', 0, 600);
+  t.true(health.isUnreachable(A, 1_599));
+  t.false(health.isUnreachable(A, 1_600));
+  health.note(A, 'answered', 10, 1_700);
+  t.false(health.isUnreachable(A, 1_701));
+});
+
+test('servers that are gone are forgotten', (t) => {
+  const health = new ServerHealth();
+  health.note(A, 'failed', 10, 0);
+  health.keepOnly(() => false);
+  t.is(health.failureShare(A), 0);
+});
--- /dev/null
+++ b/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
@@ -0,0 +1,97 @@
+import type { Revision, ServerId, ServiceId } from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import test from 'ava';
+import { ServerRegistry } from '../../index.js';
+import { changeOf } from '../support/DispatchFixtures.js';
+
+const ENGINES = toId<ServiceId>('engines');
+
+function usableIds(registry: ServerRegistry): readonly string[] {
+  return registry.usable(ENGINES).map(({ serverId }) => serverId);
+}
+
+function registryOf(...names: readonly string[]): ServerRegistry {
+  const registry = new ServerRegistry();
+  registry.apply(
+    names.map((name, index) => changeOf(name, index + 1, {})),
+    0,
+  );
+  return registry;
+}
+
+test('a server that says it leaves takes no new work', (t) => {
+  const registry = registryOf('a', 'b', 'c');
+  const leaving = registry.apply([changeOf('b', 10, { leaving: true })], 0);
+  t.deepEqual(leaving, [toId<ServerId>('b')]);
+  t.deepEqual(usableIds(registry), ['a', 'c']);
+});
+
+test('an older entry changes nothing', (t) => {
+  const registry = registryOf('a', 'b');
+  registry.apply([changeOf('b', 10, { leaving: true })], 0);
+  registry.apply([changeOf('b', 9, {})], 0);
+  t.deepEqual(usableIds(registry), ['a']);
+});
+
+test('a server without an entry is leaving, and is told once', (t) => {
+  const registry = registryOf('a', 'b', 'c', 'd');
+  t.deepEqual(registry.apply([changeOf('b', 10)], 0), [toId<ServerId>('b')]);
+  t.deepEqual(registry.apply([changeOf('b', 11)], 0), []);
+  t.deepEqual(usableIds(registry), ['a', 'c', 'd']);
+});
+
+test('an old entry does not bring a removed server back', (t) => {
+  const registry = registryOf('a', 'b', 'c', 'd');
+  registry.apply([changeOf('b', 10)], 0);
+  registry.expireLapsed(30_000);
+  registry.apply([changeOf('e', 8, {}), changeOf('b', 12, {})], 30_000);
+  t.deepEqual(usableIds(registry), ['a', 'b', 'c', 'd', 'e']);
+});
+
+test('entries that go all at once are waited for', (t) => {
+  const registry = registryOf('a', 'b', 'c', 'd');
+  const gone = ['a', 'b', 'c', 'd'].map((name) => changeOf(name, 20));
+  t.deepEqual(registry.apply(gone, 1_000), []);
+  t.is(usableIds(registry).length, 4);
+  registry.apply([changeOf('a', 21, {})], 1_500);
+  t.deepEqual(registry.expireLapsed(2_000), []);
+  t.is(registry.expireLapsed(2_701).length, 3);
+  t.deepEqual(usableIds(registry), ['a']);
+});
+
+test('one leaving server after an outage is no lapse', (t) => {
+  const registry = registryOf('a', 'b', 'c', 'd', 'e');
+  t.deepEqual(registry.apply([changeOf('e', 20)], 1_000), [toId<ServerId>('e')]);
+});
+
+test('a full reading removes what it does not list, but nothing that is newer', (t) => {
+  const registry = registryOf('a', 'b', 'c', 'd', 'e');
+  registry.apply([changeOf('new', 30, {})], 0);
+  const read = ['a', 'b', 'c', 'd'].map((name, index) => changeOf(name, index + 1, {}));
+  t.deepEqual(registry.replace(read, toNumberId<Revision>(25), 0), [toId<ServerId>('e')]);
+  t.deepEqual(usableIds(registry), ['a', 'b', 'c', 'd', 'new']);
+});
+
+test('a server that was heard to leave stays out while the store repeats its entry', (t) => {
+  const registry = registryOf('a', 'b');
+  t.true(registry.noteLeaving(toId<ServerId>('b')));
+  t.false(registry.noteLeaving(toId<ServerId>('b')));
+  registry.apply([changeOf('b', 2, {}), changeOf('b', 40, {})], 0);
+  t.deepEqual(usableIds(registry), ['a']);
+  t.deepEqual(registry.notedLeaving(), [toId<ServerId>('b')]);
+});
+
+test('a restart under the same id takes work again', (t) => {
+  const registry = registryOf('a', 'b');
+  registry.noteLeaving(toId<ServerId>('b'));
+  registry.apply([changeOf('b', 41, { startedEpochMs: 2 })], 0);
+  t.deepEqual(usableIds(registry), ['a', 'b']);
+  t.deepEqual(registry.notedLeaving(), []);
+});
+
+test('an unreadable entry names no server', (t) => {
+  const registry = registryOf('a');
+  registry.apply([changeOf('junk', 50)], 0);
+  t.deepEqual(usableIds(registry), ['a']);
+  t.is(registry.get(toId<ServerId>('junk')), undefined);
+});
--- /dev/null
+++ b/packages/dispatch/src/__tests__/unit/StreamMoves.test.ts
@@ -0,0 +1,35 @@
+import type { RequestId, ServerId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import test from 'ava';
+import { KeptPrefixes, copyMs, orderMoves } from '../../index.js';
+import { ENGINE } from '../support/DispatchFixtures.js';
+
+test('a copy takes its bytes over the link', (t) => {
+  t.is(Math.round(copyMs(3_500, ENGINE)), 191);
+  t.is(copyMs(0, ENGINE), 0);
+});
+
+test('the longest remaining stream moves first, and one about to end stays', (t) => {
+  const streams = [
+    { expectedRemainingTokens: 100, requestId: toId<RequestId>('short') },
+    { expectedRemainingTokens: 900, requestId: toId<RequestId>('long') },
+    { expectedRemainingTokens: 5, requestId: toId<RequestId>('ending') },
+  ];
+  t.deepEqual(orderMoves(streams, 10) as readonly string[], ['long', 'short']);
+});
+
+test('kept parts count from the start of the prompt and within the window', (t) => {
+  const prefixes = new KeptPrefixes();
+  const serverId = toId<ServerId>('a');
+  const parts = [
+    { id: '1', tokens: 100 },
+    { id: '2', tokens: 50 },
+    { id: '3', tokens: 25 },
+  ];
+  prefixes.note(parts.slice(0, 2), serverId, 1_000);
+  t.is(prefixes.keptTokens(parts, serverId, 500), 150);
+  t.is(prefixes.keptTokens(parts.slice(2), serverId, 500), 0);
+  t.is(prefixes.keptTokens(parts, serverId, 1_001), 0);
+  prefixes.forget(serverId);
+  t.is(prefixes.keptTokens(parts, serverId, 0), 0);
+});
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -336,7 +336,7 @@
     }
     const { exchange } = this.start;
     if (!exchange.hasBegun()) {
-      exchange.begin(leg.head);
+      exchange.begin(withoutLength(leg.head));
     }
     if (this.events === 0) {
       this.firstEventMs = this.context.clock.nowMs();
@@ -520,3 +520,9 @@
     head?.status === SUCCESS_STATUS && marks !== undefined && marks.isStamped && !marks.isEncoded
   );
 }
+
+/** A stream that goes on elsewhere has no length that is known ahead. */
+function withoutLength(head: AnswerHead): AnswerHead {
+  const headers = head.headers.filter(([name]) => name.toLowerCase() !== 'content-length');
+  return { ...head, headers };
+}
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -36,6 +36,8 @@
 
 interface Peer extends MemberAddress {
   behindSinceMs: number | undefined;
+  /** Late beats of the daemon's earlier life are not taken. */
+  formerIncarnation: number | undefined;
   heardMs: number | undefined;
   incarnation: number;
   sequence: number;
@@ -256,12 +258,13 @@
     }
     const { clock, load } = this.options;
     const peer = this.peerAt(beat.host, beat.memberId);
-    const isOld =
-      beat.incarnation < peer.incarnation ||
-      (beat.incarnation === peer.incarnation && beat.sequence <= peer.sequence);
-    if (isOld) {
+    const isOld = beat.incarnation === peer.incarnation && beat.sequence <= peer.sequence;
+    if (isOld || beat.incarnation === peer.formerIncarnation) {
       return;
     }
+    if (beat.incarnation !== peer.incarnation) {
+      peer.formerIncarnation = peer.incarnation;
+    }
     peer.heardMs = clock.nowMs();
     peer.incarnation = beat.incarnation;
     peer.sequence = beat.sequence;
@@ -298,6 +301,7 @@
     }
     const peer: Peer = {
       behindSinceMs: undefined,
+      formerIncarnation: undefined,
       heardMs: undefined,
       host,
       incarnation: 0,
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -70,6 +70,8 @@
 
 /** Streams on leaving engines and lapsed entries are looked at this often. */
 const TICK_MS = 100;
+/** Time between two tries to register while the store refuses. */
+const REGISTER_RETRY_MS = 2_000;
 /** Time between two questions of the whole fleet to the store. */
 const PING_MS_PER_MEMBER = 80;
 /** Engines with streams are asked this often while the store is silent. */
@@ -221,11 +223,7 @@
       this.tick();
     }, TICK_MS);
     log.info('started', { memberId: settings.memberId });
-    const member = { host: settings.peers.host, memberId: settings.memberId };
-    const registered = await directory.register(member);
-    if (!registered.ok) {
-      log.warn('member-not-registered', registered.error);
-    }
+    await this.registerMember();
   }
 
   /** Stops gracefully. Resolves when nothing is open or the grace is over. */
@@ -265,6 +263,18 @@
     return !this.isDraining && this.table !== undefined && this.hasServers;
   }
 
+  /** The entry introduces this daemon to the others; it is tried until the store takes it. */
+  private async registerMember(): Promise<void> {
+    const { directory, log, settings } = this.options;
+    const member = { host: settings.peers.host, memberId: settings.memberId };
+    let registered = await directory.register(member);
+    while (!registered.ok && !this.isDraining) {
+      log.warn('member-not-registered', registered.error);
+      await sleep(REGISTER_RETRY_MS);
+      registered = await directory.register(member);
+    }
+  }
+
   private run(start: CallStart): void {
     const { engine } = start.service;
     const { prompt } = start.call;
