Count copies as load, move small copies first and near, weigh engines by failures

Change: the engine that gets a copy counts it; near targets are preferred; turns go to small copies that can't end by themselves; failures of calls are part of an engine's cost; the time to come back is that of the balancer where no daemon of the domain takes over.

--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -9,8 +9,8 @@
   /** Prompt tokens that it still holds from earlier requests. */
   readonly keptTokens: number;
   readonly server: BackendServer;
-  /** Callers met failures there a moment ago. */
-  readonly suspected: boolean;
+  /** Share of recent calls there that failed, as their callers saw it. */
+  readonly failureShare: number;
   readonly totals: EngineTotals;
 }
 
@@ -43,10 +43,11 @@
 const COST_PER_RUN_MS = 25;
 /** Tokens over the memory are read again after a preemption, and hold up the whole engine. */
 const COST_PER_OVERRUN_TOKEN_MS = 2;
-/** A run beyond the slots waits for another to end. */
-const NO_SLOT_COST_MS = 4_000;
+/** Without a slot or memory for its prompt a run waits for another to end. */
+const NO_ROOM_COST_MS = 4_000;
 const DEFAULT_OTHER_DOMAIN_COST_MS = 15;
-const SUSPECTED_COST_MS = 3_000;
+/** Cost of an engine where every call fails. */
+const FAILURE_COST_MS = 6_000;
 /** Random part of the cost. */
 const JITTER_MS = 10;
 /** Outputs have a long tail: their mean lies above the median that callers name. */
@@ -99,20 +100,21 @@
 
 function judge(candidate: EngineCandidate, input: PlacementInput): Placement {
   const { engine, failureDomain, hasMemory, prompt, randomUnit } = input;
-  const { keptTokens, server, suspected, totals } = candidate;
+  const { failureShare, keptTokens, server, totals } = candidate;
   const otherDomainCostMs = input.otherDomainCostMs ?? DEFAULT_OTHER_DOMAIN_COST_MS;
   const unread = hasMemory ? 0 : Math.max(0, prompt.promptTokens - keptTokens);
   const plannedTokens = totals.plannedTokens + prompt.promptTokens + plannedOutputTokens(prompt, 0);
   const limitTokens = PLANNED_MEMORY_SHARE * engine.memoryTokens;
   const overrunTokens = Math.max(0, plannedTokens - limitTokens);
+  const lacksRoomNow = totals.usedTokens + prompt.promptTokens > limitTokens;
   const hasSlot = totals.runs < engine.slots;
   const costMs =
     (totals.readingTokens + unread) / READING_TOKENS_PER_MS +
     totals.runs * COST_PER_RUN_MS +
     overrunTokens * COST_PER_OVERRUN_TOKEN_MS +
-    (hasSlot ? 0 : NO_SLOT_COST_MS) +
+    (hasSlot && !lacksRoomNow ? 0 : NO_ROOM_COST_MS) +
     (server.failureDomain === failureDomain ? 0 : otherDomainCostMs) +
-    (suspected ? SUSPECTED_COST_MS : 0) +
+    failureShare * FAILURE_COST_MS +
     randomUnit() * JITTER_MS;
-  return { costMs, fits: overrunTokens === 0 && hasSlot, server, totals };
+  return { costMs, fits: overrunTokens === 0 && hasSlot && !lacksRoomNow, server, totals };
 }
--- a/packages/dispatch/src/MoveTurns.ts
+++ b/packages/dispatch/src/MoveTurns.ts
@@ -2,11 +2,15 @@
 
 /** A daemon wants to copy a stream's memory from one engine to another. */
 export interface MoveWish {
+  /** The stream may well end before its engine does. */
+  readonly endsSoon: boolean;
   readonly memberId: MemberId;
   readonly requestId: RequestId;
   readonly sourceId: ServerId;
   /** Engines that would take it, best first. */
   readonly targetIds: readonly ServerId[];
+  /** Size of the copy. */
+  readonly usedTokens: number;
 }
 
 /** A wish whose turn has come. */
@@ -59,11 +63,15 @@
     return this.given.length > 0 || this.waiting.length > 0;
   }
 
-  /** Gives the turns that are possible now. */
+  /**
+   * Gives the turns that are possible now. The time is short, so that streams which end by
+   * themselves come last, and of the others the smaller copies first.
+   */
   next(nowMs: number): readonly MoveTurn[] {
     this.given = this.given.filter(({ givenMs }) => nowMs - givenMs < TURN_TIMEOUT_MS);
     this.recent = this.recent.filter(({ atMs }) => nowMs - atMs < RECENT_MS);
     this.waiting = this.waiting.filter(({ sinceMs }) => nowMs - sinceMs < WISH_TIMEOUT_MS);
+    this.waiting.sort((a, b) => compareWishes(a.wish, b.wish));
     const turns: MoveTurn[] = [];
     const stillWaiting: typeof this.waiting = [];
     for (const waiting of this.waiting) {
@@ -99,3 +107,7 @@
     return best;
   }
 }
+
+function compareWishes(a: MoveWish, b: MoveWish): number {
+  return Number(a.endsSoon) - Number(b.endsSoon) || a.usedTokens - b.usedTokens;
+}
--- a/packages/dispatch/src/StreamMoves.ts
+++ b/packages/dispatch/src/StreamMoves.ts
@@ -7,8 +7,16 @@
   readonly requestId: RequestId;
 }
 
+/** A stream that is to be moved. */
+export interface SelectedMove {
+  readonly endsSoon: boolean;
+  readonly requestId: RequestId;
+}
+
 /** A stream that ends within this time is left to end where it runs. */
-const ENDS_SOON_MS = 100;
+const ENDS_AT_ONCE_MS = 100;
+/** Engines serve on for about this long after they said that they leave. */
+const ENDS_SOON_MS = 1_500;
 const BITS_PER_BYTE = 8;
 const BITS_PER_MEGABIT = 1_000_000;
 const MS_PER_S = 1_000;
@@ -26,19 +34,21 @@
 }
 
 /**
- * Orders the streams of an engine that leaves: the longest remaining first, because they lose most
- * when the time runs out; those about to end stay.
+ * Selects the streams of an engine that leaves which are moved; those about to end stay.
  *
  * @param streams - streams on the engine
  * @param msPerToken - expected time for one output token
- * @returns the streams to move, first to last
+ * @returns the streams to move, and whether each may end before its engine does
  */
-export function orderMoves(
+export function selectMoves(
   streams: readonly LeavingStream[],
   msPerToken: number,
-): readonly RequestId[] {
+): readonly SelectedMove[] {
   return streams
-    .filter((stream) => stream.expectedRemainingTokens * msPerToken > ENDS_SOON_MS)
-    .sort((a, b) => b.expectedRemainingTokens - a.expectedRemainingTokens)
-    .map(({ requestId }) => requestId);
+    .map(({ expectedRemainingTokens, requestId }) => ({
+      remainingMs: expectedRemainingTokens * msPerToken,
+      requestId,
+    }))
+    .filter(({ remainingMs }) => remainingMs > ENDS_AT_ONCE_MS)
+    .map(({ remainingMs, requestId }) => ({ endsSoon: remainingMs < ENDS_SOON_MS, requestId }));
 }
--- a/packages/dispatch/src/__tests__/unit/GenerationPlacement.test.ts
+++ b/packages/dispatch/src/__tests__/unit/GenerationPlacement.test.ts
@@ -15,7 +15,7 @@
 const DOMAIN = toId<FailureDomainId>('a');
 
 function candidate(name: string, changes: Partial<EngineCandidate> = {}): EngineCandidate {
-  return { keptTokens: 0, server: serverOf(name), suspected: false, totals: IDLE, ...changes };
+  return { failureShare: 0, keptTokens: 0, server: serverOf(name), totals: IDLE, ...changes };
 }
 
 function bestOf(...candidates: readonly EngineCandidate[]): string | undefined {
@@ -43,6 +43,12 @@
   );
 });
 
+test('an engine without room for the prompt now is passed by', (t) => {
+  const used = { ...IDLE, plannedTokens: 20_000, runs: 1, usedTokens: 31_000 };
+  const busy = { ...IDLE, plannedTokens: 25_000, runs: 9, usedTokens: 20_000 };
+  t.is(bestOf(candidate('a', { totals: used }), candidate('b', { totals: busy })), 'b');
+});
+
 test('a kept prefix decides between equal engines', (t) => {
   t.is(bestOf(candidate('a'), candidate('b', { keptTokens: 400 })), 'b');
 });
@@ -54,7 +60,7 @@
 
 test('an engine that failed a moment ago is passed by', (t) => {
   t.is(
-    bestOf(candidate('a', { suspected: true }), candidate('b', { totals: { ...IDLE, runs: 9 } })),
+    bestOf(candidate('a', { failureShare: 0.5 }), candidate('b', { totals: { ...IDLE, runs: 9 } })),
     'b',
   );
 });
--- a/packages/dispatch/src/__tests__/unit/MoveTurns.test.ts
+++ b/packages/dispatch/src/__tests__/unit/MoveTurns.test.ts
@@ -6,10 +6,12 @@
 
 function wishOf(request: string, source: string, ...targets: readonly string[]): MoveWish {
   return {
+    endsSoon: false,
     memberId: toId<MemberId>('m'),
     requestId: toId<RequestId>(request),
     sourceId: toId<ServerId>(source),
     targetIds: targets.map((target) => toId<ServerId>(target)),
+    usedTokens: 3_000,
   };
 }
 
@@ -27,6 +29,18 @@
   t.deepEqual(given(turns, 200), ['2>b']);
 });
 
+test('small copies come first, and streams that end by themselves last', (t) => {
+  const turns = new MoveTurns();
+  turns.want({ ...wishOf('ending', 's', 'a'), endsSoon: true, usedTokens: 100 }, 0);
+  turns.want({ ...wishOf('large', 's', 'a'), usedTokens: 6_000 }, 0);
+  turns.want(wishOf('small', 's', 'a'), 0);
+  t.deepEqual(given(turns, 0), ['small>a']);
+  turns.done(toId<RequestId>('small'));
+  t.deepEqual(given(turns, 200), ['large>a']);
+  turns.done(toId<RequestId>('large'));
+  t.deepEqual(given(turns, 400), ['ending>a']);
+});
+
 test('copies from two sources take different targets', (t) => {
   const turns = new MoveTurns();
   turns.want(wishOf('1', 's1', 'a', 'b'), 0);
--- a/packages/dispatch/src/__tests__/unit/StreamMoves.test.ts
+++ b/packages/dispatch/src/__tests__/unit/StreamMoves.test.ts
@@ -1,7 +1,7 @@
 import type { RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
-import { KeptPrefixes, copyMs, orderMoves } from '../../index.js';
+import { KeptPrefixes, copyMs, selectMoves } from '../../index.js';
 import { ENGINE } from '../support/DispatchFixtures.js';
 
 test('a copy takes its bytes over the link', (t) => {
@@ -9,13 +9,16 @@
   t.is(copyMs(0, ENGINE), 0);
 });
 
-test('the longest remaining stream moves first, and one about to end stays', (t) => {
+test('streams that may end by themselves are told apart, and one about to end stays', (t) => {
   const streams = [
     { expectedRemainingTokens: 100, requestId: toId<RequestId>('short') },
     { expectedRemainingTokens: 900, requestId: toId<RequestId>('long') },
     { expectedRemainingTokens: 5, requestId: toId<RequestId>('ending') },
   ];
-  t.deepEqual(orderMoves(streams, 10) as readonly string[], ['long', 'short']);
+  t.deepEqual(selectMoves(streams, 10), [
+    { endsSoon: true, requestId: toId<RequestId>('short') },
+    { endsSoon: false, requestId: toId<RequestId>('long') },
+  ]);
 });
 
 test('kept parts count from the start of the prompt and within the window', (t) => {
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -23,6 +23,8 @@
 /** Prompt parts count as kept for this long after they were read. */
 const KEPT_PARTS_MS = 10_000;
 const MAX_URGENCY = 9;
+/** A copy between domains takes twice as long, and all copies behind it wait as well. */
+const FAR_MOVE_WEIGHT = 3;
 
 /** A run at one engine. */
 interface Leg {
@@ -59,6 +61,7 @@
  * unless its route lets it start anew after its last event.
  */
 export class GenerationRun {
+  private copyTargetId: ServerId | undefined;
   private events = 0;
   private readonly excluded = new Set<ServerId>();
   private firstEventMs: number | undefined;
@@ -94,8 +97,17 @@
     this.place();
   }
 
-  /** What the run holds at its engine, or undefined while it is nowhere. */
-  share(nowMs: number): EngineShare | undefined {
+  /** What the run holds at its engine, and at the one to which its memory is copied. */
+  shares(nowMs: number): readonly EngineShare[] {
+    const share = this.share(nowMs);
+    if (!share) {
+      return [];
+    }
+    const { copyTargetId } = this;
+    return copyTargetId === undefined ? [share] : [share, { ...share, serverId: copyTargetId }];
+  }
+
+  private share(nowMs: number): EngineShare | undefined {
     const { leg, prompt } = this;
     if (!leg) {
       return undefined;
@@ -139,6 +151,12 @@
     this.moving = moving;
   }
 
+  /** Notes the engine that holds a copy of the run's memory; undefined when none does. */
+  setCopyTarget(serverId: ServerId | undefined): void {
+    this.copyTargetId = serverId;
+    this.context.noteLoadChanged();
+  }
+
   hasEnded(): boolean {
     return this.isDone;
   }
@@ -158,9 +176,11 @@
       .usable(this.start.service.service)
       .filter(({ serverId }) => !without.has(serverId))
       .map((server) => ({
+        failureShare: health.isUnreachable(server.serverId, nowMs)
+          ? 1
+          : health.failureShare(server.serverId),
         keptTokens: prefixes.keptTokens(prompt.parts, server.serverId, nowMs - KEPT_PARTS_MS),
         server,
-        suspected: health.isUnreachable(server.serverId, nowMs),
         totals: load.totals(server.serverId, nowMs),
       }));
     return rankEngines({
@@ -168,7 +188,8 @@
       engine: this.engine,
       failureDomain: moveFrom?.failureDomain ?? this.context.failureDomain,
       hasMemory: moveFrom !== undefined,
-      otherDomainCostMs: moveFrom && copyMs(prompt.promptTokens, this.engine),
+      otherDomainCostMs:
+        moveFrom && FAR_MOVE_WEIGHT * copyMs(prompt.promptTokens, this.engine),
       prompt,
       randomUnit,
     });
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -3,7 +3,7 @@
 import type { Server } from 'node:http';
 import { createServer, get } from 'node:http';
 import type { EngineLoad, EngineShare } from '@laburnumgap/dispatch';
-import type { MemberId, MonotonicClock, Revision, ServerId } from '@laburnumgap/kernel';
+import type { FailureDomainId, MemberId, MonotonicClock, Revision, ServerId } from '@laburnumgap/kernel';
 import type { MoveMessage, PeerBeat, PeerSnapshot } from './PeerMessages.js';
 import { readBeat, readMoveMessage, readSnapshot } from './PeerMessages.js';
 import type { ServingLog } from './ServingLog.js';
@@ -13,8 +13,10 @@
 export interface PeerLinkOptions {
   readonly beatPort: number;
   readonly clock: MonotonicClock;
+  readonly failureDomain: FailureDomainId;
   readonly host: string;
   readonly incarnation: number;
+  readonly isDraining: () => boolean;
   /** The store does not answer this daemon. */
   readonly isAlone: () => boolean;
   readonly load: EngineLoad;
@@ -40,6 +42,8 @@
   formerIncarnation: number | undefined;
   heardMs: number | undefined;
   incarnation: number;
+  /** In the same failure domain, and takes new connections. */
+  isNeighbour: boolean;
   sequence: number;
   storeIsAway: boolean;
 }
@@ -155,6 +159,15 @@
     return first;
   }
 
+  /** Whether a live daemon of the same failure domain takes new connections. */
+  hasNeighbour(): boolean {
+    const nowMs = this.options.clock.nowMs();
+    return [...this.peers.values()].some(
+      ({ heardMs, isNeighbour }) =>
+        isNeighbour && heardMs !== undefined && nowMs - heardMs < LIVE_MS,
+    );
+  }
+
   /** Whether a live daemon says that the store does not answer it. */
   someMissStore(): boolean {
     const nowMs = this.options.clock.nowMs();
@@ -218,16 +231,17 @@
   private beat(): void {
     clearTimeout(this.beatTimer);
     this.beatTimer = undefined;
-    const { beatPort, host, incarnation, leavingIds, load, memberId, ownShares, position } =
-      this.options;
-    const shares = ownShares();
+    const { beatPort, failureDomain, host, incarnation, leavingIds, load, memberId } = this.options;
+    const shares = this.options.ownShares();
     load.setOwn(shares);
     this.sequence += 1;
     const { isStopping, sequence } = this;
     const beat: PeerBeat = {
-      ...position(),
+      ...this.options.position(),
+      failureDomain,
       host,
       incarnation,
+      isDraining: this.options.isDraining(),
       isStopping,
       leavingIds: leavingIds(),
       memberId,
@@ -268,6 +282,7 @@
     peer.heardMs = clock.nowMs();
     peer.incarnation = beat.incarnation;
     peer.sequence = beat.sequence;
+    peer.isNeighbour = beat.failureDomain === this.options.failureDomain && !beat.isDraining;
     peer.storeIsAway = beat.storeIsAway;
     if (beat.isStopping) {
       this.peers.delete(beat.host);
@@ -305,6 +320,7 @@
       heardMs: undefined,
       host,
       incarnation: 0,
+      isNeighbour: false,
       memberId,
       sequence: 0,
       storeIsAway: false,
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -5,15 +5,18 @@
   ServerChange,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
-import type { MemberId, RequestId, Revision, ServerId } from '@laburnumgap/kernel';
+import type { FailureDomainId, MemberId, RequestId, Revision, ServerId } from '@laburnumgap/kernel';
 import type { MemberAddress } from './ServingPorts.js';
 
 /** What a daemon tells the others again and again. */
 export interface PeerBeat {
   readonly configurationVersion: number;
+  readonly failureDomain: FailureDomainId;
   readonly host: string;
   /** Tells a restart of the daemon. */
   readonly incarnation: number;
+  /** The daemon takes no new connections. */
+  readonly isDraining: boolean;
   /** Servers that leave by word of mouth, while the store says nothing. */
   readonly leavingIds: readonly ServerId[];
   readonly memberId: MemberId;
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -150,6 +150,7 @@
       clock,
       protocol,
       randomUnit,
+      neighbourTakesOver: () => this.peers.hasNeighbour(),
       routes: { current: () => (this.hasServers ? this.table : undefined) },
       run: (start) => {
         this.run(start);
@@ -157,6 +158,8 @@
     });
     this.peers = new PeerLink({
       beatPort: settings.beatPort,
+      failureDomain: settings.failureDomain,
+      isDraining: () => this.isDraining,
       clock,
       host: settings.peers.host,
       incarnation,
@@ -210,7 +213,7 @@
   }
 
   async start(): Promise<void> {
-    const { directory, log, settings } = this.options;
+    const { log, settings } = this.options;
     this.follower.start();
     await Promise.all([
       this.front.listen(settings.front.host, settings.front.port),
@@ -233,7 +236,12 @@
     }
     const { clock, log, settings } = this.options;
     this.isDraining = true;
-    this.front.drain(clock.nowMs() + settings.graceMs - KILL_MARGIN_MS);
+    const nowMs = clock.nowMs();
+    this.front.drain({
+      balancedUntilMs: nowMs + BALANCER_NOTICE_MS,
+      stopsAtMs: nowMs + settings.graceMs - KILL_MARGIN_MS,
+    });
+    this.peers.noteChanged();
     log.info('draining', { openCalls: this.openPlainCalls, openStreams: this.runs.size });
     const startedMs = clock.nowMs();
     const untilMs = startedMs + settings.graceMs - KILL_MARGIN_MS;
@@ -393,8 +401,7 @@
     const nowMs = this.options.clock.nowMs();
     const byServer = new Map<ServerId, EngineShare>();
     for (const run of this.runs) {
-      const share = run.share(nowMs);
-      if (share) {
+      for (const share of run.shares(nowMs)) {
         byServer.set(share.serverId, addShares(byServer.get(share.serverId), share));
       }
     }
--- a/packages/serving/src/ServingFront.ts
+++ b/packages/serving/src/ServingFront.ts
@@ -13,6 +13,8 @@
 /** Options of the side that callers reach. */
 export interface ServingFrontOptions {
   readonly clock: MonotonicClock;
+  /** Whether a daemon of the same failure domain takes new connections. */
+  readonly neighbourTakesOver: () => boolean;
   readonly protocol: WireProtocol;
   readonly randomUnit: () => number;
   readonly routes: RoutesInForce;
@@ -20,6 +22,14 @@
   readonly run: (start: CallStart) => void;
 }
 
+/** Bounds of a graceful stop, monotonic time. */
+export interface DrainBounds {
+  /** Until then the balancer may send new connections. */
+  readonly balancedUntilMs: number;
+  /** When what is open is broken off. */
+  readonly stopsAtMs: number;
+}
+
 /** Largest head that is read; the configuration's own bound is below it. */
 const MAX_HEAD_BYTES = 65_536;
 /** Until the configuration names one. */
@@ -36,7 +46,7 @@
 
 /** Takes callers' requests: reads them whole, finds their route and team, and runs them. */
 export class ServingFront {
-  private stopsAtMs: number | undefined;
+  private draining: DrainBounds | undefined;
   private readonly server: Server;
 
   constructor(private readonly options: ServingFrontOptions) {
@@ -70,14 +80,9 @@
     });
   }
 
-  /**
-   * From now on every answer ends its connection, and streams that would hardly end in time are
-   * sent elsewhere.
-   *
-   * @param stopsAtMs - when what is open is broken off, monotonic time
-   */
-  drain(stopsAtMs: number): void {
-    this.stopsAtMs = stopsAtMs;
+  /** From now on every answer ends its connection, and long streams are sent elsewhere. */
+  drain(bounds: DrainBounds): void {
+    this.draining = bounds;
   }
 
   closeIdle(): void {
@@ -97,7 +102,7 @@
     const { clock, protocol } = this.options;
     const arrivedMs = clock.nowMs();
     const exchange = new CallerExchange({
-      closesAfter: () => this.stopsAtMs !== undefined,
+      closesAfter: () => this.draining !== undefined,
       protocol,
       request,
       response,
@@ -147,19 +152,29 @@
       return undefined;
     }
     if (route.kind === 'stream' && !this.endsInTime(call, arrivedMs)) {
-      exchange.refuse(refusal('DRAINING', 'this daemon stops', DRAINING_RETRY_AFTER_MS));
+      const retryAfterMs = this.comeBackAfterMs(arrivedMs);
+      exchange.refuse(refusal('DRAINING', 'this daemon stops', retryAfterMs));
       return undefined;
     }
     return { arrivedMs, body: undefined, call, exchange, route, service, team };
   }
 
   private endsInTime(call: CallerCall, arrivedMs: number): boolean {
-    if (this.stopsAtMs === undefined) {
+    if (!this.draining) {
       return true;
     }
+    const margin = this.options.neighbourTakesOver() ? LENGTH_MARGIN : 1;
     const outputTokens = call.prompt ? plannedOutputTokens(call.prompt, 0) : 0;
-    const lastsMs = STREAM_START_MS + outputTokens * MS_PER_TOKEN * LENGTH_MARGIN;
-    return arrivedMs + lastsMs < this.stopsAtMs;
+    const lastsMs = STREAM_START_MS + outputTokens * MS_PER_TOKEN * margin;
+    return arrivedMs + lastsMs < this.draining.stopsAtMs;
+  }
+
+  /** At once where another daemon of the domain takes over, else when the balancer has noticed. */
+  private comeBackAfterMs(nowMs: number): number {
+    if (this.options.neighbourTakesOver()) {
+      return DRAINING_RETRY_AFTER_MS;
+    }
+    return Math.max(DRAINING_RETRY_AFTER_MS, (this.draining?.balancedUntilMs ?? nowMs) - nowMs);
   }
 
   private readBody(request: IncomingMessage, start: CallStart): void {
--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/StreamMover.ts
@@ -1,5 +1,5 @@
-import type { BackendServer, EngineLimits } from '@laburnumgap/dispatch';
-import { orderMoves } from '@laburnumgap/dispatch';
+import type { BackendServer, EngineLimits, SelectedMove } from '@laburnumgap/dispatch';
+import { selectMoves } from '@laburnumgap/dispatch';
 import type { RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import { giveOrder } from './EngineOrders.js';
@@ -37,11 +37,11 @@
       expectedRemainingTokens: position.expectedRemainingTokens,
       requestId: toId<RequestId>(position.requestId),
     }));
-    for (const requestId of orderMoves(streams, MS_PER_TOKEN)) {
-      const run = movable.get(requestId)?.run;
+    for (const selected of selectMoves(streams, MS_PER_TOKEN)) {
+      const run = movable.get(selected.requestId)?.run;
       if (run) {
         run.setMoving(true);
-        void this.move(run, source, requestId);
+        void this.move(run, source, selected);
       }
     }
   }
@@ -62,17 +62,21 @@
   private async move(
     run: GenerationRun,
     source: BackendServer,
-    requestId: RequestId,
+    selected: SelectedMove,
   ): Promise<void> {
+    const { requestId } = selected;
     const tried = new Set<ServerId>([source.serverId]);
     for (let count = 0; count < MAX_TARGETS; count += 1) {
-      const target = await this.targetFor(run, source, requestId, tried);
+      const target = await this.targetFor(run, source, selected, tried);
       const position = run.position();
       if (!position || !target) {
         break;
       }
       tried.add(target.serverId);
-      if (await this.moveTo(run, position, source, target)) {
+      run.setCopyTarget(target.serverId);
+      const isSettled = await this.moveTo(run, position, source, target);
+      run.setCopyTarget(undefined);
+      if (isSettled) {
         break;
       }
       this.turns.done(requestId);
@@ -87,7 +91,7 @@
   private async targetFor(
     run: GenerationRun,
     source: BackendServer,
-    requestId: RequestId,
+    { endsSoon, requestId }: SelectedMove,
     tried: ReadonlySet<ServerId>,
   ): Promise<BackendServer | undefined> {
     const ranked = run.rankTargets(tried, source).slice(0, OFFERED_TARGETS);
@@ -95,7 +99,13 @@
     if (targetIds.length === 0) {
       return undefined;
     }
-    const outcome = await this.turns.want({ requestId, sourceId: source.serverId, targetIds });
+    const outcome = await this.turns.want({
+      endsSoon,
+      requestId,
+      sourceId: source.serverId,
+      targetIds,
+      usedTokens: run.position()?.usedTokens ?? 0,
+    });
     if (outcome.kind === 'turn') {
       return this.context.registry.get(outcome.targetId)?.server;
     }
