Let few daemons watch the store and pass on what changes

Cause: every daemon's own watch is a call at every change; on large fleets store calls are the largest price. Change: one live daemon in each failure domain watches, two at least; it pushes changes of servers and members; the others read only a new configuration. Whoever misses a push sees the newer revision in beats. Engines are asked whether they leave only when the store answers no live daemon. Ruled out: passing the configuration itself on (a link of 7 Mbit/s would queue for seconds).

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -10,4 +10,5 @@
 export * from './ServerHealth.js';
 export * from './ServerRegistry.js';
 export type * from './ServingConfiguration.js';
+export * from './StoreWatchers.js';
 export * from './StreamMoves.js';
--- a/packages/serving/src/DirectoryFollower.ts
+++ b/packages/serving/src/DirectoryFollower.ts
@@ -1,10 +1,13 @@
 import type { Result, Revision } from '@laburnumgap/kernel';
+import { success } from '@laburnumgap/kernel';
 import type { ServingLog } from './ServingLog.js';
 import type { DirectoryChanges, DirectoryError, PlatformDirectory } from './ServingPorts.js';
 
 /** Options of a follower. */
 export interface DirectoryFollowerOptions {
   readonly directory: PlatformDirectory;
+  /** Whether this daemon watches the store; the others are told what changes. */
+  readonly isWatcher: () => boolean;
   readonly log: ServingLog;
   /** Takes changes. `isWhole` says that what is not listed is gone. */
   readonly onChanges: (changes: DirectoryChanges, isWhole: boolean) => void;
@@ -14,7 +17,9 @@
 }
 
 /** A watch is renewed this often: one that went silent is noticed by then. */
-const WATCH_WAIT_MS = 5_000;
+const WATCH_WAIT_MS = 2_000;
+/** A daemon whose turn it is to watch begins within this. */
+const WATCHER_CHECK_MS = 50;
 const FIRST_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 800;
 
@@ -64,19 +69,30 @@
   private async follow(generation: number): Promise<void> {
     while (!this.isStopped && generation === this.generation) {
       const outcome = await this.step();
-      if (outcome.ok) {
+      if (!outcome.ok) {
+        await this.recover(outcome.error);
+      } else if (outcome.value) {
         this.isUnanswered = false;
         this.backoffMs = FIRST_BACKOFF_MS;
-        continue;
       }
-      await this.recover(outcome.error);
     }
   }
 
-  private async step(): Promise<Result<DirectoryChanges, DirectoryError>> {
-    const { directory, onChanges } = this.options;
+  /** Notes that everything up to a revision was learned from another daemon. */
+  advance(revision: Revision): void {
+    if (this.revision === undefined || revision > this.revision) {
+      this.revision = revision;
+    }
+  }
+
+  private async step(): Promise<Result<DirectoryChanges | undefined, DirectoryError>> {
+    const { directory, isWatcher, onChanges } = this.options;
     const after = this.revision;
     const isWhole = after === undefined;
+    if (!isWhole && !isWatcher()) {
+      await sleep(WATCHER_CHECK_MS);
+      return success(undefined);
+    }
     const outcome = isWhole
       ? await directory.readAll()
       : await directory.watch(after, WATCH_WAIT_MS);
@@ -101,8 +117,12 @@
     onUnanswered();
     const waitMs = this.backoffMs * (1 + randomUnit());
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
-    await new Promise((resolve) => {
-      setTimeout(resolve, waitMs);
-    });
+    await sleep(waitMs);
   }
 }
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -188,8 +188,7 @@
       engine: this.engine,
       failureDomain: moveFrom?.failureDomain ?? this.context.failureDomain,
       hasMemory: moveFrom !== undefined,
-      otherDomainCostMs:
-        moveFrom && FAR_MOVE_WEIGHT * copyMs(prompt.promptTokens, this.engine),
+      otherDomainCostMs: moveFrom && FAR_MOVE_WEIGHT * copyMs(prompt.promptTokens, this.engine),
       prompt,
       randomUnit,
     });
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -3,9 +3,22 @@
 import type { Server } from 'node:http';
 import { createServer, get } from 'node:http';
 import type { EngineLoad, EngineShare } from '@laburnumgap/dispatch';
-import type { FailureDomainId, MemberId, MonotonicClock, Revision, ServerId } from '@laburnumgap/kernel';
-import type { MoveMessage, PeerBeat, PeerSnapshot } from './PeerMessages.js';
-import { readBeat, readMoveMessage, readSnapshot } from './PeerMessages.js';
+import { selectWatchers } from '@laburnumgap/dispatch';
+import type {
+  FailureDomainId,
+  MemberId,
+  MonotonicClock,
+  Revision,
+  ServerId,
+} from '@laburnumgap/kernel';
+import type {
+  ChangesMessage,
+  MoveMessage,
+  PeerBeat,
+  PeerMessage,
+  PeerSnapshot,
+} from './PeerMessages.js';
+import { readBeat, readPeerMessage, readSnapshot } from './PeerMessages.js';
 import type { ServingLog } from './ServingLog.js';
 import type { MemberAddress } from './ServingPorts.js';
 
@@ -27,23 +40,24 @@
   readonly onBehind: (peer: MemberAddress) => void;
   /** Another daemon has heard that servers leave. */
   readonly onLeaving: (serverIds: readonly ServerId[]) => void;
-  readonly onMessage: (message: MoveMessage) => void;
+  readonly onMessage: (message: PeerMessage) => void;
   readonly ownShares: () => readonly EngineShare[];
   readonly position: () => { readonly configurationVersion: number; readonly revision: Revision };
   /** Daemons that may be there before the platform's store was read. */
   readonly seedHosts: readonly string[];
-  readonly snapshot: () => PeerSnapshot;
+  /** All that this daemon knows; the configuration only where it is newer than `knownVersion`. */
+  readonly snapshot: (knownVersion: number) => PeerSnapshot;
   readonly snapshotPort: number;
 }
 
 interface Peer extends MemberAddress {
   behindSinceMs: number | undefined;
+  failureDomain: FailureDomainId | undefined;
   /** Late beats of the daemon's earlier life are not taken. */
   formerIncarnation: number | undefined;
   heardMs: number | undefined;
   incarnation: number;
-  /** In the same failure domain, and takes new connections. */
-  isNeighbour: boolean;
+  isDraining: boolean;
   sequence: number;
   storeIsAway: boolean;
 }
@@ -52,8 +66,10 @@
 const BEAT_DELAY_MS = 10;
 /** Without changes, beats say that the daemon lives. */
 const BEAT_INTERVAL_MS = 500;
-/** Three beats lost in a row: the daemon is not asked for turns. */
-const LIVE_MS = 1_600;
+/** Two beats lost in a row: others do the work of the daemon. */
+const LIVE_MS = 1_200;
+/** A datagram that is not cut up much. */
+const MAX_PUSHED_BYTES = 8_000;
 /** The store's own changes reach all daemons well within this. */
 const BEHIND_MS = 250;
 const SNAPSHOT_TIMEOUT_MS = 1_000;
@@ -75,9 +91,11 @@
   constructor(private readonly options: PeerLinkOptions) {
     this.socket = createSocket('udp4');
     this.server = createServer((request, response) => {
-      const isKnown = request.url === SNAPSHOT_PATH;
+      const url = new URL(request.url ?? '/', 'http://peer');
+      const isKnown = url.pathname === SNAPSHOT_PATH;
       response.writeHead(isKnown ? 200 : 404, { 'Content-Type': 'application/json' });
-      response.end(isKnown ? JSON.stringify(options.snapshot()) : '{}');
+      const knownVersion = Number(url.searchParams.get('version') ?? 0);
+      response.end(isKnown ? JSON.stringify(options.snapshot(knownVersion)) : '{}');
     });
   }
 
@@ -149,32 +167,45 @@
 
   /** The live daemon with the smallest id; this one where it is that. */
   firstLive(): MemberId {
-    const nowMs = this.options.clock.nowMs();
     let first = this.options.memberId;
-    for (const { heardMs, memberId } of this.peers.values()) {
-      if (heardMs !== undefined && nowMs - heardMs < LIVE_MS && memberId < first) {
-        first = memberId;
-      }
+    for (const { memberId } of this.live()) {
+      first = memberId < first ? memberId : first;
     }
     return first;
   }
 
   /** Whether a live daemon of the same failure domain takes new connections. */
   hasNeighbour(): boolean {
-    const nowMs = this.options.clock.nowMs();
-    return [...this.peers.values()].some(
-      ({ heardMs, isNeighbour }) =>
-        isNeighbour && heardMs !== undefined && nowMs - heardMs < LIVE_MS,
-    );
+    const { failureDomain } = this.options;
+    return this.live().some((peer) => peer.failureDomain === failureDomain && !peer.isDraining);
   }
 
-  /** Whether a live daemon says that the store does not answer it. */
-  someMissStore(): boolean {
-    const nowMs = this.options.clock.nowMs();
-    return [...this.peers.values()].some(
-      ({ heardMs, storeIsAway }) =>
-        storeIsAway && heardMs !== undefined && nowMs - heardMs < LIVE_MS,
+  /** Whether this daemon watches the platform's store for others. */
+  isWatcher(): boolean {
+    const { failureDomain, isAlone, memberId } = this.options;
+    const candidates = this.live().flatMap((peer) =>
+      peer.failureDomain === undefined ? [] : [{ ...peer, failureDomain: peer.failureDomain }],
     );
+    const own = { failureDomain, memberId, storeIsAway: isAlone() };
+    return selectWatchers([...candidates, own]).has(memberId);
+  }
+
+  /** Whether the store answers no live daemon, this one included. */
+  allMissStore(): boolean {
+    return this.options.isAlone() && this.live().every(({ storeIsAway }) => storeIsAway);
+  }
+
+  /** Passes changes on to all daemons. Too large ones are fetched by those that see them missing. */
+  push(changes: ChangesMessage): void {
+    const bytes = Buffer.from(JSON.stringify(changes));
+    if (bytes.length > MAX_PUSHED_BYTES) {
+      return;
+    }
+    for (const { host } of this.peers.values()) {
+      this.socket.send(bytes, this.options.beatPort, host, () => {
+        // Whoever misses it sees the newer revision in the next beat.
+      });
+    }
   }
 
   /** Sends a message to one daemon. */
@@ -195,13 +226,13 @@
 
   /** Asks a daemon for all that it knows; undefined when it does not answer. */
   fetchSnapshot(host: string): Promise<PeerSnapshot | undefined> {
-    const { log, snapshotPort } = this.options;
+    const { log, position, snapshotPort } = this.options;
     return new Promise((resolve) => {
       const request = get(
         {
           agent: false,
           host,
-          path: SNAPSHOT_PATH,
+          path: `${SNAPSHOT_PATH}?version=${position().configurationVersion}`,
           port: snapshotPort,
           timeout: SNAPSHOT_TIMEOUT_MS,
         },
@@ -224,6 +255,13 @@
     });
   }
 
+  private live(): readonly Peer[] {
+    const nowMs = this.options.clock.nowMs();
+    return [...this.peers.values()].filter(
+      ({ heardMs }) => heardMs !== undefined && nowMs - heardMs < LIVE_MS,
+    );
+  }
+
   private otherSeeds(): readonly string[] {
     return this.options.seedHosts.filter((host) => host !== this.options.host);
   }
@@ -261,7 +299,7 @@
   private heard(bytes: Buffer): void {
     const beat = readBeat(bytes);
     if (!beat) {
-      const message = readMoveMessage(bytes);
+      const message = readPeerMessage(bytes);
       if (message) {
         this.options.onMessage(message);
       }
@@ -282,7 +320,8 @@
     peer.heardMs = clock.nowMs();
     peer.incarnation = beat.incarnation;
     peer.sequence = beat.sequence;
-    peer.isNeighbour = beat.failureDomain === this.options.failureDomain && !beat.isDraining;
+    peer.failureDomain = beat.failureDomain;
+    peer.isDraining = beat.isDraining;
     peer.storeIsAway = beat.storeIsAway;
     if (beat.isStopping) {
       this.peers.delete(beat.host);
@@ -316,11 +355,12 @@
     }
     const peer: Peer = {
       behindSinceMs: undefined,
+      failureDomain: undefined,
       formerIncarnation: undefined,
       heardMs: undefined,
       host,
       incarnation: 0,
-      isNeighbour: false,
+      isDraining: false,
       memberId,
       sequence: 0,
       storeIsAway: false,
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -36,6 +36,22 @@
   | { readonly kind: 'moveTurn'; readonly requestId: RequestId; readonly targetId: ServerId }
   | { readonly kind: 'moveWanted'; readonly wish: MoveWish };
 
+/** What a daemon that watches the store passes on. */
+export interface ChangesMessage {
+  readonly configurationVersion: number;
+  readonly host: string;
+  readonly kind: 'changes';
+  readonly members: readonly MemberAddress[];
+  readonly membersGone: readonly MemberId[];
+  readonly revision: Revision;
+  readonly servers: readonly ServerChange[];
+  /** The changes follow this revision without a gap. */
+  readonly sinceRevision: Revision;
+}
+
+/** A message between daemons beside the beats. */
+export type PeerMessage = ChangesMessage | MoveMessage;
+
 /** All that a daemon knows, for one that the store does not answer. */
 export interface PeerSnapshot {
   readonly configuration?: ServingConfiguration;
@@ -63,14 +79,16 @@
 }
 
 /**
- * Reads a message about turns.
+ * Reads a message that is no beat.
  *
  * @param bytes - a datagram
  * @returns the message, or undefined when it is none
  */
-export function readMoveMessage(bytes: Buffer): MoveMessage | undefined {
-  const message = parse(bytes.toString()) as Partial<MoveMessage> | undefined;
+export function readPeerMessage(bytes: Buffer): PeerMessage | undefined {
+  const message = parse(bytes.toString()) as Partial<PeerMessage> | undefined;
   switch (message?.kind) {
+    case 'changes':
+      return isChanges(message) ? message : undefined;
     case 'moveDone':
     case 'moveQueued':
     case 'moveTurn':
@@ -106,6 +124,16 @@
   }));
 }
 
+function isChanges(message: Partial<ChangesMessage>): message is ChangesMessage {
+  return (
+    typeof message.revision === 'number' &&
+    typeof message.sinceRevision === 'number' &&
+    Array.isArray(message.members) &&
+    Array.isArray(message.membersGone) &&
+    Array.isArray(message.servers)
+  );
+}
+
 function parse(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -24,7 +24,7 @@
 import { GenerationRun } from './GenerationRun.js';
 import { MoveTurnKeeper } from './MoveTurnKeeper.js';
 import { PeerLink } from './PeerLink.js';
-import type { PeerSnapshot } from './PeerMessages.js';
+import type { ChangesMessage, PeerSnapshot } from './PeerMessages.js';
 import { serverChangesOf } from './PeerMessages.js';
 import { PlainCallRun } from './PlainCallRun.js';
 import type { ServingContext } from './ServingContext.js';
@@ -172,7 +172,11 @@
         this.noteLeaving(serverIds, 'peer');
       },
       onMessage: (message) => {
-        this.turns.heard(message);
+        if (message.kind === 'changes') {
+          this.changesPushed(message);
+        } else {
+          this.turns.heard(message);
+        }
       },
       onBehind: (peer) => {
         this.follower.renew();
@@ -184,7 +188,7 @@
         revision: this.revision,
       }),
       seedHosts: settings.seedHosts,
-      snapshot: () => this.snapshot(),
+      snapshot: (knownVersion) => this.snapshot(knownVersion),
       snapshotPort: settings.peers.port,
     });
     this.reports = new EngineReports({
@@ -197,8 +201,10 @@
     });
     this.follower = new DirectoryFollower({
       directory,
+      isWatcher: () => this.peers.isWatcher(),
       log,
       onChanges: (changes, isWhole) => {
+        this.passOn(changes, isWhole);
         this.applyChanges(changes, isWhole);
       },
       onUnanswered: () => {
@@ -321,10 +327,53 @@
     changes.membersGone.forEach((memberId) => {
       this.peers.removeMember(memberId);
     });
-    this.noteRevision(changes.revision);
+    if (isWhole || !isEmpty(changes)) {
+      this.noteRevision(changes.revision);
+    }
     this.serversLeave(leaving, 'store');
   }
 
+  /** Tells the other daemons what a watch brought, so that few of them watch. */
+  private passOn(changes: DirectoryChanges, isWhole: boolean): void {
+    const { members, membersGone, revision, servers } = changes;
+    if (isWhole || isEmpty(changes)) {
+      return;
+    }
+    this.peers.push({
+      configurationVersion: changes.configuration?.version ?? 0,
+      host: this.options.settings.peers.host,
+      kind: 'changes',
+      members,
+      membersGone,
+      revision,
+      servers,
+      sinceRevision: this.revision,
+    });
+  }
+
+  private changesPushed(message: ChangesMessage): void {
+    if (message.configurationVersion > (this.table?.configuration.version ?? 0)) {
+      void this.readConfiguration(message.host);
+    }
+    const isKnown = message.revision <= this.revision;
+    if (isKnown || !this.hasServers || message.sinceRevision > this.revision) {
+      return;
+    }
+    this.applyChanges({ ...message, configuration: undefined, unreadable: [] }, false);
+    this.follower.advance(message.revision);
+  }
+
+  /** The store gives the configuration itself; another daemon does where the store does not. */
+  private async readConfiguration(otherwiseHost: string): Promise<void> {
+    const read = await this.options.directory.readConfiguration();
+    if (read.ok) {
+      this.applyConfiguration(new RouteTable(read.value), 'store');
+      return;
+    }
+    this.options.log.warn('configuration-not-read', read.error);
+    await this.learnFrom(otherwiseHost);
+  }
+
   private applyConfiguration(table: RouteTable, source: string): void {
     const { version } = table.configuration;
     if (version <= (this.table?.configuration.version ?? 0)) {
@@ -382,15 +431,17 @@
       const changes = serverChangesOf(snapshot);
       const leaving = this.registry.replace(changes, snapshot.revision, nowMs);
       this.hasServers = true;
+      this.follower.advance(snapshot.revision);
       this.noteRevision(snapshot.revision);
       this.serversLeave(leaving, `peer ${host}`);
     }
   }
 
-  private snapshot(): PeerSnapshot {
+  private snapshot(knownVersion: number): PeerSnapshot {
     const { memberId, peers } = this.options.settings;
+    const configuration = this.table?.configuration;
     return {
-      configuration: this.table?.configuration,
+      configuration: (configuration?.version ?? 0) > knownVersion ? configuration : undefined,
       members: [{ host: peers.host, memberId }, ...this.peers.members()],
       revision: this.revision,
       servers: this.registry.all(),
@@ -421,8 +472,7 @@
 
   /** While the store is silent, the engines themselves say whether they leave. */
   private askEngines(nowMs: number): void {
-    const isSilent = this.follower.isAway() || this.peers.someMissStore();
-    if (!isSilent || nowMs - this.askedMs < ASK_ENGINES_MS) {
+    if (!this.peers.allMissStore() || nowMs - this.askedMs < ASK_ENGINES_MS) {
       return;
     }
     this.askedMs = nowMs;
@@ -462,6 +512,10 @@
   }
 }
 
+function isEmpty({ configuration, members, membersGone, servers }: DirectoryChanges): boolean {
+  return !configuration && members.length + membersGone.length + servers.length === 0;
+}
+
 function addShares(sum: EngineShare | undefined, share: EngineShare): EngineShare {
   return {
     plannedTokens: Math.round((sum?.plannedTokens ?? 0) + share.plannedTokens),
--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -150,6 +150,8 @@
   ping(): Promise<boolean>;
   /** Reads everything. Its `revision` is that before the reading began. */
   readAll(): Promise<Result<DirectoryChanges, DirectoryError>>;
+  /** Reads the configuration alone. */
+  readConfiguration(): Promise<Result<ServingConfiguration, DirectoryError>>;
   register(member: MemberAddress): Promise<Result<undefined, DirectoryError>>;
   /** Waits for changes after a revision; empty after `waitMs`. */
   watch(after: Revision, waitMs: number): Promise<Result<DirectoryChanges, DirectoryError>>;
