--- a/packages/dispatch/src/StoreWatchers.ts
+++ b/packages/dispatch/src/StoreWatchers.ts
@@ -8,12 +8,12 @@
   readonly storeIsAway: boolean;
 }
 
-/** Fewest daemons that watch, so that the loss of one is no gap. */
-const MIN_WATCHERS = 2;
+/** Daemons that watch, so that the loss of one is no gap. */
+const WATCHERS = 2;
 
 /**
- * Selects the daemons that watch the platform's store and pass on what changes: one in each failure
- * domain, two at least. Answers a large fleet before a store that counts every call. Daemons that the
+ * Selects the daemons that watch the platform's store and pass on what changes: two, in different
+ * failure domains where there are some. Answers a large fleet before a store that counts every call. Daemons that the
  * store does not answer are left out while there are others. Views may differ: then more watch for a
  * while, and whoever hears from nobody watches by itself.
  *
@@ -27,13 +27,13 @@
   const domains = new Set<FailureDomainId>();
   const watchers = new Set<MemberId>();
   for (const { failureDomain, memberId } of sorted) {
-    if (!domains.has(failureDomain)) {
+    if (watchers.size < WATCHERS && !domains.has(failureDomain)) {
       domains.add(failureDomain);
       watchers.add(memberId);
     }
   }
   for (const { memberId } of sorted) {
-    if (watchers.size < MIN_WATCHERS) {
+    if (watchers.size < WATCHERS) {
       watchers.add(memberId);
     }
   }
