Tell load by domain on large fleets; let generations wait while no engine has room

Change: from 16 peers on, beats stay in the domain and its first daemon tells the sum to the first ones of the others; a generation waits where it arrived until an engine has room, for a part of its caller's patience; a prompt without a first token counts as at least half unread.

--- a/packages/dispatch/src/EngineLoad.ts
+++ b/packages/dispatch/src/EngineLoad.ts
@@ -27,6 +27,8 @@
 
 /** Prompt tokens that an engine reads in a millisecond beside other work, until it is measured. */
 const READING_TOKENS_PER_MS = 7;
+/** Part of an overdue prompt that counts as unread. */
+const OVERDUE_SHARE = 0.5;
 /** A daemon that was silent this long is dead, and its connections with it. */
 const MEMBER_SILENT_MS = 3_000;
 
@@ -56,6 +58,25 @@
     this.own = new Map(shares.map((share) => [share.serverId, share]));
   }
 
+  /**
+   * Sum of what this daemon and some others have, one share for each engine.
+   *
+   * @param memberIds - the others
+   * @param nowMs - monotonic time
+   * @returns the shares, sorted by engine
+   */
+  sumOf(memberIds: ReadonlySet<MemberId>, nowMs: number): readonly EngineShare[] {
+    const sums = new Map(this.own);
+    for (const [memberId, { atMs, shares }] of this.members) {
+      if (memberIds.has(memberId) && nowMs - atMs <= MEMBER_SILENT_MS) {
+        for (const share of shares.values()) {
+          sums.set(share.serverId, addShares(sums.get(share.serverId), share));
+        }
+      }
+    }
+    return [...sums.values()].sort((a, b) => (a.serverId < b.serverId ? -1 : 1));
+  }
+
   /** Load of one engine now. */
   totals(serverId: ServerId, nowMs: number): EngineTotals {
     const own = this.own.get(serverId) ?? NO_TOTALS;
@@ -69,7 +90,7 @@
       const share = shares.get(serverId);
       if (share) {
         plannedTokens += share.plannedTokens;
-        readingTokens += Math.max(0, share.readingTokens - ageMs * READING_TOKENS_PER_MS);
+        readingTokens += unreadTokens(share.readingTokens, ageMs);
         runs += share.runs;
         usedTokens += share.usedTokens;
       }
@@ -79,12 +100,31 @@
 }
 
 /**
- * Prompt tokens of a run that are still unread.
+ * Prompt tokens of a run without a first token that are still unread. Engines read prompts one after
+ * the other, so that a prompt which seems overdue stands behind others, or its engine is slow.
  *
  * @param promptTokens - length of the prompt
  * @param sinceSentMs - time since the run was sent
  * @returns tokens
  */
 export function unreadTokens(promptTokens: number, sinceSentMs: number): number {
-  return Math.max(0, promptTokens - sinceSentMs * READING_TOKENS_PER_MS);
+  const expected = promptTokens - sinceSentMs * READING_TOKENS_PER_MS;
+  return Math.max(promptTokens * OVERDUE_SHARE, expected);
+}
+
+/**
+ * Adds up two shares of one engine.
+ *
+ * @param sum - the sum so far, if any
+ * @param share - a further share
+ * @returns the new sum
+ */
+export function addShares(sum: EngineShare | undefined, share: EngineShare): EngineShare {
+  return {
+    plannedTokens: Math.round((sum?.plannedTokens ?? 0) + share.plannedTokens),
+    readingTokens: Math.round((sum?.readingTokens ?? 0) + share.readingTokens),
+    runs: (sum?.runs ?? 0) + share.runs,
+    serverId: share.serverId,
+    usedTokens: (sum?.usedTokens ?? 0) + share.usedTokens,
+  };
 }
--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -45,7 +45,7 @@
 const COST_PER_OVERRUN_TOKEN_MS = 2;
 /** Without a slot or memory for its prompt a run waits for another to end. */
 const NO_ROOM_COST_MS = 4_000;
-const DEFAULT_OTHER_DOMAIN_COST_MS = 15;
+const DEFAULT_OTHER_DOMAIN_COST_MS = 40;
 /** Cost of an engine where every call fails. */
 const FAILURE_COST_MS = 6_000;
 /** Random part of the cost. */
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,5 +1,6 @@
 export type * from './BackendServer.js';
 export * from './EngineLoad.js';
+export * from './GenerationAdmission.js';
 export * from './GenerationPlacement.js';
 export * from './KeptPrefixes.js';
 export * from './MoveTurns.js';
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -5,7 +5,13 @@
   Placement,
   PromptShape,
 } from '@laburnumgap/dispatch';
-import { copyMs, plannedOutputTokens, rankEngines, unreadTokens } from '@laburnumgap/dispatch';
+import {
+  admitGeneration,
+  copyMs,
+  plannedOutputTokens,
+  rankEngines,
+  unreadTokens,
+} from '@laburnumgap/dispatch';
 import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 import type { AnswerHead } from './AnswerParser.js';
@@ -23,6 +29,10 @@
 /** Prompt parts count as kept for this long after they were read. */
 const KEPT_PARTS_MS = 10_000;
 const MAX_URGENCY = 9;
+/** Callers give a stream up after the longest of these without an event. */
+const MIN_PATIENCE_MS = 2_000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_GAPS = 8;
 /** A copy between domains takes twice as long, and all copies behind it wait as well. */
 const FAR_MOVE_WEIGHT = 3;
 
@@ -75,6 +85,7 @@
   private sends = 0;
   private readonly timer: NodeJS.Timeout;
   private moving = false;
+  private waitTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly context: ServingContext,
@@ -251,22 +262,42 @@
   }
 
   private place(): void {
-    const placement = this.rankTargets(this.excluded)[0];
-    if (!placement) {
-      this.refuseNotRun('NO_ENGINE', 'no engine of the service takes the request');
-      return;
-    }
-    const { costMs, fits, server, totals } = placement;
-    this.context.log.info('generation-placed', {
-      costMs: Math.round(costMs),
-      fits,
-      plannedTokens: Math.round(totals.plannedTokens),
-      readingTokens: Math.round(totals.readingTokens),
-      requestId: this.start.call.requestId,
-      runs: totals.runs,
-      serverId: server.serverId,
+    const { arrivedMs, call, route } = this.start;
+    const { clock, log, randomUnit } = this.context;
+    const waitedMs = clock.nowMs() - arrivedMs;
+    const admission = admitGeneration({
+      best: this.rankTargets(this.excluded)[0],
+      patienceMs: patienceOf(this.start),
+      targetLatencyMs: route.targetLatencyMs,
+      waitedMs,
     });
-    this.sendTo(server, undefined);
+    switch (admission.kind) {
+      case 'refuse':
+        this.refuseNotRun('NO_ENGINE', 'no engine of the service takes the request');
+        break;
+      case 'send': {
+        const { costMs, fits, server, totals } = admission.placement;
+        log.info('generation-placed', {
+          costMs: Math.round(costMs),
+          fits,
+          plannedTokens: Math.round(totals.plannedTokens),
+          readingTokens: Math.round(totals.readingTokens),
+          requestId: call.requestId,
+          runs: totals.runs,
+          serverId: server.serverId,
+          waitedMs: Math.round(waitedMs),
+        });
+        this.sendTo(server, undefined);
+        break;
+      }
+      case 'wait':
+        this.waitTimer = setTimeout(
+          () => {
+            this.place();
+          },
+          admission.recheckAfterMs * (1 + randomUnit()),
+        );
+    }
   }
 
   private sendTo(server: BackendServer, continuation: Continuation | undefined): void {
@@ -516,6 +547,7 @@
   private finish(outcome: string): void {
     this.isDone = true;
     clearTimeout(this.timer);
+    clearTimeout(this.waitTimer);
     const { arrivedMs, call, route } = this.start;
     const nowMs = this.context.clock.nowMs();
     this.context.log.info('generation-ended', {
@@ -546,3 +578,13 @@
   const headers = head.headers.filter(([name]) => name.toLowerCase() !== 'content-length');
   return { ...head, headers };
 }
+
+/** Callers give up a stream that shows nothing for this long. */
+function patienceOf({ call, route }: CallStart): number {
+  const gapMs = Math.max(
+    MIN_PATIENCE_MS,
+    PATIENCE_TARGETS * route.targetLatencyMs,
+    PATIENCE_GAPS * route.maxEventGapMs,
+  );
+  return Math.min(gapMs, call.deadlineMs ?? Infinity, route.timeoutMs);
+}
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -11,11 +11,12 @@
   Revision,
   ServerId,
 } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
 import type {
   ChangesMessage,
+  DomainLoadMessage,
   MoveMessage,
   PeerBeat,
-  PeerMessage,
   PeerSnapshot,
 } from './PeerMessages.js';
 import { readBeat, readPeerMessage, readSnapshot } from './PeerMessages.js';
@@ -40,7 +41,7 @@
   readonly onBehind: (peer: MemberAddress) => void;
   /** Another daemon has heard that servers leave. */
   readonly onLeaving: (serverIds: readonly ServerId[]) => void;
-  readonly onMessage: (message: PeerMessage) => void;
+  readonly onMessage: (message: ChangesMessage | MoveMessage) => void;
   readonly ownShares: () => readonly EngineShare[];
   readonly position: () => { readonly configurationVersion: number; readonly revision: Revision };
   /** Daemons that may be there before the platform's store was read. */
@@ -68,6 +69,12 @@
 const BEAT_INTERVAL_MS = 500;
 /** Two beats lost in a row: others do the work of the daemon. */
 const LIVE_MS = 1_200;
+/** Daemons of other domains say this often that they live. */
+const FAR_BEAT_INTERVAL_MS = 2_000;
+const FAR_LIVE_MS = 5_000;
+/** From this many other daemons on, load is told by domain. */
+const FULL_MESH_PEERS = 16;
+const DOMAIN_LOAD_INTERVAL_MS = 250;
 /** A datagram that is not cut up much. */
 const MAX_PUSHED_BYTES = 8_000;
 /** The store's own changes reach all daemons well within this. */
@@ -81,6 +88,8 @@
  */
 export class PeerLink {
   private beatTimer: NodeJS.Timeout | undefined;
+  private domainTimer: NodeJS.Timeout | undefined;
+  private farBeatMs = -Infinity;
   private intervalTimer: NodeJS.Timeout | undefined;
   private isStopping = false;
   private readonly peers = new Map<string, Peer>();
@@ -117,12 +126,16 @@
     this.intervalTimer = setInterval(() => {
       this.beat();
     }, BEAT_INTERVAL_MS);
+    this.domainTimer = setInterval(() => {
+      this.tellDomainLoad();
+    }, DOMAIN_LOAD_INTERVAL_MS);
     this.beat();
   }
 
   stop(): void {
     this.isStopping = true;
     clearTimeout(this.beatTimer);
+    clearInterval(this.domainTimer);
     clearInterval(this.intervalTimer);
     this.beat();
     this.server.close();
@@ -139,6 +152,12 @@
     }, BEAT_DELAY_MS);
   }
 
+  /** Tells all daemons at once. */
+  noteUrgent(): void {
+    this.farBeatMs = -Infinity;
+    this.noteChanged();
+  }
+
   /** Takes a daemon that the platform's store names. */
   addMember(member: MemberAddress): void {
     if (member.host !== this.options.host) {
@@ -197,15 +216,11 @@
 
   /** Passes changes on to all daemons. Too large ones are fetched by those that see them missing. */
   push(changes: ChangesMessage): void {
-    const bytes = Buffer.from(JSON.stringify(changes));
-    if (bytes.length > MAX_PUSHED_BYTES) {
+    const text = JSON.stringify(changes);
+    if (text.length > MAX_PUSHED_BYTES) {
       return;
     }
-    for (const { host } of this.peers.values()) {
-      this.socket.send(bytes, this.options.beatPort, host, () => {
-        // Whoever misses it sees the newer revision in the next beat.
-      });
-    }
+    this.sendAll(text, [...this.peers.keys()]);
   }
 
   /** Sends a message to one daemon. */
@@ -257,9 +272,10 @@
 
   private live(): readonly Peer[] {
     const nowMs = this.options.clock.nowMs();
-    return [...this.peers.values()].filter(
-      ({ heardMs }) => heardMs !== undefined && nowMs - heardMs < LIVE_MS,
-    );
+    return [...this.peers.values()].filter((peer) => {
+      const liveMs = this.isNear(peer) ? LIVE_MS : FAR_LIVE_MS;
+      return peer.heardMs !== undefined && nowMs - peer.heardMs < liveMs;
+    });
   }
 
   private otherSeeds(): readonly string[] {
@@ -269,7 +285,7 @@
   private beat(): void {
     clearTimeout(this.beatTimer);
     this.beatTimer = undefined;
-    const { beatPort, failureDomain, host, incarnation, leavingIds, load, memberId } = this.options;
+    const { failureDomain, host, incarnation, leavingIds, load, memberId } = this.options;
     const shares = this.options.ownShares();
     load.setOwn(shares);
     this.sequence += 1;
@@ -287,11 +303,82 @@
       shares,
       storeIsAway: this.options.isAlone(),
     };
-    const bytes = Buffer.from(JSON.stringify(beat));
-    const hosts = new Set([...this.peers.keys(), ...this.otherSeeds()]);
-    for (const peerHost of hosts) {
-      this.socket.send(bytes, beatPort, peerHost, () => {
-        // A lost beat is followed by the next one.
+    this.sendAll(JSON.stringify(beat), [...this.nearHosts(), ...this.otherSeeds()]);
+    const nowMs = this.options.clock.nowMs();
+    if (isStopping || nowMs - this.farBeatMs >= FAR_BEAT_INTERVAL_MS) {
+      this.farBeatMs = nowMs;
+      this.sendAll(JSON.stringify({ ...beat, shares: [] }), this.farHosts());
+    }
+  }
+
+  /** The first daemon of a domain tells the first ones of the others what its domain has. */
+  private tellDomainLoad(): void {
+    const { clock, failureDomain, load } = this.options;
+    const far = this.live().filter((peer) => !this.isNear(peer));
+    if (far.length === 0 || !this.isFirstOfDomain()) {
+      return;
+    }
+    const firsts = new Map<FailureDomainId, Peer>();
+    for (const peer of far) {
+      const known = peer.failureDomain && firsts.get(peer.failureDomain);
+      if (peer.failureDomain && (!known || peer.memberId < known.memberId)) {
+        firsts.set(peer.failureDomain, peer);
+      }
+    }
+    const near = new Set(this.nearPeers().map(({ memberId }) => memberId));
+    const shares = load.sumOf(near, clock.nowMs());
+    const message: DomainLoadMessage = { failureDomain, kind: 'domainLoad', shares };
+    this.sendAll(
+      JSON.stringify(message),
+      [...firsts.values()].map(({ host }) => host),
+    );
+  }
+
+  private domainLoadHeard(message: DomainLoadMessage): void {
+    const { clock, failureDomain, load } = this.options;
+    if (message.failureDomain === failureDomain) {
+      return;
+    }
+    const source = toId<MemberId>(`domain ${message.failureDomain}`);
+    load.noteMember(source, message.shares, clock.nowMs());
+    if (this.isFirstOfDomain()) {
+      this.sendAll(JSON.stringify(message), this.nearHosts());
+    }
+  }
+
+  private isFirstOfDomain(): boolean {
+    const { failureDomain, memberId } = this.options;
+    return this.live().every(
+      (peer) => peer.failureDomain !== failureDomain || memberId < peer.memberId,
+    );
+  }
+
+  /** Small fleets tell everybody everything; in larger ones a domain keeps its beats to itself. */
+  private isNear(peer: Peer): boolean {
+    return (
+      this.peers.size < FULL_MESH_PEERS ||
+      peer.failureDomain === undefined ||
+      peer.failureDomain === this.options.failureDomain
+    );
+  }
+
+  private nearPeers(): readonly Peer[] {
+    return [...this.peers.values()].filter((peer) => this.isNear(peer));
+  }
+
+  private nearHosts(): readonly string[] {
+    return this.nearPeers().map(({ host }) => host);
+  }
+
+  private farHosts(): readonly string[] {
+    return [...this.peers.values()].filter((peer) => !this.isNear(peer)).map(({ host }) => host);
+  }
+
+  private sendAll(text: string, hosts: readonly string[]): void {
+    const bytes = Buffer.from(text);
+    for (const host of new Set(hosts)) {
+      this.socket.send(bytes, this.options.beatPort, host, () => {
+        // A lost datagram is followed by the next one.
       });
     }
   }
@@ -300,7 +387,9 @@
     const beat = readBeat(bytes);
     if (!beat) {
       const message = readPeerMessage(bytes);
-      if (message) {
+      if (message?.kind === 'domainLoad') {
+        this.domainLoadHeard(message);
+      } else if (message) {
         this.options.onMessage(message);
       }
       return;
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -49,8 +49,15 @@
   readonly sinceRevision: Revision;
 }
 
+/** What all daemons of a failure domain have at the engines, for the other domains. */
+export interface DomainLoadMessage {
+  readonly failureDomain: FailureDomainId;
+  readonly kind: 'domainLoad';
+  readonly shares: readonly EngineShare[];
+}
+
 /** A message between daemons beside the beats. */
-export type PeerMessage = ChangesMessage | MoveMessage;
+export type PeerMessage = ChangesMessage | DomainLoadMessage | MoveMessage;
 
 /** All that a daemon knows, for one that the store does not answer. */
 export interface PeerSnapshot {
@@ -89,6 +96,8 @@
   switch (message?.kind) {
     case 'changes':
       return isChanges(message) ? message : undefined;
+    case 'domainLoad':
+      return Array.isArray(message.shares) ? (message as DomainLoadMessage) : undefined;
     case 'moveDone':
     case 'moveQueued':
     case 'moveTurn':
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { BackendServer, EngineLimits, EngineShare } from '@laburnumgap/dispatch';
 import {
+  addShares,
   EngineLoad,
   KeptPrefixes,
   RouteTable,
@@ -397,7 +398,7 @@
     const news = serverIds.filter((serverId) => this.registry.noteLeaving(serverId));
     if (news.length > 0) {
       this.serversLeave(news, source);
-      this.peers.noteChanged();
+      this.peers.noteUrgent();
     }
   }
 
@@ -516,16 +517,6 @@
   return !configuration && members.length + membersGone.length + servers.length === 0;
 }
 
-function addShares(sum: EngineShare | undefined, share: EngineShare): EngineShare {
-  return {
-    plannedTokens: Math.round((sum?.plannedTokens ?? 0) + share.plannedTokens),
-    readingTokens: Math.round((sum?.readingTokens ?? 0) + share.readingTokens),
-    runs: (sum?.runs ?? 0) + share.runs,
-    serverId: share.serverId,
-    usedTokens: (sum?.usedTokens ?? 0) + share.usedTokens,
-  };
-}
-
 function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, ms);
