--- a/packages/serving/src/EngineOrders.ts
+++ b/packages/serving/src/EngineOrders.ts
@@ -55,7 +55,7 @@
   connection.send(
     {
       body: Buffer.from(order.body),
-      headers: order.headers,
+      headers: [['Host', `${server.host}:${server.port}`], ...order.headers],
       method: order.method,
       path: order.path,
     },
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -91,6 +91,7 @@
   private domainTimer: NodeJS.Timeout | undefined;
   private farBeatMs = -Infinity;
   private intervalTimer: NodeJS.Timeout | undefined;
+  private isClosed = false;
   private isStopping = false;
   private readonly peers = new Map<string, Peer>();
   private sequence = 0;
@@ -132,7 +133,11 @@
     this.beat();
   }
 
+  /** Says goodbye and closes. Calling it twice does nothing more. */
   stop(): void {
+    if (this.isStopping) {
+      return;
+    }
     this.isStopping = true;
     clearTimeout(this.beatTimer);
     clearInterval(this.domainTimer);
@@ -141,12 +146,16 @@
     this.server.close();
     this.server.closeAllConnections();
     setImmediate(() => {
+      this.isClosed = true;
       this.socket.close();
     });
   }
 
   /** Tells the others soon that something changed. */
   noteChanged(): void {
+    if (this.isStopping) {
+      return;
+    }
     this.beatTimer ??= setTimeout(() => {
       this.beat();
     }, BEAT_DELAY_MS);
@@ -225,11 +234,10 @@
 
   /** Sends a message to one daemon. */
   tell(message: MoveMessage, memberId: MemberId): void {
-    for (const peer of this.peers.values()) {
-      if (peer.memberId === memberId) {
-        this.socket.send(JSON.stringify(message), this.options.beatPort, peer.host);
-      }
-    }
+    const hosts = [...this.peers.values()]
+      .filter((peer) => peer.memberId === memberId)
+      .map(({ host }) => host);
+    this.sendAll(JSON.stringify(message), hosts);
   }
 
   /** A daemon to ask for a snapshot: one that was heard, or a seed. */
@@ -375,6 +383,9 @@
   }
 
   private sendAll(text: string, hosts: readonly string[]): void {
+    if (this.isClosed) {
+      return;
+    }
     const bytes = Buffer.from(text);
     for (const host of new Set(hosts)) {
       this.socket.send(bytes, this.options.beatPort, host, () => {
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -96,6 +96,7 @@
   private readonly follower: DirectoryFollower;
   private readonly front: ServingFront;
   private hasServers = false;
+  private isClosed = false;
   private isDraining = false;
   private readonly load = new EngineLoad();
   private readonly mover: StreamMover;
@@ -264,6 +265,7 @@
 
   /** Ends everything at once. */
   close(): void {
+    this.isClosed = true;
     clearInterval(this.tickTimer);
     this.follower.stop();
     this.peers.stop();
@@ -283,7 +285,7 @@
     const { directory, log, settings } = this.options;
     const member = { host: settings.peers.host, memberId: settings.memberId };
     let registered = await directory.register(member);
-    while (!registered.ok && !this.isDraining) {
+    while (!registered.ok && !this.isDraining && !this.isClosed) {
       log.warn('member-not-registered', registered.error);
       await sleep(REGISTER_RETRY_MS);
       registered = await directory.register(member);
