Write the log through a bound that never blocks

Cause: standard output is written synchronously to a pipe, so that a reader which stops would stop requests.

--- /dev/null
+++ b/packages/serving/src/__tests__/unit/BoundedLog.test.ts
@@ -0,0 +1,48 @@
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import test from 'ava';
+import { BoundedLog } from '../../index.js';
+
+function fileFor(teardown: (undo: () => void) => void): string {
+  const folder = mkdtempSync(join(tmpdir(), 'bounded-log-'));
+  teardown(() => {
+    rmSync(folder, { recursive: true });
+  });
+  return join(folder, 'log');
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+}
+
+test('a line holds the event and its fields', async (t) => {
+  const path = fileFor(t.teardown);
+  const fileDescriptor = openSync(path, 'w');
+  const log = new BoundedLog({ fileDescriptor, nowEpochMs: () => 0 });
+  log.info('call-ended', { detail: 'a b', missing: undefined, tookMs: 12 });
+  await until(() => readFileSync(path, 'utf8').endsWith('\n'));
+  t.is(
+    readFileSync(path, 'utf8'),
+    'time=1970-01-01T00:00:00.000Z level=info event=call-ended detail="a b" tookMs=12\n',
+  );
+  closeSync(fileDescriptor);
+});
+
+test('lines beyond the bound are dropped and counted', async (t) => {
+  const path = fileFor(t.teardown);
+  const fileDescriptor = openSync(path, 'w');
+  const log = new BoundedLog({ fileDescriptor, maxWaitingBytes: 200, nowEpochMs: () => 0 });
+  for (let line = 0; line < 50; line += 1) {
+    log.info('line', { line });
+  }
+  await until(() => readFileSync(path, 'utf8').includes('event=log-lines-dropped'));
+  const lines = readFileSync(path, 'utf8').trim().split('\n');
+  const kept = lines.filter((line) => line.includes('event=line ')).length;
+  t.true(lines.some((line) => line.includes(`lines=${50 - kept}`)));
+  closeSync(fileDescriptor);
+});
