Trial: keep copies of memory at light load; a copy is tried once

Change: while memory is spare another engine keeps a copy as the run grows; a broken stream goes on there.

--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -7,6 +7,7 @@
 } from '@laburnumgap/dispatch';
 import {
   admitGeneration,
+  chooseCopyHolder,
   copyMs,
   plannedOutputTokens,
   rankEngines,
@@ -71,6 +72,8 @@
  * unless its route lets it start anew after its last event.
  */
 export class GenerationRun {
+  /** Keeps a copy of the run's memory as it grows. */
+  private copyHolder: BackendServer | undefined;
   private copyTargetId: ServerId | undefined;
   private events = 0;
   private readonly excluded = new Set<ServerId>();
@@ -114,8 +117,9 @@
     if (!share) {
       return [];
     }
-    const { copyTargetId } = this;
-    return copyTargetId === undefined ? [share] : [share, { ...share, serverId: copyTargetId }];
+    return [share.serverId, this.copyHolder?.serverId, this.copyTargetId]
+      .filter((serverId) => serverId !== undefined)
+      .map((serverId, index) => (index === 0 ? share : copyOf(share, serverId)));
   }
 
   private share(nowMs: number): EngineShare | undefined {
@@ -229,9 +233,9 @@
     this.sendTo(continuation.server, continuation);
   }
 
-  /** Ends a stream that can't go on. */
+  /** Goes on from a copy that is kept elsewhere, or ends a stream that can't go on. */
   breakOff(reason: string): void {
-    if (this.isDone) {
+    if (this.isDone || this.continuesFromCopy(reason)) {
       return;
     }
     this.dropLeg();
@@ -257,6 +261,36 @@
     this.refuse('OUTCOME_UNKNOWN', `the engine's stream broke: ${reason}`);
   }
 
+  private continuesFromCopy(reason: string): boolean {
+    const holder = this.copyHolder;
+    this.copyHolder = undefined;
+    const isThere = holder && this.context.registry.get(holder.serverId)?.leaving === false;
+    if (!isThere) {
+      return false;
+    }
+    const { requestId } = this.start.call;
+    this.context.log.info('stream-continues-from-copy', {
+      events: this.events,
+      reason,
+      requestId,
+      serverId: holder.serverId,
+    });
+    this.continueAt({
+      from: { handle: requestId, host: holder.host, port: holder.port },
+      server: holder,
+    });
+    return true;
+  }
+
+  private chooseCopyHolder(server: BackendServer): BackendServer | undefined {
+    const { engine, prompt } = this;
+    return chooseCopyHolder({
+      engine,
+      plannedTokens: prompt.promptTokens + plannedOutputTokens(prompt, this.producedTokens()),
+      ranked: this.rankTargets(new Set([server.serverId]), server),
+    });
+  }
+
   private producedTokens(): number {
     return this.events * this.engine.tokensPerEvent;
   }
@@ -310,6 +344,7 @@
       splitter: new EventSplitter(),
     };
     this.leg = leg;
+    this.copyHolder = this.chooseCopyHolder(server);
     prefixes.note(this.prompt.parts, server.serverId, nowMs);
     noteLoadChanged();
     connections.acquire(server, {
@@ -348,6 +383,7 @@
     this.sends += continuation ? 0 : 1;
     const lastEventId = this.lastEventId ?? call.lastEventId;
     const headers = protocol.requestHeaders(call, {
+      copyTo: this.copyHolder,
       deadlineMs: timeLeftMs(this.start, clock.nowMs()),
       from: continuation?.from,
       lastEventId: continuation || this.events > 0 ? (lastEventId ?? '0') : undefined,
@@ -468,6 +504,8 @@
       return;
     }
     this.leg = undefined;
+    // The holder was chosen for a run that did not begin here: it has nothing.
+    this.copyHolder = undefined;
     this.context.noteLoadChanged();
     if (continuation) {
       this.context.log.warn('continuation-refused', {
@@ -573,6 +611,11 @@
   );
 }
 
+/** A copy holds memory, and neither reads nor runs. */
+function copyOf(share: EngineShare, serverId: ServerId): EngineShare {
+  return { ...share, readingTokens: 0, runs: 0, serverId };
+}
+
 /** A stream that goes on elsewhere has no length that is known ahead. */
 function withoutLength(head: AnswerHead): AnswerHead {
   const headers = head.headers.filter(([name]) => name.toLowerCase() !== 'content-length');
