--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -7,7 +7,6 @@
 } from '@laburnumgap/dispatch';
 import {
   admitGeneration,
-  chooseCopyHolder,
   copyMs,
   plannedOutputTokens,
   rankEngines,
@@ -72,8 +71,6 @@
  * unless its route lets it start anew after its last event.
  */
 export class GenerationRun {
-  /** Keeps a copy of the run's memory as it grows. */
-  private copyHolder: BackendServer | undefined;
   private copyTargetId: ServerId | undefined;
   private events = 0;
   private readonly excluded = new Set<ServerId>();
@@ -117,9 +114,8 @@
     if (!share) {
       return [];
     }
-    return [share.serverId, this.copyHolder?.serverId, this.copyTargetId]
-      .filter((serverId) => serverId !== undefined)
-      .map((serverId, index) => (index === 0 ? share : copyOf(share, serverId)));
+    const { copyTargetId } = this;
+    return copyTargetId === undefined ? [share] : [share, { ...share, serverId: copyTargetId }];
   }
 
   private share(nowMs: number): EngineShare | undefined {
@@ -233,9 +229,9 @@
     this.sendTo(continuation.server, continuation);
   }
 
-  /** Goes on from a copy that is kept elsewhere, or ends a stream that can't go on. */
+  /** Ends a stream that can't go on. */
   breakOff(reason: string): void {
-    if (this.isDone || this.continuesFromCopy(reason)) {
+    if (this.isDone) {
       return;
     }
     this.dropLeg();
@@ -261,36 +257,6 @@
     this.refuse('OUTCOME_UNKNOWN', `the engine's stream broke: ${reason}`);
   }
 
-  private continuesFromCopy(reason: string): boolean {
-    const holder = this.copyHolder;
-    this.copyHolder = undefined;
-    const isThere = holder && this.context.registry.get(holder.serverId)?.leaving === false;
-    if (!isThere) {
-      return false;
-    }
-    const { requestId } = this.start.call;
-    this.context.log.info('stream-continues-from-copy', {
-      events: this.events,
-      reason,
-      requestId,
-      serverId: holder.serverId,
-    });
-    this.continueAt({
-      from: { handle: requestId, host: holder.host, port: holder.port },
-      server: holder,
-    });
-    return true;
-  }
-
-  private chooseCopyHolder(server: BackendServer): BackendServer | undefined {
-    const { engine, prompt } = this;
-    return chooseCopyHolder({
-      engine,
-      plannedTokens: prompt.promptTokens + plannedOutputTokens(prompt, this.producedTokens()),
-      ranked: this.rankTargets(new Set([server.serverId]), server),
-    });
-  }
-
   private producedTokens(): number {
     return this.events * this.engine.tokensPerEvent;
   }
@@ -344,7 +310,6 @@
       splitter: new EventSplitter(),
     };
     this.leg = leg;
-    this.copyHolder = this.chooseCopyHolder(server);
     prefixes.note(this.prompt.parts, server.serverId, nowMs);
     noteLoadChanged();
     connections.acquire(server, {
@@ -383,7 +348,6 @@
     this.sends += continuation ? 0 : 1;
     const lastEventId = this.lastEventId ?? call.lastEventId;
     const headers = protocol.requestHeaders(call, {
-      copyTo: this.copyHolder,
       deadlineMs: timeLeftMs(this.start, clock.nowMs()),
       from: continuation?.from,
       lastEventId: continuation || this.events > 0 ? (lastEventId ?? '0') : undefined,
@@ -504,8 +468,6 @@
       return;
     }
     this.leg = undefined;
-    // The holder was chosen for a run that did not begin here: it has nothing.
-    this.copyHolder = undefined;
     this.context.noteLoadChanged();
     if (continuation) {
       this.context.log.warn('continuation-refused', {
@@ -611,11 +573,6 @@
   );
 }
 
-/** A copy holds memory, and neither reads nor runs. */
-function copyOf(share: EngineShare, serverId: ServerId): EngineShare {
-  return { ...share, readingTokens: 0, runs: 0, serverId };
-}
-
 /** A stream that goes on elsewhere has no length that is known ahead. */
 function withoutLength(head: AnswerHead): AnswerHead {
   const headers = head.headers.filter(([name]) => name.toLowerCase() !== 'content-length');
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -320,6 +320,12 @@
       this.applyConfiguration(new RouteTable(changes.configuration), 'store');
     }
     const nowMs = clock.nowMs();
+    for (const { revision, server } of changes.servers) {
+      if (server && !this.registry.get(server.serverId)) {
+        const { serverId, service } = server;
+        log.info('server-known', { revision, serverId, service });
+      }
+    }
     const leaving = isWhole
       ? this.registry.replace(changes.servers, changes.revision, nowMs)
       : this.registry.apply(changes.servers, nowMs);
