Let a stream run on when the last piece of its move was refused

Change: after such an answer the stream counts as stopped only once it has closed. Ruled out: a lost handle (the continuation named the source's); a crash (the engine lived 0.7 s longer). Test: 'a stream stays where it runs ...', red before.

--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -208,13 +208,13 @@
   /**
    * Calls back once the stream of the stopped run has closed, or at once when it has.
    *
-   * @param listener - told when no further event comes from the old engine
+   * @param listener - told when no further event comes from the old engine; undefined ends the wait
    */
-  whenLegClosed(listener: () => void): void {
+  whenLegClosed(listener: (() => void) | undefined): void {
     if (this.leg) {
       this.onLegClosed = listener;
     } else {
-      listener();
+      listener?.();
     }
   }
 
--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -40,8 +40,6 @@
 
 /** What the system adds to a call that it sends to a server. */
 export interface BackendCallOptions {
-  /** Engine that keeps a copy of the run's memory as it grows. */
-  readonly copyTo?: BackendServer;
   readonly deadlineMs: number;
   /** Memory from which the run goes on, after `lastEventId`. */
   readonly from?: RunMemory;
--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/StreamMover.ts
@@ -141,11 +141,15 @@
     if (last.kind === 'unreadable' && run.serverId() !== undefined) {
       return true;
     }
-    await legClosed(run);
+    const isClosed = await legClosed(run);
     if (run.hasEnded()) {
       this.dropCopy(source, handle);
       return true;
     }
+    if (last.kind === 'noRoom' && !isClosed) {
+      // The engine refused before it stopped the run, which goes on there.
+      return false;
+    }
     this.continueRun(run, source, target, handle, last.kind === 'noRoom');
     return true;
   }
@@ -204,12 +208,16 @@
   }
 }
 
-function legClosed(run: GenerationRun): Promise<void> {
+/** Waits for the end of the old stream. False when it goes on. */
+function legClosed(run: GenerationRun): Promise<boolean> {
   return new Promise((resolve) => {
-    const timer = setTimeout(resolve, LEG_CLOSE_TIMEOUT_MS);
+    const timer = setTimeout(() => {
+      run.whenLegClosed(undefined);
+      resolve(false);
+    }, LEG_CLOSE_TIMEOUT_MS);
     run.whenLegClosed(() => {
       clearTimeout(timer);
-      resolve();
+      resolve(true);
     });
   });
 }
