--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,6 +9,7 @@
       'eslint.config.js',
       'node_modules/**',
       'packages/*/bin/**',
+      'target/**',
     ],
   },
   eslint.configs.recommended,
