Move streams whose connection went silent; apply the limit on headers

Cause: connections may go silent for good without a reset; a stream on one was lost with its caller's patience. Change: after 2.5 s without an event the run is stopped over a new connection and goes on at another engine. Tests: both red before.

--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -62,6 +62,8 @@
   readonly isMoving: boolean;
   readonly requestId: string;
   readonly server: BackendServer;
+  /** Time since the last event. */
+  readonly silentMs: number;
   readonly usedTokens: number;
 }
 
@@ -77,6 +79,7 @@
   private firstEventMs: number | undefined;
   private isDone = false;
   private lastEventId: string | undefined;
+  private lastEventMs = 0;
   private leg: Leg | undefined;
   private moves = 0;
   /** Set while the run is stopped at one engine to go on at another. */
@@ -148,6 +151,7 @@
       isMoving: this.moving,
       requestId: this.start.call.requestId,
       server: leg.server,
+      silentMs: this.context.clock.nowMs() - this.lastEventMs,
       usedTokens: prompt.promptTokens + producedTokens,
     };
   }
@@ -394,6 +398,7 @@
       this.context.noteLoadChanged();
     }
     this.events += whole.count;
+    this.lastEventMs = this.context.clock.nowMs();
     this.lastEventId = whole.lastEventId ?? this.lastEventId;
     if (!exchange.write(whole.bytes)) {
       leg.connection?.pause();
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -510,6 +510,7 @@
     const nowMs = this.options.clock.nowMs();
     this.serversLeave(this.registry.expireLapsed(nowMs), 'lapsed');
     this.connections.closeExpired();
+    this.mover.moveSilent();
     for (const { leaving, server } of this.registry.all()) {
       if (leaving && this.engineOf(server)) {
         this.mover.moveFrom(server.serverId);
--- a/packages/serving/src/ServingFront.ts
+++ b/packages/serving/src/ServingFront.ts
@@ -116,12 +116,22 @@
       exchange.refuse(refusal('MALFORMED_REQUEST', read.error));
       return;
     }
+    if (this.exceedsHead(request)) {
+      exchange.refuse(refusal('REQUEST_TOO_LARGE', 'the headers exceed the limit'));
+      return;
+    }
     const start = this.admit(read.value, exchange, arrivedMs);
     if (start) {
       this.readBody(request, start);
     }
   }
 
+  private exceedsHead(request: IncomingMessage): boolean {
+    const limits = this.options.routes.current()?.configuration.limits;
+    const bytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+    return bytes > (limits?.maxHeaderBytes ?? MAX_HEAD_BYTES);
+  }
+
   private admit(
     call: CallerCall,
     exchange: CallerExchange,
--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/StreamMover.ts
@@ -10,6 +10,8 @@
 
 /** Expected time for one output token on a busy engine. */
 const MS_PER_TOKEN = 10;
+/** Longer than a preempted run waits as a rule, and well inside a caller's patience. */
+const SILENT_MS = 2_500;
 /** A stream that was stopped has closed by then; later its events are given up. */
 const LEG_CLOSE_TIMEOUT_MS = 200;
 const MAX_TARGETS = 3;
@@ -46,6 +48,30 @@
     }
   }
 
+  /**
+   * Moves streams whose engine has said nothing for long. Answers connections that go silent without
+   * a reset while new ones work: the run is stopped over a new connection and goes on elsewhere.
+   */
+  moveSilent(): void {
+    for (const run of this.runs) {
+      const position = run.position();
+      if (!position || position.isMoving || position.silentMs < SILENT_MS) {
+        continue;
+      }
+      const { requestId, server, silentMs } = position;
+      if (this.engineOf(server)?.canMove) {
+        this.context.log.warn('stream-silent', {
+          requestId,
+          serverId: server.serverId,
+          silentMs: Math.round(silentMs),
+        });
+        this.context.connections.close(server.serverId);
+        run.setMoving(true);
+        void this.move(run, server, { endsSoon: false, requestId: toId<RequestId>(requestId) });
+      }
+    }
+  }
+
   private movableAt(
     serverId: ServerId,
   ): ReadonlyMap<string, { position: RunPosition; run: GenerationRun }> {
