Start a stream anew on no more servers than its route allows

Cause: found by reading: the number of restarts was bound by the budget alone. Test: 'a stream that may start anew ...', red without the bound (it went on to a third server).

--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -240,11 +240,8 @@
     }
     this.dropLeg();
     const { route } = this.start;
-    if (
-      route.mayRestartStream &&
-      this.events > 0 &&
-      this.context.budget.takeRetry(this.start.service.service)
-    ) {
+    const mayRestart = route.mayRestartStream && this.events > 0 && this.sends < route.maxServers;
+    if (mayRestart && this.context.budget.takeRetry(this.start.service.service)) {
       this.context.log.info('stream-restarted', {
         events: this.events,
         reason,
