Forget the health of servers that are gone; keep one copy of the header lists

Cause: found by reading: the health of each server that ever was stayed in memory; two files held one function, and two members were used by nobody. No change of what a request meets.

--- a/packages/serving/src/AnswerParser.ts
+++ b/packages/serving/src/AnswerParser.ts
@@ -1,4 +1,5 @@
 import { HTTPParser } from 'http-parser-js';
+import { pairsOf, valuesOf } from './HeaderLists.js';
 import type { HeaderList } from './ServingPorts.js';
 
 /** Head of a server's answer. */
@@ -115,14 +116,6 @@
   parser.state = parser.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK';
 }
 
-function pairsOf(flat: readonly string[]): HeaderList {
-  const pairs: [string, string][] = [];
-  for (let index = 0; index + 1 < flat.length; index += 2) {
-    pairs.push([flat[index] ?? '', flat[index + 1] ?? '']);
-  }
-  return pairs;
-}
-
 function framingFault(headers: HeaderList): string | undefined {
   const lengths = valuesOf(headers, 'content-length');
   if (lengths.length > 1 || lengths.some((length) => !CONTENT_LENGTH.test(length))) {
@@ -137,14 +130,3 @@
   }
   return undefined;
 }
-
-/**
- * Values of a header.
- *
- * @param headers - all headers
- * @param lowerName - name in lower case
- * @returns the values in their order
- */
-export function valuesOf(headers: HeaderList, lowerName: string): readonly string[] {
-  return headers.filter(([name]) => name.toLowerCase() === lowerName).map(([, value]) => value);
-}
--- a/packages/serving/src/BackendConnections.ts
+++ b/packages/serving/src/BackendConnections.ts
@@ -18,18 +18,12 @@
 /** Connections to all backend servers, kept while they are idle; the newest is used first. */
 export class BackendConnections {
   private readonly idle = new Map<ServerId, BackendConnection[]>();
-  private openCount = 0;
 
   constructor(
     private readonly clock: MonotonicClock,
     private readonly connectTimeoutMs = CONNECT_TIMEOUT_MS,
   ) {}
 
-  /** Connections opened so far. */
-  opened(): number {
-    return this.openCount;
-  }
-
   /** Gives an idle connection or opens one. */
   acquire(server: BackendServer, waiter: ConnectionWaiter): void {
     const kept = this.takeIdle(server.serverId);
@@ -37,7 +31,6 @@
       waiter.onConnected(kept);
       return;
     }
-    this.openCount += 1;
     new BackendConnection({
       connectTimeoutMs: this.connectTimeoutMs,
       host: server.host,
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -57,7 +57,6 @@
 
 /** Where the run is, for the moves. */
 export interface RunPosition {
-  readonly eventsPassedOn: number;
   readonly expectedRemainingTokens: number;
   readonly isMoving: boolean;
   readonly requestId: string;
@@ -121,23 +120,6 @@
     return copyTargetId === undefined ? [share] : [share, { ...share, serverId: copyTargetId }];
   }
 
-  private share(nowMs: number): EngineShare | undefined {
-    const { leg, prompt } = this;
-    if (!leg) {
-      return undefined;
-    }
-    const producedTokens = this.producedTokens();
-    const reading =
-      this.events > 0 || leg.resumes ? 0 : unreadTokens(prompt.promptTokens, nowMs - leg.sentMs);
-    return {
-      plannedTokens: prompt.promptTokens + plannedOutputTokens(prompt, producedTokens),
-      readingTokens: reading,
-      runs: 1,
-      serverId: leg.server.serverId,
-      usedTokens: prompt.promptTokens + producedTokens,
-    };
-  }
-
   /** Where the run is, or undefined when it can't be moved. */
   position(): RunPosition | undefined {
     const { leg, prompt } = this;
@@ -146,7 +128,6 @@
     }
     const producedTokens = this.producedTokens();
     return {
-      eventsPassedOn: this.events,
       expectedRemainingTokens: plannedOutputTokens(prompt, producedTokens) - producedTokens,
       isMoving: this.moving,
       requestId: this.start.call.requestId,
@@ -258,6 +239,23 @@
     this.refuse('OUTCOME_UNKNOWN', `the engine's stream broke: ${reason}`);
   }
 
+  private share(nowMs: number): EngineShare | undefined {
+    const { leg, prompt } = this;
+    if (!leg) {
+      return undefined;
+    }
+    const producedTokens = this.producedTokens();
+    const reading =
+      this.events > 0 || leg.resumes ? 0 : unreadTokens(prompt.promptTokens, nowMs - leg.sentMs);
+    return {
+      plannedTokens: prompt.promptTokens + plannedOutputTokens(prompt, producedTokens),
+      readingTokens: reading,
+      runs: 1,
+      serverId: leg.server.serverId,
+      usedTokens: prompt.promptTokens + producedTokens,
+    };
+  }
+
   private producedTokens(): number {
     return this.events * this.engine.tokensPerEvent;
   }
--- /dev/null
+++ b/packages/serving/src/HeaderLists.ts
@@ -0,0 +1,26 @@
+import type { HeaderList } from './ServingPorts.js';
+
+/**
+ * Pairs names and values that stand one after the other.
+ *
+ * @param flat - name, value, name, value
+ * @returns the pairs
+ */
+export function pairsOf(flat: readonly string[]): HeaderList {
+  const pairs: [string, string][] = [];
+  for (let index = 0; index + 1 < flat.length; index += 2) {
+    pairs.push([flat[index] ?? '', flat[index + 1] ?? '']);
+  }
+  return pairs;
+}
+
+/**
+ * Values of a header.
+ *
+ * @param headers - all headers
+ * @param lowerName - name in lower case
+ * @returns the values in their order
+ */
+export function valuesOf(headers: HeaderList, lowerName: string): readonly string[] {
+  return headers.filter(([name]) => name.toLowerCase() === lowerName).map(([, value]) => value);
+}
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -509,6 +509,7 @@
   private tick(): void {
     const nowMs = this.options.clock.nowMs();
     this.serversLeave(this.registry.expireLapsed(nowMs), 'lapsed');
+    this.context.health.keepOnly((serverId) => this.registry.get(serverId) !== undefined);
     this.connections.closeExpired();
     this.mover.moveSilent();
     for (const { leaving, server } of this.registry.all()) {
--- a/packages/serving/src/ServingFront.ts
+++ b/packages/serving/src/ServingFront.ts
@@ -6,9 +6,10 @@
 import { refusal } from '@laburnumgap/kernel';
 import type { CallStart } from './CallStart.js';
 import { CallerExchange } from './CallerExchange.js';
+import { pairsOf } from './HeaderLists.js';
 import type { RoutesInForce } from './ServingContext.js';
 import { DRAINING_RETRY_AFTER_MS, STARTING_RETRY_AFTER_MS } from './ServingConstants.js';
-import type { CallerCall, HeaderList, WireProtocol } from './ServingPorts.js';
+import type { CallerCall, WireProtocol } from './ServingPorts.js';
 
 /** Options of the side that callers reach. */
 export interface ServingFrontOptions {
@@ -225,11 +226,3 @@
     request.headers['content-length'] !== undefined
   );
 }
-
-function pairsOf(flat: readonly string[]): HeaderList {
-  const pairs: [string, string][] = [];
-  for (let index = 0; index + 1 < flat.length; index += 2) {
-    pairs.push([flat[index] ?? '', flat[index + 1] ?? '']);
-  }
-  return pairs;
-}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -11,6 +11,7 @@
 export * from './EngineReports.js';
 export * from './EventSplitter.js';
 export * from './GenerationRun.js';
+export * from './HeaderLists.js';
 export * from './MoveTurnKeeper.js';
 export * from './PeerLink.js';
 export * from './PeerMessages.js';
