--- a/packages/dispatch/src/EngineLoad.ts
+++ b/packages/dispatch/src/EngineLoad.ts
@@ -25,8 +25,8 @@
   readonly shares: ReadonlyMap<ServerId, EngineShare>;
 }
 
-/** Prompt tokens that an engine reads in a millisecond beside other work, until it is measured. */
-const READING_TOKENS_PER_MS = 7;
+/** Prompt tokens that an engine reads in a millisecond while other requests decode. */
+export const READING_TOKENS_PER_MS = 7;
 /** Part of an overdue prompt that counts as unread. */
 const OVERDUE_SHARE = 0.5;
 /** A daemon that was silent this long is dead, and its connections with it. */
--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -1,6 +1,7 @@
 import type { FailureDomainId, ServerId } from '@laburnumgap/kernel';
 import type { BackendServer } from './BackendServer.js';
 import type { EngineTotals } from './EngineLoad.js';
+import { READING_TOKENS_PER_MS } from './EngineLoad.js';
 import type { PromptShape } from './PromptShape.js';
 import type { EngineLimits } from './ServingConfiguration.js';
 
@@ -37,8 +38,6 @@
   readonly totals: EngineTotals;
 }
 
-/** Prompt tokens read in a millisecond while other requests decode. */
-const READING_TOKENS_PER_MS = 7;
 /** Each run makes every further token of all others later. */
 const COST_PER_RUN_MS = 25;
 /** Tokens over the memory are read again after a preemption, and hold up the whole engine. */
--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -22,7 +22,7 @@
 export interface ServerRegistryOptions {
   /** Time for which a lapsed entry is waited for. */
   readonly lapseHoldMs?: number;
-  /** Share of a service's entries that vanish at once when the store itself lost them. */
+  /** Share of all live entries that vanish at once when the store itself lost them. */
   readonly massLapseShare?: number;
   /** Fewest entries that count as a mass lapse. */
   readonly minMassLapse?: number;
@@ -38,7 +38,7 @@
 
 /**
  * The backend servers by revision. Never goes back to an older entry. A server whose entry goes is
- * leaving; only when most entries of a service go at once are they held as lapsed for a while,
+ * leaving; only when half of all live entries go at once are they held as lapsed for a while,
  * because the store drops entries of live servers while it is away.
  */
 export class ServerRegistry {
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -3,6 +3,7 @@
 export * from './KernelDecision.js';
 export type * from './KernelEngine.js';
 export type * from './KernelGenerationHome.js';
+export * from './KernelHttpHeaders.js';
 export * from './KernelIds.js';
 export * from './KernelInvariant.js';
 export type * from './KernelMembership.js';
--- a/packages/plain-calls/src/PlainCallHeaders.ts
+++ b/packages/plain-calls/src/PlainCallHeaders.ts
@@ -1,20 +1,8 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import { CONNECTION_HEADERS } from '@laburnumgap/kernel';
 
 /** Headers that hold for one connection, or that the sender sets itself. */
-const CONNECTION_HEADERS = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+const SENDER_HEADERS: ReadonlySet<string> = new Set([...CONNECTION_HEADERS, 'host']);
 
 /** A caller's key opens its contract; servers never see it. */
 const CALLER_SECRET_HEADERS = new Set(['authorization', 'cookie']);
@@ -60,7 +48,7 @@
   dropped: ReadonlySet<string>,
 ): Record<string, string> {
   const named = new Set((headers.connection ?? '').split(',').map((name) => name.trim()));
-  const isConnectionHeader = (name: string) => CONNECTION_HEADERS.has(name) || named.has(name);
+  const isConnectionHeader = (name: string) => SENDER_HEADERS.has(name) || named.has(name);
   const kept: Record<string, string> = {};
   for (const [name, value] of Object.entries(headers)) {
     const lower = name.toLowerCase();
--- a/packages/serving/src/CallBounds.ts
+++ b/packages/serving/src/CallBounds.ts
@@ -5,14 +5,17 @@
 const MIN_PASSED_MS = 1;
 
 /**
- * When a request has its final answer: before the route's timeout and before the caller gives up.
+ * Time until a request has its final answer: before the route's timeout and before the caller gives
+ * up.
  *
  * @param start - the request
- * @returns monotonic time
+ * @param nowMs - monotonic time
+ * @returns milliseconds, 0 when it is due
  */
-export function finalAnswerAtMs(start: CallStart): number {
+export function untilFinalAnswerMs(start: CallStart, nowMs: number): number {
   const { arrivedMs, call, route } = start;
-  return arrivedMs + Math.min(route.timeoutMs, call.deadlineMs ?? Infinity) - ANSWER_MARGIN_MS;
+  const boundMs = Math.min(route.timeoutMs, call.deadlineMs ?? Infinity);
+  return Math.max(0, arrivedMs + boundMs - ANSWER_MARGIN_MS - nowMs);
 }
 
 /**
--- a/packages/serving/src/CallerExchange.ts
+++ b/packages/serving/src/CallerExchange.ts
@@ -15,6 +15,12 @@
 /** How an exchange ended for the caller. */
 export type ExchangeEnd = 'answered' | 'brokenOff' | 'left' | 'refused';
 
+/** Where an answer comes from, as far as it can be slowed down. */
+export interface AnswerSource {
+  pause(): void;
+  resume(): void;
+}
+
 /** One caller's request and the one answer that it gets. */
 export class CallerExchange {
   private end: ExchangeEnd | undefined;
@@ -61,13 +67,16 @@
     response.writeHead(head.status, headers.flat());
   }
 
-  /** Passes on a part of the body. False while the caller reads slower than it comes. */
-  write(chunk: Buffer): boolean {
-    return this.end ? true : this.options.response.write(chunk);
-  }
-
-  onDrained(listener: () => void): void {
-    this.options.response.once('drain', listener);
+  /** Passes on a part of the body. Its source pauses while the caller reads slower than it comes. */
+  passOn(chunk: Buffer, source: AnswerSource | undefined): void {
+    const { response } = this.options;
+    if (this.end || response.write(chunk)) {
+      return;
+    }
+    source?.pause();
+    response.once('drain', () => {
+      source?.resume();
+    });
   }
 
   /** Ends a whole answer. */
--- a/packages/serving/src/DirectoryFollower.ts
+++ b/packages/serving/src/DirectoryFollower.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Result, Revision } from '@laburnumgap/kernel';
 import { success } from '@laburnumgap/kernel';
 import type { ServingLog } from './ServingLog.js';
@@ -26,7 +27,6 @@
 /** Follows the platform's store: one reading of everything, then a watch. */
 export class DirectoryFollower {
   private backoffMs = FIRST_BACKOFF_MS;
-  private generation = 0;
   private isStopped = false;
   private isUnanswered = true;
   private revision: Revision | undefined;
@@ -50,8 +50,7 @@
   }
 
   start(): void {
-    this.generation += 1;
-    void this.follow(this.generation);
+    void this.follow();
   }
 
   stop(): void {
@@ -66,8 +65,15 @@
     }
   }
 
-  private async follow(generation: number): Promise<void> {
-    while (!this.isStopped && generation === this.generation) {
+  /** Notes that everything up to a revision was learned from another daemon. */
+  advance(revision: Revision): void {
+    if (this.revision === undefined || revision > this.revision) {
+      this.revision = revision;
+    }
+  }
+
+  private async follow(): Promise<void> {
+    while (!this.isStopped) {
       const outcome = await this.step();
       if (!outcome.ok) {
         await this.recover(outcome.error);
@@ -78,13 +84,6 @@
     }
   }
 
-  /** Notes that everything up to a revision was learned from another daemon. */
-  advance(revision: Revision): void {
-    if (this.revision === undefined || revision > this.revision) {
-      this.revision = revision;
-    }
-  }
-
   private async step(): Promise<Result<DirectoryChanges | undefined, DirectoryError>> {
     const { directory, isWatcher, onChanges } = this.options;
     const after = this.revision;
@@ -120,9 +119,3 @@
     await sleep(waitMs);
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -14,9 +14,10 @@
 } from '@laburnumgap/dispatch';
 import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
+import { isGenuine, isPromise, saysNotRun } from './AnswerChecks.js';
 import type { AnswerHead } from './AnswerParser.js';
 import type { BackendConnection } from './BackendConnection.js';
-import { finalAnswerAtMs, timeLeftMs } from './CallBounds.js';
+import { timeLeftMs, untilFinalAnswerMs } from './CallBounds.js';
 import type { CallStart } from './CallStart.js';
 import { EventSplitter } from './EventSplitter.js';
 import type { ServingContext } from './ServingContext.js';
@@ -24,8 +25,8 @@
 import type { AnswerMarks, RunMemory } from './ServingPorts.js';
 
 const SUCCESS_STATUS = 200;
-const MISDIRECTED_STATUS = 421;
-const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Below it an answer that is no stream is no failure either, and of no use. */
+const FIRST_REDIRECT_STATUS = 300;
 /** Prompt parts count as kept for this long after they were read. */
 const KEPT_PARTS_MS = 10_000;
 const MAX_URGENCY = 9;
@@ -96,17 +97,20 @@
     private readonly prompt: PromptShape,
     private readonly onDone: (run: GenerationRun) => void,
   ) {
-    const leftMs = finalAnswerAtMs(start) - context.clock.nowMs();
     this.timer = setTimeout(
       () => {
         this.timedOut();
       },
-      Math.max(0, leftMs),
+      untilFinalAnswerMs(start, context.clock.nowMs()),
     );
     start.exchange.onLeft(() => {
       this.callerLeft();
     });
     context.budget.firstTry(start.service.service);
+  }
+
+  /** Places the run, or refuses it. Called once. */
+  begin(): void {
     this.place();
   }
 
@@ -395,10 +399,7 @@
     this.events += whole.count;
     this.lastEventMs = this.context.clock.nowMs();
     this.lastEventId = whole.lastEventId ?? this.lastEventId;
-    if (!exchange.write(whole.bytes)) {
-      leg.connection?.pause();
-      exchange.onDrained(() => leg.connection?.resume());
-    }
+    exchange.passOn(whole.bytes, leg.connection);
   }
 
   private ended(leg: Leg, continuation: Continuation | undefined): void {
@@ -413,14 +414,13 @@
       this.streamEnded(leg);
       return;
     }
-    const notRun = marks.notRun || head.status === MISDIRECTED_STATUS;
-    if (notRun || continuation) {
+    if (saysNotRun(head, marks) || continuation) {
       this.notTaken(leg, continuation, `status ${head.status}`);
       return;
     }
     this.noteOutcome(leg, 'failed');
     this.leg = undefined;
-    if (PROMISE_STATUSES.has(head.status) || marks.isEncoded || head.status < 300) {
+    if (isPromise(head) || marks.isEncoded || head.status < FIRST_REDIRECT_STATUS) {
       this.refuse('OUTCOME_UNKNOWN', `the engine answered with status ${head.status}`);
       return;
     }
@@ -568,9 +568,7 @@
 
 function isStream(leg: Leg): boolean {
   const { head, marks } = leg;
-  return (
-    head?.status === SUCCESS_STATUS && marks !== undefined && marks.isStamped && !marks.isEncoded
-  );
+  return head?.status === SUCCESS_STATUS && marks !== undefined && isGenuine(head, marks);
 }
 
 /** A stream that goes on elsewhere has no length that is known ahead. */
--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/PlainCallRun.ts
@@ -2,9 +2,10 @@
 import { placePlainCall } from '@laburnumgap/dispatch';
 import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
+import { isGenuine, isPromise, saysNotRun } from './AnswerChecks.js';
 import type { AnswerHead } from './AnswerParser.js';
 import type { BackendConnection } from './BackendConnection.js';
-import { finalAnswerAtMs, timeLeftMs } from './CallBounds.js';
+import { timeLeftMs, untilFinalAnswerMs } from './CallBounds.js';
 import type { CallStart } from './CallStart.js';
 import type { CallsInFlight } from './CallsInFlight.js';
 import type { ServingContext } from './ServingContext.js';
@@ -16,11 +17,6 @@
 import type { AnswerMarks } from './ServingPorts.js';
 
 const FIRST_FAILURE_STATUS = 500;
-const FIRST_SUCCESS_STATUS = 200;
-const LAST_SUCCESS_STATUS = 299;
-const MISDIRECTED_STATUS = 421;
-/** Statuses by which a caller understands that its request has not run. */
-const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** An idempotent call is tried elsewhere after this many target latencies without an answer. */
 const PATIENCE_TARGETS = 3;
 
@@ -55,12 +51,11 @@
     private readonly calls: CallsInFlight,
     private readonly onDone: () => void,
   ) {
-    const { clock } = context;
     this.timer = setTimeout(
       () => {
         this.timedOut();
       },
-      Math.max(0, finalAnswerAtMs(start) - clock.nowMs()),
+      untilFinalAnswerMs(start, context.clock.nowMs()),
     );
     start.exchange.onLeft(() => {
       this.callerLeft();
@@ -176,13 +171,10 @@
       if (attempt.head) {
         exchange.begin(attempt.head);
       }
-      attempt.chunks.splice(0).forEach((held) => exchange.write(held));
+      exchange.passOn(Buffer.concat(attempt.chunks.splice(0)), attempt.connection);
       return;
     }
-    if (!exchange.write(chunk)) {
-      attempt.connection?.pause();
-      exchange.onDrained(() => attempt.connection?.resume());
-    }
+    exchange.passOn(chunk, attempt.connection);
   }
 
   private ended(attempt: Attempt): void {
@@ -196,7 +188,7 @@
       this.start.exchange.finish();
       return;
     }
-    if (marks.notRun || head.status === MISDIRECTED_STATUS) {
+    if (saysNotRun(head, marks)) {
       this.refusedByServer(attempt, head.status);
       return;
     }
@@ -211,8 +203,7 @@
 
   private answer(attempt: Attempt, head: AnswerHead, marks: AnswerMarks): void {
     const { exchange, route } = this.start;
-    const isPromise = PROMISE_STATUSES.has(head.status);
-    if (!isGenuine(head, marks) || (isPromise && route.kind === 'once')) {
+    if (!isGenuine(head, marks) || (isPromise(head) && route.kind === 'once')) {
       this.refuse('UPSTREAM_FAILED', 'the answer of the server is not usable');
       return;
     }
@@ -373,8 +364,3 @@
     clearTimeout(this.patienceTimer);
   }
 }
-
-function isGenuine(head: AnswerHead, marks: AnswerMarks): boolean {
-  const isSuccess = head.status >= FIRST_SUCCESS_STATUS && head.status <= LAST_SUCCESS_STATUS;
-  return !marks.isEncoded && (marks.isStamped || !isSuccess);
-}
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -1,9 +1,11 @@
 import { createServer } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { BackendServer, EngineLimits, EngineShare } from '@laburnumgap/dispatch';
 import {
   addShares,
   EngineLoad,
   KeptPrefixes,
+  RetryBudget,
   RouteTable,
   ServerHealth,
   ServerRegistry,
@@ -16,7 +18,6 @@
   ServerId,
 } from '@laburnumgap/kernel';
 import { toNumberId } from '@laburnumgap/kernel';
-import { RetryBudget } from '@laburnumgap/dispatch';
 import { BackendConnections } from './BackendConnections.js';
 import type { CallStart } from './CallStart.js';
 import { CallsInFlight } from './CallsInFlight.js';
@@ -245,17 +246,13 @@
     const { clock, log, settings } = this.options;
     this.isDraining = true;
     const nowMs = clock.nowMs();
-    this.front.drain({
-      balancedUntilMs: nowMs + BALANCER_NOTICE_MS,
-      stopsAtMs: nowMs + settings.graceMs - KILL_MARGIN_MS,
-    });
+    const stopsAtMs = nowMs + settings.graceMs - KILL_MARGIN_MS;
+    this.front.drain({ balancedUntilMs: nowMs + BALANCER_NOTICE_MS, stopsAtMs });
     this.peers.noteChanged();
     log.info('draining', { openCalls: this.openPlainCalls, openStreams: this.runs.size });
-    const startedMs = clock.nowMs();
-    const untilMs = startedMs + settings.graceMs - KILL_MARGIN_MS;
     await sleep(BALANCER_NOTICE_MS);
     this.front.stopListening();
-    while (clock.nowMs() < untilMs && this.runs.size + this.openPlainCalls > 0) {
+    while (clock.nowMs() < stopsAtMs && this.runs.size + this.openPlainCalls > 0) {
       this.front.closeIdle();
       await sleep(TICK_MS / 2);
     }
@@ -299,10 +296,8 @@
       const run = new GenerationRun(this.context, start, engine, prompt, (ended) => {
         this.runs.delete(ended);
       });
-      if (!run.hasEnded()) {
-        this.runs.add(run);
-        this.context.noteLoadChanged();
-      }
+      this.runs.add(run);
+      run.begin();
       return;
     }
     this.openPlainCalls += 1;
@@ -526,9 +521,3 @@
 function isEmpty({ configuration, members, membersGone, servers }: DirectoryChanges): boolean {
   return !configuration && members.length + membersGone.length + servers.length === 0;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,3 +1,4 @@
+export * from './AnswerChecks.js';
 export * from './AnswerParser.js';
 export * from './BackendConnection.js';
 export * from './BackendConnections.js';
