Send both kinds of call by one piece of code

A plain call and a generation each reached a server, wrote the request, matched the answer by its id and noted the outcome in lines of the same shape; BackendCall does it now. Ranking engines for a run and the caller's patience stand in GenerationTargets. No change of behaviour; all assertions stay.

--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -5,46 +5,30 @@
   Placement,
   PromptShape,
 } from '@laburnumgap/dispatch';
-import {
-  admitGeneration,
-  copyMs,
-  plannedOutputTokens,
-  rankEngines,
-  unreadTokens,
-} from '@laburnumgap/dispatch';
+import { admitGeneration, plannedOutputTokens, unreadTokens } from '@laburnumgap/dispatch';
 import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 import { isGenuine, isPromise, saysNotRun } from './AnswerChecks.js';
 import type { AnswerHead } from './AnswerParser.js';
+import type { SentCall } from './BackendCall.js';
+import { noteOutcome, reachServer, sendCall } from './BackendCall.js';
 import type { BackendConnection } from './BackendConnection.js';
-import { timeLeftMs, untilFinalAnswerMs } from './CallBounds.js';
+import { untilFinalAnswerMs } from './CallBounds.js';
 import type { CallStart } from './CallStart.js';
 import { EventSplitter } from './EventSplitter.js';
+import { patienceMs, rankTargets } from './GenerationTargets.js';
 import type { ServingContext } from './ServingContext.js';
 import { DEFAULT_RETRY_AFTER_MS, MAX_REFUSED_SENDS } from './ServingConstants.js';
-import type { AnswerMarks, RunMemory } from './ServingPorts.js';
+import type { RunMemory } from './ServingPorts.js';
 
 const SUCCESS_STATUS = 200;
 /** Below it an answer that is no stream is no failure either, and of no use. */
 const FIRST_REDIRECT_STATUS = 300;
-/** Prompt parts count as kept for this long after they were read. */
-const KEPT_PARTS_MS = 10_000;
 const MAX_URGENCY = 9;
-/** Callers give a stream up after the longest of these without an event. */
-const MIN_PATIENCE_MS = 2_000;
-const PATIENCE_TARGETS = 4;
-const PATIENCE_GAPS = 8;
-/** A copy between domains takes twice as long, and all copies behind it wait as well. */
-const FAR_MOVE_WEIGHT = 3;
 
 /** A run at one engine. */
-interface Leg {
-  connection?: BackendConnection;
-  head?: AnswerHead;
-  marks?: AnswerMarks;
+interface Leg extends SentCall {
   readonly resumes: boolean;
-  readonly sentMs: number;
-  readonly server: BackendServer;
   readonly splitter: EventSplitter;
 }
 
@@ -169,29 +153,8 @@
    * @returns the engines, best first
    */
   rankTargets(without: ReadonlySet<ServerId>, moveFrom?: BackendServer): readonly Placement[] {
-    const { clock, health, load, prefixes, randomUnit, registry } = this.context;
-    const nowMs = clock.nowMs();
-    const { prompt } = this;
-    const candidates = registry
-      .usable(this.start.service.service)
-      .filter(({ serverId }) => !without.has(serverId))
-      .map((server) => ({
-        failureShare: health.isUnreachable(server.serverId, nowMs)
-          ? 1
-          : health.failureShare(server.serverId),
-        keptTokens: prefixes.keptTokens(prompt.parts, server.serverId, nowMs - KEPT_PARTS_MS),
-        server,
-        totals: load.totals(server.serverId, nowMs),
-      }));
-    return rankEngines({
-      candidates,
-      engine: this.engine,
-      failureDomain: moveFrom?.failureDomain ?? this.context.failureDomain,
-      hasMemory: moveFrom !== undefined,
-      otherDomainCostMs: moveFrom && FAR_MOVE_WEIGHT * copyMs(prompt.promptTokens, this.engine),
-      prompt,
-      randomUnit,
-    });
+    const { engine, prompt, start } = this;
+    return rankTargets(this.context, { engine, moveFrom, prompt, start, without });
   }
 
   /**
@@ -270,7 +233,7 @@
     const waitedMs = clock.nowMs() - arrivedMs;
     const admission = admitGeneration({
       best: this.rankTargets(this.excluded)[0],
-      patienceMs: patienceOf(this.start),
+      patienceMs: patienceMs(this.start),
       targetLatencyMs: route.targetLatencyMs,
       waitedMs,
     });
@@ -304,7 +267,7 @@
   }
 
   private sendTo(server: BackendServer, continuation: Continuation | undefined): void {
-    const { clock, connections, health, log, noteLoadChanged, prefixes } = this.context;
+    const { clock, noteLoadChanged, prefixes } = this.context;
     const nowMs = clock.nowMs();
     const leg: Leg = {
       resumes: continuation !== undefined,
@@ -315,19 +278,13 @@
     this.leg = leg;
     prefixes.note(this.prompt.parts, server.serverId, nowMs);
     noteLoadChanged();
-    connections.acquire(server, {
-      onConnectFailed: (reason) => {
-        health.note(server.serverId, 'unreachable', 0, clock.nowMs());
-        log.warn('server-unreachable', {
-          reason,
-          requestId: this.start.call.requestId,
-          serverId: server.serverId,
-        });
-        this.notTaken(leg, continuation, reason);
-      },
+    reachServer(this.context, this.start, server, {
       onConnected: (connection) => {
         this.send(leg, connection, continuation);
       },
+      onUnreachable: (reason) => {
+        this.notTaken(leg, continuation, reason);
+      },
     });
   }
 
@@ -336,7 +293,7 @@
     connection: BackendConnection,
     continuation: Continuation | undefined,
   ): void {
-    const { clock, connections, protocol, registry } = this.context;
+    const { connections, registry } = this.context;
     if (this.isDone || this.leg !== leg) {
       connections.release(leg.server, connection);
       return;
@@ -346,22 +303,20 @@
       this.notTaken(leg, continuation, 'the server leaves');
       return;
     }
-    const { body, call, route, team } = this.start;
-    leg.connection = connection;
+    const { call, route, team } = this.start;
     this.sends += continuation ? 0 : 1;
     const lastEventId = this.lastEventId ?? call.lastEventId;
-    const headers = protocol.requestHeaders(call, {
-      deadlineMs: timeLeftMs(this.start, clock.nowMs()),
-      from: continuation?.from,
-      lastEventId: continuation || this.events > 0 ? (lastEventId ?? '0') : undefined,
-      server: leg.server,
-      teamId: team?.teamId,
-      urgency: Math.min(MAX_URGENCY, Math.max(0, team?.rank ?? route.rank)),
-    });
-    connection.send(
-      { body, headers, method: call.method, path: call.path },
+    sendCall(
+      this.context,
+      this.start,
+      leg,
+      connection,
+      {
+        from: continuation?.from,
+        lastEventId: continuation || this.events > 0 ? (lastEventId ?? '0') : undefined,
+        urgency: Math.min(MAX_URGENCY, Math.max(0, team?.rank ?? route.rank)),
+      },
       {
-        accepts: (head) => protocol.readAnswer(head.headers).requestId === call.requestId,
         onBody: (chunk) => {
           this.bodyCame(leg, chunk);
         },
@@ -371,11 +326,6 @@
         onEnd: () => {
           this.ended(leg, continuation);
         },
-        onHead: (head) => {
-          leg.head = head;
-          leg.marks = protocol.readAnswer(head.headers);
-          connection.keepAliveMs = leg.marks.keepAliveMs;
-        },
       },
     );
   }
@@ -418,7 +368,7 @@
       this.notTaken(leg, continuation, `status ${head.status}`);
       return;
     }
-    this.noteOutcome(leg, 'failed');
+    noteOutcome(this.context, leg, 'failed');
     this.leg = undefined;
     if (isPromise(head) || marks.isEncoded || head.status < FIRST_REDIRECT_STATUS) {
       this.refuse('OUTCOME_UNKNOWN', `the engine answered with status ${head.status}`);
@@ -434,7 +384,7 @@
       this.broke(leg, 'the stream ended inside an event');
       return;
     }
-    this.noteOutcome(leg, 'answered');
+    noteOutcome(this.context, leg, 'answered');
     this.leg = undefined;
     this.finish('answered');
     this.start.exchange.finish();
@@ -458,7 +408,7 @@
       this.leg = undefined;
       return;
     }
-    this.noteOutcome(leg, 'failed');
+    noteOutcome(this.context, leg, 'failed');
     this.breakOff(reason);
   }
 
@@ -529,11 +479,6 @@
     leg?.connection?.abort();
   }
 
-  private noteOutcome(leg: Leg, outcome: 'answered' | 'failed'): void {
-    const nowMs = this.context.clock.nowMs();
-    this.context.health.note(leg.server.serverId, outcome, nowMs - leg.sentMs, nowMs);
-  }
-
   private refuseNotRun(code: ResultCodeName, detail: string): void {
     const mayHaveRun = this.sends > this.refusedSends;
     this.refuse(mayHaveRun ? 'OUTCOME_UNKNOWN' : code, detail, DEFAULT_RETRY_AFTER_MS);
@@ -576,13 +521,3 @@
   const headers = head.headers.filter(([name]) => name.toLowerCase() !== 'content-length');
   return { ...head, headers };
 }
-
-/** Callers give up a stream that shows nothing for this long. */
-function patienceOf({ call, route }: CallStart): number {
-  const gapMs = Math.max(
-    MIN_PATIENCE_MS,
-    PATIENCE_TARGETS * route.targetLatencyMs,
-    PATIENCE_GAPS * route.maxEventGapMs,
-  );
-  return Math.min(gapMs, call.deadlineMs ?? Infinity, route.timeoutMs);
-}
--- /dev/null
+++ b/packages/serving/src/GenerationTargets.ts
@@ -0,0 +1,73 @@
+import type { BackendServer, EngineLimits, Placement, PromptShape } from '@laburnumgap/dispatch';
+import { copyMs, rankEngines } from '@laburnumgap/dispatch';
+import type { ServerId } from '@laburnumgap/kernel';
+import type { CallStart } from './CallStart.js';
+import type { ServingContext } from './ServingContext.js';
+
+/** What engines are ranked for. */
+export interface TargetQuery {
+  readonly engine: EngineLimits;
+  /** The engine that the run's memory comes from, for a move. */
+  readonly moveFrom?: BackendServer;
+  readonly prompt: PromptShape;
+  readonly start: CallStart;
+  /** Engines that are not to be taken. */
+  readonly without: ReadonlySet<ServerId>;
+}
+
+/** Prompt parts count as kept for this long after they were read. */
+const KEPT_PARTS_MS = 10_000;
+/** Callers give a stream up after the longest of these without an event. */
+const MIN_PATIENCE_MS = 2_000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_GAPS = 8;
+/** A copy between domains takes twice as long, and all copies behind it wait as well. */
+const FAR_MOVE_WEIGHT = 3;
+
+/**
+ * Ranks the engines for a run by what this daemon knows of them now.
+ *
+ * @param context - what all requests share
+ * @param query - the run
+ * @returns the engines, best first
+ */
+export function rankTargets(context: ServingContext, query: TargetQuery): readonly Placement[] {
+  const { clock, failureDomain, health, load, prefixes, randomUnit, registry } = context;
+  const { engine, moveFrom, prompt, start, without } = query;
+  const nowMs = clock.nowMs();
+  const candidates = registry
+    .usable(start.service.service)
+    .filter(({ serverId }) => !without.has(serverId))
+    .map((server) => ({
+      failureShare: health.isUnreachable(server.serverId, nowMs)
+        ? 1
+        : health.failureShare(server.serverId),
+      keptTokens: prefixes.keptTokens(prompt.parts, server.serverId, nowMs - KEPT_PARTS_MS),
+      server,
+      totals: load.totals(server.serverId, nowMs),
+    }));
+  return rankEngines({
+    candidates,
+    engine,
+    failureDomain: moveFrom?.failureDomain ?? failureDomain,
+    hasMemory: moveFrom !== undefined,
+    otherDomainCostMs: moveFrom && FAR_MOVE_WEIGHT * copyMs(prompt.promptTokens, engine),
+    prompt,
+    randomUnit,
+  });
+}
+
+/**
+ * Time after which the caller gives a stream up that shows nothing.
+ *
+ * @param start - the request
+ * @returns milliseconds
+ */
+export function patienceMs({ call, route }: CallStart): number {
+  const gapMs = Math.max(
+    MIN_PATIENCE_MS,
+    PATIENCE_TARGETS * route.targetLatencyMs,
+    PATIENCE_GAPS * route.maxEventGapMs,
+  );
+  return Math.min(gapMs, call.deadlineMs ?? Infinity, route.timeoutMs);
+}
--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/PlainCallRun.ts
@@ -4,8 +4,10 @@
 import { refusal } from '@laburnumgap/kernel';
 import { isGenuine, isPromise, saysNotRun } from './AnswerChecks.js';
 import type { AnswerHead } from './AnswerParser.js';
+import type { SentCall } from './BackendCall.js';
+import { noteOutcome, reachServer, sendCall } from './BackendCall.js';
 import type { BackendConnection } from './BackendConnection.js';
-import { timeLeftMs, untilFinalAnswerMs } from './CallBounds.js';
+import { untilFinalAnswerMs } from './CallBounds.js';
 import type { CallStart } from './CallStart.js';
 import type { CallsInFlight } from './CallsInFlight.js';
 import type { ServingContext } from './ServingContext.js';
@@ -20,16 +22,11 @@
 /** An idempotent call is tried elsewhere after this many target latencies without an answer. */
 const PATIENCE_TARGETS = 3;
 
-interface Attempt {
+interface Attempt extends SentCall {
   readonly chunks: Buffer[];
-  connection?: BackendConnection;
-  head?: AnswerHead;
   heldBytes: number;
   isPassedOn: boolean;
-  marks?: AnswerMarks;
   readonly number: number;
-  readonly sentMs: number;
-  readonly server: BackendServer;
 }
 
 /**
@@ -65,7 +62,7 @@
   }
 
   private sendSomewhere(): void {
-    const { clock, connections, failureDomain, health, randomUnit, registry } = this.context;
+    const { clock, failureDomain, health, randomUnit, registry } = this.context;
     const server = placePlainCall({
       callsInFlight: (serverId) => this.calls.at(serverId),
       excluded: this.excluded,
@@ -80,31 +77,20 @@
       return;
     }
     this.excluded.add(server.serverId);
-    connections.acquire(server, {
-      onConnectFailed: (reason) => {
-        this.connectFailed(server, reason);
-      },
+    reachServer(this.context, this.start, server, {
       onConnected: (connection) => {
         this.send(server, connection);
       },
+      onUnreachable: () => {
+        if (!this.isDone) {
+          this.sendSomewhere();
+        }
+      },
     });
   }
 
-  private connectFailed(server: BackendServer, reason: string): void {
-    const { clock, health, log } = this.context;
-    health.note(server.serverId, 'unreachable', 0, clock.nowMs());
-    log.warn('server-unreachable', {
-      requestId: this.start.call.requestId,
-      serverId: server.serverId,
-      reason,
-    });
-    if (!this.isDone) {
-      this.sendSomewhere();
-    }
-  }
-
   private send(server: BackendServer, connection: BackendConnection): void {
-    const { clock, connections, protocol } = this.context;
+    const { clock, connections } = this.context;
     if (this.isDone || this.context.registry.get(server.serverId)?.leaving !== false) {
       connections.release(server, connection);
       if (!this.isDone) {
@@ -112,29 +98,25 @@
       }
       return;
     }
-    const { body, call, route, team } = this.start;
-    const nowMs = clock.nowMs();
+    const { route } = this.start;
     this.attempts += 1;
     const attempt: Attempt = {
       chunks: [],
-      connection,
       heldBytes: 0,
       isPassedOn: false,
       number: this.attempts,
-      sentMs: nowMs,
+      sentMs: clock.nowMs(),
       server,
     };
     this.attempt = attempt;
     this.calls.began(server.serverId);
-    const headers = protocol.requestHeaders(call, {
-      deadlineMs: timeLeftMs(this.start, nowMs),
-      server,
-      teamId: team?.teamId,
-    });
-    connection.send(
-      { body, headers, method: call.method, path: call.path },
+    sendCall(
+      this.context,
+      this.start,
+      attempt,
+      connection,
+      {},
       {
-        accepts: (head) => protocol.readAnswer(head.headers).requestId === call.requestId,
         onBody: (chunk) => {
           this.bodyCame(attempt, chunk);
         },
@@ -144,11 +126,6 @@
         onEnd: () => {
           this.ended(attempt);
         },
-        onHead: (head) => {
-          attempt.head = head;
-          attempt.marks = protocol.readAnswer(head.headers);
-          connection.keepAliveMs = attempt.marks.keepAliveMs;
-        },
       },
     );
     if (route.kind === 'idempotent') {
@@ -178,7 +155,7 @@
   }
 
   private ended(attempt: Attempt): void {
-    const { head, marks, server } = attempt;
+    const { head, marks } = attempt;
     this.leave(attempt, 'reusable');
     if (this.isDone || !head || !marks) {
       return;
@@ -193,7 +170,7 @@
       return;
     }
     const isFailure = head.status >= FIRST_FAILURE_STATUS || !isGenuine(head, marks);
-    this.noteOutcome(server, isFailure ? 'failed' : 'answered', attempt);
+    noteOutcome(this.context, attempt, isFailure ? 'failed' : 'answered');
     if (isFailure && this.mayRepeat()) {
       this.repeat(attempt, `status ${head.status}`);
       return;
@@ -214,7 +191,7 @@
 
   private broke(attempt: Attempt, reason: string): void {
     this.leave(attempt, 'gone');
-    this.noteOutcome(attempt.server, 'failed', attempt);
+    noteOutcome(this.context, attempt, 'failed');
     if (this.isDone) {
       return;
     }
@@ -273,7 +250,7 @@
     }
     attempt.connection?.abort();
     this.leave(attempt, 'gone');
-    this.noteOutcome(attempt.server, 'failed', attempt);
+    noteOutcome(this.context, attempt, 'failed');
     this.repeat(attempt, 'no answer in time');
   }
 
@@ -289,7 +266,7 @@
     if (attempt) {
       attempt.connection?.abort();
       this.leave(attempt, 'gone');
-      this.noteOutcome(attempt.server, 'failed', attempt);
+      noteOutcome(this.context, attempt, 'failed');
     }
     this.refuse('OUTCOME_UNKNOWN', 'the server did not answer in time');
   }
@@ -323,15 +300,6 @@
     }
   }
 
-  private noteOutcome(
-    server: BackendServer,
-    outcome: 'answered' | 'failed',
-    attempt: Attempt,
-  ): void {
-    const nowMs = this.context.clock.nowMs();
-    this.context.health.note(server.serverId, outcome, nowMs - attempt.sentMs, nowMs);
-  }
-
   private refuseNotRun(code: ResultCodeName, detail: string): void {
     const hasRun = this.attempts > this.refusedSends;
     this.refuse(hasRun ? 'UPSTREAM_FAILED' : code, detail, DEFAULT_RETRY_AFTER_MS);
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,5 +1,6 @@
 export * from './AnswerChecks.js';
 export * from './AnswerParser.js';
+export * from './BackendCall.js';
 export * from './BackendConnection.js';
 export * from './BackendConnections.js';
 export * from './BoundedLog.js';
@@ -12,6 +13,7 @@
 export * from './EngineReports.js';
 export * from './EventSplitter.js';
 export * from './GenerationRun.js';
+export * from './GenerationTargets.js';
 export * from './HeaderLists.js';
 export * from './MoveTurnKeeper.js';
 export * from './PeerLink.js';
