--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -3,7 +3,6 @@
 import type { Server } from 'node:http';
 import { createServer, get } from 'node:http';
 import type { EngineLoad, EngineShare } from '@laburnumgap/dispatch';
-import { selectWatchers } from '@laburnumgap/dispatch';
 import type {
   FailureDomainId,
   MemberId,
@@ -20,6 +19,8 @@
   PeerSnapshot,
 } from './PeerMessages.js';
 import { readBeat, readPeerMessage, readSnapshot } from './PeerMessages.js';
+import type { Peer } from './PeerTable.js';
+import { PeerTable } from './PeerTable.js';
 import type { ServingLog } from './ServingLog.js';
 import type { MemberAddress } from './ServingPorts.js';
 
@@ -51,29 +52,13 @@
   readonly snapshotPort: number;
 }
 
-interface Peer extends MemberAddress {
-  behindSinceMs: number | undefined;
-  failureDomain: FailureDomainId | undefined;
-  /** Late beats of the daemon's earlier life are not taken. */
-  formerIncarnation: number | undefined;
-  heardMs: number | undefined;
-  incarnation: number;
-  isDraining: boolean;
-  sequence: number;
-  storeIsAway: boolean;
-}
-
 /** Changes are told at least this much later than the first of them, in one message. */
 const BEAT_DELAY_MS = 10;
 /** Without changes, beats say that the daemon lives. */
 const BEAT_INTERVAL_MS = 500;
-/** Two beats lost in a row: others do the work of the daemon. */
-const LIVE_MS = 1_200;
 /** Daemons of other domains say this often that they live. */
 const FAR_BEAT_INTERVAL_MS = 2_000;
-const FAR_LIVE_MS = 5_000;
-/** From this many other daemons on, load is told by domain. */
-const FULL_MESH_PEERS = 16;
+/** The sum of a domain's load is told this often. */
 const DOMAIN_LOAD_INTERVAL_MS = 250;
 /** A datagram that is not cut up much. */
 const MAX_PUSHED_BYTES = 8_000;
@@ -93,12 +78,15 @@
   private intervalTimer: NodeJS.Timeout | undefined;
   private isClosed = false;
   private isStopping = false;
-  private readonly peers = new Map<string, Peer>();
   private sequence = 0;
   private readonly server: Server;
   private readonly socket: Socket;
 
+  /** Who the other daemons are. */
+  readonly table: PeerTable;
+
   constructor(private readonly options: PeerLinkOptions) {
+    this.table = new PeerTable(options);
     this.socket = createSocket('udp4');
     this.server = createServer((request, response) => {
       const url = new URL(request.url ?? '/', 'http://peer');
@@ -167,83 +155,30 @@
     this.noteChanged();
   }
 
-  /** Takes a daemon that the platform's store names. */
-  addMember(member: MemberAddress): void {
-    if (member.host !== this.options.host) {
-      this.peerAt(member.host, member.memberId);
-    }
-  }
-
-  removeMember(memberId: MemberId): void {
-    for (const [host, peer] of this.peers) {
-      if (peer.memberId === memberId) {
-        this.peers.delete(host);
-        this.options.load.dropMember(memberId);
-      }
-    }
-  }
-
-  /** Daemons that are known, this one not included. */
-  members(): readonly MemberAddress[] {
-    return [...this.peers.values()].map(({ host, memberId }) => ({ host, memberId }));
-  }
-
-  /** Daemons that are known, also those that are silent now, this one included. */
-  knownCount(): number {
-    return this.peers.size + 1;
-  }
-
-  /** The live daemon with the smallest id; this one where it is that. */
-  firstLive(): MemberId {
-    let first = this.options.memberId;
-    for (const { memberId } of this.live()) {
-      first = memberId < first ? memberId : first;
-    }
-    return first;
-  }
-
-  /** Whether a live daemon of the same failure domain takes new connections. */
-  hasNeighbour(): boolean {
-    const { failureDomain } = this.options;
-    return this.live().some((peer) => peer.failureDomain === failureDomain && !peer.isDraining);
-  }
-
-  /** Whether this daemon watches the platform's store for others. */
-  isWatcher(): boolean {
-    const { failureDomain, isAlone, memberId } = this.options;
-    const candidates = this.live().flatMap((peer) =>
-      peer.failureDomain === undefined ? [] : [{ ...peer, failureDomain: peer.failureDomain }],
-    );
-    const own = { failureDomain, memberId, storeIsAway: isAlone() };
-    return selectWatchers([...candidates, own]).has(memberId);
-  }
-
-  /** Whether the store answers no live daemon, this one included. */
-  allMissStore(): boolean {
-    return this.options.isAlone() && this.live().every(({ storeIsAway }) => storeIsAway);
-  }
-
   /** Passes changes on to all daemons. Too large ones are fetched by those that see them missing. */
   push(changes: ChangesMessage): void {
     const text = JSON.stringify(changes);
     if (text.length > MAX_PUSHED_BYTES) {
       return;
     }
-    this.sendAll(text, [...this.peers.keys()]);
+    this.sendAll(text, this.table.hosts());
   }
 
   /** Sends a message to one daemon. */
   tell(message: MoveMessage, memberId: MemberId): void {
-    const hosts = [...this.peers.values()]
-      .filter((peer) => peer.memberId === memberId)
-      .map(({ host }) => host);
-    this.sendAll(JSON.stringify(message), hosts);
+    this.sendAll(JSON.stringify(message), this.table.hostsOf(memberId));
+  }
+
+  /** Forgets a daemon and what it has at the engines. */
+  removeMember(memberId: MemberId): void {
+    this.table.remove(memberId);
+    this.options.load.dropMember(memberId);
   }
 
   /** A daemon to ask for a snapshot: one that was heard, or a seed. */
   anyHost(randomUnit: () => number): string | undefined {
-    const heard = [...this.peers.values()].filter(({ heardMs }) => heardMs !== undefined);
-    const hosts = heard.length > 0 ? heard.map(({ host }) => host) : this.otherSeeds();
+    const heard = this.table.heardHosts();
+    const hosts = heard.length > 0 ? heard : this.otherSeeds();
     return hosts[Math.floor(randomUnit() * hosts.length)];
   }
 
@@ -278,14 +213,6 @@
     });
   }
 
-  private live(): readonly Peer[] {
-    const nowMs = this.options.clock.nowMs();
-    return [...this.peers.values()].filter((peer) => {
-      const liveMs = this.isNear(peer) ? LIVE_MS : FAR_LIVE_MS;
-      return peer.heardMs !== undefined && nowMs - peer.heardMs < liveMs;
-    });
-  }
-
   private otherSeeds(): readonly string[] {
     return this.options.seedHosts.filter((host) => host !== this.options.host);
   }
@@ -311,35 +238,25 @@
       shares,
       storeIsAway: this.options.isAlone(),
     };
-    this.sendAll(JSON.stringify(beat), [...this.nearHosts(), ...this.otherSeeds()]);
+    this.sendAll(JSON.stringify(beat), [...hostsOf(this.table.near()), ...this.otherSeeds()]);
     const nowMs = this.options.clock.nowMs();
     if (isStopping || nowMs - this.farBeatMs >= FAR_BEAT_INTERVAL_MS) {
       this.farBeatMs = nowMs;
-      this.sendAll(JSON.stringify({ ...beat, shares: [] }), this.farHosts());
+      this.sendAll(JSON.stringify({ ...beat, shares: [] }), hostsOf(this.table.far()));
     }
   }
 
   /** The first daemon of a domain tells the first ones of the others what its domain has. */
   private tellDomainLoad(): void {
     const { clock, failureDomain, load } = this.options;
-    const far = this.live().filter((peer) => !this.isNear(peer));
-    if (far.length === 0 || !this.isFirstOfDomain()) {
+    const firsts = this.table.firstsOfFarDomains();
+    if (firsts.length === 0 || !this.table.isFirstOfDomain()) {
       return;
     }
-    const firsts = new Map<FailureDomainId, Peer>();
-    for (const peer of far) {
-      const known = peer.failureDomain && firsts.get(peer.failureDomain);
-      if (peer.failureDomain && (!known || peer.memberId < known.memberId)) {
-        firsts.set(peer.failureDomain, peer);
-      }
-    }
-    const near = new Set(this.nearPeers().map(({ memberId }) => memberId));
+    const near = new Set(this.table.near().map(({ memberId }) => memberId));
     const shares = load.sumOf(near, clock.nowMs());
     const message: DomainLoadMessage = { failureDomain, kind: 'domainLoad', shares };
-    this.sendAll(
-      JSON.stringify(message),
-      [...firsts.values()].map(({ host }) => host),
-    );
+    this.sendAll(JSON.stringify(message), hostsOf(firsts));
   }
 
   private domainLoadHeard(message: DomainLoadMessage): void {
@@ -349,39 +266,11 @@
     }
     const source = toId<MemberId>(`domain ${message.failureDomain}`);
     load.noteMember(source, message.shares, clock.nowMs());
-    if (this.isFirstOfDomain()) {
-      this.sendAll(JSON.stringify(message), this.nearHosts());
+    if (this.table.isFirstOfDomain()) {
+      this.sendAll(JSON.stringify(message), hostsOf(this.table.near()));
     }
   }
 
-  private isFirstOfDomain(): boolean {
-    const { failureDomain, memberId } = this.options;
-    return this.live().every(
-      (peer) => peer.failureDomain !== failureDomain || memberId < peer.memberId,
-    );
-  }
-
-  /** Small fleets tell everybody everything; in larger ones a domain keeps its beats to itself. */
-  private isNear(peer: Peer): boolean {
-    return (
-      this.peers.size < FULL_MESH_PEERS ||
-      peer.failureDomain === undefined ||
-      peer.failureDomain === this.options.failureDomain
-    );
-  }
-
-  private nearPeers(): readonly Peer[] {
-    return [...this.peers.values()].filter((peer) => this.isNear(peer));
-  }
-
-  private nearHosts(): readonly string[] {
-    return this.nearPeers().map(({ host }) => host);
-  }
-
-  private farHosts(): readonly string[] {
-    return [...this.peers.values()].filter((peer) => !this.isNear(peer)).map(({ host }) => host);
-  }
-
   private sendAll(text: string, hosts: readonly string[]): void {
     if (this.isClosed) {
       return;
@@ -405,32 +294,19 @@
       }
       return;
     }
-    if (beat.host === this.options.host) {
+    const peer = this.table.take(beat);
+    if (!peer) {
       return;
     }
     const { clock, load } = this.options;
-    const peer = this.peerAt(beat.host, beat.memberId);
-    const isOld = beat.incarnation === peer.incarnation && beat.sequence <= peer.sequence;
-    if (isOld || beat.incarnation === peer.formerIncarnation) {
-      return;
-    }
-    if (beat.incarnation !== peer.incarnation) {
-      peer.formerIncarnation = peer.incarnation;
-    }
-    peer.heardMs = clock.nowMs();
-    peer.incarnation = beat.incarnation;
-    peer.sequence = beat.sequence;
-    peer.failureDomain = beat.failureDomain;
-    peer.isDraining = beat.isDraining;
-    peer.storeIsAway = beat.storeIsAway;
     if (beat.isStopping) {
-      this.peers.delete(beat.host);
-      load.dropMember(beat.memberId);
+      this.removeMember(beat.memberId);
       return;
     }
-    load.noteMember(beat.memberId, beat.shares, peer.heardMs);
+    const nowMs = clock.nowMs();
+    load.noteMember(beat.memberId, beat.shares, nowMs);
     this.options.onLeaving(beat.leavingIds);
-    this.compare(beat, peer, peer.heardMs);
+    this.compare(beat, peer, nowMs);
   }
 
   private compare(beat: PeerBeat, peer: Peer, nowMs: number): void {
@@ -447,25 +323,8 @@
       this.options.onBehind(peer);
     }
   }
+}
 
-  private peerAt(host: string, memberId: MemberId): Peer {
-    const known = this.peers.get(host);
-    if (known?.memberId === memberId) {
-      return known;
-    }
-    const peer: Peer = {
-      behindSinceMs: undefined,
-      failureDomain: undefined,
-      formerIncarnation: undefined,
-      heardMs: undefined,
-      host,
-      incarnation: 0,
-      isDraining: false,
-      memberId,
-      sequence: 0,
-      storeIsAway: false,
-    };
-    this.peers.set(host, peer);
-    return peer;
-  }
+function hostsOf(members: readonly MemberAddress[]): readonly string[] {
+  return members.map(({ host }) => host);
 }
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -141,7 +141,7 @@
     this.turns = new MoveTurnKeeper({
       clock,
       memberId: settings.memberId,
-      ownerId: () => this.peers.firstLive(),
+      ownerId: () => this.peers.table.firstLive(),
       send: (message, memberId) => {
         this.peers.tell(message, memberId);
       },
@@ -153,7 +153,7 @@
       clock,
       protocol,
       randomUnit,
-      neighbourTakesOver: () => this.peers.hasNeighbour(),
+      neighbourTakesOver: () => this.peers.table.hasNeighbour(),
       routes: { current: () => (this.hasServers ? this.table : undefined) },
       run: (start) => {
         this.run(start);
@@ -204,7 +204,7 @@
     });
     this.follower = new DirectoryFollower({
       directory,
-      isWatcher: () => this.peers.isWatcher(),
+      isWatcher: () => this.peers.table.isWatcher(),
       log,
       onChanges: (changes, isWhole) => {
         this.passOn(changes, isWhole);
@@ -326,7 +326,7 @@
       : this.registry.apply(changes.servers, nowMs);
     this.hasServers ||= isWhole;
     changes.members.forEach((member) => {
-      this.peers.addMember(member);
+      this.peers.table.add(member);
     });
     changes.membersGone.forEach((memberId) => {
       this.peers.removeMember(memberId);
@@ -425,7 +425,7 @@
       return;
     }
     snapshot.members.forEach((member) => {
-      this.peers.addMember(member);
+      this.peers.table.add(member);
     });
     if (snapshot.configuration) {
       this.applyConfiguration(new RouteTable(snapshot.configuration), `peer ${host}`);
@@ -446,7 +446,7 @@
     const configuration = this.table?.configuration;
     return {
       configuration: (configuration?.version ?? 0) > knownVersion ? configuration : undefined,
-      members: [{ host: peers.host, memberId }, ...this.peers.members()],
+      members: [{ host: peers.host, memberId }, ...this.peers.table.members()],
       revision: this.revision,
       servers: this.registry.all(),
     };
@@ -465,7 +465,7 @@
 
   /** The daemons take turns, so that the store is asked no more often in a larger fleet. */
   private pingStore(nowMs: number): void {
-    if (nowMs - this.pingedMs < PING_MS_PER_MEMBER * this.peers.knownCount()) {
+    if (nowMs - this.pingedMs < PING_MS_PER_MEMBER * this.peers.table.knownCount()) {
       return;
     }
     this.pingedMs = nowMs;
@@ -476,7 +476,7 @@
 
   /** While the store is silent, the engines themselves say whether they leave. */
   private askEngines(nowMs: number): void {
-    if (!this.peers.allMissStore() || nowMs - this.askedMs < ASK_ENGINES_MS) {
+    if (!this.peers.table.allMissStore() || nowMs - this.askedMs < ASK_ENGINES_MS) {
       return;
     }
     this.askedMs = nowMs;
@@ -492,7 +492,7 @@
   private shareBudget(): void {
     if (this.hasServers) {
       const { repeatsAtLeast } = this.options.settings;
-      const share = (repeatsAtLeast * BUDGET_SHARE) / this.peers.knownCount();
+      const share = (repeatsAtLeast * BUDGET_SHARE) / this.peers.table.knownCount();
       this.budget.setMaxSaved(Math.max(START_SAVED_REPEATS, Math.floor(share)));
     }
   }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -18,6 +18,7 @@
 export * from './MoveTurnKeeper.js';
 export * from './PeerLink.js';
 export * from './PeerMessages.js';
+export * from './PeerTable.js';
 export * from './PlainCallRun.js';
 export * from './ServingConstants.js';
 export type * from './ServingContext.js';
