--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -6,18 +6,10 @@
   EngineLoad,
   KeptPrefixes,
   RetryBudget,
-  RouteTable,
   ServerHealth,
   ServerRegistry,
 } from '@laburnumgap/dispatch';
-import type {
-  FailureDomainId,
-  MemberId,
-  MonotonicClock,
-  Revision,
-  ServerId,
-} from '@laburnumgap/kernel';
-import { toNumberId } from '@laburnumgap/kernel';
+import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { BackendConnections } from './BackendConnections.js';
 import type { CallStart } from './CallStart.js';
 import { CallsInFlight } from './CallsInFlight.js';
@@ -26,13 +18,12 @@
 import { GenerationRun } from './GenerationRun.js';
 import { MoveTurnKeeper } from './MoveTurnKeeper.js';
 import { PeerLink } from './PeerLink.js';
-import type { ChangesMessage, PeerSnapshot } from './PeerMessages.js';
-import { serverChangesOf } from './PeerMessages.js';
 import { PlainCallRun } from './PlainCallRun.js';
 import type { ServingContext } from './ServingContext.js';
 import { ServingFront } from './ServingFront.js';
+import { ServingKnowledge } from './ServingKnowledge.js';
 import type { ServingLog } from './ServingLog.js';
-import type { DirectoryChanges, PlatformDirectory, WireProtocol } from './ServingPorts.js';
+import type { PlatformDirectory, WireProtocol } from './ServingPorts.js';
 import { StreamMover } from './StreamMover.js';
 
 /** An address to listen at. */
@@ -96,9 +87,9 @@
   private readonly context: ServingContext;
   private readonly follower: DirectoryFollower;
   private readonly front: ServingFront;
-  private hasServers = false;
   private isClosed = false;
   private isDraining = false;
+  private readonly knowledge: ServingKnowledge;
   private readonly load = new EngineLoad();
   private readonly mover: StreamMover;
   private openPlainCalls = 0;
@@ -107,9 +98,7 @@
   private readonly readyServer;
   private readonly registry = new ServerRegistry();
   private readonly reports: EngineReports;
-  private revision: Revision = toNumberId<Revision>(0);
   private readonly runs = new Set<GenerationRun>();
-  private table: RouteTable | undefined;
   private tickTimer: NodeJS.Timeout | undefined;
   private readonly turns: MoveTurnKeeper;
 
@@ -138,6 +127,27 @@
       randomUnit,
       registry: this.registry,
     };
+    this.knowledge = new ServingKnowledge({
+      advance: (revision) => {
+        this.follower.advance(revision);
+      },
+      clock,
+      directory,
+      host: settings.peers.host,
+      log,
+      memberId: settings.memberId,
+      onConfiguration: (table) => {
+        this.front.applyLimits(table);
+      },
+      onServerLeaves: (serverId) => {
+        this.connections.close(serverId);
+        this.context.prefixes.forget(serverId);
+        this.mover.moveFrom(serverId);
+      },
+      peers: () => this.peers,
+      randomUnit,
+      registry: this.registry,
+    });
     this.turns = new MoveTurnKeeper({
       clock,
       memberId: settings.memberId,
@@ -154,7 +164,7 @@
       protocol,
       randomUnit,
       neighbourTakesOver: () => this.peers.table.hasNeighbour(),
-      routes: { current: () => (this.hasServers ? this.table : undefined) },
+      routes: { current: () => this.knowledge.usable() },
       run: (start) => {
         this.run(start);
       },
@@ -172,33 +182,30 @@
       log,
       memberId: settings.memberId,
       onLeaving: (serverIds) => {
-        this.noteLeaving(serverIds, 'peer');
+        this.knowledge.noteLeaving(serverIds, 'peer');
       },
       onMessage: (message) => {
         if (message.kind === 'changes') {
-          this.changesPushed(message);
+          this.knowledge.changesPushed(message);
         } else {
           this.turns.heard(message);
         }
       },
       onBehind: (peer) => {
         this.follower.renew();
-        void this.learnFrom(peer.host);
+        void this.knowledge.learnFrom(peer.host);
       },
       ownShares: () => this.ownShares(),
-      position: () => ({
-        configurationVersion: this.table?.configuration.version ?? 0,
-        revision: this.revision,
-      }),
+      position: () => this.knowledge.position(),
       seedHosts: settings.seedHosts,
-      snapshot: (knownVersion) => this.snapshot(knownVersion),
+      snapshot: (knownVersion) => this.knowledge.snapshot(knownVersion),
       snapshotPort: settings.peers.port,
     });
     this.reports = new EngineReports({
       connections: this.connections,
       log,
       onLeaving: (serverId) => {
-        this.noteLeaving([serverId], 'engine');
+        this.knowledge.noteLeaving([serverId], 'engine');
       },
       protocol,
     });
@@ -207,11 +214,10 @@
       isWatcher: () => this.peers.table.isWatcher(),
       log,
       onChanges: (changes, isWhole) => {
-        this.passOn(changes, isWhole);
-        this.applyChanges(changes, isWhole);
+        this.knowledge.takeFromStore(changes, isWhole);
       },
       onUnanswered: () => {
-        this.askAnyPeer();
+        this.knowledge.askAnyPeer();
       },
       randomUnit,
     });
@@ -274,7 +280,7 @@
   }
 
   isReady(): boolean {
-    return !this.isDraining && this.table !== undefined && this.hasServers;
+    return !this.isDraining && this.knowledge.usable() !== undefined;
   }
 
   /** The entry introduces this daemon to the others; it is tried until the store takes it. */
@@ -306,152 +312,6 @@
     });
   }
 
-  private applyChanges(changes: DirectoryChanges, isWhole: boolean): void {
-    const { clock, log } = this.options;
-    for (const { key, reason } of changes.unreadable) {
-      log.warn('entry-unreadable', { key, reason });
-    }
-    if (changes.configuration) {
-      this.applyConfiguration(new RouteTable(changes.configuration), 'store');
-    }
-    const nowMs = clock.nowMs();
-    for (const { revision, server } of changes.servers) {
-      if (server && !this.registry.get(server.serverId)) {
-        const { serverId, service } = server;
-        log.info('server-known', { revision, serverId, service });
-      }
-    }
-    const leaving = isWhole
-      ? this.registry.replace(changes.servers, changes.revision, nowMs)
-      : this.registry.apply(changes.servers, nowMs);
-    this.hasServers ||= isWhole;
-    changes.members.forEach((member) => {
-      this.peers.table.add(member);
-    });
-    changes.membersGone.forEach((memberId) => {
-      this.peers.removeMember(memberId);
-    });
-    if (isWhole || !isEmpty(changes)) {
-      this.noteRevision(changes.revision);
-    }
-    this.serversLeave(leaving, 'store');
-  }
-
-  /** Tells the other daemons what a watch brought, so that few of them watch. */
-  private passOn(changes: DirectoryChanges, isWhole: boolean): void {
-    const { members, membersGone, revision, servers } = changes;
-    if (isWhole || isEmpty(changes)) {
-      return;
-    }
-    this.peers.push({
-      configurationVersion: changes.configuration?.version ?? 0,
-      host: this.options.settings.peers.host,
-      kind: 'changes',
-      members,
-      membersGone,
-      revision,
-      servers,
-      sinceRevision: this.revision,
-    });
-  }
-
-  private changesPushed(message: ChangesMessage): void {
-    if (message.configurationVersion > (this.table?.configuration.version ?? 0)) {
-      void this.readConfiguration(message.host);
-    }
-    const isKnown = message.revision <= this.revision;
-    if (isKnown || !this.hasServers || message.sinceRevision > this.revision) {
-      return;
-    }
-    this.applyChanges({ ...message, configuration: undefined, unreadable: [] }, false);
-    this.follower.advance(message.revision);
-  }
-
-  /** The store gives the configuration itself; another daemon does where the store does not. */
-  private async readConfiguration(otherwiseHost: string): Promise<void> {
-    const read = await this.options.directory.readConfiguration();
-    if (read.ok) {
-      this.applyConfiguration(new RouteTable(read.value), 'store');
-      return;
-    }
-    this.options.log.warn('configuration-not-read', read.error);
-    await this.learnFrom(otherwiseHost);
-  }
-
-  private applyConfiguration(table: RouteTable, source: string): void {
-    const { version } = table.configuration;
-    if (version <= (this.table?.configuration.version ?? 0)) {
-      return;
-    }
-    this.table = table;
-    this.front.applyLimits(table);
-    this.options.log.info('configuration-applied', { source, version });
-  }
-
-  private serversLeave(leaving: readonly ServerId[], source: string): void {
-    for (const serverId of leaving) {
-      this.options.log.info('server-leaves', { revision: this.revision, serverId, source });
-      this.connections.close(serverId);
-      this.context.prefixes.forget(serverId);
-      this.mover.moveFrom(serverId);
-    }
-  }
-
-  private noteLeaving(serverIds: readonly ServerId[], source: string): void {
-    const news = serverIds.filter((serverId) => this.registry.noteLeaving(serverId));
-    if (news.length > 0) {
-      this.serversLeave(news, source);
-      this.peers.noteUrgent();
-    }
-  }
-
-  private noteRevision(revision: Revision): void {
-    if (revision > this.revision) {
-      this.revision = revision;
-      this.peers.noteChanged();
-    }
-  }
-
-  private askAnyPeer(): void {
-    const host = this.peers.anyHost(this.options.randomUnit);
-    if (host !== undefined) {
-      void this.learnFrom(host);
-    }
-  }
-
-  private async learnFrom(host: string): Promise<void> {
-    const snapshot = await this.peers.fetchSnapshot(host);
-    if (!snapshot) {
-      return;
-    }
-    snapshot.members.forEach((member) => {
-      this.peers.table.add(member);
-    });
-    if (snapshot.configuration) {
-      this.applyConfiguration(new RouteTable(snapshot.configuration), `peer ${host}`);
-    }
-    if (snapshot.revision > this.revision && snapshot.servers.length > 0) {
-      const nowMs = this.options.clock.nowMs();
-      const changes = serverChangesOf(snapshot);
-      const leaving = this.registry.replace(changes, snapshot.revision, nowMs);
-      this.hasServers = true;
-      this.follower.advance(snapshot.revision);
-      this.noteRevision(snapshot.revision);
-      this.serversLeave(leaving, `peer ${host}`);
-    }
-  }
-
-  private snapshot(knownVersion: number): PeerSnapshot {
-    const { memberId, peers } = this.options.settings;
-    const configuration = this.table?.configuration;
-    return {
-      configuration: (configuration?.version ?? 0) > knownVersion ? configuration : undefined,
-      members: [{ host: peers.host, memberId }, ...this.peers.table.members()],
-      revision: this.revision,
-      servers: this.registry.all(),
-    };
-  }
-
   private ownShares(): readonly EngineShare[] {
     const nowMs = this.options.clock.nowMs();
     const byServer = new Map<ServerId, EngineShare>();
@@ -490,7 +350,7 @@
 
   /** Each daemon has an equal part of the budget, also while it is cut off. */
   private shareBudget(): void {
-    if (this.hasServers) {
+    if (this.knowledge.knowsServers()) {
       const { repeatsAtLeast } = this.options.settings;
       const share = (repeatsAtLeast * BUDGET_SHARE) / this.peers.table.knownCount();
       this.budget.setMaxSaved(Math.max(START_SAVED_REPEATS, Math.floor(share)));
@@ -498,12 +358,12 @@
   }
 
   private engineOf(server: BackendServer): EngineLimits | undefined {
-    return this.table?.service(server.service)?.engine;
+    return this.knowledge.configured()?.service(server.service)?.engine;
   }
 
   private tick(): void {
     const nowMs = this.options.clock.nowMs();
-    this.serversLeave(this.registry.expireLapsed(nowMs), 'lapsed');
+    this.knowledge.expireLapsed();
     this.context.health.keepOnly((serverId) => this.registry.get(serverId) !== undefined);
     this.connections.closeExpired();
     this.mover.moveSilent();
@@ -517,7 +377,3 @@
     this.askEngines(nowMs);
   }
 }
-
-function isEmpty({ configuration, members, membersGone, servers }: DirectoryChanges): boolean {
-  return !configuration && members.length + membersGone.length + servers.length === 0;
-}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -24,6 +24,7 @@
 export type * from './ServingContext.js';
 export * from './ServingDaemon.js';
 export * from './ServingFront.js';
+export * from './ServingKnowledge.js';
 export type * from './ServingLog.js';
 export type * from './ServingPorts.js';
 export * from './StreamMover.js';
