Ask the owner of an engine before a generation is sent there

Cause: on grown fleets daemons hear of each other's placements 10 to 500 ms late.

Change: each engine has an owner, by rendezvous hashing among the daemons of its domain. It is asked before a generation is sent (two messages a placement, whatever the fleet), counts what it granted until the word of the asker names it, and sends away whoever lacked what it knows. An owner that is silent grants.

Ruled out: engines that were slow (their other prompts were read in 0.3 s); the store (no change of the server in that time).

--- a/packages/dispatch/src/EngineLoad.ts
+++ b/packages/dispatch/src/EngineLoad.ts
@@ -20,6 +20,22 @@
   readonly usedTokens: number;
 }
 
+/** Room that was granted to a generation. */
+export interface GrantedRoom {
+  /** Whose word will name the generation: its daemon, or the domain that speaks for it. */
+  readonly sourceId: MemberId;
+  readonly share: EngineShare;
+}
+
+interface Grant extends GrantedRoom {
+  readonly atMs: number;
+}
+
+interface ToldTotals {
+  readonly atMs: number;
+  readonly totals: EngineTotals;
+}
+
 interface MemberShares {
   readonly atMs: number;
   readonly shares: ReadonlyMap<ServerId, EngineShare>;
@@ -31,6 +47,12 @@
 const OVERDUE_SHARE = 0.5;
 /** A daemon that was silent this long is dead, and its connections with it. */
 const MEMBER_SILENT_MS = 3_000;
+/** A word that comes this long after a grant names the generation: it was sent and told by then. */
+const GRANT_TOLD_AFTER_MS = 40;
+/** Without such a word the generation was not sent, or its daemon is dead. */
+const GRANT_MS = 1_000;
+/** What the owner of an engine said is as good as the words of the others after this time. */
+const OWNER_WORD_MS = 250;
 
 const NO_TOTALS: EngineTotals = { plannedTokens: 0, readingTokens: 0, runs: 0, usedTokens: 0 };
 
@@ -39,7 +61,9 @@
  * the prompt tokens that were read since. Answers many daemons placing on one stale report.
  */
 export class EngineLoad {
+  private grants: Grant[] = [];
   private readonly members = new Map<MemberId, MemberShares>();
+  private readonly ownerWords = new Map<ServerId, ToldTotals>();
   private own: ReadonlyMap<ServerId, EngineShare> = new Map();
 
   /** Takes the last word of another daemon. */
@@ -48,6 +72,16 @@
     this.members.set(memberId, { atMs: nowMs, shares: byServer });
   }
 
+  /** Counts a generation that was granted room until the word of its daemon names it. */
+  noteGrant(grant: GrantedRoom, nowMs: number): void {
+    this.grants.push({ ...grant, atMs: nowMs });
+  }
+
+  /** Takes what the owner of an engine said of it. */
+  noteOwnerWord(serverId: ServerId, totals: EngineTotals, nowMs: number): void {
+    this.ownerWords.set(serverId, { atMs: nowMs, totals });
+  }
+
   /** Forgets a daemon that ended. */
   dropMember(memberId: MemberId): void {
     this.members.delete(memberId);
@@ -95,7 +129,44 @@
         usedTokens += share.usedTokens;
       }
     }
-    return { plannedTokens, readingTokens, runs, usedTokens };
+    this.grants = this.grants.filter((grant) => this.isPending(grant, nowMs));
+    for (const { atMs, share } of this.grants) {
+      if (share.serverId === serverId) {
+        plannedTokens += share.plannedTokens;
+        readingTokens += unreadTokens(share.readingTokens, nowMs - atMs);
+        runs += share.runs;
+        usedTokens += share.usedTokens;
+      }
+    }
+    return this.atLeastOwnerWord(serverId, nowMs, {
+      plannedTokens,
+      readingTokens,
+      runs,
+      usedTokens,
+    });
+  }
+
+  private isPending({ atMs, sourceId }: Grant, nowMs: number): boolean {
+    const toldMs = this.members.get(sourceId)?.atMs ?? -Infinity;
+    return nowMs - atMs <= GRANT_MS && toldMs < atMs + GRANT_TOLD_AFTER_MS;
+  }
+
+  private atLeastOwnerWord(serverId: ServerId, nowMs: number, sum: EngineTotals): EngineTotals {
+    const word = this.ownerWords.get(serverId);
+    if (!word) {
+      return sum;
+    }
+    if (nowMs - word.atMs > OWNER_WORD_MS) {
+      this.ownerWords.delete(serverId);
+      return sum;
+    }
+    const { totals } = word;
+    return {
+      plannedTokens: Math.max(sum.plannedTokens, totals.plannedTokens),
+      readingTokens: Math.max(sum.readingTokens, totals.readingTokens),
+      runs: Math.max(sum.runs, totals.runs),
+      usedTokens: Math.max(sum.usedTokens, totals.usedTokens),
+    };
   }
 }
 
--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -2,6 +2,7 @@
 import type { BackendServer } from './BackendServer.js';
 import type { EngineTotals } from './EngineLoad.js';
 import { READING_TOKENS_PER_MS } from './EngineLoad.js';
+import { hasRoom, plannableTokens } from './EngineRoom.js';
 import type { PromptShape } from './PromptShape.js';
 import type { EngineLimits } from './ServingConfiguration.js';
 
@@ -36,6 +37,8 @@
   readonly fits: boolean;
   readonly server: BackendServer;
   readonly totals: EngineTotals;
+  /** Part of the prompt that the engine has to read. */
+  readonly unreadTokens: number;
 }
 
 /** Each run makes every further token of all others later. */
@@ -53,8 +56,6 @@
 const MEAN_OVER_MEDIAN = 1.3;
 /** An output that outgrew its estimate goes on in proportion to its length so far. */
 const LENGTH_GROWTH = 1.6;
-/** Share of the memory that is planned for; the rest covers outputs longer than expected. */
-const PLANNED_MEMORY_SHARE = 0.95;
 
 /**
  * Ranks engines for a generation: first where its first token comes soonest and memory is least
@@ -102,10 +103,11 @@
   const { failureShare, keptTokens, server, totals } = candidate;
   const otherDomainCostMs = input.otherDomainCostMs ?? DEFAULT_OTHER_DOMAIN_COST_MS;
   const unread = hasMemory ? 0 : Math.max(0, prompt.promptTokens - keptTokens);
-  const plannedTokens = totals.plannedTokens + prompt.promptTokens + plannedOutputTokens(prompt, 0);
-  const limitTokens = PLANNED_MEMORY_SHARE * engine.memoryTokens;
-  const overrunTokens = Math.max(0, plannedTokens - limitTokens);
-  const lacksRoomNow = totals.usedTokens + prompt.promptTokens > limitTokens;
+  const { promptTokens } = prompt;
+  const plannedTokens = promptTokens + plannedOutputTokens(prompt, 0);
+  const limitTokens = plannableTokens(engine);
+  const overrunTokens = Math.max(0, totals.plannedTokens + plannedTokens - limitTokens);
+  const lacksRoomNow = totals.usedTokens + promptTokens > limitTokens;
   const hasSlot = totals.runs < engine.slots;
   const costMs =
     (totals.readingTokens + unread) / READING_TOKENS_PER_MS +
@@ -115,5 +117,6 @@
     (server.failureDomain === failureDomain ? 0 : otherDomainCostMs) +
     failureShare * FAILURE_COST_MS +
     randomUnit() * JITTER_MS;
-  return { costMs, fits: overrunTokens === 0 && hasSlot && !lacksRoomNow, server, totals };
+  const fits = hasRoom(totals, { plannedTokens, promptTokens }, engine);
+  return { costMs, fits, server, totals, unreadTokens: unread };
 }
--- /dev/null
+++ b/packages/dispatch/src/__tests__/unit/EngineRoom.test.ts
@@ -0,0 +1,127 @@
+import type { MemberId, RequestId, ServerId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import test from 'ava';
+import type { EngineCandidate, RoomWish } from '../../index.js';
+import {
+  EngineLoad,
+  grantsRoom,
+  hasRoom,
+  plannableTokens,
+  plannedOutputTokens,
+  rankEngines,
+} from '../../index.js';
+import { ENGINE, promptOf, serverOf } from '../support/DispatchFixtures.js';
+
+const IDLE = { plannedTokens: 0, readingTokens: 0, runs: 0, usedTokens: 0 };
+const SERVER = toId<ServerId>('e0');
+const WISH: RoomWish = {
+  believedReadingTokens: 0,
+  isForced: false,
+  plannedTokens: 4_000,
+  promptTokens: 3_000,
+  requestId: toId<RequestId>('r1'),
+  serverId: SERVER,
+  unreadTokens: 3_000,
+};
+const OTHER = toId<MemberId>('m2');
+
+test('room needs a slot, planned memory and memory now', (t) => {
+  t.true(hasRoom(IDLE, WISH, ENGINE));
+  t.false(hasRoom({ ...IDLE, runs: ENGINE.slots }, WISH, ENGINE));
+  t.false(hasRoom({ ...IDLE, plannedTokens: ENGINE.memoryTokens - 4_000 }, WISH, ENGINE));
+  t.false(hasRoom({ ...IDLE, usedTokens: ENGINE.memoryTokens - 3_000 }, WISH, ENGINE));
+});
+
+test('a full engine is declined, but not to a run that can wait no longer', (t) => {
+  const full = { ...IDLE, plannedTokens: 33_000 };
+  t.false(grantsRoom(WISH, full, ENGINE));
+  t.true(grantsRoom({ ...WISH, isForced: true }, full, ENGINE));
+});
+
+test('prompts that the daemon did not know of send it elsewhere', (t) => {
+  const reading = { ...IDLE, readingTokens: 3_000, runs: 1 };
+  t.false(grantsRoom(WISH, reading, ENGINE));
+  t.true(grantsRoom({ ...WISH, believedReadingTokens: 3_000 }, reading, ENGINE));
+});
+
+test('a grant counts until the word of its daemon names it', (t) => {
+  const load = new EngineLoad();
+  const share = { ...IDLE, plannedTokens: 4_000, runs: 1, serverId: SERVER };
+  load.noteMember(OTHER, [], 0);
+  load.noteGrant({ share, sourceId: OTHER }, 100);
+  t.is(load.totals(SERVER, 101).runs, 1);
+  load.noteMember(OTHER, [], 110);
+  t.is(load.totals(SERVER, 111).runs, 1, 'a word that was under way does not name it yet');
+  load.noteMember(OTHER, [share], 150);
+  t.is(load.totals(SERVER, 151).runs, 1, 'counted once');
+});
+
+test('a grant that no word names ends by itself', (t) => {
+  const load = new EngineLoad();
+  const share = { ...IDLE, plannedTokens: 4_000, runs: 1, serverId: SERVER };
+  load.noteGrant({ share, sourceId: OTHER }, 0);
+  t.is(load.totals(SERVER, 900).runs, 1);
+  t.is(load.totals(SERVER, 1_100).runs, 0);
+});
+
+test('the word of an owner holds for a while', (t) => {
+  const load = new EngineLoad();
+  load.noteOwnerWord(SERVER, { ...IDLE, plannedTokens: 30_000, runs: 5 }, 0);
+  t.is(load.totals(SERVER, 100).plannedTokens, 30_000);
+  t.is(load.totals(SERVER, 300).plannedTokens, 0);
+});
+
+/** Daemons that hear of each other's placements only after all were made. */
+function overrunsOf(engines: number, daemons: number, asksOwners: boolean): number {
+  const owned = new EngineLoad();
+  const placed = new Map<ServerId, number>();
+  const prompt = promptOf();
+  const plannedTokens = prompt.promptTokens + plannedOutputTokens(prompt, 0);
+  for (let daemon = 0; daemon < daemons; daemon += 1) {
+    const believed = new EngineLoad();
+    for (let tries = 0; tries <= engines; tries += 1) {
+      const candidates: EngineCandidate[] = Array.from({ length: engines }, (_, index) => {
+        const server = serverOf(`e${index}`);
+        const totals = believed.totals(server.serverId, 0);
+        return { failureShare: 0, keptTokens: 0, server, totals };
+      });
+      const [best] = rankEngines({
+        candidates,
+        engine: ENGINE,
+        failureDomain: serverOf('e0').failureDomain,
+        prompt,
+        randomUnit: () => 0.5,
+      });
+      if (!best) {
+        break;
+      }
+      const { serverId } = best.server;
+      const totals = owned.totals(serverId, 0);
+      const wish = {
+        believedReadingTokens: best.totals.readingTokens,
+        isForced: !best.fits,
+        plannedTokens,
+        promptTokens: prompt.promptTokens,
+        requestId: toId<RequestId>(`r${daemon}`),
+        serverId,
+        unreadTokens: best.unreadTokens,
+      };
+      if (asksOwners && !grantsRoom(wish, totals, ENGINE)) {
+        believed.noteOwnerWord(serverId, totals, 0);
+        continue;
+      }
+      const share = { plannedTokens, readingTokens: wish.unreadTokens, runs: 1, serverId };
+      const sourceId = toId<MemberId>(`m${daemon}`);
+      owned.noteGrant({ share: { ...share, usedTokens: wish.promptTokens }, sourceId }, 0);
+      placed.set(serverId, (placed.get(serverId) ?? 0) + 1);
+      break;
+    }
+  }
+  const room = Math.floor(plannableTokens(ENGINE) / plannedTokens);
+  return [...placed.values()].reduce((sum, count) => sum + Math.max(0, count - room), 0);
+}
+
+test('many daemons between two reports: alone they overrun an engine, with owners none', (t) => {
+  t.true(overrunsOf(6, 40, false) > 30);
+  t.is(overrunsOf(6, 40, true), 0);
+});
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -6,8 +6,8 @@
   PromptShape,
 } from '@laburnumgap/dispatch';
 import { admitGeneration, plannedOutputTokens, unreadTokens } from '@laburnumgap/dispatch';
-import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
-import { refusal } from '@laburnumgap/kernel';
+import type { RequestId, ResultCodeName, ServerId } from '@laburnumgap/kernel';
+import { refusal, toId } from '@laburnumgap/kernel';
 import { isGenuine, isPromise, saysNotRun } from './AnswerChecks.js';
 import type { AnswerHead } from './AnswerParser.js';
 import type { SentCall } from './BackendCall.js';
@@ -25,6 +25,9 @@
 /** Below it an answer that is no stream is no failure either, and of no use. */
 const FIRST_REDIRECT_STATUS = 300;
 const MAX_URGENCY = 9;
+/** Owners that may say no in a row before the run waits: their words are fresh then. */
+const MAX_DECLINES = 3;
+const DECLINED_RECHECK_MS = 20;
 
 /** A run at one engine. */
 interface Leg extends SentCall {
@@ -227,45 +230,80 @@
     return this.events * this.engine.tokensPerEvent;
   }
 
-  private place(): void {
-    const { arrivedMs, call, route } = this.start;
-    const { clock, log, randomUnit } = this.context;
-    const waitedMs = clock.nowMs() - arrivedMs;
+  /** Looks for an engine. `declines` counts the owners that said no since the last wait. */
+  private place(declines = 0): void {
+    const { arrivedMs, route } = this.start;
     const admission = admitGeneration({
       best: this.rankTargets(this.excluded)[0],
       patienceMs: patienceMs(this.start),
       targetLatencyMs: route.targetLatencyMs,
-      waitedMs,
+      waitedMs: this.context.clock.nowMs() - arrivedMs,
     });
     switch (admission.kind) {
       case 'refuse':
         this.refuseNotRun('NO_ENGINE', 'no engine of the service takes the request');
         break;
-      case 'send': {
-        const { costMs, fits, server, totals } = admission.placement;
-        log.info('generation-placed', {
-          costMs: Math.round(costMs),
-          fits,
-          plannedTokens: Math.round(totals.plannedTokens),
-          readingTokens: Math.round(totals.readingTokens),
-          requestId: call.requestId,
-          runs: totals.runs,
-          serverId: server.serverId,
-          waitedMs: Math.round(waitedMs),
-        });
-        this.sendTo(server, undefined);
+      case 'send':
+        this.askForRoom(admission.placement, declines);
         break;
-      }
       case 'wait':
-        this.waitTimer = setTimeout(
-          () => {
-            this.place();
-          },
-          admission.recheckAfterMs * (1 + randomUnit()),
-        );
+        this.placeAfter(admission.recheckAfterMs);
     }
   }
 
+  private placeAfter(recheckAfterMs: number): void {
+    this.waitTimer = setTimeout(
+      () => {
+        this.place();
+      },
+      recheckAfterMs * (1 + this.context.randomUnit()),
+    );
+  }
+
+  private askForRoom(placement: Placement, declines: number): void {
+    const { prompt } = this;
+    const { promptTokens } = prompt;
+    const { fits, server, totals, unreadTokens: unread } = placement;
+    const wish = {
+      believedReadingTokens: totals.readingTokens,
+      isForced: !fits,
+      plannedTokens: promptTokens + plannedOutputTokens(prompt, 0),
+      promptTokens,
+      requestId: toId<RequestId>(this.start.call.requestId),
+      serverId: server.serverId,
+      unreadTokens: unread,
+    };
+    this.context.room.ask(wish, server, (isGranted) => {
+      if (this.isDone) {
+        return;
+      }
+      if (isGranted) {
+        this.notePlaced(placement, declines);
+        this.sendTo(server, undefined);
+      } else if (declines < MAX_DECLINES) {
+        this.place(declines + 1);
+      } else {
+        this.placeAfter(DECLINED_RECHECK_MS);
+      }
+    });
+  }
+
+  private notePlaced({ costMs, fits, server, totals }: Placement, declines: number): void {
+    const { arrivedMs, call } = this.start;
+    const { clock, log } = this.context;
+    log.info('generation-placed', {
+      costMs: Math.round(costMs),
+      declines,
+      fits,
+      plannedTokens: Math.round(totals.plannedTokens),
+      readingTokens: Math.round(totals.readingTokens),
+      requestId: call.requestId,
+      runs: totals.runs,
+      serverId: server.serverId,
+      waitedMs: Math.round(clock.nowMs() - arrivedMs),
+    });
+  }
+
   private sendTo(server: BackendServer, continuation: Continuation | undefined): void {
     const { clock, noteLoadChanged, prefixes } = this.context;
     const nowMs = clock.nowMs();
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -10,17 +10,17 @@
   Revision,
   ServerId,
 } from '@laburnumgap/kernel';
-import { toId } from '@laburnumgap/kernel';
 import type {
   ChangesMessage,
   DomainLoadMessage,
   MoveMessage,
   PeerBeat,
   PeerSnapshot,
+  RoomMessage,
 } from './PeerMessages.js';
 import { readBeat, readPeerMessage, readSnapshot } from './PeerMessages.js';
 import type { Peer } from './PeerTable.js';
-import { PeerTable } from './PeerTable.js';
+import { domainSourceId, PeerTable } from './PeerTable.js';
 import type { ServingLog } from './ServingLog.js';
 import type { MemberAddress } from './ServingPorts.js';
 
@@ -42,7 +42,7 @@
   readonly onBehind: (peer: MemberAddress) => void;
   /** Another daemon has heard that servers leave. */
   readonly onLeaving: (serverIds: readonly ServerId[]) => void;
-  readonly onMessage: (message: ChangesMessage | MoveMessage) => void;
+  readonly onMessage: (message: ChangesMessage | MoveMessage | RoomMessage) => void;
   readonly ownShares: () => readonly EngineShare[];
   readonly position: () => { readonly configurationVersion: number; readonly revision: Revision };
   /** Daemons that may be there before the platform's store was read. */
@@ -165,7 +165,7 @@
   }
 
   /** Sends a message to one daemon. */
-  tell(message: MoveMessage, memberId: MemberId): void {
+  tell(message: MoveMessage | RoomMessage, memberId: MemberId): void {
     this.sendAll(JSON.stringify(message), this.table.hostsOf(memberId));
   }
 
@@ -264,8 +264,7 @@
     if (message.failureDomain === failureDomain) {
       return;
     }
-    const source = toId<MemberId>(`domain ${message.failureDomain}`);
-    load.noteMember(source, message.shares, clock.nowMs());
+    load.noteMember(domainSourceId(message.failureDomain), message.shares, clock.nowMs());
     if (this.table.isFirstOfDomain()) {
       this.sendAll(JSON.stringify(message), hostsOf(this.table.near()));
     }
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -1,7 +1,9 @@
 import type {
   EngineShare,
+  EngineTotals,
   MoveWish,
   RegisteredServer,
+  RoomWish,
   ServerChange,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
@@ -36,6 +38,17 @@
   | { readonly kind: 'moveTurn'; readonly requestId: RequestId; readonly targetId: ServerId }
   | { readonly kind: 'moveWanted'; readonly wish: MoveWish };
 
+/** Talk about room at an engine, between a daemon and the owner of the engine. */
+export type RoomMessage =
+  | {
+      readonly isGranted: boolean;
+      readonly kind: 'roomAnswer';
+      readonly requestId: RequestId;
+      readonly serverId: ServerId;
+      readonly totals: EngineTotals;
+    }
+  | { readonly kind: 'roomWanted'; readonly memberId: MemberId; readonly wish: RoomWish };
+
 /** What a daemon that watches the store passes on. */
 export interface ChangesMessage {
   readonly configurationVersion: number;
@@ -57,7 +70,7 @@
 }
 
 /** A message between daemons beside the beats. */
-export type PeerMessage = ChangesMessage | DomainLoadMessage | MoveMessage;
+export type PeerMessage = ChangesMessage | DomainLoadMessage | MoveMessage | RoomMessage;
 
 /** All that a daemon knows, for one that the store does not answer. */
 export interface PeerSnapshot {
@@ -104,6 +117,10 @@
       return typeof message.requestId === 'string' ? (message as MoveMessage) : undefined;
     case 'moveWanted':
       return Array.isArray(message.wish?.targetIds) ? (message as MoveMessage) : undefined;
+    case 'roomAnswer':
+      return typeof message.totals === 'object' ? (message as RoomMessage) : undefined;
+    case 'roomWanted':
+      return typeof message.wish === 'object' ? (message as RoomMessage) : undefined;
     default:
       return undefined;
   }
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -1,5 +1,7 @@
+import type { BackendServer } from '@laburnumgap/dispatch';
+import { selectEngineOwner, selectWatchers } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
-import { selectWatchers } from '@laburnumgap/dispatch';
+import { toId } from '@laburnumgap/kernel';
 import type { PeerBeat } from './PeerMessages.js';
 import type { MemberAddress } from './ServingPorts.js';
 
@@ -93,6 +95,26 @@
     return first;
   }
 
+  /** The daemon that is asked before a generation is sent to an engine; this one where it is that. */
+  ownerOf({ failureDomain, serverId }: BackendServer): MemberId {
+    const { memberId } = this.options;
+    const others = this.live().flatMap((peer) =>
+      peer.failureDomain === undefined || peer.isDraining
+        ? []
+        : [{ failureDomain: peer.failureDomain, memberId: peer.memberId }],
+    );
+    const own = { failureDomain: this.options.failureDomain, memberId };
+    return selectEngineOwner(serverId, failureDomain, [...others, own]) ?? memberId;
+  }
+
+  /** Whose word names the load of a daemon: its own, or that of its domain. */
+  loadSourceOf(memberId: MemberId): MemberId {
+    const peer = [...this.peers.values()].find((other) => other.memberId === memberId);
+    return peer?.failureDomain === undefined || this.isNear(peer)
+      ? memberId
+      : domainSourceId(peer.failureDomain);
+  }
+
   /** Whether a live daemon of the same failure domain takes new connections. */
   hasNeighbour(): boolean {
     const { failureDomain } = this.options;
@@ -213,3 +235,13 @@
     return peer;
   }
 }
+
+/**
+ * Names a whole domain as the source of a load.
+ *
+ * @param failureDomain - the domain
+ * @returns an id that no daemon has
+ */
+export function domainSourceId(failureDomain: FailureDomainId): MemberId {
+  return toId<MemberId>(`domain ${failureDomain}`);
+}
--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -8,6 +8,7 @@
 import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import type { RetryBudget } from '@laburnumgap/dispatch';
 import type { BackendConnections } from './BackendConnections.js';
+import type { EngineRoomKeeper } from './EngineRoomKeeper.js';
 import type { ServingLog } from './ServingLog.js';
 import type { WireProtocol } from './ServingPorts.js';
 
@@ -28,6 +29,7 @@
   readonly protocol: WireProtocol;
   readonly randomUnit: () => number;
   readonly registry: ServerRegistry;
+  readonly room: EngineRoomKeeper;
 }
 
 /** The configuration that is in force, replaced as a whole. */
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -15,6 +15,7 @@
 import { CallsInFlight } from './CallsInFlight.js';
 import { DirectoryFollower } from './DirectoryFollower.js';
 import { EngineReports } from './EngineReports.js';
+import { EngineRoomKeeper } from './EngineRoomKeeper.js';
 import { GenerationRun } from './GenerationRun.js';
 import { MoveTurnKeeper } from './MoveTurnKeeper.js';
 import { PeerLink } from './PeerLink.js';
@@ -126,6 +127,20 @@
       protocol,
       randomUnit,
       registry: this.registry,
+      room: new EngineRoomKeeper({
+        clock,
+        engineOf: (serverId) => {
+          const server = this.registry.get(serverId)?.server;
+          return server && this.engineOf(server);
+        },
+        load: this.load,
+        loadSourceOf: (memberId) => this.peers.table.loadSourceOf(memberId),
+        memberId: settings.memberId,
+        ownerOf: (server) => this.peers.table.ownerOf(server),
+        send: (message, memberId) => {
+          this.peers.tell(message, memberId);
+        },
+      }),
     };
     this.knowledge = new ServingKnowledge({
       advance: (revision) => {
@@ -185,10 +200,16 @@
         this.knowledge.noteLeaving(serverIds, 'peer');
       },
       onMessage: (message) => {
-        if (message.kind === 'changes') {
-          this.knowledge.changesPushed(message);
-        } else {
-          this.turns.heard(message);
+        switch (message.kind) {
+          case 'changes':
+            this.knowledge.changesPushed(message);
+            break;
+          case 'roomAnswer':
+          case 'roomWanted':
+            this.context.room.heard(message);
+            break;
+          default:
+            this.turns.heard(message);
         }
       },
       onBehind: (peer) => {
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -11,6 +11,7 @@
 export * from './DirectoryFollower.js';
 export * from './EngineOrders.js';
 export * from './EngineReports.js';
+export * from './EngineRoomKeeper.js';
 export * from './EventSplitter.js';
 export * from './GenerationRun.js';
 export * from './GenerationTargets.js';
