Keep memory for the growth of two seconds, not for whole outputs

Cause: admission planned each run's whole expected output. While one output grows others end, each freeing more than it took, so that engines that counted as full had about an eighth of their memory unused, and generations waited for it.

Change: a run counts with what it holds and at most 200 further tokens.

The replay in EngineRoom.test serves over a twentieth more without an overrun.

--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -50,6 +50,8 @@
 const DEFAULT_OTHER_DOMAIN_COST_MS = 40;
 /** Cost of an engine where every call fails. */
 const FAILURE_COST_MS = 6_000;
+/** Output of one run in two seconds, in which another of a full engine ends as a rule. */
+const GROWTH_TOKENS = 200;
 /** Random part of the cost. */
 const JITTER_MS = 10;
 /** Outputs have a long tail: their mean lies above the median that callers name. */
@@ -98,13 +100,26 @@
   return Math.min(prompt.maxOutputTokens, planned);
 }
 
+/**
+ * Output tokens for which memory is kept. Answers many outputs at once: while one grows, others end
+ * and free more memory than it takes, so that only the growth of a short time is planned for.
+ *
+ * @param prompt - the request
+ * @param producedTokens - tokens so far
+ * @returns tokens
+ */
+export function reservedOutputTokens(prompt: PromptShape, producedTokens: number): number {
+  const remaining = plannedOutputTokens(prompt, producedTokens) - producedTokens;
+  return producedTokens + Math.min(GROWTH_TOKENS, Math.max(0, remaining));
+}
+
 function judge(candidate: EngineCandidate, input: PlacementInput): Placement {
   const { engine, failureDomain, hasMemory, prompt, randomUnit } = input;
   const { failureShare, keptTokens, server, totals } = candidate;
   const otherDomainCostMs = input.otherDomainCostMs ?? DEFAULT_OTHER_DOMAIN_COST_MS;
   const unread = hasMemory ? 0 : Math.max(0, prompt.promptTokens - keptTokens);
   const { promptTokens } = prompt;
-  const plannedTokens = promptTokens + plannedOutputTokens(prompt, 0);
+  const plannedTokens = promptTokens + reservedOutputTokens(prompt, 0);
   const limitTokens = plannableTokens(engine);
   const overrunTokens = Math.max(0, totals.plannedTokens + plannedTokens - limitTokens);
   const lacksRoomNow = totals.usedTokens + promptTokens > limitTokens;
--- a/packages/dispatch/src/__tests__/unit/EngineRoom.test.ts
+++ b/packages/dispatch/src/__tests__/unit/EngineRoom.test.ts
@@ -1,7 +1,7 @@
 import type { MemberId, RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
-import type { EngineCandidate, RoomWish } from '../../index.js';
+import type { EngineCandidate, PromptShape, RoomWish } from '../../index.js';
 import {
   EngineLoad,
   grantsRoom,
@@ -9,6 +9,7 @@
   plannableTokens,
   plannedOutputTokens,
   rankEngines,
+  reservedOutputTokens,
 } from '../../index.js';
 import { ENGINE, promptOf, serverOf } from '../support/DispatchFixtures.js';
 
@@ -125,3 +126,52 @@
   t.true(overrunsOf(6, 40, false) > 30);
   t.is(overrunsOf(6, 40, true), 0);
 });
+
+test('memory is kept for a short growth of a long output, and for all of a short one', (t) => {
+  const long = promptOf({ expectedOutputTokens: 600, maxOutputTokens: 2_000 });
+  t.is(reservedOutputTokens(long, 0), 200);
+  t.is(reservedOutputTokens(long, 500), 700);
+  t.is(reservedOutputTokens(long, 2_000), 2_000);
+  t.is(reservedOutputTokens(promptOf({ expectedOutputTokens: 10, maxOutputTokens: 2_000 }), 0), 13);
+});
+
+interface Served {
+  readonly ended: number;
+  readonly overrun: number;
+}
+
+/** One engine with more long outputs waiting than it can take; lengths repeat in a fixed order. */
+function serveAll(plan: (prompt: PromptShape, producedTokens: number) => number): Served {
+  const lengths = [90, 1_400, 300, 700, 180, 1_000, 450, 60, 1_700, 520];
+  const prompt = promptOf({ expectedOutputTokens: 500, maxOutputTokens: 2_000 });
+  const runs: { left: number; made: number }[] = [];
+  let begun = 0;
+  let ended = 0;
+  let overrun = 0;
+  for (let step = 0; step < 20_000; step += 1) {
+    const planned = runs.reduce(
+      (sum, { made }) => sum + prompt.promptTokens + plan(prompt, made),
+      0,
+    );
+    if (planned + prompt.promptTokens + plan(prompt, 0) <= plannableTokens(ENGINE)) {
+      runs.push({ left: lengths[begun % lengths.length] ?? 0, made: 0 });
+      begun += 1;
+    }
+    for (const run of runs) {
+      run.left -= 1;
+      run.made += 1;
+    }
+    ended += runs.filter(({ left }) => left === 0).length;
+    runs.splice(0, runs.length, ...runs.filter(({ left }) => left > 0));
+    const used = runs.reduce((sum, { made }) => sum + prompt.promptTokens + made, 0);
+    overrun += used > ENGINE.memoryTokens ? 1 : 0;
+  }
+  return { ended, overrun };
+}
+
+test('load pattern: more long outputs than memory; a short plan serves more and overruns nothing', (t) => {
+  const whole = serveAll(plannedOutputTokens);
+  const short = serveAll(reservedOutputTokens);
+  t.true(short.ended > 1.05 * whole.ended, `${short.ended} against ${whole.ended}`);
+  t.is(short.overrun, 0);
+});
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -5,7 +5,12 @@
   Placement,
   PromptShape,
 } from '@laburnumgap/dispatch';
-import { admitGeneration, plannedOutputTokens, unreadTokens } from '@laburnumgap/dispatch';
+import {
+  admitGeneration,
+  plannedOutputTokens,
+  reservedOutputTokens,
+  unreadTokens,
+} from '@laburnumgap/dispatch';
 import type { RequestId, ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal, toId } from '@laburnumgap/kernel';
 import { isGenuine, isPromise, saysNotRun } from './AnswerChecks.js';
@@ -218,7 +223,7 @@
     const reading =
       this.events > 0 || leg.resumes ? 0 : unreadTokens(prompt.promptTokens, nowMs - leg.sentMs);
     return {
-      plannedTokens: prompt.promptTokens + plannedOutputTokens(prompt, producedTokens),
+      plannedTokens: prompt.promptTokens + reservedOutputTokens(prompt, producedTokens),
       readingTokens: reading,
       runs: 1,
       serverId: leg.server.serverId,
@@ -267,7 +272,7 @@
     const wish = {
       believedReadingTokens: totals.readingTokens,
       isForced: !fits,
-      plannedTokens: promptTokens + plannedOutputTokens(prompt, 0),
+      plannedTokens: promptTokens + reservedOutputTokens(prompt, 0),
       promptTokens,
       requestId: toId<RequestId>(this.start.call.requestId),
       serverId: server.serverId,
