--- a/packages/serving/src/ServingKnowledge.ts
+++ b/packages/serving/src/ServingKnowledge.ts
@@ -8,6 +8,12 @@
 import type { ServingLog } from './ServingLog.js';
 import type { DirectoryChanges, PlatformDirectory } from './ServingPorts.js';
 
+/** The other daemons, as far as this one learns from them. */
+export type KnowledgePeers = Pick<
+  PeerLink,
+  'anyHost' | 'fetchSnapshot' | 'noteChanged' | 'noteUrgent' | 'push' | 'removeMember'
+> & { readonly table: Pick<PeerLink['table'], 'add' | 'members'> };
+
 /** Options of what a daemon knows. */
 export interface ServingKnowledgeOptions {
   /** Tells the follower of the store that everything up to a revision is known. */
@@ -19,11 +25,14 @@
   readonly memberId: MemberId;
   readonly onConfiguration: (table: RouteTable) => void;
   readonly onServerLeaves: (serverId: ServerId) => void;
-  readonly peers: () => PeerLink;
+  readonly peers: () => KnowledgePeers;
   readonly randomUnit: () => number;
   readonly registry: ServerRegistry;
 }
 
+/** Snapshots that are fetched at the same time: one may hang for its whole timeout. */
+const MAX_SNAPSHOTS_UNDER_WAY = 2;
+
 /**
  * What a daemon knows of configuration, servers and members, from the store, from other daemons and
  * from engines. Never goes back to an older version or revision.
@@ -31,6 +40,7 @@
 export class ServingKnowledge {
   private hasServers = false;
   private revision: Revision = toNumberId<Revision>(0);
+  private snapshotsUnderWay = 0;
   private table: RouteTable | undefined;
 
   constructor(private readonly options: ServingKnowledgeOptions) {}
@@ -63,8 +73,13 @@
 
   /** Takes what the platform's store said, and passes it on. */
   takeFromStore(changes: DirectoryChanges, isWhole: boolean): void {
+    const before = this.revision;
     this.passOn(changes, isWhole);
     this.applyChanges(changes, isWhole);
+    if (this.revision > before) {
+      // Only daemons that the store told beat at once: all beats at each change would fill small links.
+      this.options.peers().noteChanged();
+    }
   }
 
   /** Takes what another daemon passed on. */
@@ -97,12 +112,34 @@
     }
   }
 
-  /** Learns all that a daemon knows. */
+  /**
+   * Learns all that a daemon knows. Does nothing while others are asked: each beat of each daemon
+   * that knows more may lead here, and a small link would carry nothing but snapshots.
+   */
   async learnFrom(host: string): Promise<void> {
-    const snapshot = await this.options.peers().fetchSnapshot(host);
-    if (!snapshot) {
+    if (this.snapshotsUnderWay >= MAX_SNAPSHOTS_UNDER_WAY) {
       return;
     }
+    this.snapshotsUnderWay += 1;
+    const snapshot = await this.options.peers().fetchSnapshot(host);
+    this.snapshotsUnderWay -= 1;
+    if (snapshot) {
+      this.takeSnapshot(snapshot, host);
+    }
+  }
+
+  /** All that is known; the configuration only where it is newer than `knownVersion`. */
+  snapshot(knownVersion: number): PeerSnapshot {
+    const { host, memberId } = this.options;
+    return {
+      configuration: this.version() > knownVersion ? this.table?.configuration : undefined,
+      members: [{ host, memberId }, ...this.options.peers().table.members()],
+      revision: this.revision,
+      servers: this.options.registry.all(),
+    };
+  }
+
+  private takeSnapshot(snapshot: PeerSnapshot, host: string): void {
     snapshot.members.forEach((member) => {
       this.options.peers().table.add(member);
     });
@@ -120,17 +157,6 @@
     }
   }
 
-  /** All that is known; the configuration only where it is newer than `knownVersion`. */
-  snapshot(knownVersion: number): PeerSnapshot {
-    const { host, memberId } = this.options;
-    return {
-      configuration: this.version() > knownVersion ? this.table?.configuration : undefined,
-      members: [{ host, memberId }, ...this.options.peers().table.members()],
-      revision: this.revision,
-      servers: this.options.registry.all(),
-    };
-  }
-
   private applyChanges(changes: DirectoryChanges, isWhole: boolean): void {
     const { clock, log } = this.options;
     for (const { key, reason } of changes.unreadable) {
@@ -216,7 +242,6 @@
   private noteRevision(revision: Revision): void {
     if (revision > this.revision) {
       this.revision = revision;
-      this.options.peers().noteChanged();
     }
   }
 }
--- /dev/null
+++ b/packages/serving/src/__tests__/unit/ServingKnowledge.test.ts
@@ -0,0 +1,79 @@
+import { ServerRegistry } from '@laburnumgap/dispatch';
+import type { MemberId, Revision } from '@laburnumgap/kernel';
+import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
+import test from 'ava';
+import type { KnowledgePeers, PeerSnapshot } from '../../index.js';
+import { ServingKnowledge } from '../../index.js';
+
+interface World {
+  /** Ends the oldest fetch. */
+  readonly answer: (snapshot: PeerSnapshot | undefined) => Promise<void>;
+  readonly asked: string[];
+  readonly knowledge: ServingKnowledge;
+}
+
+function worldOf(): World {
+  const asked: string[] = [];
+  const open: ((snapshot: PeerSnapshot | undefined) => void)[] = [];
+  const peers: KnowledgePeers = {
+    anyHost: () => undefined,
+    fetchSnapshot: (host) => {
+      asked.push(host);
+      return new Promise((resolve) => open.push(resolve));
+    },
+    noteChanged: () => undefined,
+    noteUrgent: () => undefined,
+    push: () => undefined,
+    removeMember: () => undefined,
+    table: { add: () => undefined, members: () => [] },
+  };
+  const knowledge = new ServingKnowledge({
+    advance: () => undefined,
+    clock: { nowMs: () => 0 },
+    directory: {
+      close: () => undefined,
+      ping: () => Promise.resolve(false),
+      readAll: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
+      readConfiguration: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
+      register: () => Promise.resolve(success(undefined)),
+      watch: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
+    },
+    host: '127.0.0.1',
+    log: { info: () => undefined, warn: () => undefined },
+    memberId: toId<MemberId>('m1'),
+    onConfiguration: () => undefined,
+    onServerLeaves: () => undefined,
+    peers: () => peers,
+    randomUnit: () => 0.5,
+    registry: new ServerRegistry(),
+  });
+  const answer = async (snapshot: PeerSnapshot | undefined): Promise<void> => {
+    open.shift()?.(snapshot);
+    await new Promise((resolve) => setImmediate(resolve));
+  };
+  return { answer, asked, knowledge };
+}
+
+test('load pattern: many daemons know more, and few are asked at a time', async (t) => {
+  const { answer, asked, knowledge } = worldOf();
+  for (let index = 0; index < 100; index += 1) {
+    void knowledge.learnFrom(`10.0.0.${index}`);
+  }
+  t.is(asked.length, 2);
+  await answer(undefined);
+  void knowledge.learnFrom('10.0.0.200');
+  void knowledge.learnFrom('10.0.0.201');
+  t.deepEqual(asked.slice(2), ['10.0.0.200'], 'an answer makes room for one');
+});
+
+test('a snapshot is taken when it knows more', async (t) => {
+  const { answer, knowledge } = worldOf();
+  void knowledge.learnFrom('10.0.0.1');
+  const revision = toNumberId<Revision>(7);
+  await answer({ members: [], revision, servers: [] });
+  t.is(
+    knowledge.position().revision,
+    toNumberId<Revision>(0),
+    'without servers it says nothing of them',
+  );
+});
