Let late generations wait behind those that can be on time, and refuse instead of overfilling

All waiting generations looked for room alike, so that everybody was late from then on, also when the engines were back; 71 checks and 50 drafts that found no room for 0.6 of their caller's patience were sent to full engines, where they were preempted or made others wait.

Change: those that can be on time look for room every 10 ms and 10 ms more a rank, late ones every 300 ms. One without room for 0.6 of the patience is refused as not run (QUEUE_WAIT_TOO_LONG), with the mean of the recent waits as the time to come back. An idle engine has room for anything.

--- a/packages/dispatch/src/EngineRoom.ts
+++ b/packages/dispatch/src/EngineRoom.ts
@@ -6,8 +6,6 @@
 export interface RoomWish {
   /** Unread prompt tokens that its daemon believes to be there before it. */
   readonly believedReadingTokens: number;
-  /** Its daemon sends it whatever the owner says, because it can't wait longer. */
-  readonly isForced: boolean;
   /** Prompt and expected output. */
   readonly plannedTokens: number;
   readonly promptTokens: number;
@@ -33,7 +31,7 @@
 }
 
 /**
- * Whether an engine has a slot and memory for one more generation.
+ * Whether an engine has a slot and memory for one more generation. An idle one takes any.
  *
  * @param totals - what is there
  * @param wish - the generation
@@ -46,6 +44,9 @@
   engine: EngineLimits,
 ): boolean {
   const limitTokens = plannableTokens(engine);
+  if (totals.runs === 0) {
+    return true;
+  }
   return (
     totals.runs < engine.slots &&
     totals.plannedTokens + wish.plannedTokens <= limitTokens &&
@@ -64,9 +65,6 @@
  * @returns whether it goes there
  */
 export function grantsRoom(wish: RoomWish, totals: EngineTotals, engine: EngineLimits): boolean {
-  if (wish.isForced) {
-    return true;
-  }
   const missedTokens = totals.readingTokens - wish.believedReadingTokens;
   return hasRoom(totals, wish, engine) && missedTokens <= MISSED_READING_TOKENS;
 }
--- /dev/null
+++ b/packages/dispatch/src/__tests__/unit/RecentWaits.test.ts
@@ -0,0 +1,15 @@
+import test from 'ava';
+import { RecentWaits } from '../../index.js';
+
+test('without waits there is none to tell', (t) => {
+  t.is(new RecentWaits().meanMs(0), 0);
+});
+
+test('recent waits are averaged and old ones forgotten', (t) => {
+  const waits = new RecentWaits();
+  waits.note(100, 0);
+  waits.note(300, 1_000);
+  t.is(waits.meanMs(1_000), 200);
+  t.is(waits.meanMs(8_500), 300);
+  t.is(waits.meanMs(20_000), 0);
+});
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -8,6 +8,7 @@
 export * from './MoveTurns.js';
 export * from './PlainPlacement.js';
 export type * from './PromptShape.js';
+export * from './RecentWaits.js';
 export * from './RetryBudget.js';
 export * from './RouteTable.js';
 export * from './ServerHealth.js';
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -231,6 +231,12 @@
     };
   }
 
+  /** Rank from 0, first, to 9. */
+  private urgency(): number {
+    const { route, team } = this.start;
+    return Math.min(MAX_URGENCY, Math.max(0, team?.rank ?? route.rank));
+  }
+
   private producedTokens(): number {
     return this.events * this.engine.tokensPerEvent;
   }
@@ -238,15 +244,21 @@
   /** Looks for an engine. `declines` counts the owners that said no since the last wait. */
   private place(declines = 0): void {
     const { arrivedMs, route } = this.start;
+    const waitedMs = this.context.clock.nowMs() - arrivedMs;
     const admission = admitGeneration({
       best: this.rankTargets(this.excluded)[0],
       patienceMs: patienceMs(this.start),
       targetLatencyMs: route.targetLatencyMs,
-      waitedMs: this.context.clock.nowMs() - arrivedMs,
+      urgency: this.urgency(),
+      waitedMs,
     });
     switch (admission.kind) {
       case 'refuse':
-        this.refuseNotRun('NO_ENGINE', 'no engine of the service takes the request');
+        if (admission.reason === 'noRoom') {
+          this.refuseNoRoom(waitedMs);
+        } else {
+          this.refuseNotRun('NO_ENGINE', 'no engine of the service takes the request');
+        }
         break;
       case 'send':
         this.askForRoom(admission.placement, declines);
@@ -268,10 +280,9 @@
   private askForRoom(placement: Placement, declines: number): void {
     const { prompt } = this;
     const { promptTokens } = prompt;
-    const { fits, server, totals, unreadTokens: unread } = placement;
+    const { server, totals, unreadTokens: unread } = placement;
     const wish = {
       believedReadingTokens: totals.readingTokens,
-      isForced: !fits,
       plannedTokens: promptTokens + reservedOutputTokens(prompt, 0),
       promptTokens,
       requestId: toId<RequestId>(this.start.call.requestId),
@@ -295,7 +306,9 @@
 
   private notePlaced({ costMs, fits, server, totals }: Placement, declines: number): void {
     const { arrivedMs, call } = this.start;
-    const { clock, log } = this.context;
+    const { clock, log, waits } = this.context;
+    const nowMs = clock.nowMs();
+    waits.note(nowMs - arrivedMs, nowMs);
     log.info('generation-placed', {
       costMs: Math.round(costMs),
       declines,
@@ -305,10 +318,19 @@
       requestId: call.requestId,
       runs: totals.runs,
       serverId: server.serverId,
-      waitedMs: Math.round(clock.nowMs() - arrivedMs),
+      waitedMs: Math.round(nowMs - arrivedMs),
     });
   }
 
+  private refuseNoRoom(waitedMs: number): void {
+    const { clock, waits } = this.context;
+    const nowMs = clock.nowMs();
+    waits.note(waitedMs, nowMs);
+    const retryAfterMs = Math.max(DEFAULT_RETRY_AFTER_MS, Math.round(waits.meanMs(nowMs)));
+    const detail = `no engine had room for ${Math.round(waitedMs)} ms`;
+    this.refuseNotRun('QUEUE_WAIT_TOO_LONG', detail, retryAfterMs);
+  }
+
   private sendTo(server: BackendServer, continuation: Continuation | undefined): void {
     const { clock, noteLoadChanged, prefixes } = this.context;
     const nowMs = clock.nowMs();
@@ -346,7 +368,7 @@
       this.notTaken(leg, continuation, 'the server leaves');
       return;
     }
-    const { call, route, team } = this.start;
+    const { call } = this.start;
     this.sends += continuation ? 0 : 1;
     const lastEventId = this.lastEventId ?? call.lastEventId;
     sendCall(
@@ -357,7 +379,7 @@
       {
         from: continuation?.from,
         lastEventId: continuation || this.events > 0 ? (lastEventId ?? '0') : undefined,
-        urgency: Math.min(MAX_URGENCY, Math.max(0, team?.rank ?? route.rank)),
+        urgency: this.urgency(),
       },
       {
         onBody: (chunk) => {
@@ -522,9 +544,13 @@
     leg?.connection?.abort();
   }
 
-  private refuseNotRun(code: ResultCodeName, detail: string): void {
+  private refuseNotRun(
+    code: ResultCodeName,
+    detail: string,
+    retryAfterMs = DEFAULT_RETRY_AFTER_MS,
+  ): void {
     const mayHaveRun = this.sends > this.refusedSends;
-    this.refuse(mayHaveRun ? 'OUTCOME_UNKNOWN' : code, detail, DEFAULT_RETRY_AFTER_MS);
+    this.refuse(mayHaveRun ? 'OUTCOME_UNKNOWN' : code, detail, retryAfterMs);
   }
 
   private refuse(code: ResultCodeName, detail: string, retryAfterMs?: number): void {
--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -1,6 +1,7 @@
 import type {
   EngineLoad,
   KeptPrefixes,
+  RecentWaits,
   RouteTable,
   ServerHealth,
   ServerRegistry,
@@ -30,6 +31,8 @@
   readonly randomUnit: () => number;
   readonly registry: ServerRegistry;
   readonly room: EngineRoomKeeper;
+  /** Waits for room at the engines. */
+  readonly waits: RecentWaits;
 }
 
 /** The configuration that is in force, replaced as a whole. */
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -5,6 +5,7 @@
   addShares,
   EngineLoad,
   KeptPrefixes,
+  RecentWaits,
   RetryBudget,
   ServerHealth,
   ServerRegistry,
@@ -142,6 +143,7 @@
           this.peers.tell(message, memberId);
         },
       }),
+      waits: new RecentWaits(),
     };
     this.knowledge = new ServingKnowledge({
       advance: (revision) => {
