Read a configuration that several watchers push once

Change: a version that is being read is not read again.

Red without the change: ServingKnowledge.test, 20 readings instead of one.

--- a/packages/serving/src/ServingKnowledge.ts
+++ b/packages/serving/src/ServingKnowledge.ts
@@ -42,6 +42,8 @@
   private revision: Revision = toNumberId<Revision>(0);
   private snapshotsUnderWay = 0;
   private table: RouteTable | undefined;
+  /** Version that is being read; several watchers push the same one. */
+  private versionAsked = 0;
 
   constructor(private readonly options: ServingKnowledgeOptions) {}
 
@@ -84,8 +86,8 @@
 
   /** Takes what another daemon passed on. */
   changesPushed(message: ChangesMessage): void {
-    if (message.configurationVersion > this.version()) {
-      void this.readConfiguration(message.host);
+    if (message.configurationVersion > Math.max(this.version(), this.versionAsked)) {
+      void this.readConfiguration(message.configurationVersion, message.host);
     }
     const isKnown = message.revision <= this.revision;
     if (isKnown || !this.hasServers || message.sinceRevision > this.revision) {
@@ -207,8 +209,10 @@
   }
 
   /** The store gives the configuration itself; another daemon does where the store does not. */
-  private async readConfiguration(otherwiseHost: string): Promise<void> {
+  private async readConfiguration(version: number, otherwiseHost: string): Promise<void> {
+    this.versionAsked = version;
     const read = await this.options.directory.readConfiguration();
+    this.versionAsked = 0;
     if (read.ok) {
       this.applyConfiguration(read.value, 'store');
       return;
--- a/packages/serving/src/__tests__/unit/ServingKnowledge.test.ts
+++ b/packages/serving/src/__tests__/unit/ServingKnowledge.test.ts
@@ -6,6 +6,7 @@
 import { ServingKnowledge } from '../../index.js';
 
 interface World {
+  readonly configurationReads: () => number;
   /** Ends the oldest fetch. */
   readonly answer: (snapshot: PeerSnapshot | undefined) => Promise<void>;
   readonly asked: string[];
@@ -14,6 +15,7 @@
 
 function worldOf(): World {
   const asked: string[] = [];
+  let reads = 0;
   const open: ((snapshot: PeerSnapshot | undefined) => void)[] = [];
   const peers: KnowledgePeers = {
     anyHost: () => undefined,
@@ -34,7 +36,10 @@
       close: () => undefined,
       ping: () => Promise.resolve(false),
       readAll: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
-      readConfiguration: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
+      readConfiguration: () => {
+        reads += 1;
+        return Promise.resolve(failure({ kind: 'unreachable', reason: 'test' }));
+      },
       register: () => Promise.resolve(success(undefined)),
       watch: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
     },
@@ -51,7 +56,7 @@
     open.shift()?.(snapshot);
     await new Promise((resolve) => setImmediate(resolve));
   };
-  return { answer, asked, knowledge };
+  return { answer, asked, configurationReads: () => reads, knowledge };
 }
 
 test('load pattern: many daemons know more, and few are asked at a time', async (t) => {
@@ -77,3 +82,29 @@
     'without servers it says nothing of them',
   );
 });
+
+test('load pattern: all watchers push a version, and it is read once', async (t) => {
+  const { asked, configurationReads, knowledge } = worldOf();
+  const push = (configurationVersion: number): void => {
+    knowledge.changesPushed({
+      configurationVersion,
+      host: '10.0.0.1',
+      kind: 'changes',
+      members: [],
+      membersGone: [],
+      revision: toNumberId<Revision>(configurationVersion),
+      servers: [],
+      sinceRevision: toNumberId<Revision>(0),
+    });
+  };
+  for (let index = 0; index < 20; index += 1) {
+    push(4);
+  }
+  t.is(configurationReads(), 1);
+  push(5);
+  t.is(configurationReads(), 2, 'a newer one is read at once');
+  await new Promise((resolve) => setImmediate(resolve));
+  t.deepEqual(asked, ['10.0.0.1', '10.0.0.1'], 'what the store does not give is asked of a peer');
+  push(5);
+  t.is(configurationReads(), 3, 'and a read that failed is tried again');
+});
