--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -5,14 +5,9 @@
   Placement,
   PromptShape,
 } from '@laburnumgap/dispatch';
-import {
-  admitGeneration,
-  plannedOutputTokens,
-  reservedOutputTokens,
-  unreadTokens,
-} from '@laburnumgap/dispatch';
-import type { RequestId, ResultCodeName, ServerId } from '@laburnumgap/kernel';
-import { refusal, toId } from '@laburnumgap/kernel';
+import { plannedOutputTokens, reservedOutputTokens, unreadTokens } from '@laburnumgap/dispatch';
+import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
+import { refusal } from '@laburnumgap/kernel';
 import { isGenuine, isPromise, saysNotRun } from './AnswerChecks.js';
 import type { AnswerHead } from './AnswerParser.js';
 import type { SentCall } from './BackendCall.js';
@@ -21,7 +16,8 @@
 import { untilFinalAnswerMs } from './CallBounds.js';
 import type { CallStart } from './CallStart.js';
 import { EventSplitter } from './EventSplitter.js';
-import { patienceMs, rankTargets } from './GenerationTargets.js';
+import { rankTargets, urgencyOf } from './GenerationTargets.js';
+import { RoomSearch } from './RoomSearch.js';
 import type { ServingContext } from './ServingContext.js';
 import { DEFAULT_RETRY_AFTER_MS, MAX_REFUSED_SENDS } from './ServingConstants.js';
 import type { RunMemory } from './ServingPorts.js';
@@ -29,10 +25,6 @@
 const SUCCESS_STATUS = 200;
 /** Below it an answer that is no stream is no failure either, and of no use. */
 const FIRST_REDIRECT_STATUS = 300;
-const MAX_URGENCY = 9;
-/** Owners that may say no in a row before the run waits: their words are fresh then. */
-const MAX_DECLINES = 3;
-const DECLINED_RECHECK_MS = 20;
 
 /** A run at one engine. */
 interface Leg extends SentCall {
@@ -77,10 +69,10 @@
   /** Set while the run is stopped at one engine to go on at another. */
   private onLegClosed: (() => void) | undefined;
   private refusedSends = 0;
+  private readonly search: RoomSearch;
   private sends = 0;
   private readonly timer: NodeJS.Timeout;
   private moving = false;
-  private waitTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly context: ServingContext,
@@ -95,6 +87,17 @@
       },
       untilFinalAnswerMs(start, context.clock.nowMs()),
     );
+    this.search = new RoomSearch(context, {
+      onPlaced: (server) => {
+        this.sendTo(server, undefined);
+      },
+      onRefused: (code, detail, retryAfterMs) => {
+        this.refuseNotRun(code, detail, retryAfterMs);
+      },
+      prompt,
+      rank: () => this.rankTargets(this.excluded),
+      start,
+    });
     start.exchange.onLeft(() => {
       this.callerLeft();
     });
@@ -103,7 +106,7 @@
 
   /** Places the run, or refuses it. Called once. */
   begin(): void {
-    this.place();
+    this.search.begin();
   }
 
   /** What the run holds at its engine, and at the one to which its memory is copied. */
@@ -203,7 +206,7 @@
         reason,
         requestId: this.start.call.requestId,
       });
-      this.place();
+      this.search.begin();
       return;
     }
     if (this.start.exchange.hasBegun()) {
@@ -231,106 +234,10 @@
     };
   }
 
-  /** Rank from 0, first, to 9. */
-  private urgency(): number {
-    const { route, team } = this.start;
-    return Math.min(MAX_URGENCY, Math.max(0, team?.rank ?? route.rank));
-  }
-
   private producedTokens(): number {
     return this.events * this.engine.tokensPerEvent;
   }
 
-  /** Looks for an engine. `declines` counts the owners that said no since the last wait. */
-  private place(declines = 0): void {
-    const { arrivedMs, route } = this.start;
-    const waitedMs = this.context.clock.nowMs() - arrivedMs;
-    const admission = admitGeneration({
-      best: this.rankTargets(this.excluded)[0],
-      patienceMs: patienceMs(this.start),
-      targetLatencyMs: route.targetLatencyMs,
-      urgency: this.urgency(),
-      waitedMs,
-    });
-    switch (admission.kind) {
-      case 'refuse':
-        if (admission.reason === 'noRoom') {
-          this.refuseNoRoom(waitedMs);
-        } else {
-          this.refuseNotRun('NO_ENGINE', 'no engine of the service takes the request');
-        }
-        break;
-      case 'send':
-        this.askForRoom(admission.placement, declines);
-        break;
-      case 'wait':
-        this.placeAfter(admission.recheckAfterMs);
-    }
-  }
-
-  private placeAfter(recheckAfterMs: number): void {
-    this.waitTimer = setTimeout(
-      () => {
-        this.place();
-      },
-      recheckAfterMs * (1 + this.context.randomUnit()),
-    );
-  }
-
-  private askForRoom(placement: Placement, declines: number): void {
-    const { prompt } = this;
-    const { promptTokens } = prompt;
-    const { server, totals, unreadTokens: unread } = placement;
-    const wish = {
-      believedReadingTokens: totals.readingTokens,
-      plannedTokens: promptTokens + reservedOutputTokens(prompt, 0),
-      promptTokens,
-      requestId: toId<RequestId>(this.start.call.requestId),
-      serverId: server.serverId,
-      unreadTokens: unread,
-    };
-    this.context.room.ask(wish, server, (isGranted) => {
-      if (this.isDone) {
-        return;
-      }
-      if (isGranted) {
-        this.notePlaced(placement, declines);
-        this.sendTo(server, undefined);
-      } else if (declines < MAX_DECLINES) {
-        this.place(declines + 1);
-      } else {
-        this.placeAfter(DECLINED_RECHECK_MS);
-      }
-    });
-  }
-
-  private notePlaced({ costMs, fits, server, totals }: Placement, declines: number): void {
-    const { arrivedMs, call } = this.start;
-    const { clock, log, waits } = this.context;
-    const nowMs = clock.nowMs();
-    waits.note(nowMs - arrivedMs, nowMs);
-    log.info('generation-placed', {
-      costMs: Math.round(costMs),
-      declines,
-      fits,
-      plannedTokens: Math.round(totals.plannedTokens),
-      readingTokens: Math.round(totals.readingTokens),
-      requestId: call.requestId,
-      runs: totals.runs,
-      serverId: server.serverId,
-      waitedMs: Math.round(nowMs - arrivedMs),
-    });
-  }
-
-  private refuseNoRoom(waitedMs: number): void {
-    const { clock, waits } = this.context;
-    const nowMs = clock.nowMs();
-    waits.note(waitedMs, nowMs);
-    const retryAfterMs = Math.max(DEFAULT_RETRY_AFTER_MS, Math.round(waits.meanMs(nowMs)));
-    const detail = `no engine had room for ${Math.round(waitedMs)} ms`;
-    this.refuseNotRun('QUEUE_WAIT_TOO_LONG', detail, retryAfterMs);
-  }
-
   private sendTo(server: BackendServer, continuation: Continuation | undefined): void {
     const { clock, noteLoadChanged, prefixes } = this.context;
     const nowMs = clock.nowMs();
@@ -379,7 +286,7 @@
       {
         from: continuation?.from,
         lastEventId: continuation || this.events > 0 ? (lastEventId ?? '0') : undefined,
-        urgency: this.urgency(),
+        urgency: urgencyOf(this.start),
       },
       {
         onBody: (chunk) => {
@@ -499,7 +406,7 @@
     }
     this.excluded.add(leg.server.serverId);
     if (this.sends === this.refusedSends) {
-      this.place();
+      this.search.begin();
       return;
     }
     this.refusedSends += 1;
@@ -507,7 +414,7 @@
       this.refusedSends < MAX_REFUSED_SENDS &&
       this.context.budget.takeRetry(this.start.service.service);
     if (mayTryAnother) {
-      this.place();
+      this.search.begin();
       return;
     }
     this.refuseNotRun('NO_ENGINE', `the engines are full: ${reason}`);
@@ -554,14 +461,14 @@
   }
 
   private refuse(code: ResultCodeName, detail: string, retryAfterMs?: number): void {
-    this.finish(code);
+    this.finish(code, retryAfterMs);
     this.start.exchange.refuse(refusal(code, detail, retryAfterMs));
   }
 
-  private finish(outcome: string): void {
+  private finish(outcome: string, retryAfterMs?: number): void {
     this.isDone = true;
     clearTimeout(this.timer);
-    clearTimeout(this.waitTimer);
+    this.search.stop();
     const { arrivedMs, call, route } = this.start;
     const nowMs = this.context.clock.nowMs();
     this.context.log.info('generation-ended', {
@@ -571,6 +478,7 @@
       moves: this.moves,
       outcome,
       requestId: call.requestId,
+      retryAfterMs,
       route: route.name,
       serverId: this.leg?.server.serverId,
       tookMs: Math.round(nowMs - arrivedMs),
--- a/packages/serving/src/GenerationTargets.ts
+++ b/packages/serving/src/GenerationTargets.ts
@@ -21,6 +21,7 @@
 const MIN_PATIENCE_MS = 2_000;
 const PATIENCE_TARGETS = 4;
 const PATIENCE_GAPS = 8;
+const MAX_URGENCY = 9;
 /** A copy between domains takes twice as long, and all copies behind it wait as well. */
 const FAR_MOVE_WEIGHT = 3;
 
@@ -71,3 +72,13 @@
   );
   return Math.min(gapMs, call.deadlineMs ?? Infinity, route.timeoutMs);
 }
+
+/**
+ * Urgency of a request: that of its team where it has one, else that of its route.
+ *
+ * @param start - the request
+ * @returns a rank from 0, first, to 9
+ */
+export function urgencyOf({ route, team }: CallStart): number {
+  return Math.min(MAX_URGENCY, Math.max(0, team?.rank ?? route.rank));
+}
--- /dev/null
+++ b/packages/serving/src/RoomSearch.ts
@@ -0,0 +1,141 @@
+import type { BackendServer, Placement, PromptShape } from '@laburnumgap/dispatch';
+import { admitGeneration, reservedOutputTokens } from '@laburnumgap/dispatch';
+import type { RequestId, ResultCodeName } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import type { CallStart } from './CallStart.js';
+import { patienceMs, urgencyOf } from './GenerationTargets.js';
+import type { ServingContext } from './ServingContext.js';
+import { DEFAULT_RETRY_AFTER_MS } from './ServingConstants.js';
+
+/** Options of a search. */
+export interface RoomSearchOptions {
+  /** Called once for each begin, unless the search was refused or stopped. */
+  readonly onPlaced: (server: BackendServer) => void;
+  readonly onRefused: (code: ResultCodeName, detail: string, retryAfterMs?: number) => void;
+  readonly prompt: PromptShape;
+  /** The engines that may be taken now, best first. */
+  readonly rank: () => readonly Placement[];
+  readonly start: CallStart;
+}
+
+/** Owners that may say no in a row before the generation waits: their words are fresh then. */
+const MAX_DECLINES = 3;
+const DECLINED_RECHECK_MS = 20;
+
+/**
+ * Looks for an engine with room for one generation: chooses it by what this daemon knows, asks the
+ * engine's owner, and waits while there is none.
+ */
+export class RoomSearch {
+  private isStopped = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly context: ServingContext,
+    private readonly options: RoomSearchOptions,
+  ) {}
+
+  /** Looks for an engine, also once more after an engine did not take the generation. */
+  begin(): void {
+    this.look(0);
+  }
+
+  /** Ends the search without an outcome. */
+  stop(): void {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+  }
+
+  /** `declines` counts the owners that said no since the last wait. */
+  private look(declines: number): void {
+    const { onRefused, rank, start } = this.options;
+    const waitedMs = this.waitedMs();
+    const admission = admitGeneration({
+      best: rank()[0],
+      patienceMs: patienceMs(start),
+      targetLatencyMs: start.route.targetLatencyMs,
+      urgency: urgencyOf(start),
+      waitedMs,
+    });
+    switch (admission.kind) {
+      case 'refuse':
+        if (admission.reason === 'noRoom') {
+          this.refuseNoRoom(waitedMs);
+        } else {
+          onRefused('NO_ENGINE', 'no engine of the service takes the request');
+        }
+        break;
+      case 'send':
+        this.ask(admission.placement, declines);
+        break;
+      case 'wait':
+        this.lookAfter(admission.recheckAfterMs);
+    }
+  }
+
+  private lookAfter(recheckAfterMs: number): void {
+    this.timer = setTimeout(
+      () => {
+        this.look(0);
+      },
+      recheckAfterMs * (1 + this.context.randomUnit()),
+    );
+  }
+
+  private ask(placement: Placement, declines: number): void {
+    const { onPlaced, prompt, start } = this.options;
+    const { server, totals, unreadTokens } = placement;
+    const { promptTokens } = prompt;
+    const wish = {
+      believedReadingTokens: totals.readingTokens,
+      plannedTokens: promptTokens + reservedOutputTokens(prompt, 0),
+      promptTokens,
+      requestId: toId<RequestId>(start.call.requestId),
+      serverId: server.serverId,
+      unreadTokens,
+    };
+    this.context.room.ask(wish, server, (isGranted) => {
+      if (this.isStopped) {
+        return;
+      }
+      if (isGranted) {
+        this.notePlaced(placement, declines);
+        onPlaced(server);
+      } else if (declines < MAX_DECLINES) {
+        this.look(declines + 1);
+      } else {
+        this.lookAfter(DECLINED_RECHECK_MS);
+      }
+    });
+  }
+
+  private notePlaced({ costMs, fits, server, totals }: Placement, declines: number): void {
+    const { clock, log, waits } = this.context;
+    const waitedMs = this.waitedMs();
+    waits.note(waitedMs, clock.nowMs());
+    log.info('generation-placed', {
+      costMs: Math.round(costMs),
+      declines,
+      fits,
+      plannedTokens: Math.round(totals.plannedTokens),
+      readingTokens: Math.round(totals.readingTokens),
+      requestId: this.options.start.call.requestId,
+      runs: totals.runs,
+      serverId: server.serverId,
+      waitedMs: Math.round(waitedMs),
+    });
+  }
+
+  private refuseNoRoom(waitedMs: number): void {
+    const { clock, waits } = this.context;
+    const nowMs = clock.nowMs();
+    waits.note(waitedMs, nowMs);
+    const retryAfterMs = Math.max(DEFAULT_RETRY_AFTER_MS, Math.round(waits.meanMs(nowMs)));
+    const detail = `no engine had room for ${Math.round(waitedMs)} ms`;
+    this.options.onRefused('QUEUE_WAIT_TOO_LONG', detail, retryAfterMs);
+  }
+
+  private waitedMs(): number {
+    return this.context.clock.nowMs() - this.options.start.arrivedMs;
+  }
+}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -21,6 +21,7 @@
 export * from './PeerMessages.js';
 export * from './PeerTable.js';
 export * from './PlainCallRun.js';
+export * from './RoomSearch.js';
 export * from './ServingConstants.js';
 export type * from './ServingContext.js';
 export * from './ServingDaemon.js';
