Don't send a generation whose caller has given up while the process was frozen

Cause: timers of a process that wakes fire before it sees that connections closed, so that a waiting generation was sent for a caller that had left, after any time.

Change: one that waited as long as its caller's patience is refused as not run, also where an engine has room or an owner grants it.

Ruled out: the deadline's timer, which is due later than the next look for room.

Red before: GenerationAdmission.test, sent after 7.2 s of 7.2.

--- a/packages/dispatch/src/GenerationAdmission.ts
+++ b/packages/dispatch/src/GenerationAdmission.ts
@@ -43,6 +43,10 @@
   if (!best) {
     return { kind: 'refuse', reason: 'noEngine' };
   }
+  if (waitedMs >= patienceMs) {
+    // Timers of a process that was frozen fire before it sees that the caller left.
+    return { kind: 'refuse', reason: 'noRoom' };
+  }
   if (best.fits) {
     return { kind: 'send', placement: best };
   }
--- a/packages/dispatch/src/__tests__/unit/GenerationAdmission.test.ts
+++ b/packages/dispatch/src/__tests__/unit/GenerationAdmission.test.ts
@@ -46,6 +46,11 @@
   t.is(admitGeneration({ ...INPUT, waitedMs: 4_320 }).kind, 'send', 'one that fits is not');
 });
 
+test('after a freeze a generation whose caller has given up is not sent', (t) => {
+  t.is(admitGeneration({ ...INPUT, waitedMs: 7_199 }).kind, 'send');
+  t.deepEqual(admitGeneration({ ...INPUT, waitedMs: 7_200 }), { kind: 'refuse', reason: 'noRoom' });
+});
+
 /** Replays a burst on one engine; returns the most memory that runs held at once. */
 function mostTokensUsed(admit: (input: AdmissionInput) => Admission): number {
   const runTokens = 4_000;
--- a/packages/serving/src/RoomSearch.ts
+++ b/packages/serving/src/RoomSearch.ts
@@ -98,7 +98,8 @@
       if (this.isStopped) {
         return;
       }
-      if (isGranted) {
+      const isInTime = this.waitedMs() < patienceMs(start);
+      if (isGranted && isInTime) {
         this.notePlaced(placement, declines);
         onPlaced(server);
       } else if (declines < MAX_DECLINES) {
