Count a granted generation once when its daemon has told of it

Cause: a grant was counted for 40 ms whatever was heard, and then until the next word of the asker, which comes up to 0.5 s later where nothing changes. The word of a near daemon that names the generation comes 10 to 15 ms after the grant, so that it was counted twice for that time: at 0.7 placements a second an engine seemed 0.3 generations fuller than it was.

Change: a word of a near daemon counts from 10 ms after the grant on, a domain's sum from 40 ms on. Words of owners that are out of date are forgotten when another one comes.

Ruled out: dropping a grant at any word; one that was under way does not name it.

Red before: EngineRoom.test, two runs counted for one. Not measured by itself.

--- a/packages/dispatch/src/EngineLoad.ts
+++ b/packages/dispatch/src/EngineLoad.ts
@@ -2,7 +2,7 @@
 
 /** What one daemon has at one engine. */
 export interface EngineShare {
-  /** Prompt and output tokens in memory, with the output still expected. */
+  /** Prompt and output tokens in memory, with the growth that is planned for. */
   readonly plannedTokens: number;
   /** Prompt tokens that are not read yet. */
   readonly readingTokens: number;
@@ -22,6 +22,8 @@
 
 /** Room that was granted to a generation. */
 export interface GrantedRoom {
+  /** The word of its daemon comes as part of a domain's sum. */
+  readonly isSummed: boolean;
   /** Whose word will name the generation: its daemon, or the domain that speaks for it. */
   readonly sourceId: MemberId;
   readonly share: EngineShare;
@@ -47,8 +49,10 @@
 const OVERDUE_SHARE = 0.5;
 /** A daemon that was silent this long is dead, and its connections with it. */
 const MEMBER_SILENT_MS = 3_000;
-/** A word that comes this long after a grant names the generation: it was sent and told by then. */
-const GRANT_TOLD_AFTER_MS = 40;
+/** A word that comes this long after a grant names the generation: more than a round trip. */
+const GRANT_TOLD_AFTER_MS = 10;
+/** The same for a domain's sum, which is made when the domain's first daemon was told. */
+const GRANT_SUMMED_AFTER_MS = 40;
 /** Without such a word the generation was not sent, or its daemon is dead. */
 const GRANT_MS = 1_000;
 /** What the owner of an engine said is as good as the words of the others after this time. */
@@ -79,6 +83,11 @@
 
   /** Takes what the owner of an engine said of it. */
   noteOwnerWord(serverId: ServerId, totals: EngineTotals, nowMs: number): void {
+    for (const [otherId, { atMs }] of this.ownerWords) {
+      if (nowMs - atMs > OWNER_WORD_MS) {
+        this.ownerWords.delete(otherId);
+      }
+    }
     this.ownerWords.set(serverId, { atMs: nowMs, totals });
   }
 
@@ -146,18 +155,15 @@
     });
   }
 
-  private isPending({ atMs, sourceId }: Grant, nowMs: number): boolean {
+  private isPending({ atMs, isSummed, sourceId }: Grant, nowMs: number): boolean {
     const toldMs = this.members.get(sourceId)?.atMs ?? -Infinity;
-    return nowMs - atMs <= GRANT_MS && toldMs < atMs + GRANT_TOLD_AFTER_MS;
+    const namedMs = atMs + (isSummed ? GRANT_SUMMED_AFTER_MS : GRANT_TOLD_AFTER_MS);
+    return nowMs - atMs <= GRANT_MS && toldMs < namedMs;
   }
 
   private atLeastOwnerWord(serverId: ServerId, nowMs: number, sum: EngineTotals): EngineTotals {
     const word = this.ownerWords.get(serverId);
-    if (!word) {
-      return sum;
-    }
-    if (nowMs - word.atMs > OWNER_WORD_MS) {
-      this.ownerWords.delete(serverId);
+    if (!word || nowMs - word.atMs > OWNER_WORD_MS) {
       return sum;
     }
     const { totals } = word;
--- a/packages/dispatch/src/__tests__/unit/EngineRoom.test.ts
+++ b/packages/dispatch/src/__tests__/unit/EngineRoom.test.ts
@@ -49,14 +49,24 @@
   t.true(grantsRoom({ ...WISH, believedReadingTokens: 3_000 }, reading, ENGINE));
 });
 
-test('a grant counts until the word of its daemon names it', (t) => {
+test('a grant counts until the word of its daemon names it, and not twice after that', (t) => {
   const load = new EngineLoad();
   const share = { ...IDLE, plannedTokens: 4_000, runs: 1, serverId: SERVER };
   load.noteMember(OTHER, [], 0);
-  load.noteGrant({ share, sourceId: OTHER }, 100);
+  load.noteGrant({ isSummed: false, share, sourceId: OTHER }, 100);
   t.is(load.totals(SERVER, 101).runs, 1);
-  load.noteMember(OTHER, [], 110);
-  t.is(load.totals(SERVER, 111).runs, 1, 'a word that was under way does not name it yet');
+  load.noteMember(OTHER, [], 105);
+  t.is(load.totals(SERVER, 106).runs, 1, 'a word that was under way does not name it yet');
+  load.noteMember(OTHER, [share], 115);
+  t.is(load.totals(SERVER, 116).runs, 1, 'counted once');
+});
+
+test('a grant to another domain counts until the sum of that domain can name it', (t) => {
+  const load = new EngineLoad();
+  const share = { ...IDLE, plannedTokens: 4_000, runs: 1, serverId: SERVER };
+  load.noteGrant({ isSummed: true, share, sourceId: OTHER }, 100);
+  load.noteMember(OTHER, [], 130);
+  t.is(load.totals(SERVER, 131).runs, 1, 'the sum was made before its daemon told');
   load.noteMember(OTHER, [share], 150);
   t.is(load.totals(SERVER, 151).runs, 1, 'counted once');
 });
@@ -64,7 +74,7 @@
 test('a grant that no word names ends by itself', (t) => {
   const load = new EngineLoad();
   const share = { ...IDLE, plannedTokens: 4_000, runs: 1, serverId: SERVER };
-  load.noteGrant({ share, sourceId: OTHER }, 0);
+  load.noteGrant({ isSummed: false, share, sourceId: OTHER }, 0);
   t.is(load.totals(SERVER, 900).runs, 1);
   t.is(load.totals(SERVER, 1_100).runs, 0);
 });
@@ -116,7 +126,8 @@
       }
       const share = { plannedTokens, readingTokens: wish.unreadTokens, runs: 1, serverId };
       const sourceId = toId<MemberId>(`m${daemon}`);
-      owned.noteGrant({ share: { ...share, usedTokens: wish.promptTokens }, sourceId }, 0);
+      const used = { ...share, usedTokens: wish.promptTokens };
+      owned.noteGrant({ isSummed: false, share: used, sourceId }, 0);
       placed.set(serverId, (placed.get(serverId) ?? 0) + 1);
       break;
     }
--- a/packages/serving/src/EngineRoomKeeper.ts
+++ b/packages/serving/src/EngineRoomKeeper.ts
@@ -119,7 +119,8 @@
     if (isGranted) {
       const sourceId = loadSourceOf(asker);
       const share = { plannedTokens, readingTokens: unreadTokens, runs: 1, serverId };
-      load.noteGrant({ share: { ...share, usedTokens: promptTokens }, sourceId }, nowMs);
+      const isSummed = sourceId !== asker;
+      load.noteGrant({ isSummed, share: { ...share, usedTokens: promptTokens }, sourceId }, nowMs);
     }
     send({ isGranted, kind: 'roomAnswer', requestId, serverId, totals }, asker);
   }
