Count the time for which a daemon knows less than others whoever tells of it

Both watchers of the store were cut and its history dropped; other domains had the version from 2.36 s on, but read it whole and so pushed nothing.

Change: LagWatch counts from the first word of anybody until this daemon moves on.

Red before: LagWatch.test with the comparison as it was, one lag for each other daemon.

--- /dev/null
+++ b/packages/serving/src/LagWatch.ts
@@ -0,0 +1,52 @@
+import type { Revision } from '@laburnumgap/kernel';
+
+/** How far a daemon is. */
+export interface KnownPosition {
+  readonly configurationVersion: number;
+  readonly revision: Revision;
+}
+
+interface Lag extends KnownPosition {
+  readonly sinceMs: number;
+}
+
+/** The store's own changes reach all daemons well within this. */
+const BEHIND_MS = 250;
+
+/**
+ * Tells when a daemon has known less than others for so long that it must ask one of them. Answers
+ * daemons of other domains, which tell rarely: whoever tells, the time counts from the first word on.
+ */
+export class LagWatch {
+  private lag: Lag | undefined;
+
+  /**
+   * Compares what another daemon knows with what this one knows.
+   *
+   * @param other - position of the other daemon
+   * @param own - position of this one
+   * @param isAlone - the store does not answer this daemon, so that waiting for it is in vain
+   * @param nowMs - monotonic time
+   * @returns whether the other one is to be asked now
+   */
+  isDue(other: KnownPosition, own: KnownPosition, isAlone: boolean, nowMs: number): boolean {
+    const isBehind =
+      other.revision > own.revision || other.configurationVersion > own.configurationVersion;
+    if (!isBehind) {
+      return false;
+    }
+    const sinceMs = this.sinceMs(own) ?? nowMs;
+    const isDue = isAlone || nowMs - sinceMs >= BEHIND_MS;
+    const { configurationVersion, revision } = own;
+    this.lag = { configurationVersion, revision, sinceMs: isDue ? nowMs : sinceMs };
+    return isDue;
+  }
+
+  /** Undefined when this daemon has moved on since it was last behind. */
+  private sinceMs(own: KnownPosition): number | undefined {
+    const { lag } = this;
+    const stoodStill =
+      lag?.revision === own.revision && lag.configurationVersion === own.configurationVersion;
+    return stoodStill ? lag.sinceMs : undefined;
+  }
+}
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -10,6 +10,7 @@
   Revision,
   ServerId,
 } from '@laburnumgap/kernel';
+import { LagWatch } from './LagWatch.js';
 import type {
   ChangesMessage,
   DomainLoadMessage,
@@ -62,8 +63,6 @@
 const DOMAIN_LOAD_INTERVAL_MS = 250;
 /** A datagram that is not cut up much. */
 const MAX_PUSHED_BYTES = 8_000;
-/** The store's own changes reach all daemons well within this. */
-const BEHIND_MS = 250;
 const SNAPSHOT_TIMEOUT_MS = 1_000;
 const SNAPSHOT_PATH = '/peer/snapshot';
 
@@ -78,6 +77,7 @@
   private intervalTimer: NodeJS.Timeout | undefined;
   private isClosed = false;
   private isStopping = false;
+  private readonly lagWatch = new LagWatch();
   private sequence = 0;
   private readonly server: Server;
   private readonly socket: Socket;
@@ -309,17 +309,9 @@
   }
 
   private compare(beat: PeerBeat, peer: Peer, nowMs: number): void {
-    const own = this.options.position();
-    const isBehind =
-      beat.revision > own.revision || beat.configurationVersion > own.configurationVersion;
-    if (!isBehind) {
-      peer.behindSinceMs = undefined;
-      return;
-    }
-    peer.behindSinceMs ??= nowMs;
-    if (this.options.isAlone() || nowMs - peer.behindSinceMs >= BEHIND_MS) {
-      peer.behindSinceMs = nowMs;
-      this.options.onBehind(peer);
+    const { isAlone, onBehind, position } = this.options;
+    if (this.lagWatch.isDue(beat, position(), isAlone(), nowMs)) {
+      onBehind(peer);
     }
   }
 }
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -17,7 +17,6 @@
 
 /** Another daemon, as its last beat told it. */
 export interface Peer extends MemberAddress {
-  behindSinceMs: number | undefined;
   failureDomain: FailureDomainId | undefined;
   /** Late beats of the daemon's earlier life are not taken. */
   formerIncarnation: number | undefined;
@@ -226,7 +225,6 @@
       return known;
     }
     const peer: Peer = {
-      behindSinceMs: undefined,
       failureDomain: undefined,
       formerIncarnation: undefined,
       heardMs: undefined,
--- /dev/null
+++ b/packages/serving/src/__tests__/unit/LagWatch.test.ts
@@ -0,0 +1,41 @@
+import type { Revision } from '@laburnumgap/kernel';
+import { toNumberId } from '@laburnumgap/kernel';
+import test from 'ava';
+import type { KnownPosition } from '../../index.js';
+import { LagWatch } from '../../index.js';
+
+function at(revision: number, configurationVersion = 1): KnownPosition {
+  return { configurationVersion, revision: toNumberId<Revision>(revision) };
+}
+
+test('load pattern: all others are of other domains and tell rarely; one is asked soon', (t) => {
+  const watch = new LagWatch();
+  // Sixty daemons, each of which tells every two seconds.
+  let askedMs: number | undefined;
+  for (let nowMs = 0; nowMs < 4_000 && askedMs === undefined; nowMs += 33) {
+    if (watch.isDue(at(1, 2), at(1, 1), false, nowMs)) {
+      askedMs = nowMs;
+    }
+  }
+  t.true(askedMs !== undefined && askedMs < 500);
+});
+
+test('a daemon that the store does not answer asks at once', (t) => {
+  t.true(new LagWatch().isDue(at(2), at(1), true, 0));
+});
+
+test('while the daemon moves on it gives the store time', (t) => {
+  const watch = new LagWatch();
+  t.false(watch.isDue(at(2), at(1), false, 0));
+  t.false(watch.isDue(at(3), at(2), false, 300), 'it knows more than before');
+  t.true(watch.isDue(at(3), at(2), false, 600));
+  t.false(watch.isDue(at(3), at(2), false, 700), 'asked a moment ago');
+  t.false(watch.isDue(at(2), at(2), false, 1_000), 'not behind');
+});
+
+test('one that knows as little does not hide that others know more', (t) => {
+  const watch = new LagWatch();
+  t.false(watch.isDue(at(2), at(1), false, 0));
+  t.false(watch.isDue(at(1), at(1), false, 200));
+  t.true(watch.isDue(at(2), at(1), false, 260));
+});
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -17,6 +17,7 @@
 export * from './GenerationTargets.js';
 export * from './HeaderLists.js';
 export * from './MoveTurnKeeper.js';
+export * from './LagWatch.js';
 export * from './PeerLink.js';
 export * from './PeerMessages.js';
 export * from './PeerTable.js';
