Name owners of engines by the ranking that names all other owners

The owner of an engine was found by a second piece of rendezvous hashing beside that of membership. MemberRanking moves to dispatch, which depends on the kernel only, and serves both. An engine may have another owner than before; all daemons still name the same one. No test lost an assertion.

--- a/packages/dispatch/src/EngineOwner.ts
+++ b/packages/dispatch/src/EngineOwner.ts
@@ -1,5 +1,5 @@
 import type { FailureDomainId, MemberId, ServerId } from '@laburnumgap/kernel';
-import murmurhash from 'murmurhash';
+import { rankMembers } from './MemberRanking.js';
 
 /** A live daemon that can own engines. */
 export interface OwnerCandidate {
@@ -24,15 +24,5 @@
   candidates: readonly OwnerCandidate[],
 ): MemberId | undefined {
   const near = candidates.filter((candidate) => candidate.failureDomain === failureDomain);
-  let owner: MemberId | undefined;
-  let ownerScore = -1;
-  for (const { memberId } of near.length > 0 ? near : candidates) {
-    const score = murmurhash.v3(`${serverId} ${memberId}`);
-    const isFirst = score === ownerScore && owner !== undefined && memberId < owner;
-    if (score > ownerScore || isFirst) {
-      owner = memberId;
-      ownerScore = score;
-    }
-  }
-  return owner;
+  return rankMembers(near.length > 0 ? near : candidates, serverId)[0]?.memberId;
 }
--- a/packages/membership/src/MembershipRank.ts
+++ b/packages/dispatch/src/MemberRanking.ts
@@ -1,8 +1,13 @@
-import type { Member } from '@laburnumgap/kernel';
+import type { MemberId } from '@laburnumgap/kernel';
 import murmurhash from 'murmurhash';
 
-interface Scored {
-  readonly member: Member;
+/** A member, as far as its rank depends on it. */
+export interface RankedMember {
+  readonly memberId: MemberId;
+}
+
+interface Scored<M extends RankedMember> {
+  readonly member: M;
   readonly score: number;
 }
 
@@ -14,18 +19,18 @@
  * owns or owned change their owner. The order depends on the ids alone, so that every process that
  * knows the same members ranks them alike.
  */
-export class MemberRanking {
-  readonly #cache = new Map<string, readonly Member[]>();
-  readonly #members: readonly Member[];
+export class MemberRanking<M extends RankedMember> {
+  readonly #cache = new Map<string, readonly M[]>();
+  readonly #members: readonly M[];
   readonly #seeds: readonly number[];
 
-  constructor(members: readonly Member[]) {
+  constructor(members: readonly M[]) {
     this.#members = members;
     this.#seeds = members.map((member) => murmurhash.v3(member.memberId));
   }
 
   /** Members in order for a key, the owner first. */
-  rank(key: string): readonly Member[] {
+  rank(key: string): readonly M[] {
     const cached = this.#cache.get(key);
     if (cached) {
       return cached;
@@ -38,9 +43,9 @@
     return ranked;
   }
 
-  #compute(key: string): readonly Member[] {
+  #compute(key: string): readonly M[] {
     const bytes = encoder.encode(key);
-    const scored: Scored[] = this.#members.map((member, index) => ({
+    const scored: Scored<M>[] = this.#members.map((member, index) => ({
       member,
       score: murmurhash.v3(bytes, this.#seeds[index]),
     }));
@@ -56,11 +61,14 @@
  * @param key - the key
  * @returns the members, the owner first
  */
-export function rankMembers(members: readonly Member[], key: string): readonly Member[] {
+export function rankMembers<M extends RankedMember>(
+  members: readonly M[],
+  key: string,
+): readonly M[] {
   return new MemberRanking(members).rank(key);
 }
 
-function byScore(a: Scored, b: Scored): number {
+function byScore(a: Scored<RankedMember>, b: Scored<RankedMember>): number {
   if (a.score !== b.score) {
     return b.score - a.score;
   }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,6 +5,7 @@
 export * from './GenerationAdmission.js';
 export * from './GenerationPlacement.js';
 export * from './KeptPrefixes.js';
+export * from './MemberRanking.js';
 export * from './MoveTurns.js';
 export * from './PlainPlacement.js';
 export type * from './PromptShape.js';
--- a/packages/membership/src/MembershipView.ts
+++ b/packages/membership/src/MembershipView.ts
@@ -1,6 +1,6 @@
+import { MemberRanking } from '@laburnumgap/dispatch';
 import type { Member, MemberId, MemberRole, Revision } from '@laburnumgap/kernel';
 import { OUTAGE_MS, REJOIN_GRACE_MS, SUSPECT_MS } from './MembershipConstants.js';
-import { MemberRanking } from './MembershipRank.js';
 
 interface ViewEntry {
   readonly member: Member;
@@ -10,7 +10,7 @@
 
 interface RoleView {
   readonly members: readonly Member[];
-  readonly ranking: MemberRanking;
+  readonly ranking: MemberRanking<Member>;
 }
 
 /** A registered member with the key it is registered under. */
--- a/packages/membership/src/__tests__/unit/MembershipRank.test.ts
+++ b/packages/membership/src/__tests__/unit/MemberRanking.test.ts
@@ -1,8 +1,8 @@
+import { rankMembers } from '@laburnumgap/dispatch';
 import type { Revision } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
 import fc from 'fast-check';
-import { rankMembers } from '../../MembershipRank.js';
 import { MembershipView } from '../../MembershipView.js';
 import { memberOf } from '../support/MembershipFixtures.js';
 
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -4,7 +4,6 @@
 export * from './MembershipEngineAuthorityRecord.js';
 export * from './MembershipEngineOrders.js';
 export * from './MembershipPoolOrders.js';
-export * from './MembershipRank.js';
 export * from './MembershipSchema.js';
 export * from './MembershipTimers.js';
 export * from './MembershipWeightPermits.js';
--- a/packages/tools/src/capacity/CapacityKernels.ts
+++ b/packages/tools/src/capacity/CapacityKernels.ts
@@ -3,7 +3,7 @@
 import { ConfigState, planTopology } from '@laburnumgap/config-sync';
 import { CONTRACT_PREFIX } from '@laburnumgap/contracts';
 import { toId, toNumberId } from '@laburnumgap/kernel';
-import { rankMembers } from '@laburnumgap/membership';
+import { rankMembers } from '@laburnumgap/dispatch';
 import type { QuotaDemand } from '@laburnumgap/quota';
 import { createQuotaHome } from '@laburnumgap/quota';
 import { stringify } from 'yaml';
