Keep one copy of how room, load and positions are worked out

- roomLeft says whether a generation fits and by how much not; placement worked the same out beside it.
- EngineLoad adds up members and grants by one function, and drops old grants when one is added, not at each look at each engine; a share is the totals of one engine with its id.
- EngineRoomKeeper judges a wish in one place for itself and for others.
- PeerTable lists live daemons with a known domain once; the position of a daemon has one type.

No decision changes.

--- a/packages/dispatch/src/EngineLoad.ts
+++ b/packages/dispatch/src/EngineLoad.ts
@@ -1,23 +1,19 @@
 import type { MemberId, ServerId } from '@laburnumgap/kernel';
 
-/** What one daemon has at one engine. */
-export interface EngineShare {
+/** What some daemons have at one engine. */
+export interface EngineTotals {
   /** Prompt and output tokens in memory, with the growth that is planned for. */
   readonly plannedTokens: number;
   /** Prompt tokens that are not read yet. */
   readonly readingTokens: number;
   readonly runs: number;
-  readonly serverId: ServerId;
   /** Prompt and output tokens in memory now. */
   readonly usedTokens: number;
 }
 
-/** Sum of what all daemons have at one engine. */
-export interface EngineTotals {
-  readonly plannedTokens: number;
-  readonly readingTokens: number;
-  readonly runs: number;
-  readonly usedTokens: number;
+/** What one daemon, or one domain, has at one engine. */
+export interface EngineShare extends EngineTotals {
+  readonly serverId: ServerId;
 }
 
 /** Room that was granted to a generation. */
@@ -78,6 +74,7 @@
 
   /** Counts a generation that was granted room until the word of its daemon names it. */
   noteGrant(grant: GrantedRoom, nowMs: number): void {
+    this.grants = this.grants.filter((known) => this.isPending(known, nowMs));
     this.grants.push({ ...grant, atMs: nowMs });
   }
 
@@ -122,37 +119,20 @@
 
   /** Load of one engine now. */
   totals(serverId: ServerId, nowMs: number): EngineTotals {
-    const own = this.own.get(serverId) ?? NO_TOTALS;
-    let { plannedTokens, readingTokens, runs, usedTokens } = own;
+    let sum: EngineTotals = this.own.get(serverId) ?? NO_TOTALS;
     for (const [memberId, { atMs, shares }] of this.members) {
-      const ageMs = nowMs - atMs;
-      if (ageMs > MEMBER_SILENT_MS) {
+      if (nowMs - atMs > MEMBER_SILENT_MS) {
         this.members.delete(memberId);
         continue;
       }
       const share = shares.get(serverId);
-      if (share) {
-        plannedTokens += share.plannedTokens;
-        readingTokens += unreadTokens(share.readingTokens, ageMs);
-        runs += share.runs;
-        usedTokens += share.usedTokens;
-      }
+      sum = share ? addAged(sum, share, nowMs - atMs) : sum;
     }
-    this.grants = this.grants.filter((grant) => this.isPending(grant, nowMs));
-    for (const { atMs, share } of this.grants) {
-      if (share.serverId === serverId) {
-        plannedTokens += share.plannedTokens;
-        readingTokens += unreadTokens(share.readingTokens, nowMs - atMs);
-        runs += share.runs;
-        usedTokens += share.usedTokens;
-      }
+    for (const grant of this.grants) {
+      const counts = grant.share.serverId === serverId && this.isPending(grant, nowMs);
+      sum = counts ? addAged(sum, grant.share, nowMs - grant.atMs) : sum;
     }
-    return this.atLeastOwnerWord(serverId, nowMs, {
-      plannedTokens,
-      readingTokens,
-      runs,
-      usedTokens,
-    });
+    return this.atLeastOwnerWord(serverId, nowMs, sum);
   }
 
   private isPending({ atMs, isSummed, sourceId }: Grant, nowMs: number): boolean {
@@ -189,6 +169,16 @@
   return Math.max(promptTokens * OVERDUE_SHARE, expected);
 }
 
+/** Adds a share that was told some time ago; its prompts were read on since. */
+function addAged(sum: EngineTotals, share: EngineShare, ageMs: number): EngineTotals {
+  return {
+    plannedTokens: sum.plannedTokens + share.plannedTokens,
+    readingTokens: sum.readingTokens + unreadTokens(share.readingTokens, ageMs),
+    runs: sum.runs + share.runs,
+    usedTokens: sum.usedTokens + share.usedTokens,
+  };
+}
+
 /**
  * Adds up two shares of one engine.
  *
--- a/packages/dispatch/src/EngineRoom.ts
+++ b/packages/dispatch/src/EngineRoom.ts
@@ -20,6 +20,15 @@
 /** Unread prompt tokens that a daemon may have missed before another engine is the better one. */
 const MISSED_READING_TOKENS = 1_500;
 
+/** What an engine has for one more generation. */
+export interface RoomLeft {
+  readonly fits: boolean;
+  /** Without a slot, or memory for its prompt now, it waits for another one to end. */
+  readonly isBlocked: boolean;
+  /** Tokens that all there would need beyond the memory that is planned for. */
+  readonly overrunTokens: number;
+}
+
 /**
  * Memory of an engine that is planned for.
  *
@@ -31,27 +40,24 @@
 }
 
 /**
- * Whether an engine has a slot and memory for one more generation. An idle one takes any.
+ * What an engine has for one more generation. An idle one takes any.
  *
  * @param totals - what is there
  * @param wish - the generation
  * @param engine - limits of the engine
- * @returns whether it fits
+ * @returns whether it fits, and by how much not
  */
-export function hasRoom(
+export function roomLeft(
   totals: EngineTotals,
   wish: Pick<RoomWish, 'plannedTokens' | 'promptTokens'>,
   engine: EngineLimits,
-): boolean {
+): RoomLeft {
   const limitTokens = plannableTokens(engine);
-  if (totals.runs === 0) {
-    return true;
-  }
-  return (
-    totals.runs < engine.slots &&
-    totals.plannedTokens + wish.plannedTokens <= limitTokens &&
-    totals.usedTokens + wish.promptTokens <= limitTokens
-  );
+  const overrunTokens = Math.max(0, totals.plannedTokens + wish.plannedTokens - limitTokens);
+  const hasSlot = totals.runs < engine.slots;
+  const isBlocked = !hasSlot || totals.usedTokens + wish.promptTokens > limitTokens;
+  const fits = totals.runs === 0 || (overrunTokens === 0 && !isBlocked);
+  return { fits, isBlocked, overrunTokens };
 }
 
 /**
@@ -66,5 +72,5 @@
  */
 export function grantsRoom(wish: RoomWish, totals: EngineTotals, engine: EngineLimits): boolean {
   const missedTokens = totals.readingTokens - wish.believedReadingTokens;
-  return hasRoom(totals, wish, engine) && missedTokens <= MISSED_READING_TOKENS;
+  return roomLeft(totals, wish, engine).fits && missedTokens <= MISSED_READING_TOKENS;
 }
--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -2,7 +2,7 @@
 import type { BackendServer } from './BackendServer.js';
 import type { EngineTotals } from './EngineLoad.js';
 import { READING_TOKENS_PER_MS } from './EngineLoad.js';
-import { hasRoom, plannableTokens } from './EngineRoom.js';
+import { roomLeft } from './EngineRoom.js';
 import type { PromptShape } from './PromptShape.js';
 import type { EngineLimits } from './ServingConfiguration.js';
 
@@ -120,18 +120,15 @@
   const unread = hasMemory ? 0 : Math.max(0, prompt.promptTokens - keptTokens);
   const { promptTokens } = prompt;
   const plannedTokens = promptTokens + reservedOutputTokens(prompt, 0);
-  const limitTokens = plannableTokens(engine);
-  const overrunTokens = Math.max(0, totals.plannedTokens + plannedTokens - limitTokens);
-  const lacksRoomNow = totals.usedTokens + promptTokens > limitTokens;
-  const hasSlot = totals.runs < engine.slots;
+  const wish = { plannedTokens, promptTokens };
+  const { fits, isBlocked, overrunTokens } = roomLeft(totals, wish, engine);
   const costMs =
     (totals.readingTokens + unread) / READING_TOKENS_PER_MS +
     totals.runs * COST_PER_RUN_MS +
     overrunTokens * COST_PER_OVERRUN_TOKEN_MS +
-    (hasSlot && !lacksRoomNow ? 0 : NO_ROOM_COST_MS) +
+    (isBlocked ? NO_ROOM_COST_MS : 0) +
     (server.failureDomain === failureDomain ? 0 : otherDomainCostMs) +
     failureShare * FAILURE_COST_MS +
     randomUnit() * JITTER_MS;
-  const fits = hasRoom(totals, { plannedTokens, promptTokens }, engine);
   return { costMs, fits, server, totals, unreadTokens: unread };
 }
--- a/packages/dispatch/src/__tests__/unit/EngineRoom.test.ts
+++ b/packages/dispatch/src/__tests__/unit/EngineRoom.test.ts
@@ -5,11 +5,11 @@
 import {
   EngineLoad,
   grantsRoom,
-  hasRoom,
   plannableTokens,
   plannedOutputTokens,
   rankEngines,
   reservedOutputTokens,
+  roomLeft,
 } from '../../index.js';
 import { ENGINE, promptOf, serverOf } from '../support/DispatchFixtures.js';
 
@@ -26,11 +26,11 @@
 const OTHER = toId<MemberId>('m2');
 
 test('room needs a slot, planned memory and memory now', (t) => {
-  t.true(hasRoom(IDLE, WISH, ENGINE));
-  t.false(hasRoom({ ...IDLE, runs: ENGINE.slots }, WISH, ENGINE));
+  t.true(roomLeft(IDLE, WISH, ENGINE).fits);
+  t.false(roomLeft({ ...IDLE, runs: ENGINE.slots }, WISH, ENGINE).fits);
   const full = ENGINE.memoryTokens;
-  t.false(hasRoom({ ...IDLE, plannedTokens: full - 4_000, runs: 5 }, WISH, ENGINE));
-  t.false(hasRoom({ ...IDLE, runs: 5, usedTokens: full - 3_000 }, WISH, ENGINE));
+  t.false(roomLeft({ ...IDLE, plannedTokens: full - 4_000, runs: 5 }, WISH, ENGINE).fits);
+  t.false(roomLeft({ ...IDLE, runs: 5, usedTokens: full - 3_000 }, WISH, ENGINE).fits);
 });
 
 test('a full engine is declined', (t) => {
@@ -39,8 +39,8 @@
 
 test('an idle engine takes also what is larger than its planned memory', (t) => {
   const large = { plannedTokens: 40_000, promptTokens: 33_500 };
-  t.true(hasRoom(IDLE, large, ENGINE));
-  t.false(hasRoom({ ...IDLE, runs: 1 }, large, ENGINE));
+  t.true(roomLeft(IDLE, large, ENGINE).fits);
+  t.false(roomLeft({ ...IDLE, runs: 1 }, large, ENGINE).fits);
 });
 
 test('prompts that the daemon did not know of send it elsewhere', (t) => {
--- a/packages/serving/src/EngineRoomKeeper.ts
+++ b/packages/serving/src/EngineRoomKeeper.ts
@@ -76,14 +76,13 @@
   }
 
   private askOwner(question: Question, count: number): void {
-    const { clock, engineOf, load, log, memberId, ownerOf, send } = this.options;
+    const { clock, log, memberId, ownerOf, send } = this.options;
     const { onAnswer, server, wish } = question;
     const { requestId, serverId } = wish;
     const nowMs = clock.nowMs();
     const owner = ownerOf(server, this.silentNow(nowMs));
     if (owner === memberId) {
-      const engine = engineOf(serverId);
-      onAnswer(!engine || grantsRoom(wish, load.totals(serverId, nowMs), engine));
+      onAnswer(this.judge(wish, nowMs).isGranted);
       return;
     }
     const timer = setTimeout(() => {
@@ -110,12 +109,10 @@
   }
 
   private answer(wish: RoomWish, asker: MemberId): void {
-    const { clock, engineOf, load, loadSourceOf, send } = this.options;
+    const { clock, load, loadSourceOf, send } = this.options;
     const { plannedTokens, promptTokens, requestId, serverId, unreadTokens } = wish;
     const nowMs = clock.nowMs();
-    const totals: EngineTotals = load.totals(serverId, nowMs);
-    const engine = engineOf(serverId);
-    const isGranted = !engine || grantsRoom(wish, totals, engine);
+    const { isGranted, totals } = this.judge(wish, nowMs);
     if (isGranted) {
       const sourceId = loadSourceOf(asker);
       const share = { plannedTokens, readingTokens: unreadTokens, runs: 1, serverId };
@@ -125,6 +122,14 @@
     send({ isGranted, kind: 'roomAnswer', requestId, serverId, totals }, asker);
   }
 
+  /** An engine that this daemon does not know is not for it to decline. */
+  private judge(wish: RoomWish, nowMs: number): { isGranted: boolean; totals: EngineTotals } {
+    const { engineOf, load } = this.options;
+    const totals = load.totals(wish.serverId, nowMs);
+    const engine = engineOf(wish.serverId);
+    return { isGranted: !engine || grantsRoom(wish, totals, engine), totals };
+  }
+
   private settle(requestId: RequestId, serverId: ServerId, isGranted: boolean): void {
     const waiter = this.waiters.get(requestId);
     if (waiter?.wish.serverId !== serverId) {
--- a/packages/serving/src/LagWatch.ts
+++ b/packages/serving/src/LagWatch.ts
@@ -37,8 +37,7 @@
     }
     const sinceMs = this.sinceMs(own) ?? nowMs;
     const isDue = isAlone || nowMs - sinceMs >= BEHIND_MS;
-    const { configurationVersion, revision } = own;
-    this.lag = { configurationVersion, revision, sinceMs: isDue ? nowMs : sinceMs };
+    this.lag = { ...own, sinceMs: isDue ? nowMs : sinceMs };
     return isDue;
   }
 
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -3,13 +3,8 @@
 import type { Server } from 'node:http';
 import { createServer, get } from 'node:http';
 import type { EngineLoad, EngineShare } from '@laburnumgap/dispatch';
-import type {
-  FailureDomainId,
-  MemberId,
-  MonotonicClock,
-  Revision,
-  ServerId,
-} from '@laburnumgap/kernel';
+import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
+import type { KnownPosition } from './LagWatch.js';
 import { LagWatch } from './LagWatch.js';
 import type {
   ChangesMessage,
@@ -45,7 +40,7 @@
   readonly onLeaving: (serverIds: readonly ServerId[]) => void;
   readonly onMessage: (message: ChangesMessage | MoveMessage | RoomMessage) => void;
   readonly ownShares: () => readonly EngineShare[];
-  readonly position: () => { readonly configurationVersion: number; readonly revision: Revision };
+  readonly position: () => KnownPosition;
   /** Daemons that may be there before the platform's store was read. */
   readonly seedHosts: readonly string[];
   /** All that this daemon knows; the configuration only where it is newer than `knownVersion`. */
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -8,11 +8,11 @@
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, RequestId, Revision, ServerId } from '@laburnumgap/kernel';
+import type { KnownPosition } from './LagWatch.js';
 import type { MemberAddress } from './ServingPorts.js';
 
 /** What a daemon tells the others again and again. */
-export interface PeerBeat {
-  readonly configurationVersion: number;
+export interface PeerBeat extends KnownPosition {
   readonly failureDomain: FailureDomainId;
   readonly host: string;
   /** Tells a restart of the daemon. */
@@ -24,7 +24,6 @@
   readonly memberId: MemberId;
   /** The daemon stops; it is to be forgotten. */
   readonly isStopping: boolean;
-  readonly revision: Revision;
   readonly sequence: number;
   readonly shares: readonly EngineShare[];
   /** The platform's store does not answer this daemon. */
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -103,11 +103,7 @@
    */
   ownerOf({ failureDomain, serverId }: BackendServer, without: ReadonlySet<MemberId>): MemberId {
     const { memberId } = this.options;
-    const others = this.live().flatMap((peer) =>
-      peer.failureDomain === undefined || peer.isDraining || without.has(peer.memberId)
-        ? []
-        : [{ failureDomain: peer.failureDomain, memberId: peer.memberId }],
-    );
+    const others = this.placed().filter((peer) => !peer.isDraining && !without.has(peer.memberId));
     const own = { failureDomain: this.options.failureDomain, memberId };
     return selectEngineOwner(serverId, failureDomain, [...others, own]) ?? memberId;
   }
@@ -129,11 +125,8 @@
   /** Whether this daemon watches the platform's store for others. */
   isWatcher(): boolean {
     const { failureDomain, isAlone, memberId } = this.options;
-    const candidates = this.live().flatMap((peer) =>
-      peer.failureDomain === undefined ? [] : [{ ...peer, failureDomain: peer.failureDomain }],
-    );
     const own = { failureDomain, memberId, storeIsAway: isAlone() };
-    return selectWatchers([...candidates, own]).has(memberId);
+    return selectWatchers([...this.placed(), own]).has(memberId);
   }
 
   /** Whether the store answers no live daemon, this one included. */
@@ -202,6 +195,13 @@
     return [...firsts.values()];
   }
 
+  /** Live daemons whose failure domain is known. */
+  private placed(): readonly (Peer & { readonly failureDomain: FailureDomainId })[] {
+    return this.live().flatMap((peer) =>
+      peer.failureDomain === undefined ? [] : [{ ...peer, failureDomain: peer.failureDomain }],
+    );
+  }
+
   private live(): readonly Peer[] {
     const nowMs = this.options.clock.nowMs();
     return [...this.peers.values()].filter((peer) => {
--- a/packages/serving/src/ServingKnowledge.ts
+++ b/packages/serving/src/ServingKnowledge.ts
@@ -2,6 +2,7 @@
 import { RouteTable } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, Revision, ServerId } from '@laburnumgap/kernel';
 import { toNumberId } from '@laburnumgap/kernel';
+import type { KnownPosition } from './LagWatch.js';
 import type { PeerLink } from './PeerLink.js';
 import type { ChangesMessage, PeerSnapshot } from './PeerMessages.js';
 import { serverChangesOf } from './PeerMessages.js';
@@ -63,7 +64,7 @@
   }
 
   /** How far this daemon is. */
-  position(): { readonly configurationVersion: number; readonly revision: Revision } {
+  position(): KnownPosition {
     return { configurationVersion: this.version(), revision: this.revision };
   }
 
