Share out the budget of repeats before the first call, not at the first tick

A daemon's part of the budget was set by the tick; a call that came before it fixed the service's balance at one repeat, which later parts don't raise. The second call then found none left when the server that was sound took over 20 ms.

Change: the first call sets the part; servers and members are known by then.

Red before: PlatformServing.test, 'a daemon that has just begun ...'.

--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -89,6 +89,7 @@
   private readonly context: ServingContext;
   private readonly follower: DirectoryFollower;
   private readonly front: ServingFront;
+  private isBudgetShared = false;
   private isClosed = false;
   private isDraining = false;
   private readonly knowledge: ServingKnowledge;
@@ -320,6 +321,10 @@
   }
 
   private run(start: CallStart): void {
+    if (!this.isBudgetShared) {
+      // The first calls come before the first tick.
+      this.shareBudget();
+    }
     const { engine } = start.service;
     const { prompt } = start.call;
     if (engine && prompt && start.route.kind === 'stream') {
@@ -378,6 +383,7 @@
       const { repeatsAtLeast } = this.options.settings;
       const share = (repeatsAtLeast * BUDGET_SHARE) / this.peers.table.knownCount();
       this.budget.setMaxSaved(Math.max(START_SAVED_REPEATS, Math.floor(share)));
+      this.isBudgetShared = true;
     }
   }
 
