Clear what a temporary fault left armed in the stand-in

Cause: the fault 'platform loses answers' arms up to six lost answers, and nothing cleared those that no daemon used up before the end of the faults, so that they hit the harness's own final write of a contract until its three tries were spent. The same held for lost answers, refusals and preemptions of services and engines. Change: these faults end with the stand-in cleared before their target is free for the next one, so the harness's writes after the last fault meet no fault; its writes during faults already take an unknown outcome. Ruled out: more tries of the harness, which would hide a store that stays broken.

--- a/packages/tools/src/faults/FaultsInjector.ts
+++ b/packages/tools/src/faults/FaultsInjector.ts
@@ -7,6 +7,7 @@
   killDaemon,
   killStandin,
   injectFault,
+  injectTemporaryFault,
   pickEngine,
   pickService,
   slowStandin,
@@ -70,7 +71,7 @@
     });
   },
   'engine preempts': (context) =>
-    injectFault(context, pickEngine(context), {
+    injectTemporaryFault(context, pickEngine(context), {
       afterTokens: context.random.int(1, 100),
       kind: 'preempt',
     }),
@@ -100,30 +101,23 @@
   'operators race': raceOperators,
   'platform frozen': (context) => freezeStandin(context, 'platform', 500, 8_000),
   'platform loses answers': (context) =>
-    injectFault(context, 'platform', {
+    injectTemporaryFault(context, 'platform', {
       count: context.random.int(1, 6),
       kind: 'loseAnswer',
       path: '/v3/kv/txn',
     }),
-  'platform refuses': (context) => {
-    const { deployment, random } = context;
-    return withTarget(context, [{ name: 'platform' }], async () => {
-      await deployment.fault('platform', { kind: 'refuse' });
-      await sleep(random.int(500, 8_000));
-      await deployment.fault('platform', { kind: 'clear' });
-    });
-  },
+  'platform refuses': (context) => injectTemporaryFault(context, 'platform', { kind: 'refuse' }),
   'platform silent on open connections': (context) =>
     injectFault(context, 'platform', { kind: 'silent' }),
   'platform slow': (context) => slowStandin(context, 'platform'),
   'server stopped by plan': planServerStop,
   'service loses answers': (context) =>
-    injectFault(context, pickService(context), {
+    injectTemporaryFault(context, pickService(context), {
       count: context.random.int(1, 5),
       kind: 'loseAnswer',
     }),
   'service refuses': (context) =>
-    injectFault(context, pickService(context), {
+    injectTemporaryFault(context, pickService(context), {
       count: context.random.int(1, 20),
       kind: 'refuse',
     }),
--- a/packages/tools/src/faults/FaultsTargets.ts
+++ b/packages/tools/src/faults/FaultsTargets.ts
@@ -17,6 +17,10 @@
 /** Injects a fault; a fault that lasts for some time ends before the promise resolves. */
 export type FaultCase = (context: FaultContext) => Promise<void>;
 
+/** Shortest and longest time for which a temporary fault stays armed. */
+const MIN_FAULT_MS = 500;
+const MAX_FAULT_MS = 8_000;
+
 /** Picks a target and reserves it for the fault; skips the fault if the target is reserved. */
 export async function withTarget<Target extends { readonly name: string }>(
   { busy, oracle, random }: FaultContext,
@@ -97,7 +101,7 @@
   });
 }
 
-/** Injects a fault and does not clear it; skips it if another fault is using the stand-in. */
+/** Injects a fault that has no end, such as one that closes the connections open at the time. */
 export function injectFault(
   context: FaultContext,
   name: string,
@@ -106,6 +110,23 @@
   return withTarget(context, [{ name }], () => context.deployment.fault(name, fault));
 }
 
+/**
+ * Injects a fault that stays armed until calls have used it up, and clears what is left of it after
+ * a random time. Otherwise it would hit calls after the end of the faults, such as the harness's own.
+ */
+export function injectTemporaryFault(
+  context: FaultContext,
+  name: string,
+  fault: Readonly<Record<string, unknown>>,
+): Promise<void> {
+  const { deployment, random } = context;
+  return withTarget(context, [{ name }], async () => {
+    await deployment.fault(name, fault);
+    await sleep(random.int(MIN_FAULT_MS, MAX_FAULT_MS));
+    await deployment.fault(name, { kind: 'clear' });
+  });
+}
+
 /** Returns the name of a random engine. */
 export function pickEngine({ deployment, random }: FaultContext): string {
   return random.pick(deployment.options.engines).name;
