Mend what reading found: lost log lines, start that never settles, unchecked ids, overwritten history

Change: close waits for the lines, at most two write retries long; limits count bytes; both starts reject; malformed messages are ignored; an unreadable history is preserved under a key of its own in the commit that replaces it, laburnumctl says so and daemons log why the last accepted version is unknown; the oldest decisions go. Ruled out: refusing a change of a contract whose history is unreadable, which would leave operators without a way out.

--- a/packages/config-sync/src/ConfigHistoryReader.ts
+++ b/packages/config-sync/src/ConfigHistoryReader.ts
@@ -1,5 +1,6 @@
 import { CONTRACT_PREFIX, HISTORY_PREFIX } from '@laburnumgap/contracts';
-import type { PlatformStore } from '@laburnumgap/kernel';
+import type { PlatformStore, Result } from '@laburnumgap/kernel';
+import { failure, success } from '@laburnumgap/kernel';
 import { parseHistory } from './ConfigHistory.js';
 import type { ConfigChange } from './ConfigState.js';
 
@@ -9,17 +10,25 @@
  *
  * @param store - the store of the platform
  * @param key - key of the contract
- * @returns the version, or undefined if there is none or the store does not respond
+ * @returns the version, or undefined if there is none; the error says why it is not known
  */
 export async function readLastAccepted(
   store: PlatformStore,
   key: string,
-): Promise<ConfigChange | undefined> {
+): Promise<Result<ConfigChange | undefined, string>> {
   const team = key.slice(CONTRACT_PREFIX.length);
   const read = await store.read(`${HISTORY_PREFIX}${team}`);
-  if (!read.ok || !read.value) {
-    return undefined;
+  if (!read.ok) {
+    return failure(read.error.kind);
   }
-  const last = parseHistory(read.value.value).versions.at(-1);
-  return last && { key, modRevision: read.value.modRevision, value: last.text };
+  if (!read.value) {
+    return success(undefined);
+  }
+  const { modRevision, value } = read.value;
+  const { unreadableText, versions } = parseHistory(value);
+  if (unreadableText !== undefined) {
+    return failure(`the history of contract "${team}" at revision ${modRevision} is unreadable`);
+  }
+  const last = versions.at(-1);
+  return success(last && { key, modRevision, value: last.text });
 }
--- a/packages/config-sync/src/ConfigPeerServer.ts
+++ b/packages/config-sync/src/ConfigPeerServer.ts
@@ -135,16 +135,23 @@
   }
 }
 
-function splitIntoBatches(entries: readonly ConfigEntryInForce[]): ConfigEntry[][] {
+/**
+ * Splits entries into messages of bounded size.
+ *
+ * @param entries - the entries
+ * @returns at least one batch; a larger entry is a batch of its own
+ */
+export function splitIntoBatches(entries: readonly ConfigEntryInForce[]): ConfigEntry[][] {
   const batches: ConfigEntry[][] = [[]];
   let bytes = 0;
   for (const { key, modRevision, value } of entries) {
-    if (bytes > 0 && bytes + value.length > MAX_BATCH_BYTES) {
+    const valueBytes = Buffer.byteLength(value);
+    if (bytes > 0 && bytes + valueBytes > MAX_BATCH_BYTES) {
       batches.push([]);
       bytes = 0;
     }
     batches.at(-1)?.push({ deleted: false, key, modRevision, value });
-    bytes += value.length;
+    bytes += valueBytes;
   }
   return batches;
 }
--- a/packages/config-sync/src/ConfigStoreCalls.ts
+++ b/packages/config-sync/src/ConfigStoreCalls.ts
@@ -13,6 +13,7 @@
 /** A response of the store or an event of its watch. */
 export type StoreMessage =
   | { readonly changes: readonly ConfigChange[]; readonly kind: 'lastAccepted' }
+  | { readonly detail: string; readonly kind: 'historyUnknown' }
   | { readonly detail: string; readonly kind: 'readFailed' }
   | { readonly event: WatchEvent; readonly kind: 'watch'; readonly watchNumber: number }
   | { readonly headRevision: Revision; readonly kind: 'head'; readonly sentAtMs: number }
@@ -73,9 +74,11 @@
 
   /** Reads the version of a contract that `laburnumctl` accepted last. */
   async readLastAccepted(key: string): Promise<void> {
-    const change = await readLastAccepted(this.store, key);
-    if (change) {
-      this.send({ changes: [change], kind: 'lastAccepted' });
+    const read = await readLastAccepted(this.store, key);
+    if (!read.ok) {
+      this.send({ detail: read.error, kind: 'historyUnknown' });
+    } else if (read.value) {
+      this.send({ changes: [read.value], kind: 'lastAccepted' });
     }
   }
 }
--- a/packages/config-sync/src/ConfigSynchronizer.ts
+++ b/packages/config-sync/src/ConfigSynchronizer.ts
@@ -88,6 +88,9 @@
       case 'head':
         this.onHead(message.headRevision, message.sentAtMs);
         return;
+      case 'historyUnknown':
+        this.options.log.warn('configHistoryUnknown', { detail: message.detail });
+        return;
       case 'lastAccepted':
         this.applyChanges(message.changes, 'history');
         return;
--- a/packages/config-sync/src/ConfigWriter.ts
+++ b/packages/config-sync/src/ConfigWriter.ts
@@ -10,7 +10,7 @@
 } from '@laburnumgap/kernel';
 import { failure, success, toNumberId } from '@laburnumgap/kernel';
 import type { ContractVersion } from './ConfigHistory.js';
-import { appendVersion, parseHistory } from './ConfigHistory.js';
+import { appendVersion, parseHistory, unreadableHistoryKey } from './ConfigHistory.js';
 
 /** Attempts of one commit without a response before the outcome is reported as unknown. */
 const MAX_ATTEMPTS = 5;
@@ -48,6 +48,8 @@
 
 /** Options of {@link writeConfig}. */
 export interface ConfigWriterOptions {
+  /** Called with the key under which the text of an unreadable history is preserved. */
+  readonly onUnreadableHistory?: (preservedKey: string) => void;
   readonly store: PlatformStore;
   readonly wait?: (durationMs: number) => Promise<void>;
 }
@@ -70,7 +72,7 @@
   let mayHaveCommitted = false;
   let detail = '';
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-    const outcome = await tryCommit(store, write);
+    const outcome = await tryCommit(options, write);
     if (outcome.ok) {
       return outcome;
     }
@@ -88,7 +90,7 @@
 }
 
 async function tryCommit(
-  store: PlatformStore,
+  { onUnreadableHistory, store }: ConfigWriterOptions,
   write: ConfigWrite,
 ): Promise<Result<Revision, StoreError>> {
   const { changeId, expectedRevision, key, text } = write;
@@ -102,9 +104,16 @@
     if (!read.ok) {
       return failure({ detail: describeError(read.error), kind: 'unavailable' });
     }
-    guards.push({ key: write.historyKey, modRevision: read.value?.modRevision ?? NO_REVISION });
-    const value = appendVersion(parseHistory(read.value?.value), createVersion(write));
+    const historyRevision = read.value?.modRevision ?? NO_REVISION;
+    const history = parseHistory(read.value?.value);
+    guards.push({ key: write.historyKey, modRevision: historyRevision });
+    const value = appendVersion(history, createVersion(write));
     writes.push({ key: write.historyKey, kind: 'put', value });
+    if (history.unreadableText !== undefined) {
+      const preservedKey = unreadableHistoryKey(write.historyKey, historyRevision);
+      writes.push({ key: preservedKey, kind: 'put', value: history.unreadableText });
+      onUnreadableHistory?.(preservedKey);
+    }
   }
   return store.commit({ guards, writes });
 }
--- a/packages/config-sync/src/__tests__/unit/ConfigWriter.test.ts
+++ b/packages/config-sync/src/__tests__/unit/ConfigWriter.test.ts
@@ -123,3 +123,24 @@
   const conflicts = outcomes.filter((outcome) => !outcome.ok && outcome.error.kind === 'conflict');
   t.deepEqual([accepted.length, conflicts.length], [1, 7]);
 });
+
+test('an unreadable history is preserved when the next version replaces it', async (t) => {
+  const store = createMemoryStore();
+  await store.commit({
+    guards: [],
+    writes: [{ key: HISTORY_KEY, kind: 'put', value: '{"versions": 7}' }],
+  });
+  const preservedKeys: string[] = [];
+  const written = await writeConfig(
+    { onUnreadableHistory: (key) => preservedKeys.push(key), store },
+    createWrite('own', 0),
+  );
+  t.true(written.ok);
+  const [preservedKey] = preservedKeys;
+  const preserved = await store.read(preservedKey ?? '');
+  t.is(preserved.ok ? preserved.value?.value : undefined, '{"versions": 7}');
+  const history = await store.read(HISTORY_KEY);
+  const { unreadableText, versions } = parseHistory(history.ok ? history.value?.value : undefined);
+  t.is(unreadableText, undefined);
+  t.is(versions.map(({ changeId }) => changeId).join(' '), 'own');
+});
--- a/packages/ctl/src/CtlContracts.ts
+++ b/packages/ctl/src/CtlContracts.ts
@@ -120,7 +120,10 @@
   if (!read.ok) {
     return storeUnavailable(read.error);
   }
-  const { versions } = parseHistory(read.value?.value);
+  const { unreadableText, versions } = parseHistory(read.value?.value);
+  if (unreadableText !== undefined) {
+    return failure({ kind: 'notFound', what: `readable history of team ${team}` });
+  }
   if (versions.length === 0) {
     return failure({ kind: 'notFound', what: `history of team ${team}` });
   }
@@ -150,8 +153,15 @@
 
 async function commitChange(context: CtlContext, change: ContractCommit): Promise<CtlOutcome> {
   const { environment, settings, store } = context;
+  let preservedKey: string | undefined;
   const written = await writeConfig(
-    { store, wait: (durationMs) => environment.wait(durationMs) },
+    {
+      onUnreadableHistory: (key) => {
+        preservedKey = key;
+      },
+      store,
+      wait: (durationMs) => environment.wait(durationMs),
+    },
     {
       changeId: environment.newId(),
       expectedRevision: change.expectedRevision,
@@ -162,7 +172,15 @@
       text: change.text,
     },
   );
-  return written.ok ? changeOutcome(change.team, 'accepted', written.value) : written;
+  if (!written.ok) {
+    return written;
+  }
+  const outcome = changeOutcome(change.team, 'accepted', written.value);
+  if (!outcome.ok || preservedKey === undefined) {
+    return outcome;
+  }
+  const warning = `the earlier history was unreadable; its text is kept under ${preservedKey}`;
+  return success({ ...outcome.value, lines: [...outcome.value.lines, warning] });
 }
 
 function changeOutcome(
--- a/packages/key-value/src/PlatformEtcdWatch.ts
+++ b/packages/key-value/src/PlatformEtcdWatch.ts
@@ -46,6 +46,7 @@
   #ended = false;
   #idleTimer: NodeJS.Timeout | undefined;
   #partialLine = '';
+  #partialLineBytes = 0;
   #status = 0;
 
   constructor(options: EtcdWatchOptions) {
@@ -84,7 +85,7 @@
     return {
       onResponseData: (_controller, chunk) => {
         this.#restartIdleTimer();
-        this.#onText(decoder.decode(chunk, { stream: true }));
+        this.#onText(decoder.decode(chunk, { stream: true }), chunk.length);
       },
       onResponseEnd: () => {
         this.#endWith('the store ended the watch');
@@ -103,14 +104,16 @@
     };
   }
 
-  #onText(text: string): void {
+  #onText(text: string, bytes: number): void {
     if (this.#status !== HTTP_OK) {
       this.#endWith(`HTTP status ${this.#status}`);
       return;
     }
     const lines = (this.#partialLine + text).split('\n');
     this.#partialLine = lines.pop() ?? '';
-    if (this.#partialLine.length > MAX_LINE_BYTES) {
+    this.#partialLineBytes =
+      lines.length > 0 ? Buffer.byteLength(this.#partialLine) : this.#partialLineBytes + bytes;
+    if (this.#partialLineBytes > MAX_LINE_BYTES) {
       this.#endWith('a line exceeds the size limit');
       return;
     }
--- a/packages/serving/src/BoundedLog.ts
+++ b/packages/serving/src/BoundedLog.ts
@@ -1,4 +1,4 @@
-import { write, writeSync } from 'node:fs';
+import { write } from 'node:fs';
 import { stringify } from 'logfmt/lib/stringify.js';
 import type { ServingLog, ServingLogValue } from './ServingLog.js';
 
@@ -17,6 +17,8 @@
 const DEFAULT_MAX_PENDING_BYTES = 262_144;
 /** Delay before the next write when the reader of the descriptor accepts no data. */
 const RETRY_MS = 100;
+/** Time limit for writing the last lines: one retry. */
+const CLOSE_TIMEOUT_MS = 2 * RETRY_MS;
 
 /**
  * Writes log lines of key=value pairs without blocking. Lines are buffered in memory up to a limit;
@@ -28,6 +30,7 @@
   private isWriting = false;
   private readonly maxPendingBytes: number;
   private readonly nowEpochMs: () => number;
+  private onAllWritten: (() => void) | undefined;
   private pendingBytes = 0;
   private pendingLines: string[] = [];
 
@@ -46,18 +49,23 @@
   }
 
   /**
-   * Writes the buffered lines synchronously at the end of the process, unless a write is in
-   * progress.
+   * Waits until all buffered lines are written, at the end of the process.
+   *
+   * @param timeoutMs - time limit, since the reader of the descriptor may have stopped
    */
-  close(): void {
-    if (this.isWriting || this.pendingLines.length === 0) {
+  async close(timeoutMs = CLOSE_TIMEOUT_MS): Promise<void> {
+    if (!this.isWriting) {
       return;
     }
-    try {
-      writeSync(this.fileDescriptor, this.takePending());
-    } catch {
-      // The descriptor has no reader any more, and there is no other place to report it.
-    }
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<void>((resolve) => {
+      timer = setTimeout(resolve, timeoutMs);
+    });
+    const written = new Promise<void>((resolve) => {
+      this.onAllWritten = resolve;
+    });
+    await Promise.race([timeout, written]);
+    clearTimeout(timer);
   }
 
   /** Reports dropped lines. This line does not count against the limit. */
@@ -76,17 +84,22 @@
 
   private enqueue(level: string, event: string, fields: Fields): void {
     const line = this.format(level, event, fields);
-    if (this.pendingBytes + line.length > this.maxPendingBytes) {
+    const bytes = Buffer.byteLength(line);
+    if (this.pendingBytes + bytes > this.maxPendingBytes) {
       this.droppedLines += 1;
       return;
     }
     this.pendingLines.push(line);
-    this.pendingBytes += line.length;
+    this.pendingBytes += bytes;
     this.flush();
   }
 
   private flush(): void {
-    if (this.isWriting || this.pendingLines.length === 0) {
+    if (this.isWriting) {
+      return;
+    }
+    if (this.pendingLines.length === 0) {
+      this.onAllWritten?.();
       return;
     }
     this.isWriting = true;
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -99,7 +99,7 @@
   /**
    * Opens the sockets and starts the heartbeats.
    *
-   * @returns resolves when both ports are open; rejects when the snapshot port cannot be opened
+   * @returns resolves when both ports are open; rejects when one cannot be opened
    */
   async start(): Promise<void> {
     const { heartbeatPort, host, log, snapshotPort } = this.options;
@@ -109,7 +109,8 @@
     this.socket.on('error', (error) => {
       log.warn('peer-socket-failed', { reason: error.message });
     });
-    await new Promise<void>((resolve) => {
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject);
       this.socket.bind(heartbeatPort, host, resolve);
     });
     await new Promise<void>((resolve, reject) => {
@@ -165,7 +166,7 @@
    */
   broadcastChanges(changes: ChangesMessage): void {
     const encodedMessage = encodeMessage(changes);
-    if (encodedMessage.length > MAX_CHANGES_MESSAGE_BYTES) {
+    if (Buffer.byteLength(encodedMessage) > MAX_CHANGES_MESSAGE_BYTES) {
       return;
     }
     this.sendToHosts(encodedMessage, this.table.hosts());
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -110,11 +110,14 @@
 export function parseHeartbeat(bytes: Buffer): PeerHeartbeat | undefined {
   const heartbeat = parse(bytes.toString()) as Partial<PeerHeartbeat> | undefined;
   const isHeartbeat =
-    typeof heartbeat?.memberId === 'string' &&
-    typeof heartbeat.host === 'string' &&
-    typeof heartbeat.sequence === 'number' &&
-    typeof heartbeat.revision === 'number' &&
-    Array.isArray(heartbeat.leavingIds) &&
+    isId(heartbeat?.memberId) &&
+    isId(heartbeat.host) &&
+    isId(heartbeat.failureDomain) &&
+    Number.isFinite(heartbeat.incarnation) &&
+    Number.isFinite(heartbeat.sequence) &&
+    Number.isFinite(heartbeat.revision) &&
+    Number.isFinite(heartbeat.configurationVersion) &&
+    isIdList(heartbeat.leavingIds) &&
     Array.isArray(heartbeat.shares);
   return isHeartbeat ? unpackShares(heartbeat as PeerHeartbeat) : undefined;
 }
@@ -131,17 +134,24 @@
     case 'changes':
       return isChanges(message) ? message : undefined;
     case 'domainLoad':
-      return Array.isArray(message.shares) ? unpackShares(message as DomainLoadMessage) : undefined;
+      return isId(message.failureDomain) && Array.isArray(message.shares)
+        ? unpackShares(message as DomainLoadMessage)
+        : undefined;
     case 'moveDone':
     case 'moveQueued':
+      return isId(message.requestId) ? (message as MoveMessage) : undefined;
     case 'moveTurn':
-      return typeof message.requestId === 'string' ? (message as MoveMessage) : undefined;
+      return isId(message.requestId) && isId(message.targetId)
+        ? (message as MoveMessage)
+        : undefined;
     case 'moveWanted':
-      return Array.isArray(message.wish?.targetIds) ? (message as MoveMessage) : undefined;
+      return isMoveRequest(message.wish) ? (message as MoveMessage) : undefined;
     case 'roomAnswer':
-      return typeof message.totals === 'object' ? (message as CapacityMessage) : undefined;
+      return isCapacityAnswer(message) ? (message as CapacityMessage) : undefined;
     case 'roomWanted':
-      return typeof message.wish === 'object' ? (message as CapacityMessage) : undefined;
+      return isId(message.memberId) && isCapacityRequest(message.wish)
+        ? (message as CapacityMessage)
+        : undefined;
     default:
       return undefined;
   }
@@ -206,14 +216,68 @@
 
 function isChanges(message: Partial<ChangesMessage>): message is ChangesMessage {
   return (
-    typeof message.revision === 'number' &&
-    typeof message.sinceRevision === 'number' &&
-    Array.isArray(message.members) &&
-    Array.isArray(message.membersGone) &&
-    Array.isArray(message.servers)
+    isId(message.host) &&
+    Number.isFinite(message.configurationVersion) &&
+    Number.isFinite(message.revision) &&
+    Number.isFinite(message.sinceRevision) &&
+    isListOf(message.members, (member) => isId(member.host) && isId(member.memberId)) &&
+    isIdList(message.membersGone) &&
+    isListOf(message.servers, (change) => isId(change.serverId) && Number.isFinite(change.revision))
   );
 }
 
+function isCapacityAnswer(message: Partial<CapacityMessage>): boolean {
+  return (
+    message.kind === 'roomAnswer' &&
+    isId(message.requestId) &&
+    isId(message.serverId) &&
+    hasFigures(message.totals, ['plannedTokens', 'readingTokens', 'runs', 'usedTokens'])
+  );
+}
+
+function isCapacityRequest(request: Partial<CapacityRequest> | undefined): boolean {
+  return (
+    isId(request?.requestId) &&
+    isId(request.serverId) &&
+    hasFigures(request, ['believedReadingTokens', 'plannedTokens', 'promptTokens', 'unreadTokens'])
+  );
+}
+
+function isMoveRequest(request: Partial<MoveRequest> | undefined): boolean {
+  return (
+    isId(request?.memberId) &&
+    isId(request.requestId) &&
+    isId(request.sourceId) &&
+    isIdList(request.targetIds)
+  );
+}
+
+function isId(value: unknown): value is string {
+  return typeof value === 'string' && value !== '';
+}
+
+function isIdList(value: unknown): boolean {
+  return Array.isArray(value) && value.every(isId);
+}
+
+function isListOf<T>(value: readonly T[] | undefined, isEntry: (entry: T) => boolean): boolean {
+  return (
+    Array.isArray(value) &&
+    value.every((entry: unknown) => isObject(entry) && isEntry(entry as unknown as T))
+  );
+}
+
+function hasFigures<T extends object>(
+  value: T | undefined,
+  names: readonly (string & keyof T)[],
+): boolean {
+  return isObject(value) && names.every((name) => Number.isFinite(value[name]));
+}
+
+function isObject(value: unknown): value is object {
+  return typeof value === 'object' && value !== null;
+}
+
 function parse(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -281,7 +281,8 @@
     await Promise.all([
       this.front.listen(settings.front.host, settings.front.port),
       this.peers.start(),
-      new Promise<void>((resolve) => {
+      new Promise<void>((resolve, reject) => {
+        this.readyServer.once('error', reject);
         this.readyServer.listen(settings.ready.port, settings.ready.host, resolve);
       }),
     ]);
--- /dev/null
+++ b/packages/serving/src/__tests__/integration/PeerLink.test.ts
@@ -0,0 +1,38 @@
+import { createSocket } from 'node:dgram';
+import { EngineLoad } from '@laburnumgap/dispatch';
+import type { FailureDomainId, MemberId, Revision } from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import test from 'ava';
+import { PeerLink } from '../../index.js';
+
+test('starting fails when the port for datagrams is taken', async (t) => {
+  const host = '127.0.0.1';
+  const other = createSocket('udp4');
+  await new Promise<void>((resolve) => {
+    other.bind(0, host, resolve);
+  });
+  const position = { configurationVersion: 0, revision: toNumberId<Revision>(0) };
+  const link = new PeerLink({
+    clock: { nowMs: () => 0 },
+    failureDomain: toId<FailureDomainId>('a'),
+    heartbeatPort: other.address().port,
+    host,
+    incarnation: 1,
+    isDraining: () => false,
+    isStoreDown: () => false,
+    leavingIds: () => [],
+    load: new EngineLoad(),
+    localShares: () => [],
+    log: { info: () => undefined, warn: () => undefined },
+    memberId: toId<MemberId>('m1'),
+    onLagging: () => undefined,
+    onLeaving: () => undefined,
+    onMessage: () => undefined,
+    position: () => position,
+    seedHosts: [],
+    snapshot: () => ({ members: [], revision: position.revision, servers: [] }),
+    snapshotPort: 0,
+  });
+  await t.throwsAsync(link.start(), { code: 'EADDRINUSE' });
+  other.close();
+});
--- a/packages/serving/src/__tests__/unit/BoundedLog.test.ts
+++ b/packages/serving/src/__tests__/unit/BoundedLog.test.ts
@@ -46,3 +46,27 @@
   t.true(lines.some((line) => line.includes(`lines=${50 - writtenCount}`)));
   closeSync(fileDescriptor);
 });
+
+test('closing waits for the lines that are buffered behind a pending write', async (t) => {
+  const path = createLogPath(t.teardown);
+  const fileDescriptor = openSync(path, 'w');
+  const log = new BoundedLog({ fileDescriptor, nowEpochMs: () => 0 });
+  log.info('first');
+  log.info('second');
+  await log.close();
+  const events = readFileSync(path, 'utf8').match(/event=\w+/g);
+  t.deepEqual(events, ['event=first', 'event=second']);
+  closeSync(fileDescriptor);
+});
+
+test('the buffer limit counts bytes, not characters', async (t) => {
+  const path = createLogPath(t.teardown);
+  const fileDescriptor = openSync(path, 'w');
+  const log = new BoundedLog({ fileDescriptor, maxPendingBytes: 200, nowEpochMs: () => 0 });
+  // 120 characters of two bytes each.
+  log.info('line', { detail: 'é'.repeat(120) });
+  log.info('last');
+  await log.close();
+  t.is(/event=line/.exec(readFileSync(path, 'utf8')), null);
+  closeSync(fileDescriptor);
+});
--- a/packages/serving/src/__tests__/unit/PeerMessages.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerMessages.test.ts
@@ -43,3 +43,75 @@
   const message = parsePeerMessage(Buffer.from(JSON.stringify({ ...MESSAGE, shares })));
   t.is(message?.kind === 'domainLoad' ? message.shares.length : undefined, 1);
 });
+
+const REQUEST = {
+  believedReadingTokens: 0,
+  plannedTokens: 1,
+  promptTokens: 1,
+  requestId: 'r',
+  serverId: 's',
+  unreadTokens: 1,
+};
+const TOTALS = { plannedTokens: 1, readingTokens: 1, runs: 1, usedTokens: 1 };
+const MOVE = {
+  endsSoon: false,
+  memberId: 'm',
+  requestId: 'r',
+  sourceId: 's',
+  targetIds: ['t'],
+  usedTokens: 1,
+};
+const CHANGES = {
+  configurationVersion: 0,
+  host: 'h',
+  kind: 'changes',
+  members: [{ host: 'h', memberId: 'm' }],
+  membersGone: ['m'],
+  revision: 2,
+  servers: [{ revision: 2, serverId: 's' }],
+  sinceRevision: 1,
+};
+const VALID_MESSAGES: readonly object[] = [
+  CHANGES,
+  { kind: 'moveDone', requestId: 'r' },
+  { kind: 'moveTurn', requestId: 'r', targetId: 't' },
+  { kind: 'moveWanted', wish: MOVE },
+  { isGranted: true, kind: 'roomAnswer', requestId: 'r', serverId: 's', totals: TOTALS },
+  { kind: 'roomWanted', memberId: 'm', wish: REQUEST },
+];
+const MALFORMED_MESSAGES: readonly object[] = [
+  { ...CHANGES, host: 7 },
+  { ...CHANGES, members: [{ host: 'h' }] },
+  { ...CHANGES, members: [null] },
+  { ...CHANGES, membersGone: [7] },
+  { ...CHANGES, servers: [{ revision: 2 }] },
+  { ...CHANGES, servers: [{ revision: 'x', serverId: 's' }] },
+  { kind: 'moveDone', requestId: '' },
+  { kind: 'moveTurn', requestId: 'r' },
+  { kind: 'moveTurn', requestId: 'r', targetId: {} },
+  { kind: 'moveWanted', wish: { ...MOVE, memberId: undefined } },
+  { kind: 'moveWanted', wish: { ...MOVE, targetIds: [1] } },
+  { isGranted: true, kind: 'roomAnswer', requestId: 'r', serverId: 7, totals: TOTALS },
+  { isGranted: true, kind: 'roomAnswer', requestId: 'r', serverId: 's', totals: null },
+  { isGranted: true, kind: 'roomAnswer', requestId: 'r', serverId: 's', totals: { runs: 'x' } },
+  { kind: 'roomWanted', memberId: 7, wish: REQUEST },
+  { kind: 'roomWanted', memberId: 'm', wish: null },
+  { kind: 'roomWanted', memberId: 'm', wish: { ...REQUEST, serverId: [] } },
+];
+
+test('valid messages are parsed unchanged', (t) => {
+  for (const message of VALID_MESSAGES) {
+    const parsed: unknown = parsePeerMessage(Buffer.from(JSON.stringify(message)));
+    t.deepEqual(parsed, message);
+  }
+});
+
+test('messages with missing or malformed ids and figures are ignored', (t) => {
+  for (const message of MALFORMED_MESSAGES) {
+    t.is(
+      parsePeerMessage(Buffer.from(JSON.stringify(message))),
+      undefined,
+      JSON.stringify(message),
+    );
+  }
+});
--- a/packages/telemetry/src/TelemetryDecisionLog.ts
+++ b/packages/telemetry/src/TelemetryDecisionLog.ts
@@ -24,12 +24,12 @@
 }
 
 const DEFAULT_MAX_REQUESTS = 5000;
-/** Later decisions about the same request are logged but not stored. */
+/** The oldest decisions beyond this are no longer stored; the latest say how the request ended. */
 const MAX_DECISIONS_PER_REQUEST = 64;
 
 /**
  * Creates a decision log. It writes one log line per decision and stores a bounded number of
- * decisions by request; decisions beyond the bound per request are only logged.
+ * decisions by request, of each request the latest.
  *
  * @param options - the log and the number of requests to store
  * @returns the decision log
@@ -43,8 +43,9 @@
     const decisions = decisionsByRequest.get(requestId) ?? [];
     decisionsByRequest.delete(requestId);
     decisionsByRequest.set(requestId, decisions);
-    if (decisions.length < MAX_DECISIONS_PER_REQUEST) {
-      decisions.push(decision);
+    decisions.push(decision);
+    if (decisions.length > MAX_DECISIONS_PER_REQUEST) {
+      decisions.shift();
     }
     if (decisionsByRequest.size > maxRequests) {
       const oldest = decisionsByRequest.keys().next();
