Resume streams where their caller stopped

Beside it: a restarted stream's wait for an engine counted from the arrival of the request, so that streams older than the caller's patience could not restart; a stream that may be restarted failed if its engine failed before the first event; the failed engine stayed a candidate; an engine's error response was forwarded with its length and without its body. Change: ResumePosition decides after which event a run starts or continues. Restarts wait from the failure on, leave the failed engine out, and cover failures before the first event and statuses of 500 and more. A stream resumed after its last event ends complete without events. On a route without resuming the header is ignored and events carry their ids from the first. Error bodies are forwarded. Ruled out: refusing the header on other routes, since a proper request would be denied.

--- a/packages/serving/src/EngineSearch.ts
+++ b/packages/serving/src/EngineSearch.ts
@@ -31,18 +31,30 @@
  */
 export class EngineSearch {
   private isStopped = false;
+  private startedMs: number;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly context: ServingContext,
     private readonly options: EngineSearchOptions,
-  ) {}
+  ) {
+    this.startedMs = options.admitted.arrivedMs;
+  }
 
   /** Starts the search. Called again after an engine did not accept the generation. */
   start(): void {
     this.search(0);
   }
 
+  /**
+   * Starts the search for a stream that was being forwarded. Its caller waits as long for the next
+   * event as for the first one, counted from now.
+   */
+  startAgain(): void {
+    this.startedMs = this.context.clock.nowMs();
+    this.search(0);
+  }
+
   /** Stops the search; no callback follows. */
   stop(): void {
     this.isStopped = true;
@@ -140,6 +152,6 @@
   }
 
   private waitedMs(): number {
-    return this.context.clock.nowMs() - this.options.admitted.arrivedMs;
+    return this.context.clock.nowMs() - this.startedMs;
   }
 }
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -22,16 +22,24 @@
 import { rankTargets, urgencyOf } from './GenerationTargets.js';
 import { impliesNotExecuted, isFromServer, isNotExecuted } from './ResponseChecks.js';
 import type { ResponseHead } from './ResponseParser.js';
-import { DEFAULT_RETRY_AFTER_MS, MAX_REFUSED_SENDS } from './ServingConstants.js';
+import { ResumePosition } from './ResumePosition.js';
+import {
+  DEFAULT_RETRY_AFTER_MS,
+  MAX_BUFFERED_RESPONSE_BYTES,
+  MAX_REFUSED_SENDS,
+} from './ServingConstants.js';
 import type { ServingContext } from './ServingContext.js';
 import type { KvCacheLocation } from './ServingPorts.js';
 
 const SUCCESS_STATUS = 200;
 /** Responses below this status that are no event stream are unusable, and no error to forward. */
 const FIRST_REDIRECT_STATUS = 300;
+const FIRST_FAILURE_STATUS = 500;
 
 /** Execution of the generation at one engine. */
 interface EngineAttempt extends BackendAttempt {
+  /** Body of a response that is not an event stream. */
+  errorBody: Buffer;
   /** The engine continues from a copied KV cache instead of reading the prompt. */
   readonly isContinuation: boolean;
   readonly splitter: EventSplitter;
@@ -71,11 +79,11 @@
   private isDone = false;
   private isMoving = false;
   private lastEventAtMs = 0;
-  private lastEventId: string | undefined;
   private moveCount = 0;
   /** Set while waiting for a stopped stream to close before the run continues at another engine. */
   private onStreamClosed: (() => void) | undefined;
   private refusedSendCount = 0;
+  private readonly resumePosition: ResumePosition;
   private readonly search: EngineSearch;
   private sendCount = 0;
 
@@ -92,6 +100,10 @@
       },
       untilFinalResponseMs(admitted, context.clock.nowMs()),
     );
+    this.resumePosition = new ResumePosition(
+      admitted.route.mayRestartStream,
+      admitted.request.lastEventId,
+    );
     this.search = new EngineSearch(context, {
       admitted,
       onPlaced: (server) => {
@@ -220,17 +232,9 @@
     if (this.isDone) {
       return;
     }
+    const { attempt } = this;
     this.abortAttempt();
-    const { route } = this.admitted;
-    const mayRestart =
-      route.mayRestartStream && this.eventCount > 0 && this.sendCount < route.maxServers;
-    if (mayRestart && this.context.retryBudget.takeRetry(this.admitted.service.service)) {
-      this.context.log.info('stream-restarted', {
-        events: this.eventCount,
-        reason,
-        requestId: this.admitted.request.requestId,
-      });
-      this.search.start();
+    if (this.restart(attempt?.server.serverId, reason)) {
       return;
     }
     if (this.admitted.exchange.hasStarted()) {
@@ -241,6 +245,33 @@
     this.refuse('OUTCOME_UNKNOWN', `the engine's stream failed: ${reason}`);
   }
 
+  /** Sends the stream to another engine if its route and the retry budget allow it. */
+  private restart(failedServerId: ServerId | undefined, reason: string): boolean {
+    const { request, route, service } = this.admitted;
+    const mayRestart =
+      route.mayRestartStream &&
+      this.sendCount < route.maxServers &&
+      this.context.retryBudget.takeRetry(service.service);
+    if (!mayRestart) {
+      return false;
+    }
+    this.context.log.info('stream-restarted', {
+      events: this.eventCount,
+      reason,
+      requestId: request.requestId,
+      serverId: failedServerId,
+    });
+    if (failedServerId !== undefined) {
+      this.excludedServerIds.add(failedServerId);
+    }
+    if (this.eventCount > 0) {
+      this.search.startAgain();
+    } else {
+      this.search.start();
+    }
+    return true;
+  }
+
   private share(nowMs: number): EngineShare | undefined {
     const { attempt, prompt } = this;
     if (!attempt) {
@@ -268,6 +299,7 @@
     const { clock, publishLoad, cachedPrefixes } = this.context;
     const nowMs = clock.nowMs();
     const attempt: EngineAttempt = {
+      errorBody: Buffer.alloc(0),
       isContinuation: continuation !== undefined,
       sentMs: nowMs,
       server,
@@ -301,9 +333,7 @@
       this.onNotStarted(attempt, continuation, 'the server is leaving');
       return;
     }
-    const { request } = this.admitted;
     this.sendCount += continuation ? 0 : 1;
-    const lastEventId = this.lastEventId ?? request.lastEventId;
     sendAttempt(
       this.context,
       this.admitted,
@@ -311,7 +341,9 @@
       connection,
       {
         kvSource: continuation?.kvSource,
-        lastEventId: continuation || this.eventCount > 0 ? (lastEventId ?? '0') : undefined,
+        lastEventId: continuation
+          ? this.resumePosition.continueAfter()
+          : this.resumePosition.restartAfter(),
         urgency: urgencyOf(this.admitted),
       },
       {
@@ -329,7 +361,11 @@
   }
 
   private onBodyChunk(attempt: EngineAttempt, chunk: Buffer): void {
-    if (this.attempt !== attempt || this.isDone || !isEventStream(attempt)) {
+    if (this.attempt !== attempt || this.isDone) {
+      return;
+    }
+    if (!isEventStream(attempt)) {
+      this.bufferErrorBody(attempt, chunk);
       return;
     }
     const events = attempt.splitter.push(chunk);
@@ -346,10 +382,17 @@
     }
     this.eventCount += events.count;
     this.lastEventAtMs = this.context.clock.nowMs();
-    this.lastEventId = events.lastEventId ?? this.lastEventId;
+    this.resumePosition.advance(events.lastEventId);
     exchange.forward(events.bytes, attempt.connection);
   }
 
+  private bufferErrorBody(attempt: EngineAttempt, chunk: Buffer): void {
+    attempt.errorBody = Buffer.concat([attempt.errorBody, chunk]);
+    if (attempt.errorBody.length > MAX_BUFFERED_RESPONSE_BYTES) {
+      this.fail('the error response of the engine exceeds the size limit');
+    }
+  }
+
   private onResponseEnd(attempt: EngineAttempt, continuation: Continuation | undefined): void {
     const { head, metadata, server } = attempt;
     if (attempt.connection) {
@@ -368,24 +411,42 @@
     }
     recordOutcome(this.context, attempt, 'failed');
     this.attempt = undefined;
+    const isServerFailure = head.status >= FIRST_FAILURE_STATUS || !isFromServer(head, metadata);
+    if (isServerFailure && this.restart(server.serverId, `status ${head.status}`)) {
+      return;
+    }
+    if (this.admitted.exchange.hasStarted()) {
+      this.finish(`broken-off: status ${head.status}`);
+      this.admitted.exchange.abort();
+      return;
+    }
     if (impliesNotExecuted(head) || metadata.isEncoded || head.status < FIRST_REDIRECT_STATUS) {
       this.refuse('OUTCOME_UNKNOWN', `the engine answered with status ${head.status}`);
       return;
     }
     this.finish(`status ${head.status}`);
     this.admitted.exchange.start(head);
-    this.admitted.exchange.finish();
+    this.admitted.exchange.finish(attempt.errorBody);
   }
 
   private onStreamEnd(attempt: EngineAttempt): void {
-    if (attempt.splitter.pendingBytes() > 0 || !this.admitted.exchange.hasStarted()) {
+    const { exchange } = this.admitted;
+    if (attempt.splitter.pendingBytes() > 0) {
       this.onConnectionBroken(attempt, 'the stream ended in the middle of an event');
       return;
     }
+    if (!exchange.hasStarted()) {
+      if (this.resumePosition.restartAfter() === undefined || !attempt.head) {
+        this.onConnectionBroken(attempt, 'the stream ended without an event');
+        return;
+      }
+      // The caller already has the last event.
+      exchange.start(withoutContentLength(attempt.head));
+    }
     recordOutcome(this.context, attempt, 'answered');
     this.attempt = undefined;
     this.finish('answered');
-    this.admitted.exchange.finish();
+    exchange.finish();
   }
 
   private onConnectionBroken(attempt: EngineAttempt, reason: string): void {
