Follow what servers say of themselves: leaving, and for how long to send nothing

Cause: servers now say in any response that they are leaving, and may ask in a 503 to be sent nothing for a time; both were ignored. Beside it: marks of leaving servers passed between daemons by id alone, so that a late heartbeat could mark a server that had restarted under its id. Change: ServerSignals evaluates the head of every response, also of control requests. A server that is leaving gets no new work, its streams are moved and peers are told, with the start time of the server. A backoff lives in the server registry beside leaving, by incarnation and with its end; placement, sending on a connection that was just opened, moves, copies and reports ask there. When all servers of a service back off, requests are refused at once as not run, with the time until the first takes work again. A 421 speaks for another server and is not evaluated. Values that are not valid are logged once a header and ignored. Ruled out: telling peers of a backoff, as the server asks this daemon only; clipping long times, which would send what the server asked not to get.

--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -18,6 +18,17 @@
   readonly server: BackendServer;
 }
 
+/** One run of a server process; a restart under the same id has another start time. */
+export interface ServerIncarnation {
+  readonly serverId: ServerId;
+  readonly startedEpochMs: number;
+}
+
+interface Backoff {
+  readonly startedEpochMs: number;
+  readonly untilMs: number;
+}
+
 /** Options of a registry. */
 export interface ServerRegistryOptions {
   /** How long a server stays registered after its entry disappeared in a mass lapse. */
@@ -43,6 +54,8 @@
  * entries of live servers while it is unavailable.
  */
 export class ServerRegistry {
+  /** Servers that asked to be sent nothing for a time. */
+  private readonly backoffs = new Map<ServerId, Backoff>();
   private readonly entries = new Map<ServerId, RegisteredServer>();
   private readonly lapseGraceMs: number;
   /** Start times of the servers marked as leaving ahead of the store; a restart has another one. */
@@ -51,7 +64,7 @@
   private readonly minMassLapse: number;
   private readonly removedAtMs = new Map<ServerId, number>();
   private readonly removedRevisions = new Map<ServerId, Revision>();
-  private readonly usableByService = new Map<ServiceId, readonly BackendServer[]>();
+  private readonly stayingByService = new Map<ServiceId, readonly BackendServer[]>();
 
   constructor(options: ServerRegistryOptions = {}) {
     this.lapseGraceMs = options.lapseGraceMs ?? DEFAULT_LAPSE_GRACE_MS;
@@ -75,7 +88,7 @@
         leaving.push(change.serverId);
       }
     }
-    this.usableByService.clear();
+    this.stayingByService.clear();
     return leaving;
   }
 
@@ -102,28 +115,84 @@
   /**
    * Marks a server as leaving before the store says so, as the server itself or a daemon reported.
    *
-   * @param serverId - the server
+   * @param incarnation - the server; a mark of an earlier start has no effect
    * @returns whether the server was not known to leave before
    */
-  markLeaving(serverId: ServerId): boolean {
+  markLeaving({ serverId, startedEpochMs }: ServerIncarnation): boolean {
     const known = this.entries.get(serverId);
-    if (!known || known.leaving) {
+    if (!known || known.leaving || known.server.startedEpochMs !== startedEpochMs) {
       return false;
     }
-    this.markedLeaving.set(serverId, known.server.startedEpochMs);
+    this.markedLeaving.set(serverId, startedEpochMs);
     this.entries.set(serverId, { ...known, leaving: true });
-    this.usableByService.clear();
+    this.stayingByService.clear();
     return true;
   }
 
   /** Servers that were reported as leaving while their entries in the store don't say so yet. */
-  serversMarkedLeaving(): readonly ServerId[] {
-    return [...this.markedLeaving.keys()];
+  serversMarkedLeaving(): readonly ServerIncarnation[] {
+    return [...this.markedLeaving].map(([serverId, startedEpochMs]) => ({
+      serverId,
+      startedEpochMs,
+    }));
+  }
+
+  /**
+   * Sends a server nothing until a time, because it asked for that. A later call can extend the
+   * time, not shorten it.
+   *
+   * @param incarnation - the server
+   * @param untilMs - monotonic time
+   */
+  backOff({ serverId, startedEpochMs }: ServerIncarnation, untilMs: number): void {
+    const current = this.backoffs.get(serverId);
+    const isSame = current?.startedEpochMs === startedEpochMs;
+    if (!isSame || current.untilMs < untilMs) {
+      this.backoffs.set(serverId, { startedEpochMs, untilMs });
+    }
+  }
+
+  /** Whether a server asked to be sent nothing now, also no control requests. */
+  isBackingOff(serverId: ServerId, nowMs: number): boolean {
+    const backoff = this.backoffs.get(serverId);
+    const started = this.entries.get(serverId)?.server.startedEpochMs;
+    return backoff !== undefined && backoff.startedEpochMs === started && nowMs < backoff.untilMs;
+  }
+
+  /** Whether a server takes new work now. */
+  isUsable(serverId: ServerId, nowMs: number): boolean {
+    return this.entries.get(serverId)?.leaving === false && !this.isBackingOff(serverId, nowMs);
   }
 
-  /** Removes servers whose grace period after a mass lapse is over, and returns their ids. */
+  /**
+   * Time until a service takes work again when all its servers asked to be left alone.
+   *
+   * @param service - the service
+   * @param nowMs - monotonic time
+   * @returns milliseconds; undefined when a server is usable now or none will be
+   */
+  usableAgainAfterMs(service: ServiceId, nowMs: number): number | undefined {
+    const servers = this.stayingServers(service);
+    const waitsMs = servers.map(({ serverId }) =>
+      this.isBackingOff(serverId, nowMs) ? (this.backoffs.get(serverId)?.untilMs ?? 0) - nowMs : 0,
+    );
+    const waitMs = Math.min(...waitsMs);
+    return servers.length > 0 && waitMs > 0 ? waitMs : undefined;
+  }
+
+  /**
+   * Removes servers whose grace period after a mass lapse is over, and expired backoffs.
+   *
+   * @param nowMs - monotonic time
+   * @returns ids of the removed servers
+   */
   expireLapsed(nowMs: number): readonly ServerId[] {
     const expired: ServerId[] = [];
+    for (const [serverId, { untilMs }] of this.backoffs) {
+      if (untilMs <= nowMs) {
+        this.backoffs.delete(serverId);
+      }
+    }
     for (const [serverId, entry] of this.entries) {
       if (entry.lapsedUntilMs !== undefined && entry.lapsedUntilMs <= nowMs) {
         this.markRemoved(entry, nowMs);
@@ -138,7 +207,7 @@
       }
     }
     if (expired.length > 0) {
-      this.usableByService.clear();
+      this.stayingByService.clear();
     }
     return expired;
   }
@@ -152,18 +221,26 @@
     return this.entries.get(serverId);
   }
 
-  /** Servers of a service that take new work, sorted by id. */
-  usableServers(service: ServiceId): readonly BackendServer[] {
-    const cached = this.usableByService.get(service);
+  /** Servers of a service that take new work now, sorted by id. */
+  usableServers(service: ServiceId, nowMs: number): readonly BackendServer[] {
+    const servers = this.stayingServers(service);
+    return this.backoffs.size === 0
+      ? servers
+      : servers.filter(({ serverId }) => !this.isBackingOff(serverId, nowMs));
+  }
+
+  /** Servers of a service that are not leaving, sorted by id. */
+  private stayingServers(service: ServiceId): readonly BackendServer[] {
+    const cached = this.stayingByService.get(service);
     if (cached) {
       return cached;
     }
-    const usable = [...this.entries.values()]
+    const staying = [...this.entries.values()]
       .filter((entry) => entry.server.service === service && !entry.leaving)
       .map(({ server }) => server)
       .sort((a, b) => (a.serverId < b.serverId ? -1 : 1));
-    this.usableByService.set(service, usable);
-    return usable;
+    this.stayingByService.set(service, staying);
+    return staying;
   }
 
   /** Returns whether the change makes the server leave. */
--- a/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
@@ -5,9 +5,10 @@
 import { changeOf } from '../support/DispatchFixtures.js';
 
 const ENGINES = toId<ServiceId>('engines');
+const B = { serverId: toId<ServerId>('b'), startedEpochMs: 1 };
 
 function usableIds(registry: ServerRegistry): readonly string[] {
-  return registry.usableServers(ENGINES).map(({ serverId }) => serverId);
+  return registry.usableServers(ENGINES, 0).map(({ serverId }) => serverId);
 }
 
 function registryOf(...names: readonly string[]): ServerRegistry {
@@ -74,16 +75,16 @@
 
 test('a server marked as leaving stays excluded while the store repeats its entry', (t) => {
   const registry = registryOf('a', 'b');
-  t.true(registry.markLeaving(toId<ServerId>('b')));
-  t.false(registry.markLeaving(toId<ServerId>('b')));
+  t.true(registry.markLeaving(B));
+  t.false(registry.markLeaving(B));
   registry.apply([changeOf('b', 2, {}), changeOf('b', 40, {})], 0);
   t.deepEqual(usableIds(registry), ['a']);
-  t.deepEqual(registry.serversMarkedLeaving(), [toId<ServerId>('b')]);
+  t.deepEqual(registry.serversMarkedLeaving(), [B]);
 });
 
 test('a restart under the same id takes work again', (t) => {
   const registry = registryOf('a', 'b');
-  registry.markLeaving(toId<ServerId>('b'));
+  registry.markLeaving(B);
   registry.apply([changeOf('b', 41, { startedEpochMs: 2 })], 0);
   t.deepEqual(usableIds(registry), ['a', 'b']);
   t.deepEqual(registry.serversMarkedLeaving(), []);
@@ -95,3 +96,46 @@
   t.deepEqual(usableIds(registry), ['a']);
   t.is(registry.get(toId<ServerId>('junk')), undefined);
 });
+
+test('a mark of an earlier start does not make a restarted server leave', (t) => {
+  const registry = registryOf('a', 'b');
+  registry.apply([changeOf('b', 41, { startedEpochMs: 2 })], 0);
+  t.false(registry.markLeaving(B));
+  t.deepEqual(usableIds(registry), ['a', 'b']);
+});
+
+function usableIdsAt(registry: ServerRegistry, nowMs: number): readonly string[] {
+  return registry.usableServers(ENGINES, nowMs).map(({ serverId }) => serverId);
+}
+
+test('a server that asked to be left alone takes no work until its time is over', (t) => {
+  const registry = registryOf('a', 'b');
+  registry.backOff(B, 2_000);
+  registry.backOff(B, 1_000);
+  t.deepEqual(usableIdsAt(registry, 1_999), ['a']);
+  t.false(registry.isUsable(B.serverId, 1_999));
+  registry.expireLapsed(1_999);
+  t.true(registry.isBackingOff(B.serverId, 1_999));
+  t.deepEqual(usableIdsAt(registry, 2_000), ['a', 'b']);
+});
+
+test('a restart ends the backoff, and a backoff outlives a repeated entry', (t) => {
+  const registry = registryOf('a', 'b');
+  registry.backOff(B, 2_000);
+  registry.apply([changeOf('b', 40, {})], 100);
+  t.deepEqual(usableIdsAt(registry, 200), ['a']);
+  registry.apply([changeOf('b', 41, { startedEpochMs: 2 })], 300);
+  t.deepEqual(usableIdsAt(registry, 400), ['a', 'b']);
+});
+
+test('load pattern: when all servers ask to be left alone, the first to take work again is named', (t) => {
+  const registry = registryOf('a', 'b');
+  t.is(registry.usableAgainAfterMs(ENGINES, 0), undefined);
+  registry.backOff(B, 2_000);
+  t.is(registry.usableAgainAfterMs(ENGINES, 500), undefined, 'the other one takes work');
+  registry.backOff({ ...B, serverId: toId<ServerId>('a') }, 3_000);
+  t.is(registry.usableAgainAfterMs(ENGINES, 500), 1_500);
+  registry.markLeaving(B);
+  t.is(registry.usableAgainAfterMs(ENGINES, 500), 2_500, 'a leaving server takes no work again');
+  t.is(registry.usableAgainAfterMs(toId<ServiceId>('other'), 500), undefined);
+});
--- a/packages/serving/src/BackendAttempt.ts
+++ b/packages/serving/src/BackendAttempt.ts
@@ -71,7 +71,7 @@
   options: AttemptOptions,
   listener: Pick<ResponseListener, 'onBody' | 'onBroken' | 'onEnd'>,
 ): void {
-  const { clock, protocol } = context;
+  const { clock, protocol, serverSignals } = context;
   const { body, request, team } = admitted;
   attempt.connection = connection;
   const headers = protocol.requestHeaders(request, {
@@ -88,7 +88,7 @@
         protocol.parseResponseMetadata(head.headers).requestId === request.requestId,
       onHead: (head) => {
         attempt.head = head;
-        attempt.metadata = protocol.parseResponseMetadata(head.headers);
+        attempt.metadata = serverSignals.evaluate(attempt.server, head);
         connection.keepAliveMs = attempt.metadata.keepAliveMs;
       },
     },
--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/ClusterState.ts
@@ -1,4 +1,8 @@
-import type { ServerRegistry, ServingConfiguration } from '@laburnumgap/dispatch';
+import type {
+  ServerIncarnation,
+  ServerRegistry,
+  ServingConfiguration,
+} from '@laburnumgap/dispatch';
 import { RouteTable } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, Revision, ServerId } from '@laburnumgap/kernel';
 import { toNumberId } from '@laburnumgap/kernel';
@@ -114,13 +118,13 @@
   /**
    * Marks servers as leaving before the store reports it.
    *
-   * @param serverIds - the servers
+   * @param servers - the servers
    * @param source - who reported it, for the log
    */
-  markLeaving(serverIds: readonly ServerId[], source: string): void {
-    const newlyLeaving = serverIds.filter((serverId) =>
-      this.options.registry.markLeaving(serverId),
-    );
+  markLeaving(servers: readonly ServerIncarnation[], source: string): void {
+    const newlyLeaving = servers
+      .filter((server) => this.options.registry.markLeaving(server))
+      .map(({ serverId }) => serverId);
     if (newlyLeaving.length > 0) {
       this.onServersLeaving(newlyLeaving, source);
       this.options.peers().scheduleHeartbeatToAll();
--- a/packages/serving/src/EngineControl.ts
+++ b/packages/serving/src/EngineControl.ts
@@ -1,7 +1,9 @@
-import type { BackendServer } from '@laburnumgap/dispatch';
+import type { BackendServer, ServerRegistry } from '@laburnumgap/dispatch';
+import type { MonotonicClock } from '@laburnumgap/kernel';
 import type { BackendConnection } from './BackendConnection.js';
 import type { BackendConnectionPool } from './BackendConnectionPool.js';
 import type { ResponseHead } from './ResponseParser.js';
+import type { ServerSignals } from './ServerSignals.js';
 import { CONTROL_TIMEOUT_MS } from './ServingConstants.js';
 import type { EngineControlRequest } from './ServingPorts.js';
 
@@ -11,75 +13,93 @@
   | { readonly kind: 'notSent'; readonly reason: string }
   | { readonly kind: 'unknown'; readonly reason: string };
 
-/**
- * Sends a control request to an engine.
- *
- * @param connections - connection pool
- * @param server - the engine
- * @param request - the request
- * @param timeoutMs - time limit for the response
- * @returns the outcome; never rejects
- */
-export function sendControlRequest(
-  connections: BackendConnectionPool,
-  server: BackendServer,
-  request: EngineControlRequest,
-  timeoutMs = CONTROL_TIMEOUT_MS,
-): Promise<ControlOutcome> {
-  return new Promise((resolve) => {
-    connections.acquire(server, {
-      onConnectFailed: (reason) => {
-        resolve({ kind: 'notSent', reason });
-      },
-      onConnected: (connection) => {
-        sendOnConnection(connections, server, connection, request, timeoutMs, resolve);
-      },
-    });
-  });
+/** Options of {@link EngineControl}. */
+export interface EngineControlOptions {
+  readonly clock: MonotonicClock;
+  readonly connections: BackendConnectionPool;
+  readonly registry: Pick<ServerRegistry, 'isBackingOff'>;
+  readonly serverSignals: Pick<ServerSignals, 'evaluate'>;
 }
 
-function sendOnConnection(
-  connections: BackendConnectionPool,
-  server: BackendServer,
-  connection: BackendConnection,
-  request: EngineControlRequest,
-  timeoutMs: number,
-  resolve: (outcome: ControlOutcome) => void,
-): void {
-  const chunks: Buffer[] = [];
-  let responseHead: ResponseHead | undefined;
-  const timer = setTimeout(() => {
-    connection.abort();
-    resolve({ kind: 'unknown', reason: 'no response before the timeout' });
-  }, timeoutMs);
-  connection.send(
-    {
-      body: Buffer.from(request.body),
-      headers: [['Host', `${server.host}:${server.port}`], ...request.headers],
-      method: request.method,
-      path: request.path,
-    },
-    {
-      accepts: () => true,
-      onBody: (chunk) => {
-        chunks.push(chunk);
-      },
-      onBroken: (reason) => {
-        clearTimeout(timer);
-        resolve({ kind: 'unknown', reason });
-      },
-      onEnd: () => {
-        clearTimeout(timer);
-        connections.release(server, connection);
-        resolve({
-          body: Buffer.concat(chunks),
-          kind: 'answered',
-          status: responseHead?.status ?? 0,
-        });
+/** Sends control requests to engines, except to those that asked to be left alone. */
+export class EngineControl {
+  constructor(private readonly options: EngineControlOptions) {}
+
+  /**
+   * Sends a control request to an engine.
+   *
+   * @param server - the engine
+   * @param request - the request
+   * @param timeoutMs - time limit for the response
+   * @returns the outcome; never rejects
+   */
+  send(
+    server: BackendServer,
+    request: EngineControlRequest,
+    timeoutMs = CONTROL_TIMEOUT_MS,
+  ): Promise<ControlOutcome> {
+    const { clock, connections, registry } = this.options;
+    const { serverId } = server;
+    return new Promise((resolve) => {
+      if (registry.isBackingOff(serverId, clock.nowMs())) {
+        resolve({ kind: 'notSent', reason: 'the engine asked to be left alone' });
+        return;
+      }
+      connections.acquire(server, {
+        onConnectFailed: (reason) => {
+          resolve({ kind: 'notSent', reason });
+        },
+        onConnected: (connection) => {
+          this.sendOnConnection(server, connection, request, timeoutMs, resolve);
+        },
+      });
+    });
+  }
+
+  private sendOnConnection(
+    server: BackendServer,
+    connection: BackendConnection,
+    request: EngineControlRequest,
+    timeoutMs: number,
+    resolve: (outcome: ControlOutcome) => void,
+  ): void {
+    const { connections, serverSignals } = this.options;
+    const chunks: Buffer[] = [];
+    let responseHead: ResponseHead | undefined;
+    const timer = setTimeout(() => {
+      connection.abort();
+      resolve({ kind: 'unknown', reason: 'no response before the timeout' });
+    }, timeoutMs);
+    connection.send(
+      {
+        body: Buffer.from(request.body),
+        headers: [['Host', `${server.host}:${server.port}`], ...request.headers],
+        method: request.method,
+        path: request.path,
       },
-      onHead: (head) => {
-        responseHead = head;
+      {
+        accepts: () => true,
+        onBody: (chunk) => {
+          chunks.push(chunk);
+        },
+        onBroken: (reason) => {
+          clearTimeout(timer);
+          resolve({ kind: 'unknown', reason });
+        },
+        onEnd: () => {
+          clearTimeout(timer);
+          connections.release(server, connection);
+          resolve({
+            body: Buffer.concat(chunks),
+            kind: 'answered',
+            status: responseHead?.status ?? 0,
+          });
+        },
+        onHead: (head) => {
+          responseHead = head;
+          serverSignals.evaluate(server, head);
+        },
       },
-    },
-  );
+    );
+  }
 }
--- a/packages/serving/src/EngineReports.ts
+++ b/packages/serving/src/EngineReports.ts
@@ -1,15 +1,14 @@
 import type { BackendServer } from '@laburnumgap/dispatch';
 import type { ServerId } from '@laburnumgap/kernel';
-import type { BackendConnectionPool } from './BackendConnectionPool.js';
-import { sendControlRequest } from './EngineControl.js';
+import type { EngineControl } from './EngineControl.js';
 import type { ServingLog } from './ServingLog.js';
 import type { WireProtocol } from './ServingPorts.js';
 
 /** Options of {@link EngineReports}. */
 export interface EngineReportsOptions {
-  readonly connections: BackendConnectionPool;
+  readonly engineControl: Pick<EngineControl, 'send'>;
   readonly log: ServingLog;
-  readonly onLeaving: (serverId: ServerId) => void;
+  readonly onLeaving: (server: BackendServer) => void;
   readonly protocol: Pick<WireProtocol, 'parseReport' | 'reportRequest'>;
 }
 
@@ -28,18 +27,13 @@
    * @param server - the engine
    */
   async requestReport(server: BackendServer): Promise<void> {
-    const { connections, log, onLeaving, protocol } = this.options;
+    const { engineControl, log, onLeaving, protocol } = this.options;
     const { serverId } = server;
     if (this.pendingServerIds.has(serverId)) {
       return;
     }
     this.pendingServerIds.add(serverId);
-    const outcome = await sendControlRequest(
-      connections,
-      server,
-      protocol.reportRequest(),
-      REPORT_TIMEOUT_MS,
-    );
+    const outcome = await engineControl.send(server, protocol.reportRequest(), REPORT_TIMEOUT_MS);
     this.pendingServerIds.delete(serverId);
     if (outcome.kind !== 'answered') {
       log.info('report-failed', { reason: outcome.reason, serverId });
@@ -49,7 +43,7 @@
     if (!report.ok) {
       log.warn('report-unreadable', { reason: report.error, serverId });
     } else if (report.value.isLeaving) {
-      onLeaving(serverId);
+      onLeaving(server);
     }
   }
 }
--- a/packages/serving/src/EngineSearch.ts
+++ b/packages/serving/src/EngineSearch.ts
@@ -77,6 +77,7 @@
         if (admission.reason === 'noRoom') {
           this.refuseForNoCapacity(waitedMs);
         } else {
+          // The default time until a retry covers engines that asked to be left alone.
           onRefused('NO_ENGINE', 'no engine of the service accepts new requests');
         }
         break;
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -323,14 +323,19 @@
     connection: BackendConnection,
     continuation: Continuation | undefined,
   ): void {
-    const { connections, registry } = this.context;
+    const { clock, connections, registry } = this.context;
+    const { serverId } = attempt.server;
     if (this.isDone || this.attempt !== attempt) {
       connections.release(attempt.server, connection);
       return;
     }
-    if (!continuation && registry.get(attempt.server.serverId)?.leaving !== false) {
+    const nowMs = clock.nowMs();
+    const takesRequest = continuation
+      ? !registry.isBackingOff(serverId, nowMs)
+      : registry.isUsable(serverId, nowMs);
+    if (!takesRequest) {
       connections.release(attempt.server, connection);
-      this.onNotStarted(attempt, continuation, 'the server is leaving');
+      this.onNotStarted(attempt, continuation, 'the server accepts no new requests');
       return;
     }
     this.sendCount += continuation ? 0 : 1;
@@ -545,12 +550,18 @@
   private refuseNotExecuted(
     code: ResultCodeName,
     detail: string,
-    retryAfterMs = DEFAULT_RETRY_AFTER_MS,
+    retryAfterMs = this.defaultRetryAfterMs(),
   ): void {
     const mayHaveRun = this.sendCount > this.refusedSendCount;
     this.refuse(mayHaveRun ? 'OUTCOME_UNKNOWN' : code, detail, retryAfterMs);
   }
 
+  private defaultRetryAfterMs(): number {
+    const { clock, registry } = this.context;
+    const { service } = this.admitted.service;
+    return registry.usableAgainAfterMs(service, clock.nowMs()) ?? DEFAULT_RETRY_AFTER_MS;
+  }
+
   private refuse(code: ResultCodeName, detail: string, retryAfterMs?: number): void {
     this.finish(code, retryAfterMs);
     this.admitted.exchange.refuse(refusal(code, detail, retryAfterMs));
--- a/packages/serving/src/GenerationTargets.ts
+++ b/packages/serving/src/GenerationTargets.ts
@@ -41,7 +41,7 @@
   const { engineLimits, moveFrom, prompt, admitted, excluded } = query;
   const nowMs = clock.nowMs();
   const candidates = registry
-    .usableServers(admitted.service.service)
+    .usableServers(admitted.service.service, nowMs)
     .filter(({ serverId }) => !excluded.has(serverId))
     .map((server) => ({
       failureShare: health.isUnreachable(server.serverId, nowMs)
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -2,8 +2,8 @@
 import { createSocket } from 'node:dgram';
 import type { Server } from 'node:http';
 import { createServer, get } from 'node:http';
-import type { EngineLoad, EngineShare } from '@laburnumgap/dispatch';
-import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
+import type { EngineLoad, EngineShare, ServerIncarnation } from '@laburnumgap/dispatch';
+import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import type { SyncPosition } from './LagDetector.js';
 import { LagDetector } from './LagDetector.js';
 import type {
@@ -30,7 +30,7 @@
   readonly isDraining: () => boolean;
   /** Whether the platform's store does not respond to this daemon. */
   readonly isStoreDown: () => boolean;
-  readonly leavingIds: () => readonly ServerId[];
+  readonly leavingServers: () => readonly ServerIncarnation[];
   readonly load: EngineLoad;
   readonly localShares: () => readonly EngineShare[];
   readonly log: ServingLog;
@@ -38,7 +38,7 @@
   /** Called when this daemon has lagged behind others for too long, with a peer that is ahead. */
   readonly onLagging: (peer: MemberAddress) => void;
   /** Called with the servers that a peer reports as leaving. */
-  readonly onLeaving: (serverIds: readonly ServerId[]) => void;
+  readonly onLeaving: (servers: readonly ServerIncarnation[]) => void;
   readonly onMessage: (message: ChangesMessage | MoveMessage | CapacityMessage) => void;
   /** Configuration version and store revision that this daemon has applied. */
   readonly position: () => SyncPosition;
@@ -233,7 +233,7 @@
   private sendHeartbeat(): void {
     clearTimeout(this.coalesceTimer);
     this.coalesceTimer = undefined;
-    const { failureDomain, host, incarnation, leavingIds, load, memberId } = this.options;
+    const { failureDomain, host, incarnation, leavingServers, load, memberId } = this.options;
     const shares = this.options.localShares();
     load.setOwnShares(shares);
     this.sequence += 1;
@@ -245,7 +245,7 @@
       incarnation,
       isDraining: this.options.isDraining(),
       isStopping,
-      leavingIds: leavingIds(),
+      leavingServers: leavingServers(),
       memberId,
       sequence,
       shares,
@@ -326,7 +326,7 @@
     }
     const nowMs = clock.nowMs();
     load.recordMemberReport(heartbeat.memberId, heartbeat.shares, nowMs);
-    this.options.onLeaving(heartbeat.leavingIds);
+    this.options.onLeaving(heartbeat.leavingServers);
     this.checkLag(heartbeat, peer, nowMs);
   }
 
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -5,6 +5,7 @@
   RegisteredServer,
   CapacityRequest,
   ServerChange,
+  ServerIncarnation,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, RequestId, Revision, ServerId } from '@laburnumgap/kernel';
@@ -22,7 +23,7 @@
   /** The daemon stops; receivers remove it. */
   readonly isStopping: boolean;
   /** Servers reported as leaving by themselves or by a daemon, but not yet by the store. */
-  readonly leavingIds: readonly ServerId[];
+  readonly leavingServers: readonly ServerIncarnation[];
   readonly memberId: MemberId;
   /** Grows with each heartbeat of an incarnation. */
   readonly sequence: number;
@@ -117,7 +118,10 @@
     Number.isFinite(heartbeat.sequence) &&
     Number.isFinite(heartbeat.revision) &&
     Number.isFinite(heartbeat.configurationVersion) &&
-    isIdList(heartbeat.leavingIds) &&
+    isListOf(
+      heartbeat.leavingServers,
+      (server) => isId(server.serverId) && Number.isFinite(server.startedEpochMs),
+    ) &&
     Array.isArray(heartbeat.shares);
   return isHeartbeat ? unpackShares(heartbeat as PeerHeartbeat) : undefined;
 }
--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/PlainCallRun.ts
@@ -68,14 +68,16 @@
 
   private sendToNextServer(): void {
     const { clock, failureDomain, health, randomUnit, registry } = this.context;
+    const nowMs = clock.nowMs();
+    const { service } = this.admitted.service;
     const server = placePlainCall({
       callsInFlight: (serverId) => this.callsInFlight.count(serverId),
       excluded: this.excludedServerIds,
       failureDomain,
       health,
-      nowMs: clock.nowMs(),
+      nowMs,
       randomUnit,
-      servers: registry.usableServers(this.admitted.service.service),
+      servers: registry.usableServers(service, nowMs),
     });
     if (!server) {
       this.refuseNotExecuted('NO_SERVER', 'no server of the service accepts new calls');
@@ -95,8 +97,8 @@
   }
 
   private send(server: BackendServer, connection: BackendConnection): void {
-    const { clock, connections } = this.context;
-    if (this.isDone || this.context.registry.get(server.serverId)?.leaving !== false) {
+    const { clock, connections, registry } = this.context;
+    if (this.isDone || !registry.isUsable(server.serverId, clock.nowMs())) {
       connections.release(server, connection);
       if (!this.isDone) {
         this.sendToNextServer();
@@ -312,8 +314,12 @@
   }
 
   private refuseNotExecuted(code: ResultCodeName, detail: string): void {
+    const { clock, registry } = this.context;
     const hasRun = this.attemptCount > this.refusedSendCount;
-    this.refuse(hasRun ? 'UPSTREAM_FAILED' : code, detail, DEFAULT_RETRY_AFTER_MS);
+    const retryAfterMs =
+      registry.usableAgainAfterMs(this.admitted.service.service, clock.nowMs()) ??
+      DEFAULT_RETRY_AFTER_MS;
+    this.refuse(hasRun ? 'UPSTREAM_FAILED' : code, detail, retryAfterMs);
   }
 
   private refuse(code: ResultCodeName, detail: string, retryAfterMs?: number): void {
--- /dev/null
+++ b/packages/serving/src/ServerSignals.ts
@@ -0,0 +1,62 @@
+import type { BackendServer, ServerRegistry } from '@laburnumgap/dispatch';
+import type { MonotonicClock } from '@laburnumgap/kernel';
+import type { ResponseHead } from './ResponseParser.js';
+import type { ServingLog } from './ServingLog.js';
+import type { ResponseMetadata, WireProtocol } from './ServingPorts.js';
+
+/** Options of {@link ServerSignals}. */
+export interface ServerSignalsOptions {
+  readonly clock: MonotonicClock;
+  readonly log: ServingLog;
+  readonly onLeaving: (server: BackendServer) => void;
+  readonly protocol: Pick<WireProtocol, 'parseResponseMetadata'>;
+  readonly registry: Pick<ServerRegistry, 'backOff' | 'isBackingOff'>;
+}
+
+const MISDIRECTED_STATUS = 421;
+const UNAVAILABLE_STATUS = 503;
+
+/**
+ * Evaluates what servers say about themselves in the head of any response: that they are leaving,
+ * and for how long they want no requests of this daemon.
+ */
+export class ServerSignals {
+  private readonly loggedHeaders = new Set<string>();
+
+  constructor(private readonly options: ServerSignalsOptions) {}
+
+  /**
+   * Evaluates a response head.
+   *
+   * @param server - the server that the request was sent to
+   * @param head - head of its response
+   * @returns the properties of the response
+   */
+  evaluate(server: BackendServer, head: ResponseHead): ResponseMetadata {
+    const { clock, log, onLeaving, protocol, registry } = this.options;
+    const metadata = protocol.parseResponseMetadata(head.headers);
+    const { serverId } = server;
+    for (const header of metadata.unreadableHeaders) {
+      if (!this.loggedHeaders.has(header)) {
+        this.loggedHeaders.add(header);
+        log.warn('response-header-unreadable', { header, serverId });
+      }
+    }
+    if (head.status === MISDIRECTED_STATUS) {
+      // Another server has taken the address, and speaks of itself.
+      return metadata;
+    }
+    if (metadata.isLeaving) {
+      onLeaving(server);
+    }
+    const { retryAfterMs } = metadata;
+    if (head.status === UNAVAILABLE_STATUS && retryAfterMs !== undefined) {
+      const nowMs = clock.nowMs();
+      if (!registry.isBackingOff(serverId, nowMs)) {
+        log.info('server-backs-off', { retryAfterMs, serverId });
+      }
+      registry.backOff(server, nowMs + retryAfterMs);
+    }
+    return metadata;
+  }
+}
--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -10,6 +10,8 @@
 import type { RetryBudget } from '@laburnumgap/dispatch';
 import type { BackendConnectionPool } from './BackendConnectionPool.js';
 import type { EngineCapacityCoordinator } from './EngineCapacityCoordinator.js';
+import type { EngineControl } from './EngineControl.js';
+import type { ServerSignals } from './ServerSignals.js';
 import type { ServingLog } from './ServingLog.js';
 import type { WireProtocol } from './ServingPorts.js';
 
@@ -20,6 +22,7 @@
   readonly capacityWaits: RecentWaits;
   readonly clock: MonotonicClock;
   readonly connections: BackendConnectionPool;
+  readonly engineControl: EngineControl;
   readonly engineCapacity: EngineCapacityCoordinator;
   readonly failureDomain: FailureDomainId;
   readonly health: ServerHealth;
@@ -33,6 +36,7 @@
   readonly registry: ServerRegistry;
   /** Retries that this daemon may still send, by service. */
   readonly retryBudget: RetryBudget;
+  readonly serverSignals: ServerSignals;
 }
 
 /** The active configuration; a new version replaces the table. */
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -17,11 +17,13 @@
 import { ClusterState } from './ClusterState.js';
 import { DirectoryFollower } from './DirectoryFollower.js';
 import { EngineCapacityCoordinator } from './EngineCapacityCoordinator.js';
+import { EngineControl } from './EngineControl.js';
 import { EngineReports } from './EngineReports.js';
 import { GenerationRun } from './GenerationRun.js';
 import { MoveCoordinator } from './MoveCoordinator.js';
 import { PeerLink } from './PeerLink.js';
 import { PlainCallRun } from './PlainCallRun.js';
+import { ServerSignals } from './ServerSignals.js';
 import type { ServingContext } from './ServingContext.js';
 import { ServingFront } from './ServingFront.js';
 import type { ServingLog } from './ServingLog.js';
@@ -128,6 +130,21 @@
       retriesPerFirstAttempt: settings.retryRatio * RETRY_BUDGET_SHARE,
     });
     this.connections = new BackendConnectionPool(clock);
+    const serverSignals = new ServerSignals({
+      clock,
+      log,
+      onLeaving: (server) => {
+        this.clusterState.markLeaving([server], 'response');
+      },
+      protocol,
+      registry: this.registry,
+    });
+    const engineControl = new EngineControl({
+      clock,
+      connections: this.connections,
+      registry: this.registry,
+      serverSignals,
+    });
     this.context = {
       cachedPrefixes: new PrefixCacheIndex(),
       capacityWaits: new RecentWaits(),
@@ -148,6 +165,7 @@
           this.peers.sendTo(message, memberId);
         },
       }),
+      engineControl,
       failureDomain: settings.failureDomain,
       health: new ServerHealth(),
       load: this.load,
@@ -161,6 +179,7 @@
       randomUnit,
       registry: this.registry,
       retryBudget: this.retryBudget,
+      serverSignals,
     };
     this.clusterState = new ClusterState({
       advanceStorePosition: (revision) => {
@@ -215,7 +234,7 @@
       incarnation,
       isDraining: () => this.isDraining,
       isStoreDown: () => this.storeFollower.isStoreDown(),
-      leavingIds: () => this.registry.serversMarkedLeaving(),
+      leavingServers: () => this.registry.serversMarkedLeaving(),
       load: this.load,
       localShares: () => this.localShares(),
       log,
@@ -224,8 +243,8 @@
         this.storeFollower.restartWatch();
         void this.clusterState.syncFromPeer(peer.host);
       },
-      onLeaving: (serverIds) => {
-        this.clusterState.markLeaving(serverIds, 'peer');
+      onLeaving: (servers) => {
+        this.clusterState.markLeaving(servers, 'peer');
       },
       onMessage: (message) => {
         switch (message.kind) {
@@ -246,10 +265,10 @@
       snapshotPort: settings.peers.port,
     });
     this.engineReports = new EngineReports({
-      connections: this.connections,
+      engineControl,
       log,
-      onLeaving: (serverId) => {
-        this.clusterState.markLeaving([serverId], 'engine');
+      onLeaving: (server) => {
+        this.clusterState.markLeaving([server], 'engine');
       },
       protocol,
     });
--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -55,6 +55,8 @@
 export interface ResponseMetadata {
   /** The body has a content encoding, which backend servers never use. */
   readonly isEncoded: boolean;
+  /** The server states that it is leaving. */
+  readonly isLeaving: boolean;
   /** The server's stamp is present: the response was made by a backend server. */
   readonly isStamped: boolean;
   /** Idle timeout of the connection that the server states. */
@@ -62,6 +64,10 @@
   /** The server states that it did not execute the request. */
   readonly notRun: boolean;
   readonly requestId?: string;
+  /** Time for which the server wants no requests of this daemon. */
+  readonly retryAfterMs?: number;
+  /** Names of headers whose values are not valid and were ignored. */
+  readonly unreadableHeaders: readonly string[];
 }
 
 /** Request that the system itself makes to an engine, such as a move. */
--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/StreamMover.ts
@@ -2,7 +2,6 @@
 import { selectMoves } from '@laburnumgap/dispatch';
 import type { RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
-import { sendControlRequest } from './EngineControl.js';
 import type { GenerationRun, RunStatus } from './GenerationRun.js';
 import type { MoveCoordinator } from './MoveCoordinator.js';
 import type { ServingContext } from './ServingContext.js';
@@ -217,9 +216,8 @@
     requestId: string,
     isFinalCopy: boolean,
   ): Promise<MoveResult> {
-    const { connections, protocol } = this.context;
-    const outcome = await sendControlRequest(
-      connections,
+    const { engineControl, protocol } = this.context;
+    const outcome = await engineControl.send(
       source,
       protocol.moveRequest(requestId, target, isFinalCopy),
     );
@@ -230,8 +228,8 @@
   }
 
   private dropCopy(source: BackendServer, handle: string): void {
-    const { connections, protocol } = this.context;
-    void sendControlRequest(connections, source, protocol.dropCopyRequest(handle));
+    const { engineControl, protocol } = this.context;
+    void engineControl.send(source, protocol.dropCopyRequest(handle));
   }
 
   private logMove(
--- a/packages/serving/src/__tests__/integration/PeerLink.test.ts
+++ b/packages/serving/src/__tests__/integration/PeerLink.test.ts
@@ -20,7 +20,7 @@
     incarnation: 1,
     isDraining: () => false,
     isStoreDown: () => false,
-    leavingIds: () => [],
+    leavingServers: () => [],
     load: new EngineLoad(),
     localShares: () => [],
     log: { info: () => undefined, warn: () => undefined },
