Follow a store that comes back from an older copy

Cause: the platform's store may come back some seconds old; its revisions go back and are given out again, what daemons wrote is lost, and its era rises by one. Daemons compared bare revisions: after a restore they would have ignored the store until its revisions passed theirs, or mixed two histories, and taken back servers that the copy still lists as ready. ServerRegistry.replaceInNewEra keeps out what was leaving or gone and waits for what the copy lacks. Daemons register again, spread out.

--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -1,8 +1,11 @@
 import type { Revision, ServerId, ServiceId } from '@laburnumgap/kernel';
+import { toNumberId } from '@laburnumgap/kernel';
 import type { BackendServer } from './BackendServer.js';
 
 /** A change to a server's entry. `server` is absent when the entry was removed or is unreadable. */
 export interface ServerChange {
+  /** The entry has disappeared; the server is gone unless it is written again soon. */
+  readonly isLapsed?: boolean;
   readonly revision: Revision;
   readonly server?: BackendServer;
   readonly serverId: ServerId;
@@ -24,6 +27,21 @@
   readonly startedEpochMs: number;
 }
 
+/** A server whose entry was removed. */
+interface EndedServer {
+  readonly endedMs: number;
+  /** It said that it was leaving, so that it never takes work again. */
+  readonly hasAnnounced: boolean;
+  readonly startedEpochMs: number;
+}
+
+/** A server that was gone when an era of the store began. */
+interface GoneServer {
+  readonly startedEpochMs: number;
+  /** Entries up to this revision may come from the restored copy. */
+  readonly untilRevision: number;
+}
+
 interface Backoff {
   readonly startedEpochMs: number;
   readonly untilMs: number;
@@ -44,6 +62,9 @@
 /** A release or a wave of spot reclaims removes a smaller fraction of the servers at once. */
 const DEFAULT_MASS_LAPSE_FRACTION = 0.5;
 const DEFAULT_MIN_MASS_LAPSE = 3;
+const NO_REVISION = toNumberId<Revision>(0);
+/** Longest age of the copy from which the store comes back, with the time until all know of it. */
+const ENDED_SERVER_RETENTION_MS = 120_000;
 /** How long a removed server can still be looked up, so that its streams find it. */
 const REMOVED_SERVER_RETENTION_MS = 20_000;
 
@@ -57,6 +78,8 @@
   /** Servers that asked to be sent nothing for a time. */
   private readonly backoffs = new Map<ServerId, Backoff>();
   private readonly entries = new Map<ServerId, RegisteredServer>();
+  private readonly ended = new Map<ServerId, EndedServer>();
+  private readonly goneBeforeEra = new Map<ServerId, GoneServer>();
   private readonly lapseGraceMs: number;
   /** Start times of the servers marked as leaving ahead of the store; a restart has another one. */
   private readonly markedLeaving = new Map<ServerId, number>();
@@ -112,6 +135,54 @@
     return this.apply([...servers, ...missing], nowMs);
   }
 
+  /**
+   * Replaces all entries by a full listing of a store that came back from an older copy. Servers that
+   * the copy lacks are given time to write themselves again. Servers that were leaving or gone stay
+   * so, though the copy lists them as before.
+   *
+   * @param servers - all listed entries
+   * @param readAtRevision - revision of the new era before the listing began
+   * @param nowMs - monotonic time
+   * @returns ids of the servers that began to leave
+   */
+  replaceInNewEra(
+    servers: readonly ServerChange[],
+    readAtRevision: Revision,
+    nowMs: number,
+  ): readonly ServerId[] {
+    this.goneBeforeEra.clear();
+    for (const [serverId, { hasAnnounced, startedEpochMs }] of this.ended) {
+      const untilRevision = hasAnnounced ? Infinity : readAtRevision;
+      this.goneBeforeEra.set(serverId, { startedEpochMs, untilRevision });
+    }
+    // The copy can list a server as it was before a restart.
+    const current = servers.filter(({ revision, server, serverId }) => {
+      const known = this.entries.get(serverId)?.server;
+      const isOlderStart = server && known && server.startedEpochMs < known.startedEpochMs;
+      return !isOlderStart && !(server && this.isGone(server, revision));
+    });
+    const listed = new Set(current.map(({ serverId }) => serverId));
+    this.removedRevisions.clear();
+    for (const [serverId, known] of this.entries) {
+      const { leaving, server } = known;
+      const { startedEpochMs } = server;
+      if (leaving && !this.removedAtMs.has(serverId)) {
+        this.markedLeaving.set(serverId, startedEpochMs);
+      }
+      const lapsedUntilMs =
+        leaving || listed.has(serverId)
+          ? undefined
+          : (known.lapsedUntilMs ?? nowMs + this.lapseGraceMs);
+      // A listing that began earlier must not bring back what this one lacks.
+      const revision = listed.has(serverId) ? NO_REVISION : readAtRevision;
+      this.entries.set(serverId, { lapsedUntilMs, leaving, revision, server });
+      if (leaving && !listed.has(serverId) && !this.removedAtMs.has(serverId)) {
+        this.markRemoved({ leaving, revision, server }, nowMs);
+      }
+    }
+    return this.apply(current, nowMs);
+  }
+
   /**
    * Marks a server as leaving before the store says so, as the server itself or a daemon reported.
    *
@@ -206,6 +277,12 @@
         this.removedRevisions.delete(serverId);
       }
     }
+    for (const [serverId, { endedMs }] of this.ended) {
+      if (nowMs - endedMs > ENDED_SERVER_RETENTION_MS) {
+        this.ended.delete(serverId);
+        this.goneBeforeEra.delete(serverId);
+      }
+    }
     if (expired.length > 0) {
       this.stayingByService.clear();
     }
@@ -243,6 +320,14 @@
     return staying;
   }
 
+  /** Whether an entry shows a server as it was before it ended in an earlier era of the store. */
+  private isGone({ serverId, startedEpochMs }: BackendServer, revision: Revision): boolean {
+    const gone = this.goneBeforeEra.get(serverId);
+    return (
+      gone !== undefined && startedEpochMs <= gone.startedEpochMs && revision <= gone.untilRevision
+    );
+  }
+
   /** Returns whether the change makes the server leave. */
   private applyOne(change: ServerChange, nowMs: number, isMassLapse: boolean): boolean {
     const known = this.entries.get(change.serverId);
@@ -253,16 +338,34 @@
     if (!change.server) {
       return this.applyRemoval(change, known, nowMs, isMassLapse);
     }
+    if (change.isLapsed && known) {
+      return this.applyRemoval(change, known, nowMs, true);
+    }
     const { server } = change;
+    if (this.isGone(server, change.revision)) {
+      return false;
+    }
+    this.goneBeforeEra.delete(change.serverId);
     const wasLeaving = known?.leaving ?? false;
     const isMarked = this.markedLeaving.get(change.serverId) === server.startedEpochMs;
     if (!isMarked || server.leaving) {
       this.markedLeaving.delete(change.serverId);
     }
-    const leaving = server.leaving || isMarked;
+    // The same entry can arrive again without what a daemon added to it.
+    const isSameEntry =
+      change.revision === knownRevision && known?.server.startedEpochMs === server.startedEpochMs;
+    const leaving = server.leaving || isMarked || (isSameEntry && wasLeaving);
     this.removedAtMs.delete(change.serverId);
     this.removedRevisions.delete(change.serverId);
-    this.entries.set(change.serverId, { leaving, revision: change.revision, server });
+    const lapsedUntilMs = change.isLapsed
+      ? (known?.lapsedUntilMs ?? nowMs + this.lapseGraceMs)
+      : undefined;
+    this.entries.set(change.serverId, {
+      lapsedUntilMs,
+      leaving,
+      revision: change.revision,
+      server,
+    });
     return leaving && !wasLeaving;
   }
 
@@ -276,7 +379,8 @@
     if (!known || this.removedAtMs.has(change.serverId)) {
       return false;
     }
-    if (isMassLapse && !known.leaving) {
+    const isLapse = isMassLapse || known.lapsedUntilMs !== undefined;
+    if (isLapse && !known.leaving) {
       const lapsedUntilMs = known.lapsedUntilMs ?? nowMs + this.lapseGraceMs;
       this.entries.set(change.serverId, { ...known, lapsedUntilMs, revision: change.revision });
       return false;
@@ -301,8 +405,11 @@
 
   private markRemoved(entry: RegisteredServer, nowMs: number): void {
     const { revision, server } = entry;
-    this.removedAtMs.set(server.serverId, nowMs);
-    this.markedLeaving.delete(server.serverId);
-    this.entries.set(server.serverId, { leaving: true, revision, server });
+    const { serverId, startedEpochMs } = server;
+    const hasAnnounced = server.leaving || this.markedLeaving.has(serverId);
+    this.ended.set(serverId, { endedMs: nowMs, hasAnnounced, startedEpochMs });
+    this.removedAtMs.set(serverId, nowMs);
+    this.markedLeaving.delete(serverId);
+    this.entries.set(serverId, { leaving: true, revision, server });
   }
 }
--- a/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
@@ -139,3 +139,75 @@
   t.is(registry.usableAgainAfterMs(ENGINES, 500), 2_500, 'a leaving server takes no work again');
   t.is(registry.usableAgainAfterMs(toId<ServiceId>('other'), 500), undefined);
 });
+
+const NEW_ERA_REVISION = toNumberId<Revision>(9);
+
+function enterNewEra(registry: ServerRegistry, listed: readonly string[], nowMs = 0) {
+  const changes = listed.map((name, index) => changeOf(name, index + 1, {}));
+  return registry.replaceInNewEra(changes, NEW_ERA_REVISION, nowMs);
+}
+
+test('in a new era entries with lower revisions replace those of the earlier era', (t) => {
+  const registry = registryOf('a', 'b');
+  registry.apply([changeOf('a', 900, { slots: 7 })], 0);
+  t.deepEqual(enterNewEra(registry, ['a', 'b']), []);
+  t.is(registry.get(toId<ServerId>('a'))?.revision, toNumberId<Revision>(1));
+  registry.apply([changeOf('a', 10, { leaving: true })], 0);
+  t.deepEqual(usableIds(registry), ['b']);
+});
+
+test('a server that the copy lacks stays until it has had time to write itself again', (t) => {
+  const registry = registryOf('a', 'b', 'c');
+  t.deepEqual(enterNewEra(registry, ['a'], 1_000), []);
+  t.deepEqual(usableIds(registry), ['a', 'b', 'c']);
+  registry.apply([changeOf('b', 10, {})], 2_000);
+  t.deepEqual(registry.expireLapsed(2_701), [toId<ServerId>('c')]);
+  t.deepEqual(usableIds(registry), ['a', 'b']);
+});
+
+test('a server that announced to leave is not brought back, also when it is written again', (t) => {
+  const registry = registryOf('a', 'b');
+  registry.apply([changeOf('b', 40, { leaving: true })], 0);
+  enterNewEra(registry, ['a', 'b']);
+  t.deepEqual(usableIds(registry), ['a']);
+  registry.apply([changeOf('b', 20, {})], 0);
+  t.deepEqual(usableIds(registry), ['a']);
+  registry.apply([changeOf('b', 21, { startedEpochMs: 2 })], 0);
+  t.deepEqual(usableIds(registry), ['a', 'b'], 'a restarted server is another one');
+});
+
+test('a server that was gone is not brought back by the copy, only by a later write', (t) => {
+  const registry = registryOf('a', 'b', 'c', 'd');
+  registry.apply([changeOf('b', 40)], 0);
+  enterNewEra(registry, ['a', 'b', 'c', 'd']);
+  t.deepEqual(usableIds(registry), ['a', 'c', 'd']);
+  registry.replace([changeOf('a', 1, {}), changeOf('b', 2, {})], toNumberId<Revision>(12), 0);
+  t.false(usableIds(registry).includes('b'), 'a second listing has the same entry');
+  registry.apply([changeOf('b', 13, {})], 0);
+  t.true(usableIds(registry).includes('b'), 'the server lives after all');
+});
+
+test('two eras in a row keep what was known to be leaving before the first', (t) => {
+  const registry = registryOf('a', 'b', 'c', 'd');
+  registry.markLeaving(B);
+  registry.apply([changeOf('c', 40)], 0);
+  enterNewEra(registry, ['a', 'b', 'c']);
+  enterNewEra(registry, ['a', 'b', 'c', 'd']);
+  t.deepEqual(usableIds(registry), ['a', 'd']);
+});
+
+test('a lapsed entry of another daemon is waited for, not kept', (t) => {
+  const registry = registryOf('a');
+  registry.apply([{ ...changeOf('b', 5, {}), isLapsed: true }], 1_000);
+  t.deepEqual(usableIds(registry), ['a', 'b']);
+  t.deepEqual(registry.expireLapsed(2_701), [toId<ServerId>('b')]);
+});
+
+test('a second listing without a lapsed server neither removes it at once nor extends its time', (t) => {
+  const registry = registryOf('a', 'b', 'c', 'd');
+  enterNewEra(registry, ['a', 'b', 'c'], 1_000);
+  const listed = ['a', 'b', 'c'].map((name, index) => changeOf(name, index + 1, {}));
+  t.deepEqual(registry.replace(listed, toNumberId<Revision>(12), 2_000), []);
+  t.deepEqual(usableIds(registry), ['a', 'b', 'c', 'd']);
+  t.deepEqual(registry.expireLapsed(2_701), [toId<ServerId>('d')]);
+});
--- a/packages/kernel/src/KernelIds.ts
+++ b/packages/kernel/src/KernelIds.ts
@@ -47,6 +47,11 @@
 export type ServiceId = Branded<string, 'ServiceId'>;
 /** Slot of the claims ledger; each slot has its own journal. */
 export type SlotNumber = Branded<number, 'SlotNumber'>;
+/**
+ * Era of the platform's key-value service: rises each time the service comes back from an older copy.
+ * Revisions of different eras are not comparable.
+ */
+export type StoreEra = Branded<number, 'StoreEra'>;
 /** A customer's team. */
 export type TeamId = Branded<string, 'TeamId'>;
 
--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/ClusterState.ts
@@ -1,17 +1,20 @@
 import type {
+  ServerChange,
   ServerIncarnation,
   ServerRegistry,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
 import { RouteTable } from '@laburnumgap/dispatch';
-import type { MemberId, MonotonicClock, Revision, ServerId } from '@laburnumgap/kernel';
-import { toNumberId } from '@laburnumgap/kernel';
+import type { MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
+import type { FollowedChanges } from './DirectoryFollower.js';
 import type { SyncPosition } from './LagDetector.js';
 import type { PeerLink } from './PeerLink.js';
 import type { ChangesMessage, PeerSnapshot } from './PeerMessages.js';
 import { serverChangesOf } from './PeerMessages.js';
 import type { ServingLog } from './ServingLog.js';
 import type { DirectoryChanges, PlatformDirectory } from './ServingPorts.js';
+import type { StorePosition } from './StorePosition.js';
+import { FIRST_POSITION, isLater } from './StorePosition.js';
 
 /** Operations on the other daemons that {@link ClusterState} needs. */
 export type ClusterPeers = Pick<
@@ -26,14 +29,16 @@
 
 /** Options of {@link ClusterState}. */
 export interface ClusterStateOptions {
-  /** Called when all changes up to a revision were received from peers. */
-  readonly advanceStorePosition: (revision: Revision) => void;
+  /** Called when all changes up to a position were received from peers. */
+  readonly advanceStorePosition: (position: StorePosition) => void;
   readonly clock: MonotonicClock;
   readonly directory: PlatformDirectory;
   readonly host: string;
   readonly log: ServingLog;
   readonly memberId: MemberId;
   readonly onConfiguration: (table: RouteTable) => void;
+  /** Called when the store has come back from an older copy, which lacks what was written since. */
+  readonly onNewEra: () => void;
   readonly onServerLeaving: (serverId: ServerId) => void;
   readonly peers: () => ClusterPeers;
   readonly randomUnit: () => number;
@@ -54,8 +59,8 @@
   private pendingSnapshots = 0;
   /** Version being read, so that it is read once when several watchers send it; 0 when none is. */
   private pendingVersion = 0;
-  private revision: Revision = toNumberId<Revision>(0);
   private routeTable: RouteTable | undefined;
+  private storePosition: StorePosition = FIRST_POSITION;
 
   constructor(private readonly options: ClusterStateOptions) {}
 
@@ -74,9 +79,9 @@
     return this.hasServerList;
   }
 
-  /** Configuration version and store revision that this daemon has applied. */
+  /** Configuration version and store position that this daemon has applied. */
   position(): SyncPosition {
-    return { configurationVersion: this.version(), revision: this.revision };
+    return { ...this.storePosition, configurationVersion: this.version() };
   }
 
   /** Removes servers whose expired entries did not return in time. */
@@ -91,13 +96,19 @@
    * @param changes - the changes
    * @param isFullRead - the changes list everything; servers that are not listed are gone
    */
-  applyStoreChanges(changes: DirectoryChanges, isFullRead: boolean): void {
-    const previousRevision = this.revision;
+  applyStoreChanges(changes: FollowedChanges, isFullRead: boolean): void {
+    const previous = this.storePosition;
+    const isOtherEra = changes.era !== previous.era;
+    if (changes.era < previous.era || (isOtherEra && !isFullRead)) {
+      return;
+    }
     this.broadcastChanges(changes, isFullRead);
     this.applyChanges(changes, isFullRead);
-    if (this.revision > previousRevision) {
-      // Only daemons that read the store send a heartbeat at once. If every daemon sent one for each
-      // change, small links would be saturated.
+    // Only daemons that read the store send a heartbeat at once. If every daemon sent one for each
+    // change, small links would be saturated.
+    if (isOtherEra) {
+      this.options.peers().scheduleHeartbeatToAll();
+    } else if (isLater(this.storePosition, previous)) {
       this.options.peers().scheduleHeartbeat();
     }
   }
@@ -107,12 +118,14 @@
     if (message.configurationVersion > Math.max(this.version(), this.pendingVersion)) {
       void this.readConfiguration(message.configurationVersion, message.host);
     }
-    const isAlreadyApplied = message.revision <= this.revision;
-    if (isAlreadyApplied || !this.hasServerList || message.sinceRevision > this.revision) {
+    const { era, revision } = this.storePosition;
+    const isApplicable =
+      message.era === era && message.revision > revision && message.sinceRevision <= revision;
+    if (!isApplicable || !this.hasServerList) {
       return;
     }
     this.applyChanges({ ...message, configuration: undefined, unreadable: [] }, false);
-    this.options.advanceStorePosition(message.revision);
+    this.options.advanceStorePosition(message);
   }
 
   /**
@@ -168,9 +181,9 @@
   snapshot(knownVersion: number): PeerSnapshot {
     const { host, memberId } = this.options;
     return {
+      ...this.storePosition,
       configuration: this.version() > knownVersion ? this.routeTable?.configuration : undefined,
       members: [{ host, memberId }, ...this.options.peers().table.members()],
-      revision: this.revision,
       servers: this.options.registry.all(),
     };
   }
@@ -182,18 +195,15 @@
     if (snapshot.configuration) {
       this.applyConfiguration(snapshot.configuration, `peer ${host}`);
     }
-    if (snapshot.revision > this.revision && snapshot.servers.length > 0) {
-      const nowMs = this.options.clock.nowMs();
-      const changes = serverChangesOf(snapshot);
-      const leaving = this.options.registry.replace(changes, snapshot.revision, nowMs);
-      this.hasServerList = true;
-      this.options.advanceStorePosition(snapshot.revision);
-      this.advanceRevision(snapshot.revision);
+    if (isLater(snapshot, this.storePosition) && snapshot.servers.length > 0) {
+      const leaving = this.replaceServers(serverChangesOf(snapshot), snapshot);
+      this.options.advanceStorePosition({ era: snapshot.era, revision: snapshot.revision });
+      this.advance(snapshot);
       this.onServersLeaving(leaving, `peer ${host}`);
     }
   }
 
-  private applyChanges(changes: DirectoryChanges, isFullRead: boolean): void {
+  private applyChanges(changes: FollowedChanges, isFullRead: boolean): void {
     const { clock, log } = this.options;
     for (const { key, reason } of changes.unreadable) {
       log.warn('entry-unreadable', { key, reason });
@@ -209,9 +219,8 @@
       }
     }
     const leaving = isFullRead
-      ? this.options.registry.replace(changes.servers, changes.revision, nowMs)
+      ? this.replaceServers(changes.servers, changes)
       : this.options.registry.apply(changes.servers, nowMs);
-    this.hasServerList ||= isFullRead;
     changes.members.forEach((member) => {
       this.options.peers().table.add(member);
     });
@@ -219,26 +228,67 @@
       this.options.peers().removeMember(memberId);
     });
     if (isFullRead || !isEmpty(changes)) {
-      this.advanceRevision(changes.revision);
+      this.advance(changes);
     }
     this.onServersLeaving(leaving, 'store');
   }
 
+  /** Replaces all servers by a listing at a position that is not in an earlier era. */
+  private replaceServers(
+    servers: readonly ServerChange[],
+    { era, revision }: StorePosition,
+  ): readonly ServerId[] {
+    const { clock, registry } = this.options;
+    const isNewEra = this.hasServerList && era !== this.storePosition.era;
+    this.hasServerList = true;
+    return isNewEra
+      ? registry.replaceInNewEra(servers, revision, clock.nowMs())
+      : registry.replace(servers, revision, clock.nowMs());
+  }
+
   /** Sends changes of a watch to the other daemons, so that only a few need to watch the store. */
-  private broadcastChanges(changes: DirectoryChanges, isFullRead: boolean): void {
-    const { members, membersGone, revision, servers } = changes;
-    if (isFullRead || isEmpty(changes)) {
+  private broadcastChanges(changes: FollowedChanges, isFullRead: boolean): void {
+    const { era, members, membersGone, revision, servers } = changes;
+    if (isFullRead) {
+      this.announceConfiguration(changes.configuration);
+      return;
+    }
+    if (isEmpty(changes)) {
       return;
     }
     this.options.peers().broadcastChanges({
       configurationVersion: changes.configuration?.version ?? 0,
+      era,
       host: this.options.host,
       kind: 'changes',
       members,
       membersGone,
       revision,
       servers,
-      sinceRevision: this.revision,
+      sinceRevision: this.storePosition.revision,
+    });
+  }
+
+  /**
+   * Announces a configuration that replaces the active one and was found by a full read. By
+   * heartbeats alone it would go from one failure domain to the next slowly.
+   */
+  private announceConfiguration(configuration: ServingConfiguration | undefined): void {
+    const version = this.version();
+    if (!configuration || version === 0 || configuration.version <= version) {
+      return;
+    }
+    const { era, revision } = FIRST_POSITION;
+    this.options.peers().broadcastChanges({
+      configurationVersion: configuration.version,
+      era,
+      host: this.options.host,
+      kind: 'changes',
+      members: [],
+      membersGone: [],
+      revision,
+      servers: [],
+      sinceRevision: revision,
     });
   }
 
@@ -272,14 +322,25 @@
 
   private onServersLeaving(leaving: readonly ServerId[], source: string): void {
     for (const serverId of leaving) {
-      this.options.log.info('server-leaves', { revision: this.revision, serverId, source });
+      const { revision } = this.storePosition;
+      this.options.log.info('server-leaves', { revision, serverId, source });
       this.options.onServerLeaving(serverId);
     }
   }
 
-  private advanceRevision(revision: Revision): void {
-    if (revision > this.revision) {
-      this.revision = revision;
+  private advance({ era, revision }: StorePosition): void {
+    const previous = this.storePosition;
+    if (!isLater({ era, revision }, previous)) {
+      return;
+    }
+    this.storePosition = { era, revision };
+    if (era !== previous.era && previous !== FIRST_POSITION) {
+      this.options.log.warn('store-era-entered', {
+        era,
+        previousRevision: previous.revision,
+        revision,
+      });
+      this.options.onNewEra();
     }
   }
 }
--- a/packages/serving/src/DirectoryFollower.ts
+++ b/packages/serving/src/DirectoryFollower.ts
@@ -1,8 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { Result, Revision } from '@laburnumgap/kernel';
+import type { Result, StoreEra } from '@laburnumgap/kernel';
 import { success } from '@laburnumgap/kernel';
 import type { ServingLog } from './ServingLog.js';
 import type { DirectoryChanges, DirectoryError, PlatformDirectory } from './ServingPorts.js';
+import type { StorePosition } from './StorePosition.js';
+import { FIRST_POSITION, isLater } from './StorePosition.js';
+
+/** Changes of the store, complete up to their position. */
+export type FollowedChanges = DirectoryChanges & StorePosition;
 
 /** Options of {@link DirectoryFollower}. */
 export interface DirectoryFollowerOptions {
@@ -11,7 +16,7 @@
   readonly isWatcher: () => boolean;
   readonly log: ServingLog;
   /** Receives changes. With `isFullRead` they list everything, and what is not listed is gone. */
-  readonly onChanges: (changes: DirectoryChanges, isFullRead: boolean) => void;
+  readonly onChanges: (changes: FollowedChanges, isFullRead: boolean) => void;
   /** Called after a failed call to the store; other daemons may have newer data. */
   readonly onStoreDown: () => void;
   readonly randomUnit: () => number;
@@ -24,12 +29,16 @@
 const FIRST_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 800;
 
-/** Follows the platform's store: reads everything once, then watches for changes. */
+/**
+ * Follows the platform's store: reads everything once, then watches for changes. Reads everything
+ * again when the store lost its history or began a new era; answers of an earlier era are ignored.
+ */
 export class DirectoryFollower {
   private backoffMs = FIRST_BACKOFF_MS;
   private isStopped = false;
   private isUnreachable = true;
-  private revision: Revision | undefined;
+  private mustReadAll = true;
+  private position: StorePosition = FIRST_POSITION;
 
   constructor(private readonly options: DirectoryFollowerOptions) {}
 
@@ -40,12 +49,20 @@
 
   /** Checks whether the store responds, which a pending watch does not show. */
   async ping(): Promise<void> {
-    const isReachable = await this.options.directory.ping();
-    if (!this.isStopped && this.isUnreachable === isReachable) {
+    const { directory, isWatcher, log } = this.options;
+    const { era, isReachable } = await directory.ping();
+    if (this.isStopped) {
+      return;
+    }
+    if (this.isUnreachable === isReachable) {
       this.isUnreachable = !isReachable;
-      this.options.log.info(isReachable ? 'store-answers' : 'store-silent', {
-        afterRevision: this.revision,
-      });
+      const { revision } = this.position;
+      log.info(isReachable ? 'store-answers' : 'store-silent', { afterRevision: revision });
+    }
+    if (era !== undefined && era > this.position.era && !this.mustReadAll && isWatcher()) {
+      // The pending watch belongs to a connection that the restored store may no longer know.
+      this.onEraChanged(era);
+      directory.cancelPendingCalls();
     }
   }
 
@@ -62,17 +79,18 @@
 
   /** Restarts a pending watch. Called when another daemon is ahead: the connection may be dead. */
   restartWatch(): void {
-    if (!this.isStopped && this.revision !== undefined) {
+    if (!this.isStopped && !this.mustReadAll) {
       this.options.directory.cancelPendingCalls();
     }
   }
 
   /**
-   * Continues the watch after a revision up to which all changes were received from another daemon.
+   * Continues the watch after a position up to which all changes were received from another daemon.
    */
-  advanceRevision(revision: Revision): void {
-    if (this.revision === undefined || revision > this.revision) {
-      this.revision = revision;
+  advance(position: StorePosition): void {
+    if (isLater(position, this.position)) {
+      this.position = position;
+      this.mustReadAll = false;
     }
   }
 
@@ -89,31 +107,52 @@
   }
 
   private async readOrWatch(): Promise<Result<DirectoryChanges | undefined, DirectoryError>> {
-    const { directory, isWatcher, onChanges } = this.options;
-    const after = this.revision;
-    const isFullRead = after === undefined;
+    const { directory, isWatcher, log, onChanges } = this.options;
+    const isFullRead = this.mustReadAll;
     if (!isFullRead && !isWatcher()) {
       await sleep(WATCHER_CHECK_INTERVAL_MS);
       return success(undefined);
     }
     const outcome = isFullRead
       ? await directory.readAll()
-      : await directory.watch(after, WATCH_TIMEOUT_MS);
-    if (outcome.ok && !this.isStopped) {
-      this.revision = outcome.value.revision;
-      onChanges(outcome.value, isFullRead);
+      : await directory.watch(this.position.revision, WATCH_TIMEOUT_MS);
+    if (!outcome.ok || this.isStopped) {
+      return outcome;
+    }
+    const { revision } = outcome.value;
+    const era = outcome.value.era ?? this.position.era;
+    if (era < this.position.era) {
+      log.warn('store-answer-outdated', { era, knownEra: this.position.era });
+      await sleep(FIRST_BACKOFF_MS);
+      return success(undefined);
+    }
+    if (era > this.position.era && !isFullRead) {
+      this.onEraChanged(era);
+      return success(undefined);
     }
+    if (isFullRead || isLater({ era, revision }, this.position)) {
+      this.position = { era, revision };
+    }
+    this.mustReadAll = false;
+    onChanges({ ...outcome.value, era }, isFullRead);
     return outcome;
   }
 
+  /** Revisions of the previous era have no meaning in the new one, so everything is read again. */
+  private onEraChanged(era: StoreEra): void {
+    const { era: knownEra, revision } = this.position;
+    this.options.log.warn('store-era-changed', { afterRevision: revision, era, knownEra });
+    this.mustReadAll = true;
+  }
+
   private async onStoreError(error: DirectoryError): Promise<void> {
     const { log, onStoreDown, randomUnit } = this.options;
     if (this.isStopped) {
       return;
     }
-    log.warn('store-unanswered', { afterRevision: this.revision, ...error });
+    log.warn('store-unanswered', { afterRevision: this.position.revision, ...error });
     if (error.kind === 'historyLost') {
-      this.revision = undefined;
+      this.mustReadAll = true;
       return;
     }
     this.isUnreachable = true;
--- a/packages/serving/src/LagDetector.ts
+++ b/packages/serving/src/LagDetector.ts
@@ -1,9 +1,9 @@
-import type { Revision } from '@laburnumgap/kernel';
+import type { StorePosition } from './StorePosition.js';
+import { isLater } from './StorePosition.js';
 
-/** Configuration version and store revision that a daemon has applied. */
-export interface SyncPosition {
+/** Configuration version and store position that a daemon has applied. */
+export interface SyncPosition extends StorePosition {
   readonly configurationVersion: number;
-  readonly revision: Revision;
 }
 
 interface ObservedLag extends SyncPosition {
@@ -31,8 +31,7 @@
    * @returns whether to fetch a snapshot from the other daemon now
    */
   shouldSync(other: SyncPosition, own: SyncPosition, isStoreDown: boolean, nowMs: number): boolean {
-    const isBehind =
-      other.revision > own.revision || other.configurationVersion > own.configurationVersion;
+    const isBehind = isLater(other, own) || other.configurationVersion > own.configurationVersion;
     if (!isBehind) {
       return false;
     }
@@ -46,7 +45,9 @@
   private sinceMs(own: SyncPosition): number | undefined {
     const { lag } = this;
     const isUnchanged =
-      lag?.revision === own.revision && lag.configurationVersion === own.configurationVersion;
+      lag?.era === own.era &&
+      lag.revision === own.revision &&
+      lag.configurationVersion === own.configurationVersion;
     return isUnchanged ? lag.sinceMs : undefined;
   }
 }
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -8,9 +8,17 @@
   ServerIncarnation,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
-import type { FailureDomainId, MemberId, RequestId, Revision, ServerId } from '@laburnumgap/kernel';
+import type {
+  FailureDomainId,
+  MemberId,
+  RequestId,
+  Revision,
+  ServerId,
+  StoreEra,
+} from '@laburnumgap/kernel';
 import type { SyncPosition } from './LagDetector.js';
 import type { MemberAddress } from './ServingPorts.js';
+import type { StorePosition } from './StorePosition.js';
 
 /** State that a daemon sends to the others periodically and after changes. */
 export interface PeerHeartbeat extends SyncPosition {
@@ -56,6 +64,8 @@
   /** Version of a changed configuration, which receivers read themselves; 0 without a change. */
   readonly configurationVersion: number;
   readonly host: string;
+  /** Era of both revisions. */
+  readonly era: StoreEra;
   readonly kind: 'changes';
   readonly members: readonly MemberAddress[];
   readonly membersGone: readonly MemberId[];
@@ -76,10 +86,9 @@
 export type PeerMessage = CapacityMessage | ChangesMessage | DomainLoadMessage | MoveMessage;
 
 /** State of a daemon, for a daemon that the store does not respond to. */
-export interface PeerSnapshot {
+export interface PeerSnapshot extends StorePosition {
   readonly configuration?: ServingConfiguration;
   readonly members: readonly MemberAddress[];
-  readonly revision: Revision;
   readonly servers: readonly RegisteredServer[];
 }
 
@@ -116,6 +125,7 @@
     isId(heartbeat.failureDomain) &&
     Number.isFinite(heartbeat.incarnation) &&
     Number.isFinite(heartbeat.sequence) &&
+    Number.isFinite(heartbeat.era) &&
     Number.isFinite(heartbeat.revision) &&
     Number.isFinite(heartbeat.configurationVersion) &&
     isListOf(
@@ -170,8 +180,9 @@
 export function parseSnapshot(text: string): PeerSnapshot | undefined {
   const snapshot = parse(text) as Partial<PeerSnapshot> | undefined;
   const isSnapshot =
-    typeof snapshot?.revision === 'number' &&
-    Array.isArray(snapshot.servers) &&
+    Number.isFinite(snapshot?.era) &&
+    Number.isFinite(snapshot?.revision) &&
+    Array.isArray(snapshot?.servers) &&
     Array.isArray(snapshot.members);
   return isSnapshot ? (snapshot as PeerSnapshot) : undefined;
 }
@@ -184,7 +195,8 @@
  * @returns one change for each server
  */
 export function serverChangesOf(snapshot: PeerSnapshot): readonly ServerChange[] {
-  return snapshot.servers.map(({ leaving, revision, server }) => ({
+  return snapshot.servers.map(({ lapsedUntilMs, leaving, revision, server }) => ({
+    isLapsed: lapsedUntilMs !== undefined,
     revision,
     server: { ...server, leaving },
     serverId: server.serverId,
@@ -222,6 +234,7 @@
   return (
     isId(message.host) &&
     Number.isFinite(message.configurationVersion) &&
+    Number.isFinite(message.era) &&
     Number.isFinite(message.revision) &&
     Number.isFinite(message.sinceRevision) &&
     isListOf(message.members, (member) => isId(member.host) && isId(member.memberId)) &&
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -10,7 +10,13 @@
   ServerHealth,
   ServerRegistry,
 } from '@laburnumgap/dispatch';
-import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
+import type {
+  FailureDomainId,
+  MemberId,
+  MonotonicClock,
+  ServerId,
+  StoreEra,
+} from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { BackendConnectionPool } from './BackendConnectionPool.js';
 import { CallsInFlight } from './CallsInFlight.js';
@@ -74,6 +80,8 @@
 const TICK_MS = 100;
 /** Time between attempts to register with the store. */
 const REGISTER_RETRY_MS = 2_000;
+/** In a new era of the store, all daemons register again within this times their number. */
+const REGISTER_SPREAD_PER_MEMBER_MS = 20;
 /**
  * Time between two store pings of the whole fleet. The interval of each daemon is this times the
  * number of daemons.
@@ -110,12 +118,14 @@
   private readonly generationRuns = new Set<GenerationRun>();
   private isClosed = false;
   private isDraining = false;
+  private isRegistering = false;
   private isRetryBudgetDivided = false;
   private readonly load = new EngineLoad();
   private readonly moveCoordinator: MoveCoordinator;
   private openPlainCalls = 0;
   private readonly peers: PeerLink;
   private readonly readyServer;
+  private registrationTimer: NodeJS.Timeout | undefined;
   private readonly registry = new ServerRegistry();
   private readonly retryBudget: RetryBudget;
   private readonly storeFollower: DirectoryFollower;
@@ -182,8 +192,8 @@
       serverSignals,
     };
     this.clusterState = new ClusterState({
-      advanceStorePosition: (revision) => {
-        this.storeFollower.advanceRevision(revision);
+      advanceStorePosition: (position) => {
+        this.storeFollower.advance(position);
       },
       clock,
       directory,
@@ -193,6 +203,9 @@
       onConfiguration: (table) => {
         this.front.applyLimits(table);
       },
+      onNewEra: () => {
+        this.scheduleRegistration();
+      },
       onServerLeaving: (serverId) => {
         this.connections.close(serverId);
         this.context.cachedPrefixes.removeServer(serverId);
@@ -338,6 +351,7 @@
   close(): void {
     this.isClosed = true;
     clearInterval(this.tickTimer);
+    clearTimeout(this.registrationTimer);
     this.storeFollower.stop();
     this.peers.stop();
     this.readyServer.close();
@@ -353,17 +367,38 @@
   }
 
   /**
-   * Registers the entry by which other daemons find this one; retries until the store accepts it.
+   * Registers the entry by which other daemons find this one; retries until the store accepts it in
+   * its current era.
    */
   private async registerMember(): Promise<void> {
     const { directory, log, settings } = this.options;
     const member = { host: settings.peers.host, memberId: settings.memberId };
-    let registered = await directory.register(member);
-    while (!registered.ok && !this.isDraining && !this.isClosed) {
-      log.warn('member-not-registered', registered.error);
-      await sleep(REGISTER_RETRY_MS);
-      registered = await directory.register(member);
+    if (this.isRegistering) {
+      return;
+    }
+    this.isRegistering = true;
+    let registeredEra: StoreEra | undefined;
+    const isRegistered = (): boolean =>
+      registeredEra !== undefined && registeredEra >= this.clusterState.position().era;
+    while (!isRegistered() && !this.isDraining && !this.isClosed) {
+      const registered = await directory.register(member);
+      if (registered.ok) {
+        registeredEra = registered.value ?? this.clusterState.position().era;
+      } else {
+        log.warn('member-not-registered', registered.error);
+        await sleep(REGISTER_RETRY_MS);
+      }
     }
+    this.isRegistering = false;
+  }
+
+  /** Registers again in a new era of the store, spread out so that its rate limit suffices. */
+  private scheduleRegistration(): void {
+    const spreadMs = REGISTER_SPREAD_PER_MEMBER_MS * this.peers.table.knownCount();
+    clearTimeout(this.registrationTimer);
+    this.registrationTimer = setTimeout(() => {
+      void this.registerMember();
+    }, this.options.randomUnit() * spreadMs);
   }
 
   private runCall(admitted: AdmittedCall): void {
--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -4,7 +4,7 @@
   ServerChange,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
-import type { MemberId, Refusal, Result, Revision, TeamId } from '@laburnumgap/kernel';
+import type { MemberId, Refusal, Result, Revision, StoreEra, TeamId } from '@laburnumgap/kernel';
 
 /** Header names and values in their order and spelling on the wire. */
 export type HeaderList = readonly (readonly [name: string, value: string])[];
@@ -139,6 +139,8 @@
 /** Decoded changes of the platform's store. */
 export interface DirectoryChanges {
   readonly configuration?: ServingConfiguration;
+  /** Absent when the store did not state it. */
+  readonly era?: StoreEra;
   readonly members: readonly MemberAddress[];
   readonly membersGone: readonly MemberId[];
   /** The changes are complete up to this revision. */
@@ -161,18 +163,31 @@
   | { readonly kind: 'unreachable'; readonly reason: string }
   | { readonly kind: 'unreadable'; readonly reason: string };
 
+/** Response of the store to a ping. */
+export interface DirectoryPing {
+  readonly era?: StoreEra;
+  readonly isReachable: boolean;
+}
+
 /** Client of the platform's store, from which daemons read and in which they register. */
 export interface PlatformDirectory {
   /** Cancels pending calls. */
   cancelPendingCalls(): void;
   /** Checks whether the store responds, with its cheapest call. */
-  ping(): Promise<boolean>;
-  /** Reads everything. The result's `revision` is the one before the read began. */
+  ping(): Promise<DirectoryPing>;
+  /**
+   * Reads everything. The result's `revision` is the one before the read began. Fails with
+   * `historyLost` when the era changes during the read.
+   */
   readAll(): Promise<Result<DirectoryChanges, DirectoryError>>;
   /** Reads only the configuration. */
   readConfiguration(): Promise<Result<ServingConfiguration, DirectoryError>>;
-  /** Writes the entry by which other daemons find this one. */
-  register(member: MemberAddress): Promise<Result<undefined, DirectoryError>>;
+  /**
+   * Writes the entry by which other daemons find this one.
+   *
+   * @returns the era of the store that has the entry, if the store states it
+   */
+  register(member: MemberAddress): Promise<Result<StoreEra | undefined, DirectoryError>>;
   /** Waits for changes after a revision; resolves without changes after `waitMs`. */
   watch(after: Revision, waitMs: number): Promise<Result<DirectoryChanges, DirectoryError>>;
 }
--- a/packages/serving/src/__tests__/integration/PeerLink.test.ts
+++ b/packages/serving/src/__tests__/integration/PeerLink.test.ts
@@ -1,9 +1,9 @@
 import { createSocket } from 'node:dgram';
 import { EngineLoad } from '@laburnumgap/dispatch';
-import type { FailureDomainId, MemberId, Revision } from '@laburnumgap/kernel';
-import { toId, toNumberId } from '@laburnumgap/kernel';
+import type { FailureDomainId, MemberId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
-import { PeerLink } from '../../index.js';
+import { FIRST_POSITION, PeerLink } from '../../index.js';
 
 test('starting fails when the port for datagrams is taken', async (t) => {
   const host = '127.0.0.1';
@@ -11,7 +11,7 @@
   await new Promise<void>((resolve) => {
     other.bind(0, host, resolve);
   });
-  const position = { configurationVersion: 0, revision: toNumberId<Revision>(0) };
+  const position = { ...FIRST_POSITION, configurationVersion: 0 };
   const link = new PeerLink({
     clock: { nowMs: () => 0 },
     failureDomain: toId<FailureDomainId>('a'),
@@ -30,7 +30,7 @@
     onMessage: () => undefined,
     position: () => position,
     seedHosts: [],
-    snapshot: () => ({ members: [], revision: position.revision, servers: [] }),
+    snapshot: () => ({ ...FIRST_POSITION, members: [], servers: [] }),
     snapshotPort: 0,
   });
   await t.throwsAsync(link.start(), { code: 'EADDRINUSE' });
--- a/packages/serving/src/__tests__/unit/ClusterState.test.ts
+++ b/packages/serving/src/__tests__/unit/ClusterState.test.ts
@@ -2,10 +2,11 @@
 import type { MemberId, Revision } from '@laburnumgap/kernel';
 import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
-import type { ClusterPeers, PeerSnapshot } from '../../index.js';
-import { ClusterState } from '../../index.js';
+import type { ClusterPeers, FollowedChanges, PeerSnapshot } from '../../index.js';
+import { ClusterState, FIRST_POSITION } from '../../index.js';
 
 interface TestState {
+  readonly announcedVersions: number[];
   readonly clusterState: ClusterState;
   /** Completes the oldest pending snapshot fetch. */
   readonly completeFetch: (snapshot: PeerSnapshot | undefined) => Promise<void>;
@@ -14,6 +15,7 @@
 }
 
 function createState(): TestState {
+  const announcedVersions: number[] = [];
   const fetchedHosts: string[] = [];
   let readCount = 0;
   const pendingFetches: ((snapshot: PeerSnapshot | undefined) => void)[] = [];
@@ -25,7 +27,9 @@
     },
     scheduleHeartbeat: () => undefined,
     scheduleHeartbeatToAll: () => undefined,
-    broadcastChanges: () => undefined,
+    broadcastChanges: ({ configurationVersion }) => {
+      announcedVersions.push(configurationVersion);
+    },
     removeMember: () => undefined,
     table: { add: () => undefined, members: () => [] },
   };
@@ -34,7 +38,7 @@
     clock: { nowMs: () => 0 },
     directory: {
       cancelPendingCalls: () => undefined,
-      ping: () => Promise.resolve(false),
+      ping: () => Promise.resolve({ isReachable: false }),
       readAll: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
       readConfiguration: () => {
         readCount += 1;
@@ -47,6 +51,7 @@
     log: { info: () => undefined, warn: () => undefined },
     memberId: toId<MemberId>('m1'),
     onConfiguration: () => undefined,
+    onNewEra: () => undefined,
     onServerLeaving: () => undefined,
     peers: () => peers,
     randomUnit: () => 0.5,
@@ -56,7 +61,13 @@
     pendingFetches.shift()?.(snapshot);
     await new Promise((resolve) => setImmediate(resolve));
   };
-  return { clusterState, completeFetch, configurationReads: () => readCount, fetchedHosts };
+  return {
+    announcedVersions,
+    clusterState,
+    completeFetch,
+    configurationReads: () => readCount,
+    fetchedHosts,
+  };
 }
 
 test('load pattern: only a few snapshots are fetched at a time when many daemons are ahead', async (t) => {
@@ -75,7 +86,7 @@
   const { clusterState, completeFetch } = createState();
   void clusterState.syncFromPeer('10.0.0.1');
   const revision = toNumberId<Revision>(7);
-  await completeFetch({ members: [], revision, servers: [] });
+  await completeFetch({ ...FIRST_POSITION, members: [], revision, servers: [] });
   t.is(
     clusterState.position().revision,
     toNumberId<Revision>(0),
@@ -88,6 +99,7 @@
   const receiveChanges = (configurationVersion: number): void => {
     clusterState.onChangesMessage({
       configurationVersion,
+      era: FIRST_POSITION.era,
       host: '10.0.0.1',
       kind: 'changes',
       members: [],
@@ -112,3 +124,19 @@
   receiveChanges(5);
   t.is(configurationReads(), 3, 'a failed read is repeated');
 });
+
+test('a configuration found by a full read is announced, except by a daemon that starts', (t) => {
+  const { announcedVersions, clusterState } = createState();
+  for (const version of [3, 3, 4, 2]) {
+    const changes = {
+      ...FIRST_POSITION,
+      configuration: { limits: {}, routes: [], services: [], teams: [], version },
+      members: [],
+      membersGone: [],
+      servers: [],
+      unreadable: [],
+    } as unknown as FollowedChanges;
+    clusterState.applyStoreChanges(changes, true);
+  }
+  t.deepEqual(announcedVersions, [4]);
+});
--- /dev/null
+++ b/packages/serving/src/__tests__/unit/DirectoryFollower.test.ts
@@ -0,0 +1,158 @@
+import type { Result, Revision, StoreEra } from '@laburnumgap/kernel';
+import { failure, success, toNumberId } from '@laburnumgap/kernel';
+import type { ExecutionContext } from 'ava';
+import test from 'ava';
+import type {
+  DirectoryChanges,
+  DirectoryError,
+  FollowedChanges,
+  PlatformDirectory,
+} from '../../index.js';
+import { DirectoryFollower } from '../../index.js';
+
+type Answer = Result<DirectoryChanges, DirectoryError>;
+
+interface ReceivedChanges {
+  readonly changes: FollowedChanges;
+  readonly isFullRead: boolean;
+}
+
+/** A store whose calls stay pending until the test answers them. */
+class ScriptedStore implements PlatformDirectory {
+  cancelCount = 0;
+  pingEra: StoreEra | undefined;
+  readonly calls: string[] = [];
+  private answer: ((answer: Answer) => void) | undefined;
+  private onCall: (() => void) | undefined;
+
+  cancelPendingCalls(): void {
+    this.cancelCount += 1;
+    this.answer?.(failure({ kind: 'unreachable', reason: 'cancelled' }));
+  }
+
+  ping() {
+    return Promise.resolve({ era: this.pingEra, isReachable: true });
+  }
+
+  readAll(): Promise<Answer> {
+    return this.call('readAll');
+  }
+
+  readConfiguration(): Promise<Result<never, DirectoryError>> {
+    return Promise.resolve(failure({ kind: 'unreachable', reason: 'test' }));
+  }
+
+  register() {
+    return Promise.resolve(success(undefined));
+  }
+
+  watch(after: Revision): Promise<Answer> {
+    return this.call(`watch ${after}`);
+  }
+
+  /** Answers the pending call, and waits for the next one. */
+  async respond(answer: Answer): Promise<string> {
+    const next = new Promise<void>((resolve) => {
+      this.onCall = resolve;
+    });
+    this.answer?.(answer);
+    await next;
+    return this.calls.at(-1) ?? '';
+  }
+
+  private call(name: string): Promise<Answer> {
+    this.calls.push(name);
+    return new Promise((resolve) => {
+      this.answer = resolve;
+      this.onCall?.();
+    });
+  }
+}
+
+function changesAt(era: number | undefined, revision: number): Answer {
+  return success({
+    era: era === undefined ? undefined : toNumberId<StoreEra>(era),
+    members: [],
+    membersGone: [],
+    revision: toNumberId<Revision>(revision),
+    servers: [],
+    unreadable: [],
+  });
+}
+
+function startFollower(t: ExecutionContext) {
+  const received: ReceivedChanges[] = [];
+  const store = new ScriptedStore();
+  const follower = new DirectoryFollower({
+    directory: store,
+    isWatcher: () => true,
+    log: { info: () => undefined, warn: () => undefined },
+    onChanges: (changes, isFullRead) => received.push({ changes, isFullRead }),
+    onStoreDown: () => undefined,
+    randomUnit: () => 0,
+  });
+  follower.start();
+  t.teardown(() => {
+    follower.stop();
+  });
+  return { follower, received, store };
+}
+
+test('a watch answered in a new era leads to a full read, and its changes are not used', async (t) => {
+  const { received, store } = startFollower(t);
+  t.is(await store.respond(changesAt(1, 50)), 'watch 50');
+  t.is(await store.respond(changesAt(2, 60)), 'readAll', 'revision 60 is of another history');
+  t.is(await store.respond(changesAt(2, 12)), 'watch 12');
+  t.deepEqual(
+    received.map(({ changes, isFullRead }) => [changes.era, changes.revision, isFullRead]),
+    [
+      [1, 50, true],
+      [2, 12, true],
+    ] as unknown[],
+  );
+});
+
+test('a lost history in a new era leads to a full read', async (t) => {
+  const { store } = startFollower(t);
+  await store.respond(changesAt(1, 50));
+  t.is(await store.respond(failure({ kind: 'historyLost' })), 'readAll');
+  t.is(await store.respond(changesAt(2, 12)), 'watch 12');
+});
+
+test('the era rises again during the full read', async (t) => {
+  const { received, store } = startFollower(t);
+  await store.respond(changesAt(1, 50));
+  await store.respond(changesAt(2, 60));
+  t.is(await store.respond(failure({ kind: 'historyLost' })), 'readAll');
+  t.is(await store.respond(changesAt(3, 7)), 'watch 7');
+  t.is(await store.respond(changesAt(4, 8)), 'readAll');
+  t.is(received.length, 2);
+});
+
+test('answers of an earlier era are ignored', async (t) => {
+  const { follower, received, store } = startFollower(t);
+  await store.respond(changesAt(2, 50));
+  t.is(await store.respond(changesAt(1, 90)), 'watch 50');
+  follower.advance({ era: toNumberId<StoreEra>(3), revision: toNumberId<Revision>(4) });
+  t.is(await store.respond(changesAt(2, 51)), 'watch 4');
+  follower.advance({ era: toNumberId<StoreEra>(2), revision: toNumberId<Revision>(99) });
+  t.is(await store.respond(changesAt(3, 5)), 'watch 5');
+  t.is(received.length, 2);
+});
+
+test('a store without eras is followed as before', async (t) => {
+  const { store } = startFollower(t);
+  await store.respond(changesAt(undefined, 50));
+  t.is(await store.respond(changesAt(undefined, 51)), 'watch 51');
+});
+
+test('a ping in a new era ends the pending watch of a watcher', async (t) => {
+  const { follower, store } = startFollower(t);
+  await store.respond(changesAt(1, 50));
+  store.pingEra = toNumberId<StoreEra>(1);
+  await follower.ping();
+  t.is(store.cancelCount, 0);
+  store.pingEra = toNumberId<StoreEra>(2);
+  await follower.ping();
+  t.is(store.cancelCount, 1);
+});
--- a/packages/serving/src/__tests__/unit/LagDetector.test.ts
+++ b/packages/serving/src/__tests__/unit/LagDetector.test.ts
@@ -1,11 +1,15 @@
-import type { Revision } from '@laburnumgap/kernel';
+import type { Revision, StoreEra } from '@laburnumgap/kernel';
 import { toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
 import type { SyncPosition } from '../../index.js';
 import { LagDetector } from '../../index.js';
 
-function position(revision: number, configurationVersion = 1): SyncPosition {
-  return { configurationVersion, revision: toNumberId<Revision>(revision) };
+function position(revision: number, configurationVersion = 1, era = 0): SyncPosition {
+  return {
+    configurationVersion,
+    era: toNumberId<StoreEra>(era),
+    revision: toNumberId<Revision>(revision),
+  };
 }
 
 test('load pattern: lag is detected soon when all peers are in other domains and send heartbeats rarely', (t) => {
@@ -39,3 +43,14 @@
   t.false(detector.shouldSync(position(1), position(1), false, 200));
   t.true(detector.shouldSync(position(2), position(1), false, 260));
 });
+
+test('a daemon of an earlier store era is never ahead', (t) => {
+  const detector = new LagDetector();
+  for (let nowMs = 0; nowMs < 1_000; nowMs += 100) {
+    t.false(detector.shouldSync(position(900, 1, 1), position(3, 1, 2), false, nowMs));
+  }
+});
+
+test('a daemon of a later store era is ahead at any revision', (t) => {
+  t.true(new LagDetector().shouldSync(position(3, 1, 2), position(900, 1, 1), true, 0));
+});
--- a/packages/serving/src/__tests__/unit/PeerMessages.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerMessages.test.ts
@@ -63,6 +63,7 @@
 };
 const CHANGES = {
   configurationVersion: 0,
+  era: 1,
   host: 'h',
   kind: 'changes',
   members: [{ host: 'h', memberId: 'm' }],
@@ -80,6 +81,7 @@
   { kind: 'roomWanted', memberId: 'm', wish: REQUEST },
 ];
 const MALFORMED_MESSAGES: readonly object[] = [
+  { ...CHANGES, era: 'x' },
   { ...CHANGES, host: 7 },
   { ...CHANGES, members: [{ host: 'h' }] },
   { ...CHANGES, members: [null] },
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -32,4 +32,5 @@
 export * from './ServingFront.js';
 export type * from './ServingLog.js';
 export type * from './ServingPorts.js';
+export * from './StorePosition.js';
 export * from './StreamMover.js';
