Repeat a hanging read as soon as the store answers a ping

Change: when a ping shows that the store responds again, a call sent before that ping is cancelled and repeated at once, and a wait after a failed call ends. Ruled out: a shorter timeout of reads, which a slow store would exceed; hedged reads, which cost calls while the store is away.

--- a/packages/serving/src/DirectoryFollower.ts
+++ b/packages/serving/src/DirectoryFollower.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { Result, StoreEra } from '@laburnumgap/kernel';
+import type { MonotonicClock, Result, StoreEra } from '@laburnumgap/kernel';
 import { success } from '@laburnumgap/kernel';
 import type { ServingLog } from './ServingLog.js';
 import type { DirectoryChanges, DirectoryError, PlatformDirectory } from './ServingPorts.js';
@@ -11,6 +11,7 @@
 
 /** Options of {@link DirectoryFollower}. */
 export interface DirectoryFollowerOptions {
+  readonly clock: MonotonicClock;
   readonly directory: PlatformDirectory;
   /** Whether this daemon watches the store; the other daemons receive changes from the watchers. */
   readonly isWatcher: () => boolean;
@@ -27,6 +28,8 @@
 /** Interval at which a daemon checks whether it has become a watcher. */
 const WATCHER_CHECK_INTERVAL_MS = 50;
 const FIRST_BACKOFF_MS = 50;
+/** A call that was sent this long before a ping and is answered after it hangs. */
+const MIN_HANGING_MS = 30;
 const MAX_BACKOFF_MS = 800;
 
 /**
@@ -37,8 +40,13 @@
   private backoffMs = FIRST_BACKOFF_MS;
   private isStopped = false;
   private isUnreachable = true;
+  /** Set while the pending call is cancelled because a ping shows that it hangs. */
+  private isRetryingAtOnce = false;
   private mustReadAll = true;
+  private pendingSinceMs: number | undefined;
   private position: StorePosition = FIRST_POSITION;
+  /** Ends the wait after a failed call. */
+  private wake: (() => void) | undefined;
 
   constructor(private readonly options: DirectoryFollowerOptions) {}
 
@@ -49,7 +57,8 @@
 
   /** Checks whether the store responds, which a pending watch does not show. */
   async ping(): Promise<void> {
-    const { directory, isWatcher, log } = this.options;
+    const { clock, directory, isWatcher, log } = this.options;
+    const sentMs = clock.nowMs();
     const { era, isReachable } = await directory.ping();
     if (this.isStopped) {
       return;
@@ -58,6 +67,9 @@
       this.isUnreachable = !isReachable;
       const { revision } = this.position;
       log.info(isReachable ? 'store-answers' : 'store-silent', { afterRevision: revision });
+      if (isReachable) {
+        this.retryHangingCall(sentMs);
+      }
     }
     if (era !== undefined && era > this.position.era && !this.mustReadAll && isWatcher()) {
       // The pending watch belongs to a connection that the restored store may no longer know.
@@ -66,6 +78,19 @@
     }
   }
 
+  /**
+   * Repeats at once what the store did not answer while it was away. Its connection may never answer
+   * again, and waiting for its timeout would cost more than the call.
+   */
+  private retryHangingCall(pingSentMs: number): void {
+    this.wake?.();
+    const { pendingSinceMs } = this;
+    if (pendingSinceMs !== undefined && pendingSinceMs < pingSentMs - MIN_HANGING_MS) {
+      this.isRetryingAtOnce = true;
+      this.options.directory.cancelPendingCalls();
+    }
+  }
+
   /** Starts following the store in the background. */
   start(): void {
     void this.follow();
@@ -107,15 +132,17 @@
   }
 
   private async readOrWatch(): Promise<Result<DirectoryChanges | undefined, DirectoryError>> {
-    const { directory, isWatcher, log, onChanges } = this.options;
+    const { clock, directory, isWatcher, log, onChanges } = this.options;
     const isFullRead = this.mustReadAll;
     if (!isFullRead && !isWatcher()) {
       await sleep(WATCHER_CHECK_INTERVAL_MS);
       return success(undefined);
     }
+    this.pendingSinceMs = clock.nowMs();
     const outcome = isFullRead
       ? await directory.readAll()
       : await directory.watch(this.position.revision, WATCH_TIMEOUT_MS);
+    this.pendingSinceMs = undefined;
     if (!outcome.ok || this.isStopped) {
       return outcome;
     }
@@ -155,10 +182,21 @@
       this.mustReadAll = true;
       return;
     }
+    if (this.isRetryingAtOnce) {
+      this.isRetryingAtOnce = false;
+      return;
+    }
     this.isUnreachable = true;
     onStoreDown();
     const waitMs = this.backoffMs * (1 + randomUnit());
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
-    await sleep(waitMs);
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, waitMs);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    this.wake = undefined;
   }
 }
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -286,6 +286,7 @@
       protocol,
     });
     this.storeFollower = new DirectoryFollower({
+      clock,
       directory,
       isWatcher: () => this.peers.table.isWatcher(),
       log,
--- a/packages/serving/src/__tests__/unit/DirectoryFollower.test.ts
+++ b/packages/serving/src/__tests__/unit/DirectoryFollower.test.ts
@@ -20,6 +20,7 @@
 /** A store whose calls stay pending until the test answers them. */
 class ScriptedStore implements PlatformDirectory {
   cancelCount = 0;
+  isReachable = true;
   pingEra: StoreEra | undefined;
   readonly calls: string[] = [];
   private answer: ((answer: Answer) => void) | undefined;
@@ -31,7 +32,7 @@
   }
 
   ping() {
-    return Promise.resolve({ era: this.pingEra, isReachable: true });
+    return Promise.resolve({ era: this.pingEra, isReachable: this.isReachable });
   }
 
   readAll(): Promise<Answer> {
@@ -82,8 +83,11 @@
 
 function startFollower(t: ExecutionContext) {
   const received: ReceivedChanges[] = [];
+  const time = { nowMs: 0 };
   const store = new ScriptedStore();
+  const clock = { nowMs: () => time.nowMs };
   const follower = new DirectoryFollower({
+    clock,
     directory: store,
     isWatcher: () => true,
     log: { info: () => undefined, warn: () => undefined },
@@ -95,7 +99,7 @@
   t.teardown(() => {
     follower.stop();
   });
-  return { follower, received, store };
+  return { follower, received, store, time };
 }
 
 test('a watch answered in a new era leads to a full read, and its changes are not used', async (t) => {
@@ -156,3 +160,41 @@
   await follower.ping();
   t.is(store.cancelCount, 1);
 });
+
+test('load pattern: all daemons start while the store is silent, and read it as soon as it answers a ping', async (t) => {
+  const { follower, received, store, time } = startFollower(t);
+  store.isReachable = false;
+  time.nowMs = 100;
+  await follower.ping();
+  t.is(store.cancelCount, 0, 'a silent store is waited for');
+  store.isReachable = true;
+  time.nowMs = 200;
+  await follower.ping();
+  t.is(store.cancelCount, 1, 'the first read hangs on a connection from before');
+  await new Promise((resolve) => setImmediate(resolve));
+  t.deepEqual(store.calls, ['readAll', 'readAll']);
+  await store.respond(changesAt(1, 50));
+  t.is(received.length, 1);
+});
+
+test('a read that was just sent is not repeated', async (t) => {
+  const { follower, store, time } = startFollower(t);
+  time.nowMs = 20;
+  await follower.ping();
+  t.is(store.cancelCount, 0);
+});
+
+test('the wait after a failed read ends when the store answers a ping', async (t) => {
+  const { follower, store, time } = startFollower(t);
+  // The fourth failure is followed by a wait of 400 ms.
+  for (let failures = 0; failures < 3; failures += 1) {
+    await store.respond(failure({ kind: 'refused', status: 503 }));
+  }
+  void store.respond(failure({ kind: 'refused', status: 503 }));
+  await new Promise((resolve) => setImmediate(resolve));
+  t.is(store.calls.length, 4, 'waits');
+  time.nowMs = 1_000;
+  await follower.ping();
+  await new Promise((resolve) => setImmediate(resolve));
+  t.is(store.calls.length, 5);
+});
