Copy streams of a leaving engine one after another until it stops, small ones first

Change: requests are gathered for 20 ms before the first turn; a stream waits for its turn until the engine is gone; requests are repeated, since turns travel as datagrams, and a lost turn is sent again. Ruled out: copies before a notice, which were tried before and cost memory under load.

--- a/packages/dispatch/src/MoveQueue.ts
+++ b/packages/dispatch/src/MoveQueue.ts
@@ -43,16 +43,28 @@
   private recentAssignments: { readonly atMs: number; readonly targetId: ServerId }[] = [];
   private waitingRequests: { readonly request: MoveRequest; readonly sinceMs: number }[] = [];
 
-  /** Queues a request. A repeated request replaces the earlier one. */
-  enqueue(request: MoveRequest, nowMs: number): void {
+  /**
+   * Queues a request. A repeated request replaces the earlier one; if its move is active, the message
+   * with its assignment was lost.
+   *
+   * @param request - the request
+   * @param nowMs - monotonic time
+   * @returns the assignment of an active move, to be sent again
+   */
+  enqueue(request: MoveRequest, nowMs: number): MoveAssignment | undefined {
+    const active = this.activeMoves.find((move) => move.request.requestId === request.requestId);
+    if (active) {
+      return active;
+    }
     const queuedAt = this.waitingRequests.findIndex(
       ({ request: other }) => other.requestId === request.requestId,
     );
     if (queuedAt >= 0) {
       this.waitingRequests[queuedAt] = { request, sinceMs: nowMs };
-      return;
+      return undefined;
     }
     this.waitingRequests.push({ request, sinceMs: nowMs });
+    return undefined;
   }
 
   /** Removes a move that is over, or a request that is withdrawn. */
--- a/packages/serving/src/MoveCoordinator.ts
+++ b/packages/serving/src/MoveCoordinator.ts
@@ -17,14 +17,31 @@
   { readonly kind: 'turn'; readonly targetId: ServerId } | { readonly kind: 'ungranted' };
 
 interface PendingTurn {
+  readonly coordinatorId: MemberId;
+  isQueued: boolean;
+  readonly request: MoveRequest;
   readonly resolve: (outcome: TurnOutcome) => void;
+  readonly sinceMs: number;
   timer: NodeJS.Timeout;
 }
 
-/** A coordinator that does not acknowledge a request within this is dead or unreachable. */
-const COORDINATOR_TIMEOUT_MS = 50;
-/** Longest wait for a turn; a leaving engine ends soon after. */
-const MAX_TURN_WAIT_MS = 1_100;
+/** Time after which an unacknowledged request is repeated once, as datagrams can be lost. */
+const ACKNOWLEDGE_TIMEOUT_MS = 30;
+/** A coordinator that has not acknowledged a request by then is dead or unreachable. */
+const COORDINATOR_TIMEOUT_MS = 60;
+/** Interval at which a queued request is repeated, in case the message with its turn was lost. */
+const REPEAT_INTERVAL_MS = 250;
+/**
+ * Longest wait for a turn, longer than engines serve after they announced to leave. A copy that is
+ * started without a turn queues on the link before the last piece of another stream, and both can be
+ * lost.
+ */
+const MAX_TURN_WAIT_MS = 2_500;
+/**
+ * Time to gather the requests of an engine that leaves before the first turn is granted. The first
+ * request to arrive can be the largest copy, and delay all others.
+ */
+const GATHER_MS = 20;
 /** Interval of the check for turns that expired without a moveDone message. */
 const QUEUE_CHECK_INTERVAL_MS = 100;
 
@@ -35,6 +52,7 @@
 export class MoveCoordinator {
   private checkTimer: NodeJS.Timeout | undefined;
   private readonly coordinatorByRequest = new Map<RequestId, MemberId>();
+  private gatherTimer: NodeJS.Timeout | undefined;
   private readonly pendingTurns = new Map<RequestId, PendingTurn>();
   private readonly turnQueue = new MoveQueue();
 
@@ -48,13 +66,20 @@
    *   without one
    */
   requestTurn(request: Omit<MoveRequest, 'memberId'>): Promise<TurnOutcome> {
-    const { memberId, currentCoordinatorId } = this.options;
+    const { clock, currentCoordinatorId, memberId } = this.options;
+    const { requestId } = request;
     const coordinatorId = currentCoordinatorId();
-    this.coordinatorByRequest.set(request.requestId, coordinatorId);
+    this.coordinatorByRequest.set(requestId, coordinatorId);
     return new Promise((resolve) => {
-      const timer = this.startTimeout(request.requestId, COORDINATOR_TIMEOUT_MS);
-      this.pendingTurns.set(request.requestId, { resolve, timer });
-      this.send({ kind: 'moveWanted', wish: { ...request, memberId } }, coordinatorId);
+      this.pendingTurns.set(requestId, {
+        coordinatorId,
+        isQueued: false,
+        request: { ...request, memberId },
+        resolve,
+        sinceMs: clock.nowMs(),
+        timer: this.scheduleRepeat(requestId, ACKNOWLEDGE_TIMEOUT_MS),
+      });
+      this.repeatRequest(requestId);
     });
   }
 
@@ -83,9 +108,16 @@
         break;
       case 'moveWanted': {
         const { memberId, requestId } = message.wish;
-        this.turnQueue.enqueue(message.wish, nowMs);
+        const active = this.turnQueue.enqueue(message.wish, nowMs);
+        if (active) {
+          this.send({ kind: 'moveTurn', requestId, targetId: active.targetId }, memberId);
+          break;
+        }
         this.send({ kind: 'moveQueued', requestId }, memberId);
-        this.grantTurns();
+        this.gatherTimer ??= setTimeout(() => {
+          this.gatherTimer = undefined;
+          this.grantTurns();
+        }, GATHER_MS);
         break;
       }
     }
@@ -105,12 +137,39 @@
 
   private onQueued(requestId: RequestId): void {
     const pending = this.pendingTurns.get(requestId);
-    if (pending) {
+    if (pending && !pending.isQueued) {
+      pending.isQueued = true;
       clearTimeout(pending.timer);
-      pending.timer = this.startTimeout(requestId, MAX_TURN_WAIT_MS);
+      pending.timer = this.scheduleRepeat(requestId, REPEAT_INTERVAL_MS);
     }
   }
 
+  private repeatRequest(requestId: RequestId): void {
+    const pending = this.pendingTurns.get(requestId);
+    if (pending) {
+      this.send({ kind: 'moveWanted', wish: pending.request }, pending.coordinatorId);
+    }
+  }
+
+  /** Repeats a request that was not answered, and gives it up when its time is over. */
+  private scheduleRepeat(requestId: RequestId, delayMs: number): NodeJS.Timeout {
+    return setTimeout(() => {
+      const pending = this.pendingTurns.get(requestId);
+      if (!pending) {
+        return;
+      }
+      const { isQueued, sinceMs } = pending;
+      const maxWaitMs = isQueued ? MAX_TURN_WAIT_MS : COORDINATOR_TIMEOUT_MS;
+      if (this.options.clock.nowMs() - sinceMs >= maxWaitMs) {
+        this.resolveTurn(requestId, { kind: 'ungranted' });
+        return;
+      }
+      const repeatMs = isQueued ? REPEAT_INTERVAL_MS : ACKNOWLEDGE_TIMEOUT_MS;
+      pending.timer = this.scheduleRepeat(requestId, repeatMs);
+      this.repeatRequest(requestId);
+    }, delayMs);
+  }
+
   private resolveTurn(requestId: RequestId, outcome: TurnOutcome): void {
     const pending = this.pendingTurns.get(requestId);
     if (!pending) {
@@ -131,10 +190,4 @@
       this.options.send(message, recipientId);
     }
   }
-
-  private startTimeout(requestId: RequestId, timeoutMs: number): NodeJS.Timeout {
-    return setTimeout(() => {
-      this.resolveTurn(requestId, { kind: 'ungranted' });
-    }, timeoutMs);
-  }
 }
