Fetch a new configuration from daemons instead of the store

Cause: each daemon read each version from the store. Change: a daemon that reads the store tells its failure domain and two relays in each other domain (selectAnnouncementTargets); a relay tells its domain, half of it at once, the other half 150 ms later. Each daemon fetches the version, compressed, from the one that told it first, and from the store only if that one does not return it. Versions found by a full read are told in the same way. What is lost is repaired by heartbeats as before. Weighed: reads that may be outdated cost a tenth but are often behind just after a write; a deeper tree, which saves little below 1,000 daemons and takes longer to repair; sending the configuration in datagrams, which lose large ones.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,3 +1,4 @@
+export * from './AnnouncementTargets.js';
 export type * from './BackendServer.js';
 export * from './EngineCapacity.js';
 export * from './EngineLoad.js';
--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/ClusterState.ts
@@ -5,11 +5,11 @@
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
 import { RouteTable } from '@laburnumgap/dispatch';
-import type { MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
+import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import type { FollowedChanges } from './DirectoryFollower.js';
 import type { SyncPosition } from './LagDetector.js';
 import type { PeerLink } from './PeerLink.js';
-import type { ChangesMessage, PeerSnapshot } from './PeerMessages.js';
+import type { ChangesMessage, ConfigurationMessage, PeerSnapshot } from './PeerMessages.js';
 import { serverChangesOf } from './PeerMessages.js';
 import type { ServingLog } from './ServingLog.js';
 import type { DirectoryChanges, PlatformDirectory } from './ServingPorts.js';
@@ -19,7 +19,9 @@
 /** Operations on the other daemons that {@link ClusterState} needs. */
 export type ClusterPeers = Pick<
   PeerLink,
+  | 'announceConfiguration'
   | 'broadcastChanges'
+  | 'fetchConfiguration'
   | 'fetchSnapshot'
   | 'randomHost'
   | 'removeMember'
@@ -33,6 +35,7 @@
   readonly advanceStorePosition: (position: StorePosition) => void;
   readonly clock: MonotonicClock;
   readonly directory: PlatformDirectory;
+  readonly failureDomain: FailureDomainId;
   readonly host: string;
   readonly log: ServingLog;
   readonly memberId: MemberId;
@@ -55,6 +58,8 @@
  * daemons and from engines. Never reverts to an older version or revision.
  */
 export class ClusterState {
+  /** Newest version that this daemon told others about. */
+  private announcedVersion = 0;
   private hasServerList = false;
   private pendingSnapshots = 0;
   /** Version being read, so that it is read once when several watchers send it; 0 when none is. */
@@ -99,11 +104,15 @@
   applyStoreChanges(changes: FollowedChanges, isFullRead: boolean): void {
     const previous = this.storePosition;
     const isOtherEra = changes.era !== previous.era;
+    const isStarting = this.version() === 0;
     if (changes.era < previous.era || (isOtherEra && !isFullRead)) {
       return;
     }
     this.broadcastChanges(changes, isFullRead);
     this.applyChanges(changes, isFullRead);
+    if (changes.configuration && !isStarting) {
+      this.announceConfiguration(this.options.failureDomain);
+    }
     // Only daemons that read the store send a heartbeat at once. If every daemon sent one for each
     // change, small links would be saturated.
     if (isOtherEra) {
@@ -113,11 +122,21 @@
     }
   }
 
+  /** Fetches an announced configuration, and announces it further as a relay of its domain. */
+  async onConfigurationMessage(message: ConfigurationMessage): Promise<void> {
+    const { failureDomain, host, version } = message;
+    if (version > Math.max(this.version(), this.pendingVersion)) {
+      this.pendingVersion = version;
+      await this.fetchConfiguration(host, version);
+      this.pendingVersion = this.pendingVersion === version ? 0 : this.pendingVersion;
+    }
+    if (failureDomain !== this.options.failureDomain && this.version() >= version) {
+      this.announceConfiguration(failureDomain);
+    }
+  }
+
   /** Applies changes that a watching daemon sent, unless an earlier change is missing. */
   onChangesMessage(message: ChangesMessage): void {
-    if (message.configurationVersion > Math.max(this.version(), this.pendingVersion)) {
-      void this.readConfiguration(message.configurationVersion, message.host);
-    }
     const { era, revision } = this.storePosition;
     const isApplicable =
       message.era === era && message.revision > revision && message.sinceRevision <= revision;
@@ -249,17 +268,11 @@
   /** Sends changes of a watch to the other daemons, so that only a few need to watch the store. */
   private broadcastChanges(changes: FollowedChanges, isFullRead: boolean): void {
     const { era, members, membersGone, revision, servers } = changes;
-    if (isFullRead) {
-      this.announceConfiguration(changes.configuration);
-      return;
-    }
-    if (isEmpty(changes)) {
+    if (isFullRead || isEmpty(changes)) {
       return;
     }
     this.options.peers().broadcastChanges({
-      configurationVersion: changes.configuration?.version ?? 0,
       era,
-      host: this.options.host,
       kind: 'changes',
       members,
       membersGone,
@@ -269,40 +282,29 @@
     });
   }
 
-  /**
-   * Announces a configuration that replaces the active one and was found by a full read. By
-   * heartbeats alone it would go from one failure domain to the next slowly.
-   */
-  private announceConfiguration(configuration: ServingConfiguration | undefined): void {
+  /** Tells other daemons about the active configuration, once for each version. */
+  private announceConfiguration(originDomain: FailureDomainId): void {
     const version = this.version();
-    if (!configuration || version === 0 || configuration.version <= version) {
-      return;
+    if (version > this.announcedVersion) {
+      this.announcedVersion = version;
+      this.options.peers().announceConfiguration(version, originDomain);
     }
-    const { era, revision } = FIRST_POSITION;
-    this.options.peers().broadcastChanges({
-      configurationVersion: configuration.version,
-      era,
-      host: this.options.host,
-      kind: 'changes',
-      members: [],
-      membersGone: [],
-      revision,
-      servers: [],
-      sinceRevision: revision,
-    });
   }
 
-  /** Reads the configuration from the store, or from a peer if the store does not return it. */
-  private async readConfiguration(version: number, fallbackHost: string): Promise<void> {
-    this.pendingVersion = version;
-    const result = await this.options.directory.readConfiguration();
-    this.pendingVersion = 0;
-    if (result.ok) {
-      this.applyConfiguration(result.value, 'store');
+  /** Fetches a configuration from a daemon, or from the store if the daemon does not return it. */
+  private async fetchConfiguration(host: string, version: number): Promise<void> {
+    const { directory, log, peers } = this.options;
+    const fetched = await peers().fetchConfiguration(host);
+    if (fetched && fetched.version >= version) {
+      this.applyConfiguration(fetched, `peer ${host}`);
       return;
     }
-    this.options.log.warn('configuration-not-read', result.error);
-    await this.syncFromPeer(fallbackHost);
+    const read = await directory.readConfiguration();
+    if (read.ok) {
+      this.applyConfiguration(read.value, 'store');
+    } else {
+      log.warn('configuration-not-read', read.error);
+    }
   }
 
   private applyConfiguration(configuration: ServingConfiguration, source: string): void {
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -1,20 +1,34 @@
 import type { Socket } from 'node:dgram';
 import { createSocket } from 'node:dgram';
-import type { Server } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import { createServer, get } from 'node:http';
-import type { EngineLoad, EngineShare, ServerIncarnation } from '@laburnumgap/dispatch';
+import type {
+  EngineLoad,
+  EngineShare,
+  ServerIncarnation,
+  ServingConfiguration,
+} from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import type { SyncPosition } from './LagDetector.js';
 import { LagDetector } from './LagDetector.js';
 import type {
   CapacityMessage,
   ChangesMessage,
+  ConfigurationMessage,
   DomainLoadMessage,
   MoveMessage,
   PeerHeartbeat,
+  PeerMessage,
   PeerSnapshot,
 } from './PeerMessages.js';
-import { encodeMessage, parseHeartbeat, parsePeerMessage, parseSnapshot } from './PeerMessages.js';
+import {
+  encodeConfiguration,
+  encodeMessage,
+  parseConfiguration,
+  parseHeartbeat,
+  parsePeerMessage,
+  parseSnapshot,
+} from './PeerMessages.js';
 import type { Peer } from './PeerTable.js';
 import { domainSourceId, PeerTable } from './PeerTable.js';
 import type { ServingLog } from './ServingLog.js';
@@ -39,7 +53,9 @@
   readonly onLagging: (peer: MemberAddress) => void;
   /** Called with the servers that a peer reports as leaving. */
   readonly onLeaving: (servers: readonly ServerIncarnation[]) => void;
-  readonly onMessage: (message: ChangesMessage | MoveMessage | CapacityMessage) => void;
+  readonly onMessage: (message: Exclude<PeerMessage, DomainLoadMessage>) => void;
+  /** The active configuration. */
+  readonly configuration: () => ServingConfiguration | undefined;
   /** Configuration version and store revision that this daemon has applied. */
   readonly position: () => SyncPosition;
   /** Hosts of daemons to contact before the platform's store was read. */
@@ -63,6 +79,13 @@
 const MAX_CHANGES_MESSAGE_BYTES = 8_000;
 const SNAPSHOT_TIMEOUT_MS = 1_000;
 const SNAPSHOT_PATH = '/peer/snapshot';
+/** After this the store is asked instead: well within the time for a configuration to be in force. */
+const CONFIGURATION_TIMEOUT_MS = 500;
+const CONFIGURATION_PATH = '/peer/configuration';
+/** Delay before a relay also tells the daemons that the other relay of its domain should have told. */
+const OTHER_RELAY_DELAY_MS = 150;
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
 
 /**
  * Exchanges heartbeats and messages with the other daemons over UDP: load at the engines, leaving
@@ -72,6 +95,7 @@
 export class PeerLink {
   private coalesceTimer: NodeJS.Timeout | undefined;
   private domainLoadTimer: NodeJS.Timeout | undefined;
+  private encodedConfiguration: { readonly bytes: Buffer; readonly version: number } | undefined;
   private heartbeatTimer: NodeJS.Timeout | undefined;
   private isClosed = false;
   private isStopping = false;
@@ -88,11 +112,7 @@
     this.table = new PeerTable(options);
     this.socket = createSocket('udp4');
     this.server = createServer((request, response) => {
-      const url = new URL(request.url ?? '/', 'http://peer');
-      const isSnapshotRequest = url.pathname === SNAPSHOT_PATH;
-      response.writeHead(isSnapshotRequest ? 200 : 404, { 'Content-Type': 'application/json' });
-      const knownVersion = Number(url.searchParams.get('version') ?? 0);
-      response.end(isSnapshotRequest ? JSON.stringify(options.snapshot(knownVersion)) : '{}');
+      this.onPeerRequest(new URL(request.url ?? '/', 'http://peer'), response);
     });
   }
 
@@ -172,6 +192,31 @@
     this.sendToHosts(encodedMessage, this.table.hosts());
   }
 
+  /**
+   * Tells other daemons about a new configuration, which they fetch from this one.
+   *
+   * @param version - version of the active configuration
+   * @param originDomain - domain of the daemon that it was fetched from; the own one for the store
+   */
+  announceConfiguration(version: number, originDomain: FailureDomainId): void {
+    const { failureDomain, host } = this.options;
+    const { delayed, immediate } = this.table.announcementTargets(originDomain);
+    const message: ConfigurationMessage = { failureDomain, host, kind: 'configuration', version };
+    const encodedMessage = encodeMessage(message);
+    const send = (members: readonly MemberId[]): void => {
+      this.sendToHosts(
+        encodedMessage,
+        members.flatMap((memberId) => this.table.hostsOf(memberId)),
+      );
+    };
+    send(immediate);
+    if (delayed.length > 0) {
+      setTimeout(() => {
+        send(delayed);
+      }, OTHER_RELAY_DELAY_MS).unref();
+    }
+  }
+
   /** Sends a message to one daemon; does nothing when the daemon is unknown. */
   sendTo(message: MoveMessage | CapacityMessage, memberId: MemberId): void {
     this.sendToHosts(encodeMessage(message), this.table.hostsOf(memberId));
@@ -196,36 +241,79 @@
    * @param host - host of the daemon
    * @returns the snapshot, or undefined when the daemon does not respond or the body is invalid
    */
-  fetchSnapshot(host: string): Promise<PeerSnapshot | undefined> {
-    const { log, position, snapshotPort } = this.options;
+  async fetchSnapshot(host: string): Promise<PeerSnapshot | undefined> {
+    const path = `${SNAPSHOT_PATH}?version=${this.options.position().configurationVersion}`;
+    const body = await this.fetch(host, path, SNAPSHOT_TIMEOUT_MS);
+    return body && parseSnapshot(body.toString());
+  }
+
+  /**
+   * Fetches the active configuration of another daemon.
+   *
+   * @param host - host of the daemon
+   * @returns the configuration, or undefined when the daemon does not respond or has none
+   */
+  async fetchConfiguration(host: string): Promise<ServingConfiguration | undefined> {
+    const body = await this.fetch(host, CONFIGURATION_PATH, CONFIGURATION_TIMEOUT_MS);
+    return body && parseConfiguration(body);
+  }
+
+  /** Body of a successful response of another daemon; undefined, with a log line, without one. */
+  private fetch(host: string, path: string, timeoutMs: number): Promise<Buffer | undefined> {
+    const { log, snapshotPort } = this.options;
     return new Promise((resolve) => {
-      const request = get(
-        {
-          agent: false,
-          host,
-          path: `${SNAPSHOT_PATH}?version=${position().configurationVersion}`,
-          port: snapshotPort,
-          timeout: SNAPSHOT_TIMEOUT_MS,
-        },
-        (response) => {
-          const chunks: Buffer[] = [];
-          response.on('data', (chunk: Buffer) => chunks.push(chunk));
-          response.on('error', () => {
-            resolve(undefined);
-          });
-          response.on('end', () => {
-            resolve(parseSnapshot(Buffer.concat(chunks).toString()));
-          });
-        },
-      );
-      request.on('timeout', () => request.destroy(new Error('timeout')));
-      request.on('error', (error) => {
-        log.info('peer-snapshot-failed', { host, reason: error.message });
+      const onFailed = (reason: string): void => {
+        clearTimeout(timer);
+        log.info('peer-request-failed', { host, path, reason });
         resolve(undefined);
+      };
+      const request = get({ agent: false, host, path, port: snapshotPort }, (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', (error) => {
+          onFailed(error.message);
+        });
+        response.on('end', () => {
+          if (response.statusCode !== STATUS_OK) {
+            onFailed(`status ${response.statusCode ?? 0}`);
+            return;
+          }
+          clearTimeout(timer);
+          resolve(Buffer.concat(chunks));
+        });
+      });
+      const timer = setTimeout(() => request.destroy(new Error('timeout')), timeoutMs);
+      request.on('error', (error) => {
+        onFailed(error.message);
       });
     });
   }
 
+  private onPeerRequest(url: URL, response: ServerResponse): void {
+    const { configuration, snapshot } = this.options;
+    const active = configuration();
+    if (url.pathname === SNAPSHOT_PATH) {
+      const knownVersion = Number(url.searchParams.get('version') ?? 0);
+      response.writeHead(STATUS_OK, { 'Content-Type': 'application/json' });
+      response.end(JSON.stringify(snapshot(knownVersion)));
+    } else if (url.pathname === CONFIGURATION_PATH && active) {
+      response.writeHead(STATUS_OK, { 'Content-Type': 'application/octet-stream' });
+      response.end(this.encodeOnce(active));
+    } else {
+      response.writeHead(STATUS_NOT_FOUND);
+      response.end();
+    }
+  }
+
+  /** Encodes a configuration once, however many daemons fetch it. */
+  private encodeOnce(configuration: ServingConfiguration): Buffer {
+    if (this.encodedConfiguration?.version !== configuration.version) {
+      const { version } = configuration;
+      this.encodedConfiguration = { bytes: encodeConfiguration(configuration), version };
+    }
+    return this.encodedConfiguration.bytes;
+  }
+
   private otherSeeds(): readonly string[] {
     return this.options.seedHosts.filter((host) => host !== this.options.host);
   }
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import type {
   EngineShare,
   EngineTotals,
@@ -61,9 +62,6 @@
 
 /** Changes of the store, sent to the fleet by a daemon that watches it. */
 export interface ChangesMessage {
-  /** Version of a changed configuration, which receivers read themselves; 0 without a change. */
-  readonly configurationVersion: number;
-  readonly host: string;
   /** Era of both revisions. */
   readonly era: StoreEra;
   readonly kind: 'changes';
@@ -82,8 +80,18 @@
   readonly shares: readonly EngineShare[];
 }
 
+/** Announcement of a new configuration, which receivers fetch from the sender. */
+export interface ConfigurationMessage {
+  /** Failure domain of the sender. */
+  readonly failureDomain: FailureDomainId;
+  readonly host: string;
+  readonly kind: 'configuration';
+  readonly version: number;
+}
+
 /** Any message between daemons except heartbeats. */
-export type PeerMessage = CapacityMessage | ChangesMessage | DomainLoadMessage | MoveMessage;
+export type PeerMessage =
+  CapacityMessage | ChangesMessage | ConfigurationMessage | DomainLoadMessage | MoveMessage;
 
 /** State of a daemon, for a daemon that the store does not respond to. */
 export interface PeerSnapshot extends StorePosition {
@@ -147,6 +155,10 @@
   switch (message?.kind) {
     case 'changes':
       return isChanges(message) ? message : undefined;
+    case 'configuration':
+      return isId(message.failureDomain) && isId(message.host) && Number.isFinite(message.version)
+        ? (message as ConfigurationMessage)
+        : undefined;
     case 'domainLoad':
       return isId(message.failureDomain) && Array.isArray(message.shares)
         ? unpackShares(message as DomainLoadMessage)
@@ -187,6 +199,32 @@
   return isSnapshot ? (snapshot as PeerSnapshot) : undefined;
 }
 
+/**
+ * Parses a configuration as another daemon sends it.
+ *
+ * @param bytes - compressed body of a response
+ * @returns the configuration, or undefined when the body is none
+ */
+export function parseConfiguration(bytes: Buffer): ServingConfiguration | undefined {
+  const configuration = parse(inflate(bytes)) as Partial<ServingConfiguration> | undefined;
+  const isConfiguration =
+    Number.isFinite(configuration?.version) &&
+    Array.isArray(configuration?.routes) &&
+    Array.isArray(configuration.services) &&
+    Array.isArray(configuration.teams);
+  return isConfiguration ? (configuration as ServingConfiguration) : undefined;
+}
+
+/**
+ * Encodes a configuration for another daemon.
+ *
+ * @param configuration - the configuration
+ * @returns the compressed body of a response
+ */
+export function encodeConfiguration(configuration: ServingConfiguration): Buffer {
+  return deflateRawSync(JSON.stringify(configuration));
+}
+
 /**
  * Converts the servers of a snapshot to changes. A server that the sender knows to be leaving is
  * marked so, even if its entry in the store says otherwise.
@@ -232,8 +270,6 @@
 
 function isChanges(message: Partial<ChangesMessage>): message is ChangesMessage {
   return (
-    isId(message.host) &&
-    Number.isFinite(message.configurationVersion) &&
     Number.isFinite(message.era) &&
     Number.isFinite(message.revision) &&
     Number.isFinite(message.sinceRevision) &&
@@ -295,6 +331,15 @@
   return typeof value === 'object' && value !== null;
 }
 
+function inflate(bytes: Buffer): string {
+  try {
+    return inflateRawSync(bytes).toString();
+  } catch {
+    // Not compressed data: as with text that is not JSON, callers ignore it.
+    return '';
+  }
+}
+
 function parse(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -1,5 +1,9 @@
-import type { BackendServer } from '@laburnumgap/dispatch';
-import { selectEngineOwner, selectWatchers } from '@laburnumgap/dispatch';
+import type { AnnouncementTargets, BackendServer } from '@laburnumgap/dispatch';
+import {
+  selectAnnouncementTargets,
+  selectEngineOwner,
+  selectWatchers,
+} from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { PeerHeartbeat } from './PeerMessages.js';
@@ -188,6 +192,21 @@
     );
   }
 
+  /**
+   * Receivers of the announcement of a new configuration.
+   *
+   * @param originDomain - domain of the daemon that it was fetched from; the own one for the store
+   */
+  announcementTargets(originDomain: FailureDomainId): AnnouncementTargets {
+    const { failureDomain, memberId } = this.options;
+    const candidates = this.livePeersWithDomain();
+    return selectAnnouncementTargets({
+      candidates,
+      originDomain,
+      sender: { failureDomain, memberId },
+    });
+  }
+
   /** Daemons that receive every heartbeat of this one, with its load. */
   fullUpdatePeers(): readonly MemberAddress[] {
     return [...this.peers.values()].filter((peer) => this.exchangesFullUpdates(peer));
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -197,6 +197,7 @@
       },
       clock,
       directory,
+      failureDomain: settings.failureDomain,
       host: settings.peers.host,
       log,
       memberId: settings.memberId,
@@ -241,6 +242,7 @@
     });
     this.peers = new PeerLink({
       clock,
+      configuration: () => this.clusterState.routes()?.configuration,
       failureDomain: settings.failureDomain,
       heartbeatPort: settings.heartbeatPort,
       host: settings.peers.host,
@@ -264,6 +266,9 @@
           case 'changes':
             this.clusterState.onChangesMessage(message);
             break;
+          case 'configuration':
+            void this.clusterState.onConfigurationMessage(message);
+            break;
           case 'roomAnswer':
           case 'roomWanted':
             this.context.engineCapacity.onMessage(message);
--- a/packages/serving/src/__tests__/integration/PeerLink.test.ts
+++ b/packages/serving/src/__tests__/integration/PeerLink.test.ts
@@ -14,6 +14,7 @@
   const position = { ...FIRST_POSITION, configurationVersion: 0 };
   const link = new PeerLink({
     clock: { nowMs: () => 0 },
+    configuration: () => undefined,
     failureDomain: toId<FailureDomainId>('a'),
     heartbeatPort: other.address().port,
     host,
--- a/packages/serving/src/__tests__/unit/ClusterState.test.ts
+++ b/packages/serving/src/__tests__/unit/ClusterState.test.ts
@@ -1,13 +1,21 @@
+import type { ServingConfiguration } from '@laburnumgap/dispatch';
 import { ServerRegistry } from '@laburnumgap/dispatch';
-import type { MemberId, Revision } from '@laburnumgap/kernel';
+import type { FailureDomainId, MemberId, Revision } from '@laburnumgap/kernel';
 import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
-import type { ClusterPeers, FollowedChanges, PeerSnapshot } from '../../index.js';
+import type {
+  ClusterPeers,
+  ConfigurationMessage,
+  FollowedChanges,
+  PeerSnapshot,
+} from '../../index.js';
 import { ClusterState, FIRST_POSITION } from '../../index.js';
 
 interface TestState {
   readonly announcedVersions: number[];
   readonly clusterState: ClusterState;
+  /** Configurations that other daemons return, by host. */
+  readonly configurations: Map<string, ServingConfiguration>;
   /** Completes the oldest pending snapshot fetch. */
   readonly completeFetch: (snapshot: PeerSnapshot | undefined) => Promise<void>;
   readonly configurationReads: () => number;
@@ -16,6 +24,7 @@
 
 function createState(): TestState {
   const announcedVersions: number[] = [];
+  const configurations = new Map<string, ServingConfiguration>();
   const fetchedHosts: string[] = [];
   let readCount = 0;
   const pendingFetches: ((snapshot: PeerSnapshot | undefined) => void)[] = [];
@@ -27,8 +36,13 @@
     },
     scheduleHeartbeat: () => undefined,
     scheduleHeartbeatToAll: () => undefined,
-    broadcastChanges: ({ configurationVersion }) => {
-      announcedVersions.push(configurationVersion);
+    announceConfiguration: (version) => {
+      announcedVersions.push(version);
+    },
+    broadcastChanges: () => undefined,
+    fetchConfiguration: (host) => {
+      fetchedHosts.push(host);
+      return Promise.resolve(configurations.get(host));
     },
     removeMember: () => undefined,
     table: { add: () => undefined, members: () => [] },
@@ -47,6 +61,7 @@
       register: () => Promise.resolve(success(undefined)),
       watch: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
     },
+    failureDomain: toId<FailureDomainId>('a'),
     host: '127.0.0.1',
     log: { info: () => undefined, warn: () => undefined },
     memberId: toId<MemberId>('m1'),
@@ -64,6 +79,7 @@
   return {
     announcedVersions,
     clusterState,
+    configurations,
     completeFetch,
     configurationReads: () => readCount,
     fetchedHosts,
@@ -94,48 +110,63 @@
   );
 });
 
-test('load pattern: a configuration version that all watchers announce is read once', async (t) => {
-  const { clusterState, configurationReads, fetchedHosts } = createState();
-  const receiveChanges = (configurationVersion: number): void => {
-    clusterState.onChangesMessage({
-      configurationVersion,
-      era: FIRST_POSITION.era,
-      host: '10.0.0.1',
-      kind: 'changes',
-      members: [],
-      membersGone: [],
-      revision: toNumberId<Revision>(configurationVersion),
-      servers: [],
-      sinceRevision: toNumberId<Revision>(0),
-    });
-  };
-  for (let index = 0; index < 20; index += 1) {
-    receiveChanges(4);
-  }
-  t.is(configurationReads(), 1);
-  receiveChanges(5);
-  t.is(configurationReads(), 2, 'a newer version is read immediately');
-  await new Promise((resolve) => setImmediate(resolve));
-  t.deepEqual(
-    fetchedHosts,
-    ['10.0.0.1', '10.0.0.1'],
-    'a peer is asked when the read from the store fails',
+function configurationOf(version: number): ServingConfiguration {
+  const limits = {} as ServingConfiguration['limits'];
+  return { limits, routes: [], services: [], teams: [], version };
+}
+
+function announcementOf(version: number, domain = 'a'): ConfigurationMessage {
+  const failureDomain = toId<FailureDomainId>(domain);
+  return { failureDomain, host: '10.0.0.1', kind: 'configuration', version };
+}
+
+test('load pattern: a configuration version that several daemons announce is fetched once, not from the store', async (t) => {
+  const { clusterState, configurationReads, configurations, fetchedHosts } = createState();
+  configurations.set('10.0.0.1', configurationOf(4));
+  const announcements = Array.from({ length: 20 }, () =>
+    clusterState.onConfigurationMessage(announcementOf(4)),
   );
-  receiveChanges(5);
-  t.is(configurationReads(), 3, 'a failed read is repeated');
+  t.is(fetchedHosts.length, 1);
+  configurations.set('10.0.0.1', configurationOf(5));
+  const newer = clusterState.onConfigurationMessage(announcementOf(5));
+  t.is(fetchedHosts.length, 2, 'a newer version is fetched immediately');
+  await Promise.all([...announcements, newer]);
+  t.is(clusterState.position().configurationVersion, 5);
+  t.is(configurationReads(), 0);
+});
+
+test('the store is asked for a configuration that a peer does not return, and again later', async (t) => {
+  const { clusterState, configurationReads, configurations } = createState();
+  await clusterState.onConfigurationMessage(announcementOf(4));
+  configurations.set('10.0.0.1', configurationOf(3));
+  await clusterState.onConfigurationMessage(announcementOf(4));
+  t.is(configurationReads(), 2);
+  t.is(clusterState.position().configurationVersion, 0);
+});
+
+test('a relay announces what it fetched from another domain, once; others do not', async (t) => {
+  const { announcedVersions, clusterState, configurations } = createState();
+  configurations.set('10.0.0.1', configurationOf(4));
+  await clusterState.onConfigurationMessage(announcementOf(4, 'a'));
+  t.deepEqual(announcedVersions, [], 'of its own domain');
+  await clusterState.onConfigurationMessage(announcementOf(4, 'b'));
+  await clusterState.onConfigurationMessage(announcementOf(4, 'c'));
+  t.deepEqual(announcedVersions, [4], 'though it had the version already');
+  await clusterState.onConfigurationMessage(announcementOf(9, 'b'));
+  t.deepEqual(announcedVersions, [4], 'nothing that it does not have');
 });
 
 test('a configuration found by a full read is announced, except by a daemon that starts', (t) => {
   const { announcedVersions, clusterState } = createState();
-  for (const version of [3, 3, 4, 2]) {
-    const changes = {
+  for (const version of [3, 4, 4, 2]) {
+    const changes: FollowedChanges = {
       ...FIRST_POSITION,
-      configuration: { limits: {}, routes: [], services: [], teams: [], version },
+      configuration: configurationOf(version),
       members: [],
       membersGone: [],
       servers: [],
       unreadable: [],
-    } as unknown as FollowedChanges;
+    };
     clusterState.applyStoreChanges(changes, true);
   }
   t.deepEqual(announcedVersions, [4]);
--- a/packages/serving/src/__tests__/unit/ClusterStateEras.test.ts
+++ b/packages/serving/src/__tests__/unit/ClusterStateEras.test.ts
@@ -191,6 +191,7 @@
         register: () => Promise.resolve(success(undefined)),
         watch: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
       },
+      failureDomain: toId<FailureDomainId>('a'),
       host: `10.0.0.${index}`,
       log: { info: () => undefined, warn: () => undefined },
       memberId: toId<MemberId>(`m${index}`),
@@ -198,9 +199,11 @@
       onNewEra: () => undefined,
       onServerLeaving: () => undefined,
       peers: () => ({
+        announceConfiguration: () => undefined,
         broadcastChanges: (message) => {
           this.sent.push(message);
         },
+        fetchConfiguration: () => Promise.resolve(undefined),
         fetchSnapshot: () => Promise.resolve(this.nextSnapshot),
         randomHost: () => undefined,
         removeMember: () => undefined,
--- a/packages/serving/src/__tests__/unit/PeerMessages.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerMessages.test.ts
@@ -1,8 +1,15 @@
+import { deflateRawSync } from 'node:zlib';
+import type { ServingConfiguration } from '@laburnumgap/dispatch';
 import type { FailureDomainId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
 import type { DomainLoadMessage } from '../../index.js';
-import { encodeMessage, parsePeerMessage } from '../../index.js';
+import {
+  encodeConfiguration,
+  encodeMessage,
+  parseConfiguration,
+  parsePeerMessage,
+} from '../../index.js';
 
 const SHARE = {
   plannedTokens: 12_000,
@@ -62,9 +69,7 @@
   usedTokens: 1,
 };
 const CHANGES = {
-  configurationVersion: 0,
   era: 1,
-  host: 'h',
   kind: 'changes',
   members: [{ host: 'h', memberId: 'm' }],
   membersGone: ['m'],
@@ -74,6 +79,7 @@
 };
 const VALID_MESSAGES: readonly object[] = [
   CHANGES,
+  { failureDomain: 'a', host: 'h', kind: 'configuration', version: 3 },
   { kind: 'moveDone', requestId: 'r' },
   { kind: 'moveTurn', requestId: 'r', targetId: 't' },
   { kind: 'moveWanted', wish: MOVE },
@@ -82,7 +88,8 @@
 ];
 const MALFORMED_MESSAGES: readonly object[] = [
   { ...CHANGES, era: 'x' },
-  { ...CHANGES, host: 7 },
+  { failureDomain: 'a', host: 7, kind: 'configuration', version: 3 },
+  { failureDomain: 'a', host: 'h', kind: 'configuration', version: 'x' },
   { ...CHANGES, members: [{ host: 'h' }] },
   { ...CHANGES, members: [null] },
   { ...CHANGES, membersGone: [7] },
@@ -117,3 +124,17 @@
     );
   }
 });
+
+test('a configuration survives its encoding, and other bytes are none', (t) => {
+  const configuration = {
+    limits: {},
+    routes: [],
+    services: [],
+    teams: [{ apiKeys: ['k'], rank: 1, teamId: 'é' }],
+    version: 7,
+  } as unknown as ServingConfiguration;
+  t.deepEqual(parseConfiguration(encodeConfiguration(configuration)), configuration);
+  for (const bytes of [Buffer.from('{}'), Buffer.alloc(0), deflateRawSync('{"version":7}')]) {
+    t.is(parseConfiguration(bytes), undefined);
+  }
+});
