Report who lives in a failure domain by its aggregator

Cause: every daemon told every daemon of the other domains every 2 s that it lives. At 195 daemons in five domains that is 15,200 datagrams a second, half of all heartbeats. Change: the aggregator of a domain, which sends its load to the other domains anyway, adds the live daemons of the domain and its position once a second; those that it does not list are dead. Direct heartbeats between domains cover for it every 10 s, and go at once for leaving servers, a new era and a stop. A forwarded message is marked, so that two aggregators cannot forward it to each other. A datagram is parsed once, not twice. A daemon checks every 200 ms, not 50, whether it has become a watcher; each check sorted all daemons. Ruled out for now: a longer interval within domains, on which the owners of engines depend. PeerTable has the replay of 30 s with one report a second.

--- a/packages/serving/src/DirectoryFollower.ts
+++ b/packages/serving/src/DirectoryFollower.ts
@@ -26,7 +26,7 @@
 /** Longest duration of one watch call; limits how long a dead connection goes unnoticed. */
 const WATCH_TIMEOUT_MS = 2_000;
 /** Interval at which a daemon checks whether it has become a watcher. */
-const WATCHER_CHECK_INTERVAL_MS = 50;
+const WATCHER_CHECK_INTERVAL_MS = 200;
 const FIRST_BACKOFF_MS = 50;
 /** A call that was sent this long before a ping and is answered after it hangs. */
 const MIN_HANGING_MS = 30;
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -15,6 +15,7 @@
   CapacityMessage,
   ChangesMessage,
   ConfigurationMessage,
+  DomainDigest,
   DomainLoadMessage,
   MoveMessage,
   PeerHeartbeat,
@@ -25,11 +26,9 @@
   encodeConfiguration,
   encodeMessage,
   parseConfiguration,
-  parseHeartbeat,
-  parsePeerMessage,
+  parseDatagram,
   parseSnapshot,
 } from './PeerMessages.js';
-import type { Peer } from './PeerTable.js';
 import { domainSourceId, PeerTable } from './PeerTable.js';
 import type { ServingLog } from './ServingLog.js';
 import type { MemberAddress } from './ServingPorts.js';
@@ -71,10 +70,15 @@
 const HEARTBEAT_COALESCE_MS = 10;
 /** Interval of the heartbeats that are sent without a change. */
 const HEARTBEAT_INTERVAL_MS = 500;
-/** Interval of the heartbeats without load, which daemons of other failure domains receive. */
-const LIVENESS_ONLY_HEARTBEAT_INTERVAL_MS = 2_000;
+/**
+ * Interval of the heartbeats without load to daemons of other failure domains. They hear who lives from
+ * their domain's aggregator; these only cover for a domain whose aggregator does not report.
+ */
+const LIVENESS_ONLY_HEARTBEAT_INTERVAL_MS = 10_000;
 /** Interval at which the summed load of a failure domain is sent to the other domains. */
 const DOMAIN_LOAD_INTERVAL_MS = 250;
+/** Every so many of these messages also report the live daemons of the domain. */
+const MESSAGES_PER_DIGEST = 4;
 /** Largest change message that is sent as a datagram: few IP fragments. */
 const MAX_CHANGES_MESSAGE_BYTES = 8_000;
 const SNAPSHOT_TIMEOUT_MS = 1_000;
@@ -94,6 +98,7 @@
  */
 export class PeerLink {
   private coalesceTimer: NodeJS.Timeout | undefined;
+  private domainLoadCount = 0;
   private domainLoadTimer: NodeJS.Timeout | undefined;
   private encodedConfiguration: { readonly bytes: Buffer; readonly version: number } | undefined;
   private heartbeatTimer: NodeJS.Timeout | undefined;
@@ -365,18 +370,41 @@
     }
     const domainMembers = new Set(this.table.fullUpdatePeers().map(({ memberId }) => memberId));
     const shares = load.sumShares(domainMembers, clock.nowMs());
-    const message: DomainLoadMessage = { failureDomain, kind: 'domainLoad', shares };
+    const isDigestDue = this.domainLoadCount % MESSAGES_PER_DIGEST === 0;
+    this.domainLoadCount += 1;
+    const message: DomainLoadMessage = {
+      digest: isDigestDue ? this.domainDigest() : undefined,
+      failureDomain,
+      kind: 'domainLoad',
+      shares,
+    };
     this.sendToHosts(encodeMessage(message), hostsOf(aggregators));
   }
 
+  private domainDigest(): DomainDigest {
+    const { host, isDraining, position } = this.options;
+    return { ...position(), host, members: this.table.domainMembers(isDraining()) };
+  }
+
   private onDomainLoad(message: DomainLoadMessage): void {
     const { clock, failureDomain, load } = this.options;
+    const { digest } = message;
     if (message.failureDomain === failureDomain) {
       return;
     }
-    load.recordMemberReport(domainSourceId(message.failureDomain), message.shares, clock.nowMs());
-    if (this.table.isDomainAggregator()) {
-      this.sendToHosts(encodeMessage(message), hostsOf(this.table.fullUpdatePeers()));
+    const nowMs = clock.nowMs();
+    load.recordMemberReport(domainSourceId(message.failureDomain), message.shares, nowMs);
+    if (digest) {
+      this.table.recordDomain(message.failureDomain, digest.members);
+    }
+    if (message.isForwarded !== true && this.table.isDomainAggregator()) {
+      const forwarded = encodeMessage({ ...message, isForwarded: true });
+      this.sendToHosts(forwarded, hostsOf(this.table.fullUpdatePeers()));
+      const aggregator = digest?.members.find(({ host }) => host === digest.host);
+      if (digest && aggregator) {
+        // The others of this domain learn from this daemon's heartbeats that they lag behind.
+        this.checkLag(digest, aggregator, nowMs);
+      }
     }
   }
 
@@ -393,16 +421,19 @@
   }
 
   private onDatagram(bytes: Buffer): void {
-    const heartbeat = parseHeartbeat(bytes);
-    if (!heartbeat) {
-      const message = parsePeerMessage(bytes);
-      if (message?.kind === 'domainLoad') {
-        this.onDomainLoad(message);
-      } else if (message) {
-        this.options.onMessage(message);
+    const received = parseDatagram(bytes);
+    if (received && 'kind' in received) {
+      if (received.kind === 'domainLoad') {
+        this.onDomainLoad(received);
+      } else {
+        this.options.onMessage(received);
       }
-      return;
+    } else if (received) {
+      this.onHeartbeat(received);
     }
+  }
+
+  private onHeartbeat(heartbeat: PeerHeartbeat): void {
     const peer = this.table.recordHeartbeat(heartbeat);
     if (!peer) {
       return;
@@ -418,9 +449,9 @@
     this.checkLag(heartbeat, peer, nowMs);
   }
 
-  private checkLag(heartbeat: PeerHeartbeat, peer: Peer, nowMs: number): void {
+  private checkLag(other: SyncPosition, peer: MemberAddress, nowMs: number): void {
     const { isStoreDown, onLagging, position } = this.options;
-    if (this.lagDetector.shouldSync(heartbeat, position(), isStoreDown(), nowMs)) {
+    if (this.lagDetector.shouldSync(other, position(), isStoreDown(), nowMs)) {
       onLagging(peer);
     }
   }
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -73,9 +73,27 @@
   readonly sinceRevision: Revision;
 }
 
+/** A live daemon of a failure domain, as the other domains hear of it. */
+export interface DomainMember {
+  readonly host: string;
+  readonly isDraining: boolean;
+  readonly memberId: MemberId;
+  readonly storeIsAway: boolean;
+}
+
+/** Live daemons of a failure domain, and the position of the daemon that reports them. */
+export interface DomainDigest extends SyncPosition {
+  readonly host: string;
+  readonly members: readonly DomainMember[];
+}
+
 /** Summed load of a failure domain at each engine, for the other domains. */
 export interface DomainLoadMessage {
+  /** Not in every message, since liveness changes less often than load. */
+  readonly digest?: DomainDigest;
   readonly failureDomain: FailureDomainId;
+  /** Forwarded within a domain; receivers don't forward it again. */
+  readonly isForwarded?: boolean;
   readonly kind: 'domainLoad';
   readonly shares: readonly EngineShare[];
 }
@@ -126,7 +144,22 @@
  * @returns the heartbeat, or undefined when the datagram is none
  */
 export function parseHeartbeat(bytes: Buffer): PeerHeartbeat | undefined {
-  const heartbeat = parse(bytes.toString()) as Partial<PeerHeartbeat> | undefined;
+  return toHeartbeat(parse(bytes.toString()));
+}
+
+/**
+ * Parses any datagram of another daemon, once.
+ *
+ * @param bytes - a datagram
+ * @returns the heartbeat or the message, or undefined when the datagram is neither
+ */
+export function parseDatagram(bytes: Buffer): PeerHeartbeat | PeerMessage | undefined {
+  const value = parse(bytes.toString());
+  return isObject(value) && 'kind' in value ? toPeerMessage(value) : toHeartbeat(value);
+}
+
+function toHeartbeat(value: unknown): PeerHeartbeat | undefined {
+  const heartbeat = value as Partial<PeerHeartbeat> | undefined;
   const isHeartbeat =
     isId(heartbeat?.memberId) &&
     isId(heartbeat.host) &&
@@ -151,7 +184,11 @@
  * @returns the message, or undefined when the datagram is none
  */
 export function parsePeerMessage(bytes: Buffer): PeerMessage | undefined {
-  const message = parse(bytes.toString()) as Partial<PeerMessage> | undefined;
+  return toPeerMessage(parse(bytes.toString()));
+}
+
+function toPeerMessage(value: unknown): PeerMessage | undefined {
+  const message = value as Partial<PeerMessage> | undefined;
   switch (message?.kind) {
     case 'changes':
       return isChanges(message) ? message : undefined;
@@ -160,7 +197,9 @@
         ? (message as ConfigurationMessage)
         : undefined;
     case 'domainLoad':
-      return isId(message.failureDomain) && Array.isArray(message.shares)
+      return isId(message.failureDomain) &&
+        Array.isArray(message.shares) &&
+        isDigest(message.digest)
         ? unpackShares(message as DomainLoadMessage)
         : undefined;
     case 'moveDone':
@@ -279,6 +318,16 @@
   );
 }
 
+function isDigest(digest: Partial<DomainDigest> | undefined): boolean {
+  return (
+    digest === undefined ||
+    (isObject(digest) &&
+      isId(digest.host) &&
+      hasFigures(digest, ['configurationVersion', 'era', 'revision']) &&
+      isListOf(digest.members, (member) => isId(member.host) && isId(member.memberId)))
+  );
+}
+
 function isCapacityAnswer(message: Partial<CapacityMessage>): boolean {
   return (
     message.kind === 'roomAnswer' &&
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -6,7 +6,7 @@
 } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
-import type { PeerHeartbeat } from './PeerMessages.js';
+import type { DomainMember, PeerHeartbeat } from './PeerMessages.js';
 import type { MemberAddress } from './ServingPorts.js';
 
 /** Options of {@link PeerTable}. */
@@ -34,8 +34,8 @@
 
 /** A daemon counts as dead after two lost heartbeats in a row, and others take over its duties. */
 const LIVENESS_TIMEOUT_MS = 1_200;
-/** The same for daemons that send heartbeats without load, which are less frequent. */
-const LIVENESS_ONLY_TIMEOUT_MS = 5_000;
+/** The same for daemons of other failure domains, whose liveness is reported by their domain. */
+const REMOTE_LIVENESS_TIMEOUT_MS = 5_000;
 /** With at least this many peers, load is exchanged between failure domains only as domain sums. */
 const DOMAIN_AGGREGATION_MIN_PEERS = 16;
 
@@ -181,6 +181,46 @@
     return peer;
   }
 
+  /** Live daemons of this failure domain, including this one, for the other domains. */
+  domainMembers(isDraining: boolean): readonly DomainMember[] {
+    const { failureDomain, host, isStoreDown, memberId } = this.options;
+    const neighbours = this.livePeers().filter((peer) => peer.failureDomain === failureDomain);
+    return [
+      { host, isDraining, memberId, storeIsAway: isStoreDown() },
+      ...neighbours.map((peer) => ({
+        host: peer.host,
+        isDraining: peer.isDraining,
+        memberId: peer.memberId,
+        storeIsAway: peer.storeIsAway,
+      })),
+    ];
+  }
+
+  /**
+   * Records the live daemons of another failure domain. Known daemons of it that are not listed count
+   * as dead, unless they were heard from directly a moment ago.
+   *
+   * @param failureDomain - the domain
+   * @param members - its live daemons
+   */
+  recordDomain(failureDomain: FailureDomainId, members: readonly DomainMember[]): void {
+    const nowMs = this.options.clock.nowMs();
+    const listedHosts = new Set(members.map(({ host }) => host));
+    for (const { host, isDraining, memberId, storeIsAway } of members) {
+      if (host !== this.options.host) {
+        const peer = this.getOrCreate(host, memberId);
+        Object.assign(peer, { failureDomain, isDraining, lastHeardMs: nowMs, storeIsAway });
+      }
+    }
+    for (const peer of this.peers.values()) {
+      const isOfDomain = peer.failureDomain === failureDomain;
+      const wasHeard = nowMs - (peer.lastHeardMs ?? -Infinity) < LIVENESS_TIMEOUT_MS;
+      if (isOfDomain && !listedHosts.has(peer.host) && !wasHeard) {
+        peer.lastHeardMs = undefined;
+      }
+    }
+  }
+
   /**
    * Whether this daemon sends the summed load of its failure domain: the live one with the smallest
    * id.
@@ -245,7 +285,7 @@
     return [...this.peers.values()].filter((peer) => {
       const timeoutMs = this.exchangesFullUpdates(peer)
         ? LIVENESS_TIMEOUT_MS
-        : LIVENESS_ONLY_TIMEOUT_MS;
+        : REMOTE_LIVENESS_TIMEOUT_MS;
       return peer.lastHeardMs !== undefined && nowMs - peer.lastHeardMs < timeoutMs;
     });
   }
--- /dev/null
+++ b/packages/serving/src/__tests__/unit/PeerTable.test.ts
@@ -0,0 +1,93 @@
+import type { FailureDomainId, MemberId, Revision } from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import test from 'ava';
+import type { DomainMember, PeerHeartbeat } from '../../index.js';
+import { FIRST_POSITION, PeerTable } from '../../index.js';
+
+const REMOTE = toId<FailureDomainId>('b');
+
+function memberOf(number: number): DomainMember {
+  return {
+    host: `10.2.0.${number}`,
+    isDraining: false,
+    memberId: toId<MemberId>(`b${String(number).padStart(2, '0')}`),
+    storeIsAway: false,
+  };
+}
+
+function heartbeatOf({ host, memberId }: DomainMember, sequence: number): PeerHeartbeat {
+  return {
+    ...FIRST_POSITION,
+    configurationVersion: 1,
+    failureDomain: REMOTE,
+    host,
+    incarnation: 1,
+    isDraining: false,
+    isStopping: false,
+    leavingServers: [],
+    memberId,
+    revision: toNumberId<Revision>(1),
+    sequence,
+    shares: [],
+    storeIsAway: false,
+  };
+}
+
+function createTable() {
+  const time = { nowMs: 0 };
+  const table = new PeerTable({
+    clock: { nowMs: () => time.nowMs },
+    failureDomain: toId<FailureDomainId>('a'),
+    host: '10.1.0.1',
+    isStoreDown: () => false,
+    memberId: toId<MemberId>('a1'),
+  });
+  // Enough daemons that failure domains exchange sums only.
+  const members = Array.from({ length: 20 }, (_, index) => memberOf(index + 1));
+  return { members, table, time };
+}
+
+test('load pattern: one report a second keeps all daemons of another domain alive', (t) => {
+  const { members, table, time } = createTable();
+  for (time.nowMs = 0; time.nowMs <= 30_000; time.nowMs += 1_000) {
+    table.recordDomain(REMOTE, members);
+  }
+  t.deepEqual(
+    table.remoteDomainAggregators().map(({ memberId }) => memberId),
+    [toId<MemberId>('b01')],
+  );
+  t.is(table.livenessOnlyPeers().length, 20, 'their domain and hosts are known from the report');
+  time.nowMs += 5_000;
+  t.is(table.remoteDomainAggregators().length, 0, 'without reports they count as dead');
+});
+
+test('a daemon that its domain no longer reports is dead at once, unless it was heard', (t) => {
+  const { members, table, time } = createTable();
+  table.recordDomain(REMOTE, members);
+  time.nowMs = 2_000;
+  const [first, second, ...others] = members;
+  if (!first || !second) {
+    throw new Error('no members');
+  }
+  table.recordHeartbeat(heartbeatOf(second, 1));
+  table.recordDomain(REMOTE, others);
+  t.deepEqual(
+    table.remoteDomainAggregators().map(({ memberId }) => memberId),
+    [second.memberId],
+  );
+});
+
+test('a report of another domain changes nothing in the own one', (t) => {
+  const { members, table, time } = createTable();
+  const neighbour = { ...memberOf(99), host: '10.1.0.2', memberId: toId<MemberId>('a2') };
+  table.recordHeartbeat({
+    ...heartbeatOf(neighbour, 1),
+    failureDomain: toId<FailureDomainId>('a'),
+  });
+  time.nowMs = 500;
+  table.recordDomain(REMOTE, members);
+  t.deepEqual(
+    table.domainMembers(false).map(({ memberId }) => memberId),
+    ['a1', 'a2'].map((id) => toId<MemberId>(id)),
+  );
+});
