Name the registry's expiry for all that it expires

Cause: expireLapsed also removes backoffs and remembered servers; a cancelled call that ended well left the next failure without its wait. Change: the name, two comments, and the flag is cleared by a success.

--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -78,7 +78,9 @@
   /** Servers that asked to be sent nothing for a time. */
   private readonly backoffs = new Map<ServerId, Backoff>();
   private readonly entries = new Map<ServerId, RegisteredServer>();
+  /** Servers whose entries were removed, remembered for a store that comes back older. */
   private readonly ended = new Map<ServerId, EndedServer>();
+  /** Those of them that had ended when the current era began. */
   private readonly goneBeforeEra = new Map<ServerId, GoneServer>();
   private readonly lapseGraceMs: number;
   /** Start times of the servers marked as leaving ahead of the store; a restart has another one. */
@@ -257,7 +259,7 @@
    * @param nowMs - monotonic time
    * @returns ids of the removed servers
    */
-  expireLapsed(nowMs: number): readonly ServerId[] {
+  expire(nowMs: number): readonly ServerId[] {
     const expired: ServerId[] = [];
     for (const [serverId, { untilMs }] of this.backoffs) {
       if (untilMs <= nowMs) {
--- a/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
@@ -44,7 +44,7 @@
 test('an old entry does not restore a removed server', (t) => {
   const registry = registryOf('a', 'b', 'c', 'd');
   registry.apply([changeOf('b', 10)], 0);
-  registry.expireLapsed(30_000);
+  registry.expire(30_000);
   registry.apply([changeOf('e', 8, {}), changeOf('b', 12, {})], 30_000);
   t.deepEqual(usableIds(registry), ['a', 'b', 'c', 'd', 'e']);
 });
@@ -55,8 +55,8 @@
   t.deepEqual(registry.apply(removals, 1_000), []);
   t.is(usableIds(registry).length, 4);
   registry.apply([changeOf('a', 21, {})], 1_500);
-  t.deepEqual(registry.expireLapsed(2_000), []);
-  t.is(registry.expireLapsed(2_701).length, 3);
+  t.deepEqual(registry.expire(2_000), []);
+  t.is(registry.expire(2_701).length, 3);
   t.deepEqual(usableIds(registry), ['a']);
 });
 
@@ -114,7 +114,7 @@
   registry.backOff(B, 1_000);
   t.deepEqual(usableIdsAt(registry, 1_999), ['a']);
   t.false(registry.isUsable(B.serverId, 1_999));
-  registry.expireLapsed(1_999);
+  registry.expire(1_999);
   t.true(registry.isBackingOff(B.serverId, 1_999));
   t.deepEqual(usableIdsAt(registry, 2_000), ['a', 'b']);
 });
@@ -161,7 +161,7 @@
   t.deepEqual(enterNewEra(registry, ['a'], 1_000), []);
   t.deepEqual(usableIds(registry), ['a', 'b', 'c']);
   registry.apply([changeOf('b', 10, {})], 2_000);
-  t.deepEqual(registry.expireLapsed(2_701), [toId<ServerId>('c')]);
+  t.deepEqual(registry.expire(2_701), [toId<ServerId>('c')]);
   t.deepEqual(usableIds(registry), ['a', 'b']);
 });
 
@@ -200,7 +200,7 @@
   const registry = registryOf('a');
   registry.apply([{ ...changeOf('b', 5, {}), isLapsed: true }], 1_000);
   t.deepEqual(usableIds(registry), ['a', 'b']);
-  t.deepEqual(registry.expireLapsed(2_701), [toId<ServerId>('b')]);
+  t.deepEqual(registry.expire(2_701), [toId<ServerId>('b')]);
 });
 
 test('a second listing without a lapsed server neither removes it at once nor extends its time', (t) => {
@@ -209,5 +209,5 @@
   const listed = ['a', 'b', 'c'].map((name, index) => changeOf(name, index + 1, {}));
   t.deepEqual(registry.replace(listed, toNumberId<Revision>(12), 2_000), []);
   t.deepEqual(usableIds(registry), ['a', 'b', 'c', 'd']);
-  t.deepEqual(registry.expireLapsed(2_701), [toId<ServerId>('d')]);
+  t.deepEqual(registry.expire(2_701), [toId<ServerId>('d')]);
 });
--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/ClusterState.ts
@@ -92,7 +92,7 @@
   /** Removes servers whose expired entries did not return in time. */
   removeExpiredServers(): void {
     const { clock, registry } = this.options;
-    this.onServersLeaving(registry.expireLapsed(clock.nowMs()), 'lapsed');
+    this.onServersLeaving(registry.expire(clock.nowMs()), 'lapsed');
   }
 
   /**
--- a/packages/serving/src/DirectoryFollower.ts
+++ b/packages/serving/src/DirectoryFollower.ts
@@ -126,6 +126,7 @@
         await this.onStoreError(outcome.error);
       } else if (outcome.value) {
         this.isUnreachable = false;
+        this.isRetryingAtOnce = false;
         this.backoffMs = FIRST_BACKOFF_MS;
       }
     }
