--- a/packages/serving/src/__tests__/unit/LagDetector.test.ts
+++ b/packages/serving/src/__tests__/unit/LagDetector.test.ts
@@ -54,3 +54,28 @@
 test('a daemon of a later store era is ahead at any revision', (t) => {
   t.true(new LagDetector().shouldSync(position(3, 1, 2), position(900, 1, 1), true, 0));
 });
+
+test('load pattern: versions in quick succession do not hide that a change of the servers was missed', (t) => {
+  const detector = new LagDetector();
+  let syncMs: number | undefined;
+  // A new version every 200 ms reaches this daemon, whose position stands still.
+  for (let nowMs = 0; nowMs < 4_000 && syncMs === undefined; nowMs += 50) {
+    const version = Math.floor(nowMs / 200);
+    if (detector.shouldSync(position(2, version), position(1, version), false, nowMs)) {
+      syncMs = nowMs;
+    }
+  }
+  t.true(syncMs !== undefined && syncMs < 500);
+});
+
+test('load pattern: changes of the servers do not hide that a configuration was missed', (t) => {
+  const detector = new LagDetector();
+  let syncMs: number | undefined;
+  for (let nowMs = 0; nowMs < 4_000 && syncMs === undefined; nowMs += 50) {
+    const revision = Math.floor(nowMs / 200);
+    if (detector.shouldSync(position(revision, 2), position(revision, 1), false, nowMs)) {
+      syncMs = nowMs;
+    }
+  }
+  t.true(syncMs !== undefined && syncMs < 500);
+});
