Keep a turn that arrives twice

Change: turns in use are remembered and not given back by a second message. Measured: the new test; without the change the second request gets its turn at once (by reading of the code before, not by a run).

--- a/packages/serving/src/MoveCoordinator.ts
+++ b/packages/serving/src/MoveCoordinator.ts
@@ -53,6 +53,8 @@
   private checkTimer: NodeJS.Timeout | undefined;
   private readonly coordinatorByRequest = new Map<RequestId, MemberId>();
   private gatherTimer: NodeJS.Timeout | undefined;
+  /** Turns that this daemon uses now. */
+  private readonly heldTurns = new Set<RequestId>();
   private readonly pendingTurns = new Map<RequestId, PendingTurn>();
   private readonly turnQueue = new MoveQueue();
 
@@ -87,6 +89,7 @@
   releaseTurn(requestId: RequestId): void {
     const coordinatorId = this.coordinatorByRequest.get(requestId);
     this.coordinatorByRequest.delete(requestId);
+    this.heldTurns.delete(requestId);
     if (coordinatorId !== undefined) {
       this.send({ kind: 'moveDone', requestId }, coordinatorId);
     }
@@ -173,11 +176,15 @@
   private resolveTurn(requestId: RequestId, outcome: TurnOutcome): void {
     const pending = this.pendingTurns.get(requestId);
     if (!pending) {
-      if (outcome.kind === 'turn') {
+      // A turn can arrive twice, since requests are repeated, or after its request was given up.
+      if (outcome.kind === 'turn' && !this.heldTurns.has(requestId)) {
         this.releaseTurn(requestId);
       }
       return;
     }
+    if (outcome.kind === 'turn') {
+      this.heldTurns.add(requestId);
+    }
     clearTimeout(pending.timer);
     this.pendingTurns.delete(requestId);
     pending.resolve(outcome);
--- a/packages/serving/src/__tests__/unit/MoveCoordinator.test.ts
+++ b/packages/serving/src/__tests__/unit/MoveCoordinator.test.ts
@@ -101,3 +101,19 @@
   const daemon = startDaemons(() => true);
   t.is((await daemon.requestTurn(requestOf('r', 2_000))).kind, 'ungranted');
 });
+
+test('a turn that arrives twice is not given back while it is used', async (t) => {
+  const daemon = startDaemons();
+  const first = requestOf('first', 2_000);
+  t.is((await daemon.requestTurn(first)).kind, 'turn');
+  daemon.onMessage({ kind: 'moveTurn', requestId: first.requestId, targetId: toId<ServerId>('x') });
+  let isResolved = false;
+  const second = daemon.requestTurn(requestOf('second', 3_000)).then((outcome) => {
+    isResolved = true;
+    return outcome;
+  });
+  await sleep(100);
+  t.false(isResolved);
+  daemon.releaseTurn(first.requestId);
+  t.is((await second).kind, 'turn');
+});
