Advance past changes that hold only a configuration

Change: the position advances by every message that is applied. Ruled out: lost datagrams (whole domains lagged); the store (no silence logged); cut daemons (d-17 was not cut). Measured: the replay in ClusterState fails without the change (position 1 instead of 3) and passes; 201 tests of serving and platform pass, one run.

--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/ClusterState.ts
@@ -144,6 +144,8 @@
       return;
     }
     this.applyChanges({ ...message, configuration: undefined, unreadable: [] }, false);
+    // Also without servers or members: the next message continues from this position.
+    this.advance(message);
     this.options.advanceStorePosition(message);
   }
 
--- a/packages/serving/src/__tests__/unit/ClusterState.test.ts
+++ b/packages/serving/src/__tests__/unit/ClusterState.test.ts
@@ -1,6 +1,6 @@
-import type { ServingConfiguration } from '@laburnumgap/dispatch';
+import type { BackendServer, ServingConfiguration } from '@laburnumgap/dispatch';
 import { ServerRegistry } from '@laburnumgap/dispatch';
-import type { FailureDomainId, MemberId, Revision } from '@laburnumgap/kernel';
+import type { FailureDomainId, MemberId, Revision, ServerId, ServiceId } from '@laburnumgap/kernel';
 import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
 import type {
@@ -171,3 +171,50 @@
   }
   t.deepEqual(announcedVersions, [4]);
 });
+
+test('load pattern: a change of the servers right after one of the configuration is applied', async (t) => {
+  const { clusterState, completeFetch } = createState();
+  const position = (revision: number) => ({
+    era: FIRST_POSITION.era,
+    revision: toNumberId<Revision>(revision),
+  });
+  const server: BackendServer = {
+    failureDomain: toId<FailureDomainId>('a'),
+    host: '10.0.0.9',
+    leaving: false,
+    port: 80,
+    serverId: toId<ServerId>('s'),
+    service: toId<ServiceId>('desk'),
+    slots: 1,
+    startedEpochMs: 1,
+  };
+  const known = { leaving: false, revision: toNumberId<Revision>(1), server };
+  void clusterState.syncFromPeer('10.0.0.1');
+  await completeFetch({ ...position(1), members: [], servers: [known] });
+  const message = {
+    era: FIRST_POSITION.era,
+    kind: 'changes',
+    members: [],
+    membersGone: [],
+  } as const;
+  // The second revision was a configuration, which is announced by a message of its own.
+  clusterState.onChangesMessage({
+    ...message,
+    revision: toNumberId<Revision>(2),
+    servers: [],
+    sinceRevision: toNumberId<Revision>(1),
+  });
+  clusterState.onChangesMessage({
+    ...message,
+    revision: toNumberId<Revision>(3),
+    servers: [
+      {
+        revision: toNumberId<Revision>(3),
+        server: { ...server, leaving: true },
+        serverId: server.serverId,
+      },
+    ],
+    sinceRevision: toNumberId<Revision>(2),
+  });
+  t.is(clusterState.position().revision, toNumberId<Revision>(3));
+});
