--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -238,7 +238,7 @@
   }
 
   /**
-   * Time until a service takes work again when all its servers asked to be left alone.
+   * Time until a service takes work again when all its servers are backing off.
    *
    * @param service - the service
    * @param nowMs - monotonic time
--- a/packages/serving/src/EngineControl.ts
+++ b/packages/serving/src/EngineControl.ts
@@ -21,7 +21,7 @@
   readonly serverSignals: Pick<ServerSignals, 'evaluate'>;
 }
 
-/** Sends control requests to engines, except to those that asked to be left alone. */
+/** Sends control requests to engines, except to those that are backing off. */
 export class EngineControl {
   constructor(private readonly options: EngineControlOptions) {}
 
@@ -42,7 +42,7 @@
     const { serverId } = server;
     return new Promise((resolve) => {
       if (registry.isBackingOff(serverId, clock.nowMs())) {
-        resolve({ kind: 'notSent', reason: 'the engine asked to be left alone' });
+        resolve({ kind: 'notSent', reason: 'the engine is backing off' });
         return;
       }
       connections.acquire(server, {
--- a/packages/serving/src/EngineSearch.ts
+++ b/packages/serving/src/EngineSearch.ts
@@ -77,7 +77,7 @@
         if (admission.reason === 'noRoom') {
           this.refuseForNoCapacity(waitedMs);
         } else {
-          // The default time until a retry covers engines that asked to be left alone.
+          // Without a time, callers are told when the first backoff ends.
           onRefused('NO_ENGINE', 'no engine of the service accepts new requests');
         }
         break;
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -137,16 +137,6 @@
   return JSON.stringify(text);
 }
 
-/**
- * Parses a heartbeat.
- *
- * @param bytes - a datagram
- * @returns the heartbeat, or undefined when the datagram is none
- */
-export function parseHeartbeat(bytes: Buffer): PeerHeartbeat | undefined {
-  return toHeartbeat(parse(bytes.toString()));
-}
-
 /**
  * Parses any datagram of another daemon, once.
  *
