Send no stopped stream back to an engine that left too long ago

A stream that was stopped for its move went back to its engine when the target refused it, and reached it however long ago that engine had said that it leaves: past its drain time it may be gone, and the stream with it. Cause: a run that continues from a copy was checked for backoff only, because its engine is leaving by design. Change: a leaving server takes continued runs during the first half of its drain time, counted from when this daemon heard of it; after that the stream is restarted where its route allows it, or ends. Ruled out: a fixed refusal of leaving engines, which would end streams that the engine can still finish or hand over.

--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -55,6 +55,8 @@
   readonly massLapseFraction?: number;
   /** Fewest removals at once that count as a mass lapse. */
   readonly minMassLapse?: number;
+  /** How long a leaving server still accepts requests, from when it said that it leaves. */
+  readonly serverDrainMs?: number;
 }
 
 /** Live servers restore their entries within two seconds of the store's return; others are gone. */
@@ -62,6 +64,9 @@
 /** A release or a wave of spot reclaims removes a smaller fraction of the servers at once. */
 const DEFAULT_MASS_LAPSE_FRACTION = 0.5;
 const DEFAULT_MIN_MASS_LAPSE = 3;
+const DEFAULT_SERVER_DRAIN_MS = 2_000;
+/** The rest of that time covers the delay until a daemon hears that a server leaves. */
+const USED_DRAIN_FRACTION = 0.5;
 const NO_REVISION = toNumberId<Revision>(0);
 /** Longest age of the copy from which the store comes back, with the time until all know of it. */
 const ENDED_SERVER_RETENTION_MS = 120_000;
@@ -83,11 +88,14 @@
   /** Those of them that had ended when the current era began. */
   private readonly goneBeforeEra = new Map<ServerId, GoneServer>();
   private readonly lapseGraceMs: number;
+  /** Times at which servers were found to be leaving. */
+  private readonly leavingSinceMs = new Map<ServerId, number>();
   /** Start times of the servers marked as leaving ahead of the store; a restart has another one. */
   private readonly markedLeaving = new Map<ServerId, number>();
   private readonly massLapseFraction: number;
   private readonly minMassLapse: number;
   private readonly removedAtMs = new Map<ServerId, number>();
+  private readonly serverDrainMs: number;
   private readonly removedRevisions = new Map<ServerId, Revision>();
   private readonly stayingByService = new Map<ServiceId, readonly BackendServer[]>();
 
@@ -95,6 +103,7 @@
     this.lapseGraceMs = options.lapseGraceMs ?? DEFAULT_LAPSE_GRACE_MS;
     this.massLapseFraction = options.massLapseFraction ?? DEFAULT_MASS_LAPSE_FRACTION;
     this.minMassLapse = options.minMassLapse ?? DEFAULT_MIN_MASS_LAPSE;
+    this.serverDrainMs = options.serverDrainMs ?? DEFAULT_SERVER_DRAIN_MS;
   }
 
   /**
@@ -189,14 +198,16 @@
    * Marks a server as leaving before the store says so, as the server itself or a daemon reported.
    *
    * @param incarnation - the server; a mark of an earlier start has no effect
+   * @param nowMs - monotonic time
    * @returns whether the server was not known to leave before
    */
-  markLeaving({ serverId, startedEpochMs }: ServerIncarnation): boolean {
+  markLeaving({ serverId, startedEpochMs }: ServerIncarnation, nowMs: number): boolean {
     const known = this.entries.get(serverId);
     if (!known || known.leaving || known.server.startedEpochMs !== startedEpochMs) {
       return false;
     }
     this.markedLeaving.set(serverId, startedEpochMs);
+    this.leavingSinceMs.set(serverId, nowMs);
     this.entries.set(serverId, { ...known, leaving: true });
     this.stayingByService.clear();
     return true;
@@ -237,6 +248,18 @@
     return this.entries.get(serverId)?.leaving === false && !this.isBackingOff(serverId, nowMs);
   }
 
+  /**
+   * Whether a server takes a run that continues from a copied KV cache. A leaving server does so while
+   * it is certain to accept requests.
+   */
+  acceptsContinuation(serverId: ServerId, nowMs: number): boolean {
+    if (!this.entries.has(serverId) || this.isBackingOff(serverId, nowMs)) {
+      return false;
+    }
+    const leavingForMs = nowMs - (this.leavingSinceMs.get(serverId) ?? nowMs);
+    return leavingForMs < USED_DRAIN_FRACTION * this.serverDrainMs;
+  }
+
   /**
    * Time until a service takes work again when all its servers are backing off.
    *
@@ -276,6 +299,7 @@
       if (nowMs - removedAtMs > REMOVED_SERVER_RETENTION_MS) {
         this.removedAtMs.delete(serverId);
         this.entries.delete(serverId);
+        this.leavingSinceMs.delete(serverId);
         this.removedRevisions.delete(serverId);
       }
     }
@@ -368,6 +392,7 @@
       revision: change.revision,
       server,
     });
+    this.recordLeaving(change.serverId, leaving, nowMs);
     return leaving && !wasLeaving;
   }
 
@@ -413,5 +438,14 @@
     this.removedAtMs.set(serverId, nowMs);
     this.markedLeaving.delete(serverId);
     this.entries.set(serverId, { leaving: true, revision, server });
+    this.recordLeaving(serverId, true, nowMs);
+  }
+
+  private recordLeaving(serverId: ServerId, leaving: boolean, nowMs: number): void {
+    if (!leaving) {
+      this.leavingSinceMs.delete(serverId);
+    } else if (!this.leavingSinceMs.has(serverId)) {
+      this.leavingSinceMs.set(serverId, nowMs);
+    }
   }
 }
--- a/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
@@ -75,8 +75,8 @@
 
 test('a server marked as leaving stays excluded while the store repeats its entry', (t) => {
   const registry = registryOf('a', 'b');
-  t.true(registry.markLeaving(B));
-  t.false(registry.markLeaving(B));
+  t.true(registry.markLeaving(B, 0));
+  t.false(registry.markLeaving(B, 0));
   registry.apply([changeOf('b', 2, {}), changeOf('b', 40, {})], 0);
   t.deepEqual(usableIds(registry), ['a']);
   t.deepEqual(registry.serversMarkedLeaving(), [B]);
@@ -84,7 +84,7 @@
 
 test('a restart under the same id takes work again', (t) => {
   const registry = registryOf('a', 'b');
-  registry.markLeaving(B);
+  registry.markLeaving(B, 0);
   registry.apply([changeOf('b', 41, { startedEpochMs: 2 })], 0);
   t.deepEqual(usableIds(registry), ['a', 'b']);
   t.deepEqual(registry.serversMarkedLeaving(), []);
@@ -100,7 +100,7 @@
 test('a mark of an earlier start does not make a restarted server leave', (t) => {
   const registry = registryOf('a', 'b');
   registry.apply([changeOf('b', 41, { startedEpochMs: 2 })], 0);
-  t.false(registry.markLeaving(B));
+  t.false(registry.markLeaving(B, 0));
   t.deepEqual(usableIds(registry), ['a', 'b']);
 });
 
@@ -135,7 +135,7 @@
   t.is(registry.usableAgainAfterMs(ENGINES, 500), undefined, 'the other one takes work');
   registry.backOff({ ...B, serverId: toId<ServerId>('a') }, 3_000);
   t.is(registry.usableAgainAfterMs(ENGINES, 500), 1_500);
-  registry.markLeaving(B);
+  registry.markLeaving(B, 0);
   t.is(registry.usableAgainAfterMs(ENGINES, 500), 2_500, 'a leaving server takes no work again');
   t.is(registry.usableAgainAfterMs(toId<ServiceId>('other'), 500), undefined);
 });
@@ -189,7 +189,7 @@
 
 test('two eras in a row keep what was known to be leaving before the first', (t) => {
   const registry = registryOf('a', 'b', 'c', 'd');
-  registry.markLeaving(B);
+  registry.markLeaving(B, 0);
   registry.apply([changeOf('c', 40)], 0);
   enterNewEra(registry, ['a', 'b', 'c']);
   enterNewEra(registry, ['a', 'b', 'c', 'd']);
@@ -211,3 +211,16 @@
   t.deepEqual(usableIds(registry), ['a', 'b', 'c', 'd']);
   t.deepEqual(registry.expire(2_701), [toId<ServerId>('d')]);
 });
+
+test('a leaving server takes continued runs only while it is certain to accept requests', (t) => {
+  const registry = new ServerRegistry({ serverDrainMs: 2_000 });
+  registry.apply([changeOf('b', 1, {})], 0);
+  t.true(registry.acceptsContinuation(B.serverId, 100_000), 'not leaving');
+  registry.markLeaving(B, 100_000);
+  t.true(registry.acceptsContinuation(B.serverId, 100_999));
+  t.false(registry.acceptsContinuation(B.serverId, 101_000));
+  registry.apply([changeOf('b', 2, { leaving: true })], 101_000);
+  t.false(registry.acceptsContinuation(B.serverId, 101_000), 'the entry starts no new time');
+  registry.apply([changeOf('b', 3, { startedEpochMs: 2 })], 102_000);
+  t.true(registry.acceptsContinuation(B.serverId, 200_000), 'a restarted server');
+});
--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/ClusterState.ts
@@ -156,8 +156,9 @@
    * @param source - who reported it, for the log
    */
   markLeaving(servers: readonly ServerIncarnation[], source: string): void {
+    const nowMs = this.options.clock.nowMs();
     const newlyLeaving = servers
-      .filter((server) => this.options.registry.markLeaving(server))
+      .filter((server) => this.options.registry.markLeaving(server, nowMs))
       .map(({ serverId }) => serverId);
     if (newlyLeaving.length > 0) {
       this.onServersLeaving(newlyLeaving, source);
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -331,7 +331,7 @@
     }
     const nowMs = clock.nowMs();
     const takesRequest = continuation
-      ? !registry.isBackingOff(serverId, nowMs)
+      ? registry.acceptsContinuation(serverId, nowMs)
       : registry.isUsable(serverId, nowMs);
     if (!takesRequest) {
       connections.release(attempt.server, connection);
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -62,6 +62,8 @@
   readonly retryRatio: number;
   /** Hosts of daemons to contact before the platform's store was read. */
   readonly seedHosts: readonly string[];
+  /** Time for which a backend server still accepts requests after it said that it leaves. */
+  readonly serverDrainMs?: number;
 }
 
 /** Options of a serving daemon. */
@@ -126,7 +128,7 @@
   private readonly peers: PeerLink;
   private readonly readyServer;
   private registrationTimer: NodeJS.Timeout | undefined;
-  private readonly registry = new ServerRegistry();
+  private readonly registry: ServerRegistry;
   private readonly retryBudget: RetryBudget;
   private readonly storeFollower: DirectoryFollower;
   private storePingedMs = -Infinity;
@@ -139,6 +141,7 @@
       maxBalance: INITIAL_SAVED_RETRIES,
       retriesPerFirstAttempt: settings.retryRatio * RETRY_BUDGET_SHARE,
     });
+    this.registry = new ServerRegistry({ serverDrainMs: settings.serverDrainMs });
     this.connections = new BackendConnectionPool(clock);
     const serverSignals = new ServerSignals({
       clock,
