--- /dev/null
+++ b/packages/dispatch/src/ServerLimits.ts
@@ -0,0 +1,81 @@
+import type { ServerId } from '@laburnumgap/kernel';
+import type { ServerIncarnation } from './ServerRegistry.js';
+
+/** What a server said about the requests that it takes. */
+export interface LimitObservation extends ServerIncarnation {
+  /** When the server said it, monotonic time of this process. */
+  readonly observedMs: number;
+  /** Requests that it takes from all daemons together; undefined when it named no limit. */
+  readonly requestsPerS: number | undefined;
+}
+
+/** An ended limit is remembered until no daemon reports the limit any more. */
+const ENDED_LIMIT_RETENTION_MS = 30_000;
+
+/**
+ * Request limits that servers named, as observed by any daemon. Of two observations of one server the
+ * later one counts, and one of a later start of the server.
+ */
+export class ServerLimits {
+  private readonly observations = new Map<ServerId, LimitObservation>();
+
+  /**
+   * Records an observation.
+   *
+   * @param observation - by this daemon or by another one
+   * @returns whether it changed what is known
+   */
+  record(observation: LimitObservation): boolean {
+    const { observedMs, requestsPerS, serverId, startedEpochMs } = observation;
+    const known = this.observations.get(serverId);
+    if (known && known.startedEpochMs > startedEpochMs) {
+      return false;
+    }
+    const isSameStart = known?.startedEpochMs === startedEpochMs;
+    if (isSameStart && known.observedMs >= observedMs) {
+      return false;
+    }
+    if (!isSameStart && requestsPerS === undefined) {
+      this.observations.delete(serverId);
+      return known?.requestsPerS !== undefined;
+    }
+    this.observations.set(serverId, observation);
+    return !isSameStart || known.requestsPerS !== requestsPerS;
+  }
+
+  /**
+   * Limit of a server.
+   *
+   * @param incarnation - the server
+   * @returns requests per second, or undefined when it named none
+   */
+  requestsPerS({ serverId, startedEpochMs }: ServerIncarnation): number | undefined {
+    const known = this.observations.get(serverId);
+    return known?.startedEpochMs === startedEpochMs ? known.requestsPerS : undefined;
+  }
+
+  /** The last observation of a server; undefined when it never named a limit. */
+  get(serverId: ServerId): LimitObservation | undefined {
+    return this.observations.get(serverId);
+  }
+
+  /** The last observation of each server that named a limit, also of those that ended it recently. */
+  all(): readonly LimitObservation[] {
+    return [...this.observations.values()];
+  }
+
+  /**
+   * Forgets servers that are no longer registered, and limits that ended a while ago.
+   *
+   * @param isKnown - whether a server is registered
+   * @param nowMs - monotonic time
+   */
+  retain(isKnown: (serverId: ServerId) => boolean, nowMs: number): void {
+    for (const [serverId, { observedMs, requestsPerS }] of this.observations) {
+      const isOver = requestsPerS === undefined && nowMs - observedMs > ENDED_LIMIT_RETENTION_MS;
+      if (isOver || !isKnown(serverId)) {
+        this.observations.delete(serverId);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/__tests__/unit/ServerLimits.test.ts
@@ -0,0 +1,65 @@
+import type { ServerId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import test from 'ava';
+import type { LimitObservation } from '../../index.js';
+import { ServerLimits } from '../../index.js';
+
+const SERVER = { serverId: toId<ServerId>('a'), startedEpochMs: 1 };
+
+function observation(
+  requestsPerS: number | undefined,
+  observedMs: number,
+  startedEpochMs = 1,
+): LimitObservation {
+  return { observedMs, requestsPerS, serverId: SERVER.serverId, startedEpochMs };
+}
+
+test('the later observation of a limit counts, in whichever order they arrive', (t) => {
+  const limits = new ServerLimits();
+  t.true(limits.record(observation(3, 100)));
+  t.false(limits.record(observation(5, 90)), 'older');
+  t.false(limits.record(observation(3, 110)), 'the same again');
+  t.true(limits.record(observation(4, 120)));
+  t.is(limits.requestsPerS(SERVER), 4);
+});
+
+test('a limit that is no longer named ends, and older reports of it do not bring it back', (t) => {
+  const limits = new ServerLimits();
+  limits.record(observation(3, 100));
+  t.true(limits.record(observation(undefined, 200)));
+  t.is(limits.requestsPerS(SERVER), undefined);
+  t.false(limits.record(observation(3, 150)));
+  t.is(limits.requestsPerS(SERVER), undefined);
+});
+
+test('answers of a server that never named a limit leave nothing behind', (t) => {
+  const limits = new ServerLimits();
+  t.false(limits.record(observation(undefined, 100)));
+  t.deepEqual(limits.all(), []);
+});
+
+test('a limit belongs to one start of a server', (t) => {
+  const limits = new ServerLimits();
+  limits.record(observation(3, 100, 1));
+  t.is(limits.requestsPerS({ ...SERVER, startedEpochMs: 2 }), undefined);
+  t.true(limits.record(observation(undefined, 50, 2)), 'the restarted server names none');
+  t.is(limits.requestsPerS(SERVER), undefined);
+  limits.record(observation(7, 60, 2));
+  t.false(limits.record(observation(3, 900, 1)), 'a report of the earlier start');
+  t.is(limits.requestsPerS({ ...SERVER, startedEpochMs: 2 }), 7);
+});
+
+test('limits of unregistered servers and limits that ended long ago are forgotten', (t) => {
+  const limits = new ServerLimits();
+  limits.record(observation(3, 0));
+  limits.retain(() => true, 1_000_000);
+  t.is(limits.all().length, 1, 'still named');
+  limits.record(observation(undefined, 1_000_000));
+  limits.retain(() => true, 1_010_000);
+  t.is(limits.all().length, 1, 'a late report could still name it');
+  limits.retain(() => true, 1_100_000);
+  t.is(limits.all().length, 0);
+  limits.record(observation(3, 2_000_000));
+  limits.retain(() => false, 2_000_000);
+  t.is(limits.all().length, 0);
+});
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -14,6 +14,7 @@
 export * from './RetryBudget.js';
 export * from './RouteTable.js';
 export * from './ServerHealth.js';
+export * from './ServerLimits.js';
 export * from './ServerRegistry.js';
 export type * from './ServingConfiguration.js';
 export * from './StoreWatchers.js';
--- a/packages/serving/src/ServerSignals.ts
+++ b/packages/serving/src/ServerSignals.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, ServerRegistry } from '@laburnumgap/dispatch';
+import type { BackendServer, ServerLimits, ServerRegistry } from '@laburnumgap/dispatch';
 import type { MonotonicClock } from '@laburnumgap/kernel';
 import type { ResponseHead } from './ResponseParser.js';
 import type { ServingLog } from './ServingLog.js';
@@ -7,6 +7,7 @@
 /** Options of {@link ServerSignals}. */
 export interface ServerSignalsOptions {
   readonly clock: MonotonicClock;
+  readonly limits: Pick<ServerLimits, 'record' | 'requestsPerS'>;
   readonly log: ServingLog;
   readonly onLeaving: (server: BackendServer) => void;
   readonly protocol: Pick<WireProtocol, 'parseResponseMetadata'>;
@@ -18,7 +19,7 @@
 
 /**
  * Evaluates what servers say about themselves in the head of any response: that they are leaving,
- * and for how long they want no requests of this daemon.
+ * for how long they want no requests of this daemon, and how many requests they take from all.
  */
 export class ServerSignals {
   private readonly loggedHeaders = new Set<string>();
@@ -49,6 +50,7 @@
     if (metadata.isLeaving) {
       onLeaving(server);
     }
+    this.recordLimit(server, metadata);
     const { retryAfterMs } = metadata;
     if (head.status === UNAVAILABLE_STATUS && retryAfterMs !== undefined) {
       const nowMs = clock.nowMs();
@@ -59,4 +61,24 @@
     }
     return metadata;
   }
+
+  /** Only a response that the server made for a request shows that it names no limit any more. */
+  private recordLimit(server: BackendServer, metadata: ResponseMetadata): void {
+    const { clock, limits, log } = this.options;
+    const { isLimitUnreadable, isStamped, requestsPerS } = metadata;
+    if (isLimitUnreadable || (requestsPerS === undefined && !isStamped)) {
+      return;
+    }
+    const { serverId, startedEpochMs } = server;
+    const previousPerS = limits.requestsPerS(server);
+    const observedMs = clock.nowMs();
+    if (limits.record({ observedMs, requestsPerS, serverId, startedEpochMs })) {
+      log.info('server-limit-changed', {
+        previousPerS,
+        requestsPerS,
+        serverId,
+        source: 'response',
+      });
+    }
+  }
 }
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -8,6 +8,7 @@
   RecentWaits,
   RetryBudget,
   ServerHealth,
+  ServerLimits,
   ServerRegistry,
 } from '@laburnumgap/dispatch';
 import type {
@@ -122,6 +123,7 @@
   private isDraining = false;
   private isRegistering = false;
   private isRetryBudgetDivided = false;
+  private readonly limits = new ServerLimits();
   private readonly load = new EngineLoad();
   private readonly moveCoordinator: MoveCoordinator;
   private openPlainCalls = 0;
@@ -145,6 +147,7 @@
     this.connections = new BackendConnectionPool(clock);
     const serverSignals = new ServerSignals({
       clock,
+      limits: this.limits,
       log,
       onLeaving: (server) => {
         this.clusterState.markLeaving([server], 'response');
@@ -490,7 +493,9 @@
   private onTick(): void {
     const nowMs = this.options.clock.nowMs();
     this.clusterState.removeExpiredServers();
-    this.context.health.retain((serverId) => this.registry.get(serverId) !== undefined);
+    const isRegistered = (serverId: ServerId): boolean => this.registry.get(serverId) !== undefined;
+    this.context.health.retain(isRegistered);
+    this.limits.retain(isRegistered, nowMs);
     this.connections.closeExpired();
     this.streamMover.moveStalledStreams();
     for (const { leaving, server } of this.registry.all()) {
--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -57,6 +57,8 @@
   readonly isEncoded: boolean;
   /** The server states that it is leaving. */
   readonly isLeaving: boolean;
+  /** The server names a limit of its requests in a form that is not valid. */
+  readonly isLimitUnreadable: boolean;
   /** The server's stamp is present: the response was made by a backend server. */
   readonly isStamped: boolean;
   /** Idle timeout of the connection that the server states. */
@@ -64,6 +66,8 @@
   /** The server states that it did not execute the request. */
   readonly notRun: boolean;
   readonly requestId?: string;
+  /** Requests per second that the server takes from all daemons together, if it names a limit. */
+  readonly requestsPerS?: number;
   /** Time for which the server wants no requests of this daemon. */
   readonly retryAfterMs?: number;
   /** Names of headers whose values are not valid and were ignored. */
