Keep to the limit that a server names, in one account over all daemons

Cause: nobody read the limit. Reading it in each daemon alone would allow as many times the limit as there are daemons. Change: the limit goes to all daemons with the age of its observation. Each server has an owner among the daemons, the same as for an engine's capacity, that keeps one token bucket for it and grants permits in one round trip; only while it hears from most daemons. While it does not answer, a daemon uses an equal part of the limit. Every request to a server goes through ServerAccess: calls, generations, repeats, continued streams, moves, dropped copies, reports. What gets no permit goes to another server or is refused at once as not run, with the time until the next permit. A repeat is taken from the budget only if another server is open; before, a failure was replaced by a refusal. Weighed: an equal part for each daemon always (safe, but 195 daemons with 3 a second could send nothing); counters in heartbeats (up to 500 ms old, longer between domains).

--- a/packages/dispatch/src/ServerLimits.ts
+++ b/packages/dispatch/src/ServerLimits.ts
@@ -9,6 +9,14 @@
   readonly requestsPerS: number | undefined;
 }
 
+/** An observation as daemons report it to each other, whose clocks differ. */
+export interface LimitReport extends ServerIncarnation {
+  /** Time since the server said it. */
+  readonly ageMs: number;
+  /** Absent when the server ended its limit. */
+  readonly requestsPerS?: number;
+}
+
 /** An ended limit is remembered until no daemon reports the limit any more. */
 const ENDED_LIMIT_RETENTION_MS = 30_000;
 
@@ -44,24 +52,31 @@
   }
 
   /**
-   * Limit of a server.
+   * Limit of a server. What a later start of it said applies as well: its entry can arrive afterwards.
    *
    * @param incarnation - the server
    * @returns requests per second, or undefined when it named none
    */
   requestsPerS({ serverId, startedEpochMs }: ServerIncarnation): number | undefined {
     const known = this.observations.get(serverId);
-    return known?.startedEpochMs === startedEpochMs ? known.requestsPerS : undefined;
+    return known && known.startedEpochMs >= startedEpochMs ? known.requestsPerS : undefined;
   }
 
-  /** The last observation of a server; undefined when it never named a limit. */
-  get(serverId: ServerId): LimitObservation | undefined {
-    return this.observations.get(serverId);
+  /** Records the report of another daemon; returns whether it changed what is known. */
+  recordReport({ ageMs, ...report }: LimitReport, nowMs: number): boolean {
+    const { requestsPerS, serverId, startedEpochMs } = report;
+    return this.record({ observedMs: nowMs - ageMs, requestsPerS, serverId, startedEpochMs });
   }
 
-  /** The last observation of each server that named a limit, also of those that ended it recently. */
-  all(): readonly LimitObservation[] {
-    return [...this.observations.values()];
+  /** Report on one server; undefined when it never named a limit. */
+  reportOf(serverId: ServerId, nowMs: number): LimitReport | undefined {
+    const known = this.observations.get(serverId);
+    return known && toReport(known, nowMs);
+  }
+
+  /** Reports on all servers that named a limit, also on those that ended it recently. */
+  reports(nowMs: number): readonly LimitReport[] {
+    return [...this.observations.values()].map((known) => toReport(known, nowMs));
   }
 
   /**
@@ -79,3 +94,8 @@
     }
   }
 }
+
+function toReport(observation: LimitObservation, nowMs: number): LimitReport {
+  const { observedMs, requestsPerS, serverId, startedEpochMs } = observation;
+  return { ageMs: nowMs - observedMs, requestsPerS, serverId, startedEpochMs };
+}
--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -265,13 +265,21 @@
    *
    * @param service - the service
    * @param nowMs - monotonic time
+   * @param otherWaitMs - time for which a server takes no work for another reason
    * @returns milliseconds; undefined when a server is usable now or none will be
    */
-  usableAgainAfterMs(service: ServiceId, nowMs: number): number | undefined {
+  usableAgainAfterMs(
+    service: ServiceId,
+    nowMs: number,
+    otherWaitMs: (server: BackendServer) => number = () => 0,
+  ): number | undefined {
     const servers = this.stayingServers(service);
-    const waitsMs = servers.map(({ serverId }) =>
-      this.isBackingOff(serverId, nowMs) ? (this.backoffs.get(serverId)?.untilMs ?? 0) - nowMs : 0,
-    );
+    const waitsMs = servers.map((server) => {
+      const backoff = this.backoffs.get(server.serverId);
+      const isBackingOff = this.isBackingOff(server.serverId, nowMs);
+      const backoffMs = backoff && isBackingOff ? backoff.untilMs - nowMs : 0;
+      return Math.max(backoffMs, otherWaitMs(server));
+    });
     const waitMs = Math.min(...waitsMs);
     return servers.length > 0 && waitMs > 0 ? waitMs : undefined;
   }
--- a/packages/dispatch/src/__tests__/unit/ServerLimits.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerLimits.test.ts
@@ -35,7 +35,7 @@
 test('answers of a server that never named a limit leave nothing behind', (t) => {
   const limits = new ServerLimits();
   t.false(limits.record(observation(undefined, 100)));
-  t.deepEqual(limits.all(), []);
+  t.deepEqual(limits.reports(0), []);
 });
 
 test('a limit belongs to one start of a server', (t) => {
@@ -47,19 +47,34 @@
   limits.record(observation(7, 60, 2));
   t.false(limits.record(observation(3, 900, 1)), 'a report of the earlier start');
   t.is(limits.requestsPerS({ ...SERVER, startedEpochMs: 2 }), 7);
+  t.is(limits.requestsPerS(SERVER), 7, 'where the entry of the restarted server has not arrived');
 });
 
 test('limits of unregistered servers and limits that ended long ago are forgotten', (t) => {
   const limits = new ServerLimits();
   limits.record(observation(3, 0));
   limits.retain(() => true, 1_000_000);
-  t.is(limits.all().length, 1, 'still named');
+  t.is(limits.reports(0).length, 1, 'still named');
   limits.record(observation(undefined, 1_000_000));
   limits.retain(() => true, 1_010_000);
-  t.is(limits.all().length, 1, 'a late report could still name it');
+  t.is(limits.reports(0).length, 1, 'a late report could still name it');
   limits.retain(() => true, 1_100_000);
-  t.is(limits.all().length, 0);
+  t.is(limits.reports(0).length, 0);
   limits.record(observation(3, 2_000_000));
   limits.retain(() => false, 2_000_000);
-  t.is(limits.all().length, 0);
+  t.is(limits.reports(0).length, 0);
+});
+
+test('what one daemon reports counts by its age at another one, whose clock differs', (t) => {
+  const limits = new ServerLimits();
+  limits.record(observation(3, 100));
+  const report = limits.reportOf(SERVER.serverId, 400);
+  t.like(report, { ageMs: 300, requestsPerS: 3 });
+  const others = new ServerLimits();
+  others.record(observation(undefined, 70_000));
+  others.record(observation(5, 70_000));
+  t.false(report !== undefined && others.recordReport(report, 70_200), 'older than what is known');
+  t.true(others.recordReport({ ...SERVER, ageMs: 10, requestsPerS: 4 }, 70_200));
+  t.true(others.recordReport({ ...SERVER, ageMs: 0 }, 70_300), 'the limit has ended');
+  t.is(others.requestsPerS(SERVER), undefined);
 });
--- a/packages/serving/src/BackendAttempt.ts
+++ b/packages/serving/src/BackendAttempt.ts
@@ -18,6 +18,8 @@
 /** Receives the outcome of {@link connectToServer}. */
 export interface ServerConnectListener {
   onConnected(connection: BackendConnection): void;
+  /** The server takes no more requests for now; nothing was sent. */
+  onLimited(retryAfterMs: number): void;
   /** The server could not be reached; nothing was sent. */
   onUnreachable(reason: string): void;
 }
@@ -26,22 +28,25 @@
 export type AttemptOptions = Omit<BackendRequestOptions, 'deadlineMs' | 'server' | 'teamId'>;
 
 /**
- * Acquires a connection to a server. A failure is recorded in the server's health and logged.
+ * Acquires a connection to a server, and a permit where the server limits its requests. A failure is
+ * logged; one of the connection is also recorded in the server's health.
  *
  * @param context - shared state of the daemon
  * @param admitted - the caller's request
  * @param server - the server
+ * @param maxPermitWaitMs - how long the request can wait for a permit
  * @param listener - receives the outcome
  */
 export function connectToServer(
   context: ServingContext,
   admitted: AdmittedCall,
   server: BackendServer,
+  maxPermitWaitMs: number,
   listener: ServerConnectListener,
 ): void {
-  const { clock, connections, health, log } = context;
+  const { clock, health, log, serverAccess } = context;
   const { serverId } = server;
-  connections.acquire(server, {
+  serverAccess.acquire(server, maxPermitWaitMs, {
     onConnectFailed: (reason) => {
       health.recordOutcome(serverId, 'unreachable', 0, clock.nowMs());
       log.warn('server-unreachable', { reason, requestId: admitted.request.requestId, serverId });
@@ -50,6 +55,11 @@
     onConnected: (connection) => {
       listener.onConnected(connection);
     },
+    onLimited: (retryAfterMs) => {
+      const { requestId } = admitted.request;
+      log.info('server-limit-reached', { requestId, retryAfterMs, serverId });
+      listener.onLimited(retryAfterMs);
+    },
   });
 }
 
--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/ClusterState.ts
@@ -1,4 +1,5 @@
 import type {
+  LimitReport,
   ServerChange,
   ServerIncarnation,
   ServerRegistry,
@@ -37,9 +38,13 @@
   readonly directory: PlatformDirectory;
   readonly failureDomain: FailureDomainId;
   readonly host: string;
+  /** Limits of requests that servers named, for snapshots. */
+  readonly limits: () => readonly LimitReport[];
   readonly log: ServingLog;
   readonly memberId: MemberId;
   readonly onConfiguration: (table: RouteTable) => void;
+  /** Called with the limits of servers in the snapshot of a peer. */
+  readonly onLimits: (limits: readonly LimitReport[]) => void;
   /** Called when the store has come back from an older copy, which lacks what was written since. */
   readonly onNewEra: () => void;
   readonly onServerLeaving: (serverId: ServerId) => void;
@@ -205,6 +210,7 @@
     return {
       ...this.storePosition,
       configuration: this.version() > knownVersion ? this.routeTable?.configuration : undefined,
+      limits: this.options.limits(),
       members: [{ host, memberId }, ...this.options.peers().table.members()],
       servers: this.options.registry.all(),
     };
@@ -214,6 +220,7 @@
     snapshot.members.forEach((member) => {
       this.options.peers().table.add(member);
     });
+    this.options.onLimits(snapshot.limits ?? []);
     if (snapshot.configuration) {
       this.applyConfiguration(snapshot.configuration, `peer ${host}`);
     }
--- a/packages/serving/src/EngineControl.ts
+++ b/packages/serving/src/EngineControl.ts
@@ -3,6 +3,7 @@
 import type { BackendConnection } from './BackendConnection.js';
 import type { BackendConnectionPool } from './BackendConnectionPool.js';
 import type { ResponseHead } from './ResponseParser.js';
+import type { ServerAccess } from './ServerAccess.js';
 import type { ServerSignals } from './ServerSignals.js';
 import { CONTROL_TIMEOUT_MS } from './ServingConstants.js';
 import type { EngineControlRequest } from './ServingPorts.js';
@@ -16,11 +17,15 @@
 /** Options of {@link EngineControl}. */
 export interface EngineControlOptions {
   readonly clock: MonotonicClock;
-  readonly connections: BackendConnectionPool;
+  readonly connections: Pick<BackendConnectionPool, 'release'>;
   readonly registry: Pick<ServerRegistry, 'isBackingOff'>;
+  readonly serverAccess: Pick<ServerAccess, 'acquire'>;
   readonly serverSignals: Pick<ServerSignals, 'evaluate'>;
 }
 
+/** Moves of running streams are worth a wait that is short beside the time of a copy. */
+const CONTROL_PERMIT_WAIT_MS = 1_000;
+
 /** Sends control requests to engines, except to those that are backing off. */
 export class EngineControl {
   constructor(private readonly options: EngineControlOptions) {}
@@ -38,20 +43,24 @@
     request: EngineControlRequest,
     timeoutMs = CONTROL_TIMEOUT_MS,
   ): Promise<ControlOutcome> {
-    const { clock, connections, registry } = this.options;
+    const { clock, registry, serverAccess } = this.options;
     const { serverId } = server;
     return new Promise((resolve) => {
       if (registry.isBackingOff(serverId, clock.nowMs())) {
         resolve({ kind: 'notSent', reason: 'the engine is backing off' });
         return;
       }
-      connections.acquire(server, {
+      serverAccess.acquire(server, CONTROL_PERMIT_WAIT_MS, {
         onConnectFailed: (reason) => {
           resolve({ kind: 'notSent', reason });
         },
         onConnected: (connection) => {
           this.sendOnConnection(server, connection, request, timeoutMs, resolve);
         },
+        onLimited: (retryAfterMs) => {
+          const reason = `the engine takes no more requests for ${retryAfterMs} ms`;
+          resolve({ kind: 'notSent', reason });
+        },
       });
     });
   }
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -32,6 +32,8 @@
 import type { KvCacheLocation } from './ServingPorts.js';
 
 const SUCCESS_STATUS = 200;
+/** A stopped stream is worth a wait that is well below the time after which its caller gives up. */
+const CONTINUATION_PERMIT_WAIT_MS = 1_000;
 /** Responses below this status that are no event stream are unusable, and no error to forward. */
 const FIRST_REDIRECT_STATUS = 300;
 const FIRST_FAILURE_STATUS = 500;
@@ -308,10 +310,14 @@
     this.attempt = attempt;
     cachedPrefixes.recordPrompt(this.prompt.parts, server.serverId, nowMs);
     publishLoad();
-    connectToServer(this.context, this.admitted, server, {
+    const maxPermitWaitMs = continuation ? CONTINUATION_PERMIT_WAIT_MS : 0;
+    connectToServer(this.context, this.admitted, server, maxPermitWaitMs, {
       onConnected: (connection) => {
         this.send(attempt, connection, continuation);
       },
+      onLimited: (retryAfterMs) => {
+        this.onLimited(attempt, continuation, retryAfterMs);
+      },
       onUnreachable: (reason) => {
         this.onNotStarted(attempt, continuation, reason);
       },
@@ -476,6 +482,21 @@
     this.fail(reason);
   }
 
+  /** Searches for another engine, which can also end in this one once it takes requests again. */
+  private onLimited(
+    attempt: EngineAttempt,
+    continuation: Continuation | undefined,
+    retryAfterMs: number,
+  ): void {
+    if (continuation) {
+      this.onNotStarted(attempt, continuation, `no permit within ${retryAfterMs} ms`);
+    } else if (this.attempt === attempt && !this.isDone) {
+      this.attempt = undefined;
+      this.context.publishLoad();
+      this.search.start();
+    }
+  }
+
   /** The engine did not start the run: nothing was sent, or it rejected the request. */
   private onNotStarted(
     attempt: EngineAttempt,
@@ -557,9 +578,8 @@
   }
 
   private defaultRetryAfterMs(): number {
-    const { clock, registry } = this.context;
     const { service } = this.admitted.service;
-    return registry.usableAgainAfterMs(service, clock.nowMs()) ?? DEFAULT_RETRY_AFTER_MS;
+    return this.context.serverAccess.openAgainAfterMs(service) ?? DEFAULT_RETRY_AFTER_MS;
   }
 
   private refuse(code: ResultCodeName, detail: string, retryAfterMs?: number): void {
--- a/packages/serving/src/GenerationTargets.ts
+++ b/packages/serving/src/GenerationTargets.ts
@@ -37,11 +37,11 @@
  * @returns the engines, best first
  */
 export function rankTargets(context: ServingContext, query: TargetQuery): readonly Placement[] {
-  const { clock, failureDomain, health, load, cachedPrefixes, randomUnit, registry } = context;
+  const { clock, failureDomain, health, load, cachedPrefixes, randomUnit, serverAccess } = context;
   const { engineLimits, moveFrom, prompt, admitted, excluded } = query;
   const nowMs = clock.nowMs();
-  const candidates = registry
-    .usableServers(admitted.service.service, nowMs)
+  const candidates = serverAccess
+    .openServers(admitted.service.service)
     .filter(({ serverId }) => !excluded.has(serverId))
     .map((server) => ({
       failureShare: health.isUnreachable(server.serverId, nowMs)
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -5,6 +5,7 @@
 import type {
   EngineLoad,
   EngineShare,
+  LimitReport,
   ServerIncarnation,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
@@ -21,6 +22,7 @@
   PeerHeartbeat,
   PeerMessage,
   PeerSnapshot,
+  PermitMessage,
 } from './PeerMessages.js';
 import {
   encodeConfiguration,
@@ -44,6 +46,8 @@
   /** Whether the platform's store does not respond to this daemon. */
   readonly isStoreDown: () => boolean;
   readonly leavingServers: () => readonly ServerIncarnation[];
+  /** Limits of requests that servers named. */
+  readonly limits: () => readonly LimitReport[];
   readonly load: EngineLoad;
   readonly localShares: () => readonly EngineShare[];
   readonly log: ServingLog;
@@ -52,6 +56,8 @@
   readonly onLagging: (peer: MemberAddress) => void;
   /** Called with the servers that a peer reports as leaving. */
   readonly onLeaving: (servers: readonly ServerIncarnation[]) => void;
+  /** Called with the limits of servers that a peer knows. */
+  readonly onLimits: (limits: readonly LimitReport[]) => void;
   readonly onMessage: (message: Exclude<PeerMessage, DomainLoadMessage>) => void;
   /** The active configuration. */
   readonly configuration: () => ServingConfiguration | undefined;
@@ -223,7 +229,7 @@
   }
 
   /** Sends a message to one daemon; does nothing when the daemon is unknown. */
-  sendTo(message: MoveMessage | CapacityMessage, memberId: MemberId): void {
+  sendTo(message: CapacityMessage | MoveMessage | PermitMessage, memberId: MemberId): void {
     this.sendToHosts(encodeMessage(message), this.table.hostsOf(memberId));
   }
 
@@ -326,7 +332,8 @@
   private sendHeartbeat(): void {
     clearTimeout(this.coalesceTimer);
     this.coalesceTimer = undefined;
-    const { failureDomain, host, incarnation, leavingServers, load, memberId } = this.options;
+    const { failureDomain, host, incarnation, leavingServers, limits, load, memberId } =
+      this.options;
     const shares = this.options.localShares();
     load.setOwnShares(shares);
     this.sequence += 1;
@@ -339,6 +346,7 @@
       isDraining: this.options.isDraining(),
       isStopping,
       leavingServers: leavingServers(),
+      limits: limits(),
       memberId,
       sequence,
       shares,
@@ -446,6 +454,7 @@
     const nowMs = clock.nowMs();
     load.recordMemberReport(heartbeat.memberId, heartbeat.shares, nowMs);
     this.options.onLeaving(heartbeat.leavingServers);
+    this.options.onLimits(heartbeat.limits ?? []);
     this.checkLag(heartbeat, peer, nowMs);
   }
 
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -2,7 +2,9 @@
 import type {
   EngineShare,
   EngineTotals,
+  LimitReport,
   MoveRequest,
+  PermitDecision,
   RegisteredServer,
   CapacityRequest,
   ServerChange,
@@ -33,6 +35,8 @@
   readonly isStopping: boolean;
   /** Servers reported as leaving by themselves or by a daemon, but not yet by the store. */
   readonly leavingServers: readonly ServerIncarnation[];
+  /** Limits of requests that servers named; absent from daemons of earlier builds. */
+  readonly limits?: readonly LimitReport[];
   readonly memberId: MemberId;
   /** Grows with each heartbeat of an incarnation. */
   readonly sequence: number;
@@ -60,6 +64,27 @@
     }
   | { readonly kind: 'roomWanted'; readonly memberId: MemberId; readonly wish: CapacityRequest };
 
+/**
+ * Request for a permit to send one request to a server that limits its requests, and the decision of
+ * the daemon that was asked. Both carry what the sender knows of the limit.
+ */
+export type PermitMessage =
+  | {
+      readonly decision: PermitDecision | { readonly kind: 'notOwner' };
+      readonly kind: 'permitResponse';
+      readonly limit?: LimitReport;
+      readonly requestNumber: number;
+      readonly serverId: ServerId;
+    }
+  | {
+      readonly kind: 'permitRequest';
+      readonly limit?: LimitReport;
+      readonly maxWaitMs: number;
+      readonly memberId: MemberId;
+      readonly requestNumber: number;
+      readonly serverId: ServerId;
+    };
+
 /** Changes of the store, sent to the fleet by a daemon that watches it. */
 export interface ChangesMessage {
   /** Era of both revisions. */
@@ -109,11 +134,18 @@
 
 /** Any message between daemons except heartbeats. */
 export type PeerMessage =
-  CapacityMessage | ChangesMessage | ConfigurationMessage | DomainLoadMessage | MoveMessage;
+  | CapacityMessage
+  | ChangesMessage
+  | ConfigurationMessage
+  | DomainLoadMessage
+  | MoveMessage
+  | PermitMessage;
 
 /** State of a daemon, for a daemon that the store does not respond to. */
 export interface PeerSnapshot extends StorePosition {
   readonly configuration?: ServingConfiguration;
+  /** Limits of requests that servers named; absent from daemons of earlier builds. */
+  readonly limits?: readonly LimitReport[];
   readonly members: readonly MemberAddress[];
   readonly servers: readonly RegisteredServer[];
 }
@@ -163,6 +195,7 @@
       heartbeat.leavingServers,
       (server) => isId(server.serverId) && Number.isFinite(server.startedEpochMs),
     ) &&
+    isLimitList(heartbeat.limits) &&
     Array.isArray(heartbeat.shares);
   return isHeartbeat ? unpackShares(heartbeat as PeerHeartbeat) : undefined;
 }
@@ -201,6 +234,10 @@
         : undefined;
     case 'moveWanted':
       return isMoveRequest(message.wish) ? (message as MoveMessage) : undefined;
+    case 'permitRequest':
+      return isPermitRequest(message) ? message : undefined;
+    case 'permitResponse':
+      return isPermitResponse(message) ? message : undefined;
     case 'roomAnswer':
       return isCapacityAnswer(message) ? (message as CapacityMessage) : undefined;
     case 'roomWanted':
@@ -223,6 +260,7 @@
   const isSnapshot =
     Number.isFinite(snapshot?.era) &&
     Number.isFinite(snapshot?.revision) &&
+    isLimitList(snapshot?.limits) &&
     Array.isArray(snapshot?.servers) &&
     Array.isArray(snapshot.members);
   return isSnapshot ? (snapshot as PeerSnapshot) : undefined;
@@ -335,6 +373,55 @@
   );
 }
 
+function isPermitRequest(
+  message: Partial<Extract<PermitMessage, { kind: 'permitRequest' }>>,
+): message is Extract<PermitMessage, { kind: 'permitRequest' }> {
+  return (
+    isId(message.memberId) &&
+    isId(message.serverId) &&
+    hasFigures(message, ['maxWaitMs', 'requestNumber']) &&
+    isLimitList(message.limit && [message.limit])
+  );
+}
+
+function isPermitResponse(
+  message: Partial<Extract<PermitMessage, { kind: 'permitResponse' }>>,
+): message is Extract<PermitMessage, { kind: 'permitResponse' }> {
+  return (
+    isId(message.serverId) &&
+    hasFigures(message, ['requestNumber']) &&
+    isObject(message.decision) &&
+    isPermitDecision(message.decision) &&
+    isLimitList(message.limit && [message.limit])
+  );
+}
+
+function isPermitDecision(
+  decision: Partial<Extract<PermitMessage, { kind: 'permitResponse' }>['decision']>,
+): boolean {
+  switch (decision.kind) {
+    case 'declined':
+      return hasFigures(decision, ['retryAfterMs']);
+    case 'granted':
+      return hasFigures(decision, ['waitMs']);
+    default:
+      return decision.kind === 'notOwner';
+  }
+}
+
+function isLimitList(limits: readonly LimitReport[] | undefined): boolean {
+  return (
+    limits === undefined ||
+    isListOf(
+      limits,
+      (limit) =>
+        isId(limit.serverId) &&
+        hasFigures(limit, ['ageMs', 'startedEpochMs']) &&
+        (limit.requestsPerS === undefined || Number.isFinite(limit.requestsPerS)),
+    )
+  );
+}
+
 function isMoveRequest(request: Partial<MoveRequest> | undefined): boolean {
   return (
     isId(request?.memberId) &&
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -133,6 +133,11 @@
       : domainSourceId(peer.failureDomain);
   }
 
+  /** Whether more than half of the known daemons live, as far as this daemon hears. */
+  seesMajority(): boolean {
+    return 2 * (this.livePeers().length + 1) > this.knownCount();
+  }
+
   /** Whether another live daemon of this failure domain accepts new connections. */
   hasDomainSuccessor(): boolean {
     const { failureDomain } = this.options;
--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/PlainCallRun.ts
@@ -67,7 +67,7 @@
   }
 
   private sendToNextServer(): void {
-    const { clock, failureDomain, health, randomUnit, registry } = this.context;
+    const { clock, failureDomain, health, randomUnit, serverAccess } = this.context;
     const nowMs = clock.nowMs();
     const { service } = this.admitted.service;
     const server = placePlainCall({
@@ -77,17 +77,22 @@
       health,
       nowMs,
       randomUnit,
-      servers: registry.usableServers(service, nowMs),
+      servers: serverAccess.openServers(service),
     });
     if (!server) {
       this.refuseNotExecuted('NO_SERVER', 'no server of the service accepts new calls');
       return;
     }
     this.excludedServerIds.add(server.serverId);
-    connectToServer(this.context, this.admitted, server, {
+    connectToServer(this.context, this.admitted, server, 0, {
       onConnected: (connection) => {
         this.send(server, connection);
       },
+      onLimited: () => {
+        if (!this.isDone) {
+          this.sendToNextServer();
+        }
+      },
       onUnreachable: () => {
         if (!this.isDone) {
           this.sendToNextServer();
@@ -238,10 +243,16 @@
     return (
       route.kind === 'idempotent' &&
       this.attemptCount < route.maxServers &&
+      this.hasOtherServer() &&
       this.context.retryBudget.takeRetry(service.service)
     );
   }
 
+  private hasOtherServer(): boolean {
+    const servers = this.context.serverAccess.openServers(this.admitted.service.service);
+    return servers.some(({ serverId }) => !this.excludedServerIds.has(serverId));
+  }
+
   private retry(attempt: Attempt, reason: string): void {
     this.context.log.info('call-repeated', {
       attempt: attempt.number,
@@ -314,10 +325,9 @@
   }
 
   private refuseNotExecuted(code: ResultCodeName, detail: string): void {
-    const { clock, registry } = this.context;
     const hasRun = this.attemptCount > this.refusedSendCount;
     const retryAfterMs =
-      registry.usableAgainAfterMs(this.admitted.service.service, clock.nowMs()) ??
+      this.context.serverAccess.openAgainAfterMs(this.admitted.service.service) ??
       DEFAULT_RETRY_AFTER_MS;
     this.refuse(hasRun ? 'UPSTREAM_FAILED' : code, detail, retryAfterMs);
   }
--- /dev/null
+++ b/packages/serving/src/ServerAccess.ts
@@ -0,0 +1,112 @@
+import type { BackendServer, PermitDecision, ServerRegistry } from '@laburnumgap/dispatch';
+import type { MonotonicClock, ServiceId } from '@laburnumgap/kernel';
+import type { BackendConnection } from './BackendConnection.js';
+import type { BackendConnectionPool, ConnectionListener } from './BackendConnectionPool.js';
+import type { ServerLimitCoordinator } from './ServerLimitCoordinator.js';
+
+/** Options of {@link ServerAccess}. */
+export interface ServerAccessOptions {
+  readonly clock: MonotonicClock;
+  readonly connections: Pick<BackendConnectionPool, 'acquire' | 'release'>;
+  readonly permits: Pick<
+    ServerLimitCoordinator,
+    'availableAfterMs' | 'isLimited' | 'requestPermit'
+  >;
+  readonly registry: Pick<ServerRegistry, 'usableAgainAfterMs' | 'usableServers'>;
+}
+
+/** Receives the outcome of {@link ServerAccess.acquire}. */
+export interface ServerAccessListener extends ConnectionListener {
+  /** The server takes no more requests for now; nothing was sent. */
+  onLimited(retryAfterMs: number): void;
+}
+
+/**
+ * The one way to a backend server for every request: waits for a permit where the server limits its
+ * requests, then for a connection.
+ */
+export class ServerAccess {
+  constructor(private readonly options: ServerAccessOptions) {}
+
+  /**
+   * Provides a connection on which exactly one request may be sent, at once.
+   *
+   * @param server - the server
+   * @param maxPermitWaitMs - how long the request can wait for a permit
+   * @param listener - receives the outcome, synchronously where nothing has to be waited for
+   */
+  acquire(server: BackendServer, maxPermitWaitMs: number, listener: ServerAccessListener): void {
+    const { connections, permits } = this.options;
+    const hadLimit = permits.isLimited(server);
+    this.awaitPermit(server, maxPermitWaitMs, listener, () => {
+      connections.acquire(server, {
+        onConnectFailed: (reason) => {
+          listener.onConnectFailed(reason);
+        },
+        onConnected: (connection) => {
+          if (hadLimit) {
+            listener.onConnected(connection);
+          } else {
+            this.onConnectedWithoutPermit(server, connection, maxPermitWaitMs, listener);
+          }
+        },
+      });
+    });
+  }
+
+  /** Servers of a service that take a new request now, sorted by id. */
+  openServers(service: ServiceId): readonly BackendServer[] {
+    const { clock, permits, registry } = this.options;
+    return registry
+      .usableServers(service, clock.nowMs())
+      .filter((server) => permits.availableAfterMs(server) === 0);
+  }
+
+  /**
+   * Time until a service takes requests again when all its servers back off or have reached their
+   * limits.
+   *
+   * @param service - the service
+   * @returns milliseconds; undefined when a server takes requests now or none will
+   */
+  openAgainAfterMs(service: ServiceId): number | undefined {
+    const { clock, permits, registry } = this.options;
+    return registry.usableAgainAfterMs(service, clock.nowMs(), (server) =>
+      permits.availableAfterMs(server),
+    );
+  }
+
+  /** The server can have named a limit while the connection was opened. */
+  private onConnectedWithoutPermit(
+    server: BackendServer,
+    connection: BackendConnection,
+    maxPermitWaitMs: number,
+    listener: ServerAccessListener,
+  ): void {
+    const { connections } = this.options;
+    const onLimited = (retryAfterMs: number): void => {
+      connections.release(server, connection);
+      listener.onLimited(retryAfterMs);
+    };
+    this.awaitPermit(server, maxPermitWaitMs, { onLimited }, () => {
+      listener.onConnected(connection);
+    });
+  }
+
+  private awaitPermit(
+    server: BackendServer,
+    maxWaitMs: number,
+    { onLimited }: Pick<ServerAccessListener, 'onLimited'>,
+    onPermitted: () => void,
+  ): void {
+    this.options.permits.requestPermit(server, maxWaitMs, (decision: PermitDecision) => {
+      if (decision.kind === 'declined') {
+        onLimited(decision.retryAfterMs);
+      } else if (decision.waitMs > 0) {
+        setTimeout(onPermitted, decision.waitMs);
+      } else {
+        onPermitted();
+      }
+    });
+  }
+}
--- a/packages/serving/src/ServerSignals.ts
+++ b/packages/serving/src/ServerSignals.ts
@@ -10,6 +10,8 @@
   readonly limits: Pick<ServerLimits, 'record' | 'requestsPerS'>;
   readonly log: ServingLog;
   readonly onLeaving: (server: BackendServer) => void;
+  /** Called when a server begins or ceases to limit its requests. */
+  readonly onLimitChanged: () => void;
   readonly protocol: Pick<WireProtocol, 'parseResponseMetadata'>;
   readonly registry: Pick<ServerRegistry, 'backOff' | 'isBackingOff'>;
 }
@@ -64,7 +66,7 @@
 
   /** Only a response that the server made for a request shows that it names no limit any more. */
   private recordLimit(server: BackendServer, metadata: ResponseMetadata): void {
-    const { clock, limits, log } = this.options;
+    const { clock, limits, log, onLimitChanged } = this.options;
     const { isLimitUnreadable, isStamped, requestsPerS } = metadata;
     if (isLimitUnreadable || (requestsPerS === undefined && !isStamped)) {
       return;
@@ -79,6 +81,9 @@
         serverId,
         source: 'response',
       });
+      if ((previousPerS === undefined) !== (requestsPerS === undefined)) {
+        onLimitChanged();
+      }
     }
   }
 }
--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -11,6 +11,7 @@
 import type { BackendConnectionPool } from './BackendConnectionPool.js';
 import type { EngineCapacityCoordinator } from './EngineCapacityCoordinator.js';
 import type { EngineControl } from './EngineControl.js';
+import type { ServerAccess } from './ServerAccess.js';
 import type { ServerSignals } from './ServerSignals.js';
 import type { ServingLog } from './ServingLog.js';
 import type { WireProtocol } from './ServingPorts.js';
@@ -36,6 +37,7 @@
   readonly registry: ServerRegistry;
   /** Retries that this daemon may still send, by service. */
   readonly retryBudget: RetryBudget;
+  readonly serverAccess: ServerAccess;
   readonly serverSignals: ServerSignals;
 }
 
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { BackendServer, EngineLimits, EngineShare } from '@laburnumgap/dispatch';
+import type { BackendServer, EngineLimits, EngineShare, LimitReport } from '@laburnumgap/dispatch';
 import {
   addShares,
   EngineLoad,
@@ -30,6 +30,8 @@
 import { MoveCoordinator } from './MoveCoordinator.js';
 import { PeerLink } from './PeerLink.js';
 import { PlainCallRun } from './PlainCallRun.js';
+import { ServerAccess } from './ServerAccess.js';
+import { ServerLimitCoordinator } from './ServerLimitCoordinator.js';
 import { ServerSignals } from './ServerSignals.js';
 import type { ServingContext } from './ServingContext.js';
 import { ServingFront } from './ServingFront.js';
@@ -105,6 +107,7 @@
  * number.
  */
 const RETRY_BUDGET_SHARE = 0.8;
+const NO_MEMBERS: ReadonlySet<MemberId> = new Set();
 
 /**
  * One serving process: accepts callers' requests, places them on servers and follows the platform's
@@ -128,6 +131,7 @@
   private readonly moveCoordinator: MoveCoordinator;
   private openPlainCalls = 0;
   private readonly peers: PeerLink;
+  private readonly permits: ServerLimitCoordinator;
   private readonly readyServer;
   private registrationTimer: NodeJS.Timeout | undefined;
   private readonly registry: ServerRegistry;
@@ -152,13 +156,36 @@
       onLeaving: (server) => {
         this.clusterState.markLeaving([server], 'response');
       },
+      onLimitChanged: () => {
+        this.peers.scheduleHeartbeatToAll();
+      },
       protocol,
       registry: this.registry,
     });
+    this.permits = new ServerLimitCoordinator({
+      clock,
+      limits: this.limits,
+      log,
+      memberCount: () => this.peers.table.knownCount(),
+      memberId: settings.memberId,
+      ownerOf: (server) => this.peers.table.engineOwner(server, NO_MEMBERS),
+      seesMajority: () => this.peers.table.seesMajority(),
+      send: (message, memberId) => {
+        this.peers.sendTo(message, memberId);
+      },
+      serverOf: (serverId) => this.registry.get(serverId)?.server,
+    });
+    const serverAccess = new ServerAccess({
+      clock,
+      connections: this.connections,
+      permits: this.permits,
+      registry: this.registry,
+    });
     const engineControl = new EngineControl({
       clock,
       connections: this.connections,
       registry: this.registry,
+      serverAccess,
       serverSignals,
     });
     this.context = {
@@ -195,6 +222,7 @@
       randomUnit,
       registry: this.registry,
       retryBudget: this.retryBudget,
+      serverAccess,
       serverSignals,
     };
     this.clusterState = new ClusterState({
@@ -205,11 +233,15 @@
       directory,
       failureDomain: settings.failureDomain,
       host: settings.peers.host,
+      limits: () => this.limits.reports(clock.nowMs()),
       log,
       memberId: settings.memberId,
       onConfiguration: (table) => {
         this.front.applyLimits(table);
       },
+      onLimits: (limits) => {
+        this.recordLimits(limits);
+      },
       onNewEra: () => {
         this.scheduleRegistration();
       },
@@ -256,6 +288,7 @@
       isDraining: () => this.isDraining,
       isStoreDown: () => this.storeFollower.isStoreDown(),
       leavingServers: () => this.registry.serversMarkedLeaving(),
+      limits: () => this.limits.reports(clock.nowMs()),
       load: this.load,
       localShares: () => this.localShares(),
       log,
@@ -267,6 +300,9 @@
       onLeaving: (servers) => {
         this.clusterState.markLeaving(servers, 'peer');
       },
+      onLimits: (limits) => {
+        this.recordLimits(limits);
+      },
       onMessage: (message) => {
         switch (message.kind) {
           case 'changes':
@@ -275,6 +311,10 @@
           case 'configuration':
             void this.clusterState.onConfigurationMessage(message);
             break;
+          case 'permitRequest':
+          case 'permitResponse':
+            this.permits.onMessage(message);
+            break;
           case 'roomAnswer':
           case 'roomWanted':
             this.context.engineCapacity.onMessage(message);
@@ -434,6 +474,16 @@
     });
   }
 
+  /** Records limits that another daemon reports. */
+  private recordLimits(reports: readonly LimitReport[]): void {
+    const { clock, log } = this.options;
+    for (const report of reports) {
+      if (this.limits.recordReport(report, clock.nowMs())) {
+        log.info('server-limit-changed', { ...report, source: 'peer' });
+      }
+    }
+  }
+
   private localShares(): readonly EngineShare[] {
     const nowMs = this.options.clock.nowMs();
     const shareByServer = new Map<ServerId, EngineShare>();
@@ -496,6 +546,7 @@
     const isRegistered = (serverId: ServerId): boolean => this.registry.get(serverId) !== undefined;
     this.context.health.retain(isRegistered);
     this.limits.retain(isRegistered, nowMs);
+    this.permits.retain(isRegistered);
     this.connections.closeExpired();
     this.streamMover.moveStalledStreams();
     for (const { leaving, server } of this.registry.all()) {
--- a/packages/serving/src/__tests__/unit/ClusterStateEras.test.ts
+++ b/packages/serving/src/__tests__/unit/ClusterStateEras.test.ts
@@ -194,8 +194,10 @@
       failureDomain: toId<FailureDomainId>('a'),
       host: `10.0.0.${index}`,
       log: { info: () => undefined, warn: () => undefined },
+      limits: () => [],
       memberId: toId<MemberId>(`m${index}`),
       onConfiguration: () => undefined,
+      onLimits: () => undefined,
       onNewEra: () => undefined,
       onServerLeaving: () => undefined,
       peers: () => ({
--- a/packages/serving/src/__tests__/unit/LeavingServerPropagation.test.ts
+++ b/packages/serving/src/__tests__/unit/LeavingServerPropagation.test.ts
@@ -127,8 +127,10 @@
       failureDomain: toId<FailureDomainId>('a'),
       host: String(index),
       log: { info: () => undefined, warn: () => undefined },
+      limits: () => [],
       memberId: toId<MemberId>(`m${index}`),
       onConfiguration: () => undefined,
+      onLimits: () => undefined,
       onNewEra: () => undefined,
       onServerLeaving: () => {
         const daemon = this.daemons[index];
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -25,6 +25,8 @@
 export * from './ResponseChecks.js';
 export * from './ResponseParser.js';
 export * from './ResumePosition.js';
+export * from './ServerAccess.js';
+export * from './ServerLimitCoordinator.js';
 export * from './ServerSignals.js';
 export * from './ServingConstants.js';
 export type * from './ServingContext.js';
