Keep no second account of a limit at a draining daemon, and bound what daemons tell of limits

Cause: found by reading. A draining daemon still took itself for the owner of its servers while the others already asked its successor, so that two accounts existed for up to 2.8 s. Heartbeats listed every limited server: with hundreds of them a heartbeat no longer fits into a datagram. A report that went back and forth between daemons became newer by the time on its way. A report about a server that is not registered here was recorded and forgotten again with each heartbeat. Limits learned with a permit message left no log line. Mutants of the fleet test on: whole limit while alone, owner without majority, full account at the start, every daemon its own owner, five seconds saved, older observations win, zero never probed: each fails at least one test; asking a silent owner every time fails none, as it costs time only.

--- a/packages/dispatch/src/ServerLimits.ts
+++ b/packages/dispatch/src/ServerLimits.ts
@@ -17,6 +17,11 @@
   readonly requestsPerS?: number;
 }
 
+/**
+ * Reports pass from daemon to daemon, each adding the time on its way to the observation. A difference
+ * of less than this does not make an equal observation newer.
+ */
+const MIN_REFRESH_MS = 250;
 /** An ended limit is remembered until no daemon reports the limit any more. */
 const ENDED_LIMIT_RETENTION_MS = 30_000;
 
@@ -40,7 +45,9 @@
       return false;
     }
     const isSameStart = known?.startedEpochMs === startedEpochMs;
-    if (isSameStart && known.observedMs >= observedMs) {
+    const isSame = isSameStart && known.requestsPerS === requestsPerS;
+    const newerFromMs = isSame ? known.observedMs + MIN_REFRESH_MS : known?.observedMs;
+    if (isSameStart && newerFromMs !== undefined && observedMs <= newerFromMs) {
       return false;
     }
     if (!isSameStart && requestsPerS === undefined) {
@@ -48,7 +55,7 @@
       return known?.requestsPerS !== undefined;
     }
     this.observations.set(serverId, observation);
-    return !isSameStart || known.requestsPerS !== requestsPerS;
+    return !isSame;
   }
 
   /**
@@ -74,9 +81,18 @@
     return known && toReport(known, nowMs);
   }
 
-  /** Reports on all servers that named a limit, also on those that ended it recently. */
-  reports(nowMs: number): readonly LimitReport[] {
-    return [...this.observations.values()].map((known) => toReport(known, nowMs));
+  /**
+   * Reports on servers that named a limit, also on those that ended it recently.
+   *
+   * @param nowMs - monotonic time
+   * @param maxCount - the latest observations are reported; all by default
+   * @returns the reports, the latest observation first
+   */
+  reports(nowMs: number, maxCount = Infinity): readonly LimitReport[] {
+    return [...this.observations.values()]
+      .sort((a, b) => b.observedMs - a.observedMs)
+      .slice(0, maxCount)
+      .map((known) => toReport(known, nowMs));
   }
 
   /**
@@ -97,5 +113,5 @@
 
 function toReport(observation: LimitObservation, nowMs: number): LimitReport {
   const { observedMs, requestsPerS, serverId, startedEpochMs } = observation;
-  return { ageMs: nowMs - observedMs, requestsPerS, serverId, startedEpochMs };
+  return { ageMs: Math.round(nowMs - observedMs), requestsPerS, serverId, startedEpochMs };
 }
--- a/packages/dispatch/src/__tests__/unit/ServerLimits.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerLimits.test.ts
@@ -23,6 +23,36 @@
   t.is(limits.requestsPerS(SERVER), 4);
 });
 
+test('an observation that passes from daemon to daemon does not become newer on its way', (t) => {
+  const daemons = [new ServerLimits(), new ServerLimits()];
+  daemons[0]?.record(observation(3, 0));
+  const transitMs = 3;
+  for (let nowMs = 0; nowMs < 1_000; nowMs += 10) {
+    const [sender, receiver] = nowMs % 20 === 0 ? daemons : [...daemons].reverse();
+    const report = sender?.reportOf(SERVER.serverId, nowMs);
+    if (report) {
+      receiver?.recordReport(report, nowMs + transitMs);
+    }
+  }
+  const agesMs = daemons.map((limits) => limits.reportOf(SERVER.serverId, 1_000)?.ageMs);
+  t.deepEqual(agesMs, [1_000, 1_000 - transitMs]);
+});
+
+test('of many limits the latest observations are reported', (t) => {
+  const limits = new ServerLimits();
+  for (let index = 0; index < 30; index += 1) {
+    const serverId = toId<ServerId>(`s${index}`);
+    limits.record({ observedMs: index, requestsPerS: 1, serverId, startedEpochMs: 1 });
+  }
+  const reported = limits.reports(100, 3).map(({ ageMs, serverId }) => [ageMs, serverId]);
+  t.deepEqual(reported, [
+    [71, 's29'],
+    [72, 's28'],
+    [73, 's27'],
+  ]);
+  t.is(limits.reports(100).length, 30);
+});
+
 test('a limit that is no longer named ends, and older reports of it do not bring it back', (t) => {
   const limits = new ServerLimits();
   limits.record(observation(3, 100));
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -102,10 +102,11 @@
   }
 
   /**
-   * Selects the daemon that grants capacity at an engine. Draining daemons are not considered.
+   * Selects the daemon that grants capacity at an engine and permits for a server. Draining daemons are
+   * not considered.
    *
-   * @param server - the engine
-   * @param excluded - daemons that must not be selected
+   * @param server - the server
+   * @param excluded - daemons that must not be selected; this one is, where no other is left
    * @returns id of the owner; may be this daemon
    */
   engineOwner(
@@ -117,7 +118,8 @@
       (peer) => !peer.isDraining && !excluded.has(peer.memberId),
     );
     const self = { failureDomain: this.options.failureDomain, memberId };
-    return selectEngineOwner(serverId, failureDomain, [...others, self]) ?? memberId;
+    const candidates = excluded.has(memberId) ? others : [...others, self];
+    return selectEngineOwner(serverId, failureDomain, candidates) ?? memberId;
   }
 
   /**
--- a/packages/serving/src/ServerLimitCoordinator.ts
+++ b/packages/serving/src/ServerLimitCoordinator.ts
@@ -14,11 +14,13 @@
   /** Runs a function once after a delay; the returned function cancels it. */
   readonly after?: (delayMs: number, run: () => void) => Teardown;
   readonly clock: MonotonicClock;
-  readonly limits: ServerLimits;
+  readonly limits: Pick<ServerLimits, 'reportOf' | 'requestsPerS'>;
   readonly log: ServingLog;
   readonly memberId: MemberId;
   /** Number of known daemons, including this one. */
   readonly memberCount: () => number;
+  /** Called with what another daemon knows of a limit. */
+  readonly onLimit: (report: LimitReport) => void;
   /** Daemon that keeps the account of a server, as this daemon sees it. */
   readonly ownerOf: (server: BackendServer) => MemberId;
   /** Whether this daemon hears from most daemons; otherwise it may be cut off from the owner. */
@@ -119,9 +121,9 @@
 
   /** Handles a message of another daemon. */
   onMessage(message: PermitMessage): void {
-    const { clock, limits } = this.options;
+    const { clock, onLimit } = this.options;
     if (message.limit) {
-      limits.recordReport(message.limit, clock.nowMs());
+      onLimit(message.limit);
     }
     if (message.kind === 'permitRequest') {
       this.respond(message.requestNumber, message.serverId, message.maxWaitMs, message.memberId);
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -107,7 +107,8 @@
  * number.
  */
 const RETRY_BUDGET_SHARE = 0.8;
-const NO_MEMBERS: ReadonlySet<MemberId> = new Set();
+/** Limits of servers in one heartbeat, which has to fit into few IP fragments. */
+const MAX_REPORTED_LIMITS = 16;
 
 /**
  * One serving process: accepts callers' requests, places them on servers and follows the platform's
@@ -168,7 +169,14 @@
       log,
       memberCount: () => this.peers.table.knownCount(),
       memberId: settings.memberId,
-      ownerOf: (server) => this.peers.table.engineOwner(server, NO_MEMBERS),
+      onLimit: (report) => {
+        this.recordLimits([report]);
+      },
+      ownerOf: (server) => {
+        // The others do not ask a draining daemon, which must not keep a second account.
+        const excluded = this.isDraining ? [settings.memberId] : [];
+        return this.peers.table.engineOwner(server, new Set(excluded));
+      },
       seesMajority: () => this.peers.table.seesMajority(),
       send: (message, memberId) => {
         this.peers.sendTo(message, memberId);
@@ -288,7 +296,7 @@
       isDraining: () => this.isDraining,
       isStoreDown: () => this.storeFollower.isStoreDown(),
       leavingServers: () => this.registry.serversMarkedLeaving(),
-      limits: () => this.limits.reports(clock.nowMs()),
+      limits: () => this.limits.reports(clock.nowMs(), MAX_REPORTED_LIMITS),
       load: this.load,
       localShares: () => this.localShares(),
       log,
@@ -474,11 +482,12 @@
     });
   }
 
-  /** Records limits that another daemon reports. */
+  /** Records limits of known servers that another daemon reports. */
   private recordLimits(reports: readonly LimitReport[]): void {
     const { clock, log } = this.options;
     for (const report of reports) {
-      if (this.limits.recordReport(report, clock.nowMs())) {
+      const isRegistered = this.registry.get(report.serverId) !== undefined;
+      if (isRegistered && this.limits.recordReport(report, clock.nowMs())) {
         log.info('server-limit-changed', { ...report, source: 'peer' });
       }
     }
--- a/packages/serving/src/__tests__/unit/ClusterState.test.ts
+++ b/packages/serving/src/__tests__/unit/ClusterState.test.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, ServingConfiguration } from '@laburnumgap/dispatch';
+import type { BackendServer, LimitReport, ServingConfiguration } from '@laburnumgap/dispatch';
 import { ServerRegistry } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, Revision, ServerId, ServiceId } from '@laburnumgap/kernel';
 import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
@@ -20,12 +20,15 @@
   readonly completeFetch: (snapshot: PeerSnapshot | undefined) => Promise<void>;
   readonly configurationReads: () => number;
   readonly fetchedHosts: string[];
+  /** Limits that snapshots contained. */
+  readonly receivedLimits: LimitReport[];
 }
 
 function createState(): TestState {
   const announcedVersions: number[] = [];
   const configurations = new Map<string, ServingConfiguration>();
   const fetchedHosts: string[] = [];
+  const receivedLimits: LimitReport[] = [];
   let readCount = 0;
   const pendingFetches: ((snapshot: PeerSnapshot | undefined) => void)[] = [];
   const peers: ClusterPeers = {
@@ -64,10 +67,12 @@
     failureDomain: toId<FailureDomainId>('a'),
     host: '127.0.0.1',
     log: { info: () => undefined, warn: () => undefined },
-    limits: () => [],
+    limits: () => [LIMIT],
     memberId: toId<MemberId>('m1'),
     onConfiguration: () => undefined,
-    onLimits: () => undefined,
+    onLimits: (limits) => {
+      receivedLimits.push(...limits);
+    },
     onNewEra: () => undefined,
     onServerLeaving: () => undefined,
     peers: () => peers,
@@ -85,9 +90,26 @@
     completeFetch,
     configurationReads: () => readCount,
     fetchedHosts,
+    receivedLimits,
   };
 }
 
+const LIMIT: LimitReport = {
+  ageMs: 5,
+  requestsPerS: 3,
+  serverId: toId<ServerId>('s1'),
+  startedEpochMs: 1,
+};
+
+test('a snapshot carries the limits of servers, also to a daemon that is not behind', async (t) => {
+  const sender = createState();
+  t.deepEqual(sender.clusterState.snapshot(0).limits, [LIMIT]);
+  const { clusterState, completeFetch, receivedLimits } = createState();
+  void clusterState.syncFromPeer('10.0.0.1');
+  await completeFetch(sender.clusterState.snapshot(0));
+  t.deepEqual(receivedLimits, [LIMIT]);
+});
+
 test('load pattern: only a few snapshots are fetched at a time when many daemons are ahead', async (t) => {
   const { clusterState, completeFetch, fetchedHosts } = createState();
   for (let index = 0; index < 100; index += 1) {
--- a/packages/serving/src/__tests__/unit/PeerTable.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerTable.test.ts
@@ -1,4 +1,5 @@
-import type { FailureDomainId, MemberId, Revision } from '@laburnumgap/kernel';
+import type { BackendServer } from '@laburnumgap/dispatch';
+import type { FailureDomainId, MemberId, Revision, ServerId } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
 import type { DomainMember, PeerHeartbeat } from '../../index.js';
@@ -91,3 +92,31 @@
     ['a1', 'a2'].map((id) => toId<MemberId>(id)),
   );
 });
+
+test('a daemon owns servers only while it does not exclude itself, or knows no other', (t) => {
+  const { members, table } = createTable();
+  const server = { failureDomain: REMOTE, serverId: toId<ServerId>('s1') } as BackendServer;
+  const self = toId<MemberId>('a1');
+  t.is(table.engineOwner(server, new Set([self])), self);
+  table.recordDomain(REMOTE, members);
+  const ownerId = table.engineOwner(server, new Set([self]));
+  t.true(members.some(({ memberId }) => memberId === ownerId));
+  const inOwnDomain = { ...server, failureDomain: toId<FailureDomainId>('a') };
+  t.is(table.engineOwner(inOwnDomain, new Set()), self);
+  t.not(table.engineOwner(inOwnDomain, new Set([self])), self);
+});
+
+test('a daemon sees a majority while more than half of the known daemons live, with itself', (t) => {
+  const { members, table, time } = createTable();
+  t.true(table.seesMajority(), 'it knows no other');
+  members.forEach((member) => {
+    table.add(member);
+  });
+  t.false(table.seesMajority(), 'it has heard of none yet');
+  table.recordDomain(REMOTE, members.slice(0, 9));
+  t.false(table.seesMajority(), '10 of 21');
+  table.recordDomain(REMOTE, members.slice(0, 10));
+  t.true(table.seesMajority(), '11 of 21');
+  time.nowMs = 10_000;
+  t.false(table.seesMajority(), 'nobody was heard for long');
+});
--- a/packages/serving/src/__tests__/unit/ServerLimitFleet.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerLimitFleet.test.ts
@@ -192,6 +192,9 @@
       limits,
       log: { info: () => undefined, warn: () => undefined },
       memberCount: () => this.options.size,
+      onLimit: (report) => {
+        limits.recordReport(report, this.nowMs);
+      },
       memberId,
       ownerOf: () => this.viewOf(index).ownerId,
       seesMajority: () => this.viewOf(index).seesMajority,
