Remember the end of a limit at a restart, and ask again whether an engine backs off after a wait

Cause: found by reading. A restarted server that names no limit was forgotten, so that a late report of its earlier start was recorded and forgotten again with each heartbeat, a log line each. A control request can now wait a second for its permit, in which its engine may ask to be left alone. Change: the end of a limit is kept for the later start as well; a control request checks the engine's backoff again before it is sent. Measured: tests of dispatch, serving and platform pass; the late report has its assertion, which fails before.

--- a/packages/dispatch/src/ServerLimits.ts
+++ b/packages/dispatch/src/ServerLimits.ts
@@ -44,18 +44,18 @@
     if (known && known.startedEpochMs > startedEpochMs) {
       return false;
     }
-    const isSameStart = known?.startedEpochMs === startedEpochMs;
-    const isSame = isSameStart && known.requestsPerS === requestsPerS;
-    const newerFromMs = isSame ? known.observedMs + MIN_REFRESH_MS : known?.observedMs;
-    if (isSameStart && newerFromMs !== undefined && observedMs <= newerFromMs) {
+    if (!known && requestsPerS === undefined) {
       return false;
     }
-    if (!isSameStart && requestsPerS === undefined) {
-      this.observations.delete(serverId);
-      return known?.requestsPerS !== undefined;
+    const isSameLimit = known?.requestsPerS === requestsPerS;
+    if (known?.startedEpochMs === startedEpochMs) {
+      const newerFromMs = known.observedMs + (isSameLimit ? MIN_REFRESH_MS : 0);
+      if (observedMs <= newerFromMs) {
+        return false;
+      }
     }
     this.observations.set(serverId, observation);
-    return !isSame;
+    return !isSameLimit;
   }
 
   /**
--- a/packages/dispatch/src/__tests__/unit/ServerLimits.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerLimits.test.ts
@@ -74,6 +74,7 @@
   t.is(limits.requestsPerS({ ...SERVER, startedEpochMs: 2 }), undefined);
   t.true(limits.record(observation(undefined, 50, 2)), 'the restarted server names none');
   t.is(limits.requestsPerS(SERVER), undefined);
+  t.false(limits.record(observation(3, 70, 1)), 'a late report of the earlier start');
   limits.record(observation(7, 60, 2));
   t.false(limits.record(observation(3, 900, 1)), 'a report of the earlier start');
   t.is(limits.requestsPerS({ ...SERVER, startedEpochMs: 2 }), 7);
--- a/packages/serving/src/EngineControl.ts
+++ b/packages/serving/src/EngineControl.ts
@@ -23,6 +23,7 @@
   readonly serverSignals: Pick<ServerSignals, 'evaluate'>;
 }
 
+const BACKING_OFF: ControlOutcome = { kind: 'notSent', reason: 'the engine is backing off' };
 /** Moves of running streams are worth a wait that is short beside the time of a copy. */
 const CONTROL_PERMIT_WAIT_MS = 1_000;
 
@@ -43,11 +44,11 @@
     request: EngineControlRequest,
     timeoutMs = CONTROL_TIMEOUT_MS,
   ): Promise<ControlOutcome> {
-    const { clock, registry, serverAccess } = this.options;
-    const { serverId } = server;
+    const { clock, connections, registry, serverAccess } = this.options;
+    const isBackingOff = (): boolean => registry.isBackingOff(server.serverId, clock.nowMs());
     return new Promise((resolve) => {
-      if (registry.isBackingOff(serverId, clock.nowMs())) {
-        resolve({ kind: 'notSent', reason: 'the engine is backing off' });
+      if (isBackingOff()) {
+        resolve(BACKING_OFF);
         return;
       }
       serverAccess.acquire(server, CONTROL_PERMIT_WAIT_MS, {
@@ -55,6 +56,11 @@
           resolve({ kind: 'notSent', reason });
         },
         onConnected: (connection) => {
+          if (isBackingOff()) {
+            connections.release(server, connection);
+            resolve(BACKING_OFF);
+            return;
+          }
           this.sendOnConnection(server, connection, request, timeoutMs, resolve);
         },
         onLimited: (retryAfterMs) => {
