Read what arrived in a stalled process before an owner counts as silent

What callers saw: under load a generation could be sent to an engine without a grant, and be preempted there; the known-red test 'generations of two daemons ...' hung twice waiting for a refusal that never came. Cause: a process that stands still (frozen, or out of its processor quota) runs its expired timers before it reads the answer that has arrived meanwhile. The owner counted as silent, so did the next one, and the request went ahead without a grant. The same pattern is still in MoveCoordinator, where it costs a copy without a turn. Evidence: the new test stalls the process for 400 ms and failed before (a second owner was asked).

--- a/packages/serving/src/EngineCapacityCoordinator.ts
+++ b/packages/serving/src/EngineCapacityCoordinator.ts
@@ -6,8 +6,9 @@
   CapacityRequest,
 } from '@laburnumgap/dispatch';
 import { grantsCapacity } from '@laburnumgap/dispatch';
-import type { MemberId, MonotonicClock, RequestId, ServerId } from '@laburnumgap/kernel';
+import type { MemberId, MonotonicClock, RequestId, ServerId, Teardown } from '@laburnumgap/kernel';
 import type { CapacityMessage } from './PeerMessages.js';
+import { startResponseTimeout } from './ResponseTimeout.js';
 import type { ServingLog } from './ServingLog.js';
 
 /** Options of {@link EngineCapacityCoordinator}. */
@@ -35,7 +36,7 @@
 }
 
 interface PendingQuery extends OwnerQuery {
-  readonly timer: NodeJS.Timeout;
+  readonly cancelTimeout: Teardown;
 }
 
 /**
@@ -95,7 +96,7 @@
       onDecision(this.decide(capacityRequest, nowMs).isGranted);
       return;
     }
-    const timer = setTimeout(() => {
+    const cancelTimeout = startResponseTimeout(clock, OWNER_TIMEOUT_MS, () => {
       this.unresponsiveSinceMs.set(ownerId, clock.nowMs());
       this.pendingQueries.delete(requestId);
       log.warn('owner-silent', { owner: ownerId, requestId, serverId });
@@ -104,8 +105,8 @@
       } else {
         onDecision(true);
       }
-    }, OWNER_TIMEOUT_MS);
-    this.pendingQueries.set(requestId, { ...query, timer });
+    });
+    this.pendingQueries.set(requestId, { ...query, cancelTimeout });
     send({ kind: 'roomWanted', memberId, wish: capacityRequest }, ownerId);
   }
 
@@ -157,7 +158,7 @@
     if (pending?.capacityRequest.serverId !== serverId) {
       return;
     }
-    clearTimeout(pending.timer);
+    pending.cancelTimeout();
     this.pendingQueries.delete(requestId);
     pending.onDecision(isGranted);
   }
--- a/packages/serving/src/ServerLimitCoordinator.ts
+++ b/packages/serving/src/ServerLimitCoordinator.ts
@@ -7,6 +7,7 @@
 import { RequestAccount } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, ServerId, Teardown } from '@laburnumgap/kernel';
 import type { PermitMessage } from './PeerMessages.js';
+import { startResponseTimeout } from './ResponseTimeout.js';
 import type { ServingLog } from './ServingLog.js';
 
 /** Options of {@link ServerLimitCoordinator}. */
@@ -280,7 +281,8 @@
   }
 
   private after(delayMs: number, run: () => void): Teardown {
-    return (this.options.after ?? afterTimeout)(delayMs, run);
+    const { after, clock } = this.options;
+    return after ? after(delayMs, run) : startResponseTimeout(clock, delayMs, run);
   }
 }
 
@@ -298,10 +300,3 @@
   accounts.set(serverId, { account, startedEpochMs });
   return account;
 }
-
-function afterTimeout(delayMs: number, run: () => void): Teardown {
-  const timer = setTimeout(run, delayMs);
-  return () => {
-    clearTimeout(timer);
-  };
-}
--- a/packages/serving/src/__tests__/unit/EngineCapacityCoordinator.test.ts
+++ b/packages/serving/src/__tests__/unit/EngineCapacityCoordinator.test.ts
@@ -124,3 +124,19 @@
   t.true(await requestCapacity(cluster, 'm3', 'r1'));
   t.deepEqual(cluster.requestedOwners, ['m1', 'm2']);
 });
+
+test('load pattern: an answer that waits in a stalled process is read before its owner counts as silent', async (t) => {
+  const cluster = createCluster(['m1', 'm2', 'm3']);
+  await requestCapacity(cluster, 'm2', 'r1');
+  await requestCapacity(cluster, 'm2', 'r2');
+  // Within an immediate, so that expired timers run before the message is delivered.
+  const answer = await new Promise<boolean>((resolve) => {
+    setImmediate(() => {
+      void requestCapacity(cluster, 'm3', 'r3').then(resolve);
+      const stalledUntilMs = performance.now() + 400;
+      while (performance.now() < stalledUntilMs);
+    });
+  });
+  t.false(answer, 'the engine is full');
+  t.deepEqual(cluster.requestedOwners, ['m1', 'm1', 'm1']);
+});
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -24,6 +24,7 @@
 export * from './PlainCallRun.js';
 export * from './ResponseChecks.js';
 export * from './ResponseParser.js';
+export * from './ResponseTimeout.js';
 export * from './ResumePosition.js';
 export * from './ServerAccess.js';
 export * from './ServerLimitCoordinator.js';
