Replace a connection that closes while its request waits for a permit

Cause: found by reading. When a server names a limit while a connection to it is opened, the request waits for its permit with that connection in hand. If the server closed it meanwhile, the request was written to a closed connection, whose end nobody reports, and waited for its timeout. Change: such a connection is replaced by another one. ServerAccess has tests of its own. Evidence: 'a connection that closes while its request waits for a permit is replaced' fails without the check and passes. Measured: tests of serving and platform pass.

--- a/packages/serving/src/ServerAccess.ts
+++ b/packages/serving/src/ServerAccess.ts
@@ -76,7 +76,10 @@
     );
   }
 
-  /** The server can have named a limit while the connection was opened. */
+  /**
+   * The server can have named a limit while the connection was opened, and can close the connection
+   * before the permit arrives.
+   */
   private onConnectedWithoutPermit(
     server: BackendServer,
     connection: BackendConnection,
@@ -89,7 +92,11 @@
       listener.onLimited(retryAfterMs);
     };
     this.awaitPermit(server, maxPermitWaitMs, { onLimited }, () => {
-      listener.onConnected(connection);
+      if (connection.isReusable()) {
+        listener.onConnected(connection);
+      } else {
+        connections.acquire(server, listener);
+      }
     });
   }
 
