--- a/packages/dispatch/src/EngineOwner.ts
+++ b/packages/dispatch/src/EngineOwner.ts
@@ -1,21 +1,21 @@
 import type { FailureDomainId, MemberId, ServerId } from '@laburnumgap/kernel';
 import { rankMembers } from './MemberRanking.js';
 
-/** A live daemon that can be the owner of engines. */
+/** A live daemon that can be the owner of servers. */
 export interface OwnerCandidate {
   readonly failureDomain: FailureDomainId;
   readonly memberId: MemberId;
 }
 
 /**
- * Selects the owner of an engine: the daemon that grants its capacity before a generation is sent
- * to it. The owner is the first by rendezvous hashing among the daemons of the engine's failure
+ * Selects the owner of a server: the daemon that grants an engine's capacity before a generation is
+ * sent to it, and permits for a server that limits its requests. The owner is the first by rendezvous hashing among the daemons of the engine's failure
  * domain, which receive each other's load reports directly, or among all daemons where the domain
  * has none. Daemons that see different members may ask two owners for a while; each owner still
  * counts what it grants.
  *
- * @param serverId - the engine
- * @param failureDomain - failure domain of the engine
+ * @param serverId - the server
+ * @param failureDomain - failure domain of the server
  * @param candidates - the live daemons
  * @returns id of the owner, or undefined without daemons
  */
--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -64,6 +64,7 @@
 /** A release or a wave of spot reclaims removes a smaller fraction of the servers at once. */
 const DEFAULT_MASS_LAPSE_FRACTION = 0.5;
 const DEFAULT_MIN_MASS_LAPSE = 3;
+/** Used where the settings do not state how long servers drain. */
 const DEFAULT_SERVER_DRAIN_MS = 2_000;
 /** The rest of that time covers the delay until a daemon hears that a server leaves. */
 const USED_DRAIN_FRACTION = 0.5;
--- a/packages/dispatch/src/__tests__/unit/RequestAccount.test.ts
+++ b/packages/dispatch/src/__tests__/unit/RequestAccount.test.ts
@@ -39,13 +39,18 @@
 
 test('in no span of time are more requests sent than a server allows', (t) => {
   const request = fc.record({
-    afterMs: fc.integer({ max: 400, min: 0 }),
+    // Bursts, steady load and quiet times.
+    afterMs: fc.oneof(
+      { arbitrary: fc.constant(0), weight: 20 },
+      { arbitrary: fc.integer({ max: 400, min: 0 }), weight: 10 },
+      { arbitrary: fc.constant(8_000), weight: 1 },
+    ),
     maxWaitMs: fc.constantFrom(0, 0, 0, 1_000),
   });
   fc.assert(
     fc.property(
-      fc.double({ max: 50, min: 0, noNaN: true }),
-      fc.array(request, { maxLength: 120 }),
+      fc.integer({ max: 300, min: 0 }).map((tenths) => tenths / 10),
+      fc.array(request, { maxLength: 300, minLength: 50, size: 'max' }),
       (requestsPerS, requests) => {
         const account = new RequestAccount(0);
         const sentMs: number[] = [];
--- /dev/null
+++ b/packages/serving/src/__tests__/unit/EngineControl.test.ts
@@ -0,0 +1,69 @@
+import type { BackendServer } from '@laburnumgap/dispatch';
+import type { FailureDomainId, ServerId, ServiceId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import test from 'ava';
+import type { BackendConnection, ServerAccessListener } from '../../index.js';
+import { EngineControl } from '../../index.js';
+
+const SERVER: BackendServer = {
+  failureDomain: toId<FailureDomainId>('a'),
+  host: '10.0.0.1',
+  leaving: false,
+  port: 80,
+  serverId: toId<ServerId>('e1'),
+  service: toId<ServiceId>('engines'),
+  slots: 24,
+  startedEpochMs: 1,
+};
+const REQUEST = { body: '', headers: [], method: 'GET', path: '/status' };
+
+function createControl() {
+  const state = { isBackingOff: false, releasedCount: 0, sentCount: 0 };
+  const listeners: ServerAccessListener[] = [];
+  const connection = {
+    send: () => {
+      state.sentCount += 1;
+    },
+  } as unknown as BackendConnection;
+  const control = new EngineControl({
+    clock: { nowMs: () => 0 },
+    connections: {
+      release: () => {
+        state.releasedCount += 1;
+      },
+    },
+    registry: { isBackingOff: () => state.isBackingOff },
+    serverAccess: {
+      acquire: (_server, _maxPermitWaitMs, listener) => {
+        listeners.push(listener);
+      },
+    },
+    serverSignals: {
+      evaluate: () => {
+        throw new Error('no response in this test');
+      },
+    },
+  });
+  return { connection, control, listeners, state };
+}
+
+test('an engine that asks to be left alone while a request waits for its permit gets nothing', async (t) => {
+  const { connection, control, listeners, state } = createControl();
+  const outcome = control.send(SERVER, REQUEST);
+  state.isBackingOff = true;
+  listeners[0]?.onConnected(connection);
+  t.is((await outcome).kind, 'notSent');
+  t.is(state.sentCount, 0);
+  t.is(state.releasedCount, 1);
+});
+
+test('a control request without a permit is not sent', async (t) => {
+  const { control, listeners, state } = createControl();
+  const outcome = control.send(SERVER, REQUEST);
+  listeners[0]?.onLimited(400);
+  t.deepEqual(await outcome, {
+    kind: 'notSent',
+    reason: 'the engine takes no more requests for 400 ms',
+  });
+  t.is(state.sentCount, 0);
+});
--- a/packages/serving/src/__tests__/unit/PeerMessages.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerMessages.test.ts
@@ -8,6 +8,7 @@
   encodeConfiguration,
   encodeMessage,
   parseConfiguration,
+  parseDatagram,
   parsePeerMessage,
 } from '../../index.js';
 
@@ -77,8 +78,53 @@
   servers: [{ revision: 2, serverId: 's' }],
   sinceRevision: 1,
 };
+const LIMIT = { ageMs: 5, requestsPerS: 3, serverId: 's', startedEpochMs: 1 };
+const PERMIT_REQUEST = {
+  kind: 'permitRequest',
+  limit: LIMIT,
+  maxWaitMs: 0,
+  memberId: 'm',
+  requestNumber: 1,
+  serverId: 's',
+};
+const PERMIT_RESPONSE = {
+  decision: { kind: 'granted', waitMs: 0 },
+  kind: 'permitResponse',
+  limit: LIMIT,
+  requestNumber: 1,
+  serverId: 's',
+};
+const HEARTBEAT = {
+  configurationVersion: 1,
+  era: 1,
+  failureDomain: 'a',
+  host: 'h',
+  incarnation: 1,
+  isDraining: false,
+  isStopping: false,
+  leavingServers: [],
+  limits: [LIMIT],
+  memberId: 'm',
+  revision: 1,
+  sequence: 1,
+  shares: [],
+  storeIsAway: false,
+};
+const MALFORMED_LIMITS: readonly unknown[] = [
+  'x',
+  [null],
+  [{ ...LIMIT, ageMs: 'x' }],
+  [{ ...LIMIT, requestsPerS: null }],
+  [{ ...LIMIT, serverId: '' }],
+  [{ ...LIMIT, startedEpochMs: undefined }],
+];
 const VALID_MESSAGES: readonly object[] = [
   CHANGES,
+  PERMIT_REQUEST,
+  { ...PERMIT_REQUEST, limit: { ageMs: 5, serverId: 's', startedEpochMs: 1 } },
+  PERMIT_RESPONSE,
+  { ...PERMIT_RESPONSE, decision: { kind: 'declined', retryAfterMs: 300 } },
+  { ...PERMIT_RESPONSE, decision: { kind: 'notOwner' } },
   { failureDomain: 'a', host: 'h', kind: 'configuration', version: 3 },
   { kind: 'moveDone', requestId: 'r' },
   { kind: 'moveTurn', requestId: 'r', targetId: 't' },
@@ -106,6 +152,16 @@
   { kind: 'roomWanted', memberId: 7, wish: REQUEST },
   { kind: 'roomWanted', memberId: 'm', wish: null },
   { kind: 'roomWanted', memberId: 'm', wish: { ...REQUEST, serverId: [] } },
+  { ...PERMIT_REQUEST, limit: { ...LIMIT, ageMs: 'x' } },
+  { ...PERMIT_REQUEST, maxWaitMs: undefined },
+  { ...PERMIT_REQUEST, memberId: 7 },
+  { ...PERMIT_REQUEST, requestNumber: 'x' },
+  { ...PERMIT_RESPONSE, decision: null },
+  { ...PERMIT_RESPONSE, decision: { kind: 'declined' } },
+  { ...PERMIT_RESPONSE, decision: { kind: 'granted', waitMs: 'x' } },
+  { ...PERMIT_RESPONSE, decision: { kind: 'x' } },
+  { ...PERMIT_RESPONSE, limit: { ...LIMIT, startedEpochMs: 'x' } },
+  { ...PERMIT_RESPONSE, serverId: '' },
 ];
 
 test('valid messages are parsed unchanged', (t) => {
@@ -125,6 +181,16 @@
   }
 });
 
+test('a heartbeat carries limits, may lack them, and is ignored with malformed ones', (t) => {
+  const parse = (heartbeat: object): unknown =>
+    parseDatagram(Buffer.from(JSON.stringify(heartbeat)));
+  t.deepEqual(parse(HEARTBEAT), HEARTBEAT);
+  t.not(parse({ ...HEARTBEAT, limits: undefined }), undefined, 'from an earlier build');
+  for (const limits of MALFORMED_LIMITS) {
+    t.is(parse({ ...HEARTBEAT, limits }), undefined, JSON.stringify(limits));
+  }
+});
+
 test('a configuration survives its encoding, and other bytes are none', (t) => {
   const configuration = {
     limits: {},
--- a/packages/serving/src/__tests__/unit/ServerLimitFleet.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerLimitFleet.test.ts
@@ -20,6 +20,7 @@
 const ONE_WAY_DELAY_MS = 2;
 /** A daemon that is not heard for this long counts as dead. */
 const LIVENESS_TIMEOUT_MS = 1_200;
+const FROZEN_CHECK_INTERVAL_MS = 50;
 const VIEW_INTERVAL_MS = 100;
 const WINDOW_MS = 4_000;
 /** The server names its limit this long before the arrivals are counted. */
@@ -45,11 +46,6 @@
   readonly slot: number;
 }
 
-interface Arrival {
-  readonly atMs: number;
-  readonly daemon: number;
-}
-
 /** Whether a daemon is unable to run or to communicate at a time. */
 type Outage = (daemon: number, nowMs: number) => boolean;
 
@@ -58,6 +54,8 @@
   readonly isCut?: (sender: number, receiver: number, nowMs: number) => boolean;
   readonly isDown?: Outage;
   readonly isFrozen?: Outage;
+  /** Whether no callers send anything at a time. */
+  readonly isQuiet?: (nowMs: number) => boolean;
   /** What the server says at a time. */
   readonly limitAt?: (nowMs: number) => number | undefined;
   readonly lossRatio?: number;
@@ -70,7 +68,7 @@
 
 /** Daemons that send to one server, on a fake clock and a network with faults. */
 class TestFleet {
-  readonly arrivals: Arrival[] = [];
+  readonly arrivalTimesMs: number[] = [];
   readonly daemons: readonly TestDaemon[];
   nowMs = 0;
   /** Latest first; actions of the same time in the order of their scheduling. */
@@ -123,11 +121,8 @@
   }
 
   /** Largest excess of arrivals over what the server allows, in any window after it settled. */
-  maxExcess(isCounted: (daemon: number) => boolean = () => true): number {
-    const times = this.arrivals
-      .filter(({ daemon }) => isCounted(daemon))
-      .map(({ atMs }) => atMs)
-      .sort((a, b) => a - b);
+  maxExcess(): number {
+    const times = [...this.arrivalTimesMs].sort((a, b) => a - b);
     const excesses = times
       .filter((startMs) => startMs >= SETTLE_MS)
       .map((startMs) => {
@@ -140,7 +135,7 @@
   }
 
   arrivedBetween(startMs: number, endMs: number): number {
-    return this.arrivals.filter(({ atMs }) => atMs >= startMs && atMs < endMs).length;
+    return this.arrivalTimesMs.filter((ms) => ms >= startMs && ms < endMs).length;
   }
 
   private limitAt(nowMs: number): number | undefined {
@@ -259,9 +254,7 @@
 
   private send(message: PermitMessage, sender: number, recipientId: MemberId): void {
     const receiver = this.daemons.findIndex(({ memberId }) => memberId === recipientId);
-    const isLost =
-      this.isCut(sender, receiver, this.nowMs) || this.randomUnit() < (this.options.lossRatio ?? 0);
-    if (!isLost) {
+    if (!this.isLost(sender, receiver)) {
       this.afterAt(receiver, ONE_WAY_DELAY_MS, () => {
         this.daemons[receiver]?.coordinator.onMessage(message);
       });
@@ -280,7 +273,7 @@
         return;
       }
       if (this.options.isFrozen?.(daemon, this.nowMs)) {
-        this.afterAt(daemon, 50, run);
+        this.afterAt(daemon, FROZEN_CHECK_INTERVAL_MS, run);
       } else {
         run();
       }
@@ -288,7 +281,7 @@
   }
 
   private sendRequest(daemon: number): void {
-    if (this.isAway(daemon, this.nowMs)) {
+    if (this.isAway(daemon, this.nowMs) || this.options.isQuiet?.(this.nowMs)) {
       return;
     }
     const target = this.daemons[daemon];
@@ -297,7 +290,7 @@
     }
     target.coordinator.requestPermit(SERVER, 0, (decision) => {
       if (decision.kind === 'granted') {
-        this.arrivals.push({ atMs: this.nowMs + decision.waitMs, daemon });
+        this.arrivalTimesMs.push(this.nowMs + decision.waitMs);
         // Every response says what the server says then.
         this.after(ONE_WAY_DELAY_MS, () => {
           this.observe(daemon);
@@ -326,6 +319,13 @@
     t.true(fleet.arrivedBetween(SETTLE_MS, END_MS) >= 0.8 * 5 * 17, 'the server is used');
   });
 
+  test(`load pattern: ${size} daemons keep to a limit in a burst after a quiet time`, (t) => {
+    const fleet = new TestFleet({ isQuiet: (ms) => isBetween(ms, 5_000, 12_000), size });
+    fleet.run();
+    t.true(fleet.maxExcess() <= 0, `excess ${fleet.maxExcess()}`);
+    t.true(fleet.arrivedBetween(12_000, END_MS) >= 0.8 * 5 * 8, 'the server is used');
+  });
+
   test(`${size} daemons keep to a limit while its owner is dead`, (t) => {
     const owner = new TestFleet({ size }).owner();
     const fleet = new TestFleet({ isDown: (daemon, ms) => daemon === owner && ms > 6_000, size });
