Carry messages between daemons by a transport of its own

Cause: the tests of the ways of a version need many daemons on a fake clock, and PeerLink opened its sockets itself. Its requests read bodies of any length. Change: PeerSockets holds the datagram socket and the server for state; PeerLink decides what is sent. A state above 16 MiB is not read. No decision changed.

--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -1,7 +1,3 @@
-import type { Socket } from 'node:dgram';
-import { createSocket } from 'node:dgram';
-import type { Server, ServerResponse } from 'node:http';
-import { createServer, get } from 'node:http';
 import type {
   EngineLoad,
   EngineShare,
@@ -32,6 +28,7 @@
   parseSnapshot,
 } from './PeerMessages.js';
 import { domainSourceId, PeerTable } from './PeerTable.js';
+import type { PeerTransport } from './PeerTransport.js';
 import type { ServingLog } from './ServingLog.js';
 import type { MemberAddress } from './ServingPorts.js';
 
@@ -39,7 +36,6 @@
 export interface PeerLinkOptions {
   readonly clock: MonotonicClock;
   readonly failureDomain: FailureDomainId;
-  readonly heartbeatPort: number;
   readonly host: string;
   readonly incarnation: number;
   readonly isDraining: () => boolean;
@@ -69,7 +65,7 @@
    * State of this daemon for a peer; contains the configuration only if newer than `knownVersion`.
    */
   readonly snapshot: (knownVersion: number) => PeerSnapshot;
-  readonly snapshotPort: number;
+  readonly transport: PeerTransport;
 }
 
 /** Delay of a heartbeat after a change, so that further changes go into the same heartbeat. */
@@ -94,13 +90,12 @@
 const CONFIGURATION_PATH = '/peer/configuration';
 /** Delay before a relay also tells the daemons that the other relay of its domain should have told. */
 const OTHER_RELAY_DELAY_MS = 150;
-const STATUS_OK = 200;
-const STATUS_NOT_FOUND = 404;
+/** Far above the state of the largest fleet: the store takes at most 1 MiB of configuration. */
+const MAX_STATE_BYTES = 16_777_216;
 
 /**
- * Exchanges heartbeats and messages with the other daemons over UDP: load at the engines, leaving
- * servers and the applied revision of the store. Serves snapshots over HTTP to daemons that the
- * store does not respond to.
+ * Exchanges heartbeats and messages with the other daemons: load at the engines, leaving servers and
+ * the applied revision of the store. Serves snapshots to daemons that the store does not respond to.
  */
 export class PeerLink {
   private coalesceTimer: NodeJS.Timeout | undefined;
@@ -108,23 +103,16 @@
   private domainLoadTimer: NodeJS.Timeout | undefined;
   private encodedConfiguration: { readonly bytes: Buffer; readonly version: number } | undefined;
   private heartbeatTimer: NodeJS.Timeout | undefined;
-  private isClosed = false;
   private isStopping = false;
   private readonly lagDetector = new LagDetector();
   private livenessOnlySentMs = -Infinity;
   private sequence = 0;
-  private readonly server: Server;
-  private readonly socket: Socket;
 
   /** The known daemons and their liveness. */
   readonly table: PeerTable;
 
   constructor(private readonly options: PeerLinkOptions) {
     this.table = new PeerTable(options);
-    this.socket = createSocket('udp4');
-    this.server = createServer((request, response) => {
-      this.onPeerRequest(new URL(request.url ?? '/', 'http://peer'), response);
-    });
   }
 
   /**
@@ -133,20 +121,11 @@
    * @returns resolves when both ports are open; rejects when one cannot be opened
    */
   async start(): Promise<void> {
-    const { heartbeatPort, host, log, snapshotPort } = this.options;
-    this.socket.on('message', (bytes) => {
-      this.onDatagram(bytes);
-    });
-    this.socket.on('error', (error) => {
-      log.warn('peer-socket-failed', { reason: error.message });
-    });
-    await new Promise<void>((resolve, reject) => {
-      this.socket.once('error', reject);
-      this.socket.bind(heartbeatPort, host, resolve);
-    });
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(snapshotPort, host, resolve);
+    await this.options.transport.open({
+      onDatagram: (bytes) => {
+        this.onDatagram(bytes);
+      },
+      onRequest: (url) => this.stateFor(url),
     });
     this.heartbeatTimer = setInterval(() => {
       this.sendHeartbeat();
@@ -157,22 +136,20 @@
     this.sendHeartbeat();
   }
 
-  /** Sends a last heartbeat that marks this daemon as stopping, and closes. Idempotent. */
-  stop(): void {
-    if (this.isStopping) {
-      return;
+  /**
+   * Sends a last heartbeat that marks this daemon as stopping, and closes. Idempotent.
+   *
+   * @returns resolves when the ports are free
+   */
+  async stop(): Promise<void> {
+    if (!this.isStopping) {
+      this.isStopping = true;
+      clearTimeout(this.coalesceTimer);
+      clearInterval(this.domainLoadTimer);
+      clearInterval(this.heartbeatTimer);
+      this.sendHeartbeat();
+      await this.options.transport.close();
     }
-    this.isStopping = true;
-    clearTimeout(this.coalesceTimer);
-    clearInterval(this.domainLoadTimer);
-    clearInterval(this.heartbeatTimer);
-    this.sendHeartbeat();
-    this.server.close();
-    this.server.closeAllConnections();
-    setImmediate(() => {
-      this.isClosed = true;
-      this.socket.close();
-    });
   }
 
   /** Schedules a heartbeat after a change. */
@@ -270,50 +247,24 @@
   }
 
   /** Body of a successful response of another daemon; undefined, with a log line, without one. */
-  private fetch(host: string, path: string, timeoutMs: number): Promise<Buffer | undefined> {
-    const { log, snapshotPort } = this.options;
-    return new Promise((resolve) => {
-      const onFailed = (reason: string): void => {
-        clearTimeout(timer);
-        log.info('peer-request-failed', { host, path, reason });
-        resolve(undefined);
-      };
-      const request = get({ agent: false, host, path, port: snapshotPort }, (response) => {
-        const chunks: Buffer[] = [];
-        response.on('data', (chunk: Buffer) => chunks.push(chunk));
-        response.on('error', (error) => {
-          onFailed(error.message);
-        });
-        response.on('end', () => {
-          if (response.statusCode !== STATUS_OK) {
-            onFailed(`status ${response.statusCode ?? 0}`);
-            return;
-          }
-          clearTimeout(timer);
-          resolve(Buffer.concat(chunks));
-        });
-      });
-      const timer = setTimeout(() => request.destroy(new Error('timeout')), timeoutMs);
-      request.on('error', (error) => {
-        onFailed(error.message);
-      });
-    });
+  private async fetch(host: string, path: string, timeoutMs: number): Promise<Buffer | undefined> {
+    const { log, transport } = this.options;
+    const body = await transport.fetch(host, path, { maxBytes: MAX_STATE_BYTES, timeoutMs });
+    if (!body.ok) {
+      log.info('peer-request-failed', { host, path, reason: body.error });
+      return undefined;
+    }
+    return body.value;
   }
 
-  private onPeerRequest(url: URL, response: ServerResponse): void {
+  private stateFor(url: URL): Buffer | undefined {
     const { configuration, snapshot } = this.options;
-    const active = configuration();
     if (url.pathname === SNAPSHOT_PATH) {
       const knownVersion = Number(url.searchParams.get('version') ?? 0);
-      response.writeHead(STATUS_OK, { 'Content-Type': 'application/json' });
-      response.end(JSON.stringify(snapshot(knownVersion)));
-    } else if (url.pathname === CONFIGURATION_PATH && active) {
-      response.writeHead(STATUS_OK, { 'Content-Type': 'application/octet-stream' });
-      response.end(this.encodeOnce(active));
-    } else {
-      response.writeHead(STATUS_NOT_FOUND);
-      response.end();
+      return Buffer.from(JSON.stringify(snapshot(knownVersion)));
     }
+    const active = url.pathname === CONFIGURATION_PATH ? configuration() : undefined;
+    return active && this.encodeOnce(active);
   }
 
   /** Encodes a configuration once, however many daemons fetch it. */
@@ -417,14 +368,9 @@
   }
 
   private sendToHosts(encodedMessage: string, hosts: readonly string[]): void {
-    if (this.isClosed) {
-      return;
-    }
     const bytes = Buffer.from(encodedMessage);
     for (const host of new Set(hosts)) {
-      this.socket.send(bytes, this.options.heartbeatPort, host, () => {
-        // Send errors are ignored: the next heartbeat replaces a lost datagram.
-      });
+      this.options.transport.send(bytes, host);
     }
   }
 
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -29,6 +29,7 @@
 import { GenerationRun } from './GenerationRun.js';
 import { MoveCoordinator } from './MoveCoordinator.js';
 import { PeerLink } from './PeerLink.js';
+import { PeerSockets } from './PeerSockets.js';
 import { PlainCallRun } from './PlainCallRun.js';
 import { ServerAccess } from './ServerAccess.js';
 import { ServerLimitCoordinator } from './ServerLimitCoordinator.js';
@@ -290,7 +291,6 @@
       clock,
       configuration: () => this.clusterState.routes()?.configuration,
       failureDomain: settings.failureDomain,
-      heartbeatPort: settings.heartbeatPort,
       host: settings.peers.host,
       incarnation,
       isDraining: () => this.isDraining,
@@ -334,7 +334,12 @@
       position: () => this.clusterState.position(),
       seedHosts: settings.seedHosts,
       snapshot: (knownVersion) => this.clusterState.snapshot(knownVersion),
-      snapshotPort: settings.peers.port,
+      transport: new PeerSockets({
+        heartbeatPort: settings.heartbeatPort,
+        host: settings.peers.host,
+        log,
+        snapshotPort: settings.peers.port,
+      }),
     });
     this.engineReports = new EngineReports({
       engineControl,
@@ -413,7 +418,7 @@
     clearInterval(this.tickTimer);
     clearTimeout(this.registrationTimer);
     this.storeFollower.stop();
-    this.peers.stop();
+    void this.peers.stop();
     this.readyServer.close();
     this.readyServer.closeAllConnections();
     this.front.stopListening();
--- a/packages/serving/src/__tests__/integration/PeerLink.test.ts
+++ b/packages/serving/src/__tests__/integration/PeerLink.test.ts
@@ -3,7 +3,7 @@
 import type { FailureDomainId, MemberId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
-import { FIRST_POSITION, PeerLink } from '../../index.js';
+import { FIRST_POSITION, PeerLink, PeerSockets } from '../../index.js';
 
 test('starting fails when the port for datagrams is taken', async (t) => {
   const host = '127.0.0.1';
@@ -12,11 +12,11 @@
     other.bind(0, host, resolve);
   });
   const position = { ...FIRST_POSITION, configurationVersion: 0 };
+  const log = { info: () => undefined, warn: () => undefined };
   const link = new PeerLink({
     clock: { nowMs: () => 0 },
     configuration: () => undefined,
     failureDomain: toId<FailureDomainId>('a'),
-    heartbeatPort: other.address().port,
     host,
     incarnation: 1,
     isDraining: () => false,
@@ -25,7 +25,7 @@
     limits: () => [],
     load: new EngineLoad(),
     localShares: () => [],
-    log: { info: () => undefined, warn: () => undefined },
+    log,
     memberId: toId<MemberId>('m1'),
     onLagging: () => undefined,
     onLeaving: () => undefined,
@@ -34,7 +34,12 @@
     position: () => position,
     seedHosts: [],
     snapshot: () => ({ ...FIRST_POSITION, members: [], servers: [] }),
-    snapshotPort: 0,
+    transport: new PeerSockets({
+      heartbeatPort: other.address().port,
+      host,
+      log,
+      snapshotPort: 0,
+    }),
   });
   await t.throwsAsync(link.start(), { code: 'EADDRINUSE' });
   other.close();
