Wait for the sockets of a closed daemon before its network is released

What was seen: EADDRINUSE 127.1.1.1:21301 in a test run. The fixture released its loopback network while the daemons' heartbeat sockets were still open, so that the next test took the same network. Cause: ServingDaemon.close did not wait; the datagram socket closes one turn of the event loop later. A daemon that is closed while it opens its sockets opens no further one.

--- a/packages/serving/src/PeerSockets.ts
+++ b/packages/serving/src/PeerSockets.ts
@@ -24,7 +24,6 @@
 /** Carries datagrams between daemons over UDP, and requests for their state over HTTP. */
 export class PeerSockets implements PeerTransport {
   private isClosed = false;
-  private isOpen = false;
   private listener: PeerTransportListener | undefined;
   private readonly server: Server;
   private readonly socket: Socket;
@@ -51,7 +50,9 @@
       this.socket.once('error', reject);
       this.socket.bind(heartbeatPort, host, resolve);
     });
-    this.isOpen = true;
+    if (this.isClosed) {
+      return;
+    }
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(snapshotPort, host, resolve);
@@ -59,9 +60,6 @@
   }
 
   async close(): Promise<void> {
-    if (this.isClosed) {
-      return;
-    }
     const serverClosed = new Promise<void>((resolve) => {
       this.server.close(() => {
         resolve();
@@ -71,9 +69,7 @@
     // Datagrams leave the process in the next turn of the event loop.
     await new Promise((resolve) => setImmediate(resolve));
     this.isClosed = true;
-    if (this.isOpen) {
-      await new Promise<void>((resolve) => this.socket.close(resolve));
-    }
+    await new Promise<void>((resolve) => this.socket.close(resolve));
     await serverClosed;
   }
 
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -409,21 +409,27 @@
       await sleep(TICK_MS / 2);
     }
     log.info('stopped', { openCalls: this.openPlainCalls, openStreams: this.generationRuns.size });
-    this.close();
+    await this.close();
   }
 
-  /** Closes all listeners and connections immediately. */
-  close(): void {
+  /**
+   * Closes all listeners and connections immediately.
+   *
+   * @returns resolves when the ports are free
+   */
+  async close(): Promise<void> {
     this.isClosed = true;
     clearInterval(this.tickTimer);
     clearTimeout(this.registrationTimer);
     this.storeFollower.stop();
-    void this.peers.stop();
-    this.readyServer.close();
+    const readyServerClosed = new Promise<void>((resolve) => {
+      this.readyServer.close(() => {
+        resolve();
+      });
+    });
     this.readyServer.closeAllConnections();
-    this.front.stopListening();
-    this.front.closeAll();
     this.connections.close();
+    await Promise.all([this.front.close(), this.peers.stop(), readyServerClosed]);
   }
 
   /** Whether the load balancer may send new connections. */
--- a/packages/serving/src/ServingFront.ts
+++ b/packages/serving/src/ServingFront.ts
@@ -99,9 +99,15 @@
     this.server.close();
   }
 
-  /** Closes all connections, including those with open requests. */
-  closeAll(): void {
+  /** Stops accepting connections and closes all, including those with open requests. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+    });
     this.server.closeAllConnections();
+    await closed;
   }
 
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
