Separate how a daemon follows the cluster from how it serves

Cause: the way a version takes through a daemon (store, peers, pings, registration) was wired inside ServingDaemon, where no test reaches it without sockets and callers. Change: ClusterSync holds that wiring, unchanged; ServingDaemon holds the serving.

--- /dev/null
+++ b/packages/serving/src/ClusterSync.ts
@@ -0,0 +1,223 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type {
+  EngineLoad,
+  EngineShare,
+  LimitReport,
+  RouteTable,
+  ServerLimits,
+  ServerRegistry,
+} from '@laburnumgap/dispatch';
+import type {
+  FailureDomainId,
+  MemberId,
+  MonotonicClock,
+  ServerId,
+  StoreEra,
+} from '@laburnumgap/kernel';
+import { ClusterState } from './ClusterState.js';
+import { DirectoryFollower } from './DirectoryFollower.js';
+import { PeerLink } from './PeerLink.js';
+import type { CapacityMessage, MoveMessage, PermitMessage } from './PeerMessages.js';
+import type { PeerTransport } from './PeerTransport.js';
+import type { ServingLog } from './ServingLog.js';
+import type { PlatformDirectory } from './ServingPorts.js';
+
+/** Options of {@link ClusterSync}. */
+export interface ClusterSyncOptions {
+  readonly clock: MonotonicClock;
+  readonly directory: PlatformDirectory;
+  readonly failureDomain: FailureDomainId;
+  readonly host: string;
+  /** Start time of the process; distinguishes restarts under the same member id. */
+  readonly incarnation: number;
+  readonly isDraining: () => boolean;
+  readonly limits: Pick<ServerLimits, 'reports'>;
+  readonly load: EngineLoad;
+  readonly localShares: () => readonly EngineShare[];
+  readonly log: ServingLog;
+  readonly memberId: MemberId;
+  readonly onConfiguration: (table: RouteTable) => void;
+  /** Called with the limits of servers that another daemon knows. */
+  readonly onLimits: (limits: readonly LimitReport[]) => void;
+  readonly onMessage: (message: CapacityMessage | MoveMessage | PermitMessage) => void;
+  readonly onServerLeaving: (serverId: ServerId) => void;
+  readonly randomUnit: () => number;
+  readonly registry: ServerRegistry;
+  /** Hosts of daemons to contact before the platform's store was read. */
+  readonly seedHosts: readonly string[];
+  readonly transport: PeerTransport;
+}
+
+/** Time between attempts to register with the store. */
+const REGISTER_RETRY_MS = 2_000;
+/** In a new era of the store, all daemons register again within this times their number. */
+const REGISTER_SPREAD_PER_MEMBER_MS = 20;
+/**
+ * Time between two store pings of the whole fleet. The interval of each daemon is this times the
+ * number of daemons.
+ */
+const PING_INTERVAL_PER_MEMBER_MS = 80;
+/** Limits of servers in one heartbeat, which has to fit into few IP fragments. */
+const MAX_REPORTED_LIMITS = 16;
+
+/**
+ * Keeps what this daemon knows of configuration, servers and other daemons in step with the
+ * platform's store and the other daemons.
+ */
+export class ClusterSync {
+  private isRegistering = false;
+  private isStopped = false;
+  private registrationTimer: NodeJS.Timeout | undefined;
+  private readonly storeFollower: DirectoryFollower;
+  private storePingedMs = -Infinity;
+
+  readonly peers: PeerLink;
+  readonly state: ClusterState;
+
+  constructor(private readonly options: ClusterSyncOptions) {
+    const { clock, directory, failureDomain, host, limits, log, memberId, randomUnit, registry } =
+      options;
+    this.state = new ClusterState({
+      advanceStorePosition: (position) => {
+        this.storeFollower.advance(position);
+      },
+      clock,
+      directory,
+      failureDomain,
+      host,
+      limits: () => limits.reports(clock.nowMs()),
+      log,
+      memberId,
+      onConfiguration: options.onConfiguration,
+      onLimits: options.onLimits,
+      onNewEra: () => {
+        this.scheduleRegistration();
+      },
+      onServerLeaving: options.onServerLeaving,
+      peers: () => this.peers,
+      randomUnit,
+      registry,
+    });
+    this.peers = new PeerLink({
+      clock,
+      configuration: () => this.state.routes()?.configuration,
+      failureDomain,
+      host,
+      incarnation: options.incarnation,
+      isDraining: options.isDraining,
+      isStoreDown: () => this.storeFollower.isStoreDown(),
+      leavingServers: () => registry.serversMarkedLeaving(),
+      limits: () => limits.reports(clock.nowMs(), MAX_REPORTED_LIMITS),
+      load: options.load,
+      localShares: options.localShares,
+      log,
+      memberId,
+      onLagging: (peer) => {
+        this.storeFollower.restartWatch();
+        void this.state.syncFromPeer(peer.host);
+      },
+      onLeaving: (servers) => {
+        this.state.markLeaving(servers, 'peer');
+      },
+      onLimits: options.onLimits,
+      onMessage: (message) => {
+        switch (message.kind) {
+          case 'changes':
+            this.state.onChangesMessage(message);
+            break;
+          case 'configuration':
+            void this.state.onConfigurationMessage(message);
+            break;
+          default:
+            options.onMessage(message);
+        }
+      },
+      position: () => this.state.position(),
+      seedHosts: options.seedHosts,
+      snapshot: (knownVersion) => this.state.snapshot(knownVersion),
+      transport: options.transport,
+    });
+    this.storeFollower = new DirectoryFollower({
+      clock,
+      directory,
+      isWatcher: () => this.peers.table.isWatcher(),
+      log,
+      onChanges: (changes, isFullRead) => {
+        this.state.applyStoreChanges(changes, isFullRead);
+      },
+      onStoreDown: () => {
+        this.state.syncFromAnyPeer();
+      },
+      randomUnit,
+    });
+  }
+
+  /**
+   * Starts to follow the store and to exchange messages.
+   *
+   * @returns resolves when the sockets are open; rejects when one cannot be opened
+   */
+  async start(): Promise<void> {
+    this.storeFollower.start();
+    await this.peers.start();
+  }
+
+  /**
+   * Registers the entry by which other daemons find this one; retries until the store accepts it in
+   * its current era. Does nothing while it is being registered.
+   */
+  async register(): Promise<void> {
+    const { directory, host, isDraining, log, memberId } = this.options;
+    if (this.isRegistering) {
+      return;
+    }
+    this.isRegistering = true;
+    let registeredEra: StoreEra | undefined;
+    const isRegistered = (): boolean =>
+      registeredEra !== undefined && registeredEra >= this.state.position().era;
+    while (!isRegistered() && !isDraining() && !this.isStopped) {
+      const registered = await directory.register({ host, memberId });
+      if (registered.ok) {
+        registeredEra = registered.value ?? this.state.position().era;
+      } else {
+        log.warn('member-not-registered', registered.error);
+        await sleep(REGISTER_RETRY_MS);
+      }
+    }
+    this.isRegistering = false;
+  }
+
+  /** Removes servers whose entries expired, and pings the store when it is time. */
+  onTick(nowMs: number): void {
+    this.state.removeExpiredServers();
+    this.pingStoreIfDue(nowMs);
+  }
+
+  /** Stops following the store and closes the sockets; resolves when the ports are free. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    clearTimeout(this.registrationTimer);
+    this.storeFollower.stop();
+    await this.peers.stop();
+  }
+
+  /** Registers again in a new era of the store, spread out so that its rate limit suffices. */
+  private scheduleRegistration(): void {
+    const spreadMs = REGISTER_SPREAD_PER_MEMBER_MS * this.peers.table.knownCount();
+    clearTimeout(this.registrationTimer);
+    this.registrationTimer = setTimeout(() => {
+      void this.register();
+    }, this.options.randomUnit() * spreadMs);
+  }
+
+  /** Pings less often in a larger fleet, so that the store's load stays constant. */
+  private pingStoreIfDue(nowMs: number): void {
+    if (nowMs - this.storePingedMs < PING_INTERVAL_PER_MEMBER_MS * this.peers.table.knownCount()) {
+      return;
+    }
+    this.storePingedMs = nowMs;
+    void this.storeFollower.ping().then(() => {
+      this.peers.scheduleHeartbeat();
+    });
+  }
+}
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -11,24 +11,16 @@
   ServerLimits,
   ServerRegistry,
 } from '@laburnumgap/dispatch';
-import type {
-  FailureDomainId,
-  MemberId,
-  MonotonicClock,
-  ServerId,
-  StoreEra,
-} from '@laburnumgap/kernel';
+import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { BackendConnectionPool } from './BackendConnectionPool.js';
 import { CallsInFlight } from './CallsInFlight.js';
-import { ClusterState } from './ClusterState.js';
-import { DirectoryFollower } from './DirectoryFollower.js';
+import { ClusterSync } from './ClusterSync.js';
 import { EngineCapacityCoordinator } from './EngineCapacityCoordinator.js';
 import { EngineControl } from './EngineControl.js';
 import { EngineReports } from './EngineReports.js';
 import { GenerationRun } from './GenerationRun.js';
 import { MoveCoordinator } from './MoveCoordinator.js';
-import { PeerLink } from './PeerLink.js';
 import { PeerSockets } from './PeerSockets.js';
 import { PlainCallRun } from './PlainCallRun.js';
 import { ServerAccess } from './ServerAccess.js';
@@ -84,15 +76,6 @@
 
 /** Interval of the checks for streams on leaving engines and for expired server entries. */
 const TICK_MS = 100;
-/** Time between attempts to register with the store. */
-const REGISTER_RETRY_MS = 2_000;
-/** In a new era of the store, all daemons register again within this times their number. */
-const REGISTER_SPREAD_PER_MEMBER_MS = 20;
-/**
- * Time between two store pings of the whole fleet. The interval of each daemon is this times the
- * number of daemons.
- */
-const PING_INTERVAL_PER_MEMBER_MS = 80;
 /** Interval of the reports requested from engines with streams while the store is unreachable. */
 const ENGINE_REPORT_INTERVAL_MS = 250;
 /**
@@ -108,8 +91,6 @@
  * number.
  */
 const RETRY_BUDGET_SHARE = 0.8;
-/** Limits of servers in one heartbeat, which has to fit into few IP fragments. */
-const MAX_REPORTED_LIMITS = 16;
 
 /**
  * One serving process: accepts callers' requests, places them on servers and follows the platform's
@@ -117,29 +98,23 @@
  */
 export class ServingDaemon {
   private readonly callsInFlight = new CallsInFlight();
-  private readonly clusterState: ClusterState;
+  private readonly cluster: ClusterSync;
   private readonly connections: BackendConnectionPool;
   private readonly context: ServingContext;
   private readonly engineReports: EngineReports;
   private engineReportsRequestedMs = -Infinity;
   private readonly front: ServingFront;
   private readonly generationRuns = new Set<GenerationRun>();
-  private isClosed = false;
   private isDraining = false;
-  private isRegistering = false;
   private isRetryBudgetDivided = false;
   private readonly limits = new ServerLimits();
   private readonly load = new EngineLoad();
   private readonly moveCoordinator: MoveCoordinator;
   private openPlainCalls = 0;
-  private readonly peers: PeerLink;
   private readonly permits: ServerLimitCoordinator;
   private readonly readyServer;
-  private registrationTimer: NodeJS.Timeout | undefined;
   private readonly registry: ServerRegistry;
   private readonly retryBudget: RetryBudget;
-  private readonly storeFollower: DirectoryFollower;
-  private storePingedMs = -Infinity;
   private readonly streamMover: StreamMover;
   private tickTimer: NodeJS.Timeout | undefined;
 
@@ -156,10 +131,10 @@
       limits: this.limits,
       log,
       onLeaving: (server) => {
-        this.clusterState.markLeaving([server], 'response');
+        this.cluster.state.markLeaving([server], 'response');
       },
       onLimitChanged: () => {
-        this.peers.scheduleHeartbeatToAll();
+        this.cluster.peers.scheduleHeartbeatToAll();
       },
       protocol,
       registry: this.registry,
@@ -168,7 +143,7 @@
       clock,
       limits: this.limits,
       log,
-      memberCount: () => this.peers.table.knownCount(),
+      memberCount: () => this.cluster.peers.table.knownCount(),
       memberId: settings.memberId,
       onLimit: (report) => {
         this.recordLimits([report]);
@@ -176,11 +151,11 @@
       ownerOf: (server) => {
         // The others do not ask a draining daemon, which must not keep a second account.
         const excluded = this.isDraining ? [settings.memberId] : [];
-        return this.peers.table.engineOwner(server, new Set(excluded));
+        return this.cluster.peers.table.engineOwner(server, new Set(excluded));
       },
-      seesMajority: () => this.peers.table.seesMajority(),
+      seesMajority: () => this.cluster.peers.table.seesMajority(),
       send: (message, memberId) => {
-        this.peers.sendTo(message, memberId);
+        this.cluster.peers.sendTo(message, memberId);
       },
       serverOf: (serverId) => this.registry.get(serverId)?.server,
     });
@@ -209,12 +184,12 @@
           return server && this.engineLimitsOf(server);
         },
         load: this.load,
-        loadSourceOf: (memberId) => this.peers.table.loadSourceOf(memberId),
+        loadSourceOf: (memberId) => this.cluster.peers.table.loadSourceOf(memberId),
         log,
         memberId: settings.memberId,
-        ownerOf: (server, excluded) => this.peers.table.engineOwner(server, excluded),
+        ownerOf: (server, excluded) => this.cluster.peers.table.engineOwner(server, excluded),
         send: (message, memberId) => {
-          this.peers.sendTo(message, memberId);
+          this.cluster.peers.sendTo(message, memberId);
         },
       }),
       engineControl,
@@ -226,7 +201,7 @@
       protocol,
       publishLoad: () => {
         this.load.setOwnShares(this.localShares());
-        this.peers.scheduleHeartbeat();
+        this.cluster.peers.scheduleHeartbeat();
       },
       randomUnit,
       registry: this.registry,
@@ -234,15 +209,16 @@
       serverAccess,
       serverSignals,
     };
-    this.clusterState = new ClusterState({
-      advanceStorePosition: (position) => {
-        this.storeFollower.advance(position);
-      },
+    this.cluster = new ClusterSync({
       clock,
       directory,
       failureDomain: settings.failureDomain,
       host: settings.peers.host,
-      limits: () => this.limits.reports(clock.nowMs()),
+      incarnation,
+      isDraining: () => this.isDraining,
+      limits: this.limits,
+      load: this.load,
+      localShares: () => this.localShares(),
       log,
       memberId: settings.memberId,
       onConfiguration: (table) => {
@@ -251,24 +227,41 @@
       onLimits: (limits) => {
         this.recordLimits(limits);
       },
-      onNewEra: () => {
-        this.scheduleRegistration();
+      onMessage: (message) => {
+        switch (message.kind) {
+          case 'permitRequest':
+          case 'permitResponse':
+            this.permits.onMessage(message);
+            break;
+          case 'roomAnswer':
+          case 'roomWanted':
+            this.context.engineCapacity.onMessage(message);
+            break;
+          default:
+            this.moveCoordinator.onMessage(message);
+        }
       },
       onServerLeaving: (serverId) => {
         this.connections.close(serverId);
         this.context.cachedPrefixes.removeServer(serverId);
         this.streamMover.moveStreamsFrom(serverId);
       },
-      peers: () => this.peers,
       randomUnit,
       registry: this.registry,
+      seedHosts: settings.seedHosts,
+      transport: new PeerSockets({
+        heartbeatPort: settings.heartbeatPort,
+        host: settings.peers.host,
+        log,
+        snapshotPort: settings.peers.port,
+      }),
     });
     this.moveCoordinator = new MoveCoordinator({
       clock,
-      currentCoordinatorId: () => this.peers.table.lowestLiveId(),
+      currentCoordinatorId: () => this.cluster.peers.table.lowestLiveId(),
       memberId: settings.memberId,
       send: (message, memberId) => {
-        this.peers.sendTo(message, memberId);
+        this.cluster.peers.sendTo(message, memberId);
       },
     });
     this.streamMover = new StreamMover(
@@ -279,89 +272,22 @@
     );
     this.front = new ServingFront({
       clock,
-      hasDomainSuccessor: () => this.peers.table.hasDomainSuccessor(),
+      hasDomainSuccessor: () => this.cluster.peers.table.hasDomainSuccessor(),
       protocol,
       randomUnit,
-      routes: { current: () => this.clusterState.routesWhenReady() },
+      routes: { current: () => this.cluster.state.routesWhenReady() },
       runCall: (admitted) => {
         this.runCall(admitted);
       },
     });
-    this.peers = new PeerLink({
-      clock,
-      configuration: () => this.clusterState.routes()?.configuration,
-      failureDomain: settings.failureDomain,
-      host: settings.peers.host,
-      incarnation,
-      isDraining: () => this.isDraining,
-      isStoreDown: () => this.storeFollower.isStoreDown(),
-      leavingServers: () => this.registry.serversMarkedLeaving(),
-      limits: () => this.limits.reports(clock.nowMs(), MAX_REPORTED_LIMITS),
-      load: this.load,
-      localShares: () => this.localShares(),
-      log,
-      memberId: settings.memberId,
-      onLagging: (peer) => {
-        this.storeFollower.restartWatch();
-        void this.clusterState.syncFromPeer(peer.host);
-      },
-      onLeaving: (servers) => {
-        this.clusterState.markLeaving(servers, 'peer');
-      },
-      onLimits: (limits) => {
-        this.recordLimits(limits);
-      },
-      onMessage: (message) => {
-        switch (message.kind) {
-          case 'changes':
-            this.clusterState.onChangesMessage(message);
-            break;
-          case 'configuration':
-            void this.clusterState.onConfigurationMessage(message);
-            break;
-          case 'permitRequest':
-          case 'permitResponse':
-            this.permits.onMessage(message);
-            break;
-          case 'roomAnswer':
-          case 'roomWanted':
-            this.context.engineCapacity.onMessage(message);
-            break;
-          default:
-            this.moveCoordinator.onMessage(message);
-        }
-      },
-      position: () => this.clusterState.position(),
-      seedHosts: settings.seedHosts,
-      snapshot: (knownVersion) => this.clusterState.snapshot(knownVersion),
-      transport: new PeerSockets({
-        heartbeatPort: settings.heartbeatPort,
-        host: settings.peers.host,
-        log,
-        snapshotPort: settings.peers.port,
-      }),
-    });
     this.engineReports = new EngineReports({
       engineControl,
       log,
       onLeaving: (server) => {
-        this.clusterState.markLeaving([server], 'engine');
+        this.cluster.state.markLeaving([server], 'engine');
       },
       protocol,
     });
-    this.storeFollower = new DirectoryFollower({
-      clock,
-      directory,
-      isWatcher: () => this.peers.table.isWatcher(),
-      log,
-      onChanges: (changes, isFullRead) => {
-        this.clusterState.applyStoreChanges(changes, isFullRead);
-      },
-      onStoreDown: () => {
-        this.clusterState.syncFromAnyPeer();
-      },
-      randomUnit,
-    });
     this.readyServer = createServer((_request, response) => {
       response.writeHead(this.isReady() ? 200 : 503);
       response.end();
@@ -374,10 +300,9 @@
    */
   async start(): Promise<void> {
     const { log, settings } = this.options;
-    this.storeFollower.start();
     await Promise.all([
+      this.cluster.start(),
       this.front.listen(settings.front.host, settings.front.port),
-      this.peers.start(),
       new Promise<void>((resolve, reject) => {
         this.readyServer.once('error', reject);
         this.readyServer.listen(settings.ready.port, settings.ready.host, resolve);
@@ -387,7 +312,7 @@
       this.onTick();
     }, TICK_MS);
     log.info('started', { memberId: settings.memberId });
-    await this.registerMember();
+    await this.cluster.register();
   }
 
   /** Shuts down gracefully. Resolves when nothing is open any more or the grace period is over. */
@@ -400,7 +325,7 @@
     const nowMs = clock.nowMs();
     const stopMs = nowMs + settings.graceMs - STOP_MARGIN_MS;
     this.front.drain({ balancerRemovalMs: nowMs + BALANCER_REMOVAL_MS, stopMs });
-    this.peers.scheduleHeartbeat();
+    this.cluster.peers.scheduleHeartbeat();
     log.info('draining', { openCalls: this.openPlainCalls, openStreams: this.generationRuns.size });
     await sleep(BALANCER_REMOVAL_MS);
     this.front.stopListening();
@@ -418,10 +343,7 @@
    * @returns resolves when the ports are free
    */
   async close(): Promise<void> {
-    this.isClosed = true;
     clearInterval(this.tickTimer);
-    clearTimeout(this.registrationTimer);
-    this.storeFollower.stop();
     const readyServerClosed = new Promise<void>((resolve) => {
       this.readyServer.close(() => {
         resolve();
@@ -429,47 +351,12 @@
     });
     this.readyServer.closeAllConnections();
     this.connections.close();
-    await Promise.all([this.front.close(), this.peers.stop(), readyServerClosed]);
+    await Promise.all([this.cluster.stop(), this.front.close(), readyServerClosed]);
   }
 
   /** Whether the load balancer may send new connections. */
   isReady(): boolean {
-    return !this.isDraining && this.clusterState.routesWhenReady() !== undefined;
-  }
-
-  /**
-   * Registers the entry by which other daemons find this one; retries until the store accepts it in
-   * its current era.
-   */
-  private async registerMember(): Promise<void> {
-    const { directory, log, settings } = this.options;
-    const member = { host: settings.peers.host, memberId: settings.memberId };
-    if (this.isRegistering) {
-      return;
-    }
-    this.isRegistering = true;
-    let registeredEra: StoreEra | undefined;
-    const isRegistered = (): boolean =>
-      registeredEra !== undefined && registeredEra >= this.clusterState.position().era;
-    while (!isRegistered() && !this.isDraining && !this.isClosed) {
-      const registered = await directory.register(member);
-      if (registered.ok) {
-        registeredEra = registered.value ?? this.clusterState.position().era;
-      } else {
-        log.warn('member-not-registered', registered.error);
-        await sleep(REGISTER_RETRY_MS);
-      }
-    }
-    this.isRegistering = false;
-  }
-
-  /** Registers again in a new era of the store, spread out so that its rate limit suffices. */
-  private scheduleRegistration(): void {
-    const spreadMs = REGISTER_SPREAD_PER_MEMBER_MS * this.peers.table.knownCount();
-    clearTimeout(this.registrationTimer);
-    this.registrationTimer = setTimeout(() => {
-      void this.registerMember();
-    }, this.options.randomUnit() * spreadMs);
+    return !this.isDraining && this.cluster.state.routesWhenReady() !== undefined;
   }
 
   private runCall(admitted: AdmittedCall): void {
@@ -515,21 +402,10 @@
     return [...shareByServer.values()];
   }
 
-  /** Pings less often in a larger fleet, so that the store's load stays constant. */
-  private pingStoreIfDue(nowMs: number): void {
-    if (nowMs - this.storePingedMs < PING_INTERVAL_PER_MEMBER_MS * this.peers.table.knownCount()) {
-      return;
-    }
-    this.storePingedMs = nowMs;
-    void this.storeFollower.ping().then(() => {
-      this.peers.scheduleHeartbeat();
-    });
-  }
-
   /** While no daemon reaches the store, asks the engines themselves whether they are leaving. */
   private requestEngineReports(nowMs: number): void {
     if (
-      !this.peers.table.isStoreDownForAll() ||
+      !this.cluster.peers.table.isStoreDownForAll() ||
       nowMs - this.engineReportsRequestedMs < ENGINE_REPORT_INTERVAL_MS
     ) {
       return;
@@ -548,21 +424,22 @@
    * others.
    */
   private divideRetryBudget(): void {
-    if (this.clusterState.knowsServers()) {
+    if (this.cluster.state.knowsServers()) {
       const { minRetries } = this.options.settings;
-      const retriesPerMember = (minRetries * RETRY_BUDGET_SHARE) / this.peers.table.knownCount();
+      const retriesPerMember =
+        (minRetries * RETRY_BUDGET_SHARE) / this.cluster.peers.table.knownCount();
       this.retryBudget.setMaxBalance(Math.max(INITIAL_SAVED_RETRIES, Math.floor(retriesPerMember)));
       this.isRetryBudgetDivided = true;
     }
   }
 
   private engineLimitsOf(server: BackendServer): EngineLimits | undefined {
-    return this.clusterState.routes()?.findService(server.service)?.engine;
+    return this.cluster.state.routes()?.findService(server.service)?.engine;
   }
 
   private onTick(): void {
     const nowMs = this.options.clock.nowMs();
-    this.clusterState.removeExpiredServers();
+    this.cluster.onTick(nowMs);
     const isRegistered = (serverId: ServerId): boolean => this.registry.get(serverId) !== undefined;
     this.context.health.retain(isRegistered);
     this.limits.retain(isRegistered, nowMs);
@@ -575,7 +452,6 @@
       }
     }
     this.divideRetryBudget();
-    this.pingStoreIfDue(nowMs);
     this.requestEngineReports(nowMs);
   }
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -7,6 +7,7 @@
 export * from './CallerExchange.js';
 export * from './CallsInFlight.js';
 export * from './ClusterState.js';
+export * from './ClusterSync.js';
 export * from './DirectoryFollower.js';
 export * from './EngineCapacityCoordinator.js';
 export * from './EngineControl.js';
