Log who announces a configuration and who hears of it

Cause: the hypotheses of the configuration incident differ in who was told of a version and in what a daemon had when it heard of it; neither was logged. Measured: tests of serving and platform pass.

--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/ClusterState.ts
@@ -131,6 +131,7 @@
   async onConfigurationMessage(message: ConfigurationMessage): Promise<void> {
     const { failureDomain, host, version } = message;
     if (version > Math.max(this.version(), this.pendingVersion)) {
+      this.options.log.info('configuration-heard', { ...this.logPosition(), host, version });
       this.pendingVersion = version;
       await this.fetchConfiguration(host, version);
       this.pendingVersion = this.pendingVersion === version ? 0 : this.pendingVersion;
@@ -191,6 +192,7 @@
       return;
     }
     this.pendingSnapshots += 1;
+    this.options.log.info('peer-sync-started', { ...this.logPosition(), host });
     const snapshot = await this.options.peers().fetchSnapshot(host);
     this.pendingSnapshots -= 1;
     if (snapshot) {
@@ -324,7 +326,13 @@
     }
     this.routeTable = new RouteTable(configuration);
     this.options.onConfiguration(this.routeTable);
-    this.options.log.info('configuration-applied', { source, version });
+    this.options.log.info('configuration-applied', { ...this.logPosition(), source, version });
+  }
+
+  /** What this daemon has applied, for the log. */
+  private logPosition(): Readonly<Record<string, number>> {
+    const { era, revision } = this.storePosition;
+    return { era, ownVersion: this.version(), revision };
   }
 
   /** Version of the active configuration; 0 before there is one. */
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -187,8 +187,14 @@
    * @param originDomain - domain of the daemon that it was fetched from; the own one for the store
    */
   announceConfiguration(version: number, originDomain: FailureDomainId): void {
-    const { failureDomain, host } = this.options;
+    const { failureDomain, host, log } = this.options;
     const { delayed, immediate } = this.table.announcementTargets(originDomain);
+    log.info('configuration-announced', {
+      delayed: delayed.length,
+      immediate: immediate.length,
+      originDomain,
+      version,
+    });
     const message: ConfigurationMessage = { failureDomain, host, kind: 'configuration', version };
     const encodedMessage = encodeMessage(message);
     const send = (members: readonly MemberId[]): void => {
