Tell every daemon of a version, also those whose relays have failed

What callers saw: a version that had been confirmed more than 3 s before was not in force at the daemons of one failure domain: requests were handled by the version before, or answered 404 on a route that had been added. Cause: the daemons that read the store announced a version to two relays in each other domain, and nobody else there heard of it. Change: the messages by which watchers send changes to all daemons name the newest version and who has it, also after a full read and where the changes themselves are too large. Ruled out: announcing to all daemons at once, since a fleet would fetch from two small links.

--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/ClusterState.ts
@@ -7,11 +7,12 @@
 } from '@laburnumgap/dispatch';
 import { RouteTable } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
+import { ConfigurationFetcher } from './ConfigurationFetcher.js';
 import type { FollowedChanges } from './DirectoryFollower.js';
 import type { SyncPosition } from './LagDetector.js';
 import type { PeerLink } from './PeerLink.js';
 import type { ChangesMessage, ConfigurationMessage, PeerSnapshot } from './PeerMessages.js';
-import { serverChangesOf } from './PeerMessages.js';
+import { serverChangesOf, withoutChanges } from './PeerMessages.js';
 import type { ServingLog } from './ServingLog.js';
 import type { DirectoryChanges, PlatformDirectory } from './ServingPorts.js';
 import type { StorePosition } from './StorePosition.js';
@@ -65,14 +66,25 @@
 export class ClusterState {
   /** Newest version that this daemon told others about. */
   private announcedVersion = 0;
+  private readonly configurationFetcher: ConfigurationFetcher;
   private hasServerList = false;
   private pendingSnapshots = 0;
-  /** Version being read, so that it is read once when several watchers send it; 0 when none is. */
-  private pendingVersion = 0;
   private routeTable: RouteTable | undefined;
   private storePosition: StorePosition = FIRST_POSITION;
 
-  constructor(private readonly options: ClusterStateOptions) {}
+  constructor(private readonly options: ClusterStateOptions) {
+    const { directory, log, peers, randomUnit } = options;
+    this.configurationFetcher = new ConfigurationFetcher({
+      activeVersion: () => this.version(),
+      directory,
+      fetchFromPeer: (host) => peers().fetchConfiguration(host),
+      log,
+      onFetched: (configuration, source) => {
+        this.applyConfiguration(configuration, source);
+      },
+      randomUnit,
+    });
+  }
 
   /** Active configuration, also before the servers are known. */
   routes(): RouteTable | undefined {
@@ -129,13 +141,8 @@
 
   /** Fetches an announced configuration, and announces it further as a relay of its domain. */
   async onConfigurationMessage(message: ConfigurationMessage): Promise<void> {
-    const { failureDomain, host, version } = message;
-    if (version > Math.max(this.version(), this.pendingVersion)) {
-      this.options.log.info('configuration-heard', { ...this.logPosition(), host, version });
-      this.pendingVersion = version;
-      await this.fetchConfiguration(host, version);
-      this.pendingVersion = this.pendingVersion === version ? 0 : this.pendingVersion;
-    }
+    const { failureDomain, version } = message;
+    await this.configurationFetcher.fetch(message);
     if (failureDomain !== this.options.failureDomain && this.version() >= version) {
       this.announceConfiguration(failureDomain);
     }
@@ -143,6 +150,10 @@
 
   /** Applies changes that a watching daemon sent, unless an earlier change is missing. */
   onChangesMessage(message: ChangesMessage): void {
+    const { configurationVersion, host } = message;
+    if (configurationVersion !== undefined && host !== undefined) {
+      this.configurationFetcher.onNotice({ host, version: configurationVersion });
+    }
     const { era, revision } = this.storePosition;
     const isApplicable =
       message.era === era && message.revision > revision && message.sinceRevision <= revision;
@@ -277,21 +288,29 @@
       : registry.replace(servers, revision, clock.nowMs());
   }
 
-  /** Sends changes of a watch to the other daemons, so that only a few need to watch the store. */
+  /**
+   * Sends changes of a watch to the other daemons, so that only a few need to watch the store. Of a
+   * full read only the version is sent, if it is new: the servers follow in snapshots.
+   */
   private broadcastChanges(changes: FollowedChanges, isFullRead: boolean): void {
-    const { era, members, membersGone, revision, servers } = changes;
-    if (isFullRead || isEmpty(changes)) {
+    const { configuration, era, members, membersGone, revision, servers } = changes;
+    const isNewVersion = (configuration?.version ?? 0) > this.version();
+    const isStarting = this.version() === 0;
+    if (isFullRead ? isStarting || !isNewVersion : isEmpty(changes)) {
       return;
     }
-    this.options.peers().broadcastChanges({
+    const message: ChangesMessage = {
+      configurationVersion: isNewVersion ? configuration?.version : this.version(),
       era,
+      host: this.options.host,
       kind: 'changes',
       members,
       membersGone,
       revision,
       servers,
       sinceRevision: this.storePosition.revision,
-    });
+    };
+    this.options.peers().broadcastChanges(isFullRead ? withoutChanges(message) : message);
   }
 
   /** Tells other daemons about the active configuration, once for each version. */
@@ -303,22 +322,6 @@
     }
   }
 
-  /** Fetches a configuration from a daemon, or from the store if the daemon does not return it. */
-  private async fetchConfiguration(host: string, version: number): Promise<void> {
-    const { directory, log, peers } = this.options;
-    const fetched = await peers().fetchConfiguration(host);
-    if (fetched && fetched.version >= version) {
-      this.applyConfiguration(fetched, `peer ${host}`);
-      return;
-    }
-    const read = await directory.readConfiguration();
-    if (read.ok) {
-      this.applyConfiguration(read.value, 'store');
-    } else {
-      log.warn('configuration-not-read', read.error);
-    }
-  }
-
   private applyConfiguration(configuration: ServingConfiguration, source: string): void {
     const { version } = configuration;
     if (version <= this.version()) {
@@ -360,6 +363,7 @@
         previousRevision: previous.revision,
         revision,
       });
+      this.configurationFetcher.reset();
       this.options.onNewEra();
     }
   }
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -26,6 +26,7 @@
   parseConfiguration,
   parseDatagram,
   parseSnapshot,
+  withoutChanges,
 } from './PeerMessages.js';
 import { domainSourceId, PeerTable } from './PeerTable.js';
 import type { PeerTransport } from './PeerTransport.js';
@@ -169,15 +170,16 @@
   }
 
   /**
-   * Sends changes of the store to all daemons. Changes above the size limit are not sent: peers
-   * notice from the heartbeats that they lag behind, and fetch a snapshot.
+   * Sends changes of the store to all daemons. Changes above the size limit are left out: peers notice
+   * from the heartbeats that they lag behind, and fetch a snapshot.
    */
   broadcastChanges(changes: ChangesMessage): void {
     const encodedMessage = encodeMessage(changes);
-    if (Buffer.byteLength(encodedMessage) > MAX_CHANGES_MESSAGE_BYTES) {
-      return;
-    }
-    this.sendToHosts(encodedMessage, this.table.hosts());
+    const isTooLarge = Buffer.byteLength(encodedMessage) > MAX_CHANGES_MESSAGE_BYTES;
+    this.sendToHosts(
+      isTooLarge ? encodeMessage(withoutChanges(changes)) : encodedMessage,
+      this.table.hosts(),
+    );
   }
 
   /**
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -87,8 +87,15 @@
 
 /** Changes of the store, sent to the fleet by a daemon that watches it. */
 export interface ChangesMessage {
+  /**
+   * Newest version of the configuration at `revision`, which the sender has; absent from daemons of
+   * earlier builds.
+   */
+  readonly configurationVersion?: number;
   /** Era of both revisions. */
   readonly era: StoreEra;
+  /** Host of the sender; absent from daemons of earlier builds. */
+  readonly host?: string;
   readonly kind: 'changes';
   readonly members: readonly MemberAddress[];
   readonly membersGone: readonly MemberId[];
@@ -292,6 +299,16 @@
   return deflateRawSync(JSON.stringify(configuration));
 }
 
+/**
+ * Reduces a message to the version of the configuration. Its changes apply to no daemon.
+ *
+ * @param message - a message with changes
+ * @returns the message without them
+ */
+export function withoutChanges(message: ChangesMessage): ChangesMessage {
+  return { ...message, members: [], membersGone: [], servers: [], sinceRevision: message.revision };
+}
+
 /**
  * Converts the servers of a snapshot to changes. A server that the sender knows to be leaving is
  * marked so, even if its entry in the store says otherwise.
@@ -340,6 +357,8 @@
     Number.isFinite(message.era) &&
     Number.isFinite(message.revision) &&
     Number.isFinite(message.sinceRevision) &&
+    (message.configurationVersion === undefined || Number.isFinite(message.configurationVersion)) &&
+    (message.host === undefined || isId(message.host)) &&
     isListOf(message.members, (member) => isId(member.host) && isId(member.memberId)) &&
     isIdList(message.membersGone) &&
     isListOf(message.servers, (change) => isId(change.serverId) && Number.isFinite(change.revision))
--- /dev/null
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -0,0 +1,297 @@
+import { syncBuiltinESMExports } from 'node:module';
+import type { Clock } from '@sinonjs/fake-timers';
+import FakeTimers from '@sinonjs/fake-timers';
+import type { ServingConfiguration } from '@laburnumgap/dispatch';
+import { EngineLoad, ServerLimits, ServerRegistry } from '@laburnumgap/dispatch';
+import type { FailureDomainId, MemberId, Result } from '@laburnumgap/kernel';
+import { failure, success, toId } from '@laburnumgap/kernel';
+import type {
+  MemberAddress,
+  PeerFetchOptions,
+  PeerTransport,
+  PeerTransportListener,
+} from '../index.js';
+import { ClusterSync } from '../index.js';
+import type { StoreAccess } from './SimulatedStore.js';
+import { SimulatedDirectory, SimulatedStore } from './SimulatedStore.js';
+
+/** Options of {@link SimulatedFleet}. */
+export interface SimulatedFleetOptions {
+  /** Time after its acknowledgement by which a version is in force. */
+  readonly applyMs: number;
+  readonly daemonsPerDomain: number;
+  readonly domains: number;
+  /** Whether a datagram from one daemon to another is lost. */
+  readonly isLost?: (from: SimulatedDaemon, to: SimulatedDaemon, text: string) => boolean;
+  readonly randomUnit?: () => number;
+}
+
+/** A daemon in touch that served by an outdated configuration. */
+export interface LateDaemon {
+  readonly atMs: number;
+  readonly name: string;
+  readonly requiredVersion: number;
+  readonly version: number;
+}
+
+const LINK_DELAY_MS = 1;
+const START_SPREAD_MS = 300;
+const TICK_MS = 100;
+const SAMPLE_INTERVAL_MS = 50;
+/** A daemon counts as in touch after this long without a fault of its own. */
+const STABLE_MS = 4_000;
+const FAKED_TIMERS = ['clearInterval', 'clearTimeout', 'setInterval', 'setTimeout'] as const;
+
+/** One daemon of a {@link SimulatedFleet}. */
+export class SimulatedDaemon implements PeerTransport {
+  readonly directory: SimulatedDirectory;
+  /** Daemons whose datagrams and requests do not get through to this one, nor from it to them. */
+  readonly cutOff = new Set<SimulatedDaemon>();
+  disturbedUntilMs = -Infinity;
+  isPowered = true;
+  /** Versions in the order in which they were applied since the last start. */
+  appliedVersions: number[] = [];
+  private listener: PeerTransportListener | undefined;
+  private incarnation = 0;
+  private sync: ClusterSync | undefined;
+  private tickTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly fleet: SimulatedFleet,
+    readonly address: MemberAddress,
+    readonly failureDomain: FailureDomainId,
+    store: SimulatedStore,
+  ) {
+    this.directory = new SimulatedDirectory(store);
+  }
+
+  start(): void {
+    const { address, directory, failureDomain, fleet } = this;
+    this.incarnation += 1;
+    this.appliedVersions = [];
+    const sync = new ClusterSync({
+      clock: fleet.clock,
+      directory,
+      failureDomain,
+      host: address.host,
+      incarnation: this.incarnation,
+      isDraining: () => false,
+      limits: new ServerLimits(),
+      load: new EngineLoad(),
+      localShares: () => [],
+      log: { info: () => undefined, warn: () => undefined },
+      memberId: address.memberId,
+      onConfiguration: ({ configuration }) => {
+        this.appliedVersions.push(configuration.version);
+      },
+      onLimits: () => undefined,
+      onMessage: () => undefined,
+      onServerLeaving: () => undefined,
+      randomUnit: fleet.randomUnit,
+      registry: new ServerRegistry(),
+      seedHosts: [],
+      transport: this,
+    });
+    this.sync = sync;
+    void sync.start().then(() => sync.register());
+    this.tickTimer = setInterval(() => {
+      sync.onTick(fleet.clock.nowMs());
+    }, TICK_MS);
+  }
+
+  version(): number {
+    return this.appliedVersions.at(-1) ?? 0;
+  }
+
+  isWatcher(): boolean {
+    return this.sync?.peers.table.isWatcher() ?? false;
+  }
+
+  setStoreAccess(access: StoreAccess): void {
+    this.directory.access = access;
+    this.disturbedUntilMs = access === 'answers' ? this.fleet.clock.nowMs() : Infinity;
+  }
+
+  /** Loses power: nothing that it handed over a moment ago arrives any more. */
+  powerOff(): void {
+    this.isPowered = false;
+    this.directory.access = 'silent';
+    this.disturbedUntilMs = Infinity;
+    clearInterval(this.tickTimer);
+    void this.sync?.stop();
+  }
+
+  powerOn(): void {
+    this.isPowered = true;
+    this.setStoreAccess('answers');
+    this.start();
+  }
+
+  open(listener: PeerTransportListener): Promise<void> {
+    this.listener = listener;
+    return Promise.resolve();
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  send(bytes: Buffer, host: string): void {
+    const receiver = this.fleet.daemonAt(host);
+    if (!receiver || !this.isPowered || this.fleet.isLost(this, receiver, bytes)) {
+      return;
+    }
+    setTimeout(() => {
+      if (this.isPowered && this.reaches(receiver)) {
+        receiver.listener?.onDatagram(bytes);
+      }
+    }, LINK_DELAY_MS);
+  }
+
+  fetch(host: string, path: string, options: PeerFetchOptions): Promise<Result<Buffer, string>> {
+    const server = this.fleet.daemonAt(host);
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        resolve(failure('timeout'));
+      }, options.timeoutMs);
+      setTimeout(() => {
+        if (!server || !this.reaches(server)) {
+          return;
+        }
+        const body = server.listener?.onRequest(new URL(path, 'http://peer'));
+        setTimeout(() => {
+          if (this.reaches(server)) {
+            clearTimeout(timer);
+            resolve(body ? success(body) : failure('status 404'));
+          }
+        }, LINK_DELAY_MS);
+      }, LINK_DELAY_MS);
+    });
+  }
+
+  private reaches(other: SimulatedDaemon): boolean {
+    return other.isPowered && !this.cutOff.has(other) && !other.cutOff.has(this);
+  }
+}
+
+/**
+ * Daemons that follow a store and each other on a fake clock, and a check that every daemon in touch
+ * follows each version in time. Replaces the timers of the process until {@link SimulatedFleet.stop}.
+ */
+export class SimulatedFleet {
+  readonly clock: { readonly nowMs: () => number };
+  readonly daemons: readonly SimulatedDaemon[];
+  readonly late: LateDaemon[] = [];
+  readonly randomUnit: () => number;
+  readonly store: SimulatedStore;
+  private readonly acknowledged: { readonly atMs: number; readonly version: number }[] = [];
+  private readonly byHost: ReadonlyMap<string, SimulatedDaemon>;
+  private readonly timers: Clock;
+
+  private constructor(private readonly options: SimulatedFleetOptions) {
+    this.timers = FakeTimers.install({ now: 0, toFake: [...FAKED_TIMERS] });
+    syncBuiltinESMExports();
+    this.clock = { nowMs: () => this.timers.now };
+    this.randomUnit = options.randomUnit ?? (() => 0.5);
+    const { daemonsPerDomain, domains } = options;
+    const places = Array.from({ length: domains * daemonsPerDomain }, (_, index) => ({
+      domain: Math.floor(index / daemonsPerDomain),
+      number: (index % daemonsPerDomain) + 1,
+    }));
+    const addressOf = ({ domain, number }: (typeof places)[number]): MemberAddress => ({
+      host: `10.0.${domain}.${number}`,
+      memberId: toId<MemberId>(`d${domain}-${String(number).padStart(3, '0')}`),
+    });
+    this.store = new SimulatedStore(places.map(addressOf));
+    this.daemons = places.map(
+      (place) =>
+        new SimulatedDaemon(
+          this,
+          addressOf(place),
+          toId<FailureDomainId>(`d${place.domain}`),
+          this.store,
+        ),
+    );
+    this.byHost = new Map(this.daemons.map((daemon) => [daemon.address.host, daemon]));
+  }
+
+  /** Starts a fleet with one version in force, and waits until its members know each other. */
+  static async start(options: SimulatedFleetOptions): Promise<SimulatedFleet> {
+    const fleet = new SimulatedFleet(options);
+    fleet.publish();
+    fleet.daemons.forEach((daemon) => {
+      setTimeout(() => {
+        daemon.start();
+      }, fleet.randomUnit() * START_SPREAD_MS);
+    });
+    setInterval(() => {
+      fleet.sample();
+    }, SAMPLE_INTERVAL_MS);
+    await fleet.run(STABLE_MS);
+    return fleet;
+  }
+
+  /** Daemon of a failure domain by its number from 1. */
+  daemon(domain: number, number: number): SimulatedDaemon {
+    const daemon = this.daemonAt(`10.0.${domain}.${number}`);
+    if (!daemon) {
+      throw new Error(`daemon ${number} of domain ${domain} does not exist`);
+    }
+    return daemon;
+  }
+
+  daemonAt(host: string): SimulatedDaemon | undefined {
+    return this.byHost.get(host);
+  }
+
+  watchers(): readonly SimulatedDaemon[] {
+    return this.daemons.filter((daemon) => daemon.isPowered && daemon.isWatcher());
+  }
+
+  isLost(from: SimulatedDaemon, to: SimulatedDaemon, bytes: Buffer): boolean {
+    return this.options.isLost?.(from, to, bytes.toString()) ?? false;
+  }
+
+  /** The operator writes the next version. */
+  publish(): number {
+    const version = (this.acknowledged.at(-1)?.version ?? 0) + 1;
+    this.store.publish(configurationOf(version));
+    this.acknowledged.push({ atMs: this.clock.nowMs(), version });
+    return version;
+  }
+
+  /** Lets time pass. */
+  async run(durationMs: number): Promise<void> {
+    const endMs = this.timers.now + durationMs;
+    setTimeout(() => undefined, durationMs);
+    while (this.timers.now < endMs) {
+      this.timers.next();
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
+  /** Restores the timers of the process. */
+  stop(): void {
+    this.timers.uninstall();
+    syncBuiltinESMExports();
+  }
+
+  private sample(): void {
+    const nowMs = this.clock.nowMs();
+    const requiredVersion =
+      this.acknowledged.findLast(({ atMs }) => atMs + this.options.applyMs < nowMs)?.version ?? 0;
+    for (const daemon of this.daemons) {
+      const isInTouch = daemon.isPowered && daemon.disturbedUntilMs + STABLE_MS <= nowMs;
+      const version = daemon.version();
+      if (isInTouch && version < requiredVersion) {
+        const name = daemon.address.memberId;
+        this.late.push({ atMs: nowMs, name, requiredVersion, version });
+      }
+    }
+  }
+}
+
+function configurationOf(version: number): ServingConfiguration {
+  const limits = { headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1, maxHeaderBytes: 1 };
+  return { limits, routes: [], services: [], teams: [], version };
+}
--- /dev/null
+++ b/packages/serving/src/__tests__/unit/ConfigurationPropagation.test.ts
@@ -0,0 +1,95 @@
+import type { ExecutionContext } from 'ava';
+import test from 'ava';
+import type { SimulatedDaemon } from '../SimulatedFleet.js';
+import { SimulatedFleet } from '../SimulatedFleet.js';
+
+interface FleetSize {
+  /** Time within which a version is in force, as the users state it for deployments of this size. */
+  readonly applyMs: number;
+  readonly daemonsPerDomain: number;
+  readonly domains: number;
+  /** Times between the fault and the next version. */
+  readonly waitsMs: readonly number[];
+}
+
+const SIZES: readonly FleetSize[] = [
+  { applyMs: 2_000, daemonsPerDomain: 2, domains: 3, waitsMs: [0, 300, 600, 900, 1_200, 1_500] },
+  { applyMs: 3_000, daemonsPerDomain: 21, domains: 4, waitsMs: [0, 700] },
+];
+
+interface Scenario {
+  readonly fault: (fleet: SimulatedFleet) => void;
+  readonly title: string;
+}
+
+const SCENARIOS: readonly Scenario[] = [
+  { fault: () => undefined, title: 'nothing fails' },
+  {
+    fault: (fleet) => {
+      fleet.watchers().forEach((daemon) => {
+        daemon.setStoreAccess('silent');
+      });
+    },
+    title: 'the store stops responding to both watchers',
+  },
+  {
+    fault: (fleet) => {
+      fleet.watchers().forEach((daemon) => {
+        daemon.setStoreAccess('refuses');
+      });
+    },
+    title: 'the store refuses both watchers',
+  },
+  {
+    fault: (fleet) => {
+      powerOff(fleet.watchers());
+    },
+    title: 'both watchers lose power',
+  },
+  {
+    fault: (fleet) => {
+      powerOff(fleet.daemons.filter(({ address }) => /^d[12]-00[12]$/.test(address.memberId)));
+    },
+    title: 'the relays of two domains lose power',
+  },
+  {
+    fault: (fleet) => {
+      powerOff(fleet.daemons.filter((_, index) => index % 5 < 3));
+    },
+    title: 'three of five daemons lose power',
+  },
+];
+
+function powerOff(daemons: readonly SimulatedDaemon[]): void {
+  daemons.forEach((daemon) => {
+    daemon.powerOff();
+  });
+}
+
+function assertNoneLate(t: ExecutionContext, { late }: SimulatedFleet): void {
+  const first = new Map(late.toReversed().map((entry) => [entry.name, entry]));
+  const lines = [...first.values()].map(
+    ({ atMs, name, requiredVersion, version }) =>
+      `${name} at ${atMs} ms: version ${version} instead of ${requiredVersion}`,
+  );
+  t.deepEqual(lines, []);
+}
+
+for (const size of SIZES) {
+  const count = size.daemonsPerDomain * size.domains;
+  for (const { fault, title } of SCENARIOS) {
+    for (const waitMs of size.waitsMs) {
+      test.serial(`${count} daemons follow a version ${waitMs} ms after ${title}`, async (t) => {
+        const fleet = await SimulatedFleet.start(size);
+        t.teardown(() => {
+          fleet.stop();
+        });
+        fault(fleet);
+        await fleet.run(waitMs);
+        fleet.publish();
+        await fleet.run(6_000);
+        assertNoneLate(t, fleet);
+      });
+    }
+  }
+}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -8,6 +8,7 @@
 export * from './CallsInFlight.js';
 export * from './ClusterState.js';
 export * from './ClusterSync.js';
+export * from './ConfigurationFetcher.js';
 export * from './DirectoryFollower.js';
 export * from './EngineCapacityCoordinator.js';
 export * from './EngineControl.js';
