Watch the store from before a configuration that a daemon does not have

What callers would see: a version in force nowhere until the next one, though the store had confirmed it. Cause: changes of the servers and configurations reach a daemon by different messages, but advanced one position. The changes of a watcher moved the position of all others past a configuration that they were still to fetch. When the watchers failed before that, their successors continued after it and no daemon read it.

--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/ClusterState.ts
@@ -68,6 +68,8 @@
   private announcedVersion = 0;
   private readonly configurationFetcher: ConfigurationFetcher;
   private hasServerList = false;
+  /** Position up to which all is known but a configuration that this daemon does not have yet. */
+  private heldPosition: StorePosition | undefined;
   private pendingSnapshots = 0;
   private routeTable: RouteTable | undefined;
   private storePosition: StorePosition = FIRST_POSITION;
@@ -163,7 +165,7 @@
     this.applyChanges({ ...message, configuration: undefined, unreadable: [] }, false);
     // Also without servers or members: the next message continues from this position.
     this.advance(message);
-    this.options.advanceStorePosition(message);
+    this.advanceWatch(message);
   }
 
   /**
@@ -223,6 +225,7 @@
     return {
       ...this.storePosition,
       configuration: this.version() > knownVersion ? this.routeTable?.configuration : undefined,
+      knownVersion: this.configurationFetcher.knownVersion(),
       limits: this.options.limits(),
       members: [{ host, memberId }, ...this.options.peers().table.members()],
       servers: this.options.registry.all(),
@@ -239,8 +242,9 @@
     }
     if (isLater(snapshot, this.storePosition) && snapshot.servers.length > 0) {
       const leaving = this.replaceServers(serverChangesOf(snapshot), snapshot);
-      this.options.advanceStorePosition({ era: snapshot.era, revision: snapshot.revision });
       this.advance(snapshot);
+      this.configurationFetcher.onNotice({ host, version: snapshot.knownVersion ?? 0 });
+      this.advanceWatch(snapshot);
       this.onServersLeaving(leaving, `peer ${host}`);
     }
   }
@@ -330,6 +334,22 @@
     this.routeTable = new RouteTable(configuration);
     this.options.onConfiguration(this.routeTable);
     this.options.log.info('configuration-applied', { ...this.logPosition(), source, version });
+    if (this.heldPosition) {
+      this.advanceWatch(this.heldPosition);
+    }
+  }
+
+  /**
+   * Lets the store be watched from a position up to which other daemons sent all changes. Configurations
+   * come apart from them: as long as one is missing, a watch has to find it.
+   */
+  private advanceWatch({ era, revision }: StorePosition): void {
+    if (this.configurationFetcher.isBehind()) {
+      this.heldPosition = { era, revision };
+      return;
+    }
+    this.heldPosition = undefined;
+    this.options.advanceStorePosition({ era, revision });
   }
 
   /** What this daemon has applied, for the log. */
@@ -364,6 +384,7 @@
         revision,
       });
       this.configurationFetcher.reset();
+      this.heldPosition = undefined;
       this.options.onNewEra();
     }
   }
--- a/packages/serving/src/ConfigurationFetcher.ts
+++ b/packages/serving/src/ConfigurationFetcher.ts
@@ -66,6 +66,16 @@
     }
   }
 
+  /** Whether this daemon has heard of a version that it does not have. */
+  isBehind(): boolean {
+    return this.knownVersion() > this.options.activeVersion();
+  }
+
+  /** Newest version that this daemon has or has heard of. */
+  knownVersion(): number {
+    return Math.max(this.newest?.version ?? 0, this.options.activeVersion());
+  }
+
   /** Forgets versions that the store has lost. */
   reset(): void {
     this.newest = undefined;
@@ -96,7 +106,7 @@
     this.attempts += 1;
     await this.fetchOnce(host, version);
     pending.delete(notice);
-    if ((this.newest?.version ?? 0) > this.options.activeVersion()) {
+    if (this.isBehind()) {
       this.attemptLater();
     }
   }
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -151,6 +151,11 @@
 /** State of a daemon, for a daemon that the store does not respond to. */
 export interface PeerSnapshot extends StorePosition {
   readonly configuration?: ServingConfiguration;
+  /**
+   * Newest version that the sender has heard of, which it may not have; absent from daemons of earlier
+   * builds.
+   */
+  readonly knownVersion?: number;
   /** Limits of requests that servers named; absent from daemons of earlier builds. */
   readonly limits?: readonly LimitReport[];
   readonly members: readonly MemberAddress[];
@@ -267,6 +272,7 @@
   const isSnapshot =
     Number.isFinite(snapshot?.era) &&
     Number.isFinite(snapshot?.revision) &&
+    (snapshot?.knownVersion === undefined || Number.isFinite(snapshot.knownVersion)) &&
     isLimitList(snapshot?.limits) &&
     Array.isArray(snapshot?.servers) &&
     Array.isArray(snapshot.members);
--- a/packages/serving/src/__tests__/unit/ConfigurationPropagation.test.ts
+++ b/packages/serving/src/__tests__/unit/ConfigurationPropagation.test.ts
@@ -17,6 +17,9 @@
   { applyMs: 3_000, daemonsPerDomain: 21, domains: 4, waitsMs: [0, 700] },
 ];
 
+/** Time in which watchers read a version and send their changes. */
+const READ_AND_SENT_MS = 6;
+
 interface Scenario {
   readonly fault: (fleet: SimulatedFleet) => void;
   readonly title: string;
@@ -93,3 +96,34 @@
     }
   }
 }
+
+for (const size of SIZES) {
+  const count = size.daemonsPerDomain * size.domains;
+  test.serial(
+    `${count} daemons find a version whose readers failed before it was fetched`,
+    async (t) => {
+      const fleet = await SimulatedFleet.start({
+        ...size,
+        isLost: (_from, _to, text) => text.includes('"kind":"configuration"'),
+      });
+      t.teardown(() => {
+        fleet.stop();
+      });
+      const readers = fleet.watchers();
+      fleet.publish();
+      await fleet.run(READ_AND_SENT_MS);
+      powerOff(readers);
+      const others = fleet.daemons.filter((daemon) => !readers.includes(daemon));
+      others.forEach((daemon) => {
+        daemon.setStoreAccess('silent');
+      });
+      await fleet.run(20_000);
+      others.forEach((daemon) => {
+        daemon.setStoreAccess('answers');
+      });
+      await fleet.run(10_000);
+      assertNoneLate(t, fleet);
+      t.true(others.every((daemon) => daemon.version() === 2));
+    },
+  );
+}
