Notice within a second that the store is silent to both daemons that watch it

What callers would see: versions in force some 3 s late everywhere while the store responds to no watcher and to all others. Cause: each daemon pings the store at an interval that grows with the fleet, 6.7 s at 84 daemons, so that a watcher noticed only at the time limit of its watch, 2.7 s, and told the others by its next regular heartbeat. Change: a watcher pings every 400 ms, whatever the size: five reads a second at most for the two; a daemon tells the others at once when the store begins or ceases to respond, instead of sending a heartbeat after every ping. Evidence: two of nine cases of '24 daemons follow a version that watchers miss N ms later' fail without the change (bound 2 s).

--- a/packages/serving/src/ClusterSync.ts
+++ b/packages/serving/src/ClusterSync.ts
@@ -57,6 +57,8 @@
  * number of daemons.
  */
 const PING_INTERVAL_PER_MEMBER_MS = 80;
+/** The whole fleet depends on the watchers, so that they notice soon when the store is silent. */
+const MAX_WATCHER_PING_INTERVAL_MS = 400;
 /** Limits of servers in one heartbeat, which has to fit into few IP fragments. */
 const MAX_REPORTED_LIMITS = 16;
 
@@ -145,6 +147,9 @@
       onChanges: (changes, isFullRead) => {
         this.state.applyStoreChanges(changes, isFullRead);
       },
+      onReachabilityChanged: () => {
+        this.peers.scheduleHeartbeat();
+      },
       onStoreDown: () => {
         this.state.syncFromAnyPeer();
       },
@@ -212,12 +217,14 @@
 
   /** Pings less often in a larger fleet, so that the store's load stays constant. */
   private pingStoreIfDue(nowMs: number): void {
-    if (nowMs - this.storePingedMs < PING_INTERVAL_PER_MEMBER_MS * this.peers.table.knownCount()) {
-      return;
+    const { table } = this.peers;
+    const elapsedMs = nowMs - this.storePingedMs;
+    const isDue =
+      elapsedMs >= PING_INTERVAL_PER_MEMBER_MS * table.knownCount() ||
+      (elapsedMs >= MAX_WATCHER_PING_INTERVAL_MS && table.isWatcher());
+    if (isDue) {
+      this.storePingedMs = nowMs;
+      void this.storeFollower.ping();
     }
-    this.storePingedMs = nowMs;
-    void this.storeFollower.ping().then(() => {
-      this.peers.scheduleHeartbeat();
-    });
   }
 }
--- a/packages/serving/src/DirectoryFollower.ts
+++ b/packages/serving/src/DirectoryFollower.ts
@@ -18,6 +18,8 @@
   readonly log: ServingLog;
   /** Receives changes. With `isFullRead` they list everything, and what is not listed is gone. */
   readonly onChanges: (changes: FollowedChanges, isFullRead: boolean) => void;
+  /** Called when the store begins or ceases to respond to this daemon. */
+  readonly onReachabilityChanged: () => void;
   /** Called after a failed call to the store; other daemons may have newer data. */
   readonly onStoreDown: () => void;
   readonly randomUnit: () => number;
@@ -64,7 +66,7 @@
       return;
     }
     if (this.isUnreachable === isReachable) {
-      this.isUnreachable = !isReachable;
+      this.setUnreachable(!isReachable);
       const { revision } = this.position;
       log.info(isReachable ? 'store-answers' : 'store-silent', { afterRevision: revision });
       if (isReachable) {
@@ -125,7 +127,7 @@
       if (!outcome.ok) {
         await this.onStoreError(outcome.error);
       } else if (outcome.value) {
-        this.isUnreachable = false;
+        this.setUnreachable(false);
         this.isRetryingAtOnce = false;
         this.backoffMs = FIRST_BACKOFF_MS;
       }
@@ -166,6 +168,13 @@
     return outcome;
   }
 
+  private setUnreachable(isUnreachable: boolean): void {
+    if (this.isUnreachable !== isUnreachable) {
+      this.isUnreachable = isUnreachable;
+      this.options.onReachabilityChanged();
+    }
+  }
+
   /** Revisions of the previous era have no meaning in the new one, so everything is read again. */
   private onEraChanged(era: StoreEra): void {
     const { era: knownEra, revision } = this.position;
@@ -187,7 +196,7 @@
       this.isRetryingAtOnce = false;
       return;
     }
-    this.isUnreachable = true;
+    this.setUnreachable(true);
     onStoreDown();
     const waitMs = this.backoffMs * (1 + randomUnit());
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
--- a/packages/serving/src/__tests__/unit/ConfigurationPropagation.test.ts
+++ b/packages/serving/src/__tests__/unit/ConfigurationPropagation.test.ts
@@ -14,6 +14,7 @@
 
 const SIZES: readonly FleetSize[] = [
   { applyMs: 2_000, daemonsPerDomain: 2, domains: 3, waitsMs: [0, 300, 600, 900, 1_200, 1_500] },
+  { applyMs: 2_000, daemonsPerDomain: 5, domains: 4, waitsMs: [0, 300, 600, 900, 1_200, 1_500] },
   { applyMs: 3_000, daemonsPerDomain: 21, domains: 4, waitsMs: [0, 700] },
 ];
 
@@ -127,3 +128,24 @@
     },
   );
 }
+
+/** Covers the interval of the pings, which are the only calls besides a watch that has just begun. */
+const LEAD_TIMES_MS = [0, 200, 400, 600, 800, 1_000, 1_200, 1_400, 1_600];
+
+for (const leadMs of LEAD_TIMES_MS) {
+  test.serial(`24 daemons follow a version that watchers miss ${leadMs} ms later`, async (t) => {
+    const fleet = await SimulatedFleet.start({ applyMs: 2_000, daemonsPerDomain: 6, domains: 4 });
+    t.teardown(() => {
+      fleet.stop();
+    });
+    await fleet.run(leadMs);
+    fleet.publish();
+    await fleet.run(READ_AND_SENT_MS);
+    fleet.watchers().forEach((daemon) => {
+      daemon.setStoreAccess('silent');
+    });
+    fleet.publish();
+    await fleet.run(6_000);
+    assertNoneLate(t, fleet);
+  });
+}
--- a/packages/serving/src/__tests__/unit/DirectoryFollower.test.ts
+++ b/packages/serving/src/__tests__/unit/DirectoryFollower.test.ts
@@ -92,6 +92,7 @@
     isWatcher: () => true,
     log: { info: () => undefined, warn: () => undefined },
     onChanges: (changes, isFullRead) => received.push({ changes, isFullRead }),
+    onReachabilityChanged: () => undefined,
     onStoreDown: () => undefined,
     randomUnit: () => 0,
   });
