End a response that is passed on with the timeout of its route

What callers saw: a response of more than 256 KiB whose server fell silent never ended (60 s observed at a timeout of 5 s). Cause: with the first bytes to the caller all timers of the call were stopped. Change: only the timer for another attempt stops; at the deadline both connections close, so that the caller does not take the response for complete, and the server's health counts it. Evidence: 'a response that is passed on and falls silent ends with the timeout of its route' fails without the change.

--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/PlainCallRun.ts
@@ -156,7 +156,7 @@
         return;
       }
       attempt.isForwarding = true;
-      this.stopTimers();
+      clearTimeout(this.attemptTimer);
       if (attempt.head) {
         exchange.start(attempt.head);
       }
@@ -292,6 +292,11 @@
       this.detach(attempt, 'gone');
       recordOutcome(this.context, attempt, 'failed');
     }
+    if (attempt?.isForwarding) {
+      this.finish('deadline', attempt);
+      this.admitted.exchange.abort();
+      return;
+    }
     this.refuse('OUTCOME_UNKNOWN', 'the server did not respond before the deadline');
   }
 
