Bound what is read of a server beside the body of a response

What callers saw: nothing of it; a server that sends a chunk size, a chunk extension, trailers or informational responses without end was read at full speed until the deadline, in which time the daemon served little else, and their text was kept in memory. Cause: the parser bounds the lines of one head only, and skips any number of responses to other requests. Change: what arrives beside the body of the awaited response has a limit of 256 KiB and 16 bytes for each byte of the body, which chunks of one byte stay within. Beyond it the connection is closed and the response counts as broken, as with other invalid bytes.

--- a/packages/serving/src/BackendConnection.ts
+++ b/packages/serving/src/BackendConnection.ts
@@ -1,4 +1,5 @@
 import { Socket } from 'node:net';
+import { ResponseOverhead } from './ResponseOverhead.js';
 import type { ResponseHead } from './ResponseParser.js';
 import { ResponseParser } from './ResponseParser.js';
 import type { HeaderList } from './ServingPorts.js';
@@ -52,6 +53,7 @@
   private isClosed = false;
   private isConnected = false;
   private listener: ResponseListener | undefined;
+  private overhead = new ResponseOverhead();
   private readonly parser: ResponseParser;
   private readonly socket = new Socket({ allowHalfOpen: true });
 
@@ -59,6 +61,7 @@
     this.parser = new ResponseParser({
       onBody: (chunk) => {
         if (this.hasResponseHead) {
+          this.overhead.addBody(chunk.length);
           this.listener?.onBody(chunk);
         }
       },
@@ -86,6 +89,7 @@
   send(request: BackendRequest, listener: ResponseListener): void {
     this.listener = listener;
     this.hasResponseHead = false;
+    this.overhead = new ResponseOverhead();
     const head = encodeRequestHead(request);
     this.socket.write(
       request.body ? Buffer.concat([Buffer.from(head, 'latin1'), request.body]) : head,
@@ -169,7 +173,8 @@
 
   private onData(chunk: Buffer): void {
     const wasExpectingResponse = this.listener !== undefined;
-    const parseError = this.parser.parse(chunk);
+    this.overhead.addReceived(chunk.length);
+    const parseError = this.parser.parse(chunk) ?? this.overhead.findExcess();
     if (parseError !== undefined || !wasExpectingResponse) {
       this.fail(parseError ?? 'bytes without a request');
       return;
--- a/packages/serving/src/__tests__/integration/BackendConnection.test.ts
+++ b/packages/serving/src/__tests__/integration/BackendConnection.test.ts
@@ -125,3 +125,47 @@
   });
   t.is(outcome.body, 'ok');
 });
+
+const ENDLESS_RESPONSES: Readonly<Record<string, { first: string; repeated: string }>> = {
+  'a chunk extension': {
+    first: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;',
+    repeated: 'x'.repeat(1_024),
+  },
+  'a chunk size': {
+    first: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+    repeated: '0'.repeat(1_024),
+  },
+  'a header line': { first: 'HTTP/1.1 200 OK\r\nX: ', repeated: 'x'.repeat(1_024) },
+  headers: { first: 'HTTP/1.1 200 OK\r\n', repeated: `X: ${'x'.repeat(1_024)}\r\n` },
+  'informational responses': { first: '', repeated: 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n' },
+  trailers: {
+    first: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+    repeated: `X: ${'x'.repeat(1_024)}\r\n`,
+  },
+};
+
+for (const [name, { first, repeated }] of Object.entries(ENDLESS_RESPONSES)) {
+  test(`a response with ${name} without end is broken after some bytes`, async (t) => {
+    let sentBytes = 0;
+    const outcome = await sendToRawServer((socket) => {
+      const writePieces = (): void => {
+        if (!socket.destroyed) {
+          sentBytes += repeated.length;
+          socket.write(repeated, () => setImmediate(writePieces));
+        }
+      };
+      socket.write(first, writePieces);
+    });
+    t.is(outcome.end, 'broken');
+    t.true(sentBytes < 1_048_576, `${sentBytes} bytes`);
+  });
+}
+
+test('a body in chunks of one byte is complete', async (t) => {
+  const body = 'x'.repeat(100_000);
+  const outcome = await sendToRawServer((socket) => {
+    const chunks = '1\r\nx\r\n'.repeat(body.length);
+    socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`);
+  });
+  t.deepEqual(outcome, { body, end: 'complete, reusable' });
+});
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -28,6 +28,7 @@
 export type * from './PeerTransport.js';
 export * from './PlainCallRun.js';
 export * from './ResponseChecks.js';
+export * from './ResponseOverhead.js';
 export * from './ResponseParser.js';
 export * from './ResponseTimeout.js';
 export * from './ResumePosition.js';
