Bound single events, streams and error responses of an engine

What callers saw: a stream whose engine sent one event without end hung until the deadline, and the daemon with it: each piece was copied together with all before, so that the time grew with its square. A refusal with a body without end was reported as possibly run. Cause: EventSplitter kept an incomplete event of any length and joined it anew with each piece. Change: pieces are collected in one growing buffer and searched once; an event has at most 1 MiB, a stream 256 MiB. Beyond it the connection is closed, the engine's health counts it, and the run restarts or ends as with a broken connection; a response that says that nothing was run stays one, whatever its body. Evidence: 'load pattern: an event in many pieces is copied a few times' fails before with 134 MB copied for 64 KiB.

--- a/packages/serving/src/EventSplitter.ts
+++ b/packages/serving/src/EventSplitter.ts
@@ -1,4 +1,8 @@
+import { GrowableBuffer } from './GrowableBuffer.js';
+
 const LINE_FEED = 0x0a;
+/** A line feed and a carriage return. */
+const MAX_OVERLAP_BYTES = 2;
 const ID_FIELD = Buffer.from('id:');
 
 /** Complete events at the start of the received bytes. */
@@ -13,11 +17,11 @@
  * that a stream that breaks within an event can continue at another engine with that event.
  */
 export class EventSplitter {
-  private partialEvent: Buffer | undefined;
+  private readonly partialEvent = new GrowableBuffer();
 
   /** Number of bytes received of an incomplete event. */
   pendingBytes(): number {
-    return this.partialEvent?.length ?? 0;
+    return this.partialEvent.length;
   }
 
   /**
@@ -27,25 +31,44 @@
    * @returns the events completed by them, or undefined when there are none
    */
   push(chunk: Buffer): CompleteEvents | undefined {
-    const bytes = this.partialEvent ? Buffer.concat([this.partialEvent, chunk]) : chunk;
-    let count = 0;
-    let start = 0;
-    let lastEventId: string | undefined;
-    let end = findEventEnd(bytes, start);
-    while (end > 0) {
-      count += 1;
-      lastEventId = parseEventId(bytes.subarray(start, end)) ?? lastEventId;
-      start = end;
-      end = findEventEnd(bytes, start);
+    const end = this.findLastEventEnd(chunk);
+    this.partialEvent.append(chunk.subarray(0, end > 0 ? end : chunk.length));
+    if (end === 0) {
+      return undefined;
     }
-    this.partialEvent = start < bytes.length ? bytes.subarray(start) : undefined;
-    return count > 0 ? { bytes: bytes.subarray(0, start), count, lastEventId } : undefined;
+    const bytes = this.partialEvent.take();
+    this.partialEvent.append(chunk.subarray(end));
+    return parseEvents(bytes);
   }
 
   /** Discards an incomplete event that will not be completed. */
   discardPartialEvent(): void {
-    this.partialEvent = undefined;
+    this.partialEvent.take();
+  }
+
+  /** Index in the chunk after the last blank line that ends an event, or 0. */
+  private findLastEventEnd(chunk: Buffer): number {
+    // The blank line can begin in the bytes before.
+    const overlap = this.partialEvent.tail(MAX_OVERLAP_BYTES);
+    const bytes = overlap.length > 0 ? Buffer.concat([overlap, chunk]) : chunk;
+    let lastEnd = 0;
+    for (let end = findEventEnd(bytes, 0); end > 0; end = findEventEnd(bytes, end)) {
+      lastEnd = end;
+    }
+    return Math.max(0, lastEnd - overlap.length);
+  }
+}
+
+function parseEvents(bytes: Buffer): CompleteEvents {
+  let count = 0;
+  let lastEventId: string | undefined;
+  let start = 0;
+  for (let end = findEventEnd(bytes, 0); end > 0; end = findEventEnd(bytes, start)) {
+    count += 1;
+    lastEventId = parseEventId(bytes.subarray(start, end)) ?? lastEventId;
+    start = end;
   }
+  return { bytes, count, lastEventId };
 }
 
 /** Index after the blank line that ends an event, or 0. */
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -20,12 +20,15 @@
 import { EngineSearch } from './EngineSearch.js';
 import { EventSplitter } from './EventSplitter.js';
 import { rankTargets, urgencyOf } from './GenerationTargets.js';
+import { GrowableBuffer } from './GrowableBuffer.js';
 import { impliesNotExecuted, isFromServer, isNotExecuted } from './ResponseChecks.js';
 import type { ResponseHead } from './ResponseParser.js';
 import { ResumePosition } from './ResumePosition.js';
 import {
   DEFAULT_RETRY_AFTER_MS,
   MAX_BUFFERED_RESPONSE_BYTES,
+  MAX_EVENT_BYTES,
+  MAX_FORWARDED_RESPONSE_BYTES,
   MAX_REFUSED_SENDS,
 } from './ServingConstants.js';
 import type { ServingContext } from './ServingContext.js';
@@ -41,10 +44,12 @@
 /** Execution of the generation at one engine. */
 interface EngineAttempt extends BackendAttempt {
   /** Body of a response that is not an event stream. */
-  errorBody: Buffer;
+  readonly errorBody: GrowableBuffer;
   /** The engine continues from a copied KV cache instead of reading the prompt. */
   readonly isContinuation: boolean;
   readonly splitter: EventSplitter;
+  /** Bytes of complete events. */
+  streamBytes: number;
 }
 
 /** Engine at which a stopped stream continues, and the KV cache that it continues from. */
@@ -301,11 +306,12 @@
     const { clock, publishLoad, cachedPrefixes } = this.context;
     const nowMs = clock.nowMs();
     const attempt: EngineAttempt = {
-      errorBody: Buffer.alloc(0),
+      errorBody: new GrowableBuffer(),
       isContinuation: continuation !== undefined,
       sentMs: nowMs,
       server,
       splitter: new EventSplitter(),
+      streamBytes: 0,
     };
     this.attempt = attempt;
     cachedPrefixes.recordPrompt(this.prompt.parts, server.serverId, nowMs);
@@ -359,7 +365,7 @@
       },
       {
         onBody: (chunk) => {
-          this.onBodyChunk(attempt, chunk);
+          this.onBodyChunk(attempt, continuation, chunk);
         },
         onBroken: (reason) => {
           this.onConnectionBroken(attempt, reason);
@@ -371,15 +377,31 @@
     );
   }
 
-  private onBodyChunk(attempt: EngineAttempt, chunk: Buffer): void {
+  private onBodyChunk(
+    attempt: EngineAttempt,
+    continuation: Continuation | undefined,
+    chunk: Buffer,
+  ): void {
     if (this.attempt !== attempt || this.isDone) {
       return;
     }
     if (!isEventStream(attempt)) {
-      this.bufferErrorBody(attempt, chunk);
+      attempt.errorBody.append(chunk);
+      if (attempt.errorBody.length > MAX_BUFFERED_RESPONSE_BYTES) {
+        this.onExcess(attempt, continuation, MAX_BUFFERED_RESPONSE_BYTES);
+      }
       return;
     }
     const events = attempt.splitter.push(chunk);
+    attempt.streamBytes += events?.bytes.length ?? 0;
+    if (attempt.streamBytes > MAX_FORWARDED_RESPONSE_BYTES) {
+      this.onExcess(attempt, continuation, MAX_FORWARDED_RESPONSE_BYTES);
+      return;
+    }
+    if (attempt.splitter.pendingBytes() > MAX_EVENT_BYTES) {
+      this.onExcess(attempt, continuation, MAX_EVENT_BYTES);
+      return;
+    }
     if (!events || !attempt.head) {
       return;
     }
@@ -397,11 +419,22 @@
     exchange.forward(events.bytes, attempt.connection);
   }
 
-  private bufferErrorBody(attempt: EngineAttempt, chunk: Buffer): void {
-    attempt.errorBody = Buffer.concat([attempt.errorBody, chunk]);
-    if (attempt.errorBody.length > MAX_BUFFERED_RESPONSE_BYTES) {
-      this.fail('the error response of the engine exceeds the size limit');
+  /** A response or a single event exceeds what is read of it. */
+  private onExcess(
+    attempt: EngineAttempt,
+    continuation: Continuation | undefined,
+    maxBytes: number,
+  ): void {
+    const { connection, head, metadata } = attempt;
+    const reason = `the engine sent more than ${maxBytes} bytes`;
+    connection?.abort();
+    const isRefused = head && metadata && isNotExecuted(head, metadata);
+    if (isRefused || (continuation && !isEventStream(attempt))) {
+      recordOutcome(this.context, attempt, 'failed');
+      this.onNotStarted(attempt, continuation, reason);
+      return;
     }
+    this.onConnectionBroken(attempt, reason);
   }
 
   private onResponseEnd(attempt: EngineAttempt, continuation: Continuation | undefined): void {
@@ -437,7 +470,7 @@
     }
     this.finish(`status ${head.status}`);
     this.admitted.exchange.start(head);
-    this.admitted.exchange.finish(attempt.errorBody);
+    this.admitted.exchange.finish(attempt.errorBody.take());
   }
 
   private onStreamEnd(attempt: EngineAttempt): void {
--- a/packages/serving/src/ServingConstants.ts
+++ b/packages/serving/src/ServingConstants.ts
@@ -18,6 +18,12 @@
  * possible; larger ones are streamed to the caller.
  */
 export const MAX_BUFFERED_RESPONSE_BYTES = 262_144;
+/** Longest response that is forwarded; a larger one is broken off. */
+export const MAX_FORWARDED_RESPONSE_BYTES = 268_435_456;
+/** Longest single event of a stream, which is kept until it is complete. */
+export const MAX_EVENT_BYTES = 1_048_576;
+/** Longest response to a control request. */
+export const MAX_CONTROL_RESPONSE_BYTES = 1_048_576;
 /** Time limit for control requests to engines: the longest copy on a busy link. */
 export const CONTROL_TIMEOUT_MS = 4_000;
 /** Retry-After of refusals without a better estimate. */
--- a/packages/serving/src/__tests__/unit/EventSplitter.test.ts
+++ b/packages/serving/src/__tests__/unit/EventSplitter.test.ts
@@ -46,3 +46,25 @@
     { seed: 5 },
   );
 });
+
+test('load pattern: an event in many pieces is copied a few times, not once for each piece', (t) => {
+  const concat = Buffer.concat.bind(Buffer);
+  let copiedBytes = 0;
+  Buffer.concat = (list, totalLength) => {
+    const joined = concat(list, totalLength);
+    copiedBytes += joined.length;
+    return joined;
+  };
+  const splitter = new EventSplitter();
+  const piece = Buffer.from('0123456789abcdef');
+  const pieces = 4_096;
+  splitter.push(Buffer.from('id: 1\ndata: '));
+  for (let index = 0; index < pieces; index += 1) {
+    splitter.push(piece);
+  }
+  const events = splitter.push(Buffer.from('\n\n'));
+  Buffer.concat = concat;
+  t.is(events?.lastEventId, '1');
+  t.is(events?.bytes.length, 'id: 1\ndata: \n\n'.length + pieces * piece.length);
+  t.true(copiedBytes < 4 * pieces * piece.length, `${copiedBytes} bytes copied`);
+});
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -17,6 +17,7 @@
 export * from './EventSplitter.js';
 export * from './GenerationRun.js';
 export * from './GenerationTargets.js';
+export * from './GrowableBuffer.js';
 export * from './HeaderLists.js';
 export * from './HttpFetch.js';
 export * from './LagDetector.js';
