Bound responses of plain calls that cannot be passed on

What callers saw: a call whose server sent a body without its stamp got its answer only at the deadline, up to which the daemon read and kept all of it (419 MB in 5 s observed). A refusal with a body without end was reported as possibly run. Cause: only a response that may be passed on left the buffer at 256 KiB; any other was collected without a limit. Change: beyond 256 KiB the connection is closed, the server's health counts it, and the call is repeated where its route allows it, or answered: not run where the server's head says so, otherwise unknown. Found by reading on the way: a response of more than 256 KiB with a status from which callers conclude that nothing ran was passed on for calls that run at most once.

--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/PlainCallRun.ts
@@ -8,11 +8,13 @@
 import type { BackendConnection } from './BackendConnection.js';
 import { untilFinalResponseMs } from './CallDeadlines.js';
 import type { CallsInFlight } from './CallsInFlight.js';
+import { GrowableBuffer } from './GrowableBuffer.js';
 import { impliesNotExecuted, isFromServer, isNotExecuted } from './ResponseChecks.js';
 import type { ResponseHead } from './ResponseParser.js';
 import {
   DEFAULT_RETRY_AFTER_MS,
   MAX_BUFFERED_RESPONSE_BYTES,
+  MAX_FORWARDED_RESPONSE_BYTES,
   MAX_REFUSED_SENDS,
 } from './ServingConstants.js';
 import type { ServingContext } from './ServingContext.js';
@@ -27,10 +29,10 @@
 
 /** One try of the call at one server, with the response body that is not forwarded yet. */
 interface Attempt extends BackendAttempt {
-  bufferedBytes: number;
-  readonly bufferedChunks: Buffer[];
+  readonly buffered: GrowableBuffer;
   isForwarding: boolean;
   readonly number: number;
+  receivedBytes: number;
 }
 
 /**
@@ -113,10 +115,10 @@
     const { route } = this.admitted;
     this.attemptCount += 1;
     const attempt: Attempt = {
-      bufferedChunks: [],
-      bufferedBytes: 0,
+      buffered: new GrowableBuffer(),
       isForwarding: false,
       number: this.attemptCount,
+      receivedBytes: 0,
       sentMs: clock.nowMs(),
       server,
     };
@@ -149,21 +151,40 @@
 
   private onBodyChunk(attempt: Attempt, chunk: Buffer): void {
     const { exchange } = this.admitted;
-    if (!attempt.isForwarding) {
-      attempt.bufferedChunks.push(chunk);
-      attempt.bufferedBytes += chunk.length;
-      if (attempt.bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES || !this.canForward(attempt)) {
-        return;
-      }
-      attempt.isForwarding = true;
-      clearTimeout(this.attemptTimer);
-      if (attempt.head) {
-        exchange.start(attempt.head);
-      }
-      exchange.forward(Buffer.concat(attempt.bufferedChunks.splice(0)), attempt.connection);
+    attempt.receivedBytes += chunk.length;
+    if (attempt.receivedBytes > MAX_FORWARDED_RESPONSE_BYTES) {
+      this.onExcess(attempt, MAX_FORWARDED_RESPONSE_BYTES);
+      return;
+    }
+    if (attempt.isForwarding) {
+      exchange.forward(chunk, attempt.connection);
+      return;
+    }
+    attempt.buffered.append(chunk);
+    if (attempt.receivedBytes <= MAX_BUFFERED_RESPONSE_BYTES) {
       return;
     }
-    exchange.forward(chunk, attempt.connection);
+    if (!attempt.head || !this.canForward(attempt)) {
+      this.onExcess(attempt, MAX_BUFFERED_RESPONSE_BYTES);
+      return;
+    }
+    attempt.isForwarding = true;
+    clearTimeout(this.attemptTimer);
+    exchange.start(attempt.head);
+    exchange.forward(attempt.buffered.take(), attempt.connection);
+  }
+
+  /** A response that cannot be passed on exceeds what is read of it. */
+  private onExcess(attempt: Attempt, maxBytes: number): void {
+    const { head, metadata } = attempt;
+    attempt.connection?.abort();
+    if (head && metadata && isNotExecuted(head, metadata)) {
+      this.detach(attempt, 'gone');
+      recordOutcome(this.context, attempt, 'failed');
+      this.onNotExecuted(attempt, head.status);
+      return;
+    }
+    this.onConnectionBroken(attempt, `the response exceeds ${maxBytes} bytes`);
   }
 
   private onResponseEnd(attempt: Attempt): void {
@@ -191,14 +212,14 @@
   }
 
   private respond(attempt: Attempt, head: ResponseHead, metadata: ResponseMetadata): void {
-    const { exchange, route } = this.admitted;
-    if (!isFromServer(head, metadata) || (impliesNotExecuted(head) && route.kind === 'once')) {
+    const { exchange } = this.admitted;
+    if (!this.isForwardable(head, metadata)) {
       this.refuse('UPSTREAM_FAILED', 'the response of the server is not valid');
       return;
     }
     this.finish('answered', attempt);
     exchange.start(head);
-    exchange.finish(Buffer.concat(attempt.bufferedChunks));
+    exchange.finish(attempt.buffered.take());
   }
 
   private onConnectionBroken(attempt: Attempt, reason: string): void {
@@ -313,8 +334,19 @@
   }
 
   private canForward(attempt: Attempt): boolean {
-    const { head, metadata: meta } = attempt;
-    return head !== undefined && meta !== undefined && !meta.notRun && isFromServer(head, meta);
+    const { head, metadata } = attempt;
+    return (
+      head !== undefined &&
+      metadata !== undefined &&
+      !isNotExecuted(head, metadata) &&
+      this.isForwardable(head, metadata)
+    );
+  }
+
+  /** Whether the response may be passed on; a call that ran must not seem to have not. */
+  private isForwardable(head: ResponseHead, metadata: ResponseMetadata): boolean {
+    const claimsNotExecuted = impliesNotExecuted(head) && this.admitted.route.kind === 'once';
+    return isFromServer(head, metadata) && !claimsNotExecuted;
   }
 
   private detach(attempt: Attempt, connectionState: 'gone' | 'reusable'): void {
