Bound the response to a control request of an engine

Change: beyond 1 MiB the connection is closed and the outcome is unknown; a control request whose connection breaks counts in the engine's health, as a generation does. Evidence: 'a response to a control request without end closes the connection and counts against the engine' fails without the change.

--- a/packages/serving/src/EngineControl.ts
+++ b/packages/serving/src/EngineControl.ts
@@ -1,11 +1,12 @@
-import type { BackendServer, ServerRegistry } from '@laburnumgap/dispatch';
+import type { BackendServer, ServerHealth, ServerRegistry } from '@laburnumgap/dispatch';
 import type { MonotonicClock } from '@laburnumgap/kernel';
 import type { BackendConnection } from './BackendConnection.js';
 import type { BackendConnectionPool } from './BackendConnectionPool.js';
 import type { ResponseHead } from './ResponseParser.js';
 import type { ServerAccess } from './ServerAccess.js';
 import type { ServerSignals } from './ServerSignals.js';
-import { CONTROL_TIMEOUT_MS } from './ServingConstants.js';
+import { GrowableBuffer } from './GrowableBuffer.js';
+import { CONTROL_TIMEOUT_MS, MAX_CONTROL_RESPONSE_BYTES } from './ServingConstants.js';
 import type { EngineControlRequest } from './ServingPorts.js';
 
 /** Outcome of a control request; `unknown` means that the engine may have executed it. */
@@ -18,6 +19,7 @@
 export interface EngineControlOptions {
   readonly clock: MonotonicClock;
   readonly connections: Pick<BackendConnectionPool, 'release'>;
+  readonly health: Pick<ServerHealth, 'recordOutcome'>;
   readonly registry: Pick<ServerRegistry, 'isBackingOff'>;
   readonly serverAccess: Pick<ServerAccess, 'acquire'>;
   readonly serverSignals: Pick<ServerSignals, 'evaluate'>;
@@ -78,13 +80,20 @@
     timeoutMs: number,
     resolve: (outcome: ControlOutcome) => void,
   ): void {
-    const { connections, serverSignals } = this.options;
-    const chunks: Buffer[] = [];
+    const { clock, connections, health, serverSignals } = this.options;
+    const body = new GrowableBuffer();
     let responseHead: ResponseHead | undefined;
+    const sentMs = clock.nowMs();
     const timer = setTimeout(() => {
       connection.abort();
       resolve({ kind: 'unknown', reason: 'no response before the timeout' });
     }, timeoutMs);
+    const onBroken = (reason: string): void => {
+      clearTimeout(timer);
+      const nowMs = clock.nowMs();
+      health.recordOutcome(server.serverId, 'failed', nowMs - sentMs, nowMs);
+      resolve({ kind: 'unknown', reason });
+    };
     connection.send(
       {
         body: Buffer.from(request.body),
@@ -95,17 +104,18 @@
       {
         accepts: () => true,
         onBody: (chunk) => {
-          chunks.push(chunk);
-        },
-        onBroken: (reason) => {
-          clearTimeout(timer);
-          resolve({ kind: 'unknown', reason });
+          body.append(chunk);
+          if (body.length > MAX_CONTROL_RESPONSE_BYTES) {
+            connection.abort();
+            onBroken(`the response exceeds ${MAX_CONTROL_RESPONSE_BYTES} bytes`);
+          }
         },
+        onBroken,
         onEnd: () => {
           clearTimeout(timer);
           connections.release(server, connection);
           resolve({
-            body: Buffer.concat(chunks),
+            body: body.take(),
             kind: 'answered',
             status: responseHead?.status ?? 0,
           });
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -165,9 +165,11 @@
       permits: this.permits,
       registry: this.registry,
     });
+    const health = new ServerHealth();
     const engineControl = new EngineControl({
       clock,
       connections: this.connections,
+      health,
       registry: this.registry,
       serverAccess,
       serverSignals,
@@ -194,7 +196,7 @@
       }),
       engineControl,
       failureDomain: settings.failureDomain,
-      health: new ServerHealth(),
+      health,
       load: this.load,
       log,
       memberId: settings.memberId,
--- a/packages/serving/src/__tests__/unit/EngineControl.test.ts
+++ b/packages/serving/src/__tests__/unit/EngineControl.test.ts
@@ -2,7 +2,7 @@
 import type { FailureDomainId, ServerId, ServiceId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
-import type { BackendConnection, ServerAccessListener } from '../../index.js';
+import type { BackendConnection, ResponseListener, ServerAccessListener } from '../../index.js';
 import { EngineControl } from '../../index.js';
 
 const SERVER: BackendServer = {
@@ -18,11 +18,22 @@
 const REQUEST = { body: '', headers: [], method: 'GET', path: '/status' };
 
 function createControl() {
-  const state = { isBackingOff: false, releasedCount: 0, sentCount: 0 };
+  const state = {
+    abortedCount: 0,
+    failedCount: 0,
+    isBackingOff: false,
+    releasedCount: 0,
+    sentCount: 0,
+  };
+  const responses: ResponseListener[] = [];
   const listeners: ServerAccessListener[] = [];
   const connection = {
-    send: () => {
+    abort: () => {
+      state.abortedCount += 1;
+    },
+    send: (_request: unknown, listener: ResponseListener) => {
       state.sentCount += 1;
+      responses.push(listener);
     },
   } as unknown as BackendConnection;
   const control = new EngineControl({
@@ -32,6 +43,11 @@
         state.releasedCount += 1;
       },
     },
+    health: {
+      recordOutcome: () => {
+        state.failedCount += 1;
+      },
+    },
     registry: { isBackingOff: () => state.isBackingOff },
     serverAccess: {
       acquire: (_server, _maxPermitWaitMs, listener) => {
@@ -44,7 +60,7 @@
       },
     },
   });
-  return { connection, control, listeners, state };
+  return { connection, control, listeners, responses, state };
 }
 
 test('an engine that asks to be left alone while a request waits for its permit gets nothing', async (t) => {
@@ -67,3 +83,15 @@
   });
   t.is(state.sentCount, 0);
 });
+
+test('a response to a control request without end closes the connection and counts against the engine', async (t) => {
+  const { connection, control, listeners, responses, state } = createControl();
+  const outcome = control.send(SERVER, REQUEST);
+  listeners[0]?.onConnected(connection);
+  for (let index = 0; index <= 1_024 && state.abortedCount === 0; index += 1) {
+    responses[0]?.onBody(Buffer.alloc(1_024));
+  }
+  t.is((await outcome).kind, 'unknown');
+  t.is(state.abortedCount, 1);
+  t.is(state.failedCount, 1);
+});
