Bound in bytes and time what is read of the store and of other daemons

Cause: PlatformStore and PeerSockets read responses of any length up to their time limits; Node's parser bounds heads, but not the digits of a chunk size, nor the number of informational responses. Change: fetchHttp, which both use, bounds the body and what comes beside it.

--- a/packages/serving/src/HttpFetch.ts
+++ b/packages/serving/src/HttpFetch.ts
@@ -2,6 +2,8 @@
 import { request as sendRequest } from 'node:http';
 import type { Result } from '@laburnumgap/kernel';
 import { failure, success } from '@laburnumgap/kernel';
+import { GrowableBuffer } from './GrowableBuffer.js';
+import { ResponseOverhead } from './ResponseOverhead.js';
 
 /** Options of {@link fetchHttp}. */
 export interface HttpFetchOptions {
@@ -26,12 +28,13 @@
   readonly status: number;
 }
 
-/** Informational responses that are skipped before the final one; each has at most 16 KiB. */
-const MAX_INFORMATIONAL_RESPONSES = 8;
+/** Why there is no complete response. */
+export type HttpFetchError =
+  | { readonly kind: 'tooLarge'; readonly reason: string }
+  | { readonly kind: 'unreachable'; readonly reason: string };
 
 /**
- * Sends a request and reads the complete response. Reaching a limit closes the connection. Node
- * limits the head, the trailers and each chunk head to 16 KiB.
+ * Sends a request and reads the complete response. Reaching a limit closes the connection.
  *
  * @param options - the request and its limits
  * @returns the response, or why there is none; never rejects
@@ -45,53 +48,59 @@
   path,
   port,
   timeoutMs,
-}: HttpFetchOptions): Promise<Result<HttpFetchResponse, string>> {
+}: HttpFetchOptions): Promise<Result<HttpFetchResponse, HttpFetchError>> {
   const headers =
     body === undefined
       ? {}
       : { 'Content-Length': Buffer.byteLength(body), 'Content-Type': 'application/json' };
   return new Promise((resolve) => {
-    const fail = (reason: string): void => {
+    const overhead = new ResponseOverhead();
+    const onBytes = (chunk: Buffer): void => {
+      overhead.addReceived(chunk.length);
+      const excess = overhead.findExcess();
+      if (excess !== undefined) {
+        fail({ kind: 'unreachable', reason: excess });
+      }
+    };
+    const end = (result: Result<HttpFetchResponse, HttpFetchError>): void => {
       clearTimeout(timer);
+      request.socket?.off('data', onBytes);
+      resolve(result);
+    };
+    const fail = (error: HttpFetchError): void => {
       request.destroy();
-      resolve(failure(reason));
+      end(failure(error));
     };
     const onError = (error: NodeJS.ErrnoException): void => {
-      fail(error.code ?? error.message);
+      fail({ kind: 'unreachable', reason: error.code ?? error.message });
     };
     const request = sendRequest({ agent, headers, host, method, path, port }, (response) => {
-      const chunks: Buffer[] = [];
-      let receivedBytes = 0;
+      const received = new GrowableBuffer();
       response.on('data', (chunk: Buffer) => {
-        receivedBytes += chunk.length;
-        if (receivedBytes > maxBodyBytes) {
-          fail(`the response exceeds ${maxBodyBytes} bytes`);
+        overhead.addBody(chunk.length);
+        if (received.length + chunk.length > maxBodyBytes) {
+          fail({ kind: 'tooLarge', reason: `the response exceeds ${maxBodyBytes} bytes` });
         } else {
-          chunks.push(chunk);
+          received.append(chunk);
         }
       });
       response.on('error', onError);
       response.on('end', () => {
-        clearTimeout(timer);
-        resolve(
+        end(
           success({
-            body: Buffer.concat(chunks),
+            body: received.take(),
             headers: response.headers,
             status: response.statusCode ?? 0,
           }),
         );
       });
     });
-    let informationalCount = 0;
-    request.on('information', () => {
-      informationalCount += 1;
-      if (informationalCount > MAX_INFORMATIONAL_RESPONSES) {
-        fail('too many informational responses');
-      }
+    request.on('socket', (socket) => {
+      socket.on('data', onBytes);
     });
     request.on('error', onError);
     const timer = setTimeout(() => {
-      fail('timeout');
+      fail({ kind: 'unreachable', reason: 'timeout' });
     }, timeoutMs);
     request.end(body);
   });
--- a/packages/serving/src/PeerSockets.ts
+++ b/packages/serving/src/PeerSockets.ts
@@ -97,7 +97,7 @@
       timeoutMs,
     });
     if (!response.ok) {
-      return response;
+      return failure(response.error.reason);
     }
     const { body, status } = response.value;
     return status === STATUS_OK ? success(body) : failure(`status ${status}`);
