End a rejection and a status of an engine that have no end

Cause: in the product's own engine protocol, the body of a rejected stream was read without end, so that the reader never got an event, and the response to a status or cancel was kept whole up to its time limit. Change: a rejection ends after 64 KiB of its body, with the connection; a status has at most 64 KiB. Evidence: 'a rejection with a body without end ends the stream and closes the connection' and 'a status without end is an error before the time limit' do not end without the change. Ruled out by reading: plain calls (8 MiB), calls to the store (64 MiB) and single events (256 KiB) had bounds already.

--- a/packages/engine/src/EngineStream.ts
+++ b/packages/engine/src/EngineStream.ts
@@ -31,7 +31,7 @@
 const MAX_EVENT_CHARACTERS = 256 * 1024;
 /** The connection is paused when more than this many characters wait for the reader. */
 const MAX_BUFFERED_CHARACTERS = 16 * 1024;
-/** Longest prefix of an error response body that is stored. */
+/** Longest prefix of an error response body that is read. */
 const MAX_REJECTION_CHARACTERS = 64 * 1024;
 const FINISH_REASONS: readonly string[] = ['cancelled', 'length', 'stop'];
 
@@ -127,7 +127,10 @@
   private onData(chunk: Uint8Array): void {
     const text = this.decoder.decode(chunk, { stream: true });
     if (this.statusCode !== HTTP_OK) {
-      this.rejectionText = (this.rejectionText + text).slice(0, MAX_REJECTION_CHARACTERS);
+      this.rejectionText += text;
+      if (this.rejectionText.length > MAX_REJECTION_CHARACTERS) {
+        this.onEnd();
+      }
       return;
     }
     this.options.onActivity?.();
--- a/packages/engine/src/EngineStreamClient.ts
+++ b/packages/engine/src/EngineStreamClient.ts
@@ -68,6 +68,8 @@
 
 const DEFAULT_CALL_TIMEOUT_MS = 1_000;
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
+/** Longest response to a call that does not open a stream. */
+const MAX_CALL_RESPONSE_BYTES = 65_536;
 const HTTP_CONFLICT = 409;
 const HTTP_OK = 200;
 
@@ -90,11 +92,12 @@
   const callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
   const connectTimeoutMs = options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
 
-  const connect = (engineUrl: string): Client =>
+  const connect = (engineUrl: string, maxResponseSize = -1): Client =>
     new Client(engineUrl, {
       bodyTimeout: 0,
       connect: { timeout: connectTimeoutMs },
       headersTimeout: 0,
+      maxResponseSize,
       pipelining: 1,
     });
 
@@ -103,7 +106,7 @@
     method: 'DELETE' | 'GET',
     path: string,
   ): Promise<Result<{ body: string; statusCode: number }, EngineCallError>> => {
-    const client = connect(engineUrl);
+    const client = connect(engineUrl, MAX_CALL_RESPONSE_BYTES);
     try {
       const signal = AbortSignal.timeout(callTimeoutMs);
       const response = await client.request({ method, path, signal });
--- a/packages/engine/src/__tests__/unit/EngineStreamClient.test.ts
+++ b/packages/engine/src/__tests__/unit/EngineStreamClient.test.ts
@@ -316,3 +316,43 @@
   t.like(await pendingRead, { kind: 'lost', reason: 'reset' });
   t.like(await stream.next(), { kind: 'lost', reason: 'reset' });
 });
+
+/** Sends pieces until the connection closes. */
+function pour(response: ServerResponse): void {
+  const piece = 'x'.repeat(16_384);
+  const writePieces = (): void => {
+    if (!response.destroyed) {
+      response.write(piece, () => setImmediate(writePieces));
+    }
+  };
+  writePieces();
+}
+
+test('a rejection with a body without end ends the stream and closes the connection', async (t) => {
+  const engine = await startTestEngine(t, (_request, response) => {
+    response.writeHead(503);
+    pour(response);
+  });
+  const stream = createEngineStreamClient().start(engine.url, START_REQUEST);
+  const event = await stream.next();
+  t.is(event.kind === 'lost' && event.reason, 'rejected');
+  await new Promise<void>((resolve) => {
+    const [connection] = engine.connections;
+    if (connection?.destroyed === false) {
+      connection.once('close', resolve);
+    } else {
+      resolve();
+    }
+  });
+  t.true(engine.connections[0]?.destroyed);
+});
+
+test('a status without end is an error before the time limit', async (t) => {
+  const engine = await startTestEngine(t, (_request, response) => {
+    response.writeHead(200);
+    pour(response);
+  });
+  const client = createEngineStreamClient({ callTimeoutMs: 60_000 });
+  const status = await client.status(engine.url, GENERATION_ID);
+  t.is(!status.ok && status.error.kind, 'engineUnreachable');
+});
