Search each piece of a watched line once

Cause: the store's watch joined and searched an incomplete line anew with each piece, so that a long line cost time by its square. Change: pieces are kept and joined when the line is complete. Evidence: 'load pattern: a line in many pieces is searched once' fails without the change (512 million characters searched for one million); 'lines are parsed however they are cut into pieces' holds before and after.

--- a/packages/key-value/src/PlatformEtcdWatch.ts
+++ b/packages/key-value/src/PlatformEtcdWatch.ts
@@ -45,7 +45,8 @@
   readonly #options: EtcdWatchOptions;
   #ended = false;
   #idleTimer: NodeJS.Timeout | undefined;
-  #partialLine = '';
+  /** Pieces of the incomplete line, joined once it is complete. */
+  #partialLine: string[] = [];
   #partialLineBytes = 0;
   #status = 0;
 
@@ -109,14 +110,20 @@
       this.#endWith(`HTTP status ${this.#status}`);
       return;
     }
-    const lines = (this.#partialLine + text).split('\n');
-    this.#partialLine = lines.pop() ?? '';
-    this.#partialLineBytes =
-      lines.length > 0 ? Buffer.byteLength(this.#partialLine) : this.#partialLineBytes + bytes;
+    const [continued = '', ...begun] = text.split('\n');
+    this.#partialLine.push(continued);
+    this.#partialLineBytes += bytes;
     if (this.#partialLineBytes > MAX_LINE_BYTES) {
       this.#endWith('a line exceeds the size limit');
       return;
     }
+    const last = begun.pop();
+    if (last === undefined) {
+      return;
+    }
+    const lines = [this.#partialLine.join(''), ...begun];
+    this.#partialLine = [last];
+    this.#partialLineBytes = Buffer.byteLength(last);
     for (const line of lines) {
       this.#onLine(line);
     }
