--- a/packages/serving/src/__tests__/SimulatedFleet.ts
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -68,13 +68,14 @@
   start(): void {
     const { address, directory, failureDomain, fleet } = this;
     this.incarnation += 1;
+    const { incarnation } = this;
     this.appliedVersions = [];
     const sync = new ClusterSync({
       clock: fleet.clock,
       directory,
       failureDomain,
       host: address.host,
-      incarnation: this.incarnation,
+      incarnation,
       isDraining: () => false,
       limits: new ServerLimits(),
       load: new EngineLoad(),
@@ -82,7 +83,10 @@
       log: { info: () => undefined, warn: () => undefined },
       memberId: address.memberId,
       onConfiguration: ({ configuration }) => {
-        this.appliedVersions.push(configuration.version);
+        // A process that lost power still waits for responses here.
+        if (incarnation === this.incarnation && this.isPowered) {
+          this.appliedVersions.push(configuration.version);
+        }
       },
       onLimits: () => undefined,
       onMessage: () => undefined,
@@ -107,6 +111,34 @@
     return this.sync?.peers.table.isWatcher() ?? false;
   }
 
+  /** Whether a fault of this daemon is going on. */
+  isDisturbed(): boolean {
+    return this.disturbedUntilMs === Infinity;
+  }
+
+  /** Whether each version was higher than the one before it, since the last start. */
+  hasOnlyAdvanced(): boolean {
+    return this.appliedVersions.every(
+      (version, index) => version > (this.appliedVersions[index - 1] ?? 0),
+    );
+  }
+
+  /** Cuts the links to other daemons and to the store. */
+  cutOffFrom(daemons: readonly SimulatedDaemon[]): void {
+    daemons.forEach((daemon) => this.cutOff.add(daemon));
+    this.setStoreAccess('silent');
+  }
+
+  /** Ends all faults of this daemon. */
+  recover(): void {
+    this.cutOff.clear();
+    if (this.isPowered) {
+      this.setStoreAccess('answers');
+    } else {
+      this.powerOn();
+    }
+  }
+
   setStoreAccess(access: StoreAccess): void {
     this.directory.access = access;
     this.disturbedUntilMs = access === 'answers' ? this.fleet.clock.nowMs() : Infinity;
@@ -121,7 +153,7 @@
     void this.sync?.stop();
   }
 
-  powerOn(): void {
+  private powerOn(): void {
     this.isPowered = true;
     this.setStoreAccess('answers');
     this.start();
