--- a/packages/dispatch/src/EngineOwner.ts
+++ b/packages/dispatch/src/EngineOwner.ts
@@ -9,10 +9,10 @@
 
 /**
  * Selects the owner of a server: the daemon that grants an engine's capacity before a generation is
- * sent to it, and permits for a server that limits its requests. The owner is the first by rendezvous hashing among the daemons of the engine's failure
- * domain, which receive each other's load reports directly, or among all daemons where the domain
- * has none. Daemons that see different members may ask two owners for a while; each owner still
- * counts what it grants.
+ * sent to it, and permits for a server that limits its requests. The owner is the first by rendezvous
+ * hashing among the daemons of the server's failure domain, which receive each other's load reports
+ * directly, or among all daemons where the domain has none. Daemons that see different members may ask
+ * two owners for a while; each owner still counts what it grants.
  *
  * @param serverId - the server
  * @param failureDomain - failure domain of the server
--- a/packages/serving/src/__tests__/SimulatedFleet.ts
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -26,7 +26,7 @@
   readonly randomUnit?: () => number;
 }
 
-/** A daemon in touch that served by an outdated configuration. */
+/** An undisturbed daemon whose configuration is older than the one that it must have applied. */
 export interface LateDaemon {
   readonly atMs: number;
   readonly name: string;
@@ -38,14 +38,14 @@
 const START_SPREAD_MS = 300;
 const TICK_MS = 100;
 const SAMPLE_INTERVAL_MS = 50;
-/** A daemon counts as in touch after this long without a fault of its own. */
+/** The bound applies to daemons that had no fault of their own for this long. */
 const STABLE_MS = 4_000;
 const FAKED_TIMERS = ['clearInterval', 'clearTimeout', 'setInterval', 'setTimeout'] as const;
 
 /** One daemon of a {@link SimulatedFleet}. */
 export class SimulatedDaemon implements PeerTransport {
   readonly directory: SimulatedDirectory;
-  /** Daemons whose datagrams and requests do not get through to this one, nor from it to them. */
+  /** Daemons to and from which all datagrams and requests are lost. */
   readonly cutOff = new Set<SimulatedDaemon>();
   disturbedUntilMs = -Infinity;
   isPowered = true;
@@ -83,7 +83,7 @@
       log: { info: () => undefined, warn: () => undefined },
       memberId: address.memberId,
       onConfiguration: ({ configuration }) => {
-        // A process that lost power still waits for responses here.
+        // In this process, pending calls of a stopped daemon still complete.
         if (incarnation === this.incarnation && this.isPowered) {
           this.appliedVersions.push(configuration.version);
         }
@@ -144,7 +144,7 @@
     this.disturbedUntilMs = access === 'answers' ? this.fleet.clock.nowMs() : Infinity;
   }
 
-  /** Loses power: nothing that it handed over a moment ago arrives any more. */
+  /** Stops the process; datagrams that have not arrived yet are lost. */
   powerOff(): void {
     this.isPowered = false;
     this.directory.access = 'silent';
@@ -207,8 +207,8 @@
 }
 
 /**
- * Daemons that follow a store and each other on a fake clock, and a check that every daemon in touch
- * follows each version in time. Replaces the timers of the process until {@link SimulatedFleet.stop}.
+ * Runs daemons that follow a store and each other on a fake clock. Records the undisturbed daemons that
+ * do not apply a version in time. Replaces the timers of the process until {@link SimulatedFleet.stop}.
  */
 export class SimulatedFleet {
   readonly clock: { readonly nowMs: () => number };
@@ -313,9 +313,9 @@
     const requiredVersion =
       this.acknowledged.findLast(({ atMs }) => atMs + this.options.applyMs < nowMs)?.version ?? 0;
     for (const daemon of this.daemons) {
-      const isInTouch = daemon.isPowered && daemon.disturbedUntilMs + STABLE_MS <= nowMs;
+      const isUndisturbed = daemon.isPowered && daemon.disturbedUntilMs + STABLE_MS <= nowMs;
       const version = daemon.version();
-      if (isInTouch && version < requiredVersion) {
+      if (isUndisturbed && version < requiredVersion) {
         const name = daemon.address.memberId;
         this.late.push({ atMs: nowMs, name, requiredVersion, version });
       }
