Log which requests ran at a server that crashed

Cause: no log line said that a server had crashed nor what ran on it, so the hypotheses of the incident could not be told apart. Change: when a response breaks off, the daemon opens one connection to the server. A VM without the process refuses it; a living server accepts it, and one without power or network is silent. Only the first is a crash, logged with the requests and the prompt parts that they share with others. Leaving servers are passed over. Nothing acts on it yet. Ruled out: telling a crash by the number of connections that close, which needs several of them.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -12,6 +12,7 @@
 export type * from './PromptShape.js';
 export * from './RecentWaits.js';
 export * from './RequestAccount.js';
+export * from './RequestFingerprints.js';
 export * from './RetryBudget.js';
 export * from './RouteTable.js';
 export * from './ServerHealth.js';
--- a/packages/kernel/src/KernelIds.ts
+++ b/packages/kernel/src/KernelIds.ts
@@ -21,6 +21,8 @@
  * order, so that an engine can reject orders of an earlier owner.
  */
 export type FencingNumber = Branded<number, 'FencingNumber'>;
+/** Property by which requests are recognised, such as a part of their prompts. */
+export type FingerprintId = Branded<string, 'FingerprintId'>;
 /** One generation with a fixed prompt, seed and parameters; may take several attempts. */
 export type GenerationId = Branded<string, 'GenerationId'>;
 /** Idempotency key that a caller sends (UUIDv7). */
--- a/packages/serving/src/AdmittedCall.ts
+++ b/packages/serving/src/AdmittedCall.ts
@@ -1,4 +1,5 @@
 import type { ServingRoute, ServingService, ServingTeam } from '@laburnumgap/dispatch';
+import type { FingerprintId } from '@laburnumgap/kernel';
 import type { CallerExchange } from './CallerExchange.js';
 import type { CallerRequest } from './ServingPorts.js';
 
@@ -9,6 +10,8 @@
   /** Undefined for a request without a body. */
   readonly body: Buffer | undefined;
   readonly exchange: CallerExchange;
+  /** What the request has in common with others that can crash servers. */
+  readonly fingerprints: readonly FingerprintId[];
   readonly request: CallerRequest;
   readonly route: ServingRoute;
   readonly service: ServingService;
--- a/packages/serving/src/BackendAttempt.ts
+++ b/packages/serving/src/BackendAttempt.ts
@@ -81,8 +81,8 @@
   options: AttemptOptions,
   listener: Pick<ResponseListener, 'onBody' | 'onBroken' | 'onEnd'>,
 ): void {
-  const { clock, protocol, serverSignals } = context;
-  const { body, request, team } = admitted;
+  const { clock, crashDetector, protocol, serverSignals } = context;
+  const { body, fingerprints, request, team } = admitted;
   attempt.connection = connection;
   const headers = protocol.requestHeaders(request, {
     ...options,
@@ -101,6 +101,10 @@
         attempt.metadata = serverSignals.evaluate(attempt.server, head);
         connection.keepAliveMs = attempt.metadata.keepAliveMs;
       },
+      onBroken: (reason) => {
+        crashDetector.onBroken(attempt.server, { fingerprints, requestId: request.requestId });
+        listener.onBroken(reason);
+      },
     },
   );
 }
--- /dev/null
+++ b/packages/serving/src/CrashDetector.ts
@@ -0,0 +1,142 @@
+import { Socket } from 'node:net';
+import type { BackendServer, ServerIncarnation, ServerRegistry } from '@laburnumgap/dispatch';
+import type { FingerprintId } from '@laburnumgap/kernel';
+import { CONNECT_TIMEOUT_MS } from './ServingConstants.js';
+import type { ServingLog } from './ServingLog.js';
+
+/** A request whose response broke off. */
+export interface BrokenRequest {
+  /** What it has in common with other requests that can crash servers. */
+  readonly fingerprints: readonly FingerprintId[];
+  readonly requestId: string;
+}
+
+/** A server process that ended while it ran requests of this daemon. */
+export interface ServerCrash {
+  readonly requests: readonly BrokenRequest[];
+  readonly server: ServerIncarnation;
+}
+
+/** Result of opening a connection to a server after a response broke off. */
+export type ProbeResult = 'accepted' | 'refused' | 'silent';
+
+/** Options of {@link CrashDetector}. */
+export interface CrashDetectorOptions {
+  readonly log: ServingLog;
+  readonly onCrash: (crash: ServerCrash) => void;
+  /** Opens a connection to a server and closes it. */
+  readonly probe?: (server: BackendServer) => Promise<ProbeResult>;
+  readonly registry: Pick<ServerRegistry, 'get'>;
+}
+
+/** The responses of a crashed server break off within this time of each other. */
+const SETTLE_MS = 20;
+/** Crashed servers whose later broken responses are still assigned to the crash. */
+const MAX_REMEMBERED_CRASHES = 64;
+/** Requests in one log line. */
+const MAX_LOGGED_REQUESTS = 8;
+
+/**
+ * Tells the crash of a server process from a single broken response, a leaving server, and a server
+ * that has lost power or the network: a VM on which the process is gone refuses connections.
+ */
+export class CrashDetector {
+  private readonly crashedKeys = new Set<string>();
+  /** Broken requests by server, while its state is not known yet. */
+  private readonly pending = new Map<string, BrokenRequest[]>();
+
+  constructor(private readonly options: CrashDetectorOptions) {}
+
+  /**
+   * Records that the response to a request broke off.
+   *
+   * @param server - the server that ran it
+   * @param request - the request
+   */
+  onBroken(server: BackendServer, request: BrokenRequest): void {
+    const entry = this.options.registry.get(server.serverId);
+    if (!entry || entry.leaving) {
+      return;
+    }
+    const key = keyOf(server);
+    if (this.crashedKeys.has(key)) {
+      this.report(server, [request]);
+      return;
+    }
+    const pending = this.pending.get(key);
+    if (pending) {
+      pending.push(request);
+      return;
+    }
+    this.pending.set(key, [request]);
+    void this.examine(server, key);
+  }
+
+  private async examine(server: BackendServer, key: string): Promise<void> {
+    const { log, probe = probeServer } = this.options;
+    const result = await probe(server);
+    if (result === 'refused') {
+      await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+    }
+    const requests = this.pending.get(key) ?? [];
+    this.pending.delete(key);
+    if (result !== 'refused') {
+      const { serverId } = server;
+      log.info('response-broken', { requests: requests.length, server: result, serverId });
+      return;
+    }
+    this.remember(key);
+    this.report(server, requests);
+  }
+
+  private report(
+    { serverId, startedEpochMs }: BackendServer,
+    requests: readonly BrokenRequest[],
+  ): void {
+    const { log, onCrash } = this.options;
+    log.warn('server-crashed', {
+      fingerprints: [...new Set(requests.flatMap(({ fingerprints }) => fingerprints))]
+        .slice(0, MAX_LOGGED_REQUESTS)
+        .join(','),
+      requestIds: requests
+        .slice(0, MAX_LOGGED_REQUESTS)
+        .map(({ requestId }) => requestId)
+        .join(','),
+      requests: requests.length,
+      serverId,
+    });
+    onCrash({ requests, server: { serverId, startedEpochMs } });
+  }
+
+  private remember(key: string): void {
+    this.crashedKeys.add(key);
+    const [oldest] = this.crashedKeys;
+    if (this.crashedKeys.size > MAX_REMEMBERED_CRASHES && oldest !== undefined) {
+      this.crashedKeys.delete(oldest);
+    }
+  }
+}
+
+function keyOf({ serverId, startedEpochMs }: ServerIncarnation): string {
+  return `${serverId} ${startedEpochMs}`;
+}
+
+function probeServer({ host, port }: BackendServer): Promise<ProbeResult> {
+  return new Promise((resolve) => {
+    const socket = new Socket();
+    const timer = setTimeout(() => {
+      end('silent');
+    }, CONNECT_TIMEOUT_MS);
+    const end = (result: ProbeResult): void => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(result);
+    };
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      end(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
+    });
+    socket.connect(port, host, () => {
+      end('accepted');
+    });
+  });
+}
--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -9,6 +9,7 @@
 import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import type { RetryBudget } from '@laburnumgap/dispatch';
 import type { BackendConnectionPool } from './BackendConnectionPool.js';
+import type { CrashDetector } from './CrashDetector.js';
 import type { EngineCapacityCoordinator } from './EngineCapacityCoordinator.js';
 import type { EngineControl } from './EngineControl.js';
 import type { ServerAccess } from './ServerAccess.js';
@@ -23,6 +24,7 @@
   readonly capacityWaits: RecentWaits;
   readonly clock: MonotonicClock;
   readonly connections: BackendConnectionPool;
+  readonly crashDetector: CrashDetector;
   readonly engineControl: EngineControl;
   readonly engineCapacity: EngineCapacityCoordinator;
   readonly failureDomain: FailureDomainId;
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -16,6 +16,7 @@
 import { BackendConnectionPool } from './BackendConnectionPool.js';
 import { CallsInFlight } from './CallsInFlight.js';
 import { ClusterSync } from './ClusterSync.js';
+import { CrashDetector } from './CrashDetector.js';
 import { EngineCapacityCoordinator } from './EngineCapacityCoordinator.js';
 import { EngineControl } from './EngineControl.js';
 import { EngineReports } from './EngineReports.js';
@@ -179,6 +180,11 @@
       capacityWaits: new RecentWaits(),
       clock,
       connections: this.connections,
+      crashDetector: new CrashDetector({
+        log,
+        onCrash: () => undefined,
+        registry: this.registry,
+      }),
       engineCapacity: new EngineCapacityCoordinator({
         clock,
         engineLimitsOf: (serverId) => {
--- a/packages/serving/src/ServingFront.ts
+++ b/packages/serving/src/ServingFront.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { RouteTable } from '@laburnumgap/dispatch';
-import { selectService, plannedOutputTokens } from '@laburnumgap/dispatch';
+import { plannedOutputTokens, promptPartFingerprints, selectService } from '@laburnumgap/dispatch';
 import type { MonotonicClock } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
@@ -179,7 +179,16 @@
       exchange.refuse(refusal('DRAINING', 'this daemon is shutting down', retryAfterMs));
       return undefined;
     }
-    return { arrivedMs, body: undefined, exchange, request: callerRequest, route, service, team };
+    return {
+      arrivedMs,
+      body: undefined,
+      exchange,
+      fingerprints: promptPartFingerprints(callerRequest.prompt?.parts ?? []),
+      request: callerRequest,
+      route,
+      service,
+      team,
+    };
   }
 
   private canFinishBeforeStop(callerRequest: CallerRequest, arrivedMs: number): boolean {
--- /dev/null
+++ b/packages/serving/src/__tests__/unit/CrashDetector.test.ts
@@ -0,0 +1,97 @@
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import type { BackendServer } from '@laburnumgap/dispatch';
+import type {
+  FailureDomainId,
+  FingerprintId,
+  Revision,
+  ServerId,
+  ServiceId,
+} from '@laburnumgap/kernel';
+import { toId, toNumberId } from '@laburnumgap/kernel';
+import test from 'ava';
+import type { ProbeResult, ServerCrash } from '../../index.js';
+import { CrashDetector } from '../../index.js';
+
+const SERVER: BackendServer = {
+  failureDomain: toId<FailureDomainId>('a'),
+  host: '127.0.0.1',
+  leaving: false,
+  port: 1,
+  serverId: toId<ServerId>('e1'),
+  service: toId<ServiceId>('engines'),
+  slots: 24,
+  startedEpochMs: 7,
+};
+
+function createDetector(
+  probe: ((server: BackendServer) => Promise<ProbeResult>) | undefined,
+  leaving = false,
+): { readonly crashes: ServerCrash[]; readonly detector: CrashDetector } {
+  const crashes: ServerCrash[] = [];
+  const detector = new CrashDetector({
+    log: { info: () => undefined, warn: () => undefined },
+    onCrash: (crash) => {
+      crashes.push(crash);
+    },
+    probe,
+    registry: {
+      get: () => ({ leaving, revision: toNumberId<Revision>(1), server: SERVER }),
+    },
+  });
+  return { crashes, detector };
+}
+
+function broken(requestId: string): { fingerprints: readonly FingerprintId[]; requestId: string } {
+  return { fingerprints: [toId<FingerprintId>(`part ${requestId}`)], requestId };
+}
+
+async function settle(): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, 100));
+}
+
+test('all responses that break off at a server without a process belong to one crash', async (t) => {
+  const { crashes, detector } = createDetector(() => Promise.resolve('refused'));
+  detector.onBroken(SERVER, broken('r1'));
+  detector.onBroken(SERVER, broken('r2'));
+  await settle();
+  t.deepEqual(crashes, [
+    {
+      requests: [broken('r1'), broken('r2')],
+      server: { serverId: SERVER.serverId, startedEpochMs: 7 },
+    },
+  ]);
+  detector.onBroken(SERVER, broken('r3'));
+  t.deepEqual(crashes[1]?.requests, [broken('r3')]);
+});
+
+for (const result of ['accepted', 'silent'] as const) {
+  test(`a response that breaks off at a server whose connections are ${result} is no crash`, async (t) => {
+    const { crashes, detector } = createDetector(() => Promise.resolve(result));
+    detector.onBroken(SERVER, broken('r1'));
+    await settle();
+    t.deepEqual(crashes, []);
+  });
+}
+
+test('a leaving server that ends has not crashed', async (t) => {
+  const { crashes, detector } = createDetector(() => Promise.resolve('refused'), true);
+  detector.onBroken(SERVER, broken('r1'));
+  await settle();
+  t.deepEqual(crashes, []);
+});
+
+test('a port without a process is told from one with a process', async (t) => {
+  const listener = createServer();
+  await new Promise<void>((resolve) => listener.listen(0, '127.0.0.1', resolve));
+  const server = { ...SERVER, port: (listener.address() as AddressInfo).port };
+  const living = createDetector(undefined);
+  living.detector.onBroken(server, broken('r1'));
+  await settle();
+  t.deepEqual(living.crashes, []);
+  await new Promise((resolve) => listener.close(resolve));
+  const dead = createDetector(undefined);
+  dead.detector.onBroken(server, broken('r1'));
+  await settle();
+  t.is(dead.crashes.length, 1);
+});
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -9,6 +9,7 @@
 export * from './ClusterState.js';
 export * from './ClusterSync.js';
 export * from './ConfigurationFetcher.js';
+export * from './CrashDetector.js';
 export * from './DirectoryFollower.js';
 export * from './EngineCapacityCoordinator.js';
 export * from './EngineControl.js';
