--- /dev/null
+++ b/packages/dispatch/src/Quarantine.ts
@@ -0,0 +1,351 @@
+import type { FingerprintId } from '@laburnumgap/kernel';
+import { CrashEvidence } from './CrashEvidence.js';
+import { RecencyMap } from './RecencyMap.js';
+import { PART_THRESHOLDS } from './RequestFingerprints.js';
+import type { ServerIncarnation } from './ServerRegistry.js';
+
+/**
+ * Stages of a quarantine. Requests with a suspected fingerprint are sent one at a time, those with a
+ * confirmed one only as rare trials, and those with a cleared one freely.
+ */
+export type QuarantineStage = 'cleared' | 'confirmed' | 'suspected';
+
+/** What daemons tell each other of a quarantine. Ages, since their clocks differ. */
+export interface QuarantineReport {
+  /** Time since the stage began. */
+  readonly ageMs: number;
+  readonly crashAgesMs: readonly number[];
+  /** Counts the suspicions of a fingerprint; a later one replaces what was known of it. */
+  readonly episode: number;
+  readonly fingerprint: FingerprintId;
+  /** Time since a request with the fingerprint came to any daemon. */
+  readonly idleMs: number;
+  readonly lastTrialAgeMs?: number;
+  readonly stage: QuarantineStage;
+  /** Requests sent in this stage to find out whether they still crash servers. */
+  readonly trials: number;
+}
+
+/** A server that crashed, and what the requests that it ran had in common with others. */
+export interface CrashReport {
+  readonly crashedMs: number;
+  readonly fingerprints: readonly FingerprintId[];
+  /** The only suspicious property of the request was its one fingerprint. */
+  readonly isTrial: boolean;
+  readonly server: ServerIncarnation;
+}
+
+/** What happens to a request. */
+export type QuarantineDecision =
+  | { readonly kind: 'admitted' }
+  | {
+      readonly fingerprint: FingerprintId;
+      readonly kind: 'refused';
+      /** Absent for a confirmed fingerprint. */
+      readonly retryAfterMs?: number;
+    }
+  | { readonly fingerprints: readonly FingerprintId[]; readonly kind: 'trial' };
+
+/** What a report of another daemon changed. */
+export type MergeOutcome = 'learned' | 'objected' | 'unchanged';
+
+interface Entry {
+  readonly crashesMs: readonly number[];
+  readonly episode: number;
+  lastRequestMs: number;
+  lastTrialMs: number | undefined;
+  readonly sinceMs: number;
+  readonly stage: QuarantineStage;
+  trials: number;
+}
+
+const ADMITTED: QuarantineDecision = { kind: 'admitted' };
+const STAGE_RANK: Readonly<Record<QuarantineStage, number>> = {
+  cleared: 2,
+  confirmed: 1,
+  suspected: 0,
+};
+const MAX_ENTRIES = 256;
+/** A trial that has neither crashed its server nor gone on by then is followed by another. */
+const TRIAL_LEASE_MS = 3_000;
+/** Trials of a confirmed fingerprint, each so long after the one before; then there are no more. */
+const RELEASE_TRIAL_DELAYS_MS: readonly number[] = [2_000, 20_000, 120_000];
+/**
+ * A request with several such fingerprints waits so much longer for each further one, so that requests
+ * which have one alone clear it first.
+ */
+const SHARED_TRIAL_DELAY_MS = 1_000;
+const MIN_RETRY_AFTER_MS = 250;
+const MAX_RETRY_AFTER_MS = 1_000;
+/** A quarantine ends when no request has come for so long. */
+const MAX_IDLE_MS = 600_000;
+/** Time until no daemon reports the stages before any more. */
+const CLEARED_RETENTION_MS = 60_000;
+
+/**
+ * Decides which requests are not sent to servers because requests like them crash servers. Each daemon
+ * has its own; they agree by exchanging reports. A report is merged in any order and any number of
+ * times: the later episode counts, then the later stage.
+ */
+export class Quarantine {
+  private readonly entries = new RecencyMap<FingerprintId, Entry>(MAX_ENTRIES);
+  private readonly evidence = new CrashEvidence();
+  private reportedCount = 0;
+
+  /**
+   * Decides on a request that has come or waits.
+   *
+   * @param fingerprints - what it has in common with other requests
+   * @param nowMs - monotonic time
+   * @returns the decision; a trial also needs the permission of the fingerprints' keepers
+   */
+  decide(fingerprints: readonly FingerprintId[], nowMs: number): QuarantineDecision {
+    if (this.entries.size() === 0) {
+      return ADMITTED;
+    }
+    const blamed = fingerprints.filter((fingerprint) => this.isBlamed(fingerprint));
+    const [first] = blamed;
+    if (first === undefined) {
+      return ADMITTED;
+    }
+    let dueMs = -Infinity;
+    let confirmed: FingerprintId | undefined;
+    for (const fingerprint of blamed) {
+      const entry = this.entries.get(fingerprint);
+      if (entry) {
+        entry.lastRequestMs = nowMs;
+        dueMs = Math.max(dueMs, trialDueMs(entry));
+        confirmed ??= entry.stage === 'confirmed' ? fingerprint : undefined;
+      }
+    }
+    dueMs += SHARED_TRIAL_DELAY_MS * (blamed.length - 1);
+    if (nowMs >= dueMs) {
+      return { fingerprints: blamed, kind: 'trial' };
+    }
+    if (confirmed !== undefined) {
+      return { fingerprint: confirmed, kind: 'refused' };
+    }
+    return {
+      fingerprint: first,
+      kind: 'refused',
+      retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, dueMs - nowMs)),
+    };
+  }
+
+  /** Whether requests with a fingerprint are not sent freely. */
+  isBlamed(fingerprint: FingerprintId): boolean {
+    const stage = this.entries.get(fingerprint)?.stage;
+    return stage !== undefined && stage !== 'cleared';
+  }
+
+  /** The current stage; undefined when a fingerprint was never suspected, or not for long. */
+  stageOf(fingerprint: FingerprintId): QuarantineStage | undefined {
+    return this.entries.get(fingerprint)?.stage;
+  }
+
+  /**
+   * Records that an answer went on.
+   *
+   * @param fingerprints - fingerprints of its request
+   * @param nowMs - monotonic time
+   * @returns the fingerprints that this clears
+   */
+  recordProgress(fingerprints: readonly FingerprintId[], nowMs: number): readonly FingerprintId[] {
+    return fingerprints.filter((fingerprint) => {
+      this.evidence.recordProgress(fingerprint, nowMs);
+      const entry = this.entries.get(fingerprint);
+      if (!entry || entry.stage === 'cleared') {
+        return false;
+      }
+      this.setStage(fingerprint, entry, 'cleared', nowMs);
+      return true;
+    });
+  }
+
+  /**
+   * Records a crash, as a keeper of the fingerprints.
+   *
+   * @param report - the crash
+   * @param nowMs - monotonic time
+   * @returns the fingerprints whose stage changes
+   */
+  recordCrash(report: CrashReport, nowMs: number): readonly FingerprintId[] {
+    const { crashedMs, fingerprints, isTrial, server } = report;
+    return fingerprints.filter((fingerprint) => {
+      this.evidence.recordCrash(fingerprint, server, crashedMs);
+      return this.evaluate(fingerprint, isTrial, nowMs);
+    });
+  }
+
+  /**
+   * Counts a trial, as the keeper that permits it.
+   *
+   * @param fingerprint - fingerprint of the request
+   * @param nowMs - monotonic time
+   * @returns whether the request may be sent
+   */
+  grantTrial(fingerprint: FingerprintId, nowMs: number): boolean {
+    const entry = this.entries.get(fingerprint);
+    if (!entry || entry.stage === 'cleared') {
+      return true;
+    }
+    if (nowMs < trialDueMs(entry)) {
+      return false;
+    }
+    entry.lastTrialMs = nowMs;
+    entry.trials += 1;
+    return true;
+  }
+
+  /**
+   * Merges what another daemon reports. Objects when answers that this daemon forwarded speak against
+   * the crashes; the fingerprint is cleared then.
+   *
+   * @param report - report on one fingerprint
+   * @param nowMs - monotonic time
+   * @returns what it changed
+   */
+  merge(report: QuarantineReport, nowMs: number): MergeOutcome {
+    const { fingerprint } = report;
+    const known = this.entries.get(fingerprint);
+    const reported = toEntry(report, nowMs);
+    const isLater =
+      !known ||
+      reported.episode > known.episode ||
+      (reported.episode === known.episode && STAGE_RANK[reported.stage] > STAGE_RANK[known.stage]);
+    if (!isLater) {
+      return isSameStage(known, reported) && mergeTrials(known, reported) ? 'learned' : 'unchanged';
+    }
+    this.entries.set(fingerprint, reported);
+    if (reported.stage === 'cleared') {
+      this.evidence.recordProgress(fingerprint, reported.sinceMs);
+      return 'learned';
+    }
+    const open = this.evidence.withoutExcused(fingerprint, reported.crashesMs);
+    if (open.length >= PART_THRESHOLDS.suspectCrashes) {
+      return 'learned';
+    }
+    const progressedMs = this.evidence.lastProgressMs(fingerprint) ?? nowMs;
+    this.setStage(fingerprint, reported, 'cleared', Math.min(nowMs, progressedMs));
+    return 'objected';
+  }
+
+  /** Report on one fingerprint; undefined when it was never suspected. */
+  reportOf(fingerprint: FingerprintId, nowMs: number): QuarantineReport | undefined {
+    const entry = this.entries.get(fingerprint);
+    return entry && toReport(fingerprint, entry, nowMs);
+  }
+
+  /**
+   * Reports for a message of limited size, in turn: successive calls cover all.
+   *
+   * @param nowMs - monotonic time
+   * @param maxCount - number of reports
+   * @returns the reports
+   */
+  nextReports(nowMs: number, maxCount: number): readonly QuarantineReport[] {
+    const all = this.entries.all();
+    const count = Math.min(maxCount, all.length);
+    const start = this.reportedCount;
+    this.reportedCount = all.length > 0 ? (start + count) % all.length : 0;
+    return Array.from({ length: count }, (_, index) => all[(start + index) % all.length]).flatMap(
+      (entry) => (entry ? [toReport(entry[0], entry[1], nowMs)] : []),
+    );
+  }
+
+  /** Forgets quarantines that are over. */
+  expire(nowMs: number): void {
+    for (const [fingerprint, { lastRequestMs, sinceMs, stage }] of this.entries.all()) {
+      const isOver =
+        stage === 'cleared'
+          ? nowMs - sinceMs > CLEARED_RETENTION_MS
+          : nowMs - lastRequestMs > MAX_IDLE_MS;
+      if (isOver) {
+        this.entries.delete(fingerprint);
+      }
+    }
+  }
+
+  private evaluate(fingerprint: FingerprintId, isTrial: boolean, nowMs: number): boolean {
+    const { confirmCrashes, suspectCrashes } = PART_THRESHOLDS;
+    const crashesMs = this.evidence.openCrashesMs(fingerprint);
+    const entry = this.entries.get(fingerprint);
+    const isSuspected = entry?.stage === 'suspected';
+    const isConfirmed = crashesMs.length >= confirmCrashes || (isSuspected && isTrial);
+    if (entry?.stage === 'confirmed' || crashesMs.length < suspectCrashes) {
+      return false;
+    }
+    if (isSuspected && !isConfirmed) {
+      return false;
+    }
+    this.entries.set(fingerprint, {
+      crashesMs,
+      episode: isSuspected ? entry.episode : (entry?.episode ?? 0) + 1,
+      lastRequestMs: nowMs,
+      lastTrialMs: undefined,
+      sinceMs: nowMs,
+      stage: isConfirmed ? 'confirmed' : 'suspected',
+      trials: 0,
+    });
+    return true;
+  }
+
+  private setStage(
+    fingerprint: FingerprintId,
+    entry: Entry,
+    stage: QuarantineStage,
+    sinceMs: number,
+  ): void {
+    this.entries.set(fingerprint, { ...entry, sinceMs, stage });
+  }
+}
+
+/** Time from which a trial may be sent; never after the last one. */
+function trialDueMs({ lastTrialMs, sinceMs, stage, trials }: Entry): number {
+  if (stage === 'suspected') {
+    return lastTrialMs === undefined ? sinceMs : lastTrialMs + TRIAL_LEASE_MS;
+  }
+  return (lastTrialMs ?? sinceMs) + (RELEASE_TRIAL_DELAYS_MS[trials] ?? Infinity);
+}
+
+function isSameStage(known: Entry, reported: Entry): boolean {
+  return known.episode === reported.episode && known.stage === reported.stage;
+}
+
+/** Adopts what another daemon knows of the trials; returns whether it knows of more. */
+function mergeTrials(known: Entry, reported: Entry): boolean {
+  known.lastRequestMs = Math.max(known.lastRequestMs, reported.lastRequestMs);
+  if (reported.trials <= known.trials) {
+    return false;
+  }
+  known.lastTrialMs = reported.lastTrialMs;
+  known.trials = reported.trials;
+  return true;
+}
+
+function toEntry(report: QuarantineReport, nowMs: number): Entry {
+  const { ageMs, crashAgesMs, episode, idleMs, lastTrialAgeMs, stage, trials } = report;
+  return {
+    crashesMs: crashAgesMs.map((crashAgeMs) => nowMs - crashAgeMs),
+    episode,
+    lastRequestMs: nowMs - idleMs,
+    lastTrialMs: lastTrialAgeMs === undefined ? undefined : nowMs - lastTrialAgeMs,
+    sinceMs: nowMs - ageMs,
+    stage,
+    trials,
+  };
+}
+
+function toReport(fingerprint: FingerprintId, entry: Entry, nowMs: number): QuarantineReport {
+  const { crashesMs, episode, lastRequestMs, lastTrialMs, sinceMs, stage, trials } = entry;
+  return {
+    ageMs: Math.round(nowMs - sinceMs),
+    crashAgesMs: crashesMs.map((crashedMs) => Math.round(nowMs - crashedMs)),
+    episode,
+    fingerprint,
+    idleMs: Math.round(nowMs - lastRequestMs),
+    ...(lastTrialMs === undefined ? {} : { lastTrialAgeMs: Math.round(nowMs - lastTrialMs) }),
+    stage,
+    trials,
+  };
+}
--- a/packages/kernel/src/KernelResultCodes.ts
+++ b/packages/kernel/src/KernelResultCodes.ts
@@ -111,6 +111,13 @@
     httpStatus: 409,
     run: 'may_have_run',
   },
+  REQUEST_QUARANTINED: {
+    code: 2301,
+    description:
+      'Requests like this one crash their servers; it was not run and is not to be repeated.',
+    httpStatus: 400,
+    run: 'not_run',
+  },
   RATE_LIMITED: {
     code: 3001,
     description: 'The team is at the request rate of its contract.',
@@ -147,6 +154,12 @@
     httpStatus: 503,
     run: 'not_run',
   },
+  REQUEST_HELD: {
+    code: 3007,
+    description: 'Requests like this one may crash their servers and are run one at a time.',
+    httpStatus: 503,
+    run: 'not_run',
+  },
   NO_ENGINE: {
     code: 4001,
     description: 'No engine that serves the model can be reached.',
--- a/packages/serving/src/BackendAttempt.ts
+++ b/packages/serving/src/BackendAttempt.ts
@@ -1,5 +1,7 @@
 import type { BackendServer } from '@laburnumgap/dispatch';
+import type { FingerprintId, Refusal } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
+import type { AttemptProgress } from './AttemptProgress.js';
 import type { BackendConnection, ResponseListener } from './BackendConnection.js';
 import { serverDeadlineMs } from './CallDeadlines.js';
 import type { ResponseHead } from './ResponseParser.js';
@@ -11,6 +13,7 @@
   connection?: BackendConnection;
   head?: ResponseHead;
   metadata?: ResponseMetadata;
+  readonly progress: AttemptProgress;
   readonly sentMs: number;
   readonly server: BackendServer;
 }
@@ -20,6 +23,8 @@
   onConnected(connection: BackendConnection): void;
   /** The server takes no more requests for now; nothing was sent. */
   onLimited(retryAfterMs: number): void;
+  /** Requests like this one crash servers; nothing was sent. */
+  onQuarantined(refused: Refusal): void;
   /** The server could not be reached; nothing was sent. */
   onUnreachable(reason: string): void;
 }
@@ -28,8 +33,9 @@
 export type AttemptOptions = Omit<BackendRequestOptions, 'deadlineMs' | 'server' | 'teamId'>;
 
 /**
- * Acquires a connection to a server, and a permit where the server limits its requests. A failure is
- * logged; one of the connection is also recorded in the server's health.
+ * Acquires a connection to a server, and a permit where the server limits its requests. Asks the
+ * quarantine before and after. A failure is logged; one of the connection is also recorded in the
+ * server's health.
  *
  * @param context - shared state of the daemon
  * @param admitted - the caller's request
@@ -44,8 +50,13 @@
   maxPermitWaitMs: number,
   listener: ServerConnectListener,
 ): void {
-  const { clock, health, log, serverAccess } = context;
+  const { clock, connections, health, log, serverAccess } = context;
   const { serverId } = server;
+  const refused = admitted.pass.refusal();
+  if (refused) {
+    listener.onQuarantined(refused);
+    return;
+  }
   serverAccess.acquire(server, maxPermitWaitMs, {
     onConnectFailed: (reason) => {
       health.recordOutcome(serverId, 'unreachable', 0, clock.nowMs());
@@ -53,7 +64,13 @@
       listener.onUnreachable(reason);
     },
     onConnected: (connection) => {
-      listener.onConnected(connection);
+      const refusedSince = admitted.pass.refusal();
+      if (refusedSince) {
+        connections.release(server, connection);
+        listener.onQuarantined(refusedSince);
+      } else {
+        listener.onConnected(connection);
+      }
     },
     onLimited: (retryAfterMs) => {
       const { requestId } = admitted.request;
@@ -81,8 +98,10 @@
   options: AttemptOptions,
   listener: Pick<ResponseListener, 'onBody' | 'onBroken' | 'onEnd'>,
 ): void {
-  const { clock, crashDetector, protocol, serverSignals } = context;
-  const { body, fingerprints, request, team } = admitted;
+  const { clock, protocol, serverSignals } = context;
+  const { body, pass, request, team } = admitted;
+  const trialOf = pass.trialFingerprints();
+  pass.recordSend();
   attempt.connection = connection;
   const headers = protocol.requestHeaders(request, {
     ...options,
@@ -101,14 +120,36 @@
         attempt.metadata = serverSignals.evaluate(attempt.server, head);
         connection.keepAliveMs = attempt.metadata.keepAliveMs;
       },
+      onBody: (chunk) => {
+        attempt.progress.onBody();
+        listener.onBody(chunk);
+      },
       onBroken: (reason) => {
-        crashDetector.onBroken(attempt.server, { fingerprints, requestId: request.requestId });
+        recordBroken(context, admitted, attempt, trialOf);
         listener.onBroken(reason);
       },
     },
   );
 }
 
+/**
+ * Reports a response that broke off to the crash detector.
+ *
+ * @param context - shared state of the daemon
+ * @param admitted - the caller's request
+ * @param attempt - the attempt that ended
+ * @param trialOf - fingerprints of which the attempt was a trial
+ */
+export function recordBroken(
+  { crashDetector }: ServingContext,
+  { pass, request: { requestId } }: AdmittedCall,
+  { progress, server }: BackendAttempt,
+  trialOf: readonly FingerprintId[],
+): void {
+  const fingerprints = progress.wentOn() ? [] : pass.fingerprints;
+  crashDetector.onBroken(server, { fingerprints, requestId, trialOf });
+}
+
 /**
  * Records the outcome and the duration of an attempt in the server's health.
  *
--- a/packages/serving/src/ClusterSync.ts
+++ b/packages/serving/src/ClusterSync.ts
@@ -3,6 +3,7 @@
   EngineLoad,
   EngineShare,
   LimitReport,
+  QuarantineReport,
   RouteTable,
   ServerLimits,
   ServerRegistry,
@@ -17,7 +18,12 @@
 import { ClusterState } from './ClusterState.js';
 import { DirectoryFollower } from './DirectoryFollower.js';
 import { PeerLink } from './PeerLink.js';
-import type { CapacityMessage, MoveMessage, PermitMessage } from './PeerMessages.js';
+import type {
+  CapacityMessage,
+  MoveMessage,
+  PermitMessage,
+  QuarantineMessage,
+} from './PeerMessages.js';
 import type { PeerTransport } from './PeerTransport.js';
 import type { ServingLog } from './ServingLog.js';
 import type { PlatformDirectory } from './ServingPorts.js';
@@ -39,8 +45,14 @@
   readonly onConfiguration: (table: RouteTable) => void;
   /** Called with the limits of servers that another daemon knows. */
   readonly onLimits: (limits: readonly LimitReport[]) => void;
-  readonly onMessage: (message: CapacityMessage | MoveMessage | PermitMessage) => void;
+  readonly onMessage: (
+    message: CapacityMessage | MoveMessage | PermitMessage | QuarantineMessage,
+  ) => void;
+  /** Called with the quarantines that another daemon reports. */
+  readonly onQuarantines: (reports: readonly QuarantineReport[]) => void;
   readonly onServerLeaving: (serverId: ServerId) => void;
+  /** Quarantines for one heartbeat. */
+  readonly quarantines: () => readonly QuarantineReport[];
   readonly randomUnit: () => number;
   readonly registry: ServerRegistry;
   /** Hosts of daemons to contact before the platform's store was read. */
@@ -134,7 +146,9 @@
             options.onMessage(message);
         }
       },
+      onQuarantines: options.onQuarantines,
       position: () => this.state.position(),
+      quarantines: options.quarantines,
       seedHosts: options.seedHosts,
       snapshot: (knownVersion) => this.state.snapshot(knownVersion),
       transport: options.transport,
--- a/packages/serving/src/CrashDetector.ts
+++ b/packages/serving/src/CrashDetector.ts
@@ -1,6 +1,7 @@
 import { Socket } from 'node:net';
 import type { BackendServer, ServerIncarnation, ServerRegistry } from '@laburnumgap/dispatch';
-import type { FingerprintId } from '@laburnumgap/kernel';
+import { RecencyMap } from '@laburnumgap/dispatch';
+import type { FingerprintId, MonotonicClock } from '@laburnumgap/kernel';
 import { CONNECT_TIMEOUT_MS } from './ServingConstants.js';
 import type { ServingLog } from './ServingLog.js';
 
@@ -9,10 +10,14 @@
   /** What it has in common with other requests that can crash servers. */
   readonly fingerprints: readonly FingerprintId[];
   readonly requestId: string;
+  /** Fingerprints of which it was a trial. */
+  readonly trialOf: readonly FingerprintId[];
 }
 
 /** A server process that ended while it ran requests of this daemon. */
 export interface ServerCrash {
+  /** When the first response broke off, monotonic time. */
+  readonly crashedMs: number;
   readonly requests: readonly BrokenRequest[];
   readonly server: ServerIncarnation;
 }
@@ -22,6 +27,7 @@
 
 /** Options of {@link CrashDetector}. */
 export interface CrashDetectorOptions {
+  readonly clock: MonotonicClock;
   readonly log: ServingLog;
   readonly onCrash: (crash: ServerCrash) => void;
   /** Opens a connection to a server and closes it. */
@@ -41,7 +47,8 @@
  * that has lost power or the network: a VM on which the process is gone refuses connections.
  */
 export class CrashDetector {
-  private readonly crashedKeys = new Set<string>();
+  /** Times of crashes by server. */
+  private readonly crashedMs = new RecencyMap<string, number>(MAX_REMEMBERED_CRASHES);
   /** Broken requests by server, while its state is not known yet. */
   private readonly pending = new Map<string, BrokenRequest[]>();
 
@@ -59,8 +66,9 @@
       return;
     }
     const key = keyOf(server);
-    if (this.crashedKeys.has(key)) {
-      this.report(server, [request]);
+    const crashedMs = this.crashedMs.get(key);
+    if (crashedMs !== undefined) {
+      this.report(server, [request], crashedMs);
       return;
     }
     const pending = this.pending.get(key);
@@ -73,7 +81,8 @@
   }
 
   private async examine(server: BackendServer, key: string): Promise<void> {
-    const { log, probe = probeServer } = this.options;
+    const { clock, log, probe = probeServer } = this.options;
+    const brokenMs = clock.nowMs();
     const result = await probe(server);
     if (result === 'refused') {
       await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
@@ -85,13 +94,14 @@
       log.info('response-broken', { requests: requests.length, server: result, serverId });
       return;
     }
-    this.remember(key);
-    this.report(server, requests);
+    this.crashedMs.set(key, brokenMs);
+    this.report(server, requests, brokenMs);
   }
 
   private report(
     { serverId, startedEpochMs }: BackendServer,
     requests: readonly BrokenRequest[],
+    crashedMs: number,
   ): void {
     const { log, onCrash } = this.options;
     log.warn('server-crashed', {
@@ -104,16 +114,9 @@
         .join(','),
       requests: requests.length,
       serverId,
+      trialOf: requests.flatMap(({ trialOf }) => trialOf).join(',') || undefined,
     });
-    onCrash({ requests, server: { serverId, startedEpochMs } });
-  }
-
-  private remember(key: string): void {
-    this.crashedKeys.add(key);
-    const [oldest] = this.crashedKeys;
-    if (this.crashedKeys.size > MAX_REMEMBERED_CRASHES && oldest !== undefined) {
-      this.crashedKeys.delete(oldest);
-    }
+    onCrash({ crashedMs, requests, server: { serverId, startedEpochMs } });
   }
 }
 
--- a/packages/serving/src/EngineSearch.ts
+++ b/packages/serving/src/EngineSearch.ts
@@ -1,6 +1,6 @@
 import type { BackendServer, Placement, PromptShape } from '@laburnumgap/dispatch';
 import { admitGeneration, reservedOutputTokens } from '@laburnumgap/dispatch';
-import type { RequestId, ResultCodeName } from '@laburnumgap/kernel';
+import type { Refusal, RequestId, ResultCodeName } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { callerTimeoutMs, urgencyOf } from './GenerationTargets.js';
@@ -12,6 +12,8 @@
   readonly admitted: AdmittedCall;
   /** Called once for each start, unless the request is refused or the search is stopped. */
   readonly onPlaced: (server: BackendServer) => void;
+  /** Called instead when requests like this one have crashed engines meanwhile. */
+  readonly onQuarantined: (refused: Refusal) => void;
   readonly onRefused: (code: ResultCodeName, detail: string, retryAfterMs?: number) => void;
   readonly prompt: PromptShape;
   /** Ranks the engines that can be used now, best first. */
@@ -63,7 +65,12 @@
 
   /** Selects an engine; `declines` counts the owners that declined since the last wait. */
   private search(declines: number): void {
-    const { onRefused, rank, admitted } = this.options;
+    const { onQuarantined, onRefused, rank, admitted } = this.options;
+    const refused = admitted.pass.refusal();
+    if (refused) {
+      onQuarantined(refused);
+      return;
+    }
     const waitedMs = this.waitedMs();
     const admission = admitGeneration({
       best: rank()[0],
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -10,11 +10,12 @@
   reservedOutputTokens,
   unreadPromptTokens,
 } from '@laburnumgap/dispatch';
-import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
+import type { Refusal, ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
+import { AttemptProgress } from './AttemptProgress.js';
 import type { BackendAttempt } from './BackendAttempt.js';
-import { connectToServer, recordOutcome, sendAttempt } from './BackendAttempt.js';
+import { connectToServer, recordBroken, recordOutcome, sendAttempt } from './BackendAttempt.js';
 import type { BackendConnection } from './BackendConnection.js';
 import { untilFinalResponseMs } from './CallDeadlines.js';
 import { EngineSearch } from './EngineSearch.js';
@@ -64,6 +65,8 @@
 export interface RunStatus {
   readonly expectedRemainingTokens: number;
   readonly isMoving: boolean;
+  /** Requests like this one may crash engines. */
+  readonly isQuarantined: boolean;
   readonly requestId: string;
   readonly server: BackendServer;
   /** Time since the engine sent the last event. */
@@ -117,7 +120,10 @@
         this.startAttempt(server, undefined);
       },
       onRefused: (code, detail, retryAfterMs) => {
-        this.refuseNotExecuted(code, detail, retryAfterMs);
+        this.refuseNotExecuted(code, detail, retryAfterMs ?? this.defaultRetryAfterMs());
+      },
+      onQuarantined: (refused) => {
+        this.refuseQuarantined(refused);
       },
       prompt,
       rank: () => this.rankTargets(this.excludedServerIds),
@@ -158,6 +164,7 @@
     return {
       expectedRemainingTokens: plannedOutputTokens(prompt, producedTokens) - producedTokens,
       isMoving: this.isMoving,
+      isQuarantined: this.admitted.pass.refusal() !== undefined,
       requestId: this.admitted.request.requestId,
       server: attempt.server,
       sinceLastEventMs: this.context.clock.nowMs() - this.lastEventAtMs,
@@ -308,6 +315,7 @@
     const attempt: EngineAttempt = {
       errorBody: new GrowableBuffer(),
       isContinuation: continuation !== undefined,
+      progress: new AttemptProgress(clock, this.admitted.pass),
       sentMs: nowMs,
       server,
       splitter: new EventSplitter(),
@@ -324,6 +332,9 @@
       onLimited: (retryAfterMs) => {
         this.onLimited(attempt, continuation, retryAfterMs);
       },
+      onQuarantined: (refused) => {
+        this.onQuarantined(attempt, refused);
+      },
       onUnreachable: (reason) => {
         this.onNotStarted(attempt, continuation, reason);
       },
@@ -476,17 +487,20 @@
   private onStreamEnd(attempt: EngineAttempt): void {
     const { exchange } = this.admitted;
     if (attempt.splitter.pendingBytes() > 0) {
+      recordBroken(this.context, this.admitted, attempt, []);
       this.onConnectionBroken(attempt, 'the stream ended in the middle of an event');
       return;
     }
     if (!exchange.hasStarted()) {
       if (this.resumePosition.restartAfter() === undefined || !attempt.head) {
+        recordBroken(this.context, this.admitted, attempt, []);
         this.onConnectionBroken(attempt, 'the stream ended without an event');
         return;
       }
       // The caller already has the last event.
       exchange.start(withoutContentLength(attempt.head));
     }
+    attempt.progress.onComplete();
     recordOutcome(this.context, attempt, 'answered');
     this.attempt = undefined;
     this.finish('answered');
@@ -515,6 +529,19 @@
     this.fail(reason);
   }
 
+  /** Requests like this one crash engines: the run ends, wherever it was to be sent. */
+  private onQuarantined(attempt: EngineAttempt, refused: Refusal): void {
+    if (this.attempt !== attempt || this.isDone) {
+      return;
+    }
+    this.attempt = undefined;
+    this.refuseQuarantined(refused);
+  }
+
+  private refuseQuarantined({ code, detail, retryAfterMs }: Refusal): void {
+    this.refuseNotExecuted(code, detail, retryAfterMs);
+  }
+
   /** Searches for another engine, which can also end in this one once it takes requests again. */
   private onLimited(
     attempt: EngineAttempt,
@@ -567,7 +594,8 @@
       this.search.start();
       return;
     }
-    this.refuseNotExecuted('NO_ENGINE', `the engines did not accept the request: ${reason}`);
+    const detail = `the engines did not accept the request: ${reason}`;
+    this.refuseNotExecuted('NO_ENGINE', detail, this.defaultRetryAfterMs());
   }
 
   private onTimeout(): void {
@@ -584,7 +612,8 @@
       this.refuse('OUTCOME_UNKNOWN', 'the engine did not respond before the deadline');
       return;
     }
-    this.refuseNotExecuted('NO_ENGINE', 'no engine could be reached before the deadline');
+    const detail = 'no engine could be reached before the deadline';
+    this.refuseNotExecuted('NO_ENGINE', detail, this.defaultRetryAfterMs());
   }
 
   private onCallerDisconnected(): void {
@@ -604,7 +633,7 @@
   private refuseNotExecuted(
     code: ResultCodeName,
     detail: string,
-    retryAfterMs = this.defaultRetryAfterMs(),
+    retryAfterMs: number | undefined,
   ): void {
     const mayHaveRun = this.sendCount > this.refusedSendCount;
     this.refuse(mayHaveRun ? 'OUTCOME_UNKNOWN' : code, detail, retryAfterMs);
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -2,6 +2,7 @@
   EngineLoad,
   EngineShare,
   LimitReport,
+  QuarantineReport,
   ServerIncarnation,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
@@ -19,6 +20,7 @@
   PeerMessage,
   PeerSnapshot,
   PermitMessage,
+  QuarantineMessage,
 } from './PeerMessages.js';
 import {
   encodeConfiguration,
@@ -56,10 +58,14 @@
   /** Called with the limits of servers that a peer knows. */
   readonly onLimits: (limits: readonly LimitReport[]) => void;
   readonly onMessage: (message: Exclude<PeerMessage, DomainLoadMessage>) => void;
+  /** Called with the quarantines that a peer reports. */
+  readonly onQuarantines: (reports: readonly QuarantineReport[]) => void;
   /** The active configuration. */
   readonly configuration: () => ServingConfiguration | undefined;
   /** Configuration version and store revision that this daemon has applied. */
   readonly position: () => SyncPosition;
+  /** Quarantines for one heartbeat. */
+  readonly quarantines: () => readonly QuarantineReport[];
   /** Hosts of daemons to contact before the platform's store was read. */
   readonly seedHosts: readonly string[];
   /**
@@ -213,8 +219,16 @@
     }
   }
 
+  /** Sends a message to all known daemons. */
+  broadcast(message: QuarantineMessage): void {
+    this.sendToHosts(encodeMessage(message), this.table.hosts());
+  }
+
   /** Sends a message to one daemon; does nothing when the daemon is unknown. */
-  sendTo(message: CapacityMessage | MoveMessage | PermitMessage, memberId: MemberId): void {
+  sendTo(
+    message: CapacityMessage | MoveMessage | PermitMessage | QuarantineMessage,
+    memberId: MemberId,
+  ): void {
     this.sendToHosts(encodeMessage(message), this.table.hostsOf(memberId));
   }
 
@@ -297,6 +311,7 @@
     load.setOwnShares(shares);
     this.sequence += 1;
     const { isStopping, sequence } = this;
+    const quarantines = this.options.quarantines();
     const heartbeat: PeerHeartbeat = {
       ...this.options.position(),
       failureDomain,
@@ -307,6 +322,7 @@
       leavingServers: leavingServers(),
       limits: limits(),
       memberId,
+      ...(quarantines.length > 0 ? { quarantines } : {}),
       sequence,
       shares,
       storeIsAway: this.options.isStoreDown(),
@@ -409,6 +425,7 @@
     load.recordMemberReport(heartbeat.memberId, heartbeat.shares, nowMs);
     this.options.onLeaving(heartbeat.leavingServers);
     this.options.onLimits(heartbeat.limits ?? []);
+    this.options.onQuarantines(heartbeat.quarantines ?? []);
     this.checkLag(heartbeat, peer, nowMs);
   }
 
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -5,6 +5,7 @@
   LimitReport,
   MoveRequest,
   PermitDecision,
+  QuarantineReport,
   RegisteredServer,
   CapacityRequest,
   ServerChange,
@@ -13,6 +14,7 @@
 } from '@laburnumgap/dispatch';
 import type {
   FailureDomainId,
+  FingerprintId,
   MemberId,
   RequestId,
   Revision,
@@ -38,6 +40,8 @@
   /** Limits of requests that servers named; absent from daemons of earlier builds. */
   readonly limits?: readonly LimitReport[];
   readonly memberId: MemberId;
+  /** Some of the quarantines, in turn; absent without any, and from daemons of earlier builds. */
+  readonly quarantines?: readonly QuarantineReport[];
   /** Grows with each heartbeat of an incarnation. */
   readonly sequence: number;
   /** Load of the daemon at each engine; empty in heartbeats that only show liveness. */
@@ -85,6 +89,32 @@
       readonly serverId: ServerId;
     };
 
+/**
+ * Messages about requests that crash servers: a crash and the reports on fingerprints, and the request
+ * for a trial with its response.
+ */
+export type QuarantineMessage =
+  | {
+      readonly ageMs: number;
+      readonly fingerprints: readonly FingerprintId[];
+      readonly isTrial: boolean;
+      readonly kind: 'serverCrash';
+      readonly server: ServerIncarnation;
+    }
+  | {
+      readonly fingerprint: FingerprintId;
+      readonly kind: 'trialRequest';
+      readonly memberId: MemberId;
+      readonly requestNumber: number;
+    }
+  | {
+      readonly isGranted: boolean;
+      readonly kind: 'trialResponse';
+      readonly reports: readonly QuarantineReport[];
+      readonly requestNumber: number;
+    }
+  | { readonly kind: 'quarantine'; readonly reports: readonly QuarantineReport[] };
+
 /** Changes of the store, sent to the fleet by a daemon that watches it. */
 export interface ChangesMessage {
   /**
@@ -146,7 +176,8 @@
   | ConfigurationMessage
   | DomainLoadMessage
   | MoveMessage
-  | PermitMessage;
+  | PermitMessage
+  | QuarantineMessage;
 
 /** State of a daemon, for a daemon that the store does not respond to. */
 export interface PeerSnapshot extends StorePosition {
@@ -168,6 +199,7 @@
 type PackedShare = readonly [ServerId, number, number, number, number];
 
 const PACKED_SHARE_LENGTH = 5;
+const QUARANTINE_STAGES: ReadonlySet<string> = new Set(['cleared', 'confirmed', 'suspected']);
 
 /**
  * Encodes a heartbeat or a message as JSON.
@@ -208,6 +240,7 @@
       (server) => isId(server.serverId) && Number.isFinite(server.startedEpochMs),
     ) &&
     isLimitList(heartbeat.limits) &&
+    isQuarantineList(heartbeat.quarantines ?? []) &&
     Array.isArray(heartbeat.shares);
   return isHeartbeat ? unpackShares(heartbeat as PeerHeartbeat) : undefined;
 }
@@ -250,12 +283,26 @@
       return isPermitRequest(message) ? message : undefined;
     case 'permitResponse':
       return isPermitResponse(message) ? message : undefined;
+    case 'quarantine':
+      return isQuarantineList(message.reports) ? (message as QuarantineMessage) : undefined;
     case 'roomAnswer':
       return isCapacityAnswer(message) ? (message as CapacityMessage) : undefined;
     case 'roomWanted':
       return isId(message.memberId) && isCapacityRequest(message.wish)
         ? (message as CapacityMessage)
         : undefined;
+    case 'serverCrash':
+      return isCrash(message) ? message : undefined;
+    case 'trialRequest':
+      return isId(message.fingerprint) &&
+        isId(message.memberId) &&
+        hasFigures(message, ['requestNumber'])
+        ? (message as QuarantineMessage)
+        : undefined;
+    case 'trialResponse':
+      return isQuarantineList(message.reports) && hasFigures(message, ['requestNumber'])
+        ? (message as QuarantineMessage)
+        : undefined;
     default:
       return undefined;
   }
@@ -447,6 +494,30 @@
   );
 }
 
+function isCrash(
+  message: Partial<Extract<QuarantineMessage, { kind: 'serverCrash' }>>,
+): message is Extract<QuarantineMessage, { kind: 'serverCrash' }> {
+  return (
+    hasFigures(message, ['ageMs']) &&
+    isIdList(message.fingerprints) &&
+    isId(message.server?.serverId) &&
+    hasFigures(message.server, ['startedEpochMs'])
+  );
+}
+
+function isQuarantineList(reports: readonly QuarantineReport[] | undefined): boolean {
+  return isListOf(
+    reports,
+    (report) =>
+      isId(report.fingerprint) &&
+      QUARANTINE_STAGES.has(report.stage) &&
+      hasFigures(report, ['ageMs', 'episode', 'idleMs', 'trials']) &&
+      (report.lastTrialAgeMs === undefined || Number.isFinite(report.lastTrialAgeMs)) &&
+      Array.isArray(report.crashAgesMs) &&
+      report.crashAgesMs.every((ageMs) => Number.isFinite(ageMs)),
+  );
+}
+
 function isMoveRequest(request: Partial<MoveRequest> | undefined): boolean {
   return (
     isId(request?.memberId) &&
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -2,9 +2,10 @@
 import {
   selectAnnouncementTargets,
   selectEngineOwner,
+  selectEvidenceKeepers,
   selectWatchers,
 } from '@laburnumgap/dispatch';
-import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
+import type { FailureDomainId, FingerprintId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { DomainMember, PeerHeartbeat } from './PeerMessages.js';
 import type { MemberAddress } from './ServingPorts.js';
@@ -122,6 +123,18 @@
     return selectEngineOwner(serverId, failureDomain, candidates) ?? memberId;
   }
 
+  /**
+   * Selects the daemons that keep the evidence about a fingerprint. Draining daemons are not considered.
+   *
+   * @param fingerprint - the fingerprint
+   * @returns ids of the keepers, the one in charge first; may include this daemon
+   */
+  evidenceKeepers(fingerprint: FingerprintId): readonly MemberId[] {
+    const { failureDomain, memberId } = this.options;
+    const others = this.livePeersWithDomain().filter((peer) => !peer.isDraining);
+    return selectEvidenceKeepers(fingerprint, [...others, { failureDomain, memberId }]);
+  }
+
   /**
    * Source under which the load of a daemon is recorded.
    *
--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/PlainCallRun.ts
@@ -3,6 +3,7 @@
 import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
+import { AttemptProgress } from './AttemptProgress.js';
 import type { BackendAttempt } from './BackendAttempt.js';
 import { connectToServer, recordOutcome, sendAttempt } from './BackendAttempt.js';
 import type { BackendConnection } from './BackendConnection.js';
@@ -82,7 +83,11 @@
       servers: serverAccess.openServers(service),
     });
     if (!server) {
-      this.refuseNotExecuted('NO_SERVER', 'no server of the service accepts new calls');
+      this.refuseNotExecuted(
+        'NO_SERVER',
+        'no server of the service accepts new calls',
+        this.defaultRetryAfterMs(),
+      );
       return;
     }
     this.excludedServerIds.add(server.serverId);
@@ -95,6 +100,11 @@
           this.sendToNextServer();
         }
       },
+      onQuarantined: (refused) => {
+        if (!this.isDone) {
+          this.refuseNotExecuted(refused.code, refused.detail, refused.retryAfterMs);
+        }
+      },
       onUnreachable: () => {
         if (!this.isDone) {
           this.sendToNextServer();
@@ -118,6 +128,7 @@
       buffered: new GrowableBuffer(),
       isForwarding: false,
       number: this.attemptCount,
+      progress: new AttemptProgress(clock, this.admitted.pass),
       receivedBytes: 0,
       sentMs: clock.nowMs(),
       server,
@@ -194,6 +205,7 @@
       return;
     }
     if (attempt.isForwarding) {
+      attempt.progress.onComplete();
       this.finish('passed-on', attempt);
       this.admitted.exchange.finish();
       return;
@@ -202,6 +214,7 @@
       this.onNotExecuted(attempt, head.status);
       return;
     }
+    attempt.progress.onComplete();
     const isFailure = head.status >= FIRST_FAILURE_STATUS || !isFromServer(head, metadata);
     recordOutcome(this.context, attempt, isFailure ? 'failed' : 'answered');
     if (isFailure && this.takeRetryIfAllowed()) {
@@ -256,7 +269,11 @@
       this.sendToNextServer();
       return;
     }
-    this.refuseNotExecuted('NO_SERVER', 'the servers did not accept the call');
+    this.refuseNotExecuted(
+      'NO_SERVER',
+      'the servers did not accept the call',
+      this.defaultRetryAfterMs(),
+    );
   }
 
   private takeRetryIfAllowed(): boolean {
@@ -305,7 +322,11 @@
     }
     const { attempt } = this;
     if (!attempt && this.attemptCount === 0) {
-      this.refuseNotExecuted('NO_SERVER', 'no server could be reached before the deadline');
+      this.refuseNotExecuted(
+        'NO_SERVER',
+        'no server could be reached before the deadline',
+        this.defaultRetryAfterMs(),
+      );
       return;
     }
     if (attempt) {
@@ -361,14 +382,20 @@
     }
   }
 
-  private refuseNotExecuted(code: ResultCodeName, detail: string): void {
+  private refuseNotExecuted(
+    code: ResultCodeName,
+    detail: string,
+    retryAfterMs: number | undefined,
+  ): void {
     const hasRun = this.attemptCount > this.refusedSendCount;
-    const retryAfterMs =
-      this.context.serverAccess.openAgainAfterMs(this.admitted.service.service) ??
-      DEFAULT_RETRY_AFTER_MS;
     this.refuse(hasRun ? 'UPSTREAM_FAILED' : code, detail, retryAfterMs);
   }
 
+  private defaultRetryAfterMs(): number {
+    const { service } = this.admitted.service;
+    return this.context.serverAccess.openAgainAfterMs(service) ?? DEFAULT_RETRY_AFTER_MS;
+  }
+
   private refuse(code: ResultCodeName, detail: string, retryAfterMs?: number): void {
     this.finish(code, this.attempt);
     this.admitted.exchange.refuse(refusal(code, detail, retryAfterMs));
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -5,6 +5,8 @@
   addShares,
   EngineLoad,
   PrefixCacheIndex,
+  promptPartFingerprints,
+  Quarantine,
   RecentWaits,
   RetryBudget,
   ServerHealth,
@@ -12,7 +14,7 @@
   ServerRegistry,
 } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
-import type { AdmittedCall } from './AdmittedCall.js';
+import type { AdmittedCall, RoutedCall } from './AdmittedCall.js';
 import { BackendConnectionPool } from './BackendConnectionPool.js';
 import { CallsInFlight } from './CallsInFlight.js';
 import { ClusterSync } from './ClusterSync.js';
@@ -24,6 +26,8 @@
 import { MoveCoordinator } from './MoveCoordinator.js';
 import { PeerSockets } from './PeerSockets.js';
 import { PlainCallRun } from './PlainCallRun.js';
+import { QuarantineCoordinator } from './QuarantineCoordinator.js';
+import { QuarantinePass, quarantineRefusal } from './QuarantinePass.js';
 import { ServerAccess } from './ServerAccess.js';
 import { ServerLimitCoordinator } from './ServerLimitCoordinator.js';
 import { ServerSignals } from './ServerSignals.js';
@@ -113,6 +117,8 @@
   private readonly moveCoordinator: MoveCoordinator;
   private openPlainCalls = 0;
   private readonly permits: ServerLimitCoordinator;
+  private readonly quarantine = new Quarantine();
+  private readonly quarantineCoordinator: QuarantineCoordinator;
   private readonly readyServer;
   private readonly registry: ServerRegistry;
   private readonly retryBudget: RetryBudget;
@@ -160,6 +166,20 @@
       },
       serverOf: (serverId) => this.registry.get(serverId)?.server,
     });
+    this.quarantineCoordinator = new QuarantineCoordinator({
+      broadcast: (message) => {
+        this.cluster.peers.broadcast(message);
+      },
+      clock,
+      keepersOf: (fingerprint) => this.cluster.peers.table.evidenceKeepers(fingerprint),
+      log,
+      memberId: settings.memberId,
+      quarantine: this.quarantine,
+      seesMajority: () => this.cluster.peers.table.seesMajority(),
+      send: (message, memberId) => {
+        this.cluster.peers.sendTo(message, memberId);
+      },
+    });
     const serverAccess = new ServerAccess({
       clock,
       connections: this.connections,
@@ -181,8 +201,11 @@
       clock,
       connections: this.connections,
       crashDetector: new CrashDetector({
+        clock,
         log,
-        onCrash: () => undefined,
+        onCrash: (crash) => {
+          this.quarantineCoordinator.onCrash(crash);
+        },
         registry: this.registry,
       }),
       engineCapacity: new EngineCapacityCoordinator({
@@ -241,6 +264,12 @@
           case 'permitResponse':
             this.permits.onMessage(message);
             break;
+          case 'quarantine':
+          case 'serverCrash':
+          case 'trialRequest':
+          case 'trialResponse':
+            this.quarantineCoordinator.onMessage(message);
+            break;
           case 'roomAnswer':
           case 'roomWanted':
             this.context.engineCapacity.onMessage(message);
@@ -249,11 +278,15 @@
             this.moveCoordinator.onMessage(message);
         }
       },
+      onQuarantines: (reports) => {
+        this.quarantineCoordinator.onHeartbeatReports(reports);
+      },
       onServerLeaving: (serverId) => {
         this.connections.close(serverId);
         this.context.cachedPrefixes.removeServer(serverId);
         this.streamMover.moveStreamsFrom(serverId);
       },
+      quarantines: () => this.quarantineCoordinator.heartbeatReports(),
       randomUnit,
       registry: this.registry,
       seedHosts: settings.seedHosts,
@@ -284,8 +317,8 @@
       protocol,
       randomUnit,
       routes: { current: () => this.cluster.state.routesWhenReady() },
-      runCall: (admitted) => {
-        this.runCall(admitted);
+      runCall: (call) => {
+        this.admitCall(call);
       },
     });
     this.engineReports = new EngineReports({
@@ -367,6 +400,30 @@
     return !this.isDraining && this.cluster.state.routesWhenReady() !== undefined;
   }
 
+  /** Runs a call unless requests like it crash servers. */
+  private admitCall(call: RoutedCall): void {
+    const { log } = this.options;
+    const { exchange, request } = call;
+    const fingerprints = promptPartFingerprints(request.prompt?.parts ?? []);
+    this.quarantineCoordinator.admit(fingerprints, (verdict) => {
+      if (exchange.outcome()) {
+        return;
+      }
+      if (verdict.kind === 'refused') {
+        const { fingerprint, retryAfterMs } = verdict;
+        log.info('request-quarantined', {
+          fingerprint,
+          requestId: request.requestId,
+          retryAfterMs,
+        });
+        exchange.refuse(quarantineRefusal(verdict));
+        return;
+      }
+      const pass = new QuarantinePass(this.quarantineCoordinator, fingerprints, verdict.trialOf);
+      this.runCall({ ...call, pass });
+    });
+  }
+
   private runCall(admitted: AdmittedCall): void {
     if (!this.isRetryBudgetDivided) {
       // Calls can arrive before the first tick.
@@ -452,6 +509,7 @@
     this.context.health.retain(isRegistered);
     this.limits.retain(isRegistered, nowMs);
     this.permits.retain(isRegistered);
+    this.quarantine.expire(nowMs);
     this.connections.closeExpired();
     this.streamMover.moveStalledStreams();
     for (const { leaving, server } of this.registry.all()) {
--- a/packages/serving/src/ServingFront.ts
+++ b/packages/serving/src/ServingFront.ts
@@ -1,10 +1,10 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { RouteTable } from '@laburnumgap/dispatch';
-import { plannedOutputTokens, promptPartFingerprints, selectService } from '@laburnumgap/dispatch';
+import { plannedOutputTokens, selectService } from '@laburnumgap/dispatch';
 import type { MonotonicClock } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
-import type { AdmittedCall } from './AdmittedCall.js';
+import type { RoutedCall } from './AdmittedCall.js';
 import { CallerExchange } from './CallerExchange.js';
 import { toHeaderPairs } from './HeaderLists.js';
 import { DRAINING_RETRY_AFTER_MS, STARTING_RETRY_AFTER_MS } from './ServingConstants.js';
@@ -20,7 +20,7 @@
   readonly randomUnit: () => number;
   readonly routes: ActiveRoutes;
   /** Executes an admitted call. */
-  readonly runCall: (admitted: AdmittedCall) => void;
+  readonly runCall: (admitted: RoutedCall) => void;
 }
 
 /** Deadlines of a graceful shutdown, in monotonic time. */
@@ -148,7 +148,7 @@
     callerRequest: CallerRequest,
     exchange: CallerExchange,
     arrivedMs: number,
-  ): AdmittedCall | undefined {
+  ): RoutedCall | undefined {
     const table = this.options.routes.current();
     if (!table) {
       exchange.refuse(
@@ -183,7 +183,6 @@
       arrivedMs,
       body: undefined,
       exchange,
-      fingerprints: promptPartFingerprints(callerRequest.prompt?.parts ?? []),
       request: callerRequest,
       route,
       service,
@@ -216,7 +215,7 @@
     );
   }
 
-  private readBody(request: IncomingMessage, admitted: AdmittedCall): void {
+  private readBody(request: IncomingMessage, admitted: RoutedCall): void {
     const limits = this.options.routes.current()?.configuration.limits;
     const maxBodyBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
     const { exchange } = admitted;
--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/StreamMover.ts
@@ -68,7 +68,7 @@
   moveStalledStreams(): void {
     for (const run of this.runs) {
       const status = run.status();
-      if (!status || status.isMoving || status.sinceLastEventMs < STALL_TIMEOUT_MS) {
+      if (!isMovable(status) || status.sinceLastEventMs < STALL_TIMEOUT_MS) {
         continue;
       }
       const { requestId, server, sinceLastEventMs } = status;
@@ -91,7 +91,7 @@
     const movable = new Map<string, { run: GenerationRun; status: RunStatus }>();
     for (const run of this.runs) {
       const status = run.status();
-      if (status && !status.isMoving && status.server.serverId === serverId) {
+      if (isMovable(status) && status.server.serverId === serverId) {
         movable.set(status.requestId, { run, status });
       }
     }
@@ -251,6 +251,11 @@
   }
 }
 
+/** Whether a run can be moved; one that may crash engines is not sent to another. */
+function isMovable(status: RunStatus | undefined): status is RunStatus {
+  return status !== undefined && !status.isMoving && !status.isQuarantined;
+}
+
 /** Waits until the old stream has closed. Returns false when it is still open after the timeout. */
 function waitForStreamClosed(run: GenerationRun): Promise<boolean> {
   return new Promise((resolve) => {
--- a/packages/serving/src/__tests__/integration/PeerLink.test.ts
+++ b/packages/serving/src/__tests__/integration/PeerLink.test.ts
@@ -30,6 +30,8 @@
     onLagging: () => undefined,
     onLeaving: () => undefined,
     onLimits: () => undefined,
+    onQuarantines: () => undefined,
+    quarantines: () => [],
     onMessage: () => undefined,
     position: () => position,
     seedHosts: [],
--- a/packages/serving/src/__tests__/unit/CrashDetector.test.ts
+++ b/packages/serving/src/__tests__/unit/CrashDetector.test.ts
@@ -10,7 +10,7 @@
 } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
-import type { ProbeResult, ServerCrash } from '../../index.js';
+import type { BrokenRequest, ProbeResult, ServerCrash } from '../../index.js';
 import { CrashDetector } from '../../index.js';
 
 const SERVER: BackendServer = {
@@ -30,6 +30,7 @@
 ): { readonly crashes: ServerCrash[]; readonly detector: CrashDetector } {
   const crashes: ServerCrash[] = [];
   const detector = new CrashDetector({
+    clock: { nowMs: () => 5 },
     log: { info: () => undefined, warn: () => undefined },
     onCrash: (crash) => {
       crashes.push(crash);
@@ -42,8 +43,8 @@
   return { crashes, detector };
 }
 
-function broken(requestId: string): { fingerprints: readonly FingerprintId[]; requestId: string } {
-  return { fingerprints: [toId<FingerprintId>(`part ${requestId}`)], requestId };
+function broken(requestId: string): BrokenRequest {
+  return { fingerprints: [toId<FingerprintId>(`part ${requestId}`)], requestId, trialOf: [] };
 }
 
 async function settle(): Promise<void> {
@@ -57,6 +58,7 @@
   await settle();
   t.deepEqual(crashes, [
     {
+      crashedMs: 5,
       requests: [broken('r1'), broken('r2')],
       server: { serverId: SERVER.serverId, startedEpochMs: 7 },
     },
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,4 +1,5 @@
 export type * from './AdmittedCall.js';
+export * from './AttemptProgress.js';
 export * from './BackendAttempt.js';
 export * from './BackendConnection.js';
 export * from './BackendConnectionPool.js';
@@ -29,6 +30,8 @@
 export * from './PeerTable.js';
 export type * from './PeerTransport.js';
 export * from './PlainCallRun.js';
+export * from './QuarantineCoordinator.js';
+export * from './QuarantinePass.js';
 export * from './ResponseChecks.js';
 export * from './ResponseOverhead.js';
 export * from './ResponseParser.js';
