--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -114,6 +114,7 @@
       const entry = this.entries.get(fingerprint);
       if (entry) {
         entry.lastRequestMs = nowMs;
+        this.entries.set(fingerprint, entry);
         dueMs = Math.max(dueMs, trialDueMs(entry));
         confirmed ??= entry.stage === 'confirmed' ? fingerprint : undefined;
       }
--- a/packages/serving/src/__tests__/SimulatedFleet.ts
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -2,8 +2,8 @@
 import type { Clock } from '@sinonjs/fake-timers';
 import FakeTimers from '@sinonjs/fake-timers';
 import type { ServingConfiguration } from '@laburnumgap/dispatch';
-import { EngineLoad, ServerLimits, ServerRegistry } from '@laburnumgap/dispatch';
-import type { FailureDomainId, MemberId, Result } from '@laburnumgap/kernel';
+import { EngineLoad, Quarantine, ServerLimits, ServerRegistry } from '@laburnumgap/dispatch';
+import type { FailureDomainId, FingerprintId, MemberId, Result } from '@laburnumgap/kernel';
 import { failure, success, toId } from '@laburnumgap/kernel';
 import type {
   MemberAddress,
@@ -11,7 +11,7 @@
   PeerTransport,
   PeerTransportListener,
 } from '../index.js';
-import { ClusterSync } from '../index.js';
+import { ClusterSync, QuarantineCoordinator } from '../index.js';
 import type { StoreAccess } from './SimulatedStore.js';
 import { SimulatedDirectory, SimulatedStore } from './SimulatedStore.js';
 
@@ -53,6 +53,8 @@
   appliedVersions: number[] = [];
   private listener: PeerTransportListener | undefined;
   private incarnation = 0;
+  /** Quarantine of the process that runs now. */
+  quarantine: QuarantineCoordinator | undefined;
   private sync: ClusterSync | undefined;
   private tickTimer: NodeJS.Timeout | undefined;
 
@@ -70,7 +72,23 @@
     this.incarnation += 1;
     const { incarnation } = this;
     this.appliedVersions = [];
-    const sync = new ClusterSync({
+    const quarantine = new Quarantine();
+    const coordinator = new QuarantineCoordinator({
+      broadcast: (message) => {
+        sync.peers.broadcast(message);
+      },
+      clock: fleet.clock,
+      keepersOf: (fingerprint) => sync.peers.table.evidenceKeepers(fingerprint),
+      log: { info: () => undefined, warn: () => undefined },
+      memberId: address.memberId,
+      quarantine,
+      seesMajority: () => sync.peers.table.seesMajority(),
+      send: (message, memberId) => {
+        sync.peers.sendTo(message, memberId);
+      },
+    });
+    this.quarantine = coordinator;
+    const sync: ClusterSync = new ClusterSync({
       clock: fleet.clock,
       directory,
       failureDomain,
@@ -89,10 +107,20 @@
         }
       },
       onLimits: () => undefined,
-      onMessage: () => undefined,
-      onQuarantines: () => undefined,
+      onMessage: (message) => {
+        switch (message.kind) {
+          case 'quarantine':
+          case 'serverCrash':
+          case 'trialRequest':
+          case 'trialResponse':
+            coordinator.onMessage(message);
+        }
+      },
+      onQuarantines: (reports) => {
+        coordinator.onHeartbeatReports(reports);
+      },
       onServerLeaving: () => undefined,
-      quarantines: () => [],
+      quarantines: () => coordinator.heartbeatReports(),
       randomUnit: fleet.randomUnit,
       registry: new ServerRegistry(),
       seedHosts: [],
@@ -101,6 +129,7 @@
     this.sync = sync;
     void sync.start().then(() => sync.register());
     this.tickTimer = setInterval(() => {
+      quarantine.expire(fleet.clock.nowMs());
       sync.onTick(fleet.clock.nowMs());
     }, TICK_MS);
   }
@@ -113,6 +142,10 @@
     return this.sync?.peers.table.isWatcher() ?? false;
   }
 
+  keepersOf(fingerprint: FingerprintId): readonly MemberId[] {
+    return this.sync?.peers.table.evidenceKeepers(fingerprint) ?? [];
+  }
+
   /** Whether a fault of this daemon is going on. */
   isDisturbed(): boolean {
     return this.disturbedUntilMs === Infinity;
@@ -278,6 +311,11 @@
     return this.byHost.get(host);
   }
 
+  /** Daemons that keep the evidence about a fingerprint, as the first daemon that runs sees it. */
+  keepersOf(fingerprint: FingerprintId): readonly MemberId[] {
+    return this.daemons.find(({ isPowered }) => isPowered)?.keepersOf(fingerprint) ?? [];
+  }
+
   watchers(): readonly SimulatedDaemon[] {
     return this.daemons.filter((daemon) => daemon.isPowered && daemon.isWatcher());
   }
--- /dev/null
+++ b/packages/serving/src/__tests__/unit/QuarantineFleet.test.ts
@@ -0,0 +1,363 @@
+import type { FingerprintId, ServerId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
+import type { ExecutionContext } from 'ava';
+import test from 'ava';
+import type { SimulatedDaemon, SimulatedFleetOptions } from '../SimulatedFleet.js';
+import { SimulatedFleet } from '../SimulatedFleet.js';
+
+/** Time within which all daemons know, as the users state it for small deployments. */
+const STABLE_WINDOW_MS = 3_000;
+const KNOWN_WITHIN_MS = STABLE_WINDOW_MS / 2;
+const CRASHES = 5;
+const MAX_TRIALS = 3;
+const MIN_SERVED_SHARE = 0.5;
+const BAD = toId<FingerprintId>('part bad');
+const SHARED = toId<FingerprintId>('part shared');
+/** Time from the arrival of a request at a server to its first event, and of a sound one to its end. */
+const FIRST_EVENT_MS = 100;
+const ANSWER_MS = 600;
+const DOWN_MS = 2_000;
+const REQUEST_INTERVAL_MS = 100;
+
+interface FleetSize {
+  readonly daemonsPerDomain: number;
+  readonly domains: number;
+  readonly servers: number;
+}
+
+const SMALL: FleetSize = { daemonsPerDomain: 2, domains: 3, servers: 8 };
+const LARGE: FleetSize = { daemonsPerDomain: 65, domains: 3, servers: 100 };
+
+interface Run {
+  readonly daemon: SimulatedDaemon;
+  readonly fingerprints: readonly FingerprintId[];
+  hasEnded: boolean;
+  readonly trialOf: readonly FingerprintId[];
+}
+
+interface Server {
+  downUntilMs: number;
+  number: number;
+  runs: Run[];
+}
+
+/** Backend servers behind a fleet; requests with one fingerprint crash them. */
+class CrashingServers {
+  readonly badArrivalsMs: number[] = [];
+  /** Bad requests sent by daemons that had no fault for the stable window. */
+  readonly undisturbedArrivalsMs: number[] = [];
+  readonly badCrashesMs: number[] = [];
+  readonly soundMs: { readonly atMs: number; readonly isServed: boolean }[] = [];
+  private readonly servers: readonly Server[];
+
+  constructor(
+    private readonly fleet: SimulatedFleet,
+    count: number,
+    private readonly randomUnit: () => number,
+  ) {
+    this.servers = Array.from({ length: count }, (_, number) => ({
+      downUntilMs: 0,
+      number,
+      runs: [],
+    }));
+  }
+
+  /** Sends a request through a random daemon that runs. */
+  request(own: FingerprintId): void {
+    const daemons = this.fleet.daemons.filter(({ isPowered }) => isPowered);
+    const daemon = daemons[Math.floor(this.randomUnit() * daemons.length)];
+    const fingerprints = [SHARED, own];
+    const sentMs = this.fleet.clock.nowMs();
+    daemon?.quarantine?.admit(fingerprints, (verdict) => {
+      if (verdict.kind === 'admitted') {
+        this.run({ daemon, fingerprints, hasEnded: false, trialOf: verdict.trialOf }, sentMs);
+      } else if (own !== BAD) {
+        this.soundMs.push({ atMs: sentMs, isServed: false });
+      }
+    });
+  }
+
+  /** Ends servers for a reason that has nothing to do with what they run. */
+  crashShare(share: number): void {
+    const up = this.upServers();
+    up.slice(0, Math.ceil(up.length * share)).forEach((server) => {
+      this.crash(server);
+    });
+  }
+
+  lateArrivals(): number {
+    const fifthMs = this.badCrashesMs[CRASHES - 1] ?? Infinity;
+    return this.undisturbedArrivalsMs.filter((ms) => ms > fifthMs + KNOWN_WITHIN_MS).length;
+  }
+
+  servedShare(fromMs: number): number {
+    const sound = this.soundMs.filter(({ atMs }) => atMs >= fromMs);
+    return sound.filter(({ isServed }) => isServed).length / sound.length;
+  }
+
+  private run(run: Run, sentMs: number): void {
+    const up = this.upServers();
+    const server = up[Math.floor(this.randomUnit() * up.length)];
+    const isBad = run.fingerprints.includes(BAD);
+    if (!server) {
+      return;
+    }
+    if (isBad) {
+      this.badArrivalsMs.push(sentMs);
+      if (run.daemon.disturbedUntilMs + STABLE_WINDOW_MS <= sentMs) {
+        this.undisturbedArrivalsMs.push(sentMs);
+      }
+    }
+    server.runs.push(run);
+    setTimeout(
+      () => {
+        if (run.hasEnded) {
+          return;
+        }
+        if (isBad) {
+          this.badCrashesMs.push(this.fleet.clock.nowMs());
+          this.crash(server);
+          return;
+        }
+        run.hasEnded = true;
+        server.runs = server.runs.filter((other) => other !== run);
+        this.soundMs.push({ atMs: sentMs, isServed: true });
+        if (run.daemon.isPowered) {
+          run.daemon.quarantine?.onProgress(run.fingerprints);
+        }
+      },
+      isBad ? FIRST_EVENT_MS : ANSWER_MS,
+    );
+  }
+
+  private upServers(): readonly Server[] {
+    return this.servers.filter(({ downUntilMs }) => downUntilMs <= this.fleet.clock.nowMs());
+  }
+
+  private crash(server: Server): void {
+    const crashedMs = this.fleet.clock.nowMs();
+    const serverId = toId<ServerId>(`s${server.number}`);
+    const incarnation = { serverId, startedEpochMs: crashedMs };
+    server.downUntilMs = crashedMs + DOWN_MS;
+    const { runs } = server;
+    server.runs = [];
+    for (const daemon of new Set(runs.map((run) => run.daemon))) {
+      const requests = runs
+        .filter((run) => run.daemon === daemon)
+        .map(({ fingerprints, trialOf }) => ({ fingerprints, requestId: 'r', trialOf }));
+      if (daemon.isPowered) {
+        daemon.quarantine?.onCrash({ crashedMs, requests, server: incarnation });
+      }
+    }
+    runs.forEach((run) => {
+      run.hasEnded = true;
+    });
+  }
+}
+
+/** Deterministic numbers from 0 to 1. */
+function createRandom(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
+    return state / 2_147_483_648;
+  };
+}
+
+interface Scenario {
+  readonly isLargeToo?: boolean;
+  readonly isLost?: SimulatedFleetOptions['isLost'];
+  /** Requests a second that crash servers. */
+  readonly badPerS: number;
+  readonly name: string;
+  /** Called every 100 ms with the time since the first request. */
+  readonly onStep?: (fleet: SimulatedFleet, atMs: number) => void;
+}
+
+function keepers(fleet: SimulatedFleet): readonly SimulatedDaemon[] {
+  return fleet.daemons.filter(({ address }) => fleet.keepersOf(BAD).includes(address.memberId));
+}
+
+const lossRandom = createRandom(7);
+const SCENARIOS: readonly Scenario[] = [
+  { badPerS: 10, isLargeToo: true, name: 'ten a second' },
+  { badPerS: 1, name: 'one a second' },
+  {
+    badPerS: 5,
+    isLargeToo: true,
+    isLost: () => lossRandom() < 0.3,
+    name: 'three datagrams in ten lost',
+  },
+  {
+    badPerS: 2,
+    isLargeToo: true,
+    name: 'the first keeper without power',
+    onStep: (fleet, atMs) => {
+      if (atMs === 300) {
+        keepers(fleet)[0]?.powerOff();
+      }
+    },
+  },
+  {
+    badPerS: 2,
+    name: 'a keeper cut off until later',
+    onStep: (fleet, atMs) => {
+      const [keeper] = keepers(fleet);
+      if (atMs === 300) {
+        keeper?.cutOffFrom(fleet.daemons);
+      } else if (atMs === 6_000) {
+        keeper?.recover();
+      }
+    },
+  },
+  {
+    badPerS: 2,
+    name: 'daemons restarted one after the other',
+    onStep: (fleet, atMs) => {
+      const daemon = fleet.daemons[(atMs / 1_000) % fleet.daemons.length];
+      if (atMs >= 5_000 && atMs % 1_000 === 0) {
+        daemon?.powerOff();
+        setTimeout(() => daemon?.recover(), 500);
+      }
+    },
+  },
+];
+
+/** Plays requests for a while, one sound one every 100 ms. */
+async function play(
+  fleet: SimulatedFleet,
+  servers: CrashingServers,
+  durationMs: number,
+  { badPerS, onStep }: Pick<Scenario, 'badPerS' | 'onStep'>,
+): Promise<void> {
+  for (let atMs = 0; atMs < durationMs; atMs += REQUEST_INTERVAL_MS) {
+    onStep?.(fleet, atMs);
+    if (badPerS > 0 && atMs % (1_000 / badPerS) === 0) {
+      servers.request(BAD);
+    }
+    servers.request(toId<FingerprintId>(`part sound ${(atMs / REQUEST_INTERVAL_MS) % 5}`));
+    await fleet.run(REQUEST_INTERVAL_MS);
+  }
+}
+
+async function startFleet(
+  t: ExecutionContext,
+  size: FleetSize,
+  isLost?: SimulatedFleetOptions['isLost'],
+): Promise<{ readonly fleet: SimulatedFleet; readonly servers: CrashingServers }> {
+  const fleet = await SimulatedFleet.start({ ...size, applyMs: 5_000, isLost });
+  t.teardown(() => {
+    fleet.stop();
+  });
+  return { fleet, servers: new CrashingServers(fleet, size.servers, createRandom(31)) };
+}
+
+async function checkScenario(
+  t: ExecutionContext,
+  size: FleetSize,
+  durationMs: number,
+  scenario: Scenario,
+): Promise<void> {
+  const { fleet, servers } = await startFleet(t, size, scenario.isLost);
+  await play(fleet, servers, durationMs, scenario);
+  const late = servers.lateArrivals();
+  const total = servers.badArrivalsMs.length;
+  t.true(total >= CRASHES, `only ${total} arrived`);
+  t.true(late <= MAX_TRIALS, `${late} of ${total} arrived late, ${MAX_TRIALS} are allowed`);
+  const knownMs = servers.badCrashesMs[CRASHES - 1] ?? Infinity;
+  const share = servers.servedShare(knownMs + 2 * STABLE_WINDOW_MS);
+  t.true(share >= MIN_SERVED_SHARE, `${share} of the others were served`);
+}
+
+for (const scenario of SCENARIOS) {
+  test.serial(`6 daemons know what crashes servers: ${scenario.name}`, (t) =>
+    checkScenario(t, SMALL, 15_000, scenario),
+  );
+}
+
+for (const scenario of SCENARIOS.filter(({ isLargeToo }) => isLargeToo)) {
+  test.serial(`195 daemons know what crashes servers: ${scenario.name}`, (t) =>
+    checkScenario(t, LARGE, 12_000, scenario),
+  );
+}
+
+test.serial('when all daemons restart at once, servers crash at most as often again', async (t) => {
+  const { fleet, servers } = await startFleet(t, SMALL);
+  await play(fleet, servers, 5_000, { badPerS: 5 });
+  const crashesBefore = servers.badCrashesMs.length;
+  for (const daemon of fleet.daemons) {
+    daemon.powerOff();
+  }
+  await fleet.run(500);
+  for (const daemon of fleet.daemons) {
+    daemon.recover();
+  }
+  await fleet.run(STABLE_WINDOW_MS);
+  await play(fleet, servers, 10_000, { badPerS: 5 });
+  const crashes = servers.badCrashesMs.length - crashesBefore;
+  t.true(crashes <= CRASHES + MAX_TRIALS, `${crashes} servers crashed after the restart`);
+});
+
+const STORMS: readonly {
+  readonly name: string;
+  /** Time after the storm from which everything is served. */
+  readonly recoveryMs: number;
+  readonly step: (servers: CrashingServers, atMs: number) => void;
+}[] = [
+  {
+    name: 'half of the servers at once, again and again',
+    recoveryMs: STABLE_WINDOW_MS,
+    step: (servers, atMs) => {
+      if (atMs % 2_500 === 0) {
+        servers.crashShare(0.5);
+      }
+    },
+  },
+  {
+    name: 'all servers at once, again and again',
+    recoveryMs: STABLE_WINDOW_MS,
+    step: (servers, atMs) => {
+      if (atMs % 5_000 === 0) {
+        servers.crashShare(1);
+      }
+    },
+  },
+  {
+    name: 'one server after the other',
+    recoveryMs: STABLE_WINDOW_MS,
+    step: (servers, atMs) => {
+      if (atMs % 300 === 0) {
+        servers.crashShare(0.01);
+      }
+    },
+  },
+  {
+    name: 'all servers, always before an answer is complete',
+    // The second trial of a confirmed fingerprint comes 20 s after the first.
+    recoveryMs: 25_000,
+    step: (servers, atMs) => {
+      if (atMs % 2_500 === 2_300) {
+        servers.crashShare(1);
+      }
+    },
+  },
+];
+
+for (const { name, recoveryMs, step } of STORMS) {
+  test.serial(
+    `servers that end for other reasons do not hold back what ran there: ${name}`,
+    async (t) => {
+      const { fleet, servers } = await startFleet(t, SMALL);
+      await play(fleet, servers, 3_000, { badPerS: 0 });
+      await play(fleet, servers, 20_000, {
+        badPerS: 0,
+        onStep: (_fleet, atMs) => {
+          step(servers, atMs);
+        },
+      });
+      const overMs = fleet.clock.nowMs();
+      await play(fleet, servers, recoveryMs + 5_000, { badPerS: 0 });
+      t.is(servers.servedShare(overMs + recoveryMs), 1);
+    },
+  );
+}
