Hold back calls that crash servers

Cause: the same as with prompt parts, for a request as a whole: each arrival was placed anew, and an idempotent one was repeated at the next server. Change: a request also has the fingerprint of its host, path, team and body. Two crashes make it suspected, the third confirms it. What is known of calls is kept apart from prompt parts, since nearly every call is another one. Other calls of the route go on; an answer of any status clears a call. Ruled out: the daemons' repeats as the only cause (11 repeats, 24 servers ended).

--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -1,7 +1,8 @@
 import type { FingerprintId } from '@laburnumgap/kernel';
 import { CrashEvidence } from './CrashEvidence.js';
 import { RecencyMap } from './RecencyMap.js';
-import { PART_THRESHOLDS } from './RequestFingerprints.js';
+import type { FingerprintKind } from './RequestFingerprints.js';
+import { kindOf, thresholdsOf } from './RequestFingerprints.js';
 import type { ServerIncarnation } from './ServerRegistry.js';
 
 /**
@@ -89,7 +90,11 @@
  */
 export class Quarantine {
   private readonly entries = new RecencyMap<FingerprintId, Entry>(MAX_ENTRIES);
-  private readonly evidence = new CrashEvidence();
+  /** Apart, so that the many different calls do not displace the prompt parts. */
+  private readonly evidence: Readonly<Record<FingerprintKind, CrashEvidence>> = {
+    call: new CrashEvidence(),
+    part: new CrashEvidence(),
+  };
   private reportedCount = 0;
 
   /**
@@ -153,7 +158,7 @@
    */
   recordProgress(fingerprints: readonly FingerprintId[], nowMs: number): readonly FingerprintId[] {
     return fingerprints.filter((fingerprint) => {
-      this.evidence.recordProgress(fingerprint, nowMs);
+      this.evidenceOf(fingerprint).recordProgress(fingerprint, nowMs);
       const entry = this.entries.get(fingerprint);
       if (!entry || entry.stage === 'cleared') {
         return false;
@@ -173,7 +178,7 @@
   recordCrash(report: CrashReport, nowMs: number): readonly FingerprintId[] {
     const { crashedMs, fingerprints, isTrial, server } = report;
     return fingerprints.filter((fingerprint) => {
-      this.evidence.recordCrash(fingerprint, server, crashedMs);
+      this.evidenceOf(fingerprint).recordCrash(fingerprint, server, crashedMs);
       return this.evaluate(fingerprint, isTrial, nowMs);
     });
   }
@@ -219,14 +224,14 @@
     }
     this.entries.set(fingerprint, reported);
     if (reported.stage === 'cleared') {
-      this.evidence.recordProgress(fingerprint, reported.sinceMs);
+      this.evidenceOf(fingerprint).recordProgress(fingerprint, reported.sinceMs);
       return 'learned';
     }
-    const open = this.evidence.withoutExcused(fingerprint, reported.crashesMs);
-    if (open.length >= PART_THRESHOLDS.suspectCrashes) {
+    const open = this.evidenceOf(fingerprint).withoutExcused(fingerprint, reported.crashesMs);
+    if (open.length >= thresholdsOf(fingerprint).suspectCrashes) {
       return 'learned';
     }
-    const progressedMs = this.evidence.lastProgressMs(fingerprint) ?? nowMs;
+    const progressedMs = this.evidenceOf(fingerprint).lastProgressMs(fingerprint) ?? nowMs;
     this.setStage(fingerprint, reported, 'cleared', Math.min(nowMs, progressedMs));
     return 'objected';
   }
@@ -268,8 +273,8 @@
   }
 
   private evaluate(fingerprint: FingerprintId, isTrial: boolean, nowMs: number): boolean {
-    const { confirmCrashes, suspectCrashes } = PART_THRESHOLDS;
-    const crashesMs = this.evidence.openCrashesMs(fingerprint);
+    const { confirmCrashes, suspectCrashes } = thresholdsOf(fingerprint);
+    const crashesMs = this.evidenceOf(fingerprint).openCrashesMs(fingerprint);
     const entry = this.entries.get(fingerprint);
     const isSuspected = entry?.stage === 'suspected';
     const isConfirmed = crashesMs.length >= confirmCrashes || (isSuspected && isTrial);
@@ -291,6 +296,10 @@
     return true;
   }
 
+  private evidenceOf(fingerprint: FingerprintId): CrashEvidence {
+    return this.evidence[kindOf(fingerprint)];
+  }
+
   private setStage(
     fingerprint: FingerprintId,
     entry: Entry,
--- a/packages/dispatch/src/__tests__/unit/Quarantine.test.ts
+++ b/packages/dispatch/src/__tests__/unit/Quarantine.test.ts
@@ -1,9 +1,14 @@
-import type { FingerprintId, ServerId } from '@laburnumgap/kernel';
+import type { FingerprintId, ServerId, TeamId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
 import fc from 'fast-check';
 import type { QuarantineReport, QuarantineStage } from '../../index.js';
-import { promptPartFingerprints, Quarantine } from '../../index.js';
+import {
+  callFingerprint,
+  promptPartFingerprints,
+  Quarantine,
+  requestFingerprints,
+} from '../../index.js';
 
 const PART = toId<FingerprintId>('part a');
 const OTHER = toId<FingerprintId>('part b');
@@ -38,6 +43,52 @@
   t.deepEqual(promptPartFingerprints([]), []);
 });
 
+test('a call is recognised by host, path, team and body', (t) => {
+  const call = {
+    body: Buffer.from('{}'),
+    host: 'shop.example',
+    path: '/look/1',
+    teamId: toId<TeamId>('team'),
+  };
+  const fingerprint = callFingerprint(call);
+  t.is(callFingerprint({ ...call, body: Buffer.from('{}') }), fingerprint);
+  for (const other of [
+    { ...call, body: undefined },
+    { ...call, body: Buffer.from('{ }') },
+    { ...call, host: 'desk.example' },
+    { ...call, path: '/look/1?x' },
+    { ...call, teamId: undefined },
+  ]) {
+    t.not(callFingerprint(other), fingerprint);
+  }
+  t.deepEqual(requestFingerprints(call, [{ id: 'a', tokens: 1 }]), [fingerprint]);
+});
+
+test('two crashes make a call suspected, the third confirms it', (t) => {
+  const quarantine = new Quarantine();
+  const call = callFingerprint({ body: undefined, host: 'h', path: '/', teamId: undefined });
+  crash(quarantine, 1, 0, [call]);
+  t.is(quarantine.decide([call], 0).kind, 'admitted');
+  t.deepEqual(crash(quarantine, 2, 100, [call]), [call]);
+  t.is(quarantine.stageOf(call), 'suspected');
+  t.deepEqual(crash(quarantine, 3, 200, [call]), [call]);
+  t.is(quarantine.stageOf(call), 'confirmed');
+});
+
+test('calls that are all different do not displace what is known of prompt parts', (t) => {
+  const quarantine = new Quarantine();
+  quarantine.recordProgress([PART], 0);
+  for (let count = 0; count < 10_000; count += 1) {
+    const path = `/${count}`;
+    const call = callFingerprint({ body: undefined, host: 'h', path, teamId: undefined });
+    quarantine.recordProgress([call], 1_000);
+  }
+  for (const server of [1, 2, 3]) {
+    crash(quarantine, server, 1_000 + 100 * server);
+  }
+  t.is(quarantine.stageOf(PART), undefined);
+});
+
 test('three crashes make a part suspected, a crash that two daemons report counts once', (t) => {
   const quarantine = new Quarantine();
   t.deepEqual(crash(quarantine, 1, 0), []);
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -5,9 +5,9 @@
   addShares,
   EngineLoad,
   PrefixCacheIndex,
-  promptPartFingerprints,
   Quarantine,
   RecentWaits,
+  requestFingerprints,
   RetryBudget,
   ServerHealth,
   ServerLimits,
@@ -403,8 +403,12 @@
   /** Runs a call unless requests like it crash servers. */
   private admitCall(call: RoutedCall): void {
     const { log } = this.options;
-    const { exchange, request } = call;
-    const fingerprints = promptPartFingerprints(request.prompt?.parts ?? []);
+    const { body, exchange, request, team } = call;
+    const { host, path, prompt } = request;
+    const fingerprints = requestFingerprints(
+      { body, host, path, teamId: team?.teamId },
+      prompt?.parts ?? [],
+    );
     this.quarantineCoordinator.admit(fingerprints, (verdict) => {
       if (exchange.outcome()) {
         return;
