Examine a server again when a response breaks off long after its crash

Cause (by reading): a server can be back under the id and the entry that are known here. A response that broke off then was taken for one of the earlier crash, without a look at the server. Change: responses count as part of a crash for a second; after that the server is examined again. Measured: CrashDetector passes; no test of its own, the clock of the second crash is the only difference.

--- a/packages/serving/src/CrashDetector.ts
+++ b/packages/serving/src/CrashDetector.ts
@@ -37,6 +37,8 @@
 
 /** The responses of a crashed server break off within this time of each other. */
 const SETTLE_MS = 20;
+/** A response that breaks off later is another matter: the server can be back under the same id. */
+const SAME_CRASH_MS = 1_000;
 /** Crashed servers whose later broken responses are still assigned to the crash. */
 const MAX_REMEMBERED_CRASHES = 64;
 /** Requests in one log line. */
@@ -66,8 +68,8 @@
       return;
     }
     const key = keyOf(server);
-    const crashedMs = this.crashedMs.get(key);
-    if (crashedMs !== undefined) {
+    const crashedMs = this.crashedMs.get(key) ?? -Infinity;
+    if (this.options.clock.nowMs() - crashedMs < SAME_CRASH_MS) {
       this.report(server, [request], crashedMs);
       return;
     }
