Permit trials also while most daemons are dead

Cause (by reading): a trial needed a majority of the known daemons. With four of six dead, a wrong suspicion could not be lifted, and what it held back was refused until the dead were forgotten. Change: the first keeper permits trials as it sees the fleet. While daemons are cut off each side has its own three; sides that are cut off from the platform do not serve for long. Measured: the new test failed before by reading only (the old condition is false in it), now passes; the scenarios with 6 daemons pass.

--- a/packages/serving/src/QuarantineCoordinator.ts
+++ b/packages/serving/src/QuarantineCoordinator.ts
@@ -17,8 +17,6 @@
   readonly log: ServingLog;
   readonly memberId: MemberId;
   readonly quarantine: Quarantine;
-  /** Whether this daemon hears from most daemons; otherwise another one may be in charge as well. */
-  readonly seesMajority: () => boolean;
   readonly send: (message: QuarantineMessage, recipientId: MemberId) => void;
 }
 
@@ -289,10 +287,10 @@
     }
   }
 
-  /** Permits a trial as the first keeper; a daemon that is cut off from most does not. */
+  /** Permits a trial as the first keeper. While daemons are cut off, each side has its own. */
   private decideTrial(fingerprint: FingerprintId): boolean {
-    const { clock, keepersOf, memberId, quarantine, seesMajority } = this.options;
-    const isInCharge = keepersOf(fingerprint)[0] === memberId && seesMajority();
+    const { clock, keepersOf, memberId, quarantine } = this.options;
+    const isInCharge = keepersOf(fingerprint)[0] === memberId;
     if (!isInCharge || !quarantine.grantTrial(fingerprint, clock.nowMs())) {
       return false;
     }
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -175,7 +175,6 @@
       log,
       memberId: settings.memberId,
       quarantine: this.quarantine,
-      seesMajority: () => this.cluster.peers.table.seesMajority(),
       send: (message, memberId) => {
         this.cluster.peers.sendTo(message, memberId);
       },
--- a/packages/serving/src/__tests__/SimulatedFleet.ts
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -82,7 +82,6 @@
       log: { info: () => undefined, warn: () => undefined },
       memberId: address.memberId,
       quarantine,
-      seesMajority: () => sync.peers.table.seesMajority(),
       send: (message, memberId) => {
         sync.peers.sendTo(message, memberId);
       },
--- a/packages/serving/src/__tests__/unit/QuarantineFleet.test.ts
+++ b/packages/serving/src/__tests__/unit/QuarantineFleet.test.ts
@@ -298,6 +298,29 @@
   t.true(crashes <= CRASHES + MAX_TRIALS, `${crashes} servers crashed after the restart`);
 });
 
+test.serial('a suspicion is tried also while most daemons are dead', async (t) => {
+  const { fleet } = await startFleet(t, SMALL);
+  fleet.daemons.slice(2).forEach((daemon) => {
+    daemon.powerOff();
+  });
+  await fleet.run(STABLE_WINDOW_MS);
+  const quarantine = fleet.daemons[0]?.quarantine;
+  for (let number = 0; number < CRASHES - 1; number += 1) {
+    const server = { serverId: toId<ServerId>(`s${number}`), startedEpochMs: 1 };
+    const requests = [{ fingerprints: [SHARED], requestId: 'r', trialOf: [] }];
+    quarantine?.onCrash({ crashedMs: fleet.clock.nowMs(), requests, server });
+    await fleet.run(100);
+  }
+  const kinds: string[] = [];
+  for (const daemon of fleet.daemons.slice(0, 2)) {
+    daemon.quarantine?.admit([SHARED], ({ kind }) => {
+      kinds.push(kind);
+    });
+    await fleet.run(200);
+  }
+  t.deepEqual(kinds, ['admitted', 'refused']);
+});
+
 const STORMS: readonly {
   readonly name: string;
   /** Time after the storm from which everything is served. */
