Confirm by a trial also at a keeper that did not see the crashes before

Cause (by reading the whole change): a keeper that took over after a suspicion knows the stage from reports, not the crashes. It ignored the crash of a trial, since it had counted fewer crashes than a suspicion takes, and permitted two more. Change: the crash of a trial confirms a suspected fingerprint whatever else the keeper has counted. Measured: the new test failed before (no stage changed), all tests of the quarantine pass now.

--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -277,11 +277,10 @@
     const crashesMs = this.evidenceOf(fingerprint).openCrashesMs(fingerprint);
     const entry = this.entries.get(fingerprint);
     const isSuspected = entry?.stage === 'suspected';
+    // A keeper since a short while knows the suspicion from reports, but not the crashes before it.
     const isConfirmed = crashesMs.length >= confirmCrashes || (isSuspected && isTrial);
-    if (entry?.stage === 'confirmed' || crashesMs.length < suspectCrashes) {
-      return false;
-    }
-    if (isSuspected && !isConfirmed) {
+    const isNewSuspicion = !isSuspected && crashesMs.length >= suspectCrashes;
+    if (entry?.stage === 'confirmed' || !(isConfirmed || isNewSuspicion)) {
       return false;
     }
     this.entries.set(fingerprint, {
--- a/packages/dispatch/src/__tests__/unit/Quarantine.test.ts
+++ b/packages/dispatch/src/__tests__/unit/Quarantine.test.ts
@@ -129,6 +129,17 @@
   t.is(trials, 3);
 });
 
+test('a trial confirms a part also at a keeper that has not seen the crashes before', (t) => {
+  const earlier = new Quarantine();
+  suspect(earlier);
+  const report = earlier.reportOf(PART, 300);
+  const keeper = new Quarantine();
+  t.is(report && keeper.merge(report, 300), 'learned');
+  keeper.grantTrial(PART, 400);
+  t.deepEqual(crash(keeper, 9, 500, [PART], true), [PART]);
+  t.is(keeper.stageOf(PART), 'confirmed');
+});
+
 test('five crashes confirm a part without a trial', (t) => {
   const quarantine = new Quarantine();
   suspect(quarantine);
