Report a trial that ends inside an event as a trial

Cause (by reading the whole change): a stream that ends inside an event, or without one, was reported to the crash detector without the trial that it was, so that its crash counted as one of many and did not confirm. Change: an attempt remembers of what it is a trial; no caller passes it on.

--- a/packages/serving/src/BackendAttempt.ts
+++ b/packages/serving/src/BackendAttempt.ts
@@ -16,6 +16,8 @@
   readonly progress: AttemptProgress;
   readonly sentMs: number;
   readonly server: BackendServer;
+  /** Fingerprints of which the attempt is a trial; set when it is sent. */
+  trialOf?: readonly FingerprintId[];
 }
 
 /** Receives the outcome of {@link connectToServer}. */
@@ -100,9 +102,9 @@
 ): void {
   const { clock, protocol, serverSignals } = context;
   const { body, pass, request, team } = admitted;
-  const trialOf = pass.trialFingerprints();
-  pass.recordSend();
   attempt.connection = connection;
+  attempt.trialOf = pass.trialFingerprints();
+  pass.recordSend();
   const headers = protocol.requestHeaders(request, {
     ...options,
     deadlineMs: serverDeadlineMs(admitted, clock.nowMs()),
@@ -115,19 +117,19 @@
       ...listener,
       accepts: (head) =>
         protocol.parseResponseMetadata(head.headers).requestId === request.requestId,
-      onHead: (head) => {
-        attempt.head = head;
-        attempt.metadata = serverSignals.evaluate(attempt.server, head);
-        connection.keepAliveMs = attempt.metadata.keepAliveMs;
-      },
       onBody: (chunk) => {
         attempt.progress.onBody();
         listener.onBody(chunk);
       },
       onBroken: (reason) => {
-        recordBroken(context, admitted, attempt, trialOf);
+        recordBroken(context, admitted, attempt);
         listener.onBroken(reason);
       },
+      onHead: (head) => {
+        attempt.head = head;
+        attempt.metadata = serverSignals.evaluate(attempt.server, head);
+        connection.keepAliveMs = attempt.metadata.keepAliveMs;
+      },
     },
   );
 }
@@ -138,13 +140,11 @@
  * @param context - shared state of the daemon
  * @param admitted - the caller's request
  * @param attempt - the attempt that ended
- * @param trialOf - fingerprints of which the attempt was a trial
  */
 export function recordBroken(
   { crashDetector }: ServingContext,
   { pass, request: { requestId } }: AdmittedCall,
-  { progress, server }: BackendAttempt,
-  trialOf: readonly FingerprintId[],
+  { progress, server, trialOf = [] }: BackendAttempt,
 ): void {
   const fingerprints = progress.wentOn() ? [] : pass.fingerprints;
   crashDetector.onBroken(server, { fingerprints, requestId, trialOf });
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -487,13 +487,13 @@
   private onStreamEnd(attempt: EngineAttempt): void {
     const { exchange } = this.admitted;
     if (attempt.splitter.pendingBytes() > 0) {
-      recordBroken(this.context, this.admitted, attempt, []);
+      recordBroken(this.context, this.admitted, attempt);
       this.onConnectionBroken(attempt, 'the stream ended in the middle of an event');
       return;
     }
     if (!exchange.hasStarted()) {
       if (this.resumePosition.restartAfter() === undefined || !attempt.head) {
-        recordBroken(this.context, this.admitted, attempt, []);
+        recordBroken(this.context, this.admitted, attempt);
         this.onConnectionBroken(attempt, 'the stream ended without an event');
         return;
       }
