--- a/packages/serving/src/__tests__/unit/CrashDetector.test.ts
+++ b/packages/serving/src/__tests__/unit/CrashDetector.test.ts
@@ -27,10 +27,11 @@
 function createDetector(
   probe: ((server: BackendServer) => Promise<ProbeResult>) | undefined,
   leaving = false,
+  nowMs = (): number => 5,
 ): { readonly crashes: ServerCrash[]; readonly detector: CrashDetector } {
   const crashes: ServerCrash[] = [];
   const detector = new CrashDetector({
-    clock: { nowMs: () => 5 },
+    clock: { nowMs },
     log: { info: () => undefined, warn: () => undefined },
     onCrash: (crash) => {
       crashes.push(crash);
@@ -67,6 +68,23 @@
   t.deepEqual(crashes[1]?.requests, [broken('r3')]);
 });
 
+test('a server that is back under its id is examined again', async (t) => {
+  let nowMs = 5;
+  let result: ProbeResult = 'refused';
+  const { crashes, detector } = createDetector(
+    () => Promise.resolve(result),
+    false,
+    () => nowMs,
+  );
+  detector.onBroken(SERVER, broken('r1'));
+  await settle();
+  nowMs = 3_000;
+  result = 'accepted';
+  detector.onBroken(SERVER, broken('r2'));
+  await settle();
+  t.is(crashes.length, 1);
+});
+
 for (const result of ['accepted', 'silent'] as const) {
   test(`a response that breaks off at a server whose connections are ${result} is no crash`, async (t) => {
     const { crashes, detector } = createDetector(() => Promise.resolve(result));
