Name and split what a reader of the quarantine stumbles over

Change: announcing a stage no longer decides by the name of its source whether it is logged; the front routes calls and does not admit them; comments that named a unit or a condition wrongly. No decision changes.

--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -31,7 +31,7 @@
 export interface CrashReport {
   readonly crashedMs: number;
   readonly fingerprints: readonly FingerprintId[];
-  /** The only suspicious property of the request was its one fingerprint. */
+  /** The server ran a trial of the report's only fingerprint. */
   readonly isTrial: boolean;
   readonly server: ServerIncarnation;
 }
--- a/packages/dispatch/src/RequestFingerprints.ts
+++ b/packages/dispatch/src/RequestFingerprints.ts
@@ -25,7 +25,7 @@
 
 const CALL_PREFIX = 'call ';
 const PART_PREFIX = 'part ';
-/** Bytes of a hash, encoded in base64: calls do not collide by chance. */
+/** Characters of six bits: different calls do not get the same hash by chance. */
 const HASH_LENGTH = 22;
 const THRESHOLDS: Readonly<Record<FingerprintKind, CrashThresholds>> = {
   // Few requests are the same call, so that few crashes by chance fall on it.
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -119,12 +119,12 @@
       onPlaced: (server) => {
         this.startAttempt(server, undefined);
       },
-      onRefused: (code, detail, retryAfterMs) => {
-        this.refuseNotExecuted(code, detail, retryAfterMs ?? this.defaultRetryAfterMs());
-      },
       onQuarantined: (refused) => {
         this.refuseQuarantined(refused);
       },
+      onRefused: (code, detail, retryAfterMs) => {
+        this.refuseNotExecuted(code, detail, retryAfterMs ?? this.defaultRetryAfterMs());
+      },
       prompt,
       rank: () => this.rankTargets(this.excludedServerIds),
     });
--- a/packages/serving/src/QuarantineCoordinator.ts
+++ b/packages/serving/src/QuarantineCoordinator.ts
@@ -35,7 +35,7 @@
   readonly onDecision: (isGranted: boolean) => void;
 }
 
-/** Time after which a message is repeated, as datagrams can be lost. */
+/** Time after which a message about a crash or a stage is repeated, as datagrams can be lost. */
 const REPEAT_AFTER_MS = 150;
 /** A keeper that has not answered a request for a trial by then does not permit it. */
 const KEEPER_TIMEOUT_MS = 120;
@@ -148,14 +148,16 @@
       case 'serverCrash': {
         const { ageMs, fingerprints, isTrial, server } = message;
         const report = { crashedMs: nowMs - ageMs, fingerprints, isTrial, server };
-        this.announce(quarantine.recordCrash(report, nowMs), 'crash');
+        for (const fingerprint of quarantine.recordCrash(report, nowMs)) {
+          this.logStage(fingerprint, 'crash');
+          this.announce(fingerprint);
+        }
         break;
       }
       case 'trialRequest': {
         const { fingerprint, memberId, requestNumber } = message;
         const isGranted = this.decideTrial(fingerprint);
-        const report = quarantine.reportOf(fingerprint, nowMs);
-        const reports = report ? [report] : [];
+        const reports = this.reportsOf(fingerprint);
         this.send({ isGranted, kind: 'trialResponse', reports, requestNumber }, memberId);
         break;
       }
@@ -189,24 +191,16 @@
       } else if (outcome === 'learned' && stage !== stageBefore) {
         this.logStage(fingerprint, source);
         if (stage === 'cleared' && source === 'message' && this.isKeeper(fingerprint)) {
-          this.announce([fingerprint], source);
+          this.announce(fingerprint);
         }
       }
     }
   }
 
-  /** Tells all daemons of stages that this daemon decided on as a keeper. */
-  private announce(fingerprints: readonly FingerprintId[], source: string): void {
-    if (fingerprints.length === 0) {
-      return;
-    }
-    for (const fingerprint of fingerprints) {
-      if (source !== 'message') {
-        this.logStage(fingerprint, source);
-      }
-    }
+  /** Tells all daemons the stage of a fingerprint, as one of its keepers. */
+  private announce(fingerprint: FingerprintId): void {
     const broadcast = (): void => {
-      this.options.broadcast({ kind: 'quarantine', reports: this.reportsOf(fingerprints) });
+      this.options.broadcast({ kind: 'quarantine', reports: this.reportsOf(fingerprint) });
     };
     broadcast();
     this.after(REPEAT_AFTER_MS, broadcast);
@@ -216,7 +210,7 @@
   private tellKeepers(fingerprint: FingerprintId): void {
     const { keepersOf, memberId } = this.options;
     const send = (): void => {
-      const reports = this.reportsOf([fingerprint]);
+      const reports = this.reportsOf(fingerprint);
       for (const keeper of keepersOf(fingerprint)) {
         if (keeper !== memberId) {
           this.options.send({ kind: 'quarantine', reports }, keeper);
@@ -224,7 +218,7 @@
       }
     };
     if (this.isKeeper(fingerprint)) {
-      this.announce([fingerprint], 'message');
+      this.announce(fingerprint);
       return;
     }
     send();
@@ -294,16 +288,14 @@
     if (!isInCharge || !quarantine.grantTrial(fingerprint, clock.nowMs())) {
       return false;
     }
-    this.options.broadcast({ kind: 'quarantine', reports: this.reportsOf([fingerprint]) });
+    this.options.broadcast({ kind: 'quarantine', reports: this.reportsOf(fingerprint) });
     return true;
   }
 
-  private reportsOf(fingerprints: readonly FingerprintId[]): readonly QuarantineReport[] {
+  private reportsOf(fingerprint: FingerprintId): readonly QuarantineReport[] {
     const { clock, quarantine } = this.options;
-    return fingerprints.flatMap((fingerprint) => {
-      const report = quarantine.reportOf(fingerprint, clock.nowMs());
-      return report ? [report] : [];
-    });
+    const report = quarantine.reportOf(fingerprint, clock.nowMs());
+    return report ? [report] : [];
   }
 
   private isKeeper(fingerprint: FingerprintId): boolean {
--- a/packages/serving/src/QuarantinePass.ts
+++ b/packages/serving/src/QuarantinePass.ts
@@ -26,12 +26,12 @@
     return this.remainingTrialSends > 0 ? this.trialOf : [];
   }
 
-  /** Takes note that the request is sent. A trial is sent to one server only. */
+  /** Records that the request is sent. A trial is sent to one server only. */
   recordSend(): void {
     this.remainingTrialSends -= 1;
   }
 
-  /** Takes note that an answer to the request goes on. */
+  /** Records that an answer to the request goes on. */
   recordProgress(): void {
     this.coordinator.onProgress(this.fingerprints);
   }
--- a/packages/serving/src/ServingFront.ts
+++ b/packages/serving/src/ServingFront.ts
@@ -19,8 +19,8 @@
   readonly protocol: WireProtocol;
   readonly randomUnit: () => number;
   readonly routes: ActiveRoutes;
-  /** Executes an admitted call. */
-  readonly runCall: (admitted: RoutedCall) => void;
+  /** Executes a routed call. */
+  readonly runCall: (call: RoutedCall) => void;
 }
 
 /** Deadlines of a graceful shutdown, in monotonic time. */
@@ -132,9 +132,9 @@
       exchange.refuse(refusal('REQUEST_TOO_LARGE', 'the headers exceed the size limit'));
       return;
     }
-    const admitted = this.admit(parsed.value, exchange, arrivedMs);
-    if (admitted) {
-      this.readBody(request, admitted);
+    const call = this.route(parsed.value, exchange, arrivedMs);
+    if (call) {
+      this.readBody(request, call);
     }
   }
 
@@ -144,7 +144,7 @@
     return headerBytes > (limits?.maxHeaderBytes ?? MAX_HEADER_BYTES);
   }
 
-  private admit(
+  private route(
     callerRequest: CallerRequest,
     exchange: CallerExchange,
     arrivedMs: number,
@@ -179,15 +179,7 @@
       exchange.refuse(refusal('DRAINING', 'this daemon is shutting down', retryAfterMs));
       return undefined;
     }
-    return {
-      arrivedMs,
-      body: undefined,
-      exchange,
-      request: callerRequest,
-      route,
-      service,
-      team,
-    };
+    return { arrivedMs, body: undefined, exchange, request: callerRequest, route, service, team };
   }
 
   private canFinishBeforeStop(callerRequest: CallerRequest, arrivedMs: number): boolean {
@@ -215,17 +207,17 @@
     );
   }
 
-  private readBody(request: IncomingMessage, admitted: RoutedCall): void {
+  private readBody(request: IncomingMessage, call: RoutedCall): void {
     const limits = this.options.routes.current()?.configuration.limits;
     const maxBodyBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const { exchange } = admitted;
+    const { exchange } = call;
     if (Number(request.headers['content-length'] ?? 0) > maxBodyBytes) {
       exchange.refuse(refusal('REQUEST_TOO_LARGE', 'the body exceeds the size limit'));
       return;
     }
     if (!hasBody(request)) {
       request.resume();
-      this.options.runCall(admitted);
+      this.options.runCall(call);
       return;
     }
     const chunks: Buffer[] = [];
@@ -241,7 +233,7 @@
     });
     request.on('end', () => {
       if (!exchange.outcome()) {
-        this.options.runCall({ ...admitted, body: Buffer.concat(chunks) });
+        this.options.runCall({ ...call, body: Buffer.concat(chunks) });
       }
     });
   }
