--- a/packages/serving/src/BackendConnection.ts
+++ b/packages/serving/src/BackendConnection.ts
@@ -1,8 +1,10 @@
-import { Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { ResponseOverhead } from './ResponseOverhead.js';
 import type { ResponseHead } from './ResponseParser.js';
 import { ResponseParser } from './ResponseParser.js';
 import type { HeaderList } from './ServingPorts.js';
+import type { SocketOpener } from './SocketOpener.js';
+import { openSocket } from './SocketOpener.js';
 
 /** HTTP request to a backend server. */
 export interface BackendRequest {
@@ -33,6 +35,7 @@
   /** The connection could not be opened; nothing was sent. */
   readonly onConnectFailed: (reason: string) => void;
   readonly onConnected: (connection: BackendConnection) => void;
+  readonly openSocket?: SocketOpener;
   readonly port: number;
 }
 
@@ -55,7 +58,7 @@
   private listener: ResponseListener | undefined;
   private overhead = new ResponseOverhead();
   private readonly parser: ResponseParser;
-  private readonly socket = new Socket({ allowHalfOpen: true });
+  private readonly socket: Socket;
 
   constructor(private readonly options: BackendConnectionOptions) {
     this.parser = new ResponseParser({
@@ -72,6 +75,7 @@
         this.onResponseHead(head);
       },
     });
+    this.socket = (options.openSocket ?? openSocket)(options.host, options.port);
     this.connect();
   }
 
@@ -114,7 +118,7 @@
   }
 
   private connect(): void {
-    const { connectTimeoutMs, host, onConnectFailed, onConnected, port } = this.options;
+    const { connectTimeoutMs, onConnectFailed, onConnected } = this.options;
     const { socket } = this;
     const timer = setTimeout(() => {
       failConnect('timeout');
@@ -126,7 +130,6 @@
         onConnectFailed(reason);
       }
     };
-    socket.setNoDelay(true);
     socket.on('error', (error: NodeJS.ErrnoException) => {
       failConnect(error.code ?? error.message);
       this.fail(error.code ?? error.message);
@@ -141,7 +144,7 @@
     socket.on('data', (chunk) => {
       this.onData(chunk);
     });
-    socket.connect(port, host, () => {
+    socket.once('connect', () => {
       clearTimeout(timer);
       this.isConnected = true;
       onConnected(this);
--- a/packages/serving/src/BackendConnectionPool.ts
+++ b/packages/serving/src/BackendConnectionPool.ts
@@ -1,6 +1,7 @@
 import type { BackendServer } from '@laburnumgap/dispatch';
 import type { MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { BackendConnection } from './BackendConnection.js';
+import type { SocketOpener } from './SocketOpener.js';
 import {
   CONNECT_TIMEOUT_MS,
   DEFAULT_KEEP_ALIVE_MS,
@@ -21,6 +22,7 @@
 
   constructor(
     private readonly clock: MonotonicClock,
+    private readonly openSocket?: SocketOpener,
     private readonly connectTimeoutMs = CONNECT_TIMEOUT_MS,
   ) {}
 
@@ -43,6 +45,7 @@
       onConnected: (connection) => {
         listener.onConnected(connection);
       },
+      openSocket: this.openSocket,
       port: server.port,
     });
   }
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -35,6 +35,7 @@
 import { ServingFront } from './ServingFront.js';
 import type { ServingLog } from './ServingLog.js';
 import type { PlatformDirectory, WireProtocol } from './ServingPorts.js';
+import type { SocketOpener } from './SocketOpener.js';
 import { StreamMover } from './StreamMover.js';
 
 /** Address that a listener binds to. */
@@ -74,6 +75,8 @@
   /** Start time of the process; distinguishes restarts under the same member id. */
   readonly incarnation: number;
   readonly log: ServingLog;
+  /** Opens connections to backend servers; over TCP by default. */
+  readonly openSocket?: SocketOpener;
   readonly protocol: WireProtocol;
   readonly randomUnit: () => number;
   readonly settings: ServingSettings;
@@ -132,7 +135,7 @@
       retriesPerFirstAttempt: settings.retryRatio * RETRY_BUDGET_SHARE,
     });
     this.registry = new ServerRegistry({ serverDrainMs: settings.serverDrainMs });
-    this.connections = new BackendConnectionPool(clock);
+    this.connections = new BackendConnectionPool(clock, options.openSocket);
     const serverSignals = new ServerSignals({
       clock,
       limits: this.limits,
