Connect to servers through another daemon where the own path is severed

Callers of a daemon that had lost its paths to the servers were refused after trying each server for 300 ms, although the other daemons reached all of them. Cause: a daemon had one way to a server, its own; nothing told a lost path from a dead server. Class: a local fault taken for a remote one. The same class elsewhere: a refused connection after a broken response counted as a crash of the server and blamed its requests; on a severed path that is no crash any more. Change: ServerDialer opens a connection directly and, after 100 ms or a failure, through another daemon (HTTP CONNECT); what it finds goes to ServerPaths, which is pure. Streams on a silent path move after 500 ms, those that were reset are asked for through another daemon. A server's wish to be left alone is told to the daemon whose address it knows.

--- a/packages/serving/src/BackendConnection.ts
+++ b/packages/serving/src/BackendConnection.ts
@@ -1,10 +1,9 @@
 import type { Socket } from 'node:net';
+import type { MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import { ResponseOverhead } from './ResponseOverhead.js';
 import type { ResponseHead } from './ResponseParser.js';
 import { ResponseParser } from './ResponseParser.js';
 import type { HeaderList } from './ServingPorts.js';
-import type { SocketOpener } from './SocketOpener.js';
-import { openSocket } from './SocketOpener.js';
 
 /** HTTP request to a backend server. */
 export interface BackendRequest {
@@ -28,15 +27,13 @@
 
 /** Options of {@link BackendConnection}. */
 export interface BackendConnectionOptions {
-  readonly connectTimeoutMs: number;
-  readonly host: string;
+  readonly clock: MonotonicClock;
   /** The connection is closed and cannot be used any more. */
   readonly onClosed: (connection: BackendConnection) => void;
-  /** The connection could not be opened; nothing was sent. */
-  readonly onConnectFailed: (reason: string) => void;
-  readonly onConnected: (connection: BackendConnection) => void;
-  readonly openSocket?: SocketOpener;
-  readonly port: number;
+  /** Open connection to the server. */
+  readonly socket: Socket;
+  /** Daemon that passes the connection on; undefined for a direct connection. */
+  readonly via?: MemberId;
 }
 
 /** Empty line, which HTTP receivers skip between messages. */
@@ -54,11 +51,16 @@
   private canReuse = true;
   private hasResponseHead = false;
   private isClosed = false;
-  private isConnected = false;
   private listener: ResponseListener | undefined;
   private overhead = new ResponseOverhead();
   private readonly parser: ResponseParser;
   private readonly socket: Socket;
+  /** Daemon that passes the connection on; undefined for a direct connection. */
+  readonly via: MemberId | undefined;
+  /** When data arrived last, monotonic time. */
+  lastReceivedMs = -Infinity;
+  /** When the open request was sent, monotonic time. */
+  private sentMs = 0;
 
   constructor(private readonly options: BackendConnectionOptions) {
     this.parser = new ResponseParser({
@@ -75,8 +77,9 @@
         this.onResponseHead(head);
       },
     });
-    this.socket = (options.openSocket ?? openSocket)(options.host, options.port);
-    this.connect();
+    this.socket = options.socket;
+    this.via = options.via;
+    this.listen();
   }
 
   /** Whether the connection can carry another request now. */
@@ -92,6 +95,7 @@
    */
   send(request: BackendRequest, listener: ResponseListener): void {
     this.listener = listener;
+    this.sentMs = this.options.clock.nowMs();
     this.hasResponseHead = false;
     this.overhead = new ResponseOverhead();
     const head = encodeRequestHead(request);
@@ -101,6 +105,11 @@
     );
   }
 
+  /** When the request was sent whose response is not complete yet; undefined without one. */
+  waitingSinceMs(): number | undefined {
+    return this.listener ? this.sentMs : undefined;
+  }
+
   /** Closes the connection without a call to the listener; the server drops the request. */
   abort(): void {
     this.listener = undefined;
@@ -117,25 +126,12 @@
     this.socket.resume();
   }
 
-  private connect(): void {
-    const { connectTimeoutMs, onConnectFailed, onConnected } = this.options;
+  private listen(): void {
     const { socket } = this;
-    const timer = setTimeout(() => {
-      failConnect('timeout');
-    }, connectTimeoutMs);
-    const failConnect = (reason: string): void => {
-      clearTimeout(timer);
-      if (!this.isConnected && !this.isClosed) {
-        this.close();
-        onConnectFailed(reason);
-      }
-    };
     socket.on('error', (error: NodeJS.ErrnoException) => {
-      failConnect(error.code ?? error.message);
       this.fail(error.code ?? error.message);
     });
     socket.on('close', () => {
-      failConnect('closed');
       this.fail('closed');
     });
     socket.on('end', () => {
@@ -144,11 +140,6 @@
     socket.on('data', (chunk) => {
       this.onData(chunk);
     });
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      this.isConnected = true;
-      onConnected(this);
-    });
   }
 
   private onResponseHead(head: ResponseHead): void {
@@ -176,6 +167,7 @@
 
   private onData(chunk: Buffer): void {
     const wasExpectingResponse = this.listener !== undefined;
+    this.lastReceivedMs = this.options.clock.nowMs();
     this.overhead.addReceived(chunk.length);
     const parseError = this.parser.parse(chunk) ?? this.overhead.findExcess();
     if (parseError !== undefined || !wasExpectingResponse) {
--- a/packages/serving/src/BackendConnectionPool.ts
+++ b/packages/serving/src/BackendConnectionPool.ts
@@ -1,13 +1,8 @@
 import type { BackendServer } from '@laburnumgap/dispatch';
-import type { MonotonicClock, ServerId } from '@laburnumgap/kernel';
+import type { MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { BackendConnection } from './BackendConnection.js';
-import type { SocketOpener } from './SocketOpener.js';
-import {
-  CONNECT_TIMEOUT_MS,
-  DEFAULT_KEEP_ALIVE_MS,
-  KEEP_ALIVE_MARGIN_MS,
-  MAX_IDLE_MS,
-} from './ServingConstants.js';
+import type { DialedSocket, DialListener, ServerDialer } from './ServerDialer.js';
+import { DEFAULT_KEEP_ALIVE_MS, KEEP_ALIVE_MARGIN_MS, MAX_IDLE_MS } from './ServingConstants.js';
 
 /** Receives the outcome of {@link BackendConnectionPool.acquire}. */
 export interface ConnectionListener {
@@ -16,14 +11,14 @@
   onConnected(connection: BackendConnection): void;
 }
 
-/** Pool of idle connections to the backend servers. Reuses the most recently used one first. */
+/** Connections to the backend servers. Reuses the most recently used idle one first. */
 export class BackendConnectionPool {
   private readonly idleConnections = new Map<ServerId, BackendConnection[]>();
+  private readonly openConnections = new Map<ServerId, Set<BackendConnection>>();
 
   constructor(
     private readonly clock: MonotonicClock,
-    private readonly openSocket?: SocketOpener,
-    private readonly connectTimeoutMs = CONNECT_TIMEOUT_MS,
+    private readonly dialer: Pick<ServerDialer, 'dial'>,
   ) {}
 
   /** Provides an idle connection, or opens a new one. */
@@ -33,23 +28,25 @@
       listener.onConnected(idleConnection);
       return;
     }
-    new BackendConnection({
-      connectTimeoutMs: this.connectTimeoutMs,
-      host: server.host,
-      onClosed: (connection) => {
-        this.removeIdle(server.serverId, connection);
-      },
-      onConnectFailed: (reason) => {
+    this.dialer.dial(server, {
+      ...this.spareListener(server),
+      onFailed: (reason) => {
         listener.onConnectFailed(reason);
       },
-      onConnected: (connection) => {
-        listener.onConnected(connection);
+      onOpened: (dialed) => {
+        listener.onConnected(this.add(server, dialed));
       },
-      openSocket: this.openSocket,
-      port: server.port,
     });
   }
 
+  /** Keeps connections that nobody waits for. */
+  spareListener(server: BackendServer): DialListener {
+    const keep = (dialed: DialedSocket): void => {
+      this.release(server, this.add(server, dialed));
+    };
+    return { onFailed: () => undefined, onOpened: keep, onSpare: keep };
+  }
+
   /** Returns a connection to the pool; one that cannot be reused is closed. */
   release(server: BackendServer, connection: BackendConnection): void {
     if (!connection.isReusable()) {
@@ -74,6 +71,46 @@
     }
   }
 
+  /**
+   * Closes the idle connections that a condition selects.
+   *
+   * @param isClosed - whether to close those to a server through a daemon, or directly
+   */
+  closeIdle(isClosed: (serverId: ServerId, via: MemberId | undefined) => boolean): void {
+    for (const [serverId, connections] of this.idleConnections) {
+      for (const connection of [...connections]) {
+        if (isClosed(serverId, connection.via)) {
+          connection.abort();
+        }
+      }
+    }
+  }
+
+  /**
+   * Servers from which nothing has arrived for a while although requests wait for responses on direct
+   * connections.
+   *
+   * @param silentMs - time without any data from the server
+   */
+  silentServers(silentMs: number): readonly ServerId[] {
+    const sinceMs = this.clock.nowMs() - silentMs;
+    return [...this.openConnections].flatMap(([serverId, connections]) => {
+      const direct = [...connections].filter(({ via }) => via === undefined);
+      const isWaiting = direct.some(
+        (connection) => (connection.waitingSinceMs() ?? Infinity) <= sinceMs,
+      );
+      return isWaiting && direct.every(({ lastReceivedMs }) => lastReceivedMs <= sinceMs)
+        ? [serverId]
+        : [];
+    });
+  }
+
+  /** Daemons that pass open connections to a server on. */
+  relaysTo(serverId: ServerId): readonly MemberId[] {
+    const open = [...(this.openConnections.get(serverId) ?? [])];
+    return [...new Set(open.flatMap(({ via }) => via ?? []))];
+  }
+
   /** Closes idle connections before their servers do. */
   closeExpired(): void {
     const nowMs = this.clock.nowMs();
@@ -86,6 +123,27 @@
     }
   }
 
+  private add(server: BackendServer, { socket, via }: DialedSocket): BackendConnection {
+    const { serverId } = server;
+    const connection = new BackendConnection({
+      clock: this.clock,
+      onClosed: (closed) => {
+        this.removeIdle(serverId, closed);
+        const open = this.openConnections.get(serverId);
+        open?.delete(closed);
+        if (open?.size === 0) {
+          this.openConnections.delete(serverId);
+        }
+      },
+      socket,
+      via,
+    });
+    const open = this.openConnections.get(serverId) ?? new Set();
+    open.add(connection);
+    this.openConnections.set(serverId, open);
+    return connection;
+  }
+
   private takeIdle(serverId: ServerId): BackendConnection | undefined {
     const connections = this.idleConnections.get(serverId) ?? [];
     const nowMs = this.clock.nowMs();
--- a/packages/serving/src/ClusterSync.ts
+++ b/packages/serving/src/ClusterSync.ts
@@ -19,6 +19,7 @@
 import { DirectoryFollower } from './DirectoryFollower.js';
 import { PeerLink } from './PeerLink.js';
 import type {
+  BackoffMessage,
   CapacityMessage,
   MoveMessage,
   PermitMessage,
@@ -36,6 +37,8 @@
   readonly host: string;
   /** Start time of the process; distinguishes restarts under the same member id. */
   readonly incarnation: number;
+  /** Whether this daemon reaches servers only through others. */
+  readonly isCutOff: () => boolean;
   readonly isDraining: () => boolean;
   readonly limits: Pick<ServerLimits, 'reports'>;
   readonly load: EngineLoad;
@@ -46,7 +49,7 @@
   /** Called with the limits of servers that another daemon knows. */
   readonly onLimits: (limits: readonly LimitReport[]) => void;
   readonly onMessage: (
-    message: CapacityMessage | MoveMessage | PermitMessage | QuarantineMessage,
+    message: BackoffMessage | CapacityMessage | MoveMessage | PermitMessage | QuarantineMessage,
   ) => void;
   /** Called with the quarantines that another daemon reports. */
   readonly onQuarantines: (reports: readonly QuarantineReport[]) => void;
@@ -118,6 +121,7 @@
       failureDomain,
       host,
       incarnation: options.incarnation,
+      isCutOff: options.isCutOff,
       isDraining: options.isDraining,
       isStoreDown: () => this.storeFollower.isStoreDown(),
       leavingServers: () => registry.serversMarkedLeaving(),
--- a/packages/serving/src/CrashDetector.ts
+++ b/packages/serving/src/CrashDetector.ts
@@ -1,8 +1,7 @@
-import { Socket } from 'node:net';
 import type { BackendServer, ServerIncarnation, ServerRegistry } from '@laburnumgap/dispatch';
 import { RecencyMap } from '@laburnumgap/dispatch';
 import type { FingerprintId, MonotonicClock } from '@laburnumgap/kernel';
-import { CONNECT_TIMEOUT_MS } from './ServingConstants.js';
+import type { ServerReachability } from './ServerDialer.js';
 import type { ServingLog } from './ServingLog.js';
 
 /** A request whose response broke off. */
@@ -22,16 +21,13 @@
   readonly server: ServerIncarnation;
 }
 
-/** Result of opening a connection to a server after a response broke off. */
-export type ProbeResult = 'accepted' | 'refused' | 'silent';
-
 /** Options of {@link CrashDetector}. */
 export interface CrashDetectorOptions {
   readonly clock: MonotonicClock;
   readonly log: ServingLog;
   readonly onCrash: (crash: ServerCrash) => void;
-  /** Opens a connection to a server and closes it. */
-  readonly probe?: (server: BackendServer) => Promise<ProbeResult>;
+  /** Finds out whether a server accepts connections, from this daemon or from others. */
+  readonly examine: (server: BackendServer) => Promise<ServerReachability>;
   readonly registry: Pick<ServerRegistry, 'get'>;
 }
 
@@ -83,9 +79,9 @@
   }
 
   private async examine(server: BackendServer, key: string): Promise<void> {
-    const { clock, log, probe = probeServer } = this.options;
+    const { clock, log } = this.options;
     const brokenMs = clock.nowMs();
-    const result = await probe(server);
+    const result = await this.options.examine(server);
     if (result === 'refused') {
       await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
     }
@@ -125,23 +121,3 @@
 function keyOf({ serverId, startedEpochMs }: ServerIncarnation): string {
   return `${serverId} ${startedEpochMs}`;
 }
-
-function probeServer({ host, port }: BackendServer): Promise<ProbeResult> {
-  return new Promise((resolve) => {
-    const socket = new Socket();
-    const timer = setTimeout(() => {
-      end('silent');
-    }, CONNECT_TIMEOUT_MS);
-    const end = (result: ProbeResult): void => {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(result);
-    };
-    socket.on('error', (error: NodeJS.ErrnoException) => {
-      end(error.code === 'ECONNREFUSED' ? 'refused' : 'silent');
-    });
-    socket.connect(port, host, () => {
-      end('accepted');
-    });
-  });
-}
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/GenerationRun.ts
@@ -10,7 +10,7 @@
   reservedOutputTokens,
   unreadPromptTokens,
 } from '@laburnumgap/dispatch';
-import type { Refusal, ResultCodeName, ServerId } from '@laburnumgap/kernel';
+import type { MemberId, Refusal, ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { AttemptProgress } from './AttemptProgress.js';
@@ -72,6 +72,15 @@
   /** Time since the engine sent the last event. */
   readonly sinceLastEventMs: number;
   readonly usedTokens: number;
+  /** Daemon that passes the stream on; undefined when it is received directly. */
+  readonly via: MemberId | undefined;
+}
+
+/** Receives what a {@link GenerationRun} cannot decide by itself. */
+export interface GenerationListener {
+  onDone(run: GenerationRun): void;
+  /** The connection to the engine broke after the first event, and only other daemons reach it. */
+  onSevered(run: GenerationRun, server: BackendServer): void;
 }
 
 /**
@@ -86,6 +95,8 @@
   private eventCount = 0;
   private readonly excludedServerIds = new Set<ServerId>();
   private firstEventAtMs: number | undefined;
+  /** The connection broke, and the run may go on elsewhere. */
+  private hasLostStream = false;
   private isDone = false;
   private isMoving = false;
   private lastEventAtMs = 0;
@@ -96,13 +107,15 @@
   private readonly resumePosition: ResumePosition;
   private readonly search: EngineSearch;
   private sendCount = 0;
+  /** Daemon through which the run was sent last. */
+  private via: MemberId | undefined;
 
   constructor(
     private readonly context: ServingContext,
     private readonly admitted: AdmittedCall,
     private readonly engineLimits: EngineLimits,
     private readonly prompt: PromptShape,
-    private readonly onDone: (run: GenerationRun) => void,
+    private readonly listener: GenerationListener,
   ) {
     this.deadlineTimer = setTimeout(
       () => {
@@ -169,6 +182,7 @@
       server: attempt.server,
       sinceLastEventMs: this.context.clock.nowMs() - this.lastEventAtMs,
       usedTokens: prompt.promptTokens + producedTokens,
+      via: attempt.connection?.via,
     };
   }
 
@@ -177,6 +191,11 @@
     return this.attempt?.server.serverId;
   }
 
+  /** Whether events of an engine arrive, or will once it has accepted the run. */
+  hasStream(): boolean {
+    return this.attempt !== undefined && !this.hasLostStream;
+  }
+
   /** Marks the start or end of a move. Only one move of a run is active at a time. */
   setMoving(moving: boolean): void {
     this.isMoving = moving;
@@ -218,7 +237,7 @@
    *   listener
    */
   whenStreamClosed(listener: (() => void) | undefined): void {
-    if (this.attempt) {
+    if (this.hasStream()) {
       this.onStreamClosed = listener;
     } else {
       listener?.();
@@ -322,6 +341,7 @@
       streamBytes: 0,
     };
     this.attempt = attempt;
+    this.hasLostStream = false;
     cachedPrefixes.recordPrompt(this.prompt.parts, server.serverId, nowMs);
     publishLoad();
     const maxPermitWaitMs = continuation ? CONTINUATION_PERMIT_WAIT_MS : 0;
@@ -362,6 +382,7 @@
       return;
     }
     this.sendCount += continuation ? 0 : 1;
+    this.via = connection.via;
     sendAttempt(
       this.context,
       this.admitted,
@@ -526,9 +547,30 @@
       return;
     }
     recordOutcome(this.context, attempt, 'failed');
+    if (this.eventCount > 0 && this.admitted.exchange.hasStarted()) {
+      void this.examineBroken(attempt, reason);
+      return;
+    }
     this.fail(reason);
   }
 
+  /** On a severed path the run may go on through another daemon; otherwise the stream has failed. */
+  private async examineBroken(attempt: EngineAttempt, reason: string): Promise<void> {
+    const { server } = attempt;
+    this.hasLostStream = true;
+    this.isMoving = true;
+    const reachability = await this.context.dialer.examine(server);
+    this.isMoving = false;
+    if (this.attempt !== attempt || this.isDone) {
+      return;
+    }
+    if (reachability === 'severed') {
+      this.listener.onSevered(this, server);
+    } else {
+      this.fail(reason);
+    }
+  }
+
   /** Requests like this one crash engines: the run ends, wherever it was to be sent. */
   private onQuarantined(attempt: EngineAttempt, refused: Refusal): void {
     if (this.attempt !== attempt || this.isDone) {
@@ -666,8 +708,9 @@
       route: route.name,
       serverId: this.attempt?.server.serverId,
       tookMs: Math.round(nowMs - arrivedMs),
+      via: this.via,
     });
-    this.onDone(this);
+    this.listener.onDone(this);
     this.context.publishLoad();
   }
 }
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/PeerLink.ts
@@ -10,6 +10,7 @@
 import type { SyncPosition } from './LagDetector.js';
 import { LagDetector } from './LagDetector.js';
 import type {
+  BackoffMessage,
   CapacityMessage,
   ChangesMessage,
   ConfigurationMessage,
@@ -41,6 +42,8 @@
   readonly failureDomain: FailureDomainId;
   readonly host: string;
   readonly incarnation: number;
+  /** Whether this daemon reaches servers only through others. */
+  readonly isCutOff: () => boolean;
   readonly isDraining: () => boolean;
   /** Whether the platform's store does not respond to this daemon. */
   readonly isStoreDown: () => boolean;
@@ -226,12 +229,17 @@
 
   /** Sends a message to one daemon; does nothing when the daemon is unknown. */
   sendTo(
-    message: CapacityMessage | MoveMessage | PermitMessage | QuarantineMessage,
+    message: BackoffMessage | CapacityMessage | MoveMessage | PermitMessage | QuarantineMessage,
     memberId: MemberId,
   ): void {
     this.sendToHosts(encodeMessage(message), this.table.hostsOf(memberId));
   }
 
+  /** Sends a message to the daemon at an address. */
+  sendToHost(message: BackoffMessage, host: string): void {
+    this.sendToHosts(encodeMessage(message), [host]);
+  }
+
   /** Removes a daemon and its load. */
   removeMember(memberId: MemberId): void {
     this.table.remove(memberId);
@@ -317,6 +325,7 @@
       failureDomain,
       host,
       incarnation,
+      ...(this.options.isCutOff() ? { isCutOff: true } : {}),
       isDraining: this.options.isDraining(),
       isStopping,
       leavingServers: leavingServers(),
@@ -365,8 +374,9 @@
   }
 
   private domainDigest(): DomainDigest {
-    const { host, isDraining, position } = this.options;
-    return { ...position(), host, members: this.table.domainMembers(isDraining()) };
+    const { host, isCutOff, isDraining, position } = this.options;
+    const self = { isCutOff: isCutOff(), isDraining: isDraining() };
+    return { ...position(), host, members: this.table.domainMembers(self) };
   }
 
   private onDomainLoad(message: DomainLoadMessage): void {
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -31,6 +31,8 @@
   readonly host: string;
   /** Start of the sending process; changes with a restart. */
   readonly incarnation: number;
+  /** The daemon reaches servers only through others; absent when it does not. */
+  readonly isCutOff?: boolean;
   /** The daemon is shutting down and accepts no new connections. */
   readonly isDraining: boolean;
   /** The daemon stops; receivers remove it. */
@@ -115,6 +117,13 @@
     }
   | { readonly kind: 'quarantine'; readonly reports: readonly QuarantineReport[] };
 
+/** A server wants no requests of the receiver for a while, as it told the sender. */
+export interface BackoffMessage {
+  readonly kind: 'serverBackoff';
+  readonly retryAfterMs: number;
+  readonly server: ServerIncarnation;
+}
+
 /** Changes of the store, sent to the fleet by a daemon that watches it. */
 export interface ChangesMessage {
   /**
@@ -138,6 +147,8 @@
 /** A live daemon of a failure domain, as the other domains hear of it. */
 export interface DomainMember {
   readonly host: string;
+  /** The daemon reaches servers only through others; absent when it does not. */
+  readonly isCutOff?: boolean;
   readonly isDraining: boolean;
   readonly memberId: MemberId;
   readonly storeIsAway: boolean;
@@ -171,6 +182,7 @@
 
 /** Any message between daemons except heartbeats. */
 export type PeerMessage =
+  | BackoffMessage
   | CapacityMessage
   | ChangesMessage
   | ConfigurationMessage
@@ -291,6 +303,10 @@
       return isId(message.memberId) && isCapacityRequest(message.wish)
         ? (message as CapacityMessage)
         : undefined;
+    case 'serverBackoff':
+      return isIncarnation(message.server) && hasFigures(message, ['retryAfterMs'])
+        ? (message as BackoffMessage)
+        : undefined;
     case 'serverCrash':
       return isCrash(message) ? message : undefined;
     case 'trialRequest':
@@ -500,11 +516,14 @@
   return (
     hasFigures(message, ['ageMs']) &&
     isIdList(message.fingerprints) &&
-    isId(message.server?.serverId) &&
-    hasFigures(message.server, ['startedEpochMs'])
+    isIncarnation(message.server)
   );
 }
 
+function isIncarnation(server: Partial<ServerIncarnation> | undefined): boolean {
+  return isId(server?.serverId) && hasFigures(server, ['startedEpochMs']);
+}
+
 function isQuarantineList(reports: readonly QuarantineReport[] | undefined): boolean {
   return isListOf(
     reports,
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -1,4 +1,4 @@
-import type { AnnouncementTargets, BackendServer } from '@laburnumgap/dispatch';
+import type { AnnouncementTargets, BackendServer, RelayCandidate } from '@laburnumgap/dispatch';
 import {
   selectAnnouncementTargets,
   selectEngineOwner,
@@ -25,6 +25,8 @@
   /** Undefined until the first heartbeat. */
   failureDomain: FailureDomainId | undefined;
   incarnation: number;
+  /** The daemon reaches servers only through others. */
+  isCutOff: boolean;
   isDraining: boolean;
   lastHeardMs: number | undefined;
   /** Incarnation before the last restart; its late heartbeats are ignored. */
@@ -153,6 +155,16 @@
     return 2 * (this.livePeers().length + 1) > this.knownCount();
   }
 
+  /** Live daemons that may pass connections to servers on. */
+  relayCandidates(): readonly RelayCandidate[] {
+    return this.livePeers().filter(({ isCutOff, isDraining }) => !isCutOff && !isDraining);
+  }
+
+  /** Whether a daemon has this address. */
+  isMemberHost(host: string): boolean {
+    return this.peers.has(host);
+  }
+
   /** Whether another live daemon of this failure domain accepts new connections. */
   hasDomainSuccessor(): boolean {
     const { failureDomain } = this.options;
@@ -196,19 +208,24 @@
     peer.incarnation = heartbeat.incarnation;
     peer.sequence = heartbeat.sequence;
     peer.failureDomain = heartbeat.failureDomain;
+    peer.isCutOff = heartbeat.isCutOff ?? false;
     peer.isDraining = heartbeat.isDraining;
     peer.storeIsAway = heartbeat.storeIsAway;
     return peer;
   }
 
   /** Live daemons of this failure domain, including this one, for the other domains. */
-  domainMembers(isDraining: boolean): readonly DomainMember[] {
+  domainMembers(self: {
+    readonly isCutOff: boolean;
+    readonly isDraining: boolean;
+  }): readonly DomainMember[] {
     const { failureDomain, host, isStoreDown, memberId } = this.options;
     const neighbours = this.livePeers().filter((peer) => peer.failureDomain === failureDomain);
     return [
-      { host, isDraining, memberId, storeIsAway: isStoreDown() },
+      { ...self, host, memberId, storeIsAway: isStoreDown() },
       ...neighbours.map((peer) => ({
         host: peer.host,
+        isCutOff: peer.isCutOff,
         isDraining: peer.isDraining,
         memberId: peer.memberId,
         storeIsAway: peer.storeIsAway,
@@ -226,10 +243,16 @@
   recordDomain(failureDomain: FailureDomainId, members: readonly DomainMember[]): void {
     const nowMs = this.options.clock.nowMs();
     const listedHosts = new Set(members.map(({ host }) => host));
-    for (const { host, isDraining, memberId, storeIsAway } of members) {
+    for (const { host, isCutOff = false, isDraining, memberId, storeIsAway } of members) {
       if (host !== this.options.host) {
         const peer = this.getOrCreate(host, memberId);
-        Object.assign(peer, { failureDomain, isDraining, lastHeardMs: nowMs, storeIsAway });
+        Object.assign(peer, {
+          failureDomain,
+          isCutOff,
+          isDraining,
+          lastHeardMs: nowMs,
+          storeIsAway,
+        });
       }
     }
     for (const peer of this.peers.values()) {
@@ -333,6 +356,7 @@
       lastHeardMs: undefined,
       host,
       incarnation: 0,
+      isCutOff: false,
       isDraining: false,
       memberId,
       sequence: 0,
--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/PlainCallRun.ts
@@ -415,6 +415,7 @@
       serverId: attempt?.server.serverId,
       status: attempt?.head?.status,
       tookMs,
+      via: attempt?.connection?.via,
     });
   }
 
--- a/packages/serving/src/ServerSignals.ts
+++ b/packages/serving/src/ServerSignals.ts
@@ -9,6 +9,8 @@
   readonly clock: MonotonicClock;
   readonly limits: Pick<ServerLimits, 'record' | 'requestsPerS'>;
   readonly log: ServingLog;
+  /** Called when a server wants no requests of the daemon that its connection comes from. */
+  readonly onBackoff: (server: BackendServer, retryAfterMs: number) => void;
   readonly onLeaving: (server: BackendServer) => void;
   /** Called when a server begins or ceases to limit its requests. */
   readonly onLimitChanged: () => void;
@@ -36,7 +38,7 @@
    * @returns the properties of the response
    */
   evaluate(server: BackendServer, head: ResponseHead): ResponseMetadata {
-    const { clock, log, onLeaving, protocol, registry } = this.options;
+    const { clock, log, onBackoff, onLeaving, protocol, registry } = this.options;
     const metadata = protocol.parseResponseMetadata(head.headers);
     const { serverId } = server;
     for (const header of metadata.unreadableHeaders) {
@@ -60,6 +62,7 @@
         log.info('server-backs-off', { retryAfterMs, serverId });
       }
       registry.backOff(server, nowMs + retryAfterMs);
+      onBackoff(server, retryAfterMs);
     }
     return metadata;
   }
--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -4,6 +4,7 @@
   RecentWaits,
   RouteTable,
   ServerHealth,
+  ServerPaths,
   ServerRegistry,
 } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
@@ -13,6 +14,7 @@
 import type { EngineCapacityCoordinator } from './EngineCapacityCoordinator.js';
 import type { EngineControl } from './EngineControl.js';
 import type { ServerAccess } from './ServerAccess.js';
+import type { ServerDialer } from './ServerDialer.js';
 import type { ServerSignals } from './ServerSignals.js';
 import type { ServingLog } from './ServingLog.js';
 import type { WireProtocol } from './ServingPorts.js';
@@ -25,6 +27,7 @@
   readonly clock: MonotonicClock;
   readonly connections: BackendConnectionPool;
   readonly crashDetector: CrashDetector;
+  readonly dialer: Pick<ServerDialer, 'examine'>;
   readonly engineControl: EngineControl;
   readonly engineCapacity: EngineCapacityCoordinator;
   readonly failureDomain: FailureDomainId;
@@ -32,6 +35,7 @@
   readonly load: EngineLoad;
   readonly log: ServingLog;
   readonly memberId: MemberId;
+  readonly paths: Pick<ServerPaths, 'isSevered'>;
   readonly protocol: WireProtocol;
   /** Publishes a change of this daemon's load at the engines to the other daemons. */
   readonly publishLoad: () => void;
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -1,6 +1,12 @@
 import { createServer } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { BackendServer, EngineLimits, EngineShare, LimitReport } from '@laburnumgap/dispatch';
+import type {
+  BackendServer,
+  ConnectFailure,
+  EngineLimits,
+  EngineShare,
+  LimitReport,
+} from '@laburnumgap/dispatch';
 import {
   addShares,
   EngineLoad,
@@ -11,7 +17,9 @@
   RetryBudget,
   ServerHealth,
   ServerLimits,
+  ServerPaths,
   ServerRegistry,
+  SilenceBackoff,
 } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import type { AdmittedCall, RoutedCall } from './AdmittedCall.js';
@@ -24,11 +32,13 @@
 import { EngineReports } from './EngineReports.js';
 import { GenerationRun } from './GenerationRun.js';
 import { MoveCoordinator } from './MoveCoordinator.js';
+import type { BackoffMessage } from './PeerMessages.js';
 import { PeerSockets } from './PeerSockets.js';
 import { PlainCallRun } from './PlainCallRun.js';
 import { QuarantineCoordinator } from './QuarantineCoordinator.js';
 import { QuarantinePass, quarantineRefusal } from './QuarantinePass.js';
 import { ServerAccess } from './ServerAccess.js';
+import { ServerDialer } from './ServerDialer.js';
 import { ServerLimitCoordinator } from './ServerLimitCoordinator.js';
 import { ServerSignals } from './ServerSignals.js';
 import type { ServingContext } from './ServingContext.js';
@@ -37,6 +47,8 @@
 import type { PlatformDirectory, WireProtocol } from './ServingPorts.js';
 import type { SocketOpener } from './SocketOpener.js';
 import { StreamMover } from './StreamMover.js';
+import { openTunnel } from './TunnelClient.js';
+import { TunnelServer } from './TunnelServer.js';
 
 /** Address that a listener binds to. */
 export interface ListenAddress {
@@ -66,6 +78,8 @@
   readonly seedHosts: readonly string[];
   /** Time for which a backend server still accepts requests after it said that it leaves. */
   readonly serverDrainMs?: number;
+  /** TCP port at which daemons pass connections to servers on; the same on all hosts. */
+  readonly tunnelPort: number;
 }
 
 /** Options of a serving daemon. */
@@ -84,6 +98,8 @@
 
 /** Interval of the checks for streams on leaving engines and for expired server entries. */
 const TICK_MS = 100;
+/** A path is examined when nothing arrives from a server for this long, though a request waits. */
+const SILENCE_MS = 500;
 /** Interval of the reports requested from engines with streams while the store is unreachable. */
 const ENGINE_REPORT_INTERVAL_MS = 250;
 /**
@@ -109,6 +125,7 @@
   private readonly cluster: ClusterSync;
   private readonly connections: BackendConnectionPool;
   private readonly context: ServingContext;
+  private readonly dialer: ServerDialer;
   private readonly engineReports: EngineReports;
   private engineReportsRequestedMs = -Infinity;
   private readonly front: ServingFront;
@@ -119,14 +136,17 @@
   private readonly load = new EngineLoad();
   private readonly moveCoordinator: MoveCoordinator;
   private openPlainCalls = 0;
+  private readonly paths = new ServerPaths();
   private readonly permits: ServerLimitCoordinator;
   private readonly quarantine = new Quarantine();
   private readonly quarantineCoordinator: QuarantineCoordinator;
   private readonly readyServer;
   private readonly registry: ServerRegistry;
   private readonly retryBudget: RetryBudget;
+  private readonly silence = new SilenceBackoff();
   private readonly streamMover: StreamMover;
   private tickTimer: NodeJS.Timeout | undefined;
+  private readonly tunnels: TunnelServer;
 
   constructor(private readonly options: ServingDaemonOptions) {
     const { clock, directory, incarnation, log, protocol, randomUnit, settings } = options;
@@ -135,11 +155,48 @@
       retriesPerFirstAttempt: settings.retryRatio * RETRY_BUDGET_SHARE,
     });
     this.registry = new ServerRegistry({ serverDrainMs: settings.serverDrainMs });
-    this.connections = new BackendConnectionPool(clock, options.openSocket);
+    this.dialer = new ServerDialer({
+      clock,
+      log,
+      onCutOffChanged: () => {
+        this.cluster.peers.scheduleHeartbeatToAll();
+      },
+      onSevered: (serverId, failure) => {
+        this.onSevered(serverId, failure);
+      },
+      openSocket: options.openSocket,
+      openTunnel: (relay, serverId) =>
+        openTunnel({
+          clock,
+          ownHost: settings.peers.host,
+          relay,
+          serverId,
+          tunnelPort: settings.tunnelPort,
+        }),
+      paths: this.paths,
+      randomUnit,
+      relayCandidates: () => this.cluster.peers.table.relayCandidates(),
+      servers: () => this.stayingServers(),
+    });
+    this.connections = new BackendConnectionPool(clock, this.dialer);
+    this.tunnels = new TunnelServer({
+      clock,
+      host: settings.peers.host,
+      isDraining: () => this.isDraining,
+      isMemberHost: (host) => this.cluster.peers.table.isMemberHost(host),
+      isSevered: (serverId) => this.paths.isSevered(serverId),
+      log,
+      openSocket: options.openSocket,
+      port: settings.tunnelPort,
+      registry: this.registry,
+    });
     const serverSignals = new ServerSignals({
       clock,
       limits: this.limits,
       log,
+      onBackoff: (server, retryAfterMs) => {
+        this.shareBackoff(server, retryAfterMs);
+      },
       onLeaving: (server) => {
         this.cluster.state.markLeaving([server], 'response');
       },
@@ -204,6 +261,7 @@
       connections: this.connections,
       crashDetector: new CrashDetector({
         clock,
+        examine: (server) => this.dialer.examine(server),
         log,
         onCrash: (crash) => {
           this.quarantineCoordinator.onCrash(crash);
@@ -225,12 +283,14 @@
           this.cluster.peers.sendTo(message, memberId);
         },
       }),
+      dialer: this.dialer,
       engineControl,
       failureDomain: settings.failureDomain,
       health,
       load: this.load,
       log,
       memberId: settings.memberId,
+      paths: this.paths,
       protocol,
       publishLoad: () => {
         this.load.setOwnShares(this.localShares());
@@ -248,6 +308,7 @@
       failureDomain: settings.failureDomain,
       host: settings.peers.host,
       incarnation,
+      isCutOff: () => this.paths.cutOffSince() !== undefined,
       isDraining: () => this.isDraining,
       limits: this.limits,
       load: this.load,
@@ -272,6 +333,9 @@
           case 'trialResponse':
             this.quarantineCoordinator.onMessage(message);
             break;
+          case 'serverBackoff':
+            this.recordBackoff(message);
+            break;
           case 'roomAnswer':
           case 'roomWanted':
             this.context.engineCapacity.onMessage(message);
@@ -345,6 +409,7 @@
     const { log, settings } = this.options;
     await Promise.all([
       this.cluster.start(),
+      this.tunnels.listen(),
       this.front.listen(settings.front.host, settings.front.port),
       new Promise<void>((resolve, reject) => {
         this.readyServer.once('error', reject);
@@ -372,7 +437,7 @@
     log.info('draining', { openCalls: this.openPlainCalls, openStreams: this.generationRuns.size });
     await sleep(BALANCER_REMOVAL_MS);
     this.front.stopListening();
-    while (clock.nowMs() < stopMs && this.generationRuns.size + this.openPlainCalls > 0) {
+    while (clock.nowMs() < stopMs && this.openWork() > 0) {
       this.front.closeIdle();
       await sleep(TICK_MS / 2);
     }
@@ -394,7 +459,12 @@
     });
     this.readyServer.closeAllConnections();
     this.connections.close();
-    await Promise.all([this.cluster.stop(), this.front.close(), readyServerClosed]);
+    await Promise.all([
+      this.cluster.stop(),
+      this.front.close(),
+      this.tunnels.close(),
+      readyServerClosed,
+    ]);
   }
 
   /** Whether the load balancer may send new connections. */
@@ -438,8 +508,13 @@
     const { engine } = admitted.service;
     const { prompt } = admitted.request;
     if (engine && prompt && admitted.route.kind === 'stream') {
-      const run = new GenerationRun(this.context, admitted, engine, prompt, (ended) => {
-        this.generationRuns.delete(ended);
+      const run = new GenerationRun(this.context, admitted, engine, prompt, {
+        onDone: (ended) => {
+          this.generationRuns.delete(ended);
+        },
+        onSevered: (broken, server) => {
+          this.streamMover.rescue(broken, server);
+        },
       });
       this.generationRuns.add(run);
       run.start();
@@ -504,6 +579,61 @@
     }
   }
 
+  /** Requests of callers, and connections of other daemons. */
+  private openWork(): number {
+    return this.generationRuns.size + this.openPlainCalls + this.tunnels.openCount();
+  }
+
+  private stayingServers(): readonly BackendServer[] {
+    return this.registry.all().flatMap(({ leaving, server }) => (leaving ? [] : [server]));
+  }
+
+  /** What was sent on a silent path may never arrive, and idle connections on it look sound. */
+  private onSevered(serverId: ServerId, failure: ConnectFailure): void {
+    this.options.log.warn('path-severed', { failure, serverId });
+    if (failure === 'silent') {
+      this.connections.closeIdle((id, via) => id === serverId && via === undefined);
+    }
+  }
+
+  /** Examines servers that went silent, probes severed paths and leaves relays that stop. */
+  private watchPaths(): void {
+    const nowMs = this.options.clock.nowMs();
+    for (const serverId of this.silence.take(this.connections.silentServers(SILENCE_MS), nowMs)) {
+      const server = this.registry.get(serverId)?.server;
+      if (server && !this.paths.isSevered(serverId)) {
+        this.dialer.dial(server, this.connections.spareListener(server));
+      }
+    }
+    this.dialer.probe((server) => this.connections.spareListener(server));
+    const { table } = this.cluster.peers;
+    const relays = new Set(table.relayCandidates().map(({ memberId }) => memberId));
+    this.connections.closeIdle((_serverId, via) => via !== undefined && !relays.has(via));
+    this.streamMover.moveStreamsVia((via) => !relays.has(via));
+  }
+
+  /** A server knows a daemon by its address, which all connections that it passes on share. */
+  private shareBackoff({ serverId, startedEpochMs }: BackendServer, retryAfterMs: number): void {
+    const { peers } = this.cluster;
+    const message: BackoffMessage = {
+      kind: 'serverBackoff',
+      retryAfterMs,
+      server: { serverId, startedEpochMs },
+    };
+    this.connections.relaysTo(serverId).forEach((memberId) => {
+      peers.sendTo(message, memberId);
+    });
+    this.tunnels.clientHosts(serverId).forEach((host) => {
+      peers.sendToHost(message, host);
+    });
+  }
+
+  private recordBackoff({ retryAfterMs, server }: BackoffMessage): void {
+    const { clock, log } = this.options;
+    log.info('server-backs-off', { retryAfterMs, serverId: server.serverId, source: 'peer' });
+    this.registry.backOff(server, clock.nowMs() + retryAfterMs);
+  }
+
   private engineLimitsOf(server: BackendServer): EngineLimits | undefined {
     return this.cluster.state.routes()?.findService(server.service)?.engine;
   }
@@ -516,7 +646,9 @@
     this.limits.retain(isRegistered, nowMs);
     this.permits.retain(isRegistered);
     this.quarantine.expire(nowMs);
+    this.paths.retain(isRegistered);
     this.connections.closeExpired();
+    this.watchPaths();
     this.streamMover.moveStalledStreams();
     for (const { leaving, server } of this.registry.all()) {
       if (leaving && this.engineLimitsOf(server)) {
--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/StreamMover.ts
@@ -1,6 +1,6 @@
 import type { BackendServer, EngineLimits, SelectedMove } from '@laburnumgap/dispatch';
 import { selectMoves } from '@laburnumgap/dispatch';
-import type { RequestId, ServerId } from '@laburnumgap/kernel';
+import type { MemberId, RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { GenerationRun, RunStatus } from './GenerationRun.js';
 import type { MoveCoordinator } from './MoveCoordinator.js';
@@ -13,6 +13,8 @@
  * Longer than a preempted run usually waits, and well below the time after which callers give up.
  */
 const STALL_TIMEOUT_MS = 2_500;
+/** On a severed path, shorter than that: no more data will come. */
+const SEVERED_STALL_TIMEOUT_MS = 500;
 /**
  * A stopped stream closes within this time; after it, further events of the old engine are dropped.
  */
@@ -68,7 +70,7 @@
   moveStalledStreams(): void {
     for (const run of this.runs) {
       const status = run.status();
-      if (!isMovable(status) || status.sinceLastEventMs < STALL_TIMEOUT_MS) {
+      if (!isMovable(status) || status.sinceLastEventMs < this.stallTimeoutMs(status)) {
         continue;
       }
       const { requestId, server, sinceLastEventMs } = status;
@@ -85,6 +87,45 @@
     }
   }
 
+  /**
+   * Moves a stream whose connection broke on a severed path, if its engine still runs it; ends it
+   * otherwise.
+   *
+   * @param run - the run
+   * @param source - engine that it was received from
+   */
+  rescue(run: GenerationRun, source: BackendServer): void {
+    const status = run.status();
+    if (!status || !this.engineLimitsOf(source)?.canMove) {
+      run.fail('the connection broke and the engine cannot move the run');
+      return;
+    }
+    const { requestId } = status;
+    this.context.log.warn('stream-rescued', { requestId, serverId: source.serverId });
+    run.setMoving(true);
+    void this.move(run, source, { endsSoon: false, requestId: toId<RequestId>(requestId) });
+  }
+
+  /** Moves the streams that a daemon which shuts down passes on. */
+  moveStreamsVia(isStopping: (via: MemberId) => boolean): void {
+    for (const run of this.runs) {
+      const status = run.status();
+      if (!isMovable(status) || status.via === undefined || !isStopping(status.via)) {
+        continue;
+      }
+      if (this.engineLimitsOf(status.server)?.canMove) {
+        run.setMoving(true);
+        const requestId = toId<RequestId>(status.requestId);
+        void this.move(run, status.server, { endsSoon: true, requestId });
+      }
+    }
+  }
+
+  private stallTimeoutMs({ server, via }: RunStatus): number {
+    const isSevered = via === undefined && this.context.paths.isSevered(server.serverId);
+    return isSevered ? SEVERED_STALL_TIMEOUT_MS : STALL_TIMEOUT_MS;
+  }
+
   private movableRunsAt(
     serverId: ServerId,
   ): ReadonlyMap<string, { run: GenerationRun; status: RunStatus }> {
@@ -122,7 +163,7 @@
     }
     this.coordinator.releaseTurn(requestId);
     run.setMoving(false);
-    if (!run.hasEnded() && run.serverId() === undefined) {
+    if (!run.hasEnded() && !run.hasStream()) {
       run.fail('the engine left and no other took the run');
     }
   }
--- a/packages/serving/src/__tests__/SimulatedFleet.ts
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -93,6 +93,7 @@
       failureDomain,
       host: address.host,
       incarnation,
+      isCutOff: () => false,
       isDraining: () => false,
       limits: new ServerLimits(),
       load: new EngineLoad(),
--- a/packages/serving/src/__tests__/integration/BackendConnection.test.ts
+++ b/packages/serving/src/__tests__/integration/BackendConnection.test.ts
@@ -1,5 +1,5 @@
 import type { AddressInfo, Socket } from 'node:net';
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
 import test from 'ava';
 import type { ResponseListener } from '../../index.js';
 import { BackendConnection } from '../../index.js';
@@ -27,33 +27,30 @@
   const { port } = server.address() as AddressInfo;
   const outcome = await new Promise<CallOutcome>((resolve) => {
     let body = '';
-    new BackendConnection({
-      connectTimeoutMs: 5_000,
-      host: '127.0.0.1',
-      onConnectFailed: (reason) => {
-        resolve({ body, end: `not connected: ${reason}` });
-      },
-      onConnected: (connection) => {
-        connection.send(
-          { body: undefined, headers: [['Host', 'a']], method: 'GET', path: '/' },
-          {
-            accepts,
-            onBody: (chunk) => {
-              body += chunk.toString();
-            },
-            onBroken: () => {
-              resolve({ body, end: 'broken' });
-            },
-            onEnd: () => {
-              resolve({ body, end: connection.isReusable() ? 'complete, reusable' : 'complete' });
-              connection.abort();
-            },
-            onHead: () => undefined,
+    const socket = connect({ allowHalfOpen: true, host: '127.0.0.1', port });
+    socket.once('connect', () => {
+      const connection = new BackendConnection({
+        clock: { nowMs: () => 0 },
+        onClosed: () => undefined,
+        socket,
+      });
+      connection.send(
+        { body: undefined, headers: [['Host', 'a']], method: 'GET', path: '/' },
+        {
+          accepts,
+          onBody: (chunk) => {
+            body += chunk.toString();
           },
-        );
-      },
-      onClosed: () => undefined,
-      port,
+          onBroken: () => {
+            resolve({ body, end: 'broken' });
+          },
+          onEnd: () => {
+            resolve({ body, end: connection.isReusable() ? 'complete, reusable' : 'complete' });
+            connection.abort();
+          },
+          onHead: () => undefined,
+        },
+      );
     });
   });
   server.close();
--- a/packages/serving/src/__tests__/integration/PeerLink.test.ts
+++ b/packages/serving/src/__tests__/integration/PeerLink.test.ts
@@ -19,6 +19,7 @@
     failureDomain: toId<FailureDomainId>('a'),
     host,
     incarnation: 1,
+    isCutOff: () => false,
     isDraining: () => false,
     isStoreDown: () => false,
     leavingServers: () => [],
--- a/packages/serving/src/__tests__/unit/CrashDetector.test.ts
+++ b/packages/serving/src/__tests__/unit/CrashDetector.test.ts
@@ -1,5 +1,3 @@
-import type { AddressInfo } from 'node:net';
-import { createServer } from 'node:net';
 import type { BackendServer } from '@laburnumgap/dispatch';
 import type {
   FailureDomainId,
@@ -10,7 +8,7 @@
 } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
-import type { BrokenRequest, ProbeResult, ServerCrash } from '../../index.js';
+import type { BrokenRequest, ServerReachability, ServerCrash } from '../../index.js';
 import { CrashDetector } from '../../index.js';
 
 const SERVER: BackendServer = {
@@ -25,7 +23,7 @@
 };
 
 function createDetector(
-  probe: ((server: BackendServer) => Promise<ProbeResult>) | undefined,
+  examine: (server: BackendServer) => Promise<ServerReachability>,
   leaving = false,
   nowMs = (): number => 5,
 ): { readonly crashes: ServerCrash[]; readonly detector: CrashDetector } {
@@ -36,7 +34,7 @@
     onCrash: (crash) => {
       crashes.push(crash);
     },
-    probe,
+    examine,
     registry: {
       get: () => ({ leaving, revision: toNumberId<Revision>(1), server: SERVER }),
     },
@@ -70,7 +68,7 @@
 
 test('a server that is back under its id is examined again', async (t) => {
   let nowMs = 5;
-  let result: ProbeResult = 'refused';
+  let result: ServerReachability = 'refused';
   const { crashes, detector } = createDetector(
     () => Promise.resolve(result),
     false,
@@ -85,7 +83,7 @@
   t.is(crashes.length, 1);
 });
 
-for (const result of ['accepted', 'silent'] as const) {
+for (const result of ['accepted', 'severed', 'silent'] as const) {
   test(`a response that breaks off at a server whose connections are ${result} is no crash`, async (t) => {
     const { crashes, detector } = createDetector(() => Promise.resolve(result));
     detector.onBroken(SERVER, broken('r1'));
@@ -100,18 +98,3 @@
   await settle();
   t.deepEqual(crashes, []);
 });
-
-test('a port without a process is told from one with a process', async (t) => {
-  const listener = createServer();
-  await new Promise<void>((resolve) => listener.listen(0, '127.0.0.1', resolve));
-  const server = { ...SERVER, port: (listener.address() as AddressInfo).port };
-  const living = createDetector(undefined);
-  living.detector.onBroken(server, broken('r1'));
-  await settle();
-  t.deepEqual(living.crashes, []);
-  await new Promise((resolve) => listener.close(resolve));
-  const dead = createDetector(undefined);
-  dead.detector.onBroken(server, broken('r1'));
-  await settle();
-  t.is(dead.crashes.length, 1);
-});
--- a/packages/serving/src/__tests__/unit/PeerTable.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerTable.test.ts
@@ -88,7 +88,7 @@
   time.nowMs = 500;
   table.recordDomain(REMOTE, members);
   t.deepEqual(
-    table.domainMembers(false).map(({ memberId }) => memberId),
+    table.domainMembers({ isCutOff: false, isDraining: false }).map(({ memberId }) => memberId),
     ['a1', 'a2'].map((id) => toId<MemberId>(id)),
   );
 });
--- a/packages/serving/src/__tests__/unit/ServerSignals.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerSignals.test.ts
@@ -41,6 +41,7 @@
         info: (event) => this.loggedEvents.push(event),
         warn: (event) => this.loggedEvents.push(event),
       },
+      onBackoff: () => undefined,
       onLeaving: () => undefined,
       onLimitChanged: () => {
         this.changeCount += 1;
