Send brittle servers no more at once than they run

Callers saw servers fall one after the other, and nothing served afterwards: a server that says it is brittle falls when it turns away more than it names in a second. Cause: each daemon knew what it had sent, none what all had; what waits at a server was nobody's concern as long as it was let in. Class: a need of a server that only all daemons together can meet, as with its limit of requests a second. Change: the owner of a server's account also counts the requests in flight (InFlightAccount, pure); a permit is held until the response has ended. Calls wait in their daemon for room, by rank, and are refused at once when they could not be answered in time (HeldCalls). Ruled out: an equal part of the slots for each daemon: with more daemons than slots nobody may send.

--- a/packages/dispatch/src/ServerLimits.ts
+++ b/packages/dispatch/src/ServerLimits.ts
@@ -3,6 +3,8 @@
 
 /** What a server said about the requests that it takes. */
 export interface LimitObservation extends ServerIncarnation {
+  /** Requests that it can turn away in a second without failing; undefined when it named none. */
+  readonly maxRejectionsPerS?: number;
   /** When the server said it, monotonic time of this process. */
   readonly observedMs: number;
   /** Requests that it takes from all daemons together; undefined when it named no limit. */
@@ -13,6 +15,8 @@
 export interface LimitReport extends ServerIncarnation {
   /** Time since the server said it. */
   readonly ageMs: number;
+  /** Absent when the server is not brittle. */
+  readonly maxRejectionsPerS?: number;
   /** Absent when the server ended its limit. */
   readonly requestsPerS?: number;
 }
@@ -39,15 +43,16 @@
    * @returns whether it changed what is known
    */
   record(observation: LimitObservation): boolean {
-    const { observedMs, requestsPerS, serverId, startedEpochMs } = observation;
+    const { maxRejectionsPerS, observedMs, requestsPerS, serverId, startedEpochMs } = observation;
     const known = this.observations.get(serverId);
     if (known && known.startedEpochMs > startedEpochMs) {
       return false;
     }
-    if (!known && requestsPerS === undefined) {
+    if (!known && requestsPerS === undefined && maxRejectionsPerS === undefined) {
       return false;
     }
-    const isSameLimit = known?.requestsPerS === requestsPerS;
+    const isSameLimit =
+      known?.requestsPerS === requestsPerS && known?.maxRejectionsPerS === maxRejectionsPerS;
     if (known?.startedEpochMs === startedEpochMs) {
       const newerFromMs = known.observedMs + (isSameLimit ? MIN_REFRESH_MS : 0);
       if (observedMs <= newerFromMs) {
@@ -69,10 +74,31 @@
     return known && known.startedEpochMs >= startedEpochMs ? known.requestsPerS : undefined;
   }
 
+  /**
+   * Whether a server fails when it has to turn away too many requests, as it said itself.
+   *
+   * @param incarnation - the server
+   * @returns whether it is brittle
+   */
+  isBrittle({ serverId, startedEpochMs }: ServerIncarnation): boolean {
+    const known = this.observations.get(serverId);
+    return (
+      known !== undefined &&
+      known.startedEpochMs >= startedEpochMs &&
+      known.maxRejectionsPerS !== undefined
+    );
+  }
+
   /** Records the report of another daemon; returns whether it changed what is known. */
   recordReport({ ageMs, ...report }: LimitReport, nowMs: number): boolean {
-    const { requestsPerS, serverId, startedEpochMs } = report;
-    return this.record({ observedMs: nowMs - ageMs, requestsPerS, serverId, startedEpochMs });
+    const { maxRejectionsPerS, requestsPerS, serverId, startedEpochMs } = report;
+    return this.record({
+      maxRejectionsPerS,
+      observedMs: nowMs - ageMs,
+      requestsPerS,
+      serverId,
+      startedEpochMs,
+    });
   }
 
   /** Report on one server; undefined when it never named a limit. */
@@ -102,8 +128,10 @@
    * @param nowMs - monotonic time
    */
   retain(isKnown: (serverId: ServerId) => boolean, nowMs: number): void {
-    for (const [serverId, { observedMs, requestsPerS }] of this.observations) {
-      const isOver = requestsPerS === undefined && nowMs - observedMs > ENDED_LIMIT_RETENTION_MS;
+    for (const [serverId, observation] of this.observations) {
+      const { maxRejectionsPerS, observedMs, requestsPerS } = observation;
+      const isEnded = requestsPerS === undefined && maxRejectionsPerS === undefined;
+      const isOver = isEnded && nowMs - observedMs > ENDED_LIMIT_RETENTION_MS;
       if (isOver || !isKnown(serverId)) {
         this.observations.delete(serverId);
       }
@@ -112,6 +140,7 @@
 }
 
 function toReport(observation: LimitObservation, nowMs: number): LimitReport {
-  const { observedMs, requestsPerS, serverId, startedEpochMs } = observation;
-  return { ageMs: Math.round(nowMs - observedMs), requestsPerS, serverId, startedEpochMs };
+  const { maxRejectionsPerS, observedMs, requestsPerS, serverId, startedEpochMs } = observation;
+  const ageMs = Math.round(nowMs - observedMs);
+  return { ageMs, maxRejectionsPerS, requestsPerS, serverId, startedEpochMs };
 }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -7,6 +7,8 @@
 export * from './EvidenceKeepers.js';
 export * from './GenerationAdmission.js';
 export * from './GenerationPlacement.js';
+export * from './HeldCalls.js';
+export * from './InFlightAccount.js';
 export * from './MemberRanking.js';
 export * from './MoveQueue.js';
 export * from './PlainPlacement.js';
--- a/packages/serving/src/BackendConnection.ts
+++ b/packages/serving/src/BackendConnection.ts
@@ -3,6 +3,7 @@
 import { ResponseOverhead } from './ResponseOverhead.js';
 import type { ResponseHead } from './ResponseParser.js';
 import { ResponseParser } from './ResponseParser.js';
+import type { Permit } from './ServerLimitCoordinator.js';
 import type { HeaderList } from './ServingPorts.js';
 
 /** HTTP request to a backend server. */
@@ -52,6 +53,7 @@
   private hasResponseHead = false;
   private isClosed = false;
   private listener: ResponseListener | undefined;
+  private permit: Permit | undefined;
   private overhead = new ResponseOverhead();
   private readonly parser: ResponseParser;
   private readonly socket: Socket;
@@ -110,6 +112,17 @@
     return this.listener ? this.sentMs : undefined;
   }
 
+  /** Keeps the permit of the next request until that has ended, or the connection is not used. */
+  holdPermit(permit: Permit | undefined): void {
+    this.permit = permit;
+  }
+
+  /** Ends the permit of the request. */
+  releasePermit(): void {
+    this.permit?.release();
+    this.permit = undefined;
+  }
+
   /** Closes the connection without a call to the listener; the server drops the request. */
   abort(): void {
     this.listener = undefined;
@@ -162,6 +175,7 @@
     this.listener = undefined;
     this.hasResponseHead = false;
     this.canReuse &&= this.socket.writableLength === 0;
+    this.releasePermit();
     listener.onEnd();
   }
 
@@ -210,6 +224,7 @@
     }
     this.isClosed = true;
     this.canReuse = false;
+    this.releasePermit();
     this.socket.destroy();
     this.options.onClosed(this);
   }
--- a/packages/serving/src/BackendConnectionPool.ts
+++ b/packages/serving/src/BackendConnectionPool.ts
@@ -49,6 +49,7 @@
 
   /** Returns a connection to the pool; one that cannot be reused is closed. */
   release(server: BackendServer, connection: BackendConnection): void {
+    connection.releasePermit();
     if (!connection.isReusable()) {
       connection.abort();
       return;
--- a/packages/serving/src/EngineSearch.ts
+++ b/packages/serving/src/EngineSearch.ts
@@ -26,6 +26,10 @@
  */
 const MAX_CONSECUTIVE_DECLINES = 3;
 const DECLINED_RECHECK_MS = 20;
+/** Interval at which engines are asked that take no more requests at once. */
+const LIMITED_RECHECK_MS = 50;
+/** Fraction of the caller's timeout that a generation waits for them. */
+const MAX_LIMITED_WAIT_FRACTION = 0.6;
 
 /**
  * Finds an engine with capacity for one generation: selects one by the load known to this daemon,
@@ -83,6 +87,8 @@
       case 'refuse':
         if (admission.reason === 'noRoom') {
           this.refuseForNoCapacity(waitedMs);
+        } else if (this.canWaitForRoom(waitedMs)) {
+          this.searchAfter(LIMITED_RECHECK_MS);
         } else {
           // Without a time, callers are told when the first backoff ends.
           onRefused('NO_ENGINE', 'no engine of the service accepts new requests');
@@ -96,6 +102,15 @@
     }
   }
 
+  /** Brittle engines take a request as soon as another has ended. */
+  private canWaitForRoom(waitedMs: number): boolean {
+    const { admitted } = this.options;
+    return (
+      waitedMs < MAX_LIMITED_WAIT_FRACTION * callerTimeoutMs(admitted) &&
+      this.context.serverAccess.isBrittle(admitted.service.service)
+    );
+  }
+
   private searchAfter(recheckAfterMs: number): void {
     this.timer = setTimeout(
       () => {
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/PeerMessages.ts
@@ -83,6 +83,16 @@
       readonly serverId: ServerId;
     }
   | {
+      readonly isRejected: boolean;
+      readonly kind: 'permitReleased';
+      readonly memberId: MemberId;
+      /** Absent when only a rejection is reported. */
+      readonly requestNumber?: number;
+      readonly serverId: ServerId;
+    }
+  | {
+      /** Requests to the server that the sender holds permits of or waits for; absent unless brittle. */
+      readonly heldNumbers?: readonly number[];
       readonly kind: 'permitRequest';
       readonly limit?: LimitReport;
       readonly maxWaitMs: number;
@@ -291,6 +301,13 @@
         : undefined;
     case 'moveWanted':
       return isMoveRequest(message.wish) ? (message as MoveMessage) : undefined;
+    case 'permitReleased':
+      return isId(message.memberId) &&
+        isId(message.serverId) &&
+        typeof message.isRejected === 'boolean' &&
+        (message.requestNumber === undefined || Number.isFinite(message.requestNumber))
+        ? (message as PermitMessage)
+        : undefined;
     case 'permitRequest':
       return isPermitRequest(message) ? message : undefined;
     case 'permitResponse':
@@ -468,6 +485,9 @@
     isId(message.memberId) &&
     isId(message.serverId) &&
     hasFigures(message, ['maxWaitMs', 'requestNumber']) &&
+    (message.heldNumbers === undefined ||
+      (Array.isArray(message.heldNumbers) &&
+        message.heldNumbers.every((value) => Number.isFinite(value)))) &&
     isLimitList(message.limit && [message.limit])
   );
 }
@@ -505,6 +525,7 @@
       (limit) =>
         isId(limit.serverId) &&
         hasFigures(limit, ['ageMs', 'startedEpochMs']) &&
+        (limit.maxRejectionsPerS === undefined || Number.isFinite(limit.maxRejectionsPerS)) &&
         (limit.requestsPerS === undefined || Number.isFinite(limit.requestsPerS)),
     )
   );
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -155,6 +155,11 @@
     return 2 * (this.livePeers().length + 1) > this.knownCount();
   }
 
+  /** Whether a daemon lives, as far as this one hears. */
+  isLive(memberId: MemberId): boolean {
+    return this.livePeers().some((peer) => peer.memberId === memberId);
+  }
+
   /** Live daemons that may pass connections to servers on. */
   relayCandidates(): readonly RelayCandidate[] {
     return this.livePeers().filter(({ isCutOff, isDraining }) => !isCutOff && !isDraining);
--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/PlainCallRun.ts
@@ -1,4 +1,4 @@
-import type { BackendServer } from '@laburnumgap/dispatch';
+import type { BackendServer, HeldCalls } from '@laburnumgap/dispatch';
 import { placePlainCall } from '@laburnumgap/dispatch';
 import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
@@ -9,6 +9,7 @@
 import type { BackendConnection } from './BackendConnection.js';
 import { untilFinalResponseMs } from './CallDeadlines.js';
 import type { CallsInFlight } from './CallsInFlight.js';
+import { urgencyOf } from './GenerationTargets.js';
 import { GrowableBuffer } from './GrowableBuffer.js';
 import { impliesNotExecuted, isFromServer, isNotExecuted } from './ResponseChecks.js';
 import type { ResponseHead } from './ResponseParser.js';
@@ -28,6 +29,15 @@
  */
 const ATTEMPT_TIMEOUT_TARGET_LATENCIES = 3;
 
+/** Fraction of the time until the final response that a call waits for room at a server. */
+const MAX_WAIT_FRACTION = 0.6;
+/** Interval at which the most urgent calls that can still be on time look for room. */
+const ON_TIME_RECHECK_MS = 10;
+/** Added to that interval for each priority rank. */
+const RECHECK_MS_PER_RANK = 10;
+/** Late calls take the room that others leave. */
+const LATE_RECHECK_MS = 200;
+
 /** One try of the call at one server, with the response body that is not forwarded yet. */
 interface Attempt extends BackendAttempt {
   readonly buffered: GrowableBuffer;
@@ -48,12 +58,16 @@
   private readonly deadlineTimer: NodeJS.Timeout;
   private readonly excludedServerIds = new Set<ServerId>();
   private isDone = false;
+  /** Waits for a server with room. */
+  private isHeld = false;
   private refusedSendCount = 0;
+  private waitTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly context: ServingContext,
     private readonly admitted: AdmittedCall,
     private readonly callsInFlight: CallsInFlight,
+    private readonly heldCalls: HeldCalls,
     private readonly onDone: () => void,
   ) {
     this.deadlineTimer = setTimeout(
@@ -83,6 +97,9 @@
       servers: serverAccess.openServers(service),
     });
     if (!server) {
+      if (this.wait()) {
+        return;
+      }
       this.refuseNotExecuted(
         'NO_SERVER',
         'no server of the service accepts new calls',
@@ -96,6 +113,8 @@
         this.send(server, connection);
       },
       onLimited: () => {
+        // It takes calls again later.
+        this.excludedServerIds.delete(server.serverId);
         if (!this.isDone) {
           this.sendToNextServer();
         }
@@ -113,6 +132,50 @@
     });
   }
 
+  /**
+   * Holds the call back until a brittle server has room: one that has to turn calls away fails. More
+   * urgent calls look more often, and late ones rarely.
+   *
+   * @returns whether it waits; false when it could not be answered in time
+   */
+  private wait(): boolean {
+    const { clock, serverAccess } = this.context;
+    const { arrivedMs, request, route, service } = this.admitted;
+    const nowMs = clock.nowMs();
+    const waitedMs = nowMs - arrivedMs;
+    const timeoutMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
+    const maxWaitMs = timeoutMs * MAX_WAIT_FRACTION;
+    const isNew = !this.isHeld;
+    const expectedMs = isNew ? this.heldCalls.expectedWaitMs() : 0;
+    const canWait = waitedMs + expectedMs < maxWaitMs && serverAccess.isBrittle(service.service);
+    if (!canWait) {
+      return false;
+    }
+    this.hold(true);
+    const canBeOnTime = waitedMs < route.targetLatencyMs;
+    const recheckMs = canBeOnTime
+      ? ON_TIME_RECHECK_MS + urgencyOf(this.admitted) * RECHECK_MS_PER_RANK
+      : LATE_RECHECK_MS;
+    this.waitTimer = setTimeout(
+      () => {
+        this.sendToNextServer();
+      },
+      recheckMs * (1 + this.context.randomUnit()),
+    );
+    return true;
+  }
+
+  private hold(isHeld: boolean): void {
+    if (isHeld !== this.isHeld) {
+      this.isHeld = isHeld;
+      if (isHeld) {
+        this.heldCalls.add();
+      } else {
+        this.heldCalls.remove();
+      }
+    }
+  }
+
   private send(server: BackendServer, connection: BackendConnection): void {
     const { clock, connections, registry } = this.context;
     if (this.isDone || !registry.isUsable(server.serverId, clock.nowMs())) {
@@ -123,6 +186,8 @@
       return;
     }
     const { route } = this.admitted;
+    this.heldCalls.recordStarted(clock.nowMs());
+    this.hold(false);
     this.attemptCount += 1;
     const attempt: Attempt = {
       buffered: new GrowableBuffer(),
@@ -422,5 +487,7 @@
   private stopTimers(): void {
     clearTimeout(this.deadlineTimer);
     clearTimeout(this.attemptTimer);
+    clearTimeout(this.waitTimer);
+    this.hold(false);
   }
 }
--- a/packages/serving/src/ServerAccess.ts
+++ b/packages/serving/src/ServerAccess.ts
@@ -1,8 +1,8 @@
-import type { BackendServer, PermitDecision, ServerRegistry } from '@laburnumgap/dispatch';
+import type { BackendServer, ServerRegistry } from '@laburnumgap/dispatch';
 import type { MonotonicClock, ServiceId } from '@laburnumgap/kernel';
 import type { BackendConnection } from './BackendConnection.js';
 import type { BackendConnectionPool, ConnectionListener } from './BackendConnectionPool.js';
-import type { ServerLimitCoordinator } from './ServerLimitCoordinator.js';
+import type { Permit, ServerLimitCoordinator } from './ServerLimitCoordinator.js';
 
 /** Options of {@link ServerAccess}. */
 export interface ServerAccessOptions {
@@ -10,7 +10,7 @@
   readonly connections: Pick<BackendConnectionPool, 'acquire' | 'release'>;
   readonly permits: Pick<
     ServerLimitCoordinator,
-    'availableAfterMs' | 'isLimited' | 'requestPermit'
+    'availableAfterMs' | 'isBrittle' | 'isLimited' | 'requestPermit'
   >;
   readonly registry: Pick<ServerRegistry, 'usableAgainAfterMs' | 'usableServers'>;
 }
@@ -38,13 +38,15 @@
   acquire(server: BackendServer, maxPermitWaitMs: number, listener: ServerAccessListener): void {
     const { connections, permits } = this.options;
     const hadLimit = permits.isLimited(server);
-    this.awaitPermit(server, maxPermitWaitMs, listener, () => {
+    this.awaitPermit(server, maxPermitWaitMs, listener, (permit) => {
       connections.acquire(server, {
         onConnectFailed: (reason) => {
+          permit?.release();
           listener.onConnectFailed(reason);
         },
         onConnected: (connection) => {
           if (hadLimit) {
+            connection.holdPermit(permit);
             listener.onConnected(connection);
           } else {
             this.onConnectedWithoutPermit(server, connection, maxPermitWaitMs, listener);
@@ -54,6 +56,13 @@
     });
   }
 
+  /** Whether the servers of a service fail when they have to turn away too many requests. */
+  isBrittle(service: ServiceId): boolean {
+    const { clock, permits, registry } = this.options;
+    const servers = registry.usableServers(service, clock.nowMs());
+    return servers.some((server) => permits.isBrittle(server));
+  }
+
   /** Servers of a service that take a new request now, sorted by id. */
   openServers(service: ServiceId): readonly BackendServer[] {
     const { clock, permits, registry } = this.options;
@@ -91,12 +100,22 @@
       connections.release(server, connection);
       listener.onLimited(retryAfterMs);
     };
-    this.awaitPermit(server, maxPermitWaitMs, { onLimited }, () => {
+    this.awaitPermit(server, maxPermitWaitMs, { onLimited }, (permit) => {
       if (connection.isReusable()) {
+        connection.holdPermit(permit);
         listener.onConnected(connection);
-      } else {
-        connections.acquire(server, listener);
+        return;
       }
+      connections.acquire(server, {
+        onConnectFailed: (reason) => {
+          permit?.release();
+          listener.onConnectFailed(reason);
+        },
+        onConnected: (opened) => {
+          opened.holdPermit(permit);
+          listener.onConnected(opened);
+        },
+      });
     });
   }
 
@@ -104,15 +123,17 @@
     server: BackendServer,
     maxWaitMs: number,
     { onLimited }: Pick<ServerAccessListener, 'onLimited'>,
-    onPermitted: () => void,
+    onPermitted: (permit: Permit | undefined) => void,
   ): void {
-    this.options.permits.requestPermit(server, maxWaitMs, (decision: PermitDecision) => {
+    this.options.permits.requestPermit(server, maxWaitMs, (decision, permit) => {
       if (decision.kind === 'declined') {
         onLimited(decision.retryAfterMs);
       } else if (decision.waitMs > 0) {
-        setTimeout(onPermitted, decision.waitMs);
+        setTimeout(() => {
+          onPermitted(permit);
+        }, decision.waitMs);
       } else {
-        onPermitted();
+        onPermitted(permit);
       }
     });
   }
--- a/packages/serving/src/ServerLimitCoordinator.ts
+++ b/packages/serving/src/ServerLimitCoordinator.ts
@@ -1,11 +1,13 @@
 import type {
   BackendServer,
+  InFlightLease,
   LimitReport,
   PermitDecision,
   ServerLimits,
 } from '@laburnumgap/dispatch';
-import { RequestAccount } from '@laburnumgap/dispatch';
+import { InFlightAccount, RequestAccount } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, ServerId, Teardown } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
 import type { PermitMessage } from './PeerMessages.js';
 import { startResponseTimeout } from './ResponseTimeout.js';
 import type { ServingLog } from './ServingLog.js';
@@ -15,7 +17,9 @@
   /** Runs a function once after a delay; the returned function cancels it. */
   readonly after?: (delayMs: number, run: () => void) => Teardown;
   readonly clock: MonotonicClock;
-  readonly limits: Pick<ServerLimits, 'reportOf' | 'requestsPerS'>;
+  /** Whether a daemon lives, as this one hears. */
+  readonly isLive: (memberId: MemberId) => boolean;
+  readonly limits: Pick<ServerLimits, 'isBrittle' | 'reportOf' | 'requestsPerS'>;
   readonly log: ServingLog;
   readonly memberId: MemberId;
   /** Number of known daemons, including this one. */
@@ -30,19 +34,40 @@
   readonly serverOf: (serverId: ServerId) => BackendServer | undefined;
 }
 
+/** A granted request to a brittle server, which counts as in flight until it has ended. */
+export interface Permit {
+  /** Ends the request. Idempotent. */
+  release(): void;
+}
+
+/** Receives a decision, and the permit of a granted request to a brittle server. */
+export type PermitListener = (decision: PermitDecision, permit?: Permit) => void;
+
 interface PendingRequest {
   readonly cancelTimer: Teardown;
   readonly maxWaitMs: number;
-  readonly onDecision: (decision: PermitDecision) => void;
+  readonly onDecision: PermitListener;
   readonly ownerId: MemberId;
   readonly server: BackendServer;
 }
 
+interface RequestDemand {
+  readonly lease: InFlightLease;
+  readonly maxWaitMs: number;
+  /** Infinite when the server does not limit its requests. */
+  readonly requestsPerS: number;
+  /** Requests that may be in flight; infinite when the server is not brittle. */
+  readonly slots: number;
+}
+
 interface ServerAccount {
-  readonly account: RequestAccount;
+  readonly inFlight: InFlightAccount;
+  readonly requests: RequestAccount;
   readonly startedEpochMs: number;
 }
 
+/** Time after which the end of a request is told again, as datagrams can be lost. */
+const REPEAT_RELEASE_AFTER_MS = 150;
 /** Time after which an unanswered request is repeated, as datagrams can be lost. */
 const REPEAT_AFTER_MS = 40;
 /** An owner that has not answered by then is dead or unreachable. */
@@ -55,7 +80,8 @@
 /**
  * Permits requests to servers that limit what they take from all daemons together. Each server has an
  * owner among the daemons, which keeps its account and grants permits. While the owner does not answer,
- * a daemon takes an equal part of the limit, so that all daemons together stay within it.
+ * a daemon takes an equal part of the limit, so that all daemons together stay within it. Brittle
+ * servers get no more requests at once than they run; their owners also count what is in flight.
  */
 export class ServerLimitCoordinator {
   /** Accounts of the servers that this daemon owns. */
@@ -67,12 +93,33 @@
   private readonly ownParts = new Map<ServerId, ServerAccount>();
   private lastRequestNumber = 0;
   private readonly pending = new Map<number, PendingRequest>();
+  /** Servers of the permits that other daemons granted and that have not ended, by request number. */
+  private readonly remotePermits = new Map<number, ServerId>();
 
   constructor(private readonly options: ServerLimitCoordinatorOptions) {}
 
   /** Whether a server limits the requests that it takes. */
   isLimited(server: BackendServer): boolean {
-    return this.options.limits.requestsPerS(server) !== undefined;
+    return this.options.limits.requestsPerS(server) !== undefined || this.isBrittle(server);
+  }
+
+  /** Whether a server fails when it has to turn away too many requests. */
+  isBrittle(server: BackendServer): boolean {
+    return this.options.limits.isBrittle(server);
+  }
+
+  /** Tells the owner of a brittle server that it turned a request away. */
+  onRejected(server: BackendServer): void {
+    const { clock, log, memberId, ownerOf, send } = this.options;
+    const { serverId } = server;
+    const ownerId = ownerOf(server);
+    log.info('brittle-server-rejected', { owner: ownerId, serverId });
+    if (ownerId === memberId) {
+      this.recordRejection(server);
+    } else {
+      this.ownParts.get(serverId)?.inFlight.recordRejection(clock.nowMs());
+      send({ isRejected: true, kind: 'permitReleased', memberId, serverId }, ownerId);
+    }
   }
 
   /** Time until a permit for a server can be requested, after one was declined. */
@@ -91,11 +138,7 @@
    * @param maxWaitMs - how long the request can wait to be sent
    * @param onDecision - called once, synchronously when no other daemon has to be asked
    */
-  requestPermit(
-    server: BackendServer,
-    maxWaitMs: number,
-    onDecision: (decision: PermitDecision) => void,
-  ): void {
+  requestPermit(server: BackendServer, maxWaitMs: number, onDecision: PermitListener): void {
     if (!this.isLimited(server)) {
       onDecision({ kind: 'granted', waitMs: 0 });
       return;
@@ -109,12 +152,14 @@
     }
     const ownerId = ownerOf(server);
     if (ownerId === memberId && seesMajority()) {
-      onDecision(this.applyDecision(serverId, this.decideAsOwner(server, maxWaitMs), 0));
+      const lease = this.nextLease();
+      const decision = this.decideAsOwner(server, maxWaitMs, lease);
+      onDecision(this.applyDecision(serverId, decision, 0), this.permitFor(server, lease));
       return;
     }
     const isAlone = clock.nowMs() < (this.aloneUntilMs.get(serverId) ?? -Infinity);
     if (ownerId === memberId || isAlone) {
-      onDecision(this.decideAlone(server, maxWaitMs));
+      this.decideAlone(server, maxWaitMs, onDecision);
       return;
     }
     this.askOwner(ownerId, server, maxWaitMs, onDecision);
@@ -123,11 +168,15 @@
   /** Handles a message of another daemon. */
   onMessage(message: PermitMessage): void {
     const { clock, onLimit } = this.options;
+    if (message.kind === 'permitReleased') {
+      this.onReleased(message);
+      return;
+    }
     if (message.limit) {
       onLimit(message.limit);
     }
     if (message.kind === 'permitRequest') {
-      this.respond(message.requestNumber, message.serverId, message.maxWaitMs, message.memberId);
+      this.respond(message);
       return;
     }
     const pending = this.pending.get(message.requestNumber);
@@ -139,11 +188,13 @@
     const { maxWaitMs, onDecision, server } = pending;
     if (message.decision.kind === 'notOwner') {
       this.aloneUntilMs.set(server.serverId, clock.nowMs() + ALONE_MS);
-      onDecision(this.decideAlone(server, maxWaitMs));
+      this.decideAlone(server, maxWaitMs, onDecision);
       return;
     }
     const holdMs = MIN_HOLD_PER_MEMBER_MS * this.options.memberCount();
-    onDecision(this.applyDecision(server.serverId, message.decision, holdMs));
+    const decision = this.applyDecision(server.serverId, message.decision, holdMs);
+    const { requestNumber } = message;
+    onDecision(decision, this.remotePermitFor(server, pending.ownerId, requestNumber, decision));
   }
 
   /**
@@ -164,16 +215,95 @@
         }
       }
     }
+    const { isLive, memberId } = this.options;
+    for (const { inFlight } of this.accounts.values()) {
+      inFlight.retainHolders((holder) => holder === memberId || isLive(toId<MemberId>(holder)));
+    }
+  }
+
+  private onReleased({
+    isRejected,
+    memberId,
+    requestNumber,
+    serverId,
+  }: Extract<PermitMessage, { kind: 'permitReleased' }>): void {
+    const server = this.options.serverOf(serverId);
+    if (isRejected && server) {
+      this.recordRejection(server);
+    }
+    if (requestNumber !== undefined) {
+      this.accounts.get(serverId)?.inFlight.release({ holder: memberId, requestNumber });
+    }
+  }
+
+  private recordRejection(server: BackendServer): void {
+    const nowMs = this.options.clock.nowMs();
+    accountOf(this.accounts, server, nowMs).inFlight.recordRejection(nowMs);
+  }
+
+  private heldNumbers(serverId: ServerId): readonly number[] {
+    const held = [...this.remotePermits].filter(([, id]) => id === serverId);
+    const pending = [...this.pending].filter(([, { server }]) => server.serverId === serverId);
+    return [...held, ...pending].map(([requestNumber]) => requestNumber);
+  }
+
+  private nextLease(): InFlightLease {
+    this.lastRequestNumber += 1;
+    return { holder: this.options.memberId, requestNumber: this.lastRequestNumber };
+  }
+
+  /** Permit of a request that this daemon granted itself. */
+  private permitFor(
+    server: BackendServer,
+    lease: InFlightLease,
+    accounts = this.accounts,
+  ): Permit | undefined {
+    return this.isBrittle(server)
+      ? {
+          release: () => {
+            accounts.get(server.serverId)?.inFlight.release(lease);
+          },
+        }
+      : undefined;
+  }
+
+  /** Permit of a request that the owner granted. */
+  private remotePermitFor(
+    server: BackendServer,
+    ownerId: MemberId,
+    requestNumber: number,
+    decision: PermitDecision,
+  ): Permit | undefined {
+    if (decision.kind === 'declined' || !this.isBrittle(server)) {
+      return undefined;
+    }
+    this.remotePermits.set(requestNumber, server.serverId);
+    return {
+      release: () => {
+        if (this.remotePermits.delete(requestNumber)) {
+          this.sendRelease(server.serverId, ownerId, requestNumber);
+        }
+      },
+    };
+  }
+
+  private sendRelease(serverId: ServerId, ownerId: MemberId, requestNumber: number): void {
+    const { memberId, send } = this.options;
+    const sendOnce = (): void => {
+      const isRejected = false;
+      send({ isRejected, kind: 'permitReleased', memberId, requestNumber, serverId }, ownerId);
+    };
+    sendOnce();
+    this.after(REPEAT_RELEASE_AFTER_MS, sendOnce);
   }
 
   private askOwner(
     ownerId: MemberId,
     server: BackendServer,
     maxWaitMs: number,
-    onDecision: (decision: PermitDecision) => void,
+    onDecision: PermitListener,
   ): void {
-    this.lastRequestNumber += 1;
-    const requestNumber = this.lastRequestNumber;
+    const { requestNumber } = this.nextLease();
     const request = { maxWaitMs, onDecision, ownerId, server };
     const cancelTimer = this.after(REPEAT_AFTER_MS, () => {
       const cancelTimeout = this.after(OWNER_TIMEOUT_MS - REPEAT_AFTER_MS, () => {
@@ -193,7 +323,19 @@
     const { memberId, send } = this.options;
     const { serverId } = server;
     const limit = this.reportOf(serverId);
-    send({ kind: 'permitRequest', limit, maxWaitMs, memberId, requestNumber, serverId }, ownerId);
+    const heldNumbers = this.isBrittle(server) ? this.heldNumbers(serverId) : undefined;
+    send(
+      {
+        ...(heldNumbers ? { heldNumbers } : {}),
+        kind: 'permitRequest',
+        limit,
+        maxWaitMs,
+        memberId,
+        requestNumber,
+        serverId,
+      },
+      ownerId,
+    );
   }
 
   private onOwnerSilent(requestNumber: number): void {
@@ -210,54 +352,74 @@
       this.aloneUntilMs.set(serverId, nowMs + ALONE_MS);
       log.warn('limit-owner-silent', { owner: ownerId, serverId });
     }
-    onDecision(this.decideAlone(server, maxWaitMs));
+    if (this.isBrittle(server)) {
+      // The owner may have granted it, and only its answer was lost.
+      this.sendRelease(serverId, ownerId, requestNumber);
+    }
+    this.decideAlone(server, maxWaitMs, onDecision);
   }
 
-  private respond(
-    requestNumber: number,
-    serverId: ServerId,
-    maxWaitMs: number,
-    requesterId: MemberId,
-  ): void {
+  private respond({
+    heldNumbers,
+    maxWaitMs,
+    memberId: requesterId,
+    requestNumber,
+    serverId,
+  }: Extract<PermitMessage, { kind: 'permitRequest' }>): void {
     const { memberId, ownerOf, seesMajority, send, serverOf } = this.options;
     const server = serverOf(serverId);
     const isOwner = server !== undefined && ownerOf(server) === memberId && seesMajority();
+    const lease = { holder: requesterId, requestNumber };
+    if (heldNumbers) {
+      this.accounts.get(serverId)?.inFlight.retainHeld(lease, heldNumbers);
+    }
     const decision = isOwner
-      ? this.decideAsOwner(server, maxWaitMs)
+      ? this.decideAsOwner(server, maxWaitMs, lease)
       : ({ kind: 'notOwner' } as const);
     const limit = this.reportOf(serverId);
     send({ decision, kind: 'permitResponse', limit, requestNumber, serverId }, requesterId);
   }
 
-  private decideAsOwner(server: BackendServer, maxWaitMs: number): PermitDecision {
+  private decideAsOwner(
+    server: BackendServer,
+    maxWaitMs: number,
+    lease: InFlightLease,
+  ): PermitDecision {
     const { clock, limits } = this.options;
-    const requestsPerS = limits.requestsPerS(server);
+    const nowMs = clock.nowMs();
     this.ownParts.delete(server.serverId);
-    if (requestsPerS === undefined) {
+    if (!this.isLimited(server)) {
       return { kind: 'granted', waitMs: 0 };
     }
-    const account = accountOf(this.accounts, server, clock.nowMs());
-    return account.take(requestsPerS, maxWaitMs, clock.nowMs());
+    const account = accountOf(this.accounts, server, nowMs);
+    const requestsPerS = limits.requestsPerS(server) ?? Infinity;
+    const slots = this.isBrittle(server) ? server.slots : Infinity;
+    return take(account, { lease, maxWaitMs, requestsPerS, slots }, nowMs);
   }
 
-  private decideAlone(server: BackendServer, maxWaitMs: number): PermitDecision {
+  /** Takes one request of this daemon's equal part. */
+  private decideAlone(server: BackendServer, maxWaitMs: number, onDecision: PermitListener): void {
     const { clock, limits, memberCount } = this.options;
-    const requestsPerS = limits.requestsPerS(server);
-    if (requestsPerS === undefined) {
-      return { kind: 'granted', waitMs: 0 };
+    if (!this.isLimited(server)) {
+      onDecision({ kind: 'granted', waitMs: 0 });
+      return;
     }
     const nowMs = clock.nowMs();
     // The account as an owner starts anew when this daemon owns the server again.
     this.accounts.delete(server.serverId);
     const account = accountOf(this.ownParts, server, nowMs);
-    const decision = account.take(requestsPerS / memberCount(), maxWaitMs, nowMs);
+    const lease = this.nextLease();
+    const requestsPerS = (limits.requestsPerS(server) ?? Infinity) / memberCount();
+    const slots = this.isBrittle(server) ? Math.floor(server.slots / memberCount()) : Infinity;
+    const decision = take(account, { lease, maxWaitMs, requestsPerS, slots }, nowMs);
     if (decision.kind === 'granted') {
-      return decision;
+      onDecision(decision, this.permitFor(server, lease, this.ownParts));
+      return;
     }
     // The owner may answer again, or another daemon may own the server.
     const retryAfterMs = Math.min(ALONE_MS, decision.retryAfterMs);
     this.declinedUntilMs.set(server.serverId, nowMs + retryAfterMs);
-    return { kind: 'declined', retryAfterMs };
+    onDecision({ kind: 'declined', retryAfterMs });
   }
 
   /** Remembers a decision of the server's owner. */
@@ -291,12 +453,38 @@
   accounts: Map<ServerId, ServerAccount>,
   { serverId, startedEpochMs }: BackendServer,
   nowMs: number,
-): RequestAccount {
+): ServerAccount {
   const known = accounts.get(serverId);
   if (known?.startedEpochMs === startedEpochMs) {
-    return known.account;
+    return known;
   }
-  const account = new RequestAccount(nowMs);
-  accounts.set(serverId, { account, startedEpochMs });
+  const account = {
+    inFlight: new InFlightAccount(nowMs),
+    requests: new RequestAccount(nowMs),
+    startedEpochMs,
+  };
+  accounts.set(serverId, account);
   return account;
 }
+
+/** Takes one request from both accounts of a server, or from none. */
+function take(
+  { inFlight, requests }: ServerAccount,
+  { lease, maxWaitMs, requestsPerS, slots }: RequestDemand,
+  nowMs: number,
+): PermitDecision {
+  if (slots !== Infinity) {
+    const decision = inFlight.take(lease, slots, nowMs);
+    if (decision.kind === 'declined') {
+      return decision;
+    }
+  }
+  if (requestsPerS === Infinity) {
+    return { kind: 'granted', waitMs: 0 };
+  }
+  const decision = requests.take(requestsPerS, maxWaitMs, nowMs);
+  if (decision.kind === 'declined') {
+    inFlight.release(lease);
+  }
+  return decision;
+}
--- a/packages/serving/src/ServerSignals.ts
+++ b/packages/serving/src/ServerSignals.ts
@@ -7,13 +7,15 @@
 /** Options of {@link ServerSignals}. */
 export interface ServerSignalsOptions {
   readonly clock: MonotonicClock;
-  readonly limits: Pick<ServerLimits, 'record' | 'requestsPerS'>;
+  readonly limits: Pick<ServerLimits, 'isBrittle' | 'record' | 'requestsPerS'>;
   readonly log: ServingLog;
   /** Called when a server wants no requests of the daemon that its connection comes from. */
   readonly onBackoff: (server: BackendServer, retryAfterMs: number) => void;
   readonly onLeaving: (server: BackendServer) => void;
   /** Called when a server begins or ceases to limit its requests. */
   readonly onLimitChanged: () => void;
+  /** Called when a brittle server turned a request away. */
+  readonly onRejected: (server: BackendServer) => void;
   readonly protocol: Pick<WireProtocol, 'parseResponseMetadata'>;
   readonly registry: Pick<ServerRegistry, 'backOff' | 'isBackingOff'>;
 }
@@ -38,7 +40,7 @@
    * @returns the properties of the response
    */
   evaluate(server: BackendServer, head: ResponseHead): ResponseMetadata {
-    const { clock, log, onBackoff, onLeaving, protocol, registry } = this.options;
+    const { clock, log, onBackoff, onLeaving, onRejected, protocol, registry } = this.options;
     const metadata = protocol.parseResponseMetadata(head.headers);
     const { serverId } = server;
     for (const header of metadata.unreadableHeaders) {
@@ -55,6 +57,13 @@
       onLeaving(server);
     }
     this.recordLimit(server, metadata);
+    if (
+      head.status === UNAVAILABLE_STATUS &&
+      metadata.notRun &&
+      this.options.limits.isBrittle(server)
+    ) {
+      onRejected(server);
+    }
     const { retryAfterMs } = metadata;
     if (head.status === UNAVAILABLE_STATUS && retryAfterMs !== undefined) {
       const nowMs = clock.nowMs();
@@ -70,21 +79,28 @@
   /** Only a response that the server made for a request shows that it names no limit any more. */
   private recordLimit(server: BackendServer, metadata: ResponseMetadata): void {
     const { clock, limits, log, onLimitChanged } = this.options;
-    const { isLimitUnreadable, isStamped, requestsPerS } = metadata;
-    if (isLimitUnreadable || (requestsPerS === undefined && !isStamped)) {
+    const { isLimitUnreadable, isStamped, maxRejectionsPerS, requestsPerS } = metadata;
+    const namesNone = requestsPerS === undefined && maxRejectionsPerS === undefined;
+    if (isLimitUnreadable || (namesNone && !isStamped)) {
       return;
     }
     const { serverId, startedEpochMs } = server;
     const previousPerS = limits.requestsPerS(server);
+    const wasBrittle = limits.isBrittle(server);
     const observedMs = clock.nowMs();
-    if (limits.record({ observedMs, requestsPerS, serverId, startedEpochMs })) {
+    const observation = { maxRejectionsPerS, observedMs, requestsPerS, serverId, startedEpochMs };
+    if (limits.record(observation)) {
       log.info('server-limit-changed', {
+        maxRejectionsPerS,
         previousPerS,
         requestsPerS,
         serverId,
         source: 'response',
       });
-      if ((previousPerS === undefined) !== (requestsPerS === undefined)) {
+      const isOtherKind =
+        (previousPerS === undefined) !== (requestsPerS === undefined) ||
+        wasBrittle !== (maxRejectionsPerS !== undefined);
+      if (isOtherKind) {
         onLimitChanged();
       }
     }
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -10,6 +10,7 @@
 import {
   addShares,
   EngineLoad,
+  HeldCalls,
   PrefixCacheIndex,
   Quarantine,
   RecentWaits,
@@ -21,7 +22,13 @@
   ServerRegistry,
   SilenceBackoff,
 } from '@laburnumgap/dispatch';
-import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
+import type {
+  FailureDomainId,
+  MemberId,
+  MonotonicClock,
+  ServerId,
+  ServiceId,
+} from '@laburnumgap/kernel';
 import type { AdmittedCall, RoutedCall } from './AdmittedCall.js';
 import { BackendConnectionPool } from './BackendConnectionPool.js';
 import { CallsInFlight } from './CallsInFlight.js';
@@ -130,6 +137,7 @@
   private engineReportsRequestedMs = -Infinity;
   private readonly front: ServingFront;
   private readonly generationRuns = new Set<GenerationRun>();
+  private readonly heldCalls = new Map<ServiceId, HeldCalls>();
   private isDraining = false;
   private isRetryBudgetDivided = false;
   private readonly limits = new ServerLimits();
@@ -200,6 +208,9 @@
       onLeaving: (server) => {
         this.cluster.state.markLeaving([server], 'response');
       },
+      onRejected: (server) => {
+        this.permits.onRejected(server);
+      },
       onLimitChanged: () => {
         this.cluster.peers.scheduleHeartbeatToAll();
       },
@@ -208,6 +219,7 @@
     });
     this.permits = new ServerLimitCoordinator({
       clock,
+      isLive: (memberId) => this.cluster.peers.table.isLive(memberId),
       limits: this.limits,
       log,
       memberCount: () => this.cluster.peers.table.knownCount(),
@@ -323,6 +335,7 @@
       },
       onMessage: (message) => {
         switch (message.kind) {
+          case 'permitReleased':
           case 'permitRequest':
           case 'permitResponse':
             this.permits.onMessage(message);
@@ -521,11 +534,18 @@
       return;
     }
     this.openPlainCalls += 1;
-    new PlainCallRun(this.context, admitted, this.callsInFlight, () => {
+    new PlainCallRun(this.context, admitted, this.callsInFlight, this.heldCallsOf(admitted), () => {
       this.openPlainCalls -= 1;
     });
   }
 
+  /** Calls to the service of a request that wait for a server with room. */
+  private heldCallsOf({ service: { service } }: AdmittedCall): HeldCalls {
+    const held = this.heldCalls.get(service) ?? new HeldCalls();
+    this.heldCalls.set(service, held);
+    return held;
+  }
+
   /** Records limits of known servers that another daemon reports. */
   private recordLimits(reports: readonly LimitReport[]): void {
     const { clock, log } = this.options;
--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -63,6 +63,8 @@
   readonly isStamped: boolean;
   /** Idle timeout of the connection that the server states. */
   readonly keepAliveMs?: number;
+  /** Requests that the server can turn away in a second without failing, if it names a number. */
+  readonly maxRejectionsPerS?: number;
   /** The server states that it did not execute the request. */
   readonly notRun: boolean;
   readonly requestId?: string;
--- a/packages/serving/src/__tests__/unit/ServerAccess.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerAccess.test.ts
@@ -1,9 +1,9 @@
-import type { BackendServer, PermitDecision } from '@laburnumgap/dispatch';
+import type { BackendServer } from '@laburnumgap/dispatch';
 import { ServerRegistry } from '@laburnumgap/dispatch';
 import type { FailureDomainId, ServerId, ServiceId } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
-import type { BackendConnection, ConnectionListener } from '../../index.js';
+import type { BackendConnection, ConnectionListener, Permit, PermitListener } from '../../index.js';
 import { ServerAccess } from '../../index.js';
 
 const SERVICE = toId<ServiceId>('desk');
@@ -26,6 +26,7 @@
 interface TestConnection {
   isOpen: boolean;
   readonly name: string;
+  permit: Permit | undefined;
 }
 
 /** A server access whose connections open and whose permits are decided by the test. */
@@ -36,7 +37,7 @@
   /** Names of the connections and refusals that the listener received. */
   readonly outcomes: string[] = [];
   readonly pendingConnections: ConnectionListener[] = [];
-  readonly pendingPermits: ((decision: PermitDecision) => void)[] = [];
+  readonly pendingPermits: PermitListener[] = [];
   readonly released: string[] = [];
 
   constructor() {
@@ -56,6 +57,7 @@
       },
       permits: {
         availableAfterMs: ({ serverId }) => this.availableAfterMs.get(serverId) ?? 0,
+        isBrittle: () => false,
         isLimited: () => this.isLimited,
         requestPermit: (_server, _maxWaitMs, onDecision) => {
           if (this.isLimited) {
@@ -80,7 +82,15 @@
   }
 
   open(name: string): TestConnection {
-    const connection = { isOpen: true, isReusable: () => connection.isOpen, name };
+    const connection = {
+      holdPermit: (permit: Permit | undefined) => {
+        connection.permit = permit;
+      },
+      isOpen: true,
+      isReusable: () => connection.isOpen,
+      name,
+      permit: undefined as Permit | undefined,
+    };
     this.pendingConnections.shift()?.onConnected(connection as unknown as BackendConnection);
     return connection;
   }
@@ -141,3 +151,20 @@
   t.deepEqual(target.access.openServers(SERVICE), []);
   t.is(target.access.openAgainAfterMs(SERVICE), 200);
 });
+
+test('a permit goes to the connection, and ends when none opens', (t) => {
+  const target = new TestAccess();
+  target.isLimited = true;
+  const released: string[] = [];
+  const permitOf = (name: string): Permit => ({ release: () => released.push(name) });
+  target.acquire();
+  target.pendingPermits.shift()?.({ kind: 'granted', waitMs: 0 }, permitOf('p1'));
+  const connection = target.open('c1');
+  t.not(connection.permit, undefined);
+  t.deepEqual(released, []);
+  target.acquire();
+  target.pendingPermits.shift()?.({ kind: 'granted', waitMs: 0 }, permitOf('p2'));
+  target.pendingConnections.shift()?.onConnectFailed('refused');
+  t.deepEqual(released, ['p2']);
+  t.deepEqual(target.outcomes, ['c1', 'refused']);
+});
--- a/packages/serving/src/__tests__/unit/ServerLimitFleet.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerLimitFleet.test.ts
@@ -3,7 +3,7 @@
 import type { FailureDomainId, MemberId, ServerId, ServiceId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
-import type { PermitMessage } from '../../index.js';
+import type { Permit, PermitMessage } from '../../index.js';
 import { ServerLimitCoordinator } from '../../index.js';
 
 const DOMAIN = toId<FailureDomainId>('a');
@@ -27,6 +27,10 @@
 const SETTLE_MS = 3_000;
 const END_MS = 20_000;
 const DEMAND_PER_S = 60;
+/** Time that a brittle server works on a request, and the requests that it lets wait. */
+const WORK_MS = 200;
+const ROOM = 2;
+const MAX_REJECTIONS_PER_S = 4;
 
 interface TimedAction {
   isCancelled: boolean;
@@ -59,6 +63,8 @@
   /** What the server says at a time. */
   readonly limitAt?: (nowMs: number) => number | undefined;
   readonly lossRatio?: number;
+  /** The server is brittle and names no limit; requests take {@link WORK_MS}. */
+  readonly isBrittle?: boolean;
   /** When each daemon hears of the limit first; by default all at once. */
   readonly learnsAtMs?: (daemon: number) => number;
   readonly size: number;
@@ -69,7 +75,10 @@
 /** Daemons that send to one server, on a fake clock and a network with faults. */
 class TestFleet {
   readonly arrivalTimesMs: number[] = [];
+  readonly rejectionTimesMs: number[] = [];
   readonly daemons: readonly TestDaemon[];
+  /** Requests at a brittle server. */
+  private inFlight = 0;
   nowMs = 0;
   /** Latest first; actions of the same time in the order of their scheduling. */
   private readonly actions: TimedAction[] = [];
@@ -139,7 +148,7 @@
   }
 
   private limitAt(nowMs: number): number | undefined {
-    return (this.options.limitAt ?? (() => 5))(nowMs);
+    return this.options.isBrittle ? undefined : (this.options.limitAt ?? (() => 5))(nowMs);
   }
 
   private observe(daemon: number): void {
@@ -147,8 +156,18 @@
     const requestsPerS = this.limitAt(this.nowMs);
     const limits = this.daemons[daemon]?.limits;
     const previousPerS = limits?.requestsPerS(SERVER);
-    limits?.record({ observedMs: this.nowMs, requestsPerS, serverId, startedEpochMs });
-    const hasChanged = (previousPerS === undefined) !== (requestsPerS === undefined);
+    const maxRejectionsPerS = this.options.isBrittle ? MAX_REJECTIONS_PER_S : undefined;
+    const wasBrittle = limits?.isBrittle(SERVER) ?? false;
+    limits?.record({
+      maxRejectionsPerS,
+      observedMs: this.nowMs,
+      requestsPerS,
+      serverId,
+      startedEpochMs,
+    });
+    const hasChanged =
+      (previousPerS === undefined) !== (requestsPerS === undefined) ||
+      wasBrittle !== (maxRejectionsPerS !== undefined);
     if (hasChanged && (this.options.tellsOthers ?? true)) {
       this.tellOthers(daemon);
     }
@@ -184,6 +203,7 @@
     const coordinator = new ServerLimitCoordinator({
       after: (delayMs, run) => this.afterAt(index, delayMs, run),
       clock: { nowMs: () => this.nowMs },
+      isLive: () => true,
       limits,
       log: { info: () => undefined, warn: () => undefined },
       memberCount: () => this.options.size,
@@ -288,9 +308,12 @@
     if (!target) {
       return;
     }
-    target.coordinator.requestPermit(SERVER, 0, (decision) => {
+    target.coordinator.requestPermit(SERVER, 0, (decision, permit) => {
       if (decision.kind === 'granted') {
         this.arrivalTimesMs.push(this.nowMs + decision.waitMs);
+        if (this.options.isBrittle) {
+          this.runAtBrittleServer(daemon, permit);
+        }
         // Every response says what the server says then.
         this.after(ONE_WAY_DELAY_MS, () => {
           this.observe(daemon);
@@ -299,6 +322,31 @@
     });
   }
 
+  /** Most rejections within a second, after the daemons settled. */
+  maxRejectionsPerS(): number {
+    const times = this.rejectionTimesMs.filter((ms) => ms >= SETTLE_MS);
+    const counts = times.map((ms) => times.filter((other) => isBetween(other, ms, ms + 1_000)));
+    return Math.max(0, ...counts.map(({ length }) => length));
+  }
+
+  private runAtBrittleServer(daemon: number, permit: Permit | undefined): void {
+    if (this.inFlight >= SERVER.slots + ROOM) {
+      this.rejectionTimesMs.push(this.nowMs);
+      this.afterAt(daemon, ONE_WAY_DELAY_MS, () => {
+        permit?.release();
+        this.daemons[daemon]?.coordinator.onRejected(SERVER);
+      });
+      return;
+    }
+    this.inFlight += 1;
+    this.after(WORK_MS, () => {
+      this.inFlight -= 1;
+      this.afterAt(daemon, ONE_WAY_DELAY_MS, () => {
+        permit?.release();
+      });
+    });
+  }
+
   private randomUnit(): number {
     this.randomState = (this.randomState * 1_103_515_245 + 12_345) % 2 ** 31;
     return this.randomState / 2 ** 31;
@@ -408,3 +456,37 @@
     t.true(arrived >= 1 && arrived <= 3, `${arrived} arrived`);
   });
 }
+
+const BRITTLE_FAULTS: readonly (readonly [string, (owner: number) => Partial<FleetOptions>])[] = [
+  ['all live', () => ({})],
+  ['a tenth of the datagrams is lost', () => ({ lossRatio: 0.1 })],
+  ['its owner dies', (owner) => ({ isDown: (daemon, ms) => daemon === owner && ms >= 8_000 })],
+  [
+    'its owner freezes and wakes up',
+    (owner) => ({ isFrozen: (daemon, ms) => daemon === owner && isBetween(ms, 8_000, 11_000) }),
+  ],
+  [
+    'its owner is cut off and back',
+    (owner) => ({
+      isCut: (sender, receiver, ms) =>
+        (sender === owner) !== (receiver === owner) && isBetween(ms, 8_000, 12_000),
+    }),
+  ],
+];
+
+for (const size of SIZES) {
+  for (const [fault, optionsOf] of BRITTLE_FAULTS) {
+    test(`load pattern: ${size} daemons keep a brittle server from turning requests away while ${fault}`, (t) => {
+      const owner = new TestFleet({ size }).owner();
+      const fleet = new TestFleet({ ...optionsOf(owner), isBrittle: true, size });
+      fleet.run();
+      const rejections = fleet.maxRejectionsPerS();
+      t.true(rejections <= MAX_REJECTIONS_PER_S, `${rejections} rejections in a second`);
+      const runsPerS = (SERVER.slots * 1_000) / WORK_MS;
+      const served = fleet.arrivedBetween(SETTLE_MS, END_MS) - fleet.rejectionTimesMs.length;
+      const possible = runsPerS * ((END_MS - SETTLE_MS) / 1_000);
+      t.log(`served ${served} of ${possible}`);
+      t.true(served >= possible / 2, 'the server is used');
+    });
+  }
+}
--- a/packages/serving/src/__tests__/unit/ServerSignals.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerSignals.test.ts
@@ -42,6 +42,7 @@
         warn: (event) => this.loggedEvents.push(event),
       },
       onBackoff: () => undefined,
+      onRejected: () => undefined,
       onLeaving: () => undefined,
       onLimitChanged: () => {
         this.changeCount += 1;
