Keep standstills of a process from losing turns of moves

Three tests of MoveCoordinator (a request lost once, a turn that arrives twice, no copy beside another) were red in one npm test beside load 14. Cause: they used real time, and so did the coordinator's limits: a daemon that stood still for 60 ms took its coordinator for dead, although the answer waited to be read, and went on without a turn. Class: a process that stands still judges others by its own clock; the limits of permits and trials were made safe against it (ResponseTimeout) before. Change: the coordinator's timers go through startResponseTimeout and are given by the tests, which let virtual time pass. Same assertions. Ruled out: longer limits, which only move the load at which it happens.

--- a/packages/serving/src/MoveCoordinator.ts
+++ b/packages/serving/src/MoveCoordinator.ts
@@ -1,10 +1,13 @@
 import type { MoveRequest } from '@laburnumgap/dispatch';
 import { MoveQueue } from '@laburnumgap/dispatch';
-import type { MemberId, MonotonicClock, RequestId, ServerId } from '@laburnumgap/kernel';
+import type { MemberId, MonotonicClock, RequestId, ServerId, Teardown } from '@laburnumgap/kernel';
 import type { MoveMessage } from './PeerMessages.js';
+import { startResponseTimeout } from './ResponseTimeout.js';
 
 /** Options of {@link MoveCoordinator}. */
 export interface MoveTurnCoordinatorOptions {
+  /** Runs a function once after a delay; the returned function cancels it. */
+  readonly after?: (delayMs: number, run: () => void) => Teardown;
   readonly clock: MonotonicClock;
   /** Daemon that grants the turns. While views differ there can be two; then copies share links. */
   readonly currentCoordinatorId: () => MemberId;
@@ -22,7 +25,7 @@
   readonly request: MoveRequest;
   readonly resolve: (outcome: TurnOutcome) => void;
   readonly sinceMs: number;
-  timer: NodeJS.Timeout;
+  cancelRepeat: Teardown;
 }
 
 /** Time after which an unacknowledged request is repeated once, as datagrams can be lost. */
@@ -50,9 +53,9 @@
  * starts a copy; the daemon that is the coordinator at the time grants the turns.
  */
 export class MoveCoordinator {
-  private checkTimer: NodeJS.Timeout | undefined;
   private readonly coordinatorByRequest = new Map<RequestId, MemberId>();
-  private gatherTimer: NodeJS.Timeout | undefined;
+  private isCheckScheduled = false;
+  private isGathering = false;
   /** Turns that this daemon uses now. */
   private readonly heldTurns = new Set<RequestId>();
   private readonly pendingTurns = new Map<RequestId, PendingTurn>();
@@ -79,7 +82,7 @@
         request: { ...request, memberId },
         resolve,
         sinceMs: clock.nowMs(),
-        timer: this.scheduleRepeat(requestId, ACKNOWLEDGE_TIMEOUT_MS),
+        cancelRepeat: this.scheduleRepeat(requestId, ACKNOWLEDGE_TIMEOUT_MS),
       });
       this.repeatRequest(requestId);
     });
@@ -117,10 +120,13 @@
           break;
         }
         this.send({ kind: 'moveQueued', requestId }, memberId);
-        this.gatherTimer ??= setTimeout(() => {
-          this.gatherTimer = undefined;
-          this.grantTurns();
-        }, GATHER_MS);
+        if (!this.isGathering) {
+          this.isGathering = true;
+          this.after(GATHER_MS, () => {
+            this.isGathering = false;
+            this.grantTurns();
+          });
+        }
         break;
       }
     }
@@ -130,20 +136,24 @@
     for (const { targetId, request } of this.turnQueue.assignReady(this.options.clock.nowMs())) {
       this.send({ kind: 'moveTurn', requestId: request.requestId, targetId }, request.memberId);
     }
-    this.checkTimer ??= setTimeout(() => {
-      this.checkTimer = undefined;
+    if (this.isCheckScheduled) {
+      return;
+    }
+    this.isCheckScheduled = true;
+    this.after(QUEUE_CHECK_INTERVAL_MS, () => {
+      this.isCheckScheduled = false;
       if (this.turnQueue.hasMoves()) {
         this.grantTurns();
       }
-    }, QUEUE_CHECK_INTERVAL_MS);
+    });
   }
 
   private onQueued(requestId: RequestId): void {
     const pending = this.pendingTurns.get(requestId);
     if (pending && !pending.isQueued) {
       pending.isQueued = true;
-      clearTimeout(pending.timer);
-      pending.timer = this.scheduleRepeat(requestId, REPEAT_INTERVAL_MS);
+      pending.cancelRepeat();
+      pending.cancelRepeat = this.scheduleRepeat(requestId, REPEAT_INTERVAL_MS);
     }
   }
 
@@ -155,8 +165,8 @@
   }
 
   /** Repeats a request that was not answered, and gives it up when its time is over. */
-  private scheduleRepeat(requestId: RequestId, delayMs: number): NodeJS.Timeout {
-    return setTimeout(() => {
+  private scheduleRepeat(requestId: RequestId, delayMs: number): Teardown {
+    return this.after(delayMs, () => {
       const pending = this.pendingTurns.get(requestId);
       if (!pending) {
         return;
@@ -168,9 +178,9 @@
         return;
       }
       const repeatMs = isQueued ? REPEAT_INTERVAL_MS : ACKNOWLEDGE_TIMEOUT_MS;
-      pending.timer = this.scheduleRepeat(requestId, repeatMs);
+      pending.cancelRepeat = this.scheduleRepeat(requestId, repeatMs);
       this.repeatRequest(requestId);
-    }, delayMs);
+    });
   }
 
   private resolveTurn(requestId: RequestId, outcome: TurnOutcome): void {
@@ -185,7 +195,7 @@
     if (outcome.kind === 'turn') {
       this.heldTurns.add(requestId);
     }
-    clearTimeout(pending.timer);
+    pending.cancelRepeat();
     this.pendingTurns.delete(requestId);
     pending.resolve(outcome);
   }
@@ -197,4 +207,9 @@
       this.options.send(message, recipientId);
     }
   }
+
+  private after(delayMs: number, run: () => void): Teardown {
+    const { after, clock } = this.options;
+    return after ? after(delayMs, run) : startResponseTimeout(clock, delayMs, run);
+  }
 }
