Move streams on a severed path only when it was found so twice

A server can be silent for a second and go on. Cause: a direct connection that fails while the server is silent, and one through another daemon that opens just after it is back, look like a severed path; every stream that the server had then been silent on would have been moved after 500 ms. Class: one observation taken for a state. Change: the short limit needs a second observation (a failed probe, 500 ms later); streams on paths that are not confirmed keep the limit of 2.5 s. Ruled out: asking the engine first, a control request for each stream. TCP_USER_TIMEOUT: Node 20 has no way to set it and no code here sets keep-alive probes on connections to servers; nothing to change.

--- a/packages/dispatch/src/ServerPaths.ts
+++ b/packages/dispatch/src/ServerPaths.ts
@@ -68,6 +68,17 @@
     return this.severed.has(serverId);
   }
 
+  /**
+   * How long a path has been found severed, again and again.
+   *
+   * @param serverId - the server
+   * @returns milliseconds from the first evidence to the latest; undefined for a path that is open
+   */
+  confirmedForMs(serverId: ServerId): number | undefined {
+    const path = this.severed.get(serverId);
+    return path && path.confirmedMs - path.sinceMs;
+  }
+
   summary(nowMs: number): PathsSummary {
     const firstMs = Math.min(...[...this.severed.values()].map(({ sinceMs }) => sinceMs));
     return {
--- a/packages/dispatch/src/__tests__/unit/ServerPaths.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerPaths.test.ts
@@ -97,6 +97,15 @@
   t.is(paths.summary(7_000).severed, 0);
 });
 
+test('a severed path is confirmed by later evidence only', (t) => {
+  const paths = severedPaths(1, 11, 100);
+  const [serverId] = ids(1);
+  t.is(serverId && paths.confirmedForMs(serverId), 0);
+  t.is(serverId && paths.recordSevered(serverId, 11, 700), 'unchanged');
+  t.is(serverId && paths.confirmedForMs(serverId), 600);
+  t.is(paths.confirmedForMs(toId<ServerId>('s9')), undefined);
+});
+
 test('a path that stays severed is probed ever more rarely', (t) => {
   const paths = severedPaths(1, 11, 0);
   const probedMs: number[] = [];
--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -35,7 +35,7 @@
   readonly load: EngineLoad;
   readonly log: ServingLog;
   readonly memberId: MemberId;
-  readonly paths: Pick<ServerPaths, 'isSevered'>;
+  readonly paths: Pick<ServerPaths, 'confirmedForMs'>;
   readonly protocol: WireProtocol;
   /** Publishes a change of this daemon's load at the engines to the other daemons. */
   readonly publishLoad: () => void;
--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/StreamMover.ts
@@ -13,7 +13,10 @@
  * Longer than a preempted run usually waits, and well below the time after which callers give up.
  */
 const STALL_TIMEOUT_MS = 2_500;
-/** On a severed path, shorter than that: no more data will come. */
+/**
+ * Shorter on a path that was found severed twice, where no more data will come. Once is not enough: a
+ * server that is silent for a moment can be back just before another daemon tries.
+ */
 const SEVERED_STALL_TIMEOUT_MS = 500;
 /**
  * A stopped stream closes within this time; after it, further events of the old engine are dropped.
@@ -122,8 +125,8 @@
   }
 
   private stallTimeoutMs({ server, via }: RunStatus): number {
-    const isSevered = via === undefined && this.context.paths.isSevered(server.serverId);
-    return isSevered ? SEVERED_STALL_TIMEOUT_MS : STALL_TIMEOUT_MS;
+    const confirmedForMs = this.context.paths.confirmedForMs(server.serverId) ?? 0;
+    return via === undefined && confirmedForMs > 0 ? SEVERED_STALL_TIMEOUT_MS : STALL_TIMEOUT_MS;
   }
 
   private movableRunsAt(
