Take no response to a caller's request for that to a control request

An operator of a similar system told of a server that sent a second copy of an answer, late, on a connection that was in use again. Looked for here: requests of callers compare the request id of a response with their own, and surplus bytes on an idle connection close it; control requests (moves, reports, dropped copies) took whatever came first. Cause: they have no id, so nothing was compared. A late copy could so pass for the result of a move. Change: a response that names a request is skipped there. Test: failed before, passes now. Ruled out: closing the connection, since the right response can still follow.

--- a/packages/serving/src/EngineControl.ts
+++ b/packages/serving/src/EngineControl.ts
@@ -7,7 +7,7 @@
 import type { ServerSignals } from './ServerSignals.js';
 import { GrowableBuffer } from './GrowableBuffer.js';
 import { CONTROL_TIMEOUT_MS, MAX_CONTROL_RESPONSE_BYTES } from './ServingConstants.js';
-import type { EngineControlRequest } from './ServingPorts.js';
+import type { EngineControlRequest, WireProtocol } from './ServingPorts.js';
 
 /** Outcome of a control request; `unknown` means that the engine may have executed it. */
 export type ControlOutcome =
@@ -20,6 +20,7 @@
   readonly clock: MonotonicClock;
   readonly connections: Pick<BackendConnectionPool, 'release'>;
   readonly health: Pick<ServerHealth, 'recordOutcome'>;
+  readonly protocol: Pick<WireProtocol, 'parseResponseMetadata'>;
   readonly registry: Pick<ServerRegistry, 'isBackingOff'>;
   readonly serverAccess: Pick<ServerAccess, 'acquire'>;
   readonly serverSignals: Pick<ServerSignals, 'evaluate'>;
@@ -80,7 +81,7 @@
     timeoutMs: number,
     resolve: (outcome: ControlOutcome) => void,
   ): void {
-    const { clock, connections, health, serverSignals } = this.options;
+    const { clock, connections, health, protocol, serverSignals } = this.options;
     const body = new GrowableBuffer();
     let responseHead: ResponseHead | undefined;
     const sentMs = clock.nowMs();
@@ -102,7 +103,8 @@
         path: request.path,
       },
       {
-        accepts: () => true,
+        // A second copy of a response to a caller's request can still arrive on this connection.
+        accepts: (head) => protocol.parseResponseMetadata(head.headers).requestId === undefined,
         onBody: (chunk) => {
           body.append(chunk);
           if (body.length > MAX_CONTROL_RESPONSE_BYTES) {
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -262,6 +262,7 @@
       clock,
       connections: this.connections,
       health,
+      protocol,
       registry: this.registry,
       serverAccess,
       serverSignals,
--- a/packages/serving/src/__tests__/unit/EngineControl.test.ts
+++ b/packages/serving/src/__tests__/unit/EngineControl.test.ts
@@ -48,6 +48,17 @@
         state.failedCount += 1;
       },
     },
+    protocol: {
+      parseResponseMetadata: (headers) => ({
+        isEncoded: false,
+        isLeaving: false,
+        isLimitUnreadable: false,
+        isStamped: false,
+        notRun: false,
+        requestId: headers.find(([name]) => name === 'Request-Id')?.[1],
+        unreadableHeaders: [],
+      }),
+    },
     registry: { isBackingOff: () => state.isBackingOff },
     serverAccess: {
       acquire: (_server, _maxPermitWaitMs, listener) => {
@@ -95,3 +106,14 @@
   t.is(state.abortedCount, 1);
   t.is(state.failedCount, 1);
 });
+
+test("a late response to a caller's request is not taken for the response to a control request", async (t) => {
+  const { connection, control, listeners, responses } = createControl();
+  const outcome = control.send(SERVER, REQUEST);
+  listeners[0]?.onConnected(connection);
+  const head = { canReuseConnection: true, status: 200 };
+  t.false(responses[0]?.accepts({ ...head, headers: [['Request-Id', 'r1']] }));
+  t.true(responses[0]?.accepts({ ...head, headers: [['Content-Type', 'application/json']] }));
+  responses[0]?.onBroken('closed');
+  t.is((await outcome).kind, 'unknown');
+});
