Call daemons that pass connections on tunnel peers

Cause: a relay is already a daemon that passes configurations on (GLOSSARY); the new code used the word for another thing.

--- a/packages/dispatch/src/ServerPaths.ts
+++ b/packages/dispatch/src/ServerPaths.ts
@@ -4,7 +4,7 @@
 export type ConnectFailure = 'refused' | 'silent';
 
 /** Which ways to a server are tried for a new connection, in which order. */
-export type DialPlan = 'both' | 'direct' | 'relay';
+export type DialPlan = 'both' | 'direct' | 'tunnel';
 
 /** Change of what a daemon believes of its own paths. */
 export type PathsChange = 'cutOff' | 'reachable' | 'unchanged';
@@ -54,7 +54,7 @@
   /** Ways to try for a new connection to a server. */
   planFor(serverId: ServerId): DialPlan {
     if (this.severed.has(serverId)) {
-      return 'relay';
+      return 'tunnel';
     }
     return this.cutOffSinceMs === undefined ? 'direct' : 'both';
   }
--- a/packages/dispatch/src/RelayChoice.ts
+++ b/packages/dispatch/src/TunnelPeerChoice.ts
@@ -1,7 +1,7 @@
 import type { MemberId, ServerId } from '@laburnumgap/kernel';
 
 /** A live daemon that may pass connections to servers on. */
-export interface RelayCandidate {
+export interface TunnelPeer {
   readonly host: string;
   readonly memberId: MemberId;
 }
@@ -11,11 +11,11 @@
  * `unanswered`: it does not reach the server either. `silent`: it did not answer itself. `unavailable`:
  * it shuts down or does not know the server.
  */
-export type RelayFailure = 'busy' | 'refused' | 'silent' | 'unanswered' | 'unavailable';
+export type TunnelFailure = 'busy' | 'refused' | 'silent' | 'unanswered' | 'unavailable';
 
-/** Input of {@link RelayChoice.choose}. */
-export interface RelayChoiceInput {
-  readonly candidates: readonly RelayCandidate[];
+/** Input of {@link TunnelPeerChoice.choose}. */
+export interface TunnelPeerInput {
+  readonly candidates: readonly TunnelPeer[];
   /** Daemons that were asked for this connection before. */
   readonly excluded: ReadonlySet<MemberId>;
   readonly nowMs: number;
@@ -35,12 +35,12 @@
  * this daemon's, so that the load spreads whatever the others do. A daemon that declined or stayed
  * silent is left out for a while, if there are others.
  */
-export class RelayChoice {
+export class TunnelPeerChoice {
   private readonly heldUntilMs = new Map<string, number>();
   private readonly openCounts = new Map<MemberId, number>();
 
   /** Chooses a daemon; undefined when none is left to ask. */
-  choose(input: RelayChoiceInput): RelayCandidate | undefined {
+  choose(input: TunnelPeerInput): TunnelPeer | undefined {
     const { candidates, excluded, nowMs, randomUnit, serverId } = input;
     const untried = candidates.filter(({ memberId }) => !excluded.has(memberId));
     const preferred = untried.filter(
@@ -71,7 +71,7 @@
   recordFailure(
     memberId: MemberId,
     serverId: ServerId,
-    failure: RelayFailure,
+    failure: TunnelFailure,
     nowMs: number,
   ): void {
     switch (failure) {
@@ -104,7 +104,7 @@
     return nowMs < (this.heldUntilMs.get(key) ?? -Infinity);
   }
 
-  private openCount({ memberId }: RelayCandidate): number {
+  private openCount({ memberId }: TunnelPeer): number {
     return this.openCounts.get(memberId) ?? 0;
   }
 }
--- a/packages/dispatch/src/__tests__/unit/ServerPaths.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerPaths.test.ts
@@ -17,7 +17,7 @@
 test('one severed path is avoided, and the others are tried directly', (t) => {
   const paths = severedPaths(1, 11, 0);
   const [severed, other] = ids(2);
-  t.is(severed && paths.planFor(severed), 'relay');
+  t.is(severed && paths.planFor(severed), 'tunnel');
   t.is(other && paths.planFor(other), 'direct');
   t.is(paths.cutOffSince(), undefined);
 });
--- a/packages/dispatch/src/__tests__/unit/RelayChoice.test.ts
+++ b/packages/dispatch/src/__tests__/unit/TunnelPeerChoice.test.ts
@@ -1,13 +1,13 @@
 import type { MemberId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
-import type { RelayCandidate, RelayFailure } from '../../index.js';
-import { RelayChoice } from '../../index.js';
+import type { TunnelPeer, TunnelFailure } from '../../index.js';
+import { TunnelPeerChoice } from '../../index.js';
 
 const SERVER = toId<ServerId>('s1');
 const OTHER_SERVER = toId<ServerId>('s2');
 
-function candidates(count: number): readonly RelayCandidate[] {
+function candidates(count: number): readonly TunnelPeer[] {
   return Array.from({ length: count }, (_, index) => ({
     host: `10.0.0.${index}`,
     memberId: toId<MemberId>(`m${index}`),
@@ -24,8 +24,8 @@
 }
 
 function choose(
-  choice: RelayChoice,
-  among: readonly RelayCandidate[],
+  choice: TunnelPeerChoice,
+  among: readonly TunnelPeer[],
   nowMs: number,
   serverId = SERVER,
 ): MemberId | undefined {
@@ -43,15 +43,15 @@
     const among = candidates(helpers);
     const connections = 40;
     for (let daemon = 0; daemon < cutOff; daemon += 1) {
-      const choice = new RelayChoice();
+      const choice = new TunnelPeerChoice();
       const randomUnit = seededRandom(daemon + 1);
       for (let count = 0; count < connections; count += 1) {
         const excluded = new Set<MemberId>();
         const input = { candidates: among, excluded, nowMs: 0, randomUnit, serverId: SERVER };
-        const relay = choice.choose(input);
-        if (relay) {
-          choice.recordOpened(relay.memberId);
-          loads.set(relay.memberId, (loads.get(relay.memberId) ?? 0) + 1);
+        const peer = choice.choose(input);
+        if (peer) {
+          choice.recordOpened(peer.memberId);
+          loads.set(peer.memberId, (loads.get(peer.memberId) ?? 0) + 1);
         }
       }
     }
@@ -60,7 +60,7 @@
   });
 }
 
-const HOLDS: readonly (readonly [RelayFailure, number, boolean])[] = [
+const HOLDS: readonly (readonly [TunnelFailure, number, boolean])[] = [
   ['busy', 250, false],
   ['refused', 1_000, true],
   ['silent', 2_000, false],
@@ -70,7 +70,7 @@
 
 for (const [failure, holdMs, isForServer] of HOLDS) {
   test(`a daemon that was ${failure} is left out for ${holdMs} ms${isForServer ? ' for that server' : ''}`, (t) => {
-    const choice = new RelayChoice();
+    const choice = new TunnelPeerChoice();
     const [first, second] = candidates(2);
     if (!first || !second) {
       t.fail();
@@ -85,7 +85,7 @@
 }
 
 test('a daemon that was silent is asked again when there is no other', (t) => {
-  const choice = new RelayChoice();
+  const choice = new TunnelPeerChoice();
   const [only] = candidates(1);
   if (!only) {
     t.fail();
@@ -99,7 +99,7 @@
 });
 
 test('of two daemons the one with fewer open connections is chosen', (t) => {
-  const choice = new RelayChoice();
+  const choice = new TunnelPeerChoice();
   const among = candidates(2);
   const picks = [0, 0.9];
   let calls = 0;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -17,7 +17,7 @@
 export * from './Quarantine.js';
 export * from './RecencyMap.js';
 export * from './RecentWaits.js';
-export * from './RelayChoice.js';
+export * from './TunnelPeerChoice.js';
 export * from './RequestAccount.js';
 export * from './RequestFingerprints.js';
 export * from './RetryBudget.js';
--- a/packages/serving/src/BackendConnectionPool.ts
+++ b/packages/serving/src/BackendConnectionPool.ts
@@ -107,7 +107,7 @@
   }
 
   /** Daemons that pass open connections to a server on. */
-  relaysTo(serverId: ServerId): readonly MemberId[] {
+  tunnelPeersTo(serverId: ServerId): readonly MemberId[] {
     const open = [...(this.openConnections.get(serverId) ?? [])];
     return [...new Set(open.flatMap(({ via }) => via ?? []))];
   }
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -1,4 +1,4 @@
-import type { AnnouncementTargets, BackendServer, RelayCandidate } from '@laburnumgap/dispatch';
+import type { AnnouncementTargets, BackendServer, TunnelPeer } from '@laburnumgap/dispatch';
 import {
   selectAnnouncementTargets,
   selectEngineOwner,
@@ -161,7 +161,7 @@
   }
 
   /** Live daemons that may pass connections to servers on. */
-  relayCandidates(): readonly RelayCandidate[] {
+  tunnelPeers(): readonly TunnelPeer[] {
     return this.livePeers().filter(({ isCutOff, isDraining }) => !isCutOff && !isDraining);
   }
 
--- a/packages/serving/src/ServerDialer.ts
+++ b/packages/serving/src/ServerDialer.ts
@@ -4,11 +4,11 @@
   ConnectFailure,
   DialPlan,
   PathsChange,
-  RelayCandidate,
-  RelayFailure,
+  TunnelPeer,
+  TunnelFailure,
   ServerPaths,
 } from '@laburnumgap/dispatch';
-import { RelayChoice } from '@laburnumgap/dispatch';
+import { TunnelPeerChoice } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, Result, ServerId, Teardown } from '@laburnumgap/kernel';
 import { startResponseTimeout } from './ResponseTimeout.js';
 import { CONNECT_TIMEOUT_MS } from './ServingConstants.js';
@@ -46,35 +46,35 @@
   readonly openSocket?: SocketOpener;
   /** Opens a connection to a server through another daemon. */
   readonly openTunnel: (
-    relay: RelayCandidate,
+    peer: TunnelPeer,
     serverId: ServerId,
-  ) => Promise<Result<Socket, RelayFailure>>;
+  ) => Promise<Result<Socket, TunnelFailure>>;
   readonly paths: ServerPaths;
   readonly randomUnit: () => number;
   /** Daemons that may pass connections on. */
-  readonly relayCandidates: () => readonly RelayCandidate[];
+  readonly tunnelPeers: () => readonly TunnelPeer[];
   /** Servers that are registered and not leaving. */
   readonly servers: () => readonly BackendServer[];
 }
 
 /** A direct connection that has not opened by then may not open at all: many round trips. */
-const RELAY_AFTER_MS = 100;
+const TUNNEL_AFTER_MS = 100;
 /**
  * How long a request waits for other daemons after its direct connection failed, where nothing else
  * speaks for a severed path: there may be another server.
  */
-const RELAY_PATIENCE_MS = 100;
+const TUNNEL_PATIENCE_MS = 100;
 /** Daemons that are asked for one connection. */
-const MAX_RELAYS = 2;
+const MAX_TUNNEL_PEERS = 2;
 
 /**
  * Opens connections to servers: directly, and through another daemon where the direct one does not
  * open. A second daemon's success tells a severed path from a server that is down.
  */
 export class ServerDialer {
-  private readonly choice = new RelayChoice();
+  private readonly choice = new TunnelPeerChoice();
   private readonly examinations = new Map<ServerId, Promise<ServerReachability>>();
-  private relayedCount = 0;
+  private tunneledCount = 0;
 
   constructor(private readonly options: ServerDialerOptions) {}
 
@@ -129,8 +129,8 @@
   }
 
   /** Connections passed on by other daemons so far. */
-  relayedConnections(): number {
-    return this.relayedCount;
+  tunneledConnections(): number {
+    return this.tunneledCount;
   }
 
   private start(
@@ -142,17 +142,17 @@
     const dial = new Dial(plan, listener, onExamined, {
       clock: this.options.clock,
       hasSeveredPaths: () => this.options.paths.summary(this.options.clock.nowMs()).severed > 0,
-      nextRelay: (excluded) => this.nextRelay(server.serverId, excluded),
+      nextPeer: (excluded) => this.nextPeer(server.serverId, excluded),
       onDirect: () => {
         this.recordDirect(server.serverId);
       },
-      onRelayFailed: (relay, failure) => {
-        const { memberId } = relay;
+      onTunnelFailed: (peer, failure) => {
+        const { memberId } = peer;
         const nowMs = this.options.clock.nowMs();
         this.choice.recordFailure(memberId, server.serverId, failure, nowMs);
       },
-      onRelayed: (relay, socket) => {
-        this.recordRelayed(relay.memberId, socket);
+      onTunneled: (peer, socket) => {
+        this.recordTunneled(peer.memberId, socket);
       },
       onSevered: (failure) => {
         this.recordSevered(server.serverId, failure);
@@ -161,21 +161,18 @@
         this.options.paths.recordDown(server.serverId, this.options.clock.nowMs());
       },
       openDirect: () => (this.options.openSocket ?? openSocket)(server.host, server.port),
-      openTunnel: (relay) => this.options.openTunnel(relay, server.serverId),
+      openTunnel: (peer) => this.options.openTunnel(peer, server.serverId),
     });
     dial.start();
   }
 
-  private nextRelay(
-    serverId: ServerId,
-    excluded: ReadonlySet<MemberId>,
-  ): RelayCandidate | undefined {
-    const { clock, randomUnit, relayCandidates } = this.options;
-    const candidates = relayCandidates();
+  private nextPeer(serverId: ServerId, excluded: ReadonlySet<MemberId>): TunnelPeer | undefined {
+    const { clock, randomUnit, tunnelPeers } = this.options;
+    const candidates = tunnelPeers();
     return this.choice.choose({ candidates, excluded, nowMs: clock.nowMs(), randomUnit, serverId });
   }
 
-  /** A probe only shows whether the path is back; it takes no relay. */
+  /** A probe only shows whether the path is back; it takes no peer. */
   private probeDirectly(server: BackendServer, listener: DialListener): void {
     const { clock } = this.options;
     openDirectly(
@@ -193,8 +190,8 @@
     );
   }
 
-  private recordRelayed(memberId: MemberId, socket: Socket): void {
-    this.relayedCount += 1;
+  private recordTunneled(memberId: MemberId, socket: Socket): void {
+    this.tunneledCount += 1;
     this.choice.recordOpened(memberId);
     socket.once('close', () => {
       this.choice.recordClosed(memberId);
@@ -224,7 +221,7 @@
     serverId: ServerId,
     fields: Readonly<Record<string, number | string>>,
   ): void {
-    const { clock, log, onCutOffChanged, paths, relayCandidates, servers } = this.options;
+    const { clock, log, onCutOffChanged, paths, tunnelPeers, servers } = this.options;
     if (change === 'unchanged') {
       return;
     }
@@ -232,8 +229,8 @@
     log.warn(change === 'cutOff' ? 'servers-cut-off' : 'servers-reachable', {
       ...fields,
       oldestMs: oldestMs === undefined ? undefined : Math.round(oldestMs),
-      relayedConnections: this.relayedCount,
-      relays: relayCandidates().length,
+      tunneledConnections: this.tunneledCount,
+      peers: tunnelPeers().length,
       serverId,
       servers: servers().length,
       severed,
@@ -247,15 +244,15 @@
   readonly clock: MonotonicClock;
   /** Whether this daemon has lost its path to any server. */
   hasSeveredPaths(): boolean;
-  nextRelay(excluded: ReadonlySet<MemberId>): RelayCandidate | undefined;
+  nextPeer(excluded: ReadonlySet<MemberId>): TunnelPeer | undefined;
   onDirect(): void;
-  onRelayFailed(relay: RelayCandidate, failure: RelayFailure): void;
-  onRelayed(relay: RelayCandidate, socket: Socket): void;
+  onTunnelFailed(peer: TunnelPeer, failure: TunnelFailure): void;
+  onTunneled(peer: TunnelPeer, socket: Socket): void;
   onSevered(failure: ConnectFailure): void;
   /** No daemon reaches the server. */
   onDown(): void;
   openDirect(): Socket;
-  openTunnel(relay: RelayCandidate): Promise<Result<Socket, RelayFailure>>;
+  openTunnel(peer: TunnelPeer): Promise<Result<Socket, TunnelFailure>>;
 }
 
 type AttemptState<F> =
@@ -274,13 +271,13 @@
   },
 };
 
-/** One attempt to connect to a server. The direct attempt goes on after a relay was faster. */
+/** One attempt to connect to a server. The direct attempt goes on after a peer was faster. */
 class Dial {
   private readonly asked = new Set<MemberId>();
-  private cancelRelayStart: Teardown = () => undefined;
+  private cancelTunnelStart: Teardown = () => undefined;
   private direct: AttemptState<ConnectFailure> = { kind: 'idle' };
   private isAnswered = false;
-  private relayed: AttemptState<RelayFailure | undefined> = { kind: 'idle' };
+  private tunneled: AttemptState<TunnelFailure | undefined> = { kind: 'idle' };
 
   constructor(
     private readonly plan: DialPlan,
@@ -290,15 +287,15 @@
   ) {}
 
   start(): void {
-    if (this.plan !== 'relay') {
+    if (this.plan !== 'tunnel') {
       this.startDirect();
     }
     if (this.plan !== 'direct') {
-      this.startRelay();
+      this.startTunnel();
       return;
     }
-    this.cancelRelayStart = startResponseTimeout(this.context.clock, RELAY_AFTER_MS, () => {
-      this.startRelay();
+    this.cancelTunnelStart = startResponseTimeout(this.context.clock, TUNNEL_AFTER_MS, () => {
+      this.startTunnel();
     });
   }
 
@@ -309,20 +306,20 @@
       () => this.context.openDirect(),
       (socket) => {
         this.direct = { kind: 'opened' };
-        this.cancelRelayStart();
+        this.cancelTunnelStart();
         this.context.onDirect();
         this.answer({ socket, via: undefined });
         this.settle();
       },
       (failure) => {
         this.direct = { failure, kind: 'failed' };
-        this.cancelRelayStart();
-        if (this.relayed.kind === 'idle') {
-          this.startRelay();
+        this.cancelTunnelStart();
+        if (this.tunneled.kind === 'idle') {
+          this.startTunnel();
         }
         this.settle();
         if (!this.isAnswered && !this.context.hasSeveredPaths()) {
-          startResponseTimeout(this.context.clock, RELAY_PATIENCE_MS, () => {
+          startResponseTimeout(this.context.clock, TUNNEL_PATIENCE_MS, () => {
             this.giveUp(failure);
           });
         }
@@ -330,11 +327,11 @@
     );
   }
 
-  private startRelay(): void {
-    const relay = this.asked.size < MAX_RELAYS ? this.context.nextRelay(this.asked) : undefined;
-    if (!relay) {
-      if (this.relayed.kind !== 'failed') {
-        this.relayed = { failure: undefined, kind: 'failed' };
+  private startTunnel(): void {
+    const peer = this.asked.size < MAX_TUNNEL_PEERS ? this.context.nextPeer(this.asked) : undefined;
+    if (!peer) {
+      if (this.tunneled.kind !== 'failed') {
+        this.tunneled = { failure: undefined, kind: 'failed' };
       }
       if (this.direct.kind === 'idle') {
         this.startDirect();
@@ -342,19 +339,19 @@
       this.settle();
       return;
     }
-    this.asked.add(relay.memberId);
-    this.relayed = { kind: 'pending' };
-    void this.context.openTunnel(relay).then((opened) => {
+    this.asked.add(peer.memberId);
+    this.tunneled = { kind: 'pending' };
+    void this.context.openTunnel(peer).then((opened) => {
       if (opened.ok) {
-        this.relayed = { kind: 'opened' };
-        this.context.onRelayed(relay, opened.value);
-        this.answer({ socket: opened.value, via: relay.memberId });
+        this.tunneled = { kind: 'opened' };
+        this.context.onTunneled(peer, opened.value);
+        this.answer({ socket: opened.value, via: peer.memberId });
         this.settle();
         return;
       }
-      this.context.onRelayFailed(relay, opened.error);
-      this.relayed = { failure: opened.error, kind: 'failed' };
-      this.startRelay();
+      this.context.onTunnelFailed(peer, opened.error);
+      this.tunneled = { failure: opened.error, kind: 'failed' };
+      this.startTunnel();
     });
   }
 
@@ -376,29 +373,29 @@
 
   /** Draws the conclusion once both ways have ended. */
   private settle(): void {
-    const { direct, relayed } = this;
+    const { direct, tunneled } = this;
     if (direct.kind === 'opened') {
       this.onExamined('accepted');
       return;
     }
-    if (direct.kind === 'pending' || relayed.kind === 'pending') {
+    if (direct.kind === 'pending' || tunneled.kind === 'pending') {
       return;
     }
-    if (relayed.kind === 'opened') {
+    if (tunneled.kind === 'opened') {
       if (direct.kind === 'failed') {
         this.context.onSevered(direct.failure);
       }
       this.onExamined('severed');
       return;
     }
-    if (direct.kind !== 'failed' || relayed.kind !== 'failed') {
+    if (direct.kind !== 'failed' || tunneled.kind !== 'failed') {
       return;
     }
-    const isDown = relayed.failure === 'refused' || relayed.failure === 'unanswered';
+    const isDown = tunneled.failure === 'refused' || tunneled.failure === 'unanswered';
     if (isDown) {
       this.context.onDown();
     }
-    const isGone = direct.failure === 'refused' && relayed.failure !== 'unanswered';
+    const isGone = direct.failure === 'refused' && tunneled.failure !== 'unanswered';
     this.onExamined(isGone ? 'refused' : 'silent');
     this.giveUp(direct.failure);
   }
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -173,17 +173,17 @@
         this.onSevered(serverId, failure);
       },
       openSocket: options.openSocket,
-      openTunnel: (relay, serverId) =>
+      openTunnel: (peer, serverId) =>
         openTunnel({
           clock,
           ownHost: settings.peers.host,
-          relay,
+          peer,
           serverId,
           tunnelPort: settings.tunnelPort,
         }),
       paths: this.paths,
       randomUnit,
-      relayCandidates: () => this.cluster.peers.table.relayCandidates(),
+      tunnelPeers: () => this.cluster.peers.table.tunnelPeers(),
       servers: () => this.stayingServers(),
     });
     this.connections = new BackendConnectionPool(clock, this.dialer);
@@ -617,7 +617,7 @@
     }
   }
 
-  /** Examines servers that went silent, probes severed paths and leaves relays that stop. */
+  /** Examines servers that went silent, probes severed paths and leaves peers that stop. */
   private watchPaths(): void {
     const nowMs = this.options.clock.nowMs();
     for (const serverId of this.silence.take(this.connections.silentServers(SILENCE_MS), nowMs)) {
@@ -628,9 +628,9 @@
     }
     this.dialer.probe((server) => this.connections.spareListener(server));
     const { table } = this.cluster.peers;
-    const relays = new Set(table.relayCandidates().map(({ memberId }) => memberId));
-    this.connections.closeIdle((_serverId, via) => via !== undefined && !relays.has(via));
-    this.streamMover.moveStreamsVia((via) => !relays.has(via));
+    const peers = new Set(table.tunnelPeers().map(({ memberId }) => memberId));
+    this.connections.closeIdle((_serverId, via) => via !== undefined && !peers.has(via));
+    this.streamMover.moveStreamsVia((via) => !peers.has(via));
   }
 
   /** A server knows a daemon by its address, which all connections that it passes on share. */
@@ -641,7 +641,7 @@
       retryAfterMs,
       server: { serverId, startedEpochMs },
     };
-    this.connections.relaysTo(serverId).forEach((memberId) => {
+    this.connections.tunnelPeersTo(serverId).forEach((memberId) => {
       peers.sendTo(message, memberId);
     });
     this.tunnels.clientHosts(serverId).forEach((host) => {
--- a/packages/serving/src/TunnelClient.ts
+++ b/packages/serving/src/TunnelClient.ts
@@ -1,7 +1,7 @@
 import { request as sendRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
-import type { RelayCandidate, RelayFailure } from '@laburnumgap/dispatch';
+import type { TunnelPeer, TunnelFailure } from '@laburnumgap/dispatch';
 import type { MonotonicClock, Result, ServerId } from '@laburnumgap/kernel';
 import { failure, success } from '@laburnumgap/kernel';
 import { startResponseTimeout } from './ResponseTimeout.js';
@@ -12,7 +12,7 @@
   /** Address of this daemon, by which the others know it. */
   readonly ownHost: string;
   /** Daemon that passes the connection on. */
-  readonly relay: RelayCandidate;
+  readonly peer: TunnelPeer;
   readonly serverId: ServerId;
   /** TCP port at which daemons pass connections on. */
   readonly tunnelPort: number;
@@ -23,7 +23,7 @@
 /** More than a daemon takes to find that it does not reach a server either. */
 const TUNNEL_TIMEOUT_MS = 300;
 const STATUS_OK = 200;
-const FAILURES: ReadonlySet<string> = new Set<RelayFailure>(['busy', 'refused', 'unanswered']);
+const FAILURES: ReadonlySet<string> = new Set<TunnelFailure>(['busy', 'refused', 'unanswered']);
 
 /**
  * Opens a connection to a server through another daemon, by an HTTP CONNECT request.
@@ -34,12 +34,12 @@
 export function openTunnel({
   clock,
   ownHost,
-  relay,
+  peer,
   serverId,
   tunnelPort,
-}: TunnelOptions): Promise<Result<Socket, RelayFailure>> {
+}: TunnelOptions): Promise<Result<Socket, TunnelFailure>> {
   return new Promise((resolve) => {
-    const end = (result: Result<Socket, RelayFailure>): void => {
+    const end = (result: Result<Socket, TunnelFailure>): void => {
       cancelTimeout();
       resolve(result);
     };
@@ -47,12 +47,12 @@
       createConnection: () =>
         connect({
           allowHalfOpen: true,
-          host: relay.host,
+          host: peer.host,
           localAddress: ownHost,
           noDelay: true,
           port: tunnelPort,
         }),
-      headers: { Host: relay.host },
+      headers: { Host: peer.host },
       method: 'CONNECT',
       path: serverId,
     });
@@ -77,6 +77,6 @@
   });
 }
 
-function isFailure(value: unknown): value is RelayFailure {
+function isFailure(value: unknown): value is TunnelFailure {
   return typeof value === 'string' && FAILURES.has(value);
 }
--- a/packages/serving/src/TunnelServer.ts
+++ b/packages/serving/src/TunnelServer.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, Server } from 'node:http';
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
-import type { BackendServer, RelayFailure, ServerRegistry } from '@laburnumgap/dispatch';
+import type { BackendServer, TunnelFailure, ServerRegistry } from '@laburnumgap/dispatch';
 import type { MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import { startResponseTimeout } from './ResponseTimeout.js';
@@ -116,7 +116,7 @@
     this.connect(client, clientHost, entry.server);
   }
 
-  private reasonToDecline(server: BackendServer | undefined): RelayFailure | undefined {
+  private reasonToDecline(server: BackendServer | undefined): TunnelFailure | undefined {
     const { clock, isDraining, isSevered, registry } = this.options;
     if (!server || isDraining() || registry.isBackingOff(server.serverId, clock.nowMs())) {
       return 'unavailable';
@@ -134,7 +134,7 @@
     const tunnel = { client, clientHost, server, serverId };
     this.tunnels.add(tunnel);
     let isOpen = false;
-    const fail = (reason: RelayFailure): void => {
+    const fail = (reason: TunnelFailure): void => {
       cancelTimeout();
       if (!isOpen) {
         server.destroy();
@@ -164,7 +164,7 @@
   }
 }
 
-function decline(client: Socket, reason: RelayFailure): void {
+function decline(client: Socket, reason: TunnelFailure): void {
   const head = 'HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0';
   client.end(`${head}\r\n${TUNNEL_FAILURE_HEADER}: ${reason}\r\n\r\n`);
 }
--- a/packages/serving/src/__tests__/integration/ServerDialer.test.ts
+++ b/packages/serving/src/__tests__/integration/ServerDialer.test.ts
@@ -1,6 +1,6 @@
 import type { AddressInfo, Server } from 'node:net';
 import { connect, createServer, Socket } from 'node:net';
-import type { BackendServer, ConnectFailure, RelayFailure } from '@laburnumgap/dispatch';
+import type { BackendServer, ConnectFailure, TunnelFailure } from '@laburnumgap/dispatch';
 import { ServerPaths } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, Result, ServerId, ServiceId } from '@laburnumgap/kernel';
 import { failure, success, toId } from '@laburnumgap/kernel';
@@ -9,7 +9,7 @@
 import { openSocket, ServerDialer } from '../../index.js';
 
 type DirectPath = 'open' | 'refused' | 'silent';
-type Relays = 'down' | 'none' | 'open' | 'silent';
+type Peers = 'down' | 'none' | 'open' | 'silent';
 
 interface TestDialer {
   readonly dialer: ServerDialer;
@@ -18,7 +18,7 @@
 }
 
 const CLOSED_PORT = 1;
-const RELAY = { host: '127.0.0.1', memberId: toId<MemberId>('m2') };
+const PEER = { host: '127.0.0.1', memberId: toId<MemberId>('m2') };
 
 async function startServer(): Promise<{
   readonly listener: Server;
@@ -39,7 +39,7 @@
   return { listener, server };
 }
 
-function createDialer(server: BackendServer, direct: DirectPath, relays: Relays): TestDialer {
+function createDialer(server: BackendServer, direct: DirectPath, peers: Peers): TestDialer {
   const paths = new ServerPaths();
   const severed: ConnectFailure[] = [];
   const dialer = new ServerDialer({
@@ -57,18 +57,18 @@
           return new Socket();
       }
     },
-    openTunnel: () => openTunnelAs(relays, server.port),
+    openTunnel: () => openTunnelAs(peers, server.port),
     paths,
     randomUnit: () => 0,
-    relayCandidates: () => (relays === 'none' ? [] : [RELAY]),
+    tunnelPeers: () => (peers === 'none' ? [] : [PEER]),
     servers: () => [server],
   });
   return { dialer, paths, severed };
 }
 
-function openTunnelAs(relays: Relays, port: number): Promise<Result<Socket, RelayFailure>> {
-  if (relays !== 'open') {
-    return Promise.resolve(failure(relays === 'down' ? 'refused' : 'silent'));
+function openTunnelAs(peers: Peers, port: number): Promise<Result<Socket, TunnelFailure>> {
+  if (peers !== 'open') {
+    return Promise.resolve(failure(peers === 'down' ? 'refused' : 'silent'));
   }
   return new Promise((resolve) => {
     const socket = connect(port, '127.0.0.1', () => {
@@ -93,7 +93,7 @@
   });
 }
 
-const CASES: readonly (readonly [DirectPath, Relays, string, ServerReachability])[] = [
+const CASES: readonly (readonly [DirectPath, Peers, string, ServerReachability])[] = [
   ['open', 'open', 'direct', 'accepted'],
   ['open', 'none', 'direct', 'accepted'],
   ['refused', 'open', 'm2', 'severed'],
@@ -104,11 +104,11 @@
   ['silent', 'silent', 'silent', 'silent'],
 ];
 
-for (const [direct, relays, dialed, examined] of CASES) {
-  test(`a server whose direct path is ${direct} and whose relays are ${relays} is ${examined}`, async (t) => {
+for (const [direct, peers, dialed, examined] of CASES) {
+  test(`a server whose direct path is ${direct} and whose peers are ${peers} is ${examined}`, async (t) => {
     const { listener, server } = await startServer();
-    t.is(await dial(createDialer(server, direct, relays).dialer, server), dialed);
-    const { dialer, paths, severed } = createDialer(server, direct, relays);
+    t.is(await dial(createDialer(server, direct, peers).dialer, server), dialed);
+    const { dialer, paths, severed } = createDialer(server, direct, peers);
     t.is(await dialer.examine(server), examined);
     t.is(paths.isSevered(server.serverId), examined === 'severed');
     t.deepEqual(severed, examined === 'severed' ? [direct] : []);
