Move no streams away from a daemon that is only not heard

Streams through another daemon were moved when that daemon was no candidate for new connections, so also when its heartbeats were late, although their events arrived. Cause: one list for two questions. Found by reading, after the word of other operators that a machine which was only slow to report had its work started again elsewhere. Change: streams move when the daemon says that it shuts down; idle connections through one that is not heard are closed as before, and a stream that stalls moves as any other. Test: a daemon that is not heard is no draining one.

--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/PeerTable.ts
@@ -165,6 +165,11 @@
     return this.livePeers().filter(({ isCutOff, isDraining }) => !isCutOff && !isDraining);
   }
 
+  /** Whether a daemon said that it shuts down. */
+  isDraining(memberId: MemberId): boolean {
+    return [...this.peers.values()].some((peer) => peer.memberId === memberId && peer.isDraining);
+  }
+
   /** Whether a daemon has this address. */
   isMemberHost(host: string): boolean {
     return this.peers.has(host);
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -630,7 +630,8 @@
     const { table } = this.cluster.peers;
     const peers = new Set(table.tunnelPeers().map(({ memberId }) => memberId));
     this.connections.closeIdle((_serverId, via) => via !== undefined && !peers.has(via));
-    this.streamMover.moveStreamsVia((via) => !peers.has(via));
+    // A daemon that is not heard for a while still passes events on.
+    this.streamMover.moveStreamsVia((via) => table.isDraining(via));
   }
 
   /** A server knows a daemon by its address, which all connections that it passes on share. */
--- a/packages/serving/src/__tests__/unit/PeerTable.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerTable.test.ts
@@ -120,3 +120,20 @@
   time.nowMs = 10_000;
   t.false(table.seesMajority(), 'nobody was heard for long');
 });
+
+test('a daemon that is not heard is no draining one, and passes no new connections on', (t) => {
+  const { table, time } = createTable();
+  const neighbour = { ...memberOf(99), host: '10.1.0.2', memberId: toId<MemberId>('a2') };
+  const heartbeat = { ...heartbeatOf(neighbour, 1), failureDomain: toId<FailureDomainId>('a') };
+  table.recordHeartbeat(heartbeat);
+  const tunnelPeerIds = () => table.tunnelPeers().map(({ memberId }) => memberId);
+  t.true(tunnelPeerIds().includes(neighbour.memberId));
+  time.nowMs = 1_300;
+  t.false(tunnelPeerIds().includes(neighbour.memberId));
+  t.false(table.isDraining(neighbour.memberId));
+  table.recordHeartbeat({ ...heartbeat, isCutOff: true, sequence: 2 });
+  t.false(tunnelPeerIds().includes(neighbour.memberId));
+  table.recordHeartbeat({ ...heartbeat, isDraining: true, sequence: 3 });
+  t.false(tunnelPeerIds().includes(neighbour.memberId));
+  t.true(table.isDraining(neighbour.memberId));
+});
