Tell all daemons behind a tunnel peer that a server wants no requests

A server's Retry-After counts for an address, and all daemons that connect through one share its address. Cause: a daemon that heard of the wish from one of them kept it to itself, and the others went on sending. Change: it tells the daemons whose connections to that server it passes on, once.

--- a/packages/serving/src/ServerDialer.ts
+++ b/packages/serving/src/ServerDialer.ts
@@ -4,9 +4,9 @@
   ConnectFailure,
   DialPlan,
   PathsChange,
-  TunnelPeer,
-  TunnelFailure,
   ServerPaths,
+  TunnelFailure,
+  TunnelPeer,
 } from '@laburnumgap/dispatch';
 import { TunnelPeerChoice } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, Result, ServerId, Teardown } from '@laburnumgap/kernel';
@@ -51,10 +51,10 @@
   ) => Promise<Result<Socket, TunnelFailure>>;
   readonly paths: ServerPaths;
   readonly randomUnit: () => number;
-  /** Daemons that may pass connections on. */
-  readonly tunnelPeers: () => readonly TunnelPeer[];
   /** Servers that are registered and not leaving. */
   readonly servers: () => readonly BackendServer[];
+  /** Daemons that may pass connections on. */
+  readonly tunnelPeers: () => readonly TunnelPeer[];
 }
 
 /** A direct connection that has not opened by then may not open at all: many round trips. */
@@ -128,11 +128,6 @@
     }
   }
 
-  /** Connections passed on by other daemons so far. */
-  tunneledConnections(): number {
-    return this.tunneledCount;
-  }
-
   private start(
     server: BackendServer,
     plan: DialPlan,
@@ -229,11 +224,11 @@
     log.warn(change === 'cutOff' ? 'servers-cut-off' : 'servers-reachable', {
       ...fields,
       oldestMs: oldestMs === undefined ? undefined : Math.round(oldestMs),
-      tunneledConnections: this.tunneledCount,
       peers: tunnelPeers().length,
       serverId,
       servers: servers().length,
       severed,
+      tunneledConnections: this.tunneledCount,
     });
     onCutOffChanged();
   }
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -183,8 +183,8 @@
         }),
       paths: this.paths,
       randomUnit,
-      tunnelPeers: () => this.cluster.peers.table.tunnelPeers(),
       servers: () => this.stayingServers(),
+      tunnelPeers: () => this.cluster.peers.table.tunnelPeers(),
     });
     this.connections = new BackendConnectionPool(clock, this.dialer);
     this.tunnels = new TunnelServer({
@@ -645,15 +645,27 @@
     this.connections.tunnelPeersTo(serverId).forEach((memberId) => {
       peers.sendTo(message, memberId);
     });
-    this.tunnels.clientHosts(serverId).forEach((host) => {
-      peers.sendToHost(message, host);
+    this.tellTunnelClients(message);
+  }
+
+  /** Tells the daemons whose connections to a server this one passes on. */
+  private tellTunnelClients(message: BackoffMessage): void {
+    this.tunnels.clientHosts(message.server.serverId).forEach((host) => {
+      this.cluster.peers.sendToHost(message, host);
     });
   }
 
   private recordBackoff({ retryAfterMs, server }: BackoffMessage): void {
     const { clock, log } = this.options;
-    log.info('server-backs-off', { retryAfterMs, serverId: server.serverId, source: 'peer' });
-    this.registry.backOff(server, clock.nowMs() + retryAfterMs);
+    const { serverId } = server;
+    const nowMs = clock.nowMs();
+    const isKnown = this.registry.isBackingOff(serverId, nowMs);
+    this.registry.backOff(server, nowMs + retryAfterMs);
+    if (isKnown) {
+      return;
+    }
+    log.info('server-backs-off', { retryAfterMs, serverId, source: 'peer' });
+    this.tellTunnelClients({ kind: 'serverBackoff', retryAfterMs, server });
   }
 
   private engineLimitsOf(server: BackendServer): EngineLimits | undefined {
