Refuse calls at once while all servers are silent

A call whose servers were all silent was refused only after it had tried each for 300 to 400 ms, also when the call before it had just found the same. Cause: the backoff of servers only ordered the candidates. Change: a server whose connections hang is no candidate until its backoff is over, a second at most; one that refuses connections is tried as before, which costs no time. The same for engines. Ruled out: probes in the background, 195 daemons times the servers of a dark domain.

--- a/packages/dispatch/src/PlainPlacement.ts
+++ b/packages/dispatch/src/PlainPlacement.ts
@@ -9,7 +9,7 @@
   /** Servers that this call was sent to before. */
   readonly excluded: ReadonlySet<ServerId>;
   readonly failureDomain: FailureDomainId;
-  readonly health: Pick<ServerHealth, 'failureShare' | 'isUnreachable' | 'latencyMs'>;
+  readonly health: Pick<ServerHealth, 'failureShare' | 'isSilent' | 'isUnreachable' | 'latencyMs'>;
   readonly nowMs: number;
   readonly randomUnit: () => number;
   readonly servers: readonly BackendServer[];
@@ -26,16 +26,19 @@
  * Chooses the server of a plain call (a request that is no generation) by expected time, with a
  * penalty for failures in excess of the best server's. A server that looks healthy but fails part
  * of its calls gets fewer of them; as the penalty is relative, a service whose servers all fail
- * still gets calls.
+ * still gets calls. Servers whose connections hang get none until their backoff is over.
  *
  * @param input - the servers, with their load and health
- * @returns the server, or undefined when all were tried
+ * @returns the server, or undefined when all were tried or are silent
  */
 export function placePlainCall(input: PlainPlacementInput): BackendServer | undefined {
   const { excluded, health, nowMs, servers } = input;
   const untried = servers.filter(({ serverId }) => !excluded.has(serverId));
   const reachable = untried.filter(({ serverId }) => !health.isUnreachable(serverId, nowMs));
-  const candidates = reachable.length > 0 ? reachable : untried;
+  const candidates =
+    reachable.length > 0
+      ? reachable
+      : untried.filter(({ serverId }) => !health.isSilent(serverId, nowMs));
   const failureShares = candidates.map(({ serverId }) => health.failureShare(serverId));
   const lowestFailureShare = Math.min(...failureShares);
   let best: BackendServer | undefined;
--- a/packages/dispatch/src/ServerHealth.ts
+++ b/packages/dispatch/src/ServerHealth.ts
@@ -1,12 +1,16 @@
 import type { ServerId } from '@laburnumgap/kernel';
 
-/** How a call at a server ended, as its caller saw it. */
-export type CallOutcome = 'answered' | 'failed' | 'unreachable';
+/**
+ * How a call at a server ended, as its caller saw it. `silent` and `unreachable`: no connection opened,
+ * after a while or at once.
+ */
+export type CallOutcome = 'answered' | 'failed' | 'silent' | 'unreachable';
 
 interface Health {
   /** Consecutive calls that could not reach the server. */
   consecutiveUnreachable: number;
   failureShare: number;
+  isSilent: boolean;
   latencyMs: number;
   unreachableUntilMs: number;
 }
@@ -15,6 +19,8 @@
 const SMOOTHING_FACTOR = 0.15;
 const UNREACHABLE_MIN_BACKOFF_MS = 500;
 const UNREACHABLE_MAX_BACKOFF_MS = 4_000;
+/** Shorter, since nothing is sent to silent servers meanwhile. */
+const SILENT_MAX_BACKOFF_MS = 1_000;
 /** Latency assumed until the first answer of a server. */
 const INITIAL_LATENCY_MS = 20;
 
@@ -28,9 +34,10 @@
   /** Records how a call ended and how long it took. */
   recordOutcome(serverId: ServerId, outcome: CallOutcome, tookMs: number, nowMs: number): void {
     const health = this.getOrCreate(serverId);
-    if (outcome === 'unreachable') {
+    if (outcome === 'silent' || outcome === 'unreachable') {
+      health.isSilent = outcome === 'silent';
       const backoffMs = Math.min(
-        UNREACHABLE_MAX_BACKOFF_MS,
+        health.isSilent ? SILENT_MAX_BACKOFF_MS : UNREACHABLE_MAX_BACKOFF_MS,
         UNREACHABLE_MIN_BACKOFF_MS * 2 ** health.consecutiveUnreachable,
       );
       health.consecutiveUnreachable += 1;
@@ -41,6 +48,7 @@
     health.failureShare += (failure - health.failureShare) * SMOOTHING_FACTOR;
     health.latencyMs += (tookMs - health.latencyMs) * SMOOTHING_FACTOR;
     health.consecutiveUnreachable = 0;
+    health.isSilent = false;
     health.unreachableUntilMs = 0;
   }
 
@@ -60,6 +68,12 @@
     return health !== undefined && nowMs < health.unreachableUntilMs;
   }
 
+  /** Whether connections to the server hang: trying again now would only cost time. */
+  isSilent(serverId: ServerId, nowMs: number): boolean {
+    const health = this.healths.get(serverId);
+    return health !== undefined && health.isSilent && nowMs < health.unreachableUntilMs;
+  }
+
   /** Drops the health of servers that are no longer registered. */
   retain(isKnown: (serverId: ServerId) => boolean): void {
     for (const serverId of this.healths.keys()) {
@@ -77,6 +91,7 @@
     const created = {
       consecutiveUnreachable: 0,
       failureShare: 0,
+      isSilent: false,
       latencyMs: INITIAL_LATENCY_MS,
       unreachableUntilMs: 0,
     };
--- a/packages/dispatch/src/__tests__/unit/PlainPlacement.test.ts
+++ b/packages/dispatch/src/__tests__/unit/PlainPlacement.test.ts
@@ -92,3 +92,21 @@
   health.retain(() => false);
   t.is(health.failureShare(A), 0);
 });
+
+test('a service whose servers are all silent gets no calls until a backoff is over', (t) => {
+  const health = new ServerHealth();
+  [A, B, C].forEach((serverId, index) => {
+    health.recordOutcome(serverId, 'silent', 0, index * 100);
+  });
+  t.is(place(health, { nowMs: 499 }), undefined);
+  t.is(place(health, { nowMs: 500 }), A);
+  health.recordOutcome(A, 'silent', 0, 800);
+  t.true(health.isSilent(A, 1_799));
+  t.false(health.isSilent(A, 1_800));
+  health.recordOutcome(B, 'unreachable', 0, 800);
+  t.is(
+    place(health, { excluded: [A, C], nowMs: 801 }),
+    B,
+    'a connection that is refused costs no time',
+  );
+});
--- a/packages/serving/src/BackendAttempt.ts
+++ b/packages/serving/src/BackendAttempt.ts
@@ -61,7 +61,8 @@
   }
   serverAccess.acquire(server, maxPermitWaitMs, {
     onConnectFailed: (reason) => {
-      health.recordOutcome(serverId, 'unreachable', 0, clock.nowMs());
+      const outcome = reason === 'silent' ? 'silent' : 'unreachable';
+      health.recordOutcome(serverId, outcome, 0, clock.nowMs());
       log.warn('server-unreachable', { reason, requestId: admitted.request.requestId, serverId });
       listener.onUnreachable(reason);
     },
--- a/packages/serving/src/GenerationTargets.ts
+++ b/packages/serving/src/GenerationTargets.ts
@@ -42,7 +42,7 @@
   const nowMs = clock.nowMs();
   const candidates = serverAccess
     .openServers(admitted.service.service)
-    .filter(({ serverId }) => !excluded.has(serverId))
+    .filter(({ serverId }) => !excluded.has(serverId) && !health.isSilent(serverId, nowMs))
     .map((server) => ({
       failureShare: health.isUnreachable(server.serverId, nowMs)
         ? 1
