Let one call try a silent server, and the next ones await its outcome

Cause: a backoff that is over is over for all callers. Change: a call that tries a silent server starts its backoff anew, and a connection that opens ends it.

--- a/packages/dispatch/src/ServerHealth.ts
+++ b/packages/dispatch/src/ServerHealth.ts
@@ -52,6 +52,23 @@
     health.unreachableUntilMs = 0;
   }
 
+  /** Records that a connection is tried; while the server is silent, the next calls await its outcome. */
+  recordTrial(serverId: ServerId, nowMs: number): void {
+    const health = this.healths.get(serverId);
+    if (health?.isSilent === true) {
+      health.unreachableUntilMs = nowMs + UNREACHABLE_MIN_BACKOFF_MS;
+    }
+  }
+
+  /** Records that a connection opened. */
+  recordConnected(serverId: ServerId): void {
+    const health = this.healths.get(serverId);
+    if (health?.isSilent === true) {
+      health.isSilent = false;
+      health.unreachableUntilMs = 0;
+    }
+  }
+
   /** Share of recent calls that failed, 0 to 1. */
   failureShare(serverId: ServerId): number {
     return this.healths.get(serverId)?.failureShare ?? 0;
--- a/packages/dispatch/src/__tests__/unit/PlainPlacement.test.ts
+++ b/packages/dispatch/src/__tests__/unit/PlainPlacement.test.ts
@@ -100,6 +100,10 @@
   });
   t.is(place(health, { nowMs: 499 }), undefined);
   t.is(place(health, { nowMs: 500 }), A);
+  health.recordTrial(A, 500);
+  t.is(place(health, { nowMs: 501 }), undefined, 'one call tries');
+  health.recordConnected(A);
+  t.is(place(health, { nowMs: 502 }), A);
   health.recordOutcome(A, 'silent', 0, 800);
   t.true(health.isSilent(A, 1_799));
   t.false(health.isSilent(A, 1_800));
--- a/packages/serving/src/BackendAttempt.ts
+++ b/packages/serving/src/BackendAttempt.ts
@@ -59,6 +59,7 @@
     listener.onQuarantined(refused);
     return;
   }
+  health.recordTrial(serverId, clock.nowMs());
   serverAccess.acquire(server, maxPermitWaitMs, {
     onConnectFailed: (reason) => {
       const outcome = reason === 'silent' ? 'silent' : 'unreachable';
@@ -67,6 +68,7 @@
       listener.onUnreachable(reason);
     },
     onConnected: (connection) => {
+      health.recordConnected(serverId);
       const refusedSince = admitted.pass.refusal();
       if (refusedSince) {
         connections.release(server, connection);
