Number the permits of a restarted daemon above its earlier ones

Cause: a daemon that restarts counted its requests for permits from 1 again, and the owner of a brittle server remembers which requests have ended, by daemon and number: it declined the new ones until their numbers were past the old. Found by reading. Class: an id that is unique in one start of a process and kept beyond it. Change: the count begins at the daemon's incarnation. Looked for elsewhere: trials have no memory beyond 120 ms. Test: failed with equal first numbers, passes.

--- a/packages/serving/src/ServerLimitCoordinator.ts
+++ b/packages/serving/src/ServerLimitCoordinator.ts
@@ -17,6 +17,8 @@
   /** Runs a function once after a delay; the returned function cancels it. */
   readonly after?: (delayMs: number, run: () => void) => Teardown;
   readonly clock: MonotonicClock;
+  /** Above the request numbers of earlier starts of this daemon, which others remember; 0 by default. */
+  readonly firstRequestNumber?: number;
   /** Whether a daemon lives, as this one hears. */
   readonly isLive: (memberId: MemberId) => boolean;
   readonly limits: Pick<ServerLimits, 'isBrittle' | 'reportOf' | 'requestsPerS'>;
@@ -91,12 +93,14 @@
   private readonly declinedUntilMs = new Map<ServerId, number>();
   /** Accounts of this daemon's equal part; only while the owner does not decide. */
   private readonly ownParts = new Map<ServerId, ServerAccount>();
-  private lastRequestNumber = 0;
+  private lastRequestNumber: number;
   private readonly pending = new Map<number, PendingRequest>();
   /** Servers of the permits that other daemons granted and that have not ended, by request number. */
   private readonly remotePermits = new Map<number, ServerId>();
 
-  constructor(private readonly options: ServerLimitCoordinatorOptions) {}
+  constructor(private readonly options: ServerLimitCoordinatorOptions) {
+    this.lastRequestNumber = options.firstRequestNumber ?? 0;
+  }
 
   /** Whether a server limits the requests that it takes. */
   isLimited(server: BackendServer): boolean {
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -219,6 +219,7 @@
     });
     this.permits = new ServerLimitCoordinator({
       clock,
+      firstRequestNumber: incarnation,
       isLive: (memberId) => this.cluster.peers.table.isLive(memberId),
       limits: this.limits,
       log,
--- a/packages/serving/src/__tests__/unit/ServerLimitFleet.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerLimitFleet.test.ts
@@ -490,3 +490,45 @@
     });
   }
 }
+
+test('the requests of a restarted daemon are not taken for those before its restart', (t) => {
+  const limits = new ServerLimits();
+  const { serverId, startedEpochMs } = SERVER;
+  limits.record({
+    maxRejectionsPerS: 4,
+    observedMs: 0,
+    requestsPerS: undefined,
+    serverId,
+    startedEpochMs,
+  });
+  const [ownerId, memberId] = ['m1', 'm2'].map((id) => toId<MemberId>(id)) as [MemberId, MemberId];
+  const decisions: string[] = [];
+  const coordinators = new Map<MemberId, ServerLimitCoordinator>();
+  const create = (id: MemberId, firstRequestNumber: number): ServerLimitCoordinator => {
+    const coordinator: ServerLimitCoordinator = new ServerLimitCoordinator({
+      after: () => () => undefined,
+      clock: { nowMs: () => 10_000 * coordinators.size },
+      firstRequestNumber,
+      isLive: () => true,
+      limits,
+      log: { info: () => undefined, warn: () => undefined },
+      memberCount: () => 2,
+      memberId: id,
+      onLimit: () => undefined,
+      ownerOf: () => ownerId,
+      seesMajority: () => true,
+      send: (message, recipientId) => coordinators.get(recipientId)?.onMessage(message),
+      serverOf: () => SERVER,
+    });
+    coordinators.set(id, coordinator);
+    return coordinator;
+  };
+  create(ownerId, 0).requestPermit(SERVER, 0, () => undefined);
+  for (const incarnation of [1_000, 2_000]) {
+    create(memberId, incarnation).requestPermit(SERVER, 0, ({ kind }, permit) => {
+      decisions.push(kind);
+      permit?.release();
+    });
+  }
+  t.deepEqual(decisions, ['granted', 'granted']);
+});
