Keep to a severed path when the daemons in between are slow

Cause, from their outcomes: with 17 tests in one event loop, connections through other daemons took longer than 200 ms; the first one that failed made the server count as down, its path as open, and its next calls as sent to a silent server. Class: one observation taken for a state, as with the moves of streams. Change: a server behind a severed path is down after three such failures in a row, and a failure on a severed path does not make the server silent. Ruled out: longer limits for tunnels, which callers would wait for.

--- a/packages/dispatch/src/ServerPaths.ts
+++ b/packages/dispatch/src/ServerPaths.ts
@@ -10,6 +10,8 @@
 export type PathsChange = 'cutOff' | 'reachable' | 'unchanged';
 
 interface SeveredPath {
+  /** Connections through other daemons that failed since one opened. */
+  failedTunnels: number;
   /** When the path was last found to be severed. */
   confirmedMs: number;
   nextProbeMs: number;
@@ -24,6 +26,8 @@
   readonly severed: number;
 }
 
+/** A server behind a severed path is down when so many connections through other daemons failed. */
+const MAX_FAILED_TUNNELS = 3;
 /** With so many severed paths and none that opens, the others are examined as well. */
 const SUSPICION_PATHS = 2;
 /** A daemon that is cut off has found so many paths severed since one opened last, or all. */
@@ -120,6 +124,7 @@
     } else {
       this.severed.set(serverId, {
         confirmedMs: nowMs,
+        failedTunnels: 0,
         nextProbeMs: nowMs + MIN_PROBE_INTERVAL_MS,
         probeIntervalMs: MIN_PROBE_INTERVAL_MS,
         sinceMs: nowMs,
@@ -136,8 +141,26 @@
     return 'cutOff';
   }
 
-  /** Records that no daemon reaches a server: it is down, and its path tells nothing. */
+  /** Records that a connection through another daemon opened. */
+  recordTunneled(serverId: ServerId): void {
+    const path = this.severed.get(serverId);
+    if (path) {
+      path.failedTunnels = 0;
+    }
+  }
+
+  /**
+   * Records that no daemon reached a server: it is down, and its path tells nothing. Where others reached
+   * it before, they may only be busy for a moment.
+   */
   recordDown(serverId: ServerId, nowMs: number): void {
+    const path = this.severed.get(serverId);
+    if (path) {
+      path.failedTunnels += 1;
+      if (path.failedTunnels < MAX_FAILED_TUNNELS) {
+        return;
+      }
+    }
     this.severed.delete(serverId);
     this.downSinceMs.set(serverId, nowMs);
   }
--- a/packages/dispatch/src/__tests__/unit/ServerPaths.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerPaths.test.ts
@@ -106,6 +106,23 @@
   t.is(paths.confirmedForMs(toId<ServerId>('s9')), undefined);
 });
 
+test('a severed path stays severed when connections through other daemons fail once or twice', (t) => {
+  const paths = severedPaths(1, 11, 0);
+  const [serverId] = ids(1);
+  if (!serverId) {
+    t.fail();
+    return;
+  }
+  paths.recordDown(serverId, 100);
+  paths.recordDown(serverId, 200);
+  paths.recordTunneled(serverId);
+  paths.recordDown(serverId, 300);
+  paths.recordDown(serverId, 400);
+  t.true(paths.isSevered(serverId));
+  paths.recordDown(serverId, 500);
+  t.false(paths.isSevered(serverId));
+});
+
 test('a path that stays severed is probed ever more rarely', (t) => {
   const paths = severedPaths(1, 11, 0);
   const probedMs: number[] = [];
--- a/packages/serving/src/ServerDialer.ts
+++ b/packages/serving/src/ServerDialer.ts
@@ -147,6 +147,7 @@
         this.choice.recordFailure(memberId, server.serverId, failure, nowMs);
       },
       onTunneled: (peer, socket) => {
+        this.options.paths.recordTunneled(server.serverId);
         this.recordTunneled(peer.memberId, socket);
       },
       onSevered: (failure) => {
@@ -350,10 +351,10 @@
     });
   }
 
-  private giveUp(failure: ConnectFailure): void {
+  private giveUp(reason: ConnectFailure | 'unreachable'): void {
     if (!this.isAnswered) {
       this.isAnswered = true;
-      this.listener.onFailed(failure);
+      this.listener.onFailed(reason);
     }
   }
 
@@ -392,7 +393,8 @@
     }
     const isGone = direct.failure === 'refused' && tunneled.failure !== 'unanswered';
     this.onExamined(isGone ? 'refused' : 'silent');
-    this.giveUp(direct.failure);
+    // On a severed path, the daemons in between can have been too slow.
+    this.giveUp(this.plan === 'tunnel' ? 'unreachable' : direct.failure);
   }
 }
 
