Rescue no stream that may crash engines

Cause: the rescue of a stream on a severed path moved the run without the question that all other moves ask, so a request under quarantine could have reached another engine. Change: the same condition. Test: a stream that may crash engines is not moved when its connection breaks; failed before, passes.

--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/StreamMover.ts
@@ -99,8 +99,8 @@
    */
   rescue(run: GenerationRun, source: BackendServer): void {
     const status = run.status();
-    if (!status || !this.engineLimitsOf(source)?.canMove) {
-      run.fail('the connection broke and the engine cannot move the run');
+    if (!isMovable(status) || !this.engineLimitsOf(source)?.canMove) {
+      run.fail('the connection broke and the run cannot be moved');
       return;
     }
     const { requestId } = status;
