Split the dial from the dialer, and take the reset probe and the holding of calls apart

Change: ResetProbe, decideHold (pure, with a test of its own), ServerDial; no behaviour. Ruled out: one wait for plain calls and generations, whose times differ.

--- a/packages/dispatch/src/__tests__/unit/InFlightAccount.test.ts
+++ b/packages/dispatch/src/__tests__/unit/InFlightAccount.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import { HeldCalls, InFlightAccount } from '../../index.js';
+import { decideHold, HeldCalls, InFlightAccount } from '../../index.js';
 
 const SLOTS = 4;
 
@@ -81,3 +81,18 @@
   held.remove();
   t.is(held.expectedWaitMs(), 50);
 });
+
+test('a call is held as long as it can be answered in time, and urgent ones look more often', (t) => {
+  const call = {
+    expectedWaitMs: 0,
+    targetLatencyMs: 300,
+    timeoutMs: 1_000,
+    urgency: 0,
+    waitedMs: 0,
+  };
+  t.is(decideHold(call), 10);
+  t.is(decideHold({ ...call, urgency: 2 }), 30);
+  t.is(decideHold({ ...call, waitedMs: 300 }), 200);
+  t.is(decideHold({ ...call, waitedMs: 600 }), undefined);
+  t.is(decideHold({ ...call, expectedWaitMs: 500, waitedMs: 100 }), undefined, 'refused at once');
+});
--- a/packages/serving/src/BackendConnection.ts
+++ b/packages/serving/src/BackendConnection.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import type { MemberId, MonotonicClock } from '@laburnumgap/kernel';
+import { probeReset } from './ResetProbe.js';
 import { ResponseOverhead } from './ResponseOverhead.js';
 import type { ResponseHead } from './ResponseParser.js';
 import { ResponseParser } from './ResponseParser.js';
@@ -37,9 +38,6 @@
   readonly via?: MemberId;
 }
 
-/** Empty line, which HTTP receivers skip between messages. */
-const RESET_PROBE = '\r\n';
-
 /**
  * Connection to a backend server that carries one request at a time. Data that arrives without an
  * open request closes it, so that a late or surplus response never reaches another caller.
@@ -199,10 +197,8 @@
       this.fail('the connection closed before the response was complete');
       return;
     }
-    // Node reports a reset that arrives together with data as a regular end. A write distinguishes
-    // them: it fails on a connection that was reset.
-    this.socket.write(RESET_PROBE, (error) => {
-      if (error) {
+    probeReset(this.socket, (wasReset) => {
+      if (wasReset) {
         this.fail('the connection was reset before the response was complete');
         return;
       }
--- a/packages/serving/src/CrashDetector.ts
+++ b/packages/serving/src/CrashDetector.ts
@@ -1,7 +1,7 @@
 import type { BackendServer, ServerIncarnation, ServerRegistry } from '@laburnumgap/dispatch';
 import { RecencyMap } from '@laburnumgap/dispatch';
 import type { FingerprintId, MonotonicClock } from '@laburnumgap/kernel';
-import type { ServerReachability } from './ServerDialer.js';
+import type { ServerReachability } from './ServerDial.js';
 import type { ServingLog } from './ServingLog.js';
 
 /** A request whose response broke off. */
--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/PlainCallRun.ts
@@ -1,5 +1,5 @@
 import type { BackendServer, HeldCalls } from '@laburnumgap/dispatch';
-import { placePlainCall } from '@laburnumgap/dispatch';
+import { decideHold, placePlainCall } from '@laburnumgap/dispatch';
 import type { ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
@@ -29,15 +29,6 @@
  */
 const ATTEMPT_TIMEOUT_TARGET_LATENCIES = 3;
 
-/** Fraction of the time until the final response that a call waits for room at a server. */
-const MAX_WAIT_FRACTION = 0.6;
-/** Interval at which the most urgent calls that can still be on time look for room. */
-const ON_TIME_RECHECK_MS = 10;
-/** Added to that interval for each priority rank. */
-const RECHECK_MS_PER_RANK = 10;
-/** Late calls take the room that others leave. */
-const LATE_RECHECK_MS = 200;
-
 /** One try of the call at one server, with the response body that is not forwarded yet. */
 interface Attempt extends BackendAttempt {
   readonly buffered: GrowableBuffer;
@@ -133,34 +124,29 @@
   }
 
   /**
-   * Holds the call back until a brittle server has room: one that has to turn calls away fails. More
-   * urgent calls look more often, and late ones rarely.
+   * Holds the call back until a brittle server has room: one that has to turn calls away fails.
    *
-   * @returns whether it waits; false when it could not be answered in time
+   * @returns whether it waits
    */
   private wait(): boolean {
-    const { clock, serverAccess } = this.context;
+    const { clock, randomUnit, serverAccess } = this.context;
     const { arrivedMs, request, route, service } = this.admitted;
-    const nowMs = clock.nowMs();
-    const waitedMs = nowMs - arrivedMs;
-    const timeoutMs = Math.min(route.timeoutMs, request.deadlineMs ?? Infinity);
-    const maxWaitMs = timeoutMs * MAX_WAIT_FRACTION;
-    const isNew = !this.isHeld;
-    const expectedMs = isNew ? this.heldCalls.expectedWaitMs() : 0;
-    const canWait = waitedMs + expectedMs < maxWaitMs && serverAccess.isBrittle(service.service);
-    if (!canWait) {
+    const recheckMs = decideHold({
+      expectedWaitMs: this.isHeld ? 0 : this.heldCalls.expectedWaitMs(),
+      targetLatencyMs: route.targetLatencyMs,
+      timeoutMs: Math.min(route.timeoutMs, request.deadlineMs ?? Infinity),
+      urgency: urgencyOf(this.admitted),
+      waitedMs: clock.nowMs() - arrivedMs,
+    });
+    if (recheckMs === undefined || !serverAccess.isBrittle(service.service)) {
       return false;
     }
     this.hold(true);
-    const canBeOnTime = waitedMs < route.targetLatencyMs;
-    const recheckMs = canBeOnTime
-      ? ON_TIME_RECHECK_MS + urgencyOf(this.admitted) * RECHECK_MS_PER_RANK
-      : LATE_RECHECK_MS;
     this.waitTimer = setTimeout(
       () => {
         this.sendToNextServer();
       },
-      recheckMs * (1 + this.context.randomUnit()),
+      recheckMs * (1 + randomUnit()),
     );
     return true;
   }
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -618,7 +618,7 @@
     }
   }
 
-  /** Examines servers that went silent, probes severed paths and leaves peers that stop. */
+  /** Examines servers that went silent, probes severed paths, and leaves daemons that pass no more on. */
   private watchPaths(): void {
     const nowMs = this.options.clock.nowMs();
     for (const serverId of this.silence.take(this.connections.silentServers(SILENCE_MS), nowMs)) {
--- a/packages/serving/src/TunnelClient.ts
+++ b/packages/serving/src/TunnelClient.ts
@@ -1,7 +1,7 @@
 import { request as sendRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
-import type { TunnelPeer, TunnelFailure } from '@laburnumgap/dispatch';
+import type { TunnelFailure, TunnelPeer } from '@laburnumgap/dispatch';
 import type { MonotonicClock, Result, ServerId } from '@laburnumgap/kernel';
 import { failure, success } from '@laburnumgap/kernel';
 import { startResponseTimeout } from './ResponseTimeout.js';
--- a/packages/serving/src/TunnelServer.ts
+++ b/packages/serving/src/TunnelServer.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage, Server } from 'node:http';
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
-import type { BackendServer, TunnelFailure, ServerRegistry } from '@laburnumgap/dispatch';
+import type { BackendServer, ServerRegistry, TunnelFailure } from '@laburnumgap/dispatch';
 import type { MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
+import { probeReset } from './ResetProbe.js';
 import { startResponseTimeout } from './ResponseTimeout.js';
 import type { ServingLog } from './ServingLog.js';
 import type { SocketOpener } from './SocketOpener.js';
@@ -38,8 +39,7 @@
 const MAX_TUNNELS = 256;
 /** Below the time after which the other daemon asks a third one. */
 const CONNECT_TIMEOUT_MS = 200;
-/** Empty line, which HTTP receivers skip between messages. */
-const RESET_PROBE = '\r\n';
+const STATUS_METHOD_NOT_ALLOWED = 405;
 
 /**
  * Passes connections of other daemons to servers on, while they cannot reach the servers themselves.
@@ -52,7 +52,7 @@
 
   constructor(private readonly options: TunnelServerOptions) {
     this.server = createServer((_request, response) => {
-      response.writeHead(405);
+      response.writeHead(STATUS_METHOD_NOT_ALLOWED);
       response.end();
     });
     this.server.on('connect', (request: IncomingMessage) => {
@@ -183,9 +183,8 @@
   let hasEnded = false;
   server.on('end', () => {
     hasEnded = true;
-    // Node reports a reset that arrives together with data as a regular end; a write tells.
-    server.write(RESET_PROBE, (error) => {
-      if (error) {
+    probeReset(server, (wasReset) => {
+      if (wasReset) {
         client.resetAndDestroy();
       } else {
         client.end();
