Part serving/src into callers, servers, peers and store

Cause: 58 files stood in one folder, where those that face callers could not be told from those that face servers, other daemons or the store, and the parts to come add to each group.

Change: files move into callers, servers, peers and store; what all of them share stays at the top. Only import paths change. Tests stay where they are.

Ruled out: a package for each group. They share ServingContext, and the bundle is one program anyway.

Measured: npx tsc -b without errors.

--- a/packages/serving/src/HttpFetch.ts
+++ b/packages/serving/src/HttpFetch.ts
@@ -3,7 +3,7 @@
 import type { Result } from '@laburnumgap/kernel';
 import { failure, success } from '@laburnumgap/kernel';
 import { GrowableBuffer } from './GrowableBuffer.js';
-import { ResponseOverhead } from './ResponseOverhead.js';
+import { ResponseOverhead } from './servers/ResponseOverhead.js';
 
 /** Options of {@link fetchHttp}. */
 export interface HttpFetchOptions {
--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -9,13 +9,13 @@
 } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import type { RetryBudget } from '@laburnumgap/dispatch';
-import type { BackendConnectionPool } from './BackendConnectionPool.js';
-import type { CrashDetector } from './CrashDetector.js';
-import type { EngineCapacityCoordinator } from './EngineCapacityCoordinator.js';
-import type { EngineControl } from './EngineControl.js';
-import type { ServerAccess } from './ServerAccess.js';
-import type { ServerDialer } from './ServerDialer.js';
-import type { ServerSignals } from './ServerSignals.js';
+import type { BackendConnectionPool } from './servers/BackendConnectionPool.js';
+import type { CrashDetector } from './servers/CrashDetector.js';
+import type { EngineCapacityCoordinator } from './servers/EngineCapacityCoordinator.js';
+import type { EngineControl } from './servers/EngineControl.js';
+import type { ServerAccess } from './servers/ServerAccess.js';
+import type { ServerDialer } from './servers/ServerDialer.js';
+import type { ServerSignals } from './servers/ServerSignals.js';
 import type { ServingLog } from './ServingLog.js';
 import type { WireProtocol } from './ServingPorts.js';
 
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -29,33 +29,33 @@
   ServerId,
   ServiceId,
 } from '@laburnumgap/kernel';
-import type { AdmittedCall, RoutedCall } from './AdmittedCall.js';
-import { BackendConnectionPool } from './BackendConnectionPool.js';
-import { CallsInFlight } from './CallsInFlight.js';
-import { ClusterSync } from './ClusterSync.js';
-import { CrashDetector } from './CrashDetector.js';
-import { EngineCapacityCoordinator } from './EngineCapacityCoordinator.js';
-import { EngineControl } from './EngineControl.js';
-import { EngineReports } from './EngineReports.js';
-import { GenerationRun } from './GenerationRun.js';
-import { MoveCoordinator } from './MoveCoordinator.js';
-import type { BackoffMessage } from './PeerMessages.js';
-import { PeerSockets } from './PeerSockets.js';
-import { PlainCallRun } from './PlainCallRun.js';
-import { QuarantineCoordinator } from './QuarantineCoordinator.js';
-import { QuarantinePass, quarantineRefusal } from './QuarantinePass.js';
-import { ServerAccess } from './ServerAccess.js';
-import { ServerDialer } from './ServerDialer.js';
-import { ServerLimitCoordinator } from './ServerLimitCoordinator.js';
-import { ServerSignals } from './ServerSignals.js';
+import type { AdmittedCall, RoutedCall } from './callers/AdmittedCall.js';
+import { BackendConnectionPool } from './servers/BackendConnectionPool.js';
+import { CallsInFlight } from './callers/CallsInFlight.js';
+import { ClusterSync } from './peers/ClusterSync.js';
+import { CrashDetector } from './servers/CrashDetector.js';
+import { EngineCapacityCoordinator } from './servers/EngineCapacityCoordinator.js';
+import { EngineControl } from './servers/EngineControl.js';
+import { EngineReports } from './servers/EngineReports.js';
+import { GenerationRun } from './callers/GenerationRun.js';
+import { MoveCoordinator } from './peers/MoveCoordinator.js';
+import type { BackoffMessage } from './peers/PeerMessages.js';
+import { PeerSockets } from './peers/PeerSockets.js';
+import { PlainCallRun } from './callers/PlainCallRun.js';
+import { QuarantineCoordinator } from './peers/QuarantineCoordinator.js';
+import { QuarantinePass, quarantineRefusal } from './callers/QuarantinePass.js';
+import { ServerAccess } from './servers/ServerAccess.js';
+import { ServerDialer } from './servers/ServerDialer.js';
+import { ServerLimitCoordinator } from './servers/ServerLimitCoordinator.js';
+import { ServerSignals } from './servers/ServerSignals.js';
 import type { ServingContext } from './ServingContext.js';
-import { ServingFront } from './ServingFront.js';
+import { ServingFront } from './callers/ServingFront.js';
 import type { ServingLog } from './ServingLog.js';
 import type { PlatformDirectory, WireProtocol } from './ServingPorts.js';
-import type { SocketOpener } from './SocketOpener.js';
-import { StreamMover } from './StreamMover.js';
-import { openTunnel } from './TunnelClient.js';
-import { TunnelServer } from './TunnelServer.js';
+import type { SocketOpener } from './servers/SocketOpener.js';
+import { StreamMover } from './servers/StreamMover.js';
+import { openTunnel } from './servers/TunnelClient.js';
+import { TunnelServer } from './servers/TunnelServer.js';
 
 /** Address that a listener binds to. */
 export interface ListenAddress {
--- a/packages/serving/src/AdmittedCall.ts
+++ b/packages/serving/src/callers/AdmittedCall.ts
@@ -1,7 +1,7 @@
 import type { ServingRoute, ServingService, ServingTeam } from '@laburnumgap/dispatch';
 import type { CallerExchange } from './CallerExchange.js';
 import type { QuarantinePass } from './QuarantinePass.js';
-import type { CallerRequest } from './ServingPorts.js';
+import type { CallerRequest } from '../ServingPorts.js';
 
 /** An authenticated and routed request of a caller. */
 export interface RoutedCall {
--- a/packages/serving/src/CallDeadlines.ts
+++ b/packages/serving/src/callers/CallDeadlines.ts
@@ -1,5 +1,5 @@
 import type { AdmittedCall } from './AdmittedCall.js';
-import { RESPONSE_MARGIN_MS } from './ServingConstants.js';
+import { RESPONSE_MARGIN_MS } from '../ServingConstants.js';
 
 /** Smallest deadline that is sent to a server. */
 const MIN_SERVER_DEADLINE_MS = 1;
--- a/packages/serving/src/CallerExchange.ts
+++ b/packages/serving/src/callers/CallerExchange.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Refusal } from '@laburnumgap/kernel';
-import type { ResponseHead } from './ResponseParser.js';
-import type { WireProtocol } from './ServingPorts.js';
+import type { ResponseHead } from '../servers/ResponseParser.js';
+import type { WireProtocol } from '../ServingPorts.js';
 
 /** Options of {@link CallerExchange}. */
 export interface CallerExchangeOptions {
--- a/packages/serving/src/EngineSearch.ts
+++ b/packages/serving/src/callers/EngineSearch.ts
@@ -4,8 +4,8 @@
 import { toId } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { callerTimeoutMs, urgencyOf } from './GenerationTargets.js';
-import { DEFAULT_RETRY_AFTER_MS } from './ServingConstants.js';
-import type { ServingContext } from './ServingContext.js';
+import { DEFAULT_RETRY_AFTER_MS } from '../ServingConstants.js';
+import type { ServingContext } from '../ServingContext.js';
 
 /** Options of {@link EngineSearch}. */
 export interface EngineSearchOptions {
--- a/packages/serving/src/EventSplitter.ts
+++ b/packages/serving/src/callers/EventSplitter.ts
@@ -1,4 +1,4 @@
-import { GrowableBuffer } from './GrowableBuffer.js';
+import { GrowableBuffer } from '../GrowableBuffer.js';
 
 const LINE_FEED = 0x0a;
 /** A line feed and a carriage return. */
--- a/packages/serving/src/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -14,16 +14,21 @@
 import { refusal } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { AttemptProgress } from './AttemptProgress.js';
-import type { BackendAttempt } from './BackendAttempt.js';
-import { connectToServer, recordBroken, recordOutcome, sendAttempt } from './BackendAttempt.js';
-import type { BackendConnection } from './BackendConnection.js';
+import type { BackendAttempt } from '../servers/BackendAttempt.js';
+import {
+  connectToServer,
+  recordBroken,
+  recordOutcome,
+  sendAttempt,
+} from '../servers/BackendAttempt.js';
+import type { BackendConnection } from '../servers/BackendConnection.js';
 import { untilFinalResponseMs } from './CallDeadlines.js';
 import { EngineSearch } from './EngineSearch.js';
 import { EventSplitter } from './EventSplitter.js';
 import { rankTargets, urgencyOf } from './GenerationTargets.js';
-import { GrowableBuffer } from './GrowableBuffer.js';
-import { impliesNotExecuted, isFromServer, isNotExecuted } from './ResponseChecks.js';
-import type { ResponseHead } from './ResponseParser.js';
+import { GrowableBuffer } from '../GrowableBuffer.js';
+import { impliesNotExecuted, isFromServer, isNotExecuted } from '../servers/ResponseChecks.js';
+import type { ResponseHead } from '../servers/ResponseParser.js';
 import { ResumePosition } from './ResumePosition.js';
 import {
   DEFAULT_RETRY_AFTER_MS,
@@ -31,9 +36,9 @@
   MAX_EVENT_BYTES,
   MAX_FORWARDED_RESPONSE_BYTES,
   MAX_REFUSED_SENDS,
-} from './ServingConstants.js';
-import type { ServingContext } from './ServingContext.js';
-import type { KvCacheLocation } from './ServingPorts.js';
+} from '../ServingConstants.js';
+import type { ServingContext } from '../ServingContext.js';
+import type { KvCacheLocation } from '../ServingPorts.js';
 
 const SUCCESS_STATUS = 200;
 /** A stopped stream is worth a wait that is well below the time after which its caller gives up. */
--- a/packages/serving/src/GenerationTargets.ts
+++ b/packages/serving/src/callers/GenerationTargets.ts
@@ -2,7 +2,7 @@
 import { copyDurationMs, rankEngines } from '@laburnumgap/dispatch';
 import type { ServerId } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
-import type { ServingContext } from './ServingContext.js';
+import type { ServingContext } from '../ServingContext.js';
 
 /** The run that engines are ranked for. */
 export interface TargetQuery {
--- a/packages/serving/src/PlainCallRun.ts
+++ b/packages/serving/src/callers/PlainCallRun.ts
@@ -4,23 +4,23 @@
 import { refusal } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { AttemptProgress } from './AttemptProgress.js';
-import type { BackendAttempt } from './BackendAttempt.js';
-import { connectToServer, recordOutcome, sendAttempt } from './BackendAttempt.js';
-import type { BackendConnection } from './BackendConnection.js';
+import type { BackendAttempt } from '../servers/BackendAttempt.js';
+import { connectToServer, recordOutcome, sendAttempt } from '../servers/BackendAttempt.js';
+import type { BackendConnection } from '../servers/BackendConnection.js';
 import { untilFinalResponseMs } from './CallDeadlines.js';
 import type { CallsInFlight } from './CallsInFlight.js';
 import { urgencyOf } from './GenerationTargets.js';
-import { GrowableBuffer } from './GrowableBuffer.js';
-import { impliesNotExecuted, isFromServer, isNotExecuted } from './ResponseChecks.js';
-import type { ResponseHead } from './ResponseParser.js';
+import { GrowableBuffer } from '../GrowableBuffer.js';
+import { impliesNotExecuted, isFromServer, isNotExecuted } from '../servers/ResponseChecks.js';
+import type { ResponseHead } from '../servers/ResponseParser.js';
 import {
   DEFAULT_RETRY_AFTER_MS,
   MAX_BUFFERED_RESPONSE_BYTES,
   MAX_FORWARDED_RESPONSE_BYTES,
   MAX_REFUSED_SENDS,
-} from './ServingConstants.js';
-import type { ServingContext } from './ServingContext.js';
-import type { ResponseMetadata } from './ServingPorts.js';
+} from '../ServingConstants.js';
+import type { ServingContext } from '../ServingContext.js';
+import type { ResponseMetadata } from '../ServingPorts.js';
 
 const FIRST_FAILURE_STATUS = 500;
 /**
--- a/packages/serving/src/QuarantinePass.ts
+++ b/packages/serving/src/callers/QuarantinePass.ts
@@ -1,6 +1,6 @@
 import type { FingerprintId, Refusal } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
-import type { QuarantineCoordinator, QuarantineVerdict } from './QuarantineCoordinator.js';
+import type { QuarantineCoordinator, QuarantineVerdict } from '../peers/QuarantineCoordinator.js';
 
 /**
  * What the quarantine permits one admitted request. Asked again before each way to a server, since a
--- a/packages/serving/src/ServingFront.ts
+++ b/packages/serving/src/callers/ServingFront.ts
@@ -6,10 +6,10 @@
 import { refusal } from '@laburnumgap/kernel';
 import type { RoutedCall } from './AdmittedCall.js';
 import { CallerExchange } from './CallerExchange.js';
-import { toHeaderPairs } from './HeaderLists.js';
-import { DRAINING_RETRY_AFTER_MS, STARTING_RETRY_AFTER_MS } from './ServingConstants.js';
-import type { ActiveRoutes } from './ServingContext.js';
-import type { CallerRequest, WireProtocol } from './ServingPorts.js';
+import { toHeaderPairs } from '../HeaderLists.js';
+import { DRAINING_RETRY_AFTER_MS, STARTING_RETRY_AFTER_MS } from '../ServingConstants.js';
+import type { ActiveRoutes } from '../ServingContext.js';
+import type { CallerRequest, WireProtocol } from '../ServingPorts.js';
 
 /** Options of {@link ServingFront}. */
 export interface ServingFrontOptions {
--- a/packages/serving/src/ClusterState.ts
+++ b/packages/serving/src/peers/ClusterState.ts
@@ -8,15 +8,15 @@
 import { RouteTable } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { ConfigurationFetcher } from './ConfigurationFetcher.js';
-import type { FollowedChanges } from './DirectoryFollower.js';
+import type { FollowedChanges } from '../store/DirectoryFollower.js';
 import type { SyncPosition } from './LagDetector.js';
 import type { PeerLink } from './PeerLink.js';
 import type { ChangesMessage, ConfigurationMessage, PeerSnapshot } from './PeerMessages.js';
 import { serverChangesOf, withoutChanges } from './PeerMessages.js';
-import type { ServingLog } from './ServingLog.js';
-import type { DirectoryChanges, PlatformDirectory } from './ServingPorts.js';
-import type { StorePosition } from './StorePosition.js';
-import { FIRST_POSITION, isLater } from './StorePosition.js';
+import type { ServingLog } from '../ServingLog.js';
+import type { DirectoryChanges, PlatformDirectory } from '../ServingPorts.js';
+import type { StorePosition } from '../store/StorePosition.js';
+import { FIRST_POSITION, isLater } from '../store/StorePosition.js';
 
 /** Operations on the other daemons that {@link ClusterState} needs. */
 export type ClusterPeers = Pick<
--- a/packages/serving/src/ClusterSync.ts
+++ b/packages/serving/src/peers/ClusterSync.ts
@@ -16,7 +16,7 @@
   StoreEra,
 } from '@laburnumgap/kernel';
 import { ClusterState } from './ClusterState.js';
-import { DirectoryFollower } from './DirectoryFollower.js';
+import { DirectoryFollower } from '../store/DirectoryFollower.js';
 import { PeerLink } from './PeerLink.js';
 import type {
   BackoffMessage,
@@ -26,8 +26,8 @@
   QuarantineMessage,
 } from './PeerMessages.js';
 import type { PeerTransport } from './PeerTransport.js';
-import type { ServingLog } from './ServingLog.js';
-import type { PlatformDirectory } from './ServingPorts.js';
+import type { ServingLog } from '../ServingLog.js';
+import type { PlatformDirectory } from '../ServingPorts.js';
 
 /** Options of {@link ClusterSync}. */
 export interface ClusterSyncOptions {
--- a/packages/serving/src/ConfigurationFetcher.ts
+++ b/packages/serving/src/peers/ConfigurationFetcher.ts
@@ -1,6 +1,6 @@
 import type { ServingConfiguration } from '@laburnumgap/dispatch';
-import type { ServingLog } from './ServingLog.js';
-import type { PlatformDirectory } from './ServingPorts.js';
+import type { ServingLog } from '../ServingLog.js';
+import type { PlatformDirectory } from '../ServingPorts.js';
 
 /** A version of the configuration, and a daemon that has it. */
 export interface VersionNotice {
--- a/packages/serving/src/LagDetector.ts
+++ b/packages/serving/src/peers/LagDetector.ts
@@ -1,5 +1,5 @@
-import type { StorePosition } from './StorePosition.js';
-import { isLater } from './StorePosition.js';
+import type { StorePosition } from '../store/StorePosition.js';
+import { isLater } from '../store/StorePosition.js';
 
 /** Configuration version and store position that a daemon has applied. */
 export interface SyncPosition extends StorePosition {
--- a/packages/serving/src/MoveCoordinator.ts
+++ b/packages/serving/src/peers/MoveCoordinator.ts
@@ -2,7 +2,7 @@
 import { MoveQueue } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, RequestId, ServerId, Teardown } from '@laburnumgap/kernel';
 import type { MoveMessage } from './PeerMessages.js';
-import { startResponseTimeout } from './ResponseTimeout.js';
+import { startResponseTimeout } from '../ResponseTimeout.js';
 
 /** Options of {@link MoveCoordinator}. */
 export interface MoveTurnCoordinatorOptions {
--- a/packages/serving/src/PeerLink.ts
+++ b/packages/serving/src/peers/PeerLink.ts
@@ -33,8 +33,8 @@
 } from './PeerMessages.js';
 import { domainSourceId, PeerTable } from './PeerTable.js';
 import type { PeerTransport } from './PeerTransport.js';
-import type { ServingLog } from './ServingLog.js';
-import type { MemberAddress } from './ServingPorts.js';
+import type { ServingLog } from '../ServingLog.js';
+import type { MemberAddress } from '../ServingPorts.js';
 
 /** Options of {@link PeerLink}. */
 export interface PeerLinkOptions {
--- a/packages/serving/src/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -22,8 +22,8 @@
   StoreEra,
 } from '@laburnumgap/kernel';
 import type { SyncPosition } from './LagDetector.js';
-import type { MemberAddress } from './ServingPorts.js';
-import type { StorePosition } from './StorePosition.js';
+import type { MemberAddress } from '../ServingPorts.js';
+import type { StorePosition } from '../store/StorePosition.js';
 
 /** State that a daemon sends to the others periodically and after changes. */
 export interface PeerHeartbeat extends SyncPosition {
--- a/packages/serving/src/PeerSockets.ts
+++ b/packages/serving/src/peers/PeerSockets.ts
@@ -4,9 +4,9 @@
 import { createServer } from 'node:http';
 import type { Result } from '@laburnumgap/kernel';
 import { failure, success } from '@laburnumgap/kernel';
-import { fetchHttp } from './HttpFetch.js';
+import { fetchHttp } from '../HttpFetch.js';
 import type { PeerFetchOptions, PeerTransport, PeerTransportListener } from './PeerTransport.js';
-import type { ServingLog } from './ServingLog.js';
+import type { ServingLog } from '../ServingLog.js';
 
 /** Options of {@link PeerSockets}. */
 export interface PeerSocketsOptions {
--- a/packages/serving/src/PeerTable.ts
+++ b/packages/serving/src/peers/PeerTable.ts
@@ -8,7 +8,7 @@
 import type { FailureDomainId, FingerprintId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { DomainMember, PeerHeartbeat } from './PeerMessages.js';
-import type { MemberAddress } from './ServingPorts.js';
+import type { MemberAddress } from '../ServingPorts.js';
 
 /** Options of {@link PeerTable}. */
 export interface PeerTableOptions {
--- a/packages/serving/src/QuarantineCoordinator.ts
+++ b/packages/serving/src/peers/QuarantineCoordinator.ts
@@ -1,9 +1,9 @@
 import type { Quarantine, QuarantineReport } from '@laburnumgap/dispatch';
 import type { FingerprintId, MemberId, MonotonicClock, Teardown } from '@laburnumgap/kernel';
-import type { ServerCrash } from './CrashDetector.js';
+import type { ServerCrash } from '../servers/CrashDetector.js';
 import type { QuarantineMessage } from './PeerMessages.js';
-import { startResponseTimeout } from './ResponseTimeout.js';
-import type { ServingLog } from './ServingLog.js';
+import { startResponseTimeout } from '../ResponseTimeout.js';
+import type { ServingLog } from '../ServingLog.js';
 
 /** Options of {@link QuarantineCoordinator}. */
 export interface QuarantineCoordinatorOptions {
--- a/packages/serving/src/BackendAttempt.ts
+++ b/packages/serving/src/servers/BackendAttempt.ts
@@ -1,12 +1,12 @@
 import type { BackendServer } from '@laburnumgap/dispatch';
 import type { FingerprintId, Refusal } from '@laburnumgap/kernel';
-import type { AdmittedCall } from './AdmittedCall.js';
-import type { AttemptProgress } from './AttemptProgress.js';
+import type { AdmittedCall } from '../callers/AdmittedCall.js';
+import type { AttemptProgress } from '../callers/AttemptProgress.js';
 import type { BackendConnection, ResponseListener } from './BackendConnection.js';
-import { serverDeadlineMs } from './CallDeadlines.js';
+import { serverDeadlineMs } from '../callers/CallDeadlines.js';
 import type { ResponseHead } from './ResponseParser.js';
-import type { ServingContext } from './ServingContext.js';
-import type { BackendRequestOptions, ResponseMetadata } from './ServingPorts.js';
+import type { ServingContext } from '../ServingContext.js';
+import type { BackendRequestOptions, ResponseMetadata } from '../ServingPorts.js';
 
 /** One attempt to run a caller's request at a server, with the response head received so far. */
 export interface BackendAttempt {
--- a/packages/serving/src/BackendConnection.ts
+++ b/packages/serving/src/servers/BackendConnection.ts
@@ -5,7 +5,7 @@
 import type { ResponseHead } from './ResponseParser.js';
 import { ResponseParser } from './ResponseParser.js';
 import type { Permit } from './ServerLimitCoordinator.js';
-import type { HeaderList } from './ServingPorts.js';
+import type { HeaderList } from '../ServingPorts.js';
 
 /** HTTP request to a backend server. */
 export interface BackendRequest {
--- a/packages/serving/src/BackendConnectionPool.ts
+++ b/packages/serving/src/servers/BackendConnectionPool.ts
@@ -3,7 +3,7 @@
 import { BackendConnection } from './BackendConnection.js';
 import type { DialedSocket, DialListener } from './ServerDial.js';
 import type { ServerDialer } from './ServerDialer.js';
-import { DEFAULT_KEEP_ALIVE_MS, KEEP_ALIVE_MARGIN_MS, MAX_IDLE_MS } from './ServingConstants.js';
+import { DEFAULT_KEEP_ALIVE_MS, KEEP_ALIVE_MARGIN_MS, MAX_IDLE_MS } from '../ServingConstants.js';
 
 /** Receives the outcome of {@link BackendConnectionPool.acquire}. */
 export interface ConnectionListener {
--- a/packages/serving/src/CrashDetector.ts
+++ b/packages/serving/src/servers/CrashDetector.ts
@@ -2,7 +2,7 @@
 import { RecencyMap } from '@laburnumgap/dispatch';
 import type { FingerprintId, MonotonicClock } from '@laburnumgap/kernel';
 import type { ServerReachability } from './ServerDial.js';
-import type { ServingLog } from './ServingLog.js';
+import type { ServingLog } from '../ServingLog.js';
 
 /** A request whose response broke off. */
 export interface BrokenRequest {
--- a/packages/serving/src/EngineCapacityCoordinator.ts
+++ b/packages/serving/src/servers/EngineCapacityCoordinator.ts
@@ -7,9 +7,9 @@
 } from '@laburnumgap/dispatch';
 import { grantsCapacity } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, RequestId, ServerId, Teardown } from '@laburnumgap/kernel';
-import type { CapacityMessage } from './PeerMessages.js';
-import { startResponseTimeout } from './ResponseTimeout.js';
-import type { ServingLog } from './ServingLog.js';
+import type { CapacityMessage } from '../peers/PeerMessages.js';
+import { startResponseTimeout } from '../ResponseTimeout.js';
+import type { ServingLog } from '../ServingLog.js';
 
 /** Options of {@link EngineCapacityCoordinator}. */
 export interface EngineCapacityCoordinatorOptions {
--- a/packages/serving/src/EngineControl.ts
+++ b/packages/serving/src/servers/EngineControl.ts
@@ -5,9 +5,9 @@
 import type { ResponseHead } from './ResponseParser.js';
 import type { ServerAccess } from './ServerAccess.js';
 import type { ServerSignals } from './ServerSignals.js';
-import { GrowableBuffer } from './GrowableBuffer.js';
-import { CONTROL_TIMEOUT_MS, MAX_CONTROL_RESPONSE_BYTES } from './ServingConstants.js';
-import type { EngineControlRequest, WireProtocol } from './ServingPorts.js';
+import { GrowableBuffer } from '../GrowableBuffer.js';
+import { CONTROL_TIMEOUT_MS, MAX_CONTROL_RESPONSE_BYTES } from '../ServingConstants.js';
+import type { EngineControlRequest, WireProtocol } from '../ServingPorts.js';
 
 /** Outcome of a control request; `unknown` means that the engine may have executed it. */
 export type ControlOutcome =
--- a/packages/serving/src/EngineReports.ts
+++ b/packages/serving/src/servers/EngineReports.ts
@@ -1,8 +1,8 @@
 import type { BackendServer } from '@laburnumgap/dispatch';
 import type { ServerId } from '@laburnumgap/kernel';
 import type { EngineControl } from './EngineControl.js';
-import type { ServingLog } from './ServingLog.js';
-import type { WireProtocol } from './ServingPorts.js';
+import type { ServingLog } from '../ServingLog.js';
+import type { WireProtocol } from '../ServingPorts.js';
 
 /** Options of {@link EngineReports}. */
 export interface EngineReportsOptions {
--- a/packages/serving/src/ResponseChecks.ts
+++ b/packages/serving/src/servers/ResponseChecks.ts
@@ -1,5 +1,5 @@
 import type { ResponseHead } from './ResponseParser.js';
-import type { ResponseMetadata } from './ServingPorts.js';
+import type { ResponseMetadata } from '../ServingPorts.js';
 
 const FIRST_SUCCESS_STATUS = 200;
 const LAST_SUCCESS_STATUS = 299;
--- a/packages/serving/src/ResponseParser.ts
+++ b/packages/serving/src/servers/ResponseParser.ts
@@ -1,6 +1,6 @@
 import { HTTPParser } from 'http-parser-js';
-import { headerValues, toHeaderPairs } from './HeaderLists.js';
-import type { HeaderList } from './ServingPorts.js';
+import { headerValues, toHeaderPairs } from '../HeaderLists.js';
+import type { HeaderList } from '../ServingPorts.js';
 
 /** Status and headers of a server's response. */
 export interface ResponseHead {
--- a/packages/serving/src/ServerDial.ts
+++ b/packages/serving/src/servers/ServerDial.ts
@@ -1,8 +1,8 @@
 import type { Socket } from 'node:net';
 import type { ConnectFailure, DialPlan, TunnelFailure, TunnelPeer } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, Result, Teardown } from '@laburnumgap/kernel';
-import { startResponseTimeout } from './ResponseTimeout.js';
-import { CONNECT_TIMEOUT_MS } from './ServingConstants.js';
+import { startResponseTimeout } from '../ResponseTimeout.js';
+import { CONNECT_TIMEOUT_MS } from '../ServingConstants.js';
 
 /** A new connection to a server. */
 export interface DialedSocket {
--- a/packages/serving/src/ServerDialer.ts
+++ b/packages/serving/src/servers/ServerDialer.ts
@@ -12,7 +12,7 @@
 import type { MemberId, MonotonicClock, Result, ServerId } from '@laburnumgap/kernel';
 import type { DialListener, ServerReachability } from './ServerDial.js';
 import { openDirectly, ServerDial } from './ServerDial.js';
-import type { ServingLog } from './ServingLog.js';
+import type { ServingLog } from '../ServingLog.js';
 import type { SocketOpener } from './SocketOpener.js';
 import { openSocket } from './SocketOpener.js';
 
--- a/packages/serving/src/ServerLimitCoordinator.ts
+++ b/packages/serving/src/servers/ServerLimitCoordinator.ts
@@ -8,9 +8,9 @@
 import { InFlightAccount, RequestAccount } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, ServerId, Teardown } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
-import type { PermitMessage } from './PeerMessages.js';
-import { startResponseTimeout } from './ResponseTimeout.js';
-import type { ServingLog } from './ServingLog.js';
+import type { PermitMessage } from '../peers/PeerMessages.js';
+import { startResponseTimeout } from '../ResponseTimeout.js';
+import type { ServingLog } from '../ServingLog.js';
 
 /** Options of {@link ServerLimitCoordinator}. */
 export interface ServerLimitCoordinatorOptions {
--- a/packages/serving/src/ServerSignals.ts
+++ b/packages/serving/src/servers/ServerSignals.ts
@@ -1,8 +1,8 @@
 import type { BackendServer, ServerLimits, ServerRegistry } from '@laburnumgap/dispatch';
 import type { MonotonicClock } from '@laburnumgap/kernel';
 import type { ResponseHead } from './ResponseParser.js';
-import type { ServingLog } from './ServingLog.js';
-import type { ResponseMetadata, WireProtocol } from './ServingPorts.js';
+import type { ServingLog } from '../ServingLog.js';
+import type { ResponseMetadata, WireProtocol } from '../ServingPorts.js';
 
 /** Options of {@link ServerSignals}. */
 export interface ServerSignalsOptions {
--- a/packages/serving/src/StreamMover.ts
+++ b/packages/serving/src/servers/StreamMover.ts
@@ -2,10 +2,10 @@
 import { selectMoves } from '@laburnumgap/dispatch';
 import type { MemberId, RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
-import type { GenerationRun, RunStatus } from './GenerationRun.js';
-import type { MoveCoordinator } from './MoveCoordinator.js';
-import type { ServingContext } from './ServingContext.js';
-import type { KvCacheLocation, MoveResult } from './ServingPorts.js';
+import type { GenerationRun, RunStatus } from '../callers/GenerationRun.js';
+import type { MoveCoordinator } from '../peers/MoveCoordinator.js';
+import type { ServingContext } from '../ServingContext.js';
+import type { KvCacheLocation, MoveResult } from '../ServingPorts.js';
 
 /** Expected time per output token on a busy engine. */
 const MS_PER_TOKEN = 10;
--- a/packages/serving/src/TunnelClient.ts
+++ b/packages/serving/src/servers/TunnelClient.ts
@@ -4,7 +4,7 @@
 import type { TunnelFailure, TunnelPeer } from '@laburnumgap/dispatch';
 import type { MonotonicClock, Result, ServerId } from '@laburnumgap/kernel';
 import { failure, success } from '@laburnumgap/kernel';
-import { startResponseTimeout } from './ResponseTimeout.js';
+import { startResponseTimeout } from '../ResponseTimeout.js';
 
 /** Options of {@link openTunnel}. */
 export interface TunnelOptions {
--- a/packages/serving/src/TunnelServer.ts
+++ b/packages/serving/src/servers/TunnelServer.ts
@@ -5,8 +5,8 @@
 import type { MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import { probeReset } from './ResetProbe.js';
-import { startResponseTimeout } from './ResponseTimeout.js';
-import type { ServingLog } from './ServingLog.js';
+import { startResponseTimeout } from '../ResponseTimeout.js';
+import type { ServingLog } from '../ServingLog.js';
 import type { SocketOpener } from './SocketOpener.js';
 import { openSocket } from './SocketOpener.js';
 import { TUNNEL_FAILURE_HEADER } from './TunnelClient.js';
--- a/packages/serving/src/DirectoryFollower.ts
+++ b/packages/serving/src/store/DirectoryFollower.ts
@@ -1,8 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { MonotonicClock, Result, StoreEra } from '@laburnumgap/kernel';
 import { success } from '@laburnumgap/kernel';
-import type { ServingLog } from './ServingLog.js';
-import type { DirectoryChanges, DirectoryError, PlatformDirectory } from './ServingPorts.js';
+import type { ServingLog } from '../ServingLog.js';
+import type { DirectoryChanges, DirectoryError, PlatformDirectory } from '../ServingPorts.js';
 import type { StorePosition } from './StorePosition.js';
 import { FIRST_POSITION, isLater } from './StorePosition.js';
 
