Decode the settings of cold servers, evacuations, memory and shortage, and add a metrics port

Cause: the settings and the configuration say how many requests a cold server tolerates, how soon an evacuation has to be in force, how much memory the process has and whether clients read slowly, and nothing read them. The serving daemon had logs but no metrics.

Change: the adapter decodes these fields into ServingSettings and ServingService, all optional: a part is switched on by its own field.

Ruled out: prom-client with an HTTP endpoint, a second metrics library beside hot-shots.

--- a/packages/dispatch/src/ServingConfiguration.ts
+++ b/packages/dispatch/src/ServingConfiguration.ts
@@ -55,6 +55,10 @@
 
 /** A backend service and the limits of its servers. */
 export interface ServingService {
+  /** Requests per second that a cold server tolerates from all daemons together; 0 for no limit. */
+  readonly coldRequestsPerS?: number;
+  /** How long a server is cold after its start; 0 when servers are never cold. */
+  readonly coldStartMs?: number;
   /** Present when the servers are model engines. */
   readonly engine?: EngineLimits;
   readonly healthPath: string;
--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -17,6 +17,7 @@
 import type { ServerDialer } from './servers/ServerDialer.js';
 import type { ServerSignals } from './servers/ServerSignals.js';
 import type { ServingLog } from './ServingLog.js';
+import type { ServingMetrics } from './ServingMetrics.js';
 import type { WireProtocol } from './ServingPorts.js';
 
 /** State of a daemon that all its requests share. */
@@ -35,6 +36,7 @@
   readonly load: EngineLoad;
   readonly log: ServingLog;
   readonly memberId: MemberId;
+  readonly metrics: ServingMetrics;
   readonly paths: Pick<ServerPaths, 'confirmedForMs'>;
   readonly protocol: WireProtocol;
   /** Publishes a change of this daemon's load at the engines to the other daemons. */
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -51,6 +51,8 @@
 import type { ServingContext } from './ServingContext.js';
 import { ServingFront } from './callers/ServingFront.js';
 import type { ServingLog } from './ServingLog.js';
+import type { ServingMetrics } from './ServingMetrics.js';
+import { NO_SERVING_METRICS } from './ServingMetrics.js';
 import type { PlatformDirectory, WireProtocol } from './ServingPorts.js';
 import type { SocketOpener } from './servers/SocketOpener.js';
 import { StreamMover } from './servers/StreamMover.js';
@@ -65,6 +67,20 @@
 
 /** Settings of one serving daemon. */
 export interface ServingSettings {
+  /**
+   * Factor on the requests per second that a cold server takes, which the requests of all daemons
+   * together stay below. Cold servers get as many requests as others where it is absent.
+   */
+  readonly coldOverageFactor?: number;
+  /** Requests that a cold server may get in one second in addition to that. */
+  readonly coldSlackRequests?: number;
+  /**
+   * Time after an operator evacuated a failure domain by which nothing more may reach its servers.
+   * Evacuations are ignored where it is absent.
+   */
+  readonly evacuationBoundMs?: number;
+  /** Callers and servers may read so slowly that what the daemon holds for them has to be bounded. */
+  readonly expectsSlowReaders?: boolean;
   readonly failureDomain: FailureDomainId;
   /** Address for callers. */
   readonly front: ListenAddress;
@@ -73,6 +89,8 @@
   /** UDP port for heartbeats and messages between daemons; the same on all hosts. */
   readonly heartbeatPort: number;
   readonly memberId: MemberId;
+  /** Memory limit of the process; unknown where it is absent. */
+  readonly memoryBytes?: number;
   /** Retries that all daemons together may send in any window in addition to the ratio. */
   readonly minRetries: number;
   /** Address for snapshots to other daemons; its port is the same on all hosts. */
@@ -85,6 +103,8 @@
   readonly seedHosts: readonly string[];
   /** Time for which a backend server still accepts requests after it said that it leaves. */
   readonly serverDrainMs?: number;
+  /** Callers compete for too little capacity, so that daemons decide together who gets it. */
+  readonly sharesShortage?: boolean;
   /** TCP port at which daemons pass connections to servers on; the same on all hosts. */
   readonly tunnelPort: number;
 }
@@ -96,6 +116,8 @@
   /** Start time of the process; distinguishes restarts under the same member id. */
   readonly incarnation: number;
   readonly log: ServingLog;
+  /** Receives metrics; discarded by default. */
+  readonly metrics?: ServingMetrics;
   /** Opens connections to backend servers; over TCP by default. */
   readonly openSocket?: SocketOpener;
   readonly protocol: WireProtocol;
@@ -304,6 +326,7 @@
       load: this.load,
       log,
       memberId: settings.memberId,
+      metrics: options.metrics ?? NO_SERVING_METRICS,
       paths: this.paths,
       protocol,
       publishLoad: () => {
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -48,6 +48,7 @@
 export * from './ServingDaemon.js';
 export * from './callers/ServingFront.js';
 export type * from './ServingLog.js';
+export * from './ServingMetrics.js';
 export type * from './ServingPorts.js';
 export * from './servers/SocketOpener.js';
 export * from './store/StorePosition.js';
