--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,6 +1,7 @@
 export * from './AnnouncementTargets.js';
 export type * from './BackendServer.js';
 export * from './CrashEvidence.js';
+export * from './DomainEvacuations.js';
 export * from './EngineCapacity.js';
 export * from './EngineLoad.js';
 export * from './EngineOwner.js';
