--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -1,5 +1,6 @@
 import type {
   BackendServer,
+  EvacuationChange,
   PromptShape,
   ServerChange,
   ServingConfiguration,
@@ -147,6 +148,11 @@
   readonly configuration?: ServingConfiguration;
   /** Absent when the store did not state it. */
   readonly era?: StoreEra;
+  /**
+   * Evacuations of failure domains that began or ended; in a full read, all there are. Absent where they
+   * are not known.
+   */
+  readonly evacuations?: readonly EvacuationChange[];
   readonly members: readonly MemberAddress[];
   readonly membersGone: readonly MemberId[];
   /** The changes are complete up to this revision. */
