Tell all daemons of evacuated failure domains

Cause: few daemons watch the store; the others, one that the store refuses and one that was frozen have to learn of an evacuation from them.

Each record counts by itself, also in a message that does not apply because one before it was lost. The daemon that reads a change from the store sends a heartbeat to all. The codec is a file of its own.

Ruled out: a datagram of their own with acknowledgements. Records that are repeated twice a second converge without one, and the position in each heartbeat already reveals who lags behind.

--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -22,6 +22,8 @@
 export * from './GrowableBuffer.js';
 export * from './HeaderLists.js';
 export * from './HttpFetch.js';
+export * from './peers/EvacuationCoordinator.js';
+export * from './peers/EvacuationMessages.js';
 export * from './peers/LagDetector.js';
 export * from './peers/MoveCoordinator.js';
 export * from './peers/PeerLink.js';
--- a/packages/serving/src/peers/ClusterState.ts
+++ b/packages/serving/src/peers/ClusterState.ts
@@ -5,9 +5,11 @@
   ServerRegistry,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
-import { RouteTable } from '@laburnumgap/dispatch';
+import { evacuationRecords, RouteTable } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { ConfigurationFetcher } from './ConfigurationFetcher.js';
+import type { EvacuationCoordinator } from './EvacuationCoordinator.js';
+import { fitsInDatagram } from './EvacuationMessages.js';
 import type { FollowedChanges } from '../store/DirectoryFollower.js';
 import type { SyncPosition } from './LagDetector.js';
 import type { PeerLink } from './PeerLink.js';
@@ -37,6 +39,11 @@
   readonly advanceStorePosition: (position: StorePosition) => void;
   readonly clock: MonotonicClock;
   readonly directory: PlatformDirectory;
+  /** Evacuated failure domains; not followed where it is absent. */
+  readonly evacuations?: Pick<
+    EvacuationCoordinator,
+    'applyChanges' | 'mergeReports' | 'replace' | 'replaceRecords' | 'reports'
+  >;
   readonly failureDomain: FailureDomainId;
   readonly host: string;
   /** Limits of requests that servers named, for snapshots. */
@@ -117,10 +124,11 @@
   /**
    * Applies changes from the platform's store and sends them to the other daemons.
    *
-   * @param changes - the changes
+   * @param received - the changes
    * @param isFullRead - the changes list everything; servers that are not listed are gone
    */
-  applyStoreChanges(changes: FollowedChanges, isFullRead: boolean): void {
+  applyStoreChanges(received: FollowedChanges, isFullRead: boolean): void {
+    const changes = this.options.evacuations ? received : { ...received, evacuations: undefined };
     const previous = this.storePosition;
     const isOtherEra = changes.era !== previous.era;
     const isStarting = this.version() === 0;
@@ -128,13 +136,14 @@
       return;
     }
     this.broadcastChanges(changes, isFullRead);
+    const hasEvacuationChanged = this.applyEvacuations(changes, isFullRead);
     this.applyChanges(changes, isFullRead);
     if (changes.configuration && !isStarting) {
       this.announceConfiguration(this.options.failureDomain);
     }
     // Only daemons that read the store send a heartbeat at once. If every daemon sent one for each
     // change, small links would be saturated.
-    if (isOtherEra) {
+    if (isOtherEra || hasEvacuationChanged) {
       this.options.peers().scheduleHeartbeatToAll();
     } else if (isLater(this.storePosition, previous)) {
       this.options.peers().scheduleHeartbeat();
@@ -156,6 +165,8 @@
     if (configurationVersion !== undefined && host !== undefined) {
       this.configurationFetcher.onNotice({ host, version: configurationVersion });
     }
+    // Each record is versioned by itself, so that a lost message before this one does not delay it.
+    this.options.evacuations?.mergeReports(message.evacuations ?? [], 'watcher');
     const { era, revision } = this.storePosition;
     const isApplicable =
       message.era === era && message.revision > revision && message.sinceRevision <= revision;
@@ -225,6 +236,7 @@
     return {
       ...this.storePosition,
       configuration: this.version() > knownVersion ? this.routeTable?.configuration : undefined,
+      evacuations: this.options.evacuations?.reports(),
       knownVersion: this.configurationFetcher.knownVersion(),
       limits: this.options.limits(),
       members: [{ host, memberId }, ...this.options.peers().table.members()],
@@ -240,13 +252,33 @@
     if (snapshot.configuration) {
       this.applyConfiguration(snapshot.configuration, `peer ${host}`);
     }
-    if (isLater(snapshot, this.storePosition) && snapshot.servers.length > 0) {
-      const leaving = this.replaceServers(serverChangesOf(snapshot), snapshot);
-      this.advance(snapshot);
-      this.configurationFetcher.onNotice({ host, version: snapshot.knownVersion ?? 0 });
+    const { evacuations } = this.options;
+    if (!isLater(snapshot, this.storePosition) || snapshot.servers.length === 0) {
+      evacuations?.mergeReports(snapshot.evacuations ?? [], 'snapshot');
+      return;
+    }
+    if (snapshot.evacuations) {
+      evacuations?.replaceRecords(snapshot.evacuations, snapshot, 'snapshot');
+    }
+    const leaving = this.replaceServers(serverChangesOf(snapshot), snapshot);
+    this.advance(snapshot);
+    this.configurationFetcher.onNotice({ host, version: snapshot.knownVersion ?? 0 });
+    if (snapshot.evacuations || !evacuations) {
       this.advanceWatch(snapshot);
-      this.onServersLeaving(leaving, `peer ${host}`);
     }
+    this.onServersLeaving(leaving, `peer ${host}`);
+  }
+
+  /** Returns whether a failure domain began or ceased to be evacuated. */
+  private applyEvacuations(changes: FollowedChanges, isFullRead: boolean): boolean {
+    const { evacuations } = this.options;
+    const listed = changes.evacuations;
+    if (!evacuations || !listed) {
+      return false;
+    }
+    return isFullRead
+      ? evacuations.replace(listed, changes, 'store')
+      : evacuations.applyChanges(listed, changes.era, 'store');
   }
 
   private applyChanges(changes: FollowedChanges, isFullRead: boolean): void {
@@ -298,6 +330,7 @@
    */
   private broadcastChanges(changes: FollowedChanges, isFullRead: boolean): void {
     const { configuration, era, members, membersGone, revision, servers } = changes;
+    const evacuations = evacuationRecords(changes.evacuations ?? [], era);
     const isNewVersion = (configuration?.version ?? 0) > this.version();
     const isStarting = this.version() === 0;
     if (isFullRead ? isStarting || !isNewVersion : isEmpty(changes)) {
@@ -306,6 +339,7 @@
     const message: ChangesMessage = {
       configurationVersion: isNewVersion ? configuration?.version : this.version(),
       era,
+      evacuations,
       host: this.options.host,
       kind: 'changes',
       members,
@@ -314,7 +348,8 @@
       servers,
       sinceRevision: this.storePosition.revision,
     };
-    this.options.peers().broadcastChanges(isFullRead ? withoutChanges(message) : message);
+    const isComplete = !isFullRead && fitsInDatagram(evacuations);
+    this.options.peers().broadcastChanges(isComplete ? message : withoutChanges(message));
   }
 
   /** Tells other daemons about the active configuration, once for each version. */
@@ -390,6 +425,8 @@
   }
 }
 
-function isEmpty({ configuration, members, membersGone, servers }: DirectoryChanges): boolean {
-  return !configuration && members.length + membersGone.length + servers.length === 0;
+function isEmpty(changes: DirectoryChanges): boolean {
+  const { configuration, evacuations = [], members, membersGone, servers } = changes;
+  const count = evacuations.length + members.length + membersGone.length + servers.length;
+  return !configuration && count === 0;
 }
--- a/packages/serving/src/peers/ClusterSync.ts
+++ b/packages/serving/src/peers/ClusterSync.ts
@@ -16,6 +16,7 @@
   StoreEra,
 } from '@laburnumgap/kernel';
 import { ClusterState } from './ClusterState.js';
+import type { EvacuationCoordinator } from './EvacuationCoordinator.js';
 import { DirectoryFollower } from '../store/DirectoryFollower.js';
 import { PeerLink } from './PeerLink.js';
 import type {
@@ -33,6 +34,8 @@
 export interface ClusterSyncOptions {
   readonly clock: MonotonicClock;
   readonly directory: PlatformDirectory;
+  /** Evacuated failure domains; not followed where it is absent. */
+  readonly evacuations?: EvacuationCoordinator;
   readonly failureDomain: FailureDomainId;
   readonly host: string;
   /** Start time of the process; distinguishes restarts under the same member id. */
@@ -100,6 +103,7 @@
       },
       clock,
       directory,
+      evacuations: options.evacuations,
       failureDomain,
       host,
       limits: () => limits.reports(clock.nowMs()),
@@ -118,6 +122,7 @@
     this.peers = new PeerLink({
       clock,
       configuration: () => this.state.routes()?.configuration,
+      evacuations: options.evacuations,
       failureDomain,
       host,
       incarnation: options.incarnation,
@@ -210,9 +215,10 @@
     this.isRegistering = false;
   }
 
-  /** Removes servers whose entries expired, and pings the store when it is time. */
+  /** Ends what expired of servers and evacuations, and pings the store when it is time. */
   onTick(nowMs: number): void {
     this.state.removeExpiredServers();
+    this.options.evacuations?.expire();
     this.pingStoreIfDue(nowMs);
   }
 
--- a/packages/serving/src/peers/PeerLink.ts
+++ b/packages/serving/src/peers/PeerLink.ts
@@ -26,11 +26,13 @@
 import {
   encodeConfiguration,
   encodeMessage,
+  encodeSnapshot,
   parseConfiguration,
   parseDatagram,
   parseSnapshot,
   withoutChanges,
 } from './PeerMessages.js';
+import type { EvacuationCoordinator } from './EvacuationCoordinator.js';
 import { domainSourceId, PeerTable } from './PeerTable.js';
 import type { PeerTransport } from './PeerTransport.js';
 import type { ServingLog } from '../ServingLog.js';
@@ -39,6 +41,8 @@
 /** Options of {@link PeerLink}. */
 export interface PeerLinkOptions {
   readonly clock: MonotonicClock;
+  /** Evacuated failure domains; not followed where it is absent. */
+  readonly evacuations?: Pick<EvacuationCoordinator, 'mergeReports' | 'reports'>;
   readonly failureDomain: FailureDomainId;
   readonly host: string;
   readonly incarnation: number;
@@ -291,7 +295,7 @@
     const { configuration, snapshot } = this.options;
     if (url.pathname === SNAPSHOT_PATH) {
       const knownVersion = Number(url.searchParams.get('version') ?? 0);
-      return Buffer.from(JSON.stringify(snapshot(knownVersion)));
+      return Buffer.from(encodeSnapshot(snapshot(knownVersion)));
     }
     const active = url.pathname === CONFIGURATION_PATH ? configuration() : undefined;
     return active && this.encodeOnce(active);
@@ -320,8 +324,10 @@
     this.sequence += 1;
     const { isStopping, sequence } = this;
     const quarantines = this.options.quarantines();
+    const evacuations = this.options.evacuations?.reports() ?? [];
     const heartbeat: PeerHeartbeat = {
       ...this.options.position(),
+      ...(evacuations.length > 0 ? { evacuations } : {}),
       failureDomain,
       host,
       incarnation,
@@ -433,6 +439,7 @@
     }
     const nowMs = clock.nowMs();
     load.recordMemberReport(heartbeat.memberId, heartbeat.shares, nowMs);
+    this.options.evacuations?.mergeReports(heartbeat.evacuations ?? [], 'heartbeat');
     this.options.onLeaving(heartbeat.leavingServers);
     this.options.onLimits(heartbeat.limits ?? []);
     this.options.onQuarantines(heartbeat.quarantines ?? []);
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -2,6 +2,7 @@
 import type {
   EngineShare,
   EngineTotals,
+  EvacuationRecord,
   LimitReport,
   MoveRequest,
   PermitDecision,
@@ -21,12 +22,18 @@
   ServerId,
   StoreEra,
 } from '@laburnumgap/kernel';
+import { packAllEvacuations, packEvacuations, unpackEvacuations } from './EvacuationMessages.js';
 import type { SyncPosition } from './LagDetector.js';
 import type { MemberAddress } from '../ServingPorts.js';
 import type { StorePosition } from '../store/StorePosition.js';
 
 /** State that a daemon sends to the others periodically and after changes. */
 export interface PeerHeartbeat extends SyncPosition {
+  /**
+   * One record for each failure domain that ever was evacuated; absent without any, and from daemons of
+   * earlier builds.
+   */
+  readonly evacuations?: readonly EvacuationRecord[];
   readonly failureDomain: FailureDomainId;
   readonly host: string;
   /** Start of the sending process; changes with a restart. */
@@ -143,6 +150,8 @@
   readonly configurationVersion?: number;
   /** Era of both revisions. */
   readonly era: StoreEra;
+  /** Evacuations that began or ended; each counts even if the other changes do not apply. */
+  readonly evacuations?: readonly EvacuationRecord[];
   /** Host of the sender; absent from daemons of earlier builds. */
   readonly host?: string;
   readonly kind: 'changes';
@@ -204,6 +213,11 @@
 /** State of a daemon, for a daemon that the store does not respond to. */
 export interface PeerSnapshot extends StorePosition {
   readonly configuration?: ServingConfiguration;
+  /**
+   * One record for each failure domain that ever was evacuated; absent from daemons that do not follow
+   * evacuations.
+   */
+  readonly evacuations?: readonly EvacuationRecord[];
   /**
    * Newest version that the sender has heard of, which it may not have; absent from daemons of earlier
    * builds.
@@ -232,7 +246,24 @@
 export function encodeMessage(message: PeerHeartbeat | PeerMessage): string {
   const text =
     'shares' in message ? { ...message, shares: message.shares.map(packShare) } : message;
-  return JSON.stringify(text);
+  return JSON.stringify(
+    'evacuations' in message
+      ? { ...text, evacuations: packEvacuations(message.evacuations) }
+      : text,
+  );
+}
+
+/**
+ * Encodes a snapshot as JSON.
+ *
+ * @param snapshot - state of this daemon
+ * @returns the JSON text
+ */
+export function encodeSnapshot(snapshot: PeerSnapshot): string {
+  const { evacuations } = snapshot;
+  return JSON.stringify(
+    evacuations ? { ...snapshot, evacuations: packAllEvacuations(evacuations) } : snapshot,
+  );
 }
 
 /**
@@ -264,7 +295,7 @@
     isLimitList(heartbeat.limits) &&
     isQuarantineList(heartbeat.quarantines ?? []) &&
     Array.isArray(heartbeat.shares);
-  return isHeartbeat ? unpackShares(heartbeat as PeerHeartbeat) : undefined;
+  return isHeartbeat ? withEvacuations(unpackShares(heartbeat as PeerHeartbeat)) : undefined;
 }
 
 /**
@@ -281,7 +312,7 @@
   const message = value as Partial<PeerMessage> | undefined;
   switch (message?.kind) {
     case 'changes':
-      return isChanges(message) ? message : undefined;
+      return isChanges(message) ? withEvacuations(message) : undefined;
     case 'configuration':
       return isId(message.failureDomain) && isId(message.host) && Number.isFinite(message.version)
         ? (message as ConfigurationMessage)
@@ -356,7 +387,7 @@
     isLimitList(snapshot?.limits) &&
     Array.isArray(snapshot?.servers) &&
     Array.isArray(snapshot.members);
-  return isSnapshot ? (snapshot as PeerSnapshot) : undefined;
+  return isSnapshot ? withEvacuations(snapshot as PeerSnapshot) : undefined;
 }
 
 /**
@@ -411,6 +442,12 @@
   }));
 }
 
+function withEvacuations<T extends { readonly evacuations?: unknown }>(message: T): T {
+  return message.evacuations === undefined
+    ? message
+    : { ...message, evacuations: unpackEvacuations(message.evacuations) };
+}
+
 function packShare(share: EngineShare): PackedShare {
   const { plannedTokens, readingTokens, runs, serverId, usedTokens } = share;
   return [serverId, Math.round(plannedTokens), Math.round(readingTokens), usedTokens, runs];
