Send nothing more to the servers of evacuated failure domains

Cause: requests, retries, moves, reports and connections of other daemons went to evacuated servers.

Change: ServerAccess answers whether a request may go to a server now. Evacuated servers are not open; acquire declines them, also when the evacuation becomes known while a permit is awaited; and the last check before a request is written is there. GenerationRun, PlainCallRun, EngineControl, EngineReports, StreamMover and TunnelServer use it. A service of which all servers are evacuated refuses at once with Retry-After, and an evacuated brittle server no longer makes requests wait for it. Control requests that move a stream off an engine there are still sent: the stream would be lost otherwise. The part is on only where evacuationBoundMs is set.

Ruled out: to mark the servers as leaving in the registry. Their streams would be moved at once, and an end would have to be told from a restart.

--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -37,6 +37,7 @@
 import { EngineCapacityCoordinator } from './servers/EngineCapacityCoordinator.js';
 import { EngineControl } from './servers/EngineControl.js';
 import { EngineReports } from './servers/EngineReports.js';
+import { EvacuationCoordinator } from './peers/EvacuationCoordinator.js';
 import { GenerationRun } from './callers/GenerationRun.js';
 import { MoveCoordinator } from './peers/MoveCoordinator.js';
 import type { BackoffMessage } from './peers/PeerMessages.js';
@@ -209,9 +210,14 @@
       tunnelPeers: () => this.cluster.peers.table.tunnelPeers(),
     });
     this.connections = new BackendConnectionPool(clock, this.dialer);
+    const evacuations =
+      settings.evacuationBoundMs === undefined
+        ? undefined
+        : new EvacuationCoordinator({ clock, log, metrics: options.metrics });
     this.tunnels = new TunnelServer({
       clock,
       host: settings.peers.host,
+      isEvacuated: (server) => this.context.serverAccess.avoidsEvacuated(server, 'tunnel'),
       isDraining: () => this.isDraining,
       isMemberHost: (host) => this.cluster.peers.table.isMemberHost(host),
       isSevered: (serverId) => this.paths.isSevered(serverId),
@@ -277,6 +283,7 @@
     const serverAccess = new ServerAccess({
       clock,
       connections: this.connections,
+      evacuations,
       permits: this.permits,
       registry: this.registry,
     });
@@ -286,7 +293,6 @@
       connections: this.connections,
       health,
       protocol,
-      registry: this.registry,
       serverAccess,
       serverSignals,
     });
@@ -342,6 +348,7 @@
     this.cluster = new ClusterSync({
       clock,
       directory,
+      evacuations,
       failureDomain: settings.failureDomain,
       host: settings.peers.host,
       incarnation,
@@ -432,6 +439,7 @@
         this.cluster.state.markLeaving([server], 'engine');
       },
       protocol,
+      serverAccess,
     });
     this.readyServer = createServer((_request, response) => {
       response.writeHead(this.isReady() ? 200 : 503);
--- a/packages/serving/src/__tests__/unit/EngineControl.test.ts
+++ b/packages/serving/src/__tests__/unit/EngineControl.test.ts
@@ -59,11 +59,11 @@
         unreadableHeaders: [],
       }),
     },
-    registry: { isBackingOff: () => state.isBackingOff },
     serverAccess: {
       acquire: (_server, _maxPermitWaitMs, listener) => {
         listeners.push(listener);
       },
+      controlDenial: () => (state.isBackingOff ? 'the engine is backing off' : undefined),
     },
     serverSignals: {
       evaluate: () => {
@@ -87,7 +87,7 @@
 test('a control request without a permit is not sent', async (t) => {
   const { control, listeners, state } = createControl();
   const outcome = control.send(SERVER, REQUEST);
-  listeners[0]?.onLimited(400);
+  listeners[0]?.onLimited(400, 'limited');
   t.deepEqual(await outcome, {
     kind: 'notSent',
     reason: 'the engine takes no more requests for 400 ms',
--- a/packages/serving/src/callers/EngineSearch.ts
+++ b/packages/serving/src/callers/EngineSearch.ts
@@ -91,7 +91,12 @@
           this.searchAfter(LIMITED_RECHECK_MS);
         } else {
           // Without a time, callers are told when the first backoff ends.
-          onRefused('NO_ENGINE', 'no engine of the service accepts new requests');
+          const { service } = admitted.service;
+          onRefused(
+            'NO_ENGINE',
+            this.context.serverAccess.evacuationRefusal(service) ??
+              'no engine of the service accepts new requests',
+          );
         }
         break;
       case 'send':
--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -17,6 +17,7 @@
 import type { BackendAttempt } from '../servers/BackendAttempt.js';
 import {
   connectToServer,
+  mayStillReceive,
   recordBroken,
   recordOutcome,
   sendAttempt,
@@ -371,17 +372,13 @@
     connection: BackendConnection,
     continuation: Continuation | undefined,
   ): void {
-    const { clock, connections, registry } = this.context;
-    const { serverId } = attempt.server;
+    const { connections } = this.context;
     if (this.isDone || this.attempt !== attempt) {
       connections.release(attempt.server, connection);
       return;
     }
-    const nowMs = clock.nowMs();
-    const takesRequest = continuation
-      ? registry.acceptsContinuation(serverId, nowMs)
-      : registry.isUsable(serverId, nowMs);
-    if (!takesRequest) {
+    const isContinuation = continuation !== undefined;
+    if (!mayStillReceive(this.context, this.admitted, attempt.server, isContinuation)) {
       connections.release(attempt.server, connection);
       this.onNotStarted(attempt, continuation, 'the server accepts no new requests');
       return;
--- a/packages/serving/src/callers/PlainCallRun.ts
+++ b/packages/serving/src/callers/PlainCallRun.ts
@@ -5,7 +5,12 @@
 import type { AdmittedCall } from './AdmittedCall.js';
 import { AttemptProgress } from './AttemptProgress.js';
 import type { BackendAttempt } from '../servers/BackendAttempt.js';
-import { connectToServer, recordOutcome, sendAttempt } from '../servers/BackendAttempt.js';
+import {
+  connectToServer,
+  mayStillReceive,
+  recordOutcome,
+  sendAttempt,
+} from '../servers/BackendAttempt.js';
 import type { BackendConnection } from '../servers/BackendConnection.js';
 import { untilFinalResponseMs } from './CallDeadlines.js';
 import type { CallsInFlight } from './CallsInFlight.js';
@@ -93,7 +98,7 @@
       }
       this.refuseNotExecuted(
         'NO_SERVER',
-        'no server of the service accepts new calls',
+        serverAccess.evacuationRefusal(service) ?? 'no server of the service accepts new calls',
         this.defaultRetryAfterMs(),
       );
       return;
@@ -163,8 +168,8 @@
   }
 
   private send(server: BackendServer, connection: BackendConnection): void {
-    const { clock, connections, registry } = this.context;
-    if (this.isDone || !registry.isUsable(server.serverId, clock.nowMs())) {
+    const { clock, connections } = this.context;
+    if (this.isDone || !mayStillReceive(this.context, this.admitted, server)) {
       connections.release(server, connection);
       if (!this.isDone) {
         this.sendToNextServer();
--- a/packages/serving/src/servers/BackendAttempt.ts
+++ b/packages/serving/src/servers/BackendAttempt.ts
@@ -77,14 +77,52 @@
         listener.onConnected(connection);
       }
     },
-    onLimited: (retryAfterMs) => {
+    onLimited: (retryAfterMs, denial) => {
       const { requestId } = admitted.request;
-      log.info('server-limit-reached', { requestId, retryAfterMs, serverId });
+      if (denial === 'evacuated') {
+        logEvacuated(context, admitted, server);
+      } else {
+        log.info('server-limit-reached', { requestId, retryAfterMs, serverId });
+      }
       listener.onLimited(retryAfterMs);
     },
   });
 }
 
+/**
+ * The last check before a caller's request is written; logged where the request has to go elsewhere
+ * because of an evacuation.
+ *
+ * @param context - shared state of the daemon
+ * @param admitted - the caller's request
+ * @param server - the server
+ * @param isContinuation - the request continues a run from a copied KV cache
+ * @returns whether the request may be sent
+ */
+export function mayStillReceive(
+  context: ServingContext,
+  admitted: AdmittedCall,
+  server: BackendServer,
+  isContinuation = false,
+): boolean {
+  const { serverAccess } = context;
+  if (serverAccess.mayReceive(server, isContinuation)) {
+    return true;
+  }
+  if (serverAccess.isEvacuated(server)) {
+    logEvacuated(context, admitted, server);
+  }
+  return false;
+}
+
+function logEvacuated(
+  { log }: ServingContext,
+  { request: { requestId } }: AdmittedCall,
+  { failureDomain, serverId }: BackendServer,
+): void {
+  log.info('request-avoids-evacuated', { failureDomain, requestId, serverId });
+}
+
 /**
  * Sends a caller's request on a connection. Responses to other requests are skipped.
  *
--- a/packages/serving/src/servers/EngineControl.ts
+++ b/packages/serving/src/servers/EngineControl.ts
@@ -1,9 +1,9 @@
-import type { BackendServer, ServerHealth, ServerRegistry } from '@laburnumgap/dispatch';
+import type { BackendServer, ServerHealth } from '@laburnumgap/dispatch';
 import type { MonotonicClock } from '@laburnumgap/kernel';
 import type { BackendConnection } from './BackendConnection.js';
 import type { BackendConnectionPool } from './BackendConnectionPool.js';
 import type { ResponseHead } from './ResponseParser.js';
-import type { ServerAccess } from './ServerAccess.js';
+import type { AccessOptions, ServerAccess, ServerAccessListener } from './ServerAccess.js';
 import type { ServerSignals } from './ServerSignals.js';
 import { GrowableBuffer } from '../GrowableBuffer.js';
 import { CONTROL_TIMEOUT_MS, MAX_CONTROL_RESPONSE_BYTES } from '../ServingConstants.js';
@@ -21,16 +21,17 @@
   readonly connections: Pick<BackendConnectionPool, 'release'>;
   readonly health: Pick<ServerHealth, 'recordOutcome'>;
   readonly protocol: Pick<WireProtocol, 'parseResponseMetadata'>;
-  readonly registry: Pick<ServerRegistry, 'isBackingOff'>;
-  readonly serverAccess: Pick<ServerAccess, 'acquire'>;
+  readonly serverAccess: Pick<ServerAccess, 'acquire' | 'controlDenial'>;
   readonly serverSignals: Pick<ServerSignals, 'evaluate'>;
 }
 
-const BACKING_OFF: ControlOutcome = { kind: 'notSent', reason: 'the engine is backing off' };
 /** Moves of running streams are worth a wait that is short beside the time of a copy. */
 const CONTROL_PERMIT_WAIT_MS = 1_000;
 
-/** Sends control requests to engines, except to those that are backing off. */
+/**
+ * Sends control requests to engines, except to those that are backing off, and to evacuated ones only
+ * what saves a stream that runs there.
+ */
 export class EngineControl {
   constructor(private readonly options: EngineControlOptions) {}
 
@@ -40,28 +41,31 @@
    * @param server - the engine
    * @param request - the request
    * @param timeoutMs - time limit for the response
+   * @param access - what the request is for
    * @returns the outcome; never rejects
    */
   send(
     server: BackendServer,
     request: EngineControlRequest,
     timeoutMs = CONTROL_TIMEOUT_MS,
+    access: AccessOptions = {},
   ): Promise<ControlOutcome> {
-    const { clock, connections, registry, serverAccess } = this.options;
-    const isBackingOff = (): boolean => registry.isBackingOff(server.serverId, clock.nowMs());
+    const { connections, serverAccess } = this.options;
     return new Promise((resolve) => {
-      if (isBackingOff()) {
-        resolve(BACKING_OFF);
+      const denial = serverAccess.controlDenial(server, access);
+      if (denial !== undefined) {
+        resolve({ kind: 'notSent', reason: denial });
         return;
       }
-      serverAccess.acquire(server, CONTROL_PERMIT_WAIT_MS, {
+      const listener: ServerAccessListener = {
         onConnectFailed: (reason) => {
           resolve({ kind: 'notSent', reason });
         },
         onConnected: (connection) => {
-          if (isBackingOff()) {
+          const laterDenial = serverAccess.controlDenial(server, access);
+          if (laterDenial !== undefined) {
             connections.release(server, connection);
-            resolve(BACKING_OFF);
+            resolve({ kind: 'notSent', reason: laterDenial });
             return;
           }
           this.sendOnConnection(server, connection, request, timeoutMs, resolve);
@@ -70,7 +74,8 @@
           const reason = `the engine takes no more requests for ${retryAfterMs} ms`;
           resolve({ kind: 'notSent', reason });
         },
-      });
+      };
+      serverAccess.acquire(server, CONTROL_PERMIT_WAIT_MS, listener, access);
     });
   }
 
--- a/packages/serving/src/servers/EngineReports.ts
+++ b/packages/serving/src/servers/EngineReports.ts
@@ -1,6 +1,7 @@
 import type { BackendServer } from '@laburnumgap/dispatch';
 import type { ServerId } from '@laburnumgap/kernel';
 import type { EngineControl } from './EngineControl.js';
+import type { ServerAccess } from './ServerAccess.js';
 import type { ServingLog } from '../ServingLog.js';
 import type { WireProtocol } from '../ServingPorts.js';
 
@@ -10,6 +11,7 @@
   readonly log: ServingLog;
   readonly onLeaving: (server: BackendServer) => void;
   readonly protocol: Pick<WireProtocol, 'parseReport' | 'reportRequest'>;
+  readonly serverAccess: Pick<ServerAccess, 'avoidsEvacuated'>;
 }
 
 /** Engines answer a report request immediately; a later report would be outdated. */
@@ -22,14 +24,15 @@
   constructor(private readonly options: EngineReportsOptions) {}
 
   /**
-   * Requests the report of an engine, unless a request to it is pending. Failures are logged.
+   * Requests the report of an engine, unless a request to it is pending or it is evacuated. Failures are
+   * logged.
    *
    * @param server - the engine
    */
   async requestReport(server: BackendServer): Promise<void> {
-    const { engineControl, log, onLeaving, protocol } = this.options;
+    const { engineControl, log, onLeaving, protocol, serverAccess } = this.options;
     const { serverId } = server;
-    if (this.pendingServerIds.has(serverId)) {
+    if (this.pendingServerIds.has(serverId) || serverAccess.avoidsEvacuated(server, 'control')) {
       return;
     }
     this.pendingServerIds.add(serverId);
--- a/packages/serving/src/servers/ServerAccess.ts
+++ b/packages/serving/src/servers/ServerAccess.ts
@@ -2,28 +2,52 @@
 import type { MonotonicClock, ServiceId } from '@laburnumgap/kernel';
 import type { BackendConnection } from './BackendConnection.js';
 import type { BackendConnectionPool, ConnectionListener } from './BackendConnectionPool.js';
+import type { AvoidedUse, EvacuationCoordinator } from '../peers/EvacuationCoordinator.js';
 import type { Permit, ServerLimitCoordinator } from './ServerLimitCoordinator.js';
 
 /** Options of {@link ServerAccess}. */
 export interface ServerAccessOptions {
   readonly clock: MonotonicClock;
   readonly connections: Pick<BackendConnectionPool, 'acquire' | 'release'>;
+  /** Evacuated failure domains; none where it is absent. */
+  readonly evacuations?: Pick<
+    EvacuationCoordinator,
+    'isEvacuated' | 'recordAvoided' | 'recordRefused'
+  >;
   readonly permits: Pick<
     ServerLimitCoordinator,
     'availableAfterMs' | 'isBrittle' | 'isLimited' | 'requestPermit'
   >;
-  readonly registry: Pick<ServerRegistry, 'usableAgainAfterMs' | 'usableServers'>;
+  readonly registry: Pick<
+    ServerRegistry,
+    'acceptsContinuation' | 'isBackingOff' | 'isUsable' | 'usableAgainAfterMs' | 'usableServers'
+  >;
+}
+
+/** Why a server gets no request: its failure domain is evacuated, or its limit is reached. */
+export type AccessDenial = 'evacuated' | 'limited';
+
+/** What a connection is acquired for. */
+export interface AccessOptions {
+  /** A stream that runs at the server would be lost without the request. */
+  readonly savesStream?: boolean;
 }
 
 /** Receives the outcome of {@link ServerAccess.acquire}. */
 export interface ServerAccessListener extends ConnectionListener {
   /** The server takes no more requests for now; nothing was sent. */
-  onLimited(retryAfterMs: number): void;
+  onLimited(retryAfterMs: number, denial: AccessDenial): void;
 }
 
 /**
- * The one way to a backend server for every request: waits for a permit where the server limits its
- * requests, then for a connection.
+ * Retry-After when every server of a service is evacuated: the end is not known in advance, and takes
+ * effect within about a second.
+ */
+const EVACUATED_RETRY_AFTER_MS = 1_000;
+
+/**
+ * The one way to a backend server for every request: answers whether a request may go there now, waits
+ * for a permit where the server limits its requests, then for a connection.
  */
 export class ServerAccess {
   constructor(private readonly options: ServerAccessOptions) {}
@@ -34,11 +58,28 @@
    * @param server - the server
    * @param maxPermitWaitMs - how long the request can wait for a permit
    * @param listener - receives the outcome, synchronously where nothing has to be waited for
+   * @param options - what the connection is for
    */
-  acquire(server: BackendServer, maxPermitWaitMs: number, listener: ServerAccessListener): void {
+  acquire(
+    server: BackendServer,
+    maxPermitWaitMs: number,
+    listener: ServerAccessListener,
+    { savesStream = false }: AccessOptions = {},
+  ): void {
     const { connections, permits } = this.options;
     const hadLimit = permits.isLimited(server);
+    const isClosed = (): boolean => !savesStream && this.isEvacuated(server);
+    if (isClosed()) {
+      this.deny(listener);
+      return;
+    }
     this.awaitPermit(server, maxPermitWaitMs, listener, (permit) => {
+      if (isClosed()) {
+        // The evacuation became known during the wait.
+        permit?.release();
+        this.deny(listener);
+        return;
+      }
       connections.acquire(server, {
         onConnectFailed: (reason) => {
           permit?.release();
@@ -60,7 +101,80 @@
   isBrittle(service: ServiceId): boolean {
     const { clock, permits, registry } = this.options;
     const servers = registry.usableServers(service, clock.nowMs());
-    return servers.some((server) => permits.isBrittle(server));
+    return servers.some((server) => !this.isEvacuated(server) && permits.isBrittle(server));
+  }
+
+  /** Whether a server's failure domain is evacuated, so that nothing new may go there. */
+  isEvacuated({ failureDomain }: BackendServer): boolean {
+    return this.options.evacuations?.isEvacuated(failureDomain) ?? false;
+  }
+
+  /**
+   * The last check before a request is written.
+   *
+   * @param server - the server
+   * @param isContinuation - the request continues a run from a copied KV cache
+   * @returns whether it may be sent now
+   */
+  mayReceive(server: BackendServer, isContinuation: boolean): boolean {
+    const { clock, registry } = this.options;
+    if (this.avoidsEvacuated(server, 'request')) {
+      return false;
+    }
+    const nowMs = clock.nowMs();
+    return isContinuation
+      ? registry.acceptsContinuation(server.serverId, nowMs)
+      : registry.isUsable(server.serverId, nowMs);
+  }
+
+  /**
+   * The last check before a control request is written.
+   *
+   * @param server - the server
+   * @param options - what it is for
+   * @returns why it must not be sent now; undefined when it may
+   */
+  controlDenial(
+    server: BackendServer,
+    { savesStream = false }: AccessOptions = {},
+  ): string | undefined {
+    const { clock, registry } = this.options;
+    if (registry.isBackingOff(server.serverId, clock.nowMs())) {
+      return 'the engine is backing off';
+    }
+    return !savesStream && this.avoidsEvacuated(server, 'control')
+      ? "the engine's failure domain is evacuated"
+      : undefined;
+  }
+
+  /**
+   * Whether something must not be sent because the server's failure domain is evacuated. Counted.
+   *
+   * @param server - the server
+   * @param use - what was to be sent
+   */
+  avoidsEvacuated(server: BackendServer, use: AvoidedUse): boolean {
+    if (!this.isEvacuated(server)) {
+      return false;
+    }
+    this.options.evacuations?.recordAvoided(use);
+    return true;
+  }
+
+  /**
+   * Says whether a request has to be refused because every server of its service is evacuated. Counted.
+   *
+   * @param service - the service
+   * @returns the text of the refusal; undefined when there is another reason
+   */
+  evacuationRefusal(service: ServiceId): string | undefined {
+    const { clock, evacuations, registry } = this.options;
+    const servers = registry.usableServers(service, clock.nowMs());
+    if (servers.length === 0 || !servers.every((server) => this.isEvacuated(server))) {
+      return undefined;
+    }
+    evacuations?.recordRefused();
+    return 'every server of the service is in an evacuated failure domain';
   }
 
   /** Servers of a service that take a new request now, sorted by id. */
@@ -68,21 +182,22 @@
     const { clock, permits, registry } = this.options;
     return registry
       .usableServers(service, clock.nowMs())
-      .filter((server) => permits.availableAfterMs(server) === 0);
+      .filter((server) => !this.isEvacuated(server) && permits.availableAfterMs(server) === 0);
   }
 
   /**
-   * Time until a service takes requests again when all its servers back off or have reached their
-   * limits.
+   * Time until a service takes requests again when all its servers back off, have reached their limits
+   * or are evacuated.
    *
    * @param service - the service
    * @returns milliseconds; undefined when a server takes requests now or none will
    */
   openAgainAfterMs(service: ServiceId): number | undefined {
     const { clock, permits, registry } = this.options;
-    return registry.usableAgainAfterMs(service, clock.nowMs(), (server) =>
-      permits.availableAfterMs(server),
+    const waitMs = registry.usableAgainAfterMs(service, clock.nowMs(), (server) =>
+      this.isEvacuated(server) ? Infinity : permits.availableAfterMs(server),
     );
+    return waitMs === Infinity ? EVACUATED_RETRY_AFTER_MS : waitMs;
   }
 
   /**
@@ -98,7 +213,7 @@
     const { connections } = this.options;
     const onLimited = (retryAfterMs: number): void => {
       connections.release(server, connection);
-      listener.onLimited(retryAfterMs);
+      listener.onLimited(retryAfterMs, 'limited');
     };
     this.awaitPermit(server, maxPermitWaitMs, { onLimited }, (permit) => {
       if (connection.isReusable()) {
@@ -119,6 +234,11 @@
     });
   }
 
+  private deny(listener: ServerAccessListener): void {
+    this.options.evacuations?.recordAvoided('request');
+    listener.onLimited(EVACUATED_RETRY_AFTER_MS, 'evacuated');
+  }
+
   private awaitPermit(
     server: BackendServer,
     maxWaitMs: number,
@@ -127,7 +247,7 @@
   ): void {
     this.options.permits.requestPermit(server, maxWaitMs, (decision, permit) => {
       if (decision.kind === 'declined') {
-        onLimited(decision.retryAfterMs);
+        onLimited(decision.retryAfterMs, 'limited');
       } else if (decision.waitMs > 0) {
         setTimeout(() => {
           onPermitted(permit);
--- a/packages/serving/src/servers/StreamMover.ts
+++ b/packages/serving/src/servers/StreamMover.ts
@@ -4,6 +4,7 @@
 import { toId } from '@laburnumgap/kernel';
 import type { GenerationRun, RunStatus } from '../callers/GenerationRun.js';
 import type { MoveCoordinator } from '../peers/MoveCoordinator.js';
+import { CONTROL_TIMEOUT_MS } from '../ServingConstants.js';
 import type { ServingContext } from '../ServingContext.js';
 import type { KvCacheLocation, MoveResult } from '../ServingPorts.js';
 
@@ -156,6 +157,11 @@
         break;
       }
       triedServerIds.add(target.serverId);
+      if (this.context.serverAccess.avoidsEvacuated(target, 'copy')) {
+        // It became known while the move waited for its turn.
+        this.coordinator.releaseTurn(requestId);
+        continue;
+      }
       run.setCopyTarget(target.serverId);
       const isFinished = await this.copyAndContinue(run, status, source, target);
       run.setCopyTarget(undefined);
@@ -215,6 +221,10 @@
       this.dropCopy(source, firstCopy.handle);
       return true;
     }
+    if (this.context.serverAccess.avoidsEvacuated(target, 'copy')) {
+      this.dropCopy(source, firstCopy.handle);
+      return false;
+    }
     const finalCopyStartedMs = this.context.clock.nowMs();
     const finalCopy = await this.requestMove(source, target, requestId, true);
     this.logMove('move-stopped', status, source, target, finalCopy, finalCopyStartedMs);
@@ -264,6 +274,8 @@
     const outcome = await engineControl.send(
       source,
       protocol.moveRequest(requestId, target, isFinalCopy),
+      CONTROL_TIMEOUT_MS,
+      { savesStream: true },
     );
     if (outcome.kind === 'answered') {
       return protocol.parseMoveResult(outcome.status, outcome.body);
--- a/packages/serving/src/servers/TunnelServer.ts
+++ b/packages/serving/src/servers/TunnelServer.ts
@@ -15,6 +15,8 @@
 export interface TunnelServerOptions {
   readonly clock: MonotonicClock;
   readonly host: string;
+  /** Whether the failure domain of a server is evacuated; false by default. */
+  readonly isEvacuated?: (server: BackendServer) => boolean;
   /** Whether this daemon shuts down. */
   readonly isDraining: () => boolean;
   /** Whether another daemon has this address. */
@@ -108,7 +110,7 @@
       return;
     }
     const entry = this.options.registry.get(toId<ServerId>(request.url ?? ''));
-    const reason = this.reasonToDecline(entry?.server);
+    const reason = this.reasonToDecline(entry?.server, clientHost);
     if (!entry || reason) {
       decline(client, reason ?? 'unavailable');
       return;
@@ -116,11 +118,18 @@
     this.connect(client, clientHost, entry.server);
   }
 
-  private reasonToDecline(server: BackendServer | undefined): TunnelFailure | undefined {
-    const { clock, isDraining, isSevered, registry } = this.options;
+  private reasonToDecline(
+    server: BackendServer | undefined,
+    clientHost: string,
+  ): TunnelFailure | undefined {
+    const { clock, isDraining, isSevered, log, registry } = this.options;
     if (!server || isDraining() || registry.isBackingOff(server.serverId, clock.nowMs())) {
       return 'unavailable';
     }
+    if (this.options.isEvacuated?.(server)) {
+      log.info('tunnel-to-evacuated-server', { host: clientHost, serverId: server.serverId });
+      return 'unavailable';
+    }
     if (isSevered(server.serverId)) {
       return 'unanswered';
     }
