Test evacuations across daemons, eras and failures

Cause: the bound has to hold when messages are lost and reordered, when the store refuses daemons or comes back from a copy, and for daemons that start or were cut off.

--- a/packages/dispatch/src/DomainEvacuations.ts
+++ b/packages/dispatch/src/DomainEvacuations.ts
@@ -100,13 +100,18 @@
     }
     this.listedAt = position;
     const listedDomains = new Set(listed.map(({ failureDomain }) => failureDomain));
-    const missing = [...this.records.values()].filter(
-      (record) => !listedDomains.has(record.failureDomain) && !isLater(record, position),
+    const ended = [...this.records.values()].filter(
+      (record) =>
+        record.era === position.era &&
+        !listedDomains.has(record.failureDomain) &&
+        !isLater(record, position),
     );
-    return [
+    const transitions = [
       ...listed.flatMap((record) => (this.isListingNews(record, nowMs) ? this.set(record) : [])),
-      ...missing.flatMap((record) => this.onMissing(record, isNewEra)),
+      ...ended.flatMap((record) => this.set({ ...record, ...position, isEvacuated: false })),
     ];
+    const held = isNewEra ? this.evacuatedBeforeEra() : [];
+    return [...transitions, ...held.map((record) => ({ kind: 'held' as const, record }))];
   }
 
   /**
@@ -119,11 +124,8 @@
     if (nowMs < this.heldUntilMs) {
       return [];
     }
-    const { listedAt } = this;
-    return [...this.records.values()].flatMap((record) =>
-      record.isEvacuated && record.era < listedAt.era
-        ? this.set({ ...record, ...listedAt, isEvacuated: false })
-        : [],
+    return this.evacuatedBeforeEra().flatMap((record) =>
+      this.set({ ...record, ...this.listedAt, isEvacuated: false }),
     );
   }
 
@@ -147,15 +149,11 @@
     });
   }
 
-  private onMissing(
-    record: EvacuationRecord,
-    isFirstListing: boolean,
-  ): readonly EvacuationTransition[] {
-    const { listedAt } = this;
-    if (record.era === listedAt.era) {
-      return this.set({ ...record, ...listedAt, isEvacuated: false });
-    }
-    return record.isEvacuated && isFirstListing ? [{ kind: 'held', record }] : [];
+  /** Evacuations that are known only from earlier eras. */
+  private evacuatedBeforeEra(): readonly EvacuationRecord[] {
+    return [...this.records.values()].filter(
+      ({ era, isEvacuated }) => isEvacuated && era < this.listedAt.era,
+    );
   }
 
   private isListingNews(record: EvacuationRecord, nowMs: number): boolean {
--- a/packages/serving/src/__tests__/SimulatedFleet.ts
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -11,7 +11,7 @@
   PeerTransport,
   PeerTransportListener,
 } from '../index.js';
-import { ClusterSync, QuarantineCoordinator } from '../index.js';
+import { ClusterSync, EvacuationCoordinator, QuarantineCoordinator } from '../index.js';
 import type { StoreAccess } from './SimulatedStore.js';
 import { SimulatedDirectory, SimulatedStore } from './SimulatedStore.js';
 
@@ -20,6 +20,8 @@
   /** Time after its acknowledgement by which a version is in force. */
   readonly applyMs: number;
   readonly daemonsPerDomain: number;
+  /** Time that a datagram takes; 1 ms by default. */
+  readonly delayMs?: (from: SimulatedDaemon, to: SimulatedDaemon) => number;
   readonly domains: number;
   /** Whether a datagram from one daemon to another is lost. */
   readonly isLost?: (from: SimulatedDaemon, to: SimulatedDaemon, text: string) => boolean;
@@ -51,6 +53,8 @@
   isPowered = true;
   /** Versions in the order in which they were applied since the last start. */
   appliedVersions: number[] = [];
+  /** Evacuations that the process which runs now knows of. */
+  evacuations: EvacuationCoordinator | undefined;
   private listener: PeerTransportListener | undefined;
   private incarnation = 0;
   /** Quarantine of the process that runs now. */
@@ -72,6 +76,11 @@
     this.incarnation += 1;
     const { incarnation } = this;
     this.appliedVersions = [];
+    const evacuations = new EvacuationCoordinator({
+      clock: fleet.clock,
+      log: { info: () => undefined, warn: () => undefined },
+    });
+    this.evacuations = evacuations;
     const quarantine = new Quarantine();
     const coordinator = new QuarantineCoordinator({
       broadcast: (message) => {
@@ -90,6 +99,7 @@
     const sync: ClusterSync = new ClusterSync({
       clock: fleet.clock,
       directory,
+      evacuations,
       failureDomain,
       host: address.host,
       incarnation,
@@ -138,6 +148,11 @@
     return this.appliedVersions.at(-1) ?? 0;
   }
 
+  /** Whether the process has the list of servers, without which it is not ready. */
+  knowsServers(): boolean {
+    return this.sync?.state.knowsServers() ?? false;
+  }
+
   isWatcher(): boolean {
     return this.sync?.peers.table.isWatcher() ?? false;
   }
@@ -208,11 +223,14 @@
     if (!receiver || !this.isPowered || this.fleet.isLost(this, receiver, bytes)) {
       return;
     }
-    setTimeout(() => {
-      if (this.isPowered && this.reaches(receiver)) {
-        receiver.listener?.onDatagram(bytes);
-      }
-    }, LINK_DELAY_MS);
+    setTimeout(
+      () => {
+        if (this.isPowered && this.reaches(receiver)) {
+          receiver.listener?.onDatagram(bytes);
+        }
+      },
+      this.fleet.delayMs(this, receiver),
+    );
   }
 
   fetch(host: string, path: string, options: PeerFetchOptions): Promise<Result<Buffer, string>> {
@@ -324,6 +342,10 @@
     return this.options.isLost?.(from, to, bytes.toString()) ?? false;
   }
 
+  delayMs(from: SimulatedDaemon, to: SimulatedDaemon): number {
+    return this.options.delayMs?.(from, to) ?? LINK_DELAY_MS;
+  }
+
   /** The operator writes the next version. */
   publish(): number {
     const version = (this.acknowledged.at(-1)?.version ?? 0) + 1;
--- a/packages/serving/src/__tests__/SimulatedStore.ts
+++ b/packages/serving/src/__tests__/SimulatedStore.ts
@@ -1,5 +1,5 @@
-import type { ServerChange, ServingConfiguration } from '@laburnumgap/dispatch';
-import type { Result, Revision, StoreEra } from '@laburnumgap/kernel';
+import type { EvacuationChange, ServerChange, ServingConfiguration } from '@laburnumgap/dispatch';
+import type { FailureDomainId, Result, Revision, StoreEra } from '@laburnumgap/kernel';
 import { failure, success, toNumberId } from '@laburnumgap/kernel';
 import type {
   DirectoryChanges,
@@ -12,7 +12,13 @@
 /** How the store treats one daemon: it answers, refuses every call, or does not respond. */
 export type StoreAccess = 'answers' | 'refuses' | 'silent';
 
-type Item = ServerChange | ServingConfiguration;
+type Item = EvacuationChange | ServerChange | ServingConfiguration;
+
+/** Contents of the store at one time. */
+export interface SimulatedStoreCopy {
+  readonly evacuations: ReadonlyMap<FailureDomainId, EvacuationChange>;
+  readonly revision: number;
+}
 
 interface HistoryEntry {
   readonly item: Item;
@@ -34,6 +40,7 @@
   private history: HistoryEntry[] = [];
   private oldestRevision = 0;
   private revision = 1;
+  private evacuations = new Map<FailureDomainId, EvacuationChange>();
   private readonly servers = new Map<string, ServerChange>();
   private readonly watches = new Set<() => void>();
 
@@ -51,6 +58,31 @@
     this.append(written);
   }
 
+  /** The operator writes or removes the key of a failure domain. */
+  writeEvacuation(failureDomain: FailureDomainId, isEvacuated: boolean): void {
+    const revision = toNumberId<Revision>(this.revision + 1);
+    const change = { failureDomain, isEvacuated, revision };
+    if (isEvacuated) {
+      this.evacuations.set(failureDomain, change);
+    } else {
+      this.evacuations.delete(failureDomain);
+    }
+    this.append(change);
+  }
+
+  /** Copies evacuations and revision, for {@link restore}. */
+  copy(): SimulatedStoreCopy {
+    return { evacuations: new Map(this.evacuations), revision: this.revision };
+  }
+
+  /** Comes back from a copy: a new era begins, and revisions after the copy are given out again. */
+  restore({ evacuations, revision }: SimulatedStoreCopy): void {
+    this.era += 1;
+    this.evacuations = new Map(evacuations);
+    this.revision = revision;
+    this.compactHistory();
+  }
+
   /** Discards the history and ends all watches. */
   compactHistory(): void {
     this.history = [];
@@ -63,7 +95,11 @@
   }
 
   readAll(): DirectoryChanges {
-    return this.changes([...this.servers.values()], this.configuration ? [this.configuration] : []);
+    return this.changes(
+      [...this.servers.values()],
+      this.configuration ? [this.configuration] : [],
+      [...this.evacuations.values()],
+    );
   }
 
   /** Changes after a revision; undefined when the history does not reach back to it. */
@@ -74,14 +110,17 @@
     const items = this.history.filter((entry) => entry.revision > revision);
     const servers: ServerChange[] = [];
     const configurations: ServingConfiguration[] = [];
+    const evacuations: EvacuationChange[] = [];
     for (const { item } of items) {
       if ('serverId' in item) {
         servers.push(item);
+      } else if ('isEvacuated' in item) {
+        evacuations.push(item);
       } else {
         configurations.push(item);
       }
     }
-    return this.changes(servers, configurations);
+    return this.changes(servers, configurations, evacuations);
   }
 
   isAhead(revision: number): boolean {
@@ -96,10 +135,12 @@
   private changes(
     servers: readonly ServerChange[],
     configurations: readonly ServingConfiguration[],
+    evacuations: readonly EvacuationChange[],
   ): DirectoryChanges {
     return {
       configuration: configurations.at(-1),
       era: toNumberId<StoreEra>(this.era),
+      evacuations,
       members: this.members,
       membersGone: [],
       revision: toNumberId<Revision>(this.revision),
