Let a daemon notice during an evacuation that it is cut off

Cause: a daemon takes itself for cut off when the paths to all servers that are not down are severed. The paths to evacuated servers are never found severed, as the other daemons pass no connections on to them, so that a daemon that lost its paths during an evacuation did not say so and was asked by others.

Change: the dialer and the paths leave evacuated servers out, and forget the paths that were severed before.

Measured: the new test waited in vain before, and passes now, as does the one with the cut before the evacuation.

--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -206,7 +206,7 @@
         }),
       paths: this.paths,
       randomUnit,
-      servers: () => this.stayingServers(),
+      servers: () => this.reachedServers(),
       tunnelPeers: () => this.cluster.peers.table.tunnelPeers(),
     });
     this.connections = new BackendConnectionPool(clock, this.dialer);
@@ -637,8 +637,14 @@
     return this.generationRuns.size + this.openPlainCalls + this.tunnels.openCount();
   }
 
-  private stayingServers(): readonly BackendServer[] {
-    return this.registry.all().flatMap(({ leaving, server }) => (leaving ? [] : [server]));
+  /** Servers that requests may go to; the paths to others say nothing of this daemon. */
+  private reachedServers(): readonly BackendServer[] {
+    const { serverAccess } = this.context;
+    return this.registry
+      .all()
+      .flatMap(({ leaving, server }) =>
+        leaving || serverAccess.isEvacuated(server) ? [] : [server],
+      );
   }
 
   /** What was sent on a silent path may never arrive, and idle connections on it look sound. */
@@ -712,7 +718,10 @@
     this.limits.retain(isRegistered, nowMs);
     this.permits.retain(isRegistered);
     this.quarantine.expire(nowMs);
-    this.paths.retain(isRegistered);
+    this.paths.retain((serverId) => {
+      const server = this.registry.get(serverId)?.server;
+      return server !== undefined && !this.context.serverAccess.isEvacuated(server);
+    });
     this.connections.closeExpired();
     this.watchPaths();
     this.streamMover.moveStalledStreams();
