--- a/packages/serving/src/peers/EvacuationCoordinator.ts
+++ b/packages/serving/src/peers/EvacuationCoordinator.ts
@@ -21,6 +21,9 @@
 /** Why a request was not sent to a server of an evacuated failure domain. */
 export type AvoidedUse = 'control' | 'copy' | 'request' | 'tunnel';
 
+/** Metrics are datagrams that can be lost, so that the gauge is repeated. */
+const GAUGE_INTERVAL_MS = 10_000;
+
 const EVENTS: Readonly<Record<EvacuationTransition['kind'], string>> = {
   began: 'domain-evacuated',
   ended: 'domain-evacuation-ended',
@@ -33,6 +36,7 @@
  */
 export class EvacuationCoordinator {
   private readonly evacuations = new DomainEvacuations();
+  private gaugeSentMs = -Infinity;
   private readonly metrics: ServingMetrics;
 
   constructor(private readonly options: EvacuationCoordinatorOptions) {
@@ -78,9 +82,14 @@
     return this.report(this.evacuations.replace(records, position, this.nowMs()), source);
   }
 
-  /** Ends evacuations that a new era of the store lacks. Called periodically. */
+  /** Ends evacuations that a new era of the store lacks, and repeats the gauge. Called periodically. */
   expire(): void {
-    this.report(this.evacuations.expire(this.nowMs()), 'new-era');
+    const nowMs = this.nowMs();
+    this.report(this.evacuations.expire(nowMs), 'new-era');
+    const isDue = nowMs - this.gaugeSentMs >= GAUGE_INTERVAL_MS;
+    if (isDue && this.evacuations.reports().length > 0) {
+      this.sendGauge();
+    }
   }
 
   isEvacuated(failureDomain: FailureDomainId): boolean {
@@ -113,11 +122,16 @@
       this.metrics.increment('evacuation.changes', 1, { failure_domain: failureDomain, kind });
     }
     if (transitions.length > 0) {
-      this.metrics.gauge('evacuation.domains', this.evacuations.evacuatedCount());
+      this.sendGauge();
     }
     return transitions.some(({ kind }) => kind !== 'held');
   }
 
+  private sendGauge(): void {
+    this.gaugeSentMs = this.nowMs();
+    this.metrics.gauge('evacuation.domains', this.evacuations.evacuatedCount());
+  }
+
   private nowMs(): number {
     return this.options.clock.nowMs();
   }
