Log the longest gap between the events of a stream

Cause: on a deployment with engines of two speeds a fifth of the long streams is late although their first events are on time. Whether gaps between events cause it could not be read from the logs.

Change: EventGaps finds the longest gap of a stream. generation-ended gets longestGapMs, longestGapAtMs (since the arrival of the request), longestGapRuns, longestGapReadingTokens (load of the engine as known at the end of the gap) and longestGapServerId; the metric engine_longest_event_gap_ms has one sample a stream, by engine.

Ruled out: a line for each gap, which has no bound.

Measured: EventGaps.test.ts passes; no run with engines yet.

--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -24,6 +24,7 @@
 import type { BackendConnection } from '../servers/BackendConnection.js';
 import { untilFinalResponseMs } from './CallDeadlines.js';
 import { EngineSearch } from './EngineSearch.js';
+import { EventGaps } from './EventGaps.js';
 import { EventSplitter } from './EventSplitter.js';
 import { rankTargets, urgencyOf } from './GenerationTargets.js';
 import { GrowableBuffer } from '../GrowableBuffer.js';
@@ -98,6 +99,7 @@
   private copyTargetId: ServerId | undefined;
   private readonly deadlineTimer: NodeJS.Timeout;
   private eventCount = 0;
+  private readonly eventGaps: EventGaps;
   private readonly excludedServerIds = new Set<ServerId>();
   private firstEventAtMs: number | undefined;
   /** The connection broke, and the run may go on elsewhere. */
@@ -128,6 +130,10 @@
       },
       untilFinalResponseMs(admitted, context.clock.nowMs()),
     );
+    this.eventGaps = new EventGaps({
+      arrivedMs: admitted.arrivedMs,
+      totalsOf: (serverId, nowMs) => context.load.totals(serverId, nowMs),
+    });
     this.resumePosition = new ResumePosition(
       admitted.route.mayRestartStream,
       admitted.request.lastEventId,
@@ -452,6 +458,7 @@
     }
     this.eventCount += events.count;
     this.lastEventAtMs = this.context.clock.nowMs();
+    this.eventGaps.recordEvents(attempt.server.serverId, this.lastEventAtMs);
     this.resumePosition.advance(events.lastEventId);
     exchange.forward(events.bytes, attempt.connection);
   }
@@ -702,10 +709,21 @@
     this.search.stop();
     const { arrivedMs, request, route } = this.admitted;
     const nowMs = this.context.clock.nowMs();
+    const longestGap = this.eventGaps.longest();
+    if (longestGap) {
+      this.context.metrics.observe('engine_longest_event_gap_ms', longestGap.gapMs, {
+        serverId: longestGap.serverId,
+      });
+    }
     this.context.log.info('generation-ended', {
       events: this.eventCount,
       firstEventAfterMs:
         this.firstEventAtMs === undefined ? undefined : Math.round(this.firstEventAtMs - arrivedMs),
+      longestGapAtMs: longestGap && Math.round(longestGap.endedAfterMs),
+      longestGapMs: longestGap && Math.round(longestGap.gapMs),
+      longestGapReadingTokens: longestGap && Math.round(longestGap.totals.readingTokens),
+      longestGapRuns: longestGap?.totals.runs,
+      longestGapServerId: longestGap?.serverId,
       moves: this.moveCount,
       outcome,
       requestId: request.requestId,
