Learn the speeds of engines and place streams by them

Cause: one constant speed describes all engines of a service, although one in four can be twice as fast, and a prompt that is prefilled beside a stream on a slow engine in a slow period stretches an event beyond what the route allows.

Loads say how many runs are long streams. PrefixValue weighs a cached prefix against memory and wait.

Ruled out: a list of engines for long streams; the split follows from the cost, so that it changes with the demand.

--- a/packages/dispatch/src/EngineLoad.ts
+++ b/packages/dispatch/src/EngineLoad.ts
@@ -2,6 +2,8 @@
 
 /** Load that one or more daemons have placed on one engine. */
 export interface EngineTotals {
+  /** Generations with much output still to come, see `isLongStream`; absent when there is none. */
+  readonly longRuns?: number;
   /** Prompt and output tokens in the KV cache, including the planned growth of the outputs. */
   readonly plannedTokens: number;
   /** Prompt tokens that the engine has not prefilled yet. */
@@ -121,20 +123,23 @@
 
   /** Estimated load of one engine now. */
   totals(serverId: ServerId, nowMs: number): EngineTotals {
-    let sum: EngineTotals = this.ownShares.get(serverId) ?? ZERO_TOTALS;
+    const sum = new LoadSum(this.ownShares.get(serverId));
     for (const [memberId, { atMs, shares }] of this.memberReports) {
       if (nowMs - atMs > MEMBER_TIMEOUT_MS) {
         this.memberReports.delete(memberId);
         continue;
       }
       const share = shares.get(serverId);
-      sum = share ? addAgedShare(sum, share, nowMs - atMs) : sum;
+      if (share) {
+        sum.addAged(share, nowMs - atMs);
+      }
     }
     for (const grant of this.grants) {
-      const counts = grant.share.serverId === serverId && this.isPending(grant, nowMs);
-      sum = counts ? addAgedShare(sum, grant.share, nowMs - grant.atMs) : sum;
+      if (grant.share.serverId === serverId && this.isPending(grant, nowMs)) {
+        sum.addAged(grant.share, nowMs - grant.atMs);
+      }
     }
-    return this.applyOwnerReport(serverId, nowMs, sum);
+    return this.applyOwnerReport(serverId, nowMs, sum.totals());
   }
 
   /** Whether no report can include the grant yet. */
@@ -152,6 +157,7 @@
     }
     const { totals } = report;
     return {
+      ...longRunsField(Math.max(sum.longRuns ?? 0, totals.longRuns ?? 0)),
       plannedTokens: Math.max(sum.plannedTokens, totals.plannedTokens),
       readingTokens: Math.max(sum.readingTokens, totals.readingTokens),
       runs: Math.max(sum.runs, totals.runs),
@@ -174,14 +180,36 @@
   return Math.max(promptTokens * OVERDUE_UNREAD_FRACTION, expectedTokens);
 }
 
-/** Adds a share that was reported some time ago, less the prompt tokens prefilled since. */
-function addAgedShare(sum: EngineTotals, share: EngineShare, ageMs: number): EngineTotals {
-  return {
-    plannedTokens: sum.plannedTokens + share.plannedTokens,
-    readingTokens: sum.readingTokens + unreadPromptTokens(share.readingTokens, ageMs),
-    runs: sum.runs + share.runs,
-    usedTokens: sum.usedTokens + share.usedTokens,
-  };
+/** Adds up shares of one engine. */
+class LoadSum {
+  private longRuns: number;
+  private plannedTokens: number;
+  private readingTokens: number;
+  private runs: number;
+  private usedTokens: number;
+
+  constructor(own: EngineTotals = ZERO_TOTALS) {
+    this.longRuns = own.longRuns ?? 0;
+    this.plannedTokens = own.plannedTokens;
+    this.readingTokens = own.readingTokens;
+    this.runs = own.runs;
+    this.usedTokens = own.usedTokens;
+  }
+
+  /** Adds a share that was reported some time ago, less the prompt tokens prefilled since. */
+  addAged(share: EngineShare, ageMs: number): void {
+    this.longRuns += share.longRuns ?? 0;
+    this.plannedTokens += share.plannedTokens;
+    this.readingTokens += unreadPromptTokens(share.readingTokens, ageMs);
+    this.runs += share.runs;
+    this.usedTokens += share.usedTokens;
+  }
+
+  totals(): EngineTotals {
+    const { longRuns, plannedTokens, readingTokens, runs, usedTokens } = this;
+    const totals = { plannedTokens, readingTokens, runs, usedTokens };
+    return longRuns > 0 ? { longRuns, ...totals } : totals;
+  }
 }
 
 /**
@@ -193,6 +221,7 @@
  */
 export function addShares(sum: EngineShare | undefined, share: EngineShare): EngineShare {
   return {
+    ...longRunsField((sum?.longRuns ?? 0) + (share.longRuns ?? 0)),
     plannedTokens: Math.round((sum?.plannedTokens ?? 0) + share.plannedTokens),
     readingTokens: Math.round((sum?.readingTokens ?? 0) + share.readingTokens),
     runs: (sum?.runs ?? 0) + share.runs,
@@ -200,3 +229,7 @@
     usedTokens: (sum?.usedTokens ?? 0) + share.usedTokens,
   };
 }
+
+function longRunsField(longRuns: number): Pick<EngineTotals, 'longRuns'> {
+  return longRuns > 0 ? { longRuns } : {};
+}
--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -1,10 +1,15 @@
 import type { FailureDomainId, ServerId } from '@laburnumgap/kernel';
 import type { BackendServer } from './BackendServer.js';
-import { remainingCapacity } from './EngineCapacity.js';
+import { plannableTokens, remainingCapacity } from './EngineCapacity.js';
 import type { EngineTotals } from './EngineLoad.js';
 import { PREFILL_TOKENS_PER_MS } from './EngineLoad.js';
+import type { EngineSpeed } from './EngineSpeeds.js';
+import { reservedOutputTokens } from './PlannedOutput.js';
+import { prefixSavingMs } from './PrefixValue.js';
 import type { PromptShape } from './PromptShape.js';
 import type { EngineLimits } from './ServingConfiguration.js';
+import type { ExpectedLoss, UnevenEngines } from './UnevenScorer.js';
+import { UnevenScorer } from './UnevenScorer.js';
 
 /** An engine with the figures that placement ranks it by. */
 export interface EngineCandidate {
@@ -12,6 +17,8 @@
   readonly cachedTokens: number;
   /** Share of recent calls to it that failed, as their callers saw it. */
   readonly failureShare: number;
+  /** The engine started recently and holds no prefixes of value; false by default. */
+  readonly isCold?: boolean;
   readonly server: BackendServer;
   readonly totals: EngineTotals;
 }
@@ -28,10 +35,24 @@
   readonly prompt: PromptShape;
   /** Random number in [0, 1) for each candidate, so that daemons don't all pick the same engine. */
   readonly randomUnit: () => number;
+  /** Learned speed of an engine, where its confidence suffices. */
+  readonly speedOf?: (serverId: ServerId) => EngineSpeed | undefined;
+  /** Present where the engines differ in speed; needs `speedOf`. */
+  readonly uneven?: UnevenEngines;
+  /** Weighs cached prefixes against memory and wait; otherwise they count in full. */
+  readonly weighsPrefixes?: boolean;
+}
+
+/** What a placement is based on where the engines differ in speed. */
+export interface PlacementSpeed {
+  readonly loss: ExpectedLoss;
+  readonly speed: EngineSpeed;
 }
 
 /** An engine for a generation, with the figures behind its rank. */
 export interface Placement {
+  /** Absent where the engines are ranked as equal in speed. */
+  readonly bySpeed?: PlacementSpeed;
   readonly costMs: number;
   /** Its slots and KV cache are expected to suffice for this generation and all that run there. */
   readonly fits: boolean;
@@ -50,27 +71,31 @@
 const DEFAULT_OTHER_DOMAIN_COST_MS = 40;
 /** Cost added for an engine where every call fails. */
 const FAILURE_COST_MS = 6_000;
-/** Output of one run in two seconds; on a full engine another run usually ends in that time. */
-const RESERVED_GROWTH_TOKENS = 200;
 /** Largest random part of the cost. */
 const JITTER_MS = 10;
-/** Output lengths have a long tail: their mean is above the median that callers state. */
-const MEAN_TO_MEDIAN_RATIO = 1.3;
-/** An output that exceeds its estimate is expected to reach this multiple of its length so far. */
-const OUTGROWN_LENGTH_FACTOR = 1.6;
 
 /**
  * Ranks engines for a generation: best is where the first token comes soonest and the KV cache is
  * least likely to run out. Long prompts that arrive together are spread over engines by their
- * unread tokens, and a cached prefix counts only for the prefill that it saves.
+ * unread tokens, and a cached prefix counts only for the prefill that it saves. Where engines differ
+ * in speed, their learned speeds and the expected loss from late events count, see {@link UnevenScorer};
+ * the best engine with capacity then goes before any without.
  *
  * @param input - engines, their load and the request
  * @returns the placements, best first
  */
 export function rankEngines(input: PlacementInput): readonly Placement[] {
-  return input.candidates
-    .map((candidate) => scoreCandidate(candidate, input))
-    .sort((a, b) => a.costMs - b.costMs);
+  const { candidates, engine, prompt, speedOf, uneven } = input;
+  if (!uneven || !speedOf) {
+    return candidates
+      .map((candidate) => scoreCandidate(candidate, input, undefined))
+      .sort((a, b) => a.costMs - b.costMs);
+  }
+  const serverIds = candidates.map(({ server }) => server.serverId);
+  const scorer = new UnevenScorer({ engine, prompt, serverIds, speedOf, uneven });
+  return candidates
+    .map((candidate) => scoreCandidate(candidate, input, scorer))
+    .sort((a, b) => Number(b.fits) - Number(a.fits) || a.costMs - b.costMs);
 }
 
 /**
@@ -87,51 +112,62 @@
   return candidates[placementCount % Math.max(1, candidates.length)]?.server.serverId;
 }
 
-/**
- * Estimates the total output tokens of a generation.
- *
- * @param prompt - the request
- * @param producedTokens - output tokens so far
- * @returns expected length of the whole output
- */
-export function plannedOutputTokens(prompt: PromptShape, producedTokens: number): number {
-  const medianTokens = prompt.expectedOutputTokens ?? prompt.maxOutputTokens / 2;
-  const planned = Math.max(
-    medianTokens * MEAN_TO_MEDIAN_RATIO,
-    producedTokens * OUTGROWN_LENGTH_FACTOR,
-  );
-  return Math.min(prompt.maxOutputTokens, planned);
-}
-
-/**
- * Output tokens for which KV cache is reserved. While one output grows, others end and free more
- * than it takes, so only the growth of a short time is reserved.
- *
- * @param prompt - the request
- * @param producedTokens - output tokens so far
- * @returns tokens so far plus the reserved growth
- */
-export function reservedOutputTokens(prompt: PromptShape, producedTokens: number): number {
-  const remaining = plannedOutputTokens(prompt, producedTokens) - producedTokens;
-  return producedTokens + Math.min(RESERVED_GROWTH_TOKENS, Math.max(0, remaining));
-}
-
-function scoreCandidate(candidate: EngineCandidate, input: PlacementInput): Placement {
+function scoreCandidate(
+  candidate: EngineCandidate,
+  input: PlacementInput,
+  scorer: UnevenScorer | undefined,
+): Placement {
   const { engine, failureDomain, hasKvCache, prompt, randomUnit } = input;
   const { cachedTokens, failureShare, server, totals } = candidate;
+  const { serverId } = server;
   const otherDomainCostMs = input.otherDomainCostMs ?? DEFAULT_OTHER_DOMAIN_COST_MS;
   const unreadTokens = hasKvCache ? 0 : Math.max(0, prompt.promptTokens - cachedTokens);
   const { promptTokens } = prompt;
   const plannedTokens = promptTokens + reservedOutputTokens(prompt, 0);
   const request = { plannedTokens, promptTokens };
   const { fits, isBlocked, overrunTokens } = remainingCapacity(totals, request, engine);
+  const speed = scorer?.speedOf(serverId) ?? input.speedOf?.(serverId);
+  const prefillMs = input.weighsPrefixes
+    ? weighedPrefillMs(candidate, input, speed, fits)
+    : (totals.readingTokens + unreadTokens) /
+      (scorer && speed ? speed.prefillTokensPerMs : PREFILL_TOKENS_PER_MS);
+  const score = scorer?.score({ prefillMs, serverId, totals, unreadTokens });
   const costMs =
-    (totals.readingTokens + unreadTokens) / PREFILL_TOKENS_PER_MS +
-    totals.runs * COST_PER_RUN_MS +
+    prefillMs +
+    (score?.runsMs ?? totals.runs * COST_PER_RUN_MS) +
     overrunTokens * COST_PER_OVERRUN_TOKEN_MS +
     (isBlocked ? BLOCKED_COST_MS : 0) +
     (server.failureDomain === failureDomain ? 0 : otherDomainCostMs) +
     failureShare * FAILURE_COST_MS +
-    randomUnit() * JITTER_MS;
-  return { costMs, fits, server, totals, unreadTokens };
+    randomUnit() * JITTER_MS +
+    (score?.lossMs ?? 0);
+  const byLearnedSpeed = score && speed && { bySpeed: { loss: score.loss, speed } };
+  return { ...byLearnedSpeed, costMs, fits, server, totals, unreadTokens };
+}
+
+/** Time until a prompt is prefilled, less what the weighed value of its cached prefix saves. */
+function weighedPrefillMs(
+  { cachedTokens, isCold, totals }: EngineCandidate,
+  { engine, hasKvCache, prompt }: PlacementInput,
+  speed: EngineSpeed | undefined,
+  fits: boolean,
+): number {
+  const { promptTokens } = prompt;
+  const prefillTokensPerMs = speed?.prefillTokensPerMs ?? PREFILL_TOKENS_PER_MS;
+  const queueMs = totals.readingTokens / prefillTokensPerMs;
+  if (hasKvCache) {
+    return queueMs;
+  }
+  const savingMs = prefixSavingMs({
+    cachedTokens: Math.min(cachedTokens, promptTokens),
+    confidence: speed?.confidence ?? 1,
+    expectedWaitMs: queueMs,
+    isUsable: fits && isCold !== true,
+    memory: {
+      plannableTokens: plannableTokens(engine),
+      plannedTokens: totals.plannedTokens + promptTokens + reservedOutputTokens(prompt, 0),
+    },
+    prefillTokensPerMs,
+  });
+  return queueMs + promptTokens / prefillTokensPerMs - savingMs;
 }
