Wire learned engine speeds into the serving daemon

Cause: the learned speeds and the placement by them had no input.

Change: EngineSpeedCoordinator feeds EngineSpeeds with the gaps and first events that this daemon observes and with the reports of others, samples the load of the engines, and provides placement. Moves use the learned time of a token.

Ruled out: a sixth figure in a packed share, since daemons of the builds in operation drop shares of another length than five and would count no load there.

--- a/packages/dispatch/src/EngineCapacity.ts
+++ b/packages/dispatch/src/EngineCapacity.ts
@@ -6,6 +6,8 @@
 export interface CapacityRequest {
   /** Unread prompt tokens that the requesting daemon counts at the engine already. */
   readonly believedReadingTokens: number;
+  /** 1 for a long stream; absent for others. */
+  readonly longRuns?: number;
   /** Prompt tokens and planned output tokens. */
   readonly plannedTokens: number;
   readonly promptTokens: number;
--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -56,6 +56,8 @@
   readonly costMs: number;
   /** Its slots and KV cache are expected to suffice for this generation and all that run there. */
   readonly fits: boolean;
+  /** Weighed prefill time that the cached prefix saves; absent where prefixes are not weighed. */
+  readonly prefixSavedMs?: number;
   readonly server: BackendServer;
   readonly totals: EngineTotals;
   /** Prompt tokens that the engine has to prefill. */
@@ -127,10 +129,15 @@
   const request = { plannedTokens, promptTokens };
   const { fits, isBlocked, overrunTokens } = remainingCapacity(totals, request, engine);
   const speed = scorer?.speedOf(serverId) ?? input.speedOf?.(serverId);
-  const prefillMs = input.weighsPrefixes
-    ? weighedPrefillMs(candidate, input, speed, fits)
-    : (totals.readingTokens + unreadTokens) /
-      (scorer && speed ? speed.prefillTokensPerMs : PREFILL_TOKENS_PER_MS);
+  const learnedTokensPerMs = scorer || input.weighsPrefixes ? speed?.prefillTokensPerMs : undefined;
+  const tokensPerMs = learnedTokensPerMs ?? PREFILL_TOKENS_PER_MS;
+  const prefixSavedMs = input.weighsPrefixes
+    ? weighPrefix(candidate, input, { confidence: speed?.confidence ?? 1, fits, tokensPerMs })
+    : undefined;
+  const prefillMs =
+    prefixSavedMs === undefined
+      ? (totals.readingTokens + unreadTokens) / tokensPerMs
+      : (totals.readingTokens + (hasKvCache ? 0 : promptTokens)) / tokensPerMs - prefixSavedMs;
   const score = scorer?.score({ prefillMs, serverId, totals, unreadTokens });
   const costMs =
     prefillMs +
@@ -142,32 +149,26 @@
     randomUnit() * JITTER_MS +
     (score?.lossMs ?? 0);
   const byLearnedSpeed = score && speed && { bySpeed: { loss: score.loss, speed } };
-  return { ...byLearnedSpeed, costMs, fits, server, totals, unreadTokens };
+  const byPrefix = prefixSavedMs !== undefined && { prefixSavedMs };
+  return { ...byLearnedSpeed, ...byPrefix, costMs, fits, server, totals, unreadTokens };
 }
 
-/** Time until a prompt is prefilled, less what the weighed value of its cached prefix saves. */
-function weighedPrefillMs(
+/** Prefill time that the cached prefix of a prompt saves at an engine. */
+function weighPrefix(
   { cachedTokens, isCold, totals }: EngineCandidate,
   { engine, hasKvCache, prompt }: PlacementInput,
-  speed: EngineSpeed | undefined,
-  fits: boolean,
+  { confidence, fits, tokensPerMs }: { confidence: number; fits: boolean; tokensPerMs: number },
 ): number {
   const { promptTokens } = prompt;
-  const prefillTokensPerMs = speed?.prefillTokensPerMs ?? PREFILL_TOKENS_PER_MS;
-  const queueMs = totals.readingTokens / prefillTokensPerMs;
-  if (hasKvCache) {
-    return queueMs;
-  }
-  const savingMs = prefixSavingMs({
-    cachedTokens: Math.min(cachedTokens, promptTokens),
-    confidence: speed?.confidence ?? 1,
-    expectedWaitMs: queueMs,
+  return prefixSavingMs({
+    cachedTokens: hasKvCache ? 0 : Math.min(cachedTokens, promptTokens),
+    confidence,
+    expectedWaitMs: totals.readingTokens / tokensPerMs,
     isUsable: fits && isCold !== true,
     memory: {
       plannableTokens: plannableTokens(engine),
       plannedTokens: totals.plannedTokens + promptTokens + reservedOutputTokens(prompt, 0),
     },
-    prefillTokensPerMs,
+    prefillTokensPerMs: tokensPerMs,
   });
-  return queueMs + promptTokens / prefillTokensPerMs - savingMs;
 }
--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -13,6 +13,7 @@
 import type { CrashDetector } from './servers/CrashDetector.js';
 import type { EngineCapacityCoordinator } from './servers/EngineCapacityCoordinator.js';
 import type { EngineControl } from './servers/EngineControl.js';
+import type { EngineSpeedCoordinator } from './servers/EngineSpeedCoordinator.js';
 import type { ServerAccess } from './servers/ServerAccess.js';
 import type { ServerDialer } from './servers/ServerDialer.js';
 import type { ServerSignals } from './servers/ServerSignals.js';
@@ -31,6 +32,7 @@
   readonly dialer: Pick<ServerDialer, 'examine'>;
   readonly engineControl: EngineControl;
   readonly engineCapacity: EngineCapacityCoordinator;
+  readonly engineSpeeds: EngineSpeedCoordinator;
   readonly failureDomain: FailureDomainId;
   readonly health: ServerHealth;
   readonly load: EngineLoad;
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -36,6 +36,7 @@
 import { CrashDetector } from './servers/CrashDetector.js';
 import { EngineCapacityCoordinator } from './servers/EngineCapacityCoordinator.js';
 import { EngineControl } from './servers/EngineControl.js';
+import { EngineSpeedCoordinator } from './servers/EngineSpeedCoordinator.js';
 import { EngineReports } from './servers/EngineReports.js';
 import { GenerationRun } from './callers/GenerationRun.js';
 import { MoveCoordinator } from './peers/MoveCoordinator.js';
@@ -123,6 +124,8 @@
   readonly protocol: WireProtocol;
   readonly randomUnit: () => number;
   readonly settings: ServingSettings;
+  /** Whether cached prefixes are weighed against memory and wait, where that applies; by default. */
+  readonly weighsPrefixes?: boolean;
 }
 
 /** Interval of the checks for streams on leaving engines and for expired server entries. */
@@ -290,8 +293,10 @@
       serverAccess,
       serverSignals,
     });
+    const cachedPrefixes = new PrefixCacheIndex();
+    const metrics = options.metrics ?? NO_SERVING_METRICS;
     this.context = {
-      cachedPrefixes: new PrefixCacheIndex(),
+      cachedPrefixes,
       capacityWaits: new RecentWaits(),
       clock,
       connections: this.connections,
@@ -321,12 +326,23 @@
       }),
       dialer: this.dialer,
       engineControl,
+      engineSpeeds: new EngineSpeedCoordinator({
+        cachedPrefixes,
+        clock,
+        load: this.load,
+        log,
+        metrics,
+        registry: this.registry,
+        routes: () => this.cluster.state.routes(),
+        sharesShortage: settings.sharesShortage ?? false,
+        weighsPrefixes: options.weighsPrefixes ?? true,
+      }),
       failureDomain: settings.failureDomain,
       health,
       load: this.load,
       log,
       memberId: settings.memberId,
-      metrics: options.metrics ?? NO_SERVING_METRICS,
+      metrics,
       paths: this.paths,
       protocol,
       publishLoad: () => {
@@ -394,6 +410,7 @@
       randomUnit,
       registry: this.registry,
       seedHosts: settings.seedHosts,
+      speeds: this.context.engineSpeeds,
       transport: new PeerSockets({
         heartbeatPort: settings.heartbeatPort,
         host: settings.peers.host,
@@ -699,6 +716,7 @@
   private onTick(): void {
     const nowMs = this.options.clock.nowMs();
     this.cluster.onTick(nowMs);
+    this.context.engineSpeeds.onTick(nowMs);
     const isRegistered = (serverId: ServerId): boolean => this.registry.get(serverId) !== undefined;
     this.context.health.retain(isRegistered);
     this.limits.retain(isRegistered, nowMs);
--- a/packages/serving/src/callers/EngineSearch.ts
+++ b/packages/serving/src/callers/EngineSearch.ts
@@ -1,11 +1,12 @@
 import type { BackendServer, Placement, PromptShape } from '@laburnumgap/dispatch';
-import { admitGeneration, reservedOutputTokens } from '@laburnumgap/dispatch';
+import { admitGeneration, isLongStream, reservedOutputTokens } from '@laburnumgap/dispatch';
 import type { Refusal, RequestId, ResultCodeName } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { callerTimeoutMs, urgencyOf } from './GenerationTargets.js';
 import { DEFAULT_RETRY_AFTER_MS } from '../ServingConstants.js';
 import type { ServingContext } from '../ServingContext.js';
+import type { ServingLogValue } from '../ServingLog.js';
 
 /** Options of {@link EngineSearch}. */
 export interface EngineSearchOptions {
@@ -126,6 +127,7 @@
     const { promptTokens } = prompt;
     const capacityRequest = {
       believedReadingTokens: totals.readingTokens,
+      ...(this.isLong() && { longRuns: 1 }),
       plannedTokens: promptTokens + reservedOutputTokens(prompt, 0),
       promptTokens,
       requestId: toId<RequestId>(admitted.request.requestId),
@@ -148,19 +150,40 @@
     });
   }
 
-  private recordPlacement({ costMs, fits, server, totals }: Placement, declines: number): void {
-    const { clock, log, capacityWaits } = this.context;
+  /** Whether the generation counts as a long run of its engine. */
+  private isLong(): boolean {
+    const { admitted, prompt } = this.options;
+    const { route, service } = admitted;
+    const { engine } = service;
+    const { maxEventGapMs } = route;
+    return (
+      engine !== undefined && isLongStream({ engine, maxEventGapMs, producedTokens: 0, prompt })
+    );
+  }
+
+  private recordPlacement(placement: Placement, declines: number): void {
+    const { bySpeed, costMs, fits, prefixSavedMs, server, totals } = placement;
+    const { clock, log, capacityWaits, metrics } = this.context;
+    if (bySpeed) {
+      const { firstEvent, otherStreams, ownEvents } = bySpeed.loss;
+      metrics.observe('engine_speed_expected_loss', firstEvent + otherStreams + ownEvents);
+    }
+    if (prefixSavedMs !== undefined) {
+      metrics.observe('cached_prefix_saved_ms', prefixSavedMs);
+    }
     const waitedMs = this.waitedMs();
     capacityWaits.recordWait(waitedMs, clock.nowMs());
     log.info('generation-placed', {
       costMs: Math.round(costMs),
       declines,
       fits,
+      longRuns: totals.longRuns,
       plannedTokens: Math.round(totals.plannedTokens),
       readingTokens: Math.round(totals.readingTokens),
       requestId: this.options.admitted.request.requestId,
       runs: totals.runs,
       serverId: server.serverId,
+      ...describeSpeed(placement),
       waitedMs: Math.round(waitedMs),
     });
   }
@@ -178,3 +201,30 @@
     return this.context.clock.nowMs() - this.startedMs;
   }
 }
+
+/** Learned speed and expected loss behind a placement; empty where engines are ranked as equal. */
+function describeSpeed({
+  bySpeed,
+  prefixSavedMs,
+}: Placement): Readonly<Record<string, ServingLogValue>> {
+  const savedField =
+    prefixSavedMs === undefined ? {} : { prefixSavedMs: Math.round(prefixSavedMs) };
+  if (!bySpeed) {
+    return savedField;
+  }
+  const { loss, speed } = bySpeed;
+  return {
+    ...savedField,
+    eventMs: roundTo(speed.eventMs, 10),
+    firstEventRisk: roundTo(loss.firstEvent, 100),
+    otherStreamsRisk: roundTo(loss.otherStreams, 100),
+    ownEventsRisk: roundTo(loss.ownEvents, 100),
+    prefillTokensPerMs: roundTo(speed.prefillTokensPerMs, 10),
+    prefillingEventMs: roundTo(speed.prefillingEventMs, 10),
+    speedConfidence: roundTo(speed.confidence, 100),
+  };
+}
+
+function roundTo(value: number, unitsPerOne: number): number {
+  return Math.round(value * unitsPerOne) / unitsPerOne;
+}
--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -6,6 +6,7 @@
   PromptShape,
 } from '@laburnumgap/dispatch';
 import {
+  isLongStream,
   plannedOutputTokens,
   reservedOutputTokens,
   unreadPromptTokens,
@@ -28,6 +29,7 @@
 import { EventSplitter } from './EventSplitter.js';
 import { rankTargets, urgencyOf } from './GenerationTargets.js';
 import { GrowableBuffer } from '../GrowableBuffer.js';
+import type { SentGeneration } from '../servers/EngineSpeedCoordinator.js';
 import { impliesNotExecuted, isFromServer, isNotExecuted } from '../servers/ResponseChecks.js';
 import type { ResponseHead } from '../servers/ResponseParser.js';
 import { ResumePosition } from './ResumePosition.js';
@@ -52,8 +54,12 @@
 interface EngineAttempt extends BackendAttempt {
   /** Body of a response that is not an event stream. */
   readonly errorBody: GrowableBuffer;
+  /** Events of this attempt arrived. */
+  hasEvents: boolean;
   /** The engine continues from a copied KV cache instead of reading the prompt. */
   readonly isContinuation: boolean;
+  /** Load of the engine when the run was sent; absent for a continuation. */
+  readonly sent: SentGeneration | undefined;
   readonly splitter: EventSplitter;
   /** Bytes of complete events. */
   streamBytes: number;
@@ -326,7 +332,10 @@
       this.eventCount > 0 || attempt.isContinuation
         ? 0
         : unreadPromptTokens(prompt.promptTokens, nowMs - attempt.sentMs);
+    const { maxEventGapMs } = this.admitted.route;
+    const stream = { engine: this.engineLimits, maxEventGapMs, producedTokens, prompt };
     return {
+      ...(isLongStream(stream) && { longRuns: 1 }),
       plannedTokens: prompt.promptTokens + reservedOutputTokens(prompt, producedTokens),
       readingTokens,
       runs: 1,
@@ -340,12 +349,14 @@
   }
 
   private startAttempt(server: BackendServer, continuation: Continuation | undefined): void {
-    const { clock, publishLoad, cachedPrefixes } = this.context;
+    const { clock, publishLoad, cachedPrefixes, engineSpeeds } = this.context;
     const nowMs = clock.nowMs();
     const attempt: EngineAttempt = {
       errorBody: new GrowableBuffer(),
+      hasEvents: false,
       isContinuation: continuation !== undefined,
       progress: new AttemptProgress(clock, this.admitted.pass),
+      sent: continuation ? undefined : engineSpeeds.noteSent(server, this.prompt),
       sentMs: nowMs,
       server,
       splitter: new EventSplitter(),
@@ -456,13 +467,25 @@
       this.firstEventAtMs = this.context.clock.nowMs();
       this.context.publishLoad();
     }
+    this.learnSpeed(attempt, events.count);
     this.eventCount += events.count;
     this.lastEventAtMs = this.context.clock.nowMs();
-    this.eventGaps.recordEvents(attempt.server.serverId, this.lastEventAtMs);
     this.resumePosition.advance(events.lastEventId);
     exchange.forward(events.bytes, attempt.connection);
   }
 
+  private learnSpeed(attempt: EngineAttempt, eventCount: number): void {
+    const { clock, engineSpeeds } = this.context;
+    const { hasEvents, sent, server } = attempt;
+    const gapMs = this.eventGaps.recordEvents(server.serverId, clock.nowMs());
+    attempt.hasEvents = true;
+    if (hasEvents && gapMs !== undefined) {
+      engineSpeeds.recordEvents(server, gapMs, eventCount);
+    } else if (sent) {
+      engineSpeeds.recordFirstEvent(sent);
+    }
+  }
+
   /** A response or a single event exceeds what is read of it. */
   private onExcess(
     attempt: EngineAttempt,
--- a/packages/serving/src/callers/GenerationTargets.ts
+++ b/packages/serving/src/callers/GenerationTargets.ts
@@ -64,6 +64,12 @@
       moveFrom && CROSS_DOMAIN_COPY_WEIGHT * copyDurationMs(prompt.promptTokens, engineLimits),
     prompt,
     randomUnit,
+    ...context.engineSpeeds.inputFor({
+      isMove: moveFrom !== undefined,
+      route: admitted.route,
+      service: admitted.service.service,
+      waitedMs: nowMs - admitted.arrivedMs,
+    }),
   });
 }
 
--- a/packages/serving/src/peers/ClusterSync.ts
+++ b/packages/serving/src/peers/ClusterSync.ts
@@ -26,6 +26,7 @@
   QuarantineMessage,
 } from './PeerMessages.js';
 import type { PeerTransport } from './PeerTransport.js';
+import type { SpeedExchange } from './SpeedReports.js';
 import type { ServingLog } from '../ServingLog.js';
 import type { PlatformDirectory } from '../ServingPorts.js';
 
@@ -60,6 +61,8 @@
   readonly registry: ServerRegistry;
   /** Hosts of daemons to contact before the platform's store was read. */
   readonly seedHosts: readonly string[];
+  /** Observed speeds of engines; not exchanged where it is absent. */
+  readonly speeds?: SpeedExchange;
   readonly transport: PeerTransport;
 }
 
@@ -155,6 +158,7 @@
       quarantines: options.quarantines,
       seedHosts: options.seedHosts,
       snapshot: (knownVersion) => this.state.snapshot(knownVersion),
+      speeds: options.speeds,
       transport: options.transport,
     });
     this.storeFollower = new DirectoryFollower({
--- a/packages/serving/src/peers/PeerLink.ts
+++ b/packages/serving/src/peers/PeerLink.ts
@@ -33,6 +33,7 @@
 } from './PeerMessages.js';
 import { domainSourceId, PeerTable } from './PeerTable.js';
 import type { PeerTransport } from './PeerTransport.js';
+import type { SpeedExchange } from './SpeedReports.js';
 import type { ServingLog } from '../ServingLog.js';
 import type { MemberAddress } from '../ServingPorts.js';
 
@@ -75,6 +76,8 @@
    * State of this daemon for a peer; contains the configuration only if newer than `knownVersion`.
    */
   readonly snapshot: (knownVersion: number) => PeerSnapshot;
+  /** Observed speeds of engines; not exchanged where it is absent. */
+  readonly speeds?: SpeedExchange;
   readonly transport: PeerTransport;
 }
 
@@ -320,6 +323,7 @@
     this.sequence += 1;
     const { isStopping, sequence } = this;
     const quarantines = this.options.quarantines();
+    const speeds = this.options.speeds?.reports('domain') ?? [];
     const heartbeat: PeerHeartbeat = {
       ...this.options.position(),
       failureDomain,
@@ -334,6 +338,7 @@
       ...(quarantines.length > 0 ? { quarantines } : {}),
       sequence,
       shares,
+      ...(speeds.length > 0 ? { speeds } : {}),
       storeIsAway: this.options.isStoreDown(),
     };
     this.sendToHosts(encodeMessage(heartbeat), [
@@ -344,7 +349,7 @@
     if (isStopping || nowMs - this.livenessOnlySentMs >= LIVENESS_ONLY_HEARTBEAT_INTERVAL_MS) {
       this.livenessOnlySentMs = nowMs;
       this.sendToHosts(
-        encodeMessage({ ...heartbeat, shares: [] }),
+        encodeMessage({ ...heartbeat, shares: [], speeds: undefined }),
         hostsOf(this.table.livenessOnlyPeers()),
       );
     }
@@ -362,6 +367,7 @@
     }
     const domainMembers = new Set(this.table.fullUpdatePeers().map(({ memberId }) => memberId));
     const shares = load.sumShares(domainMembers, clock.nowMs());
+    const speeds = this.options.speeds?.reports('otherDomains') ?? [];
     const isDigestDue = this.domainLoadCount % MESSAGES_PER_DIGEST === 0;
     this.domainLoadCount += 1;
     const message: DomainLoadMessage = {
@@ -369,6 +375,7 @@
       failureDomain,
       kind: 'domainLoad',
       shares,
+      ...(speeds.length > 0 ? { speeds } : {}),
     };
     this.sendToHosts(encodeMessage(message), hostsOf(aggregators));
   }
@@ -387,6 +394,7 @@
     }
     const nowMs = clock.nowMs();
     load.recordMemberReport(domainSourceId(message.failureDomain), message.shares, nowMs);
+    this.options.speeds?.onReports(message.speeds, false);
     if (digest) {
       this.table.recordDomain(message.failureDomain, digest.members);
     }
@@ -436,6 +444,10 @@
     this.options.onLeaving(heartbeat.leavingServers);
     this.options.onLimits(heartbeat.limits ?? []);
     this.options.onQuarantines(heartbeat.quarantines ?? []);
+    this.options.speeds?.onReports(
+      heartbeat.speeds,
+      heartbeat.failureDomain === this.options.failureDomain,
+    );
     this.checkLag(heartbeat, peer, nowMs);
   }
 
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -22,6 +22,7 @@
   StoreEra,
 } from '@laburnumgap/kernel';
 import type { SyncPosition } from './LagDetector.js';
+import type { PackedSpeedReport } from './SpeedReports.js';
 import type { MemberAddress } from '../ServingPorts.js';
 import type { StorePosition } from '../store/StorePosition.js';
 
@@ -48,6 +49,8 @@
   readonly sequence: number;
   /** Load of the daemon at each engine; empty in heartbeats that only show liveness. */
   readonly shares: readonly EngineShare[];
+  /** Observed speeds of some engines, in turn; checked by `unpackSpeedReports`. */
+  readonly speeds?: readonly PackedSpeedReport[];
   /** The platform's store does not respond to this daemon. */
   readonly storeIsAway: boolean;
 }
@@ -179,6 +182,8 @@
   readonly isForwarded?: boolean;
   readonly kind: 'domainLoad';
   readonly shares: readonly EngineShare[];
+  /** Observed speeds of some engines, in turn; checked by `unpackSpeedReports`. */
+  readonly speeds?: readonly PackedSpeedReport[];
 }
 
 /** Announcement of a new configuration, which receivers fetch from the sender. */
@@ -230,8 +235,7 @@
  * @returns the JSON text
  */
 export function encodeMessage(message: PeerHeartbeat | PeerMessage): string {
-  const text =
-    'shares' in message ? { ...message, shares: message.shares.map(packShare) } : message;
+  const text = 'shares' in message ? { ...message, ...packShares(message.shares) } : message;
   return JSON.stringify(text);
 }
 
@@ -411,22 +415,40 @@
   }));
 }
 
+/**
+ * The long runs go into a list of their own in the order of the shares, since daemons of earlier builds
+ * drop shares of another length.
+ */
+function packShares(shares: readonly EngineShare[]): {
+  readonly longRuns?: readonly number[];
+  readonly shares: readonly PackedShare[];
+} {
+  const longRuns = shares.map((share) => share.longRuns ?? 0);
+  const hasLongRuns = longRuns.some((count) => count > 0);
+  return { ...(hasLongRuns && { longRuns }), shares: shares.map(packShare) };
+}
+
 function packShare(share: EngineShare): PackedShare {
   const { plannedTokens, readingTokens, runs, serverId, usedTokens } = share;
   return [serverId, Math.round(plannedTokens), Math.round(readingTokens), usedTokens, runs];
 }
 
-function unpackShares<T extends { readonly shares: readonly unknown[] }>(message: T): T {
-  const shares = message.shares
-    .filter(isPackedShare)
-    .map(([serverId, plannedTokens, readingTokens, usedTokens, runs]): EngineShare => ({
-      plannedTokens,
-      readingTokens,
-      runs,
-      serverId,
-      usedTokens,
-    }));
-  return { ...message, shares };
+function unpackShares<
+  T extends { readonly longRuns?: unknown; readonly shares: readonly unknown[] },
+>(message: T): T {
+  const { longRuns, ...others } = message;
+  const longRunList: readonly unknown[] = Array.isArray(longRuns) ? longRuns : [];
+  const shares = message.shares.flatMap((packed, index): readonly EngineShare[] => {
+    if (!isPackedShare(packed)) {
+      return [];
+    }
+    const [serverId, plannedTokens, readingTokens, usedTokens, runs] = packed;
+    const count = longRunList[index];
+    const isCount = typeof count === 'number' && count > 0 && count <= runs;
+    const share = { plannedTokens, readingTokens, runs, serverId, usedTokens };
+    return [isCount ? { ...share, longRuns: count } : share];
+  });
+  return { ...others, shares } as unknown as T;
 }
 
 function isPackedShare(value: unknown): value is PackedShare {
@@ -466,7 +488,8 @@
     message.kind === 'roomAnswer' &&
     isId(message.requestId) &&
     isId(message.serverId) &&
-    hasFigures(message.totals, ['plannedTokens', 'readingTokens', 'runs', 'usedTokens'])
+    hasFigures(message.totals, ['plannedTokens', 'readingTokens', 'runs', 'usedTokens']) &&
+    (message.totals?.longRuns === undefined || Number.isFinite(message.totals.longRuns))
   );
 }
 
@@ -474,7 +497,13 @@
   return (
     isId(request?.requestId) &&
     isId(request.serverId) &&
-    hasFigures(request, ['believedReadingTokens', 'plannedTokens', 'promptTokens', 'unreadTokens'])
+    hasFigures(request, [
+      'believedReadingTokens',
+      'plannedTokens',
+      'promptTokens',
+      'unreadTokens',
+    ]) &&
+    (request.longRuns === undefined || Number.isFinite(request.longRuns))
   );
 }
 
--- a/packages/serving/src/servers/EngineCapacityCoordinator.ts
+++ b/packages/serving/src/servers/EngineCapacityCoordinator.ts
@@ -121,12 +121,19 @@
 
   private respond(capacityRequest: CapacityRequest, requesterId: MemberId): void {
     const { clock, load, loadSourceOf, send } = this.options;
-    const { plannedTokens, promptTokens, requestId, serverId, unreadTokens } = capacityRequest;
+    const { longRuns, plannedTokens, promptTokens, requestId, serverId, unreadTokens } =
+      capacityRequest;
     const nowMs = clock.nowMs();
     const { isGranted, totals } = this.decide(capacityRequest, nowMs);
     if (isGranted) {
       const sourceId = loadSourceOf(requesterId);
-      const share = { plannedTokens, readingTokens: unreadTokens, runs: 1, serverId };
+      const share = {
+        ...(longRuns !== undefined && { longRuns }),
+        plannedTokens,
+        readingTokens: unreadTokens,
+        runs: 1,
+        serverId,
+      };
       const isAggregated = sourceId !== requesterId;
       load.recordGrant(
         {
--- a/packages/serving/src/servers/StreamMover.ts
+++ b/packages/serving/src/servers/StreamMover.ts
@@ -7,7 +7,7 @@
 import type { ServingContext } from '../ServingContext.js';
 import type { KvCacheLocation, MoveResult } from '../ServingPorts.js';
 
-/** Expected time per output token on a busy engine. */
+/** Expected time per output token on a busy engine, where no speed was learned. */
 const MS_PER_TOKEN = 10;
 /**
  * Longer than a preempted run usually waits, and well below the time after which callers give up.
@@ -56,7 +56,9 @@
       expectedRemainingTokens: status.expectedRemainingTokens,
       requestId: toId<RequestId>(status.requestId),
     }));
-    for (const selectedMove of selectMoves(streams, MS_PER_TOKEN)) {
+    const msPerToken =
+      this.context.engineSpeeds.msPerToken(source, engine.tokensPerEvent) ?? MS_PER_TOKEN;
+    for (const selectedMove of selectMoves(streams, msPerToken)) {
       const run = movable.get(selectedMove.requestId)?.run;
       if (run) {
         run.setMoving(true);
