--- a/packages/serving/src/peers/PeerLink.ts
+++ b/packages/serving/src/peers/PeerLink.ts
@@ -35,6 +35,7 @@
 import type { EvacuationCoordinator } from './EvacuationCoordinator.js';
 import { domainSourceId, PeerTable } from './PeerTable.js';
 import type { PeerTransport } from './PeerTransport.js';
+import type { SpeedExchange } from './SpeedReports.js';
 import type { ServingLog } from '../ServingLog.js';
 import type { MemberAddress } from '../ServingPorts.js';
 
@@ -79,6 +80,8 @@
    * State of this daemon for a peer; contains the configuration only if newer than `knownVersion`.
    */
   readonly snapshot: (knownVersion: number) => PeerSnapshot;
+  /** Observed speeds of engines; not exchanged where it is absent. */
+  readonly speeds?: SpeedExchange;
   readonly transport: PeerTransport;
 }
 
@@ -325,6 +328,7 @@
     const { isStopping, sequence } = this;
     const quarantines = this.options.quarantines();
     const evacuations = this.options.evacuations?.reports() ?? [];
+    const speeds = this.options.speeds?.reports('domain') ?? [];
     const heartbeat: PeerHeartbeat = {
       ...this.options.position(),
       ...(evacuations.length > 0 ? { evacuations } : {}),
@@ -340,6 +344,7 @@
       ...(quarantines.length > 0 ? { quarantines } : {}),
       sequence,
       shares,
+      ...(speeds.length > 0 ? { speeds } : {}),
       storeIsAway: this.options.isStoreDown(),
     };
     this.sendToHosts(encodeMessage(heartbeat), [
@@ -350,7 +355,7 @@
     if (isStopping || nowMs - this.livenessOnlySentMs >= LIVENESS_ONLY_HEARTBEAT_INTERVAL_MS) {
       this.livenessOnlySentMs = nowMs;
       this.sendToHosts(
-        encodeMessage({ ...heartbeat, shares: [] }),
+        encodeMessage({ ...heartbeat, shares: [], speeds: undefined }),
         hostsOf(this.table.livenessOnlyPeers()),
       );
     }
@@ -368,6 +373,7 @@
     }
     const domainMembers = new Set(this.table.fullUpdatePeers().map(({ memberId }) => memberId));
     const shares = load.sumShares(domainMembers, clock.nowMs());
+    const speeds = this.options.speeds?.reports('otherDomains') ?? [];
     const isDigestDue = this.domainLoadCount % MESSAGES_PER_DIGEST === 0;
     this.domainLoadCount += 1;
     const message: DomainLoadMessage = {
@@ -375,6 +381,7 @@
       failureDomain,
       kind: 'domainLoad',
       shares,
+      ...(speeds.length > 0 ? { speeds } : {}),
     };
     this.sendToHosts(encodeMessage(message), hostsOf(aggregators));
   }
@@ -393,6 +400,7 @@
     }
     const nowMs = clock.nowMs();
     load.recordMemberReport(domainSourceId(message.failureDomain), message.shares, nowMs);
+    this.options.speeds?.onReports(message.speeds, false);
     if (digest) {
       this.table.recordDomain(message.failureDomain, digest.members);
     }
@@ -443,6 +451,10 @@
     this.options.onLeaving(heartbeat.leavingServers);
     this.options.onLimits(heartbeat.limits ?? []);
     this.options.onQuarantines(heartbeat.quarantines ?? []);
+    this.options.speeds?.onReports(
+      heartbeat.speeds,
+      heartbeat.failureDomain === this.options.failureDomain,
+    );
     this.checkLag(heartbeat, peer, nowMs);
   }
 
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -24,6 +24,7 @@
 } from '@laburnumgap/kernel';
 import { packAllEvacuations, packEvacuations, unpackEvacuations } from './EvacuationMessages.js';
 import type { SyncPosition } from './LagDetector.js';
+import type { PackedSpeedReport } from './SpeedReports.js';
 import type { MemberAddress } from '../ServingPorts.js';
 import type { StorePosition } from '../store/StorePosition.js';
 
@@ -55,6 +56,8 @@
   readonly sequence: number;
   /** Load of the daemon at each engine; empty in heartbeats that only show liveness. */
   readonly shares: readonly EngineShare[];
+  /** Observed speeds of some engines, in turn; checked by `unpackSpeedReports`. */
+  readonly speeds?: readonly PackedSpeedReport[];
   /** The platform's store does not respond to this daemon. */
   readonly storeIsAway: boolean;
 }
@@ -188,6 +191,8 @@
   readonly isForwarded?: boolean;
   readonly kind: 'domainLoad';
   readonly shares: readonly EngineShare[];
+  /** Observed speeds of some engines, in turn; checked by `unpackSpeedReports`. */
+  readonly speeds?: readonly PackedSpeedReport[];
 }
 
 /** Announcement of a new configuration, which receivers fetch from the sender. */
@@ -244,8 +249,7 @@
  * @returns the JSON text
  */
 export function encodeMessage(message: PeerHeartbeat | PeerMessage): string {
-  const text =
-    'shares' in message ? { ...message, shares: message.shares.map(packShare) } : message;
+  const text = 'shares' in message ? { ...message, ...packShares(message.shares) } : message;
   return JSON.stringify(
     'evacuations' in message
       ? { ...text, evacuations: packEvacuations(message.evacuations) }
@@ -448,22 +452,40 @@
     : { ...message, evacuations: unpackEvacuations(message.evacuations) };
 }
 
+/**
+ * The long runs go into a list of their own in the order of the shares, since daemons of earlier builds
+ * drop shares of another length.
+ */
+function packShares(shares: readonly EngineShare[]): {
+  readonly longRuns?: readonly number[];
+  readonly shares: readonly PackedShare[];
+} {
+  const longRuns = shares.map((share) => share.longRuns ?? 0);
+  const hasLongRuns = longRuns.some((count) => count > 0);
+  return { ...(hasLongRuns && { longRuns }), shares: shares.map(packShare) };
+}
+
 function packShare(share: EngineShare): PackedShare {
   const { plannedTokens, readingTokens, runs, serverId, usedTokens } = share;
   return [serverId, Math.round(plannedTokens), Math.round(readingTokens), usedTokens, runs];
 }
 
-function unpackShares<T extends { readonly shares: readonly unknown[] }>(message: T): T {
-  const shares = message.shares
-    .filter(isPackedShare)
-    .map(([serverId, plannedTokens, readingTokens, usedTokens, runs]): EngineShare => ({
-      plannedTokens,
-      readingTokens,
-      runs,
-      serverId,
-      usedTokens,
-    }));
-  return { ...message, shares };
+function unpackShares<
+  T extends { readonly longRuns?: unknown; readonly shares: readonly unknown[] },
+>(message: T): T {
+  const { longRuns, ...others } = message;
+  const longRunList: readonly unknown[] = Array.isArray(longRuns) ? longRuns : [];
+  const shares = message.shares.flatMap((packed, index): readonly EngineShare[] => {
+    if (!isPackedShare(packed)) {
+      return [];
+    }
+    const [serverId, plannedTokens, readingTokens, usedTokens, runs] = packed;
+    const count = longRunList[index];
+    const isCount = typeof count === 'number' && count > 0 && count <= runs;
+    const share = { plannedTokens, readingTokens, runs, serverId, usedTokens };
+    return [isCount ? { ...share, longRuns: count } : share];
+  });
+  return { ...others, shares } as unknown as T;
 }
 
 function isPackedShare(value: unknown): value is PackedShare {
@@ -503,7 +525,8 @@
     message.kind === 'roomAnswer' &&
     isId(message.requestId) &&
     isId(message.serverId) &&
-    hasFigures(message.totals, ['plannedTokens', 'readingTokens', 'runs', 'usedTokens'])
+    hasFigures(message.totals, ['plannedTokens', 'readingTokens', 'runs', 'usedTokens']) &&
+    (message.totals?.longRuns === undefined || Number.isFinite(message.totals.longRuns))
   );
 }
 
@@ -511,7 +534,13 @@
   return (
     isId(request?.requestId) &&
     isId(request.serverId) &&
-    hasFigures(request, ['believedReadingTokens', 'plannedTokens', 'promptTokens', 'unreadTokens'])
+    hasFigures(request, [
+      'believedReadingTokens',
+      'plannedTokens',
+      'promptTokens',
+      'unreadTokens',
+    ]) &&
+    (request.longRuns === undefined || Number.isFinite(request.longRuns))
   );
 }
 
