Decode how long a server is still cold

Cause: servers say in their store entry (coldRemainingMs) and in the header Cold-Ms how long they are cold, and nothing read it.

--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -53,6 +53,8 @@
 
 /** Properties of a server's response taken from its headers. */
 export interface ResponseMetadata {
+  /** Time for which the server is still cold; absent when it does not say so. */
+  readonly coldRemainingMs?: number;
   /** The body has a content encoding, which backend servers never use. */
   readonly isEncoded: boolean;
   /** The server states that it is leaving. */
