--- /dev/null
+++ b/packages/dispatch/src/ColdServers.ts
@@ -0,0 +1,209 @@
+import type { Revision, ServerId } from '@laburnumgap/kernel';
+import type { BackendServer } from './BackendServer.js';
+import type { ServerIncarnation } from './ServerRegistry.js';
+
+/** Until when a server is cold, as far as is known. */
+export interface ColdObservation extends ServerIncarnation {
+  /** Monotonic time of this process; in the past for a warm server. */
+  readonly coldUntilMs: number;
+  /** This daemon read it in an entry or in a response; only such observations are reported to others. */
+  readonly isFirstHand: boolean;
+  /** When the server said it, monotonic time of this process. */
+  readonly observedMs: number;
+}
+
+/** An observation as daemons report it to each other, whose clocks differ. */
+export interface ColdReport extends ServerIncarnation {
+  /** Time since the server said it. */
+  readonly ageMs: number;
+  /** Time for which the server is still cold. */
+  readonly remainingMs: number;
+}
+
+/** An entry of a server as it was received. */
+export interface ColdEntry {
+  readonly revision: Revision;
+  readonly server: BackendServer;
+  /** How long servers of the service are cold after a start; used where the entry has no remaining time. */
+  readonly coldStartMs: number;
+  /** Wall clock of this process. */
+  readonly nowEpochMs: number;
+}
+
+interface KnownEntry {
+  readonly revision: Revision;
+  readonly startedEpochMs: number;
+}
+
+/** A listed entry can be as old as one heartbeat of the server. */
+const MAX_ENTRY_AGE_MS = 1_200;
+/**
+ * A report is dated later than the observation by the time that it was on its way, at most 500 ms between
+ * failure domains. Within this time it counts as the same one, so that reports extend no cold time.
+ */
+const SAME_OBSERVATION_MS = 600;
+/** Wall clocks of hosts that synchronize them differ by less. */
+const MAX_CLOCK_DIFFERENCE_MS = 500;
+
+/**
+ * Which servers are cold until when, from their entries, their responses and the reports of other
+ * daemons. Of two observations of one server the later one counts, and one of a later start of the
+ * server. Handles servers that start one by one, a failure domain that comes back at once, and servers
+ * that become cold again at any moment.
+ */
+export class ColdServers {
+  private readonly entries = new Map<ServerId, KnownEntry>();
+  private readonly observations = new Map<ServerId, ColdObservation>();
+
+  /**
+   * Records an observation.
+   *
+   * @param observation - by this daemon or by another one
+   * @param nowMs - monotonic time
+   * @returns whether the server is cold now and was not known to be
+   */
+  record(observation: ColdObservation, nowMs: number): boolean {
+    const { coldUntilMs, observedMs, serverId, startedEpochMs } = observation;
+    const known = this.observations.get(serverId);
+    const isOutdated =
+      known !== undefined &&
+      (known.startedEpochMs > startedEpochMs ||
+        (known.startedEpochMs === startedEpochMs && known.observedMs >= observedMs));
+    if (isOutdated) {
+      return false;
+    }
+    this.observations.set(serverId, observation);
+    const wasCold = known?.startedEpochMs === startedEpochMs && nowMs < known.coldUntilMs;
+    return nowMs < coldUntilMs && !wasCold;
+  }
+
+  /**
+   * Records an entry of the store, also one that another daemon forwarded. It can be older than what is
+   * known: it extends the cold time at once, and shortens only what was observed before it can have been
+   * written. An entry that is received again says nothing new.
+   *
+   * @param entry - the entry
+   * @param nowMs - monotonic time at which it was received
+   * @returns whether the server is cold now and was not known to be
+   */
+  recordEntry({ coldStartMs, nowEpochMs, revision, server }: ColdEntry, nowMs: number): boolean {
+    const { coldRemainingMs, serverId, startedEpochMs } = server;
+    const entry = this.entries.get(serverId);
+    if (entry?.revision === revision && entry.startedEpochMs === startedEpochMs) {
+      return false;
+    }
+    this.entries.set(serverId, { revision, startedEpochMs });
+    const known = this.observations.get(serverId);
+    const isKnown = known !== undefined && known.startedEpochMs >= startedEpochMs;
+    if (coldRemainingMs === undefined && isKnown) {
+      return false;
+    }
+    const remainingMs =
+      coldRemainingMs ?? remainingSinceStartMs(startedEpochMs, coldStartMs, nowEpochMs);
+    const coldUntilMs = nowMs + remainingMs;
+    const shortens = isKnown && coldUntilMs < known.coldUntilMs;
+    const observedMs = shortens ? nowMs - MAX_ENTRY_AGE_MS : nowMs;
+    const observation = { coldUntilMs, isFirstHand: true, observedMs, serverId, startedEpochMs };
+    return this.record(observation, nowMs);
+  }
+
+  /**
+   * Records the report of another daemon.
+   *
+   * @param report - the report
+   * @param nowMs - monotonic time
+   * @returns whether the server is cold now and was not known to be
+   */
+  recordReport(report: ColdReport, nowMs: number): boolean {
+    const { ageMs, remainingMs, serverId, startedEpochMs } = report;
+    const coldUntilMs = nowMs + remainingMs;
+    const known = this.observations.get(serverId);
+    if (
+      known?.startedEpochMs === startedEpochMs &&
+      Math.abs(coldUntilMs - known.coldUntilMs) <= SAME_OBSERVATION_MS &&
+      nowMs < known.coldUntilMs
+    ) {
+      return false;
+    }
+    const observedMs = nowMs - ageMs;
+    const observation = { coldUntilMs, isFirstHand: false, observedMs, serverId, startedEpochMs };
+    return this.record(observation, nowMs);
+  }
+
+  /** Whether a server is cold. What a later start of it said applies as well. */
+  isCold(server: ServerIncarnation, nowMs: number): boolean {
+    return this.remainingMs(server, nowMs) > 0;
+  }
+
+  /** Time for which a server is still cold; 0 when it is warm. */
+  remainingMs({ serverId, startedEpochMs }: ServerIncarnation, nowMs: number): number {
+    const known = this.observations.get(serverId);
+    const applies = known !== undefined && known.startedEpochMs >= startedEpochMs;
+    return applies ? Math.max(0, known.coldUntilMs - nowMs) : 0;
+  }
+
+  /**
+   * Updates the remaining time of a server's entry, so that another daemon can read it.
+   *
+   * @param server - the server as its entry says
+   * @param nowMs - monotonic time
+   * @returns the server with the time that remains now
+   */
+  forwarded(server: BackendServer, nowMs: number): BackendServer {
+    const known = this.observations.get(server.serverId);
+    if (known?.startedEpochMs !== server.startedEpochMs) {
+      return server;
+    }
+    return { ...server, coldRemainingMs: Math.round(this.remainingMs(server, nowMs)) };
+  }
+
+  /**
+   * Reports on servers that are cold now, without those that other daemons reported: forwarded reports
+   * would extend the cold time by the time that they are on their way.
+   *
+   * @param nowMs - monotonic time
+   * @param maxCount - the latest observations are reported; all by default
+   * @returns the reports, the latest observation first
+   */
+  reports(nowMs: number, maxCount = Infinity): readonly ColdReport[] {
+    return [...this.observations.values()]
+      .filter(({ coldUntilMs, isFirstHand }) => isFirstHand && nowMs < coldUntilMs)
+      .sort((a, b) => b.observedMs - a.observedMs)
+      .slice(0, maxCount)
+      .map(({ coldUntilMs, observedMs, serverId, startedEpochMs }) => ({
+        ageMs: Math.max(0, Math.round(nowMs - observedMs)),
+        remainingMs: Math.round(coldUntilMs - nowMs),
+        serverId,
+        startedEpochMs,
+      }));
+  }
+
+  /**
+   * Forgets servers that are no longer registered.
+   *
+   * @param isKnown - whether a server is registered
+   */
+  retain(isKnown: (serverId: ServerId) => boolean): void {
+    for (const perServer of [this.entries, this.observations]) {
+      for (const serverId of perServer.keys()) {
+        if (!isKnown(serverId)) {
+          perServer.delete(serverId);
+        }
+      }
+    }
+  }
+}
+
+/** Time for which a server is cold by its start time, where its entry does not say it. */
+function remainingSinceStartMs(
+  startedEpochMs: number,
+  coldStartMs: number,
+  nowEpochMs: number,
+): number {
+  if (startedEpochMs === 0) {
+    // The entry has no start time.
+    return 0;
+  }
+  const startedAgoMs = nowEpochMs - startedEpochMs - MAX_CLOCK_DIFFERENCE_MS;
+  return Math.min(coldStartMs, Math.max(0, coldStartMs - startedAgoMs));
+}
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,5 +1,7 @@
 export * from './AnnouncementTargets.js';
 export type * from './BackendServer.js';
+export * from './ColdAccount.js';
+export * from './ColdServers.js';
 export * from './CrashEvidence.js';
 export * from './EngineCapacity.js';
 export * from './EngineLoad.js';
@@ -22,6 +24,7 @@
 export * from './RequestFingerprints.js';
 export * from './RetryBudget.js';
 export * from './RouteTable.js';
+export * from './ServerAccounts.js';
 export * from './ServerHealth.js';
 export * from './ServerLimits.js';
 export * from './ServerPaths.js';
