Grant permits for cold servers, and split the coordinator of permits

Cause: three daemons sent a cold server that takes 5 a second 60 plain calls in one second (docs/OVERLOAD.md, part 2).

Change: ServerLimitCoordinator takes the accounts of limit, brittle and cold together. The requests to owners (PermitQueries) and the permits held (PermitLeases) are files of their own. ColdPermits connects ColdServers with the store's entries, response heads and heartbeats, and logs and counts decisions. ServerAccess checks right before a connection is handed out that a permit for a cold server is still valid; a permit that was not used, or whose request was answered 421, is given back to the account. Requests that no server takes now wait for a cold one as for a brittle one. Declines are not remembered longer than the server is cold. Owners of earlier builds do not state that they counted the request, so that a daemon uses its own share there.

Ruled out: to take the connection before the permit, which opens connections for declined requests.

Cold servers have no test here yet.

--- a/packages/dispatch/src/ColdServers.ts
+++ b/packages/dispatch/src/ColdServers.ts
@@ -142,6 +142,11 @@
     return applies ? Math.max(0, known.coldUntilMs - nowMs) : 0;
   }
 
+  /** Number of servers that are cold now. */
+  coldCount(nowMs: number): number {
+    return [...this.observations.values()].filter(({ coldUntilMs }) => nowMs < coldUntilMs).length;
+  }
+
   /**
    * Updates the remaining time of a server's entry, so that another daemon can read it.
    *
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -33,6 +33,7 @@
 import { BackendConnectionPool } from './servers/BackendConnectionPool.js';
 import { CallsInFlight } from './callers/CallsInFlight.js';
 import { ClusterSync } from './peers/ClusterSync.js';
+import { ColdPermits } from './servers/ColdPermits.js';
 import { CrashDetector } from './servers/CrashDetector.js';
 import { EngineCapacityCoordinator } from './servers/EngineCapacityCoordinator.js';
 import { EngineControl } from './servers/EngineControl.js';
@@ -152,6 +153,7 @@
 export class ServingDaemon {
   private readonly callsInFlight = new CallsInFlight();
   private readonly cluster: ClusterSync;
+  private readonly cold: ColdPermits;
   private readonly connections: BackendConnectionPool;
   private readonly context: ServingContext;
   private readonly dialer: ServerDialer;
@@ -185,6 +187,20 @@
       retriesPerFirstAttempt: settings.retryRatio * RETRY_BUDGET_SHARE,
     });
     this.registry = new ServerRegistry({ serverDrainMs: settings.serverDrainMs });
+    this.cold = new ColdPermits({
+      clock,
+      findService: (service) => this.cluster.state.routes()?.findService(service),
+      log,
+      memberCount: () => this.cluster.peers.table.knownCount(),
+      metrics: options.metrics ?? NO_SERVING_METRICS,
+      onBecameCold: () => {
+        this.cluster.peers.scheduleHeartbeatToAll();
+      },
+      overageFactor: settings.coldOverageFactor,
+      rankOf: (serverId) => this.cluster.peers.table.rankOf(serverId),
+      serverOf: (serverId) => this.registry.get(serverId)?.server,
+      slackRequests: settings.coldSlackRequests,
+    });
     this.dialer = new ServerDialer({
       clock,
       log,
@@ -227,6 +243,9 @@
       onBackoff: (server, retryAfterMs) => {
         this.shareBackoff(server, retryAfterMs);
       },
+      onCold: (server, coldRemainingMs) => {
+        this.cold.onResponse(server, coldRemainingMs);
+      },
       onLeaving: (server) => {
         this.cluster.state.markLeaving([server], 'response');
       },
@@ -241,6 +260,7 @@
     });
     this.permits = new ServerLimitCoordinator({
       clock,
+      cold: this.cold,
       firstRequestNumber: incarnation,
       isLive: (memberId) => this.cluster.peers.table.isLive(memberId),
       limits: this.limits,
@@ -341,8 +361,10 @@
     };
     this.cluster = new ClusterSync({
       clock,
+      coldServers: () => this.cold.reports(),
       directory,
       failureDomain: settings.failureDomain,
+      forwarded: (server) => this.cold.forwarded(server),
       host: settings.peers.host,
       incarnation,
       isCutOff: () => this.paths.cutOffSince() !== undefined,
@@ -352,9 +374,15 @@
       localShares: () => this.localShares(),
       log,
       memberId: settings.memberId,
+      onColdServers: (reports) => {
+        this.cold.onReports(reports);
+      },
       onConfiguration: (table) => {
         this.front.applyLimits(table);
       },
+      onEntries: (changes) => {
+        this.cold.onEntries(changes);
+      },
       onLimits: (limits) => {
         this.recordLimits(limits);
       },
@@ -703,6 +731,7 @@
     this.context.health.retain(isRegistered);
     this.limits.retain(isRegistered, nowMs);
     this.permits.retain(isRegistered);
+    this.cold.retain(isRegistered);
     this.quarantine.expire(nowMs);
     this.paths.retain(isRegistered);
     this.connections.closeExpired();
--- a/packages/serving/src/__tests__/unit/ServerAccess.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerAccess.test.ts
@@ -58,7 +58,9 @@
       permits: {
         availableAfterMs: ({ serverId }) => this.availableAfterMs.get(serverId) ?? 0,
         isBrittle: () => false,
+        isCold: () => false,
         isLimited: () => this.isLimited,
+        mayUse: () => true,
         requestPermit: (_server, _maxWaitMs, onDecision) => {
           if (this.isLimited) {
             this.pendingPermits.push(onDecision);
@@ -156,7 +158,11 @@
   const target = new TestAccess();
   target.isLimited = true;
   const released: string[] = [];
-  const permitOf = (name: string): Permit => ({ release: () => released.push(name) });
+  const permitOf = (name: string): Permit => ({
+    isValidForCold: () => false,
+    release: () => released.push(name),
+    setUsed: () => undefined,
+  });
   target.acquire();
   target.pendingPermits.shift()?.({ kind: 'granted', waitMs: 0 }, permitOf('p1'));
   const connection = target.open('c1');
--- a/packages/serving/src/callers/EngineSearch.ts
+++ b/packages/serving/src/callers/EngineSearch.ts
@@ -102,12 +102,12 @@
     }
   }
 
-  /** Brittle engines take a request as soon as another has ended. */
+  /** Brittle engines take a request as soon as another has ended, cold ones after a part of a second. */
   private canWaitForRoom(waitedMs: number): boolean {
     const { admitted } = this.options;
     return (
       waitedMs < MAX_LIMITED_WAIT_FRACTION * callerTimeoutMs(admitted) &&
-      this.context.serverAccess.isBrittle(admitted.service.service)
+      this.context.serverAccess.hasRoomSoon(admitted.service.service)
     );
   }
 
--- a/packages/serving/src/callers/PlainCallRun.ts
+++ b/packages/serving/src/callers/PlainCallRun.ts
@@ -124,7 +124,7 @@
   }
 
   /**
-   * Holds the call back until a brittle server has room: one that has to turn calls away fails.
+   * Holds the call back until a brittle or cold server takes one more: they fail when they get too many.
    *
    * @returns whether it waits
    */
@@ -138,7 +138,7 @@
       urgency: urgencyOf(this.admitted),
       waitedMs: clock.nowMs() - arrivedMs,
     });
-    if (recheckMs === undefined || !serverAccess.isBrittle(service.service)) {
+    if (recheckMs === undefined || !serverAccess.hasRoomSoon(service.service)) {
       return false;
     }
     this.hold(true);
--- a/packages/serving/src/peers/ClusterState.ts
+++ b/packages/serving/src/peers/ClusterState.ts
@@ -1,5 +1,7 @@
 import type {
+  BackendServer,
   LimitReport,
+  RegisteredServer,
   ServerChange,
   ServerIncarnation,
   ServerRegistry,
@@ -38,12 +40,16 @@
   readonly clock: MonotonicClock;
   readonly directory: PlatformDirectory;
   readonly failureDomain: FailureDomainId;
+  /** Updates an entry before it is forwarded in a snapshot; unchanged by default. */
+  readonly forwarded?: (server: BackendServer) => BackendServer;
   readonly host: string;
   /** Limits of requests that servers named, for snapshots. */
   readonly limits: () => readonly LimitReport[];
   readonly log: ServingLog;
   readonly memberId: MemberId;
   readonly onConfiguration: (table: RouteTable) => void;
+  /** Called with entries of servers before they are applied, from the store or another daemon. */
+  readonly onEntries?: (changes: readonly ServerChange[]) => void;
   /** Called with the limits of servers in the snapshot of a peer. */
   readonly onLimits: (limits: readonly LimitReport[]) => void;
   /** Called when the store has come back from an older copy, which lacks what was written since. */
@@ -228,10 +234,15 @@
       knownVersion: this.configurationFetcher.knownVersion(),
       limits: this.options.limits(),
       members: [{ host, memberId }, ...this.options.peers().table.members()],
-      servers: this.options.registry.all(),
+      servers: this.options.registry.all().map((entry) => this.forwarded(entry)),
     };
   }
 
+  private forwarded(entry: RegisteredServer): RegisteredServer {
+    const { forwarded } = this.options;
+    return forwarded ? { ...entry, server: forwarded(entry.server) } : entry;
+  }
+
   private applySnapshot(snapshot: PeerSnapshot, host: string): void {
     snapshot.members.forEach((member) => {
       this.options.peers().table.add(member);
@@ -241,7 +252,9 @@
       this.applyConfiguration(snapshot.configuration, `peer ${host}`);
     }
     if (isLater(snapshot, this.storePosition) && snapshot.servers.length > 0) {
-      const leaving = this.replaceServers(serverChangesOf(snapshot), snapshot);
+      const servers = serverChangesOf(snapshot);
+      this.options.onEntries?.(servers);
+      const leaving = this.replaceServers(servers, snapshot);
       this.advance(snapshot);
       this.configurationFetcher.onNotice({ host, version: snapshot.knownVersion ?? 0 });
       this.advanceWatch(snapshot);
@@ -264,6 +277,7 @@
         log.info('server-known', { revision, serverId, service });
       }
     }
+    this.options.onEntries?.(changes.servers);
     const leaving = isFullRead
       ? this.replaceServers(changes.servers, changes)
       : this.options.registry.apply(changes.servers, nowMs);
--- a/packages/serving/src/peers/ClusterSync.ts
+++ b/packages/serving/src/peers/ClusterSync.ts
@@ -1,10 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type {
+  BackendServer,
+  ColdReport,
   EngineLoad,
   EngineShare,
   LimitReport,
   QuarantineReport,
   RouteTable,
+  ServerChange,
   ServerLimits,
   ServerRegistry,
 } from '@laburnumgap/dispatch';
@@ -32,8 +35,12 @@
 /** Options of {@link ClusterSync}. */
 export interface ClusterSyncOptions {
   readonly clock: MonotonicClock;
+  /** Servers that this daemon found to be cold; none by default. */
+  readonly coldServers?: () => readonly ColdReport[];
   readonly directory: PlatformDirectory;
   readonly failureDomain: FailureDomainId;
+  /** Updates an entry before it is forwarded in a snapshot; unchanged by default. */
+  readonly forwarded?: (server: BackendServer) => BackendServer;
   readonly host: string;
   /** Start time of the process; distinguishes restarts under the same member id. */
   readonly incarnation: number;
@@ -45,7 +52,11 @@
   readonly localShares: () => readonly EngineShare[];
   readonly log: ServingLog;
   readonly memberId: MemberId;
+  /** Called with the servers that another daemon found to be cold. */
+  readonly onColdServers?: (reports: readonly ColdReport[]) => void;
   readonly onConfiguration: (table: RouteTable) => void;
+  /** Called with entries of servers before they are applied, from the store or another daemon. */
+  readonly onEntries?: (changes: readonly ServerChange[]) => void;
   /** Called with the limits of servers that another daemon knows. */
   readonly onLimits: (limits: readonly LimitReport[]) => void;
   readonly onMessage: (
@@ -101,11 +112,13 @@
       clock,
       directory,
       failureDomain,
+      forwarded: options.forwarded,
       host,
       limits: () => limits.reports(clock.nowMs()),
       log,
       memberId,
       onConfiguration: options.onConfiguration,
+      onEntries: options.onEntries,
       onLimits: options.onLimits,
       onNewEra: () => {
         this.scheduleRegistration();
@@ -117,6 +130,7 @@
     });
     this.peers = new PeerLink({
       clock,
+      coldServers: options.coldServers,
       configuration: () => this.state.routes()?.configuration,
       failureDomain,
       host,
@@ -130,6 +144,7 @@
       localShares: options.localShares,
       log,
       memberId,
+      onColdServers: options.onColdServers,
       onLagging: (peer) => {
         this.storeFollower.restartWatch();
         void this.state.syncFromPeer(peer.host);
--- a/packages/serving/src/peers/PeerLink.ts
+++ b/packages/serving/src/peers/PeerLink.ts
@@ -1,4 +1,5 @@
 import type {
+  ColdReport,
   EngineLoad,
   EngineShare,
   LimitReport,
@@ -39,6 +40,8 @@
 /** Options of {@link PeerLink}. */
 export interface PeerLinkOptions {
   readonly clock: MonotonicClock;
+  /** Servers that this daemon found to be cold; none by default. */
+  readonly coldServers?: () => readonly ColdReport[];
   readonly failureDomain: FailureDomainId;
   readonly host: string;
   readonly incarnation: number;
@@ -54,6 +57,8 @@
   readonly localShares: () => readonly EngineShare[];
   readonly log: ServingLog;
   readonly memberId: MemberId;
+  /** Called with the servers that a peer found to be cold. */
+  readonly onColdServers?: (reports: readonly ColdReport[]) => void;
   /** Called when this daemon has lagged behind others for too long, with a peer that is ahead. */
   readonly onLagging: (peer: MemberAddress) => void;
   /** Called with the servers that a peer reports as leaving. */
@@ -319,9 +324,11 @@
     load.setOwnShares(shares);
     this.sequence += 1;
     const { isStopping, sequence } = this;
+    const cold = this.options.coldServers?.() ?? [];
     const quarantines = this.options.quarantines();
     const heartbeat: PeerHeartbeat = {
       ...this.options.position(),
+      ...(cold.length > 0 ? { cold } : {}),
       failureDomain,
       host,
       incarnation,
@@ -434,6 +441,7 @@
     const nowMs = clock.nowMs();
     load.recordMemberReport(heartbeat.memberId, heartbeat.shares, nowMs);
     this.options.onLeaving(heartbeat.leavingServers);
+    this.options.onColdServers?.(heartbeat.cold ?? []);
     this.options.onLimits(heartbeat.limits ?? []);
     this.options.onQuarantines(heartbeat.quarantines ?? []);
     this.checkLag(heartbeat, peer, nowMs);
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -1,5 +1,6 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import type {
+  ColdReport,
   EngineShare,
   EngineTotals,
   LimitReport,
@@ -27,6 +28,8 @@
 
 /** State that a daemon sends to the others periodically and after changes. */
 export interface PeerHeartbeat extends SyncPosition {
+  /** Servers that the sender itself found to be cold; absent without any. */
+  readonly cold?: readonly ColdReport[];
   readonly failureDomain: FailureDomainId;
   readonly host: string;
   /** Start of the sending process; changes with a restart. */
@@ -76,6 +79,8 @@
  */
 export type PermitMessage =
   | {
+      /** The request was counted as one to a cold server; absent otherwise, and from earlier builds. */
+      readonly countsCold?: boolean;
       readonly decision: PermitDecision | { readonly kind: 'notOwner' };
       readonly kind: 'permitResponse';
       readonly limit?: LimitReport;
@@ -84,6 +89,8 @@
     }
   | {
       readonly isRejected: boolean;
+      /** The server did not get the request. */
+      readonly isUnused?: boolean;
       readonly kind: 'permitReleased';
       readonly memberId: MemberId;
       /** Absent when only a rejection is reported. */
@@ -93,6 +100,8 @@
   | {
       /** Requests to the server that the sender holds permits of or waits for; absent unless brittle. */
       readonly heldNumbers?: readonly number[];
+      /** The sender knows that the server is cold. */
+      readonly isCold?: boolean;
       readonly kind: 'permitRequest';
       readonly limit?: LimitReport;
       readonly maxWaitMs: number;
@@ -261,6 +270,7 @@
       heartbeat.leavingServers,
       (server) => isId(server.serverId) && Number.isFinite(server.startedEpochMs),
     ) &&
+    isColdList(heartbeat.cold ?? []) &&
     isLimitList(heartbeat.limits) &&
     isQuarantineList(heartbeat.quarantines ?? []) &&
     Array.isArray(heartbeat.shares);
@@ -531,6 +541,14 @@
   );
 }
 
+function isColdList(reports: readonly ColdReport[]): boolean {
+  return isListOf(
+    reports,
+    (report) =>
+      isId(report.serverId) && hasFigures(report, ['ageMs', 'remainingMs', 'startedEpochMs']),
+  );
+}
+
 function isCrash(
   message: Partial<Extract<QuarantineMessage, { kind: 'serverCrash' }>>,
 ): message is Extract<QuarantineMessage, { kind: 'serverCrash' }> {
--- a/packages/serving/src/peers/PeerTable.ts
+++ b/packages/serving/src/peers/PeerTable.ts
@@ -1,11 +1,18 @@
 import type { AnnouncementTargets, BackendServer, TunnelPeer } from '@laburnumgap/dispatch';
 import {
+  rankMembers,
   selectAnnouncementTargets,
   selectEngineOwner,
   selectEvidenceKeepers,
   selectWatchers,
 } from '@laburnumgap/dispatch';
-import type { FailureDomainId, FingerprintId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
+import type {
+  FailureDomainId,
+  FingerprintId,
+  MemberId,
+  MonotonicClock,
+  ServerId,
+} from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { DomainMember, PeerHeartbeat } from './PeerMessages.js';
 import type { MemberAddress } from '../ServingPorts.js';
@@ -150,6 +157,13 @@
       : domainSourceId(peer.failureDomain);
   }
 
+  /** Number of known daemons, dead ones included, that rank before this one for a server. */
+  rankOf(serverId: ServerId): number {
+    const { host, memberId } = this.options;
+    const ranked = rankMembers([...this.members(), { host, memberId }], serverId);
+    return ranked.findIndex((member) => member.memberId === memberId);
+  }
+
   /** Whether more than half of the known daemons live, as far as this daemon hears. */
   seesMajority(): boolean {
     return 2 * (this.livePeers().length + 1) > this.knownCount();
--- a/packages/serving/src/servers/BackendConnection.ts
+++ b/packages/serving/src/servers/BackendConnection.ts
@@ -1,10 +1,11 @@
 import type { Socket } from 'node:net';
 import type { MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import { probeReset } from './ResetProbe.js';
+import { isMisdirected } from './ResponseChecks.js';
 import { ResponseOverhead } from './ResponseOverhead.js';
 import type { ResponseHead } from './ResponseParser.js';
 import { ResponseParser } from './ResponseParser.js';
-import type { Permit } from './ServerLimitCoordinator.js';
+import type { Permit } from './PermitLeases.js';
 import type { HeaderList } from '../ServingPorts.js';
 
 /** HTTP request to a backend server. */
@@ -94,6 +95,7 @@
    * @param listener - receives the response
    */
   send(request: BackendRequest, listener: ResponseListener): void {
+    this.permit?.setUsed(true);
     this.listener = listener;
     this.sentMs = this.options.clock.nowMs();
     this.hasResponseHead = false;
@@ -161,6 +163,10 @@
     this.hasResponseHead = this.listener.accepts(head);
     if (this.hasResponseHead) {
       this.canReuse &&= head.canReuseConnection;
+      if (isMisdirected(head)) {
+        // The request reached another server than the permit is for.
+        this.permit?.setUsed(false);
+      }
       this.listener.onHead(head);
     }
   }
--- a/packages/serving/src/servers/ResponseChecks.ts
+++ b/packages/serving/src/servers/ResponseChecks.ts
@@ -7,9 +7,14 @@
 /** Statuses from which callers conclude that their request was not executed. */
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Whether another server than the intended one has the address, and did not execute the request. */
+export function isMisdirected(head: ResponseHead): boolean {
+  return head.status === MISDIRECTED_STATUS;
+}
+
 /** Whether the server states that it did not execute the request. */
 export function isNotExecuted(head: ResponseHead, metadata: ResponseMetadata): boolean {
-  return metadata.notRun || head.status === MISDIRECTED_STATUS;
+  return metadata.notRun || isMisdirected(head);
 }
 
 /** Whether a caller would conclude from the status that the request was not executed. */
--- a/packages/serving/src/servers/ServerAccess.ts
+++ b/packages/serving/src/servers/ServerAccess.ts
@@ -2,7 +2,8 @@
 import type { MonotonicClock, ServiceId } from '@laburnumgap/kernel';
 import type { BackendConnection } from './BackendConnection.js';
 import type { BackendConnectionPool, ConnectionListener } from './BackendConnectionPool.js';
-import type { Permit, ServerLimitCoordinator } from './ServerLimitCoordinator.js';
+import type { Permit } from './PermitLeases.js';
+import type { ServerLimitCoordinator } from './ServerLimitCoordinator.js';
 
 /** Options of {@link ServerAccess}. */
 export interface ServerAccessOptions {
@@ -10,7 +11,7 @@
   readonly connections: Pick<BackendConnectionPool, 'acquire' | 'release'>;
   readonly permits: Pick<
     ServerLimitCoordinator,
-    'availableAfterMs' | 'isBrittle' | 'isLimited' | 'requestPermit'
+    'availableAfterMs' | 'isBrittle' | 'isCold' | 'isLimited' | 'mayUse' | 'requestPermit'
   >;
   readonly registry: Pick<ServerRegistry, 'usableAgainAfterMs' | 'usableServers'>;
 }
@@ -21,9 +22,12 @@
   onLimited(retryAfterMs: number): void;
 }
 
+/** A permit that was not valid any more after a second connection is requested again after this. */
+const LAPSED_RETRY_MS = 50;
+
 /**
  * The one way to a backend server for every request: waits for a permit where the server limits its
- * requests, then for a connection.
+ * requests or is cold, then for a connection.
  */
 export class ServerAccess {
   constructor(private readonly options: ServerAccessOptions) {}
@@ -45,10 +49,11 @@
           listener.onConnectFailed(reason);
         },
         onConnected: (connection) => {
-          if (hadLimit) {
+          if (hadLimit && permits.mayUse(server, permit)) {
             connection.holdPermit(permit);
             listener.onConnected(connection);
           } else {
+            permit?.release();
             this.onConnectedWithoutPermit(server, connection, maxPermitWaitMs, listener);
           }
         },
@@ -56,11 +61,14 @@
     });
   }
 
-  /** Whether the servers of a service fail when they have to turn away too many requests. */
-  isBrittle(service: ServiceId): boolean {
+  /**
+   * Whether requests that no server of a service takes now can expect one soon: a brittle server takes one
+   * as soon as another has ended, and a cold one after a part of a second.
+   */
+  hasRoomSoon(service: ServiceId): boolean {
     const { clock, permits, registry } = this.options;
     const servers = registry.usableServers(service, clock.nowMs());
-    return servers.some((server) => permits.isBrittle(server));
+    return servers.some((server) => permits.isBrittle(server) || permits.isCold(server));
   }
 
   /** Servers of a service that take a new request now, sorted by id. */
@@ -86,8 +94,8 @@
   }
 
   /**
-   * The server can have named a limit while the connection was opened, and can close the connection
-   * before the permit arrives.
+   * The server can have named a limit or become cold while the connection was opened, and can close the
+   * connection before the permit arrives.
    */
   private onConnectedWithoutPermit(
     server: BackendServer,
@@ -95,15 +103,24 @@
     maxPermitWaitMs: number,
     listener: ServerAccessListener,
   ): void {
-    const { connections } = this.options;
+    const { connections, permits } = this.options;
     const onLimited = (retryAfterMs: number): void => {
       connections.release(server, connection);
       listener.onLimited(retryAfterMs);
     };
+    const provide = (provided: BackendConnection, permit: Permit | undefined): void => {
+      if (permits.mayUse(server, permit)) {
+        provided.holdPermit(permit);
+        listener.onConnected(provided);
+      } else {
+        permit?.release();
+        connections.release(server, provided);
+        listener.onLimited(LAPSED_RETRY_MS);
+      }
+    };
     this.awaitPermit(server, maxPermitWaitMs, { onLimited }, (permit) => {
       if (connection.isReusable()) {
-        connection.holdPermit(permit);
-        listener.onConnected(connection);
+        provide(connection, permit);
         return;
       }
       connections.acquire(server, {
@@ -112,8 +129,7 @@
           listener.onConnectFailed(reason);
         },
         onConnected: (opened) => {
-          opened.holdPermit(permit);
-          listener.onConnected(opened);
+          provide(opened, permit);
         },
       });
     });
--- a/packages/serving/src/servers/ServerLimitCoordinator.ts
+++ b/packages/serving/src/servers/ServerLimitCoordinator.ts
@@ -1,22 +1,34 @@
 import type {
   BackendServer,
-  InFlightLease,
+  ColdBudget,
   LimitReport,
   PermitDecision,
+  PermitDemand,
   ServerLimits,
 } from '@laburnumgap/dispatch';
-import { InFlightAccount, RequestAccount } from '@laburnumgap/dispatch';
+import { COLD_PERMIT_VALID_MS, ServerAccounts } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, ServerId, Teardown } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { PermitMessage } from '../peers/PeerMessages.js';
 import { startResponseTimeout } from '../ResponseTimeout.js';
 import type { ServingLog } from '../ServingLog.js';
+import type { ColdPermits } from './ColdPermits.js';
+import { elapsedMs, momentOf } from './Moment.js';
+import type { Permit, PermitListener } from './PermitLeases.js';
+import { PermitLeases } from './PermitLeases.js';
+import type { PermitQuery } from './PermitQueries.js';
+import { PermitQueries } from './PermitQueries.js';
 
 /** Options of {@link ServerLimitCoordinator}. */
 export interface ServerLimitCoordinatorOptions {
   /** Runs a function once after a delay; the returned function cancels it. */
   readonly after?: (delayMs: number, run: () => void) => Teardown;
   readonly clock: MonotonicClock;
+  /** What applies to cold servers; no server is cold by default. */
+  readonly cold?: Pick<
+    ColdPermits,
+    'budgetOf' | 'onDecision' | 'onGivenBack' | 'remainingMs' | 'shareOf'
+  >;
   /** Above the request numbers of earlier starts of this daemon, which others remember; 0 by default. */
   readonly firstRequestNumber?: number;
   /** Whether a daemon lives, as this one hears. */
@@ -26,6 +38,8 @@
   readonly memberId: MemberId;
   /** Number of known daemons, including this one. */
   readonly memberCount: () => number;
+  /** Reads the wall clock; the system's by default. */
+  readonly nowEpochMs?: () => number;
   /** Called with what another daemon knows of a limit. */
   readonly onLimit: (report: LimitReport) => void;
   /** Daemon that keeps the account of a server, as this daemon sees it. */
@@ -36,44 +50,16 @@
   readonly serverOf: (serverId: ServerId) => BackendServer | undefined;
 }
 
-/** A granted request to a brittle server, which counts as in flight until it has ended. */
-export interface Permit {
-  /** Ends the request. Idempotent. */
-  release(): void;
+/** A declined permit, which is not requested again for a while. */
+interface Decline {
+  /** The server was cold; the decline is forgotten when it is warm. */
+  readonly isCold: boolean;
+  readonly untilMs: number;
 }
 
-/** Receives a decision, and the permit of a granted request to a brittle server. */
-export type PermitListener = (decision: PermitDecision, permit?: Permit) => void;
+type PermitRequest = Extract<PermitMessage, { kind: 'permitRequest' }>;
+type PermitResponse = Extract<PermitMessage, { kind: 'permitResponse' }>;
 
-interface PendingRequest {
-  readonly cancelTimer: Teardown;
-  readonly maxWaitMs: number;
-  readonly onDecision: PermitListener;
-  readonly ownerId: MemberId;
-  readonly server: BackendServer;
-}
-
-interface RequestDemand {
-  readonly lease: InFlightLease;
-  readonly maxWaitMs: number;
-  /** Infinite when the server does not limit its requests. */
-  readonly requestsPerS: number;
-  /** Requests that may be in flight; infinite when the server is not brittle. */
-  readonly slots: number;
-}
-
-interface ServerAccount {
-  readonly inFlight: InFlightAccount;
-  readonly requests: RequestAccount;
-  readonly startedEpochMs: number;
-}
-
-/** Time after which the end of a request is told again, as datagrams can be lost. */
-const REPEAT_RELEASE_AFTER_MS = 150;
-/** Time after which an unanswered request is repeated, as datagrams can be lost. */
-const REPEAT_AFTER_MS = 40;
-/** An owner that has not answered by then is dead or unreachable. */
-const OWNER_TIMEOUT_MS = 120;
 /** Time before an owner that did not decide is asked again. */
 const ALONE_MS = 500;
 /** Keeps the requests to one owner to a hundred a second, however many daemons there are. */
@@ -81,30 +67,57 @@
 
 /**
  * Permits requests to servers that limit what they take from all daemons together. Each server has an
- * owner among the daemons, which keeps its account and grants permits. While the owner does not answer,
+ * owner among the daemons, which keeps its accounts and grants permits. While the owner does not answer,
  * a daemon takes an equal part of the limit, so that all daemons together stay within it. Brittle
- * servers get no more requests at once than they run; their owners also count what is in flight.
+ * servers get no more requests at once than they run; their owners also count what is in flight. Cold
+ * servers get no more in any second than their bound, from owners and daemons without one together.
  */
 export class ServerLimitCoordinator {
-  /** Accounts of the servers that this daemon owns. */
-  private readonly accounts = new Map<ServerId, ServerAccount>();
   /** Servers whose owner did not decide, and until when it is not asked again. */
   private readonly aloneUntilMs = new Map<ServerId, number>();
-  private readonly declinedUntilMs = new Map<ServerId, number>();
-  /** Accounts of this daemon's equal part; only while the owner does not decide. */
-  private readonly ownParts = new Map<ServerId, ServerAccount>();
+  private readonly declines = new Map<ServerId, Decline>();
   private lastRequestNumber: number;
-  private readonly pending = new Map<number, PendingRequest>();
-  /** Servers of the permits that other daemons granted and that have not ended, by request number. */
-  private readonly remotePermits = new Map<number, ServerId>();
+  private readonly leases: PermitLeases;
+  private readonly nowEpochMs: () => number;
+  /** Accounts of the servers that this daemon owns. */
+  private readonly owned = new ServerAccounts();
+  /** Accounts of this daemon's equal part; only while the owner does not decide. */
+  private readonly ownParts: ServerAccounts;
+  private readonly queries: PermitQueries;
 
   constructor(private readonly options: ServerLimitCoordinatorOptions) {
-    this.lastRequestNumber = options.firstRequestNumber ?? 0;
+    const { clock, cold, firstRequestNumber = 0, memberId, send } = options;
+    const after = (delayMs: number, run: () => void): Teardown => this.after(delayMs, run);
+    this.lastRequestNumber = firstRequestNumber;
+    this.nowEpochMs = options.nowEpochMs ?? Date.now;
+    // An earlier start of this daemon may have used its part.
+    this.ownParts = new ServerAccounts({ coldStartedMs: clock.nowMs() });
+    this.leases = new PermitLeases({
+      after,
+      clock,
+      memberId,
+      nowEpochMs: this.nowEpochMs,
+      onGivenBack: (server) => cold?.onGivenBack(server),
+      send,
+    });
+    this.queries = new PermitQueries({
+      after,
+      onSilent: (requestNumber, query) => {
+        this.onOwnerSilent(requestNumber, query);
+      },
+      sendRequest: (requestNumber, query) => {
+        this.sendRequest(requestNumber, query);
+      },
+    });
   }
 
   /** Whether a server limits the requests that it takes. */
   isLimited(server: BackendServer): boolean {
-    return this.options.limits.requestsPerS(server) !== undefined || this.isBrittle(server);
+    return (
+      this.options.limits.requestsPerS(server) !== undefined ||
+      this.isBrittle(server) ||
+      this.isCold(server)
+    );
   }
 
   /** Whether a server fails when it has to turn away too many requests. */
@@ -112,6 +125,19 @@
     return this.options.limits.isBrittle(server);
   }
 
+  /** Whether a server is cold and takes fewer requests for that. */
+  isCold(server: BackendServer): boolean {
+    return this.coldBudgetOf(server) !== undefined;
+  }
+
+  /**
+   * Whether a request may be sent now. The server can have become cold since the permit was requested,
+   * and a permit for a cold one is valid for a short time.
+   */
+  mayUse(server: BackendServer, permit: Permit | undefined): boolean {
+    return !this.isCold(server) || permit?.isValidForCold() === true;
+  }
+
   /** Tells the owner of a brittle server that it turned a request away. */
   onRejected(server: BackendServer): void {
     const { clock, log, memberId, ownerOf, send } = this.options;
@@ -119,20 +145,18 @@
     const ownerId = ownerOf(server);
     log.info('brittle-server-rejected', { owner: ownerId, serverId });
     if (ownerId === memberId) {
-      this.recordRejection(server);
+      this.owned.recordRejection(server, clock.nowMs());
     } else {
-      this.ownParts.get(serverId)?.inFlight.recordRejection(clock.nowMs());
+      this.ownParts.recordKnownRejection(serverId, clock.nowMs());
       send({ isRejected: true, kind: 'permitReleased', memberId, serverId }, ownerId);
     }
   }
 
   /** Time until a permit for a server can be requested, after one was declined. */
   availableAfterMs(server: BackendServer): number {
-    const untilMs = this.declinedUntilMs.get(server.serverId);
-    if (untilMs === undefined || !this.isLimited(server)) {
-      return 0;
-    }
-    return Math.max(0, untilMs - this.options.clock.nowMs());
+    const decline = this.declines.get(server.serverId);
+    const isOver = !decline || !this.isLimited(server) || (decline.isCold && !this.isCold(server));
+    return isOver ? 0 : Math.max(0, decline.untilMs - this.options.clock.nowMs());
   }
 
   /**
@@ -156,9 +180,7 @@
     }
     const ownerId = ownerOf(server);
     if (ownerId === memberId && seesMajority()) {
-      const lease = this.nextLease();
-      const decision = this.decideAsOwner(server, maxWaitMs, lease);
-      onDecision(this.applyDecision(serverId, decision, 0), this.permitFor(server, lease));
+      this.decideOwnRequest(server, maxWaitMs, onDecision);
       return;
     }
     const isAlone = clock.nowMs() < (this.aloneUntilMs.get(serverId) ?? -Infinity);
@@ -166,12 +188,19 @@
       this.decideAlone(server, maxWaitMs, onDecision);
       return;
     }
-    this.askOwner(ownerId, server, maxWaitMs, onDecision);
+    this.queries.ask(this.nextRequestNumber(), {
+      asked: momentOf(clock, this.nowEpochMs),
+      isCold: this.isCold(server),
+      maxWaitMs,
+      onDecision,
+      ownerId,
+      server,
+    });
   }
 
   /** Handles a message of another daemon. */
   onMessage(message: PermitMessage): void {
-    const { clock, onLimit } = this.options;
+    const { onLimit } = this.options;
     if (message.kind === 'permitReleased') {
       this.onReleased(message);
       return;
@@ -181,24 +210,9 @@
     }
     if (message.kind === 'permitRequest') {
       this.respond(message);
-      return;
-    }
-    const pending = this.pending.get(message.requestNumber);
-    if (pending?.server.serverId !== message.serverId) {
-      return;
-    }
-    pending.cancelTimer();
-    this.pending.delete(message.requestNumber);
-    const { maxWaitMs, onDecision, server } = pending;
-    if (message.decision.kind === 'notOwner') {
-      this.aloneUntilMs.set(server.serverId, clock.nowMs() + ALONE_MS);
-      this.decideAlone(server, maxWaitMs, onDecision);
-      return;
+    } else {
+      this.onResponse(message);
     }
-    const holdMs = MIN_HOLD_PER_MEMBER_MS * this.options.memberCount();
-    const decision = this.applyDecision(server.serverId, message.decision, holdMs);
-    const { requestNumber } = message;
-    onDecision(decision, this.remotePermitFor(server, pending.ownerId, requestNumber, decision));
   }
 
   /**
@@ -207,12 +221,7 @@
    * @param isKnown - whether a server is registered
    */
   retain(isKnown: (serverId: ServerId) => boolean): void {
-    for (const perServer of [
-      this.accounts,
-      this.aloneUntilMs,
-      this.declinedUntilMs,
-      this.ownParts,
-    ]) {
+    for (const perServer of [this.aloneUntilMs, this.declines]) {
       for (const serverId of perServer.keys()) {
         if (!isKnown(serverId)) {
           perServer.delete(serverId);
@@ -220,117 +229,97 @@
       }
     }
     const { isLive, memberId } = this.options;
-    for (const { inFlight } of this.accounts.values()) {
-      inFlight.retainHolders((holder) => holder === memberId || isLive(toId<MemberId>(holder)));
-    }
+    this.owned.retain(isKnown, (holder) => holder === memberId || isLive(toId<MemberId>(holder)));
+    this.ownParts.retain(isKnown, () => true);
   }
 
   private onReleased({
     isRejected,
+    isUnused,
     memberId,
     requestNumber,
     serverId,
   }: Extract<PermitMessage, { kind: 'permitReleased' }>): void {
     const server = this.options.serverOf(serverId);
     if (isRejected && server) {
-      this.recordRejection(server);
+      this.owned.recordRejection(server, this.options.clock.nowMs());
     }
-    if (requestNumber !== undefined) {
-      this.accounts.get(serverId)?.inFlight.release({ holder: memberId, requestNumber });
+    if (requestNumber === undefined) {
+      return;
+    }
+    const lease = { holder: memberId, requestNumber };
+    this.owned.release(serverId, lease);
+    if (isUnused) {
+      this.owned.giveBack(serverId, lease);
     }
   }
 
-  private recordRejection(server: BackendServer): void {
-    const nowMs = this.options.clock.nowMs();
-    accountOf(this.accounts, server, nowMs).inFlight.recordRejection(nowMs);
-  }
-
-  private heldNumbers(serverId: ServerId): readonly number[] {
-    const held = [...this.remotePermits].filter(([, id]) => id === serverId);
-    const pending = [...this.pending].filter(([, { server }]) => server.serverId === serverId);
-    return [...held, ...pending].map(([requestNumber]) => requestNumber);
-  }
-
-  private nextLease(): InFlightLease {
-    this.lastRequestNumber += 1;
-    return { holder: this.options.memberId, requestNumber: this.lastRequestNumber };
-  }
-
-  /** Permit of a request that this daemon granted itself. */
-  private permitFor(
-    server: BackendServer,
-    lease: InFlightLease,
-    accounts = this.accounts,
-  ): Permit | undefined {
-    return this.isBrittle(server)
-      ? {
-          release: () => {
-            accounts.get(server.serverId)?.inFlight.release(lease);
-          },
-        }
-      : undefined;
-  }
-
-  /** Permit of a request that the owner granted. */
-  private remotePermitFor(
-    server: BackendServer,
-    ownerId: MemberId,
-    requestNumber: number,
-    decision: PermitDecision,
-  ): Permit | undefined {
-    if (decision.kind === 'declined' || !this.isBrittle(server)) {
-      return undefined;
+  private onResponse(message: PermitResponse): void {
+    const { clock, memberCount } = this.options;
+    const { countsCold = false, decision, requestNumber, serverId } = message;
+    const query = this.queries.take(requestNumber, serverId);
+    if (!query) {
+      return;
+    }
+    const { asked, maxWaitMs, onDecision, ownerId, server } = query;
+    if (decision.kind === 'notOwner') {
+      this.beAlone(serverId);
+      this.decideAlone(server, maxWaitMs, onDecision);
+      return;
     }
-    this.remotePermits.set(requestNumber, server.serverId);
-    return {
-      release: () => {
-        if (this.remotePermits.delete(requestNumber)) {
-          this.sendRelease(server.serverId, ownerId, requestNumber);
+    const isCold = this.isCold(server);
+    if (decision.kind === 'granted' && isCold) {
+      const isLate = elapsedMs(asked, momentOf(clock, this.nowEpochMs)) > COLD_PERMIT_VALID_MS;
+      if (isLate || !countsCold) {
+        // Late, of another build, or requested before the server became cold.
+        this.leases.sendRelease(serverId, ownerId, requestNumber, true);
+        if (query.isCold) {
+          this.beAlone(serverId);
         }
-      },
-    };
+        this.requestPermit(server, maxWaitMs, onDecision);
+        return;
+      }
+    }
+    const minHoldMs = isCold ? 0 : MIN_HOLD_PER_MEMBER_MS * memberCount();
+    const applied = this.applyDecision(server, decision, minHoldMs);
+    if (applied.kind === 'declined') {
+      onDecision(applied);
+      return;
+    }
+    const permit = this.leases.remote(ownerId, {
+      asked,
+      isBrittle: this.isBrittle(server),
+      isCold: countsCold,
+      requestNumber,
+      server,
+      waitMs: applied.waitMs,
+    });
+    onDecision(applied, permit);
   }
 
-  private sendRelease(serverId: ServerId, ownerId: MemberId, requestNumber: number): void {
-    const { memberId, send } = this.options;
-    const sendOnce = (): void => {
-      const isRejected = false;
-      send({ isRejected, kind: 'permitReleased', memberId, requestNumber, serverId }, ownerId);
-    };
-    sendOnce();
-    this.after(REPEAT_RELEASE_AFTER_MS, sendOnce);
+  private nextRequestNumber(): number {
+    this.lastRequestNumber += 1;
+    return this.lastRequestNumber;
   }
 
-  private askOwner(
-    ownerId: MemberId,
-    server: BackendServer,
-    maxWaitMs: number,
-    onDecision: PermitListener,
-  ): void {
-    const { requestNumber } = this.nextLease();
-    const request = { maxWaitMs, onDecision, ownerId, server };
-    const cancelTimer = this.after(REPEAT_AFTER_MS, () => {
-      const cancelTimeout = this.after(OWNER_TIMEOUT_MS - REPEAT_AFTER_MS, () => {
-        this.onOwnerSilent(requestNumber);
-      });
-      this.pending.set(requestNumber, { ...request, cancelTimer: cancelTimeout });
-      this.sendRequest(requestNumber, request);
-    });
-    this.pending.set(requestNumber, { ...request, cancelTimer });
-    this.sendRequest(requestNumber, request);
+  private beAlone(serverId: ServerId): void {
+    this.aloneUntilMs.set(serverId, this.options.clock.nowMs() + ALONE_MS);
   }
 
   private sendRequest(
     requestNumber: number,
-    { maxWaitMs, ownerId, server }: Pick<PendingRequest, 'maxWaitMs' | 'ownerId' | 'server'>,
+    { isCold, maxWaitMs, ownerId, server }: PermitQuery,
   ): void {
     const { memberId, send } = this.options;
     const { serverId } = server;
     const limit = this.reportOf(serverId);
-    const heldNumbers = this.isBrittle(server) ? this.heldNumbers(serverId) : undefined;
+    const heldNumbers = this.isBrittle(server)
+      ? [...this.leases.numbersOf(serverId), ...this.queries.numbersOf(serverId)]
+      : undefined;
     send(
       {
         ...(heldNumbers ? { heldNumbers } : {}),
+        ...(isCold ? { isCold } : {}),
         kind: 'permitRequest',
         limit,
         maxWaitMs,
@@ -342,106 +331,182 @@
     );
   }
 
-  private onOwnerSilent(requestNumber: number): void {
-    const pending = this.pending.get(requestNumber);
-    if (!pending) {
-      return;
-    }
-    this.pending.delete(requestNumber);
+  private onOwnerSilent(requestNumber: number, query: PermitQuery): void {
     const { clock, log } = this.options;
-    const { maxWaitMs, onDecision, ownerId, server } = pending;
+    const { isCold, maxWaitMs, onDecision, ownerId, server } = query;
     const { serverId } = server;
-    const nowMs = clock.nowMs();
-    if (nowMs >= (this.aloneUntilMs.get(serverId) ?? -Infinity)) {
-      this.aloneUntilMs.set(serverId, nowMs + ALONE_MS);
+    if (clock.nowMs() >= (this.aloneUntilMs.get(serverId) ?? -Infinity)) {
+      this.beAlone(serverId);
       log.warn('limit-owner-silent', { owner: ownerId, serverId });
     }
-    if (this.isBrittle(server)) {
+    if (this.isBrittle(server) || isCold) {
       // The owner may have granted it, and only its answer was lost.
-      this.sendRelease(serverId, ownerId, requestNumber);
+      this.leases.sendRelease(serverId, ownerId, requestNumber, true);
     }
     this.decideAlone(server, maxWaitMs, onDecision);
   }
 
-  private respond({
-    heldNumbers,
-    maxWaitMs,
-    memberId: requesterId,
-    requestNumber,
-    serverId,
-  }: Extract<PermitMessage, { kind: 'permitRequest' }>): void {
+  private respond(message: PermitRequest): void {
+    const { heldNumbers, maxWaitMs, memberId: requesterId, requestNumber, serverId } = message;
     const { memberId, ownerOf, seesMajority, send, serverOf } = this.options;
     const server = serverOf(serverId);
     const isOwner = server !== undefined && ownerOf(server) === memberId && seesMajority();
     const lease = { holder: requesterId, requestNumber };
     if (heldNumbers) {
-      this.accounts.get(serverId)?.inFlight.retainHeld(lease, heldNumbers);
+      this.owned.retainHeld(serverId, lease, heldNumbers);
     }
-    const decision = isOwner
-      ? this.decideAsOwner(server, maxWaitMs, lease)
-      : ({ kind: 'notOwner' } as const);
     const limit = this.reportOf(serverId);
-    send({ decision, kind: 'permitResponse', limit, requestNumber, serverId }, requesterId);
+    if (!isOwner) {
+      const decision = { kind: 'notOwner' } as const;
+      send({ decision, kind: 'permitResponse', limit, requestNumber, serverId }, requesterId);
+      return;
+    }
+    const budget = this.coldBudgetOf(server, message.isCold);
+    const decision = this.decideAsOwner(server, { lease, maxWaitMs }, budget);
+    const countsCold = budget ? { countsCold: true } : {};
+    send(
+      { ...countsCold, decision, kind: 'permitResponse', limit, requestNumber, serverId },
+      requesterId,
+    );
   }
 
-  private decideAsOwner(
+  /** Decides on a request of this daemon as the owner of the server. */
+  private decideOwnRequest(
     server: BackendServer,
     maxWaitMs: number,
-    lease: InFlightLease,
+    onDecision: PermitListener,
+  ): void {
+    const requestNumber = this.nextRequestNumber();
+    const lease = this.leases.leaseOf(requestNumber);
+    const budget = this.coldBudgetOf(server);
+    const decision = this.decideAsOwner(server, { lease, maxWaitMs }, budget);
+    const applied = this.applyDecision(server, decision, 0);
+    const isCold = budget !== undefined;
+    onDecision(applied, this.ownPermit(this.owned, server, applied, { isCold, requestNumber }));
+  }
+
+  private decideAsOwner(
+    server: BackendServer,
+    request: Pick<PermitDemand, 'lease' | 'maxWaitMs'>,
+    budget: ColdBudget | undefined,
   ): PermitDecision {
-    const { clock, limits } = this.options;
-    const nowMs = clock.nowMs();
-    this.ownParts.delete(server.serverId);
-    if (!this.isLimited(server)) {
+    const { limits } = this.options;
+    this.ownParts.reset(server.serverId);
+    if (!this.isLimited(server) && !budget) {
       return { kind: 'granted', waitMs: 0 };
     }
-    const account = accountOf(this.accounts, server, nowMs);
-    const requestsPerS = limits.requestsPerS(server) ?? Infinity;
-    const slots = this.isBrittle(server) ? server.slots : Infinity;
-    return take(account, { lease, maxWaitMs, requestsPerS, slots }, nowMs);
+    return this.take(this.owned, server, {
+      ...request,
+      coldRequests: budget?.ownerRequests ?? Infinity,
+      requestsPerS: limits.requestsPerS(server) ?? Infinity,
+      slots: this.isBrittle(server) ? server.slots : Infinity,
+    });
   }
 
   /** Takes one request of this daemon's equal part. */
   private decideAlone(server: BackendServer, maxWaitMs: number, onDecision: PermitListener): void {
-    const { clock, limits, memberCount } = this.options;
+    const { clock, cold, limits, memberCount } = this.options;
     if (!this.isLimited(server)) {
       onDecision({ kind: 'granted', waitMs: 0 });
       return;
     }
     const nowMs = clock.nowMs();
+    const { serverId } = server;
     // The account as an owner starts anew when this daemon owns the server again.
-    this.accounts.delete(server.serverId);
-    const account = accountOf(this.ownParts, server, nowMs);
-    const lease = this.nextLease();
-    const requestsPerS = (limits.requestsPerS(server) ?? Infinity) / memberCount();
-    const slots = this.isBrittle(server) ? Math.floor(server.slots / memberCount()) : Infinity;
-    const decision = take(account, { lease, maxWaitMs, requestsPerS, slots }, nowMs);
+    this.owned.reset(serverId);
+    const requestNumber = this.nextRequestNumber();
+    const budget = this.coldBudgetOf(server);
+    const decision = this.take(this.ownParts, server, {
+      coldRequests: budget ? (cold?.shareOf(server, budget) ?? 0) : Infinity,
+      lease: this.leases.leaseOf(requestNumber),
+      maxWaitMs,
+      requestsPerS: (limits.requestsPerS(server) ?? Infinity) / memberCount(),
+      slots: this.isBrittle(server) ? Math.floor(server.slots / memberCount()) : Infinity,
+    });
+    const isCold = budget !== undefined;
     if (decision.kind === 'granted') {
-      onDecision(decision, this.permitFor(server, lease, this.ownParts));
+      onDecision(
+        decision,
+        this.ownPermit(this.ownParts, server, decision, { isCold, requestNumber }),
+      );
       return;
     }
     // The owner may answer again, or another daemon may own the server.
-    const retryAfterMs = Math.min(ALONE_MS, decision.retryAfterMs);
-    this.declinedUntilMs.set(server.serverId, nowMs + retryAfterMs);
+    const retryAfterMs = this.cappedHoldMs(server, Math.min(ALONE_MS, decision.retryAfterMs));
+    this.declines.set(serverId, { isCold, untilMs: nowMs + retryAfterMs });
     onDecision({ kind: 'declined', retryAfterMs });
   }
 
+  private take(
+    accounts: ServerAccounts,
+    server: BackendServer,
+    demand: PermitDemand,
+  ): PermitDecision {
+    const { clock, cold } = this.options;
+    const decision = accounts.take(server, demand, clock.nowMs());
+    if (demand.coldRequests !== Infinity) {
+      cold?.onDecision(server, {
+        decision,
+        holder: demand.lease.holder,
+        maxRequests: demand.coldRequests,
+        source: accounts === this.owned ? 'owner' : 'alone',
+      });
+    }
+    return decision;
+  }
+
+  private ownPermit(
+    accounts: ServerAccounts,
+    server: BackendServer,
+    decision: PermitDecision,
+    { isCold, requestNumber }: { readonly isCold: boolean; readonly requestNumber: number },
+  ): Permit | undefined {
+    if (decision.kind === 'declined') {
+      return undefined;
+    }
+    const asked = momentOf(this.options.clock, this.nowEpochMs);
+    const isBrittle = this.isBrittle(server);
+    const { waitMs } = decision;
+    return this.leases.own(accounts, { asked, isBrittle, isCold, requestNumber, server, waitMs });
+  }
+
   /** Remembers a decision of the server's owner. */
   private applyDecision(
-    serverId: ServerId,
+    server: BackendServer,
     decision: PermitDecision,
     minHoldMs: number,
   ): PermitDecision {
+    const { serverId } = server;
     this.aloneUntilMs.delete(serverId);
-    this.ownParts.delete(serverId);
+    this.ownParts.reset(serverId);
     if (decision.kind === 'granted') {
       return decision;
     }
-    const retryAfterMs = Math.max(minHoldMs, decision.retryAfterMs);
-    this.declinedUntilMs.set(serverId, this.options.clock.nowMs() + retryAfterMs);
+    const retryAfterMs = this.cappedHoldMs(server, Math.max(minHoldMs, decision.retryAfterMs));
+    const untilMs = this.options.clock.nowMs() + retryAfterMs;
+    this.declines.set(serverId, { isCold: this.isCold(server), untilMs });
     return { kind: 'declined', retryAfterMs };
   }
 
+  /** A server that is warm again takes requests at once. */
+  private cappedHoldMs(server: BackendServer, holdMs: number): number {
+    const { cold } = this.options;
+    return cold && this.isCold(server)
+      ? Math.min(holdMs, Math.ceil(cold.remainingMs(server)))
+      : holdMs;
+  }
+
+  /**
+   * Parts of the bound of a cold server.
+   *
+   * @param server - the server
+   * @param isReportedCold - another daemon knows that it is cold
+   * @returns undefined when it is warm, or when cold servers get as many requests as others
+   */
+  private coldBudgetOf(server: BackendServer, isReportedCold = false): ColdBudget | undefined {
+    return this.options.cold?.budgetOf(server, isReportedCold);
+  }
+
   private reportOf(serverId: ServerId): LimitReport | undefined {
     return this.options.limits.reportOf(serverId, this.options.clock.nowMs());
   }
@@ -451,44 +516,3 @@
     return after ? after(delayMs, run) : startResponseTimeout(clock, delayMs, run);
   }
 }
-
-/** Account of a server; a restarted server gets a new one. */
-function accountOf(
-  accounts: Map<ServerId, ServerAccount>,
-  { serverId, startedEpochMs }: BackendServer,
-  nowMs: number,
-): ServerAccount {
-  const known = accounts.get(serverId);
-  if (known?.startedEpochMs === startedEpochMs) {
-    return known;
-  }
-  const account = {
-    inFlight: new InFlightAccount(nowMs),
-    requests: new RequestAccount(nowMs),
-    startedEpochMs,
-  };
-  accounts.set(serverId, account);
-  return account;
-}
-
-/** Takes one request from both accounts of a server, or from none. */
-function take(
-  { inFlight, requests }: ServerAccount,
-  { lease, maxWaitMs, requestsPerS, slots }: RequestDemand,
-  nowMs: number,
-): PermitDecision {
-  if (slots !== Infinity) {
-    const decision = inFlight.take(lease, slots, nowMs);
-    if (decision.kind === 'declined') {
-      return decision;
-    }
-  }
-  if (requestsPerS === Infinity) {
-    return { kind: 'granted', waitMs: 0 };
-  }
-  const decision = requests.take(requestsPerS, maxWaitMs, nowMs);
-  if (decision.kind === 'declined') {
-    inFlight.release(lease);
-  }
-  return decision;
-}
--- a/packages/serving/src/servers/ServerSignals.ts
+++ b/packages/serving/src/servers/ServerSignals.ts
@@ -1,5 +1,6 @@
 import type { BackendServer, ServerLimits, ServerRegistry } from '@laburnumgap/dispatch';
 import type { MonotonicClock } from '@laburnumgap/kernel';
+import { isMisdirected } from './ResponseChecks.js';
 import type { ResponseHead } from './ResponseParser.js';
 import type { ServingLog } from '../ServingLog.js';
 import type { ResponseMetadata, WireProtocol } from '../ServingPorts.js';
@@ -11,6 +12,8 @@
   readonly log: ServingLog;
   /** Called when a server wants no requests of the daemon that its connection comes from. */
   readonly onBackoff: (server: BackendServer, retryAfterMs: number) => void;
+  /** Called with the time for which a server says that it is cold; ignored by default. */
+  readonly onCold?: (server: BackendServer, coldRemainingMs: number) => void;
   readonly onLeaving: (server: BackendServer) => void;
   /** Called when a server begins or ceases to limit its requests. */
   readonly onLimitChanged: () => void;
@@ -20,12 +23,12 @@
   readonly registry: Pick<ServerRegistry, 'backOff' | 'isBackingOff'>;
 }
 
-const MISDIRECTED_STATUS = 421;
 const UNAVAILABLE_STATUS = 503;
 
 /**
  * Evaluates what servers say about themselves in the head of any response: that they are leaving,
- * for how long they want no requests of this daemon, and how many requests they take from all.
+ * for how long they want no requests of this daemon, how many requests they take from all, and for how
+ * long they are cold.
  */
 export class ServerSignals {
   private readonly loggedHeaders = new Set<string>();
@@ -49,13 +52,16 @@
         log.warn('response-header-unreadable', { header, serverId });
       }
     }
-    if (head.status === MISDIRECTED_STATUS) {
+    if (isMisdirected(head)) {
       // Another server has taken the address, and speaks of itself.
       return metadata;
     }
     if (metadata.isLeaving) {
       onLeaving(server);
     }
+    if (metadata.coldRemainingMs !== undefined) {
+      this.options.onCold?.(server, metadata.coldRemainingMs);
+    }
     this.recordLimit(server, metadata);
     if (
       head.status === UNAVAILABLE_STATUS &&
