Date entries by their greatest age, and test permits of cold servers at one daemon

Cause: an entry that was read after a response counted as later, though it can be 1,200 ms old, so that a daemon that had just started did not believe the others' report that a server is cold.

Change: an entry is dated 1,200 ms before it was received, and extends the cold time at once. The declines that are remembered are a file of their own.

--- a/packages/dispatch/src/ColdServers.ts
+++ b/packages/dispatch/src/ColdServers.ts
@@ -63,24 +63,19 @@
    * @returns whether the server is cold now and was not known to be
    */
   record(observation: ColdObservation, nowMs: number): boolean {
-    const { coldUntilMs, observedMs, serverId, startedEpochMs } = observation;
+    const { observedMs, serverId, startedEpochMs } = observation;
     const known = this.observations.get(serverId);
     const isOutdated =
       known !== undefined &&
       (known.startedEpochMs > startedEpochMs ||
         (known.startedEpochMs === startedEpochMs && known.observedMs >= observedMs));
-    if (isOutdated) {
-      return false;
-    }
-    this.observations.set(serverId, observation);
-    const wasCold = known?.startedEpochMs === startedEpochMs && nowMs < known.coldUntilMs;
-    return nowMs < coldUntilMs && !wasCold;
+    return isOutdated ? false : this.replace(observation, nowMs);
   }
 
   /**
-   * Records an entry of the store, also one that another daemon forwarded. It can be older than what is
-   * known: it extends the cold time at once, and shortens only what was observed before it can have been
-   * written. An entry that is received again says nothing new.
+   * Records an entry of the store, also one that another daemon forwarded. It can be as old as one
+   * heartbeat of the server, and is dated so: it extends the cold time at once, but a response that a
+   * daemon got meanwhile wins over it. An entry that is received again says nothing new.
    *
    * @param entry - the entry
    * @param nowMs - monotonic time at which it was received
@@ -101,10 +96,13 @@
     const remainingMs =
       coldRemainingMs ?? remainingSinceStartMs(startedEpochMs, coldStartMs, nowEpochMs);
     const coldUntilMs = nowMs + remainingMs;
-    const shortens = isKnown && coldUntilMs < known.coldUntilMs;
-    const observedMs = shortens ? nowMs - MAX_ENTRY_AGE_MS : nowMs;
-    const observation = { coldUntilMs, isFirstHand: true, observedMs, serverId, startedEpochMs };
-    return this.record(observation, nowMs);
+    const oldestMs = nowMs - MAX_ENTRY_AGE_MS;
+    const observation = { coldUntilMs, isFirstHand: true, serverId, startedEpochMs };
+    if (known?.startedEpochMs === startedEpochMs && coldUntilMs > known.coldUntilMs) {
+      const observedMs = Math.max(oldestMs, known.observedMs);
+      return this.replace({ ...observation, observedMs }, nowMs);
+    }
+    return this.record({ ...observation, observedMs: oldestMs }, nowMs);
   }
 
   /**
@@ -197,6 +195,14 @@
       }
     }
   }
+
+  private replace(observation: ColdObservation, nowMs: number): boolean {
+    const { coldUntilMs, serverId, startedEpochMs } = observation;
+    const known = this.observations.get(serverId);
+    this.observations.set(serverId, observation);
+    const wasCold = known?.startedEpochMs === startedEpochMs && nowMs < known.coldUntilMs;
+    return nowMs < coldUntilMs && !wasCold;
+  }
 }
 
 /** Time for which a server is cold by its start time, where its entry does not say it. */
--- a/packages/dispatch/src/__tests__/unit/ColdServers.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ColdServers.test.ts
@@ -76,6 +76,14 @@
   t.false(servers.isCold(SERVER, 8_001));
 });
 
+test('a report of a response wins over an entry that can be older than the response', (t) => {
+  const servers = new ColdServers();
+  servers.recordEntry(entryOf(1, { coldRemainingMs: 0 }), 5_000);
+  const { serverId, startedEpochMs } = SERVER;
+  t.true(servers.recordReport({ ageMs: 500, remainingMs: 400, serverId, startedEpochMs }, 5_200));
+  t.true(servers.isCold(SERVER, 5_599));
+});
+
 test('a later start wins over an earlier one, and an earlier one changes nothing', (t) => {
   const servers = new ColdServers();
   const restarted = serverOf({ startedEpochMs: EPOCH_MS + 1 });
--- a/packages/serving/src/__tests__/unit/PeerMessages.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerMessages.test.ts
@@ -118,11 +118,22 @@
   [{ ...LIMIT, serverId: '' }],
   [{ ...LIMIT, startedEpochMs: undefined }],
 ];
+const COLD = { ageMs: 5, remainingMs: 700, serverId: 's', startedEpochMs: 1 };
+const MALFORMED_COLD: readonly unknown[] = [
+  'x',
+  [null],
+  [{ ...COLD, ageMs: 'x' }],
+  [{ ...COLD, remainingMs: null }],
+  [{ ...COLD, serverId: '' }],
+  [{ ...COLD, startedEpochMs: undefined }],
+];
 const VALID_MESSAGES: readonly object[] = [
   CHANGES,
   PERMIT_REQUEST,
   { ...PERMIT_REQUEST, limit: { ageMs: 5, serverId: 's', startedEpochMs: 1 } },
+  { ...PERMIT_REQUEST, isCold: true },
   PERMIT_RESPONSE,
+  { ...PERMIT_RESPONSE, countsCold: true },
   { ...PERMIT_RESPONSE, decision: { kind: 'declined', retryAfterMs: 300 } },
   { ...PERMIT_RESPONSE, decision: { kind: 'notOwner' } },
   { failureDomain: 'a', host: 'h', kind: 'configuration', version: 3 },
@@ -191,6 +202,22 @@
   }
 });
 
+test('a heartbeat carries cold servers, may lack them, and is ignored with malformed ones', (t) => {
+  const parse = (heartbeat: object): unknown =>
+    parseDatagram(Buffer.from(JSON.stringify(heartbeat)));
+  t.deepEqual(parse({ ...HEARTBEAT, cold: [COLD] }), { ...HEARTBEAT, cold: [COLD] });
+  for (const cold of MALFORMED_COLD) {
+    t.is(parse({ ...HEARTBEAT, cold }), undefined, JSON.stringify(cold));
+  }
+});
+
+test('the cold servers of a heartbeat fit into two kilobytes', (t) => {
+  // An id of 32 characters is longer than those of the platform; a datagram is sent in few IP fragments.
+  const serverId = 'i'.repeat(32);
+  const report = { ageMs: 1_200, remainingMs: 1_000, serverId, startedEpochMs: 1_700_000_000_000 };
+  t.true(JSON.stringify(Array(16).fill(report)).length < 2_048);
+});
+
 test('a configuration survives its encoding, and other bytes are none', (t) => {
   const configuration = {
     limits: {},
--- a/packages/serving/src/__tests__/unit/ServerAccess.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerAccess.test.ts
@@ -34,6 +34,7 @@
   readonly access: ServerAccess;
   readonly availableAfterMs = new Map<ServerId, number>();
   isLimited = false;
+  mayUse = true;
   /** Names of the connections and refusals that the listener received. */
   readonly outcomes: string[] = [];
   readonly pendingConnections: ConnectionListener[] = [];
@@ -60,7 +61,7 @@
         isBrittle: () => false,
         isCold: () => false,
         isLimited: () => this.isLimited,
-        mayUse: () => true,
+        mayUse: () => this.mayUse,
         requestPermit: (_server, _maxWaitMs, onDecision) => {
           if (this.isLimited) {
             this.pendingPermits.push(onDecision);
@@ -174,3 +175,37 @@
   t.deepEqual(released, ['p2']);
   t.deepEqual(target.outcomes, ['c1', 'refused']);
 });
+
+test('a permit that is not valid any more when a connection opens is given back, and another requested', (t) => {
+  const target = new TestAccess();
+  target.isLimited = true;
+  const released: string[] = [];
+  const permitOf = (name: string): Permit => ({
+    isValidForCold: () => false,
+    release: () => released.push(name),
+    setUsed: () => undefined,
+  });
+  target.acquire();
+  target.pendingPermits.shift()?.({ kind: 'granted', waitMs: 0 }, permitOf('p1'));
+  target.mayUse = false;
+  target.open('c1');
+  t.deepEqual(released, ['p1']);
+  t.deepEqual(target.outcomes, []);
+  target.mayUse = true;
+  target.pendingPermits.shift()?.({ kind: 'granted', waitMs: 0 }, permitOf('p2'));
+  t.deepEqual(target.outcomes, ['c1']);
+  t.deepEqual(released, ['p1']);
+});
+
+test('nothing is sent with a second permit that is not valid any more either', (t) => {
+  const target = new TestAccess();
+  target.isLimited = true;
+  target.mayUse = false;
+  target.acquire();
+  target.pendingPermits.shift()?.({ kind: 'granted', waitMs: 0 });
+  target.open('c1');
+  target.pendingPermits.shift()?.({ kind: 'granted', waitMs: 0 });
+  t.is(target.outcomes.length, 1);
+  t.regex(target.outcomes[0] ?? '', /^limited /);
+  t.deepEqual(target.released, ['c1']);
+});
--- a/packages/serving/src/__tests__/unit/ServerSignals.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerSignals.test.ts
@@ -27,6 +27,7 @@
 
 class TestSignals {
   changeCount = 0;
+  readonly coldMs: number[] = [];
   readonly limits = new ServerLimits();
   readonly loggedEvents: string[] = [];
   private nowMs = 0;
@@ -42,6 +43,7 @@
         warn: (event) => this.loggedEvents.push(event),
       },
       onBackoff: () => undefined,
+      onCold: (_server, coldRemainingMs) => this.coldMs.push(coldRemainingMs),
       onRejected: () => undefined,
       onLeaving: () => undefined,
       onLimitChanged: () => {
@@ -95,3 +97,12 @@
   t.is(target.changeCount, 2);
   t.deepEqual(target.loggedEvents, Array(3).fill('server-limit-changed'));
 });
+
+test('any response of the server says how long it is cold, and one of another server does not', (t) => {
+  const target = new TestSignals();
+  target.evaluate({ coldRemainingMs: 700 });
+  target.evaluate({ coldRemainingMs: 0, isStamped: false }, 503);
+  target.evaluate({});
+  target.evaluate({ coldRemainingMs: 900 }, 421);
+  t.deepEqual(target.coldMs, [700, 0]);
+});
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -40,6 +40,7 @@
 export * from './servers/ResponseParser.js';
 export * from './ResponseTimeout.js';
 export * from './callers/ResumePosition.js';
+export * from './servers/PermitDeclines.js';
 export * from './servers/PermitLeases.js';
 export * from './servers/PermitQueries.js';
 export * from './servers/ServerAccess.js';
--- a/packages/serving/src/servers/ServerLimitCoordinator.ts
+++ b/packages/serving/src/servers/ServerLimitCoordinator.ts
@@ -14,6 +14,7 @@
 import type { ServingLog } from '../ServingLog.js';
 import type { ColdPermits } from './ColdPermits.js';
 import { elapsedMs, momentOf } from './Moment.js';
+import { PermitDeclines } from './PermitDeclines.js';
 import type { Permit, PermitListener } from './PermitLeases.js';
 import { PermitLeases } from './PermitLeases.js';
 import type { PermitQuery } from './PermitQueries.js';
@@ -50,13 +51,6 @@
   readonly serverOf: (serverId: ServerId) => BackendServer | undefined;
 }
 
-/** A declined permit, which is not requested again for a while. */
-interface Decline {
-  /** The server was cold; the decline is forgotten when it is warm. */
-  readonly isCold: boolean;
-  readonly untilMs: number;
-}
-
 type PermitRequest = Extract<PermitMessage, { kind: 'permitRequest' }>;
 type PermitResponse = Extract<PermitMessage, { kind: 'permitResponse' }>;
 
@@ -75,7 +69,7 @@
 export class ServerLimitCoordinator {
   /** Servers whose owner did not decide, and until when it is not asked again. */
   private readonly aloneUntilMs = new Map<ServerId, number>();
-  private readonly declines = new Map<ServerId, Decline>();
+  private readonly declines: PermitDeclines;
   private lastRequestNumber: number;
   private readonly leases: PermitLeases;
   private readonly nowEpochMs: () => number;
@@ -92,6 +86,11 @@
     this.nowEpochMs = options.nowEpochMs ?? Date.now;
     // An earlier start of this daemon may have used its part.
     this.ownParts = new ServerAccounts({ coldStartedMs: clock.nowMs() });
+    this.declines = new PermitDeclines({
+      clock,
+      coldRemainingMs: (server) => (this.isCold(server) ? (cold?.remainingMs(server) ?? 0) : 0),
+      isLimited: (server) => this.isLimited(server),
+    });
     this.leases = new PermitLeases({
       after,
       clock,
@@ -154,9 +153,7 @@
 
   /** Time until a permit for a server can be requested, after one was declined. */
   availableAfterMs(server: BackendServer): number {
-    const decline = this.declines.get(server.serverId);
-    const isOver = !decline || !this.isLimited(server) || (decline.isCold && !this.isCold(server));
-    return isOver ? 0 : Math.max(0, decline.untilMs - this.options.clock.nowMs());
+    return this.declines.availableAfterMs(server);
   }
 
   /**
@@ -221,13 +218,12 @@
    * @param isKnown - whether a server is registered
    */
   retain(isKnown: (serverId: ServerId) => boolean): void {
-    for (const perServer of [this.aloneUntilMs, this.declines]) {
-      for (const serverId of perServer.keys()) {
-        if (!isKnown(serverId)) {
-          perServer.delete(serverId);
-        }
+    for (const serverId of this.aloneUntilMs.keys()) {
+      if (!isKnown(serverId)) {
+        this.aloneUntilMs.delete(serverId);
       }
     }
+    this.declines.retain(isKnown);
     const { isLive, memberId } = this.options;
     this.owned.retain(isKnown, (holder) => holder === memberId || isLive(toId<MemberId>(holder)));
     this.ownParts.retain(isKnown, () => true);
@@ -405,12 +401,11 @@
 
   /** Takes one request of this daemon's equal part. */
   private decideAlone(server: BackendServer, maxWaitMs: number, onDecision: PermitListener): void {
-    const { clock, cold, limits, memberCount } = this.options;
+    const { cold, limits, memberCount } = this.options;
     if (!this.isLimited(server)) {
       onDecision({ kind: 'granted', waitMs: 0 });
       return;
     }
-    const nowMs = clock.nowMs();
     const { serverId } = server;
     // The account as an owner starts anew when this daemon owns the server again.
     this.owned.reset(serverId);
@@ -432,8 +427,7 @@
       return;
     }
     // The owner may answer again, or another daemon may own the server.
-    const retryAfterMs = this.cappedHoldMs(server, Math.min(ALONE_MS, decision.retryAfterMs));
-    this.declines.set(serverId, { isCold, untilMs: nowMs + retryAfterMs });
+    const retryAfterMs = this.declines.add(server, Math.min(ALONE_MS, decision.retryAfterMs));
     onDecision({ kind: 'declined', retryAfterMs });
   }
 
@@ -482,20 +476,11 @@
     if (decision.kind === 'granted') {
       return decision;
     }
-    const retryAfterMs = this.cappedHoldMs(server, Math.max(minHoldMs, decision.retryAfterMs));
-    const untilMs = this.options.clock.nowMs() + retryAfterMs;
-    this.declines.set(serverId, { isCold: this.isCold(server), untilMs });
+    const holdMs = Math.max(minHoldMs, decision.retryAfterMs);
+    const retryAfterMs = this.declines.add(server, holdMs);
     return { kind: 'declined', retryAfterMs };
   }
 
-  /** A server that is warm again takes requests at once. */
-  private cappedHoldMs(server: BackendServer, holdMs: number): number {
-    const { cold } = this.options;
-    return cold && this.isCold(server)
-      ? Math.min(holdMs, Math.ceil(cold.remainingMs(server)))
-      : holdMs;
-  }
-
   /**
    * Parts of the bound of a cold server.
    *
