Report a cold server only when a response said something new

Cause: entries reach all daemons by themselves. When a failure domain comes back, 16 reports in each heartbeat of each daemon would use the links of a large fleet for what every daemon knows.

Change: ColdServers reports what a response said and was not known; entries and responses that say the same are not reported.

--- a/packages/dispatch/src/ColdServers.ts
+++ b/packages/dispatch/src/ColdServers.ts
@@ -6,8 +6,11 @@
 export interface ColdObservation extends ServerIncarnation {
   /** Monotonic time of this process; in the past for a warm server. */
   readonly coldUntilMs: number;
-  /** This daemon read it in an entry or in a response; only such observations are reported to others. */
-  readonly isFirstHand: boolean;
+  /**
+   * This daemon learned it from a response, so that others may not know it. Entries reach all daemons by
+   * themselves.
+   */
+  readonly isReported: boolean;
   /** When the server said it, monotonic time of this process. */
   readonly observedMs: number;
 }
@@ -72,6 +75,27 @@
     return isOutdated ? false : this.replace(observation, nowMs);
   }
 
+  /**
+   * Records what a server said in a response. Is reported to others unless it was known already.
+   *
+   * @param server - the server
+   * @param coldRemainingMs - time for which it is still cold
+   * @param nowMs - monotonic time
+   * @returns whether the server is cold now and was not known to be
+   */
+  recordResponse(
+    { serverId, startedEpochMs }: ServerIncarnation,
+    coldRemainingMs: number,
+    nowMs: number,
+  ): boolean {
+    const coldUntilMs = nowMs + coldRemainingMs;
+    const known = this.observations.get(serverId);
+    const isKnown = this.isSame(known, { coldUntilMs, startedEpochMs }, nowMs);
+    const isReported = isKnown ? known?.isReported === true : true;
+    const observation = { coldUntilMs, isReported, observedMs: nowMs, serverId, startedEpochMs };
+    return this.record(observation, nowMs);
+  }
+
   /**
    * Records an entry of the store, also one that another daemon forwarded. It can be as old as one
    * heartbeat of the server, and is dated so: it extends the cold time at once, but a response that a
@@ -97,7 +121,7 @@
       coldRemainingMs ?? remainingSinceStartMs(startedEpochMs, coldStartMs, nowEpochMs);
     const coldUntilMs = nowMs + remainingMs;
     const oldestMs = nowMs - MAX_ENTRY_AGE_MS;
-    const observation = { coldUntilMs, isFirstHand: true, serverId, startedEpochMs };
+    const observation = { coldUntilMs, isReported: false, serverId, startedEpochMs };
     if (known?.startedEpochMs === startedEpochMs && coldUntilMs > known.coldUntilMs) {
       const observedMs = Math.max(oldestMs, known.observedMs);
       return this.replace({ ...observation, observedMs }, nowMs);
@@ -116,15 +140,11 @@
     const { ageMs, remainingMs, serverId, startedEpochMs } = report;
     const coldUntilMs = nowMs + remainingMs;
     const known = this.observations.get(serverId);
-    if (
-      known?.startedEpochMs === startedEpochMs &&
-      Math.abs(coldUntilMs - known.coldUntilMs) <= SAME_OBSERVATION_MS &&
-      nowMs < known.coldUntilMs
-    ) {
+    if (this.isSame(known, { coldUntilMs, startedEpochMs }, nowMs)) {
       return false;
     }
     const observedMs = nowMs - ageMs;
-    const observation = { coldUntilMs, isFirstHand: false, observedMs, serverId, startedEpochMs };
+    const observation = { coldUntilMs, isReported: false, observedMs, serverId, startedEpochMs };
     return this.record(observation, nowMs);
   }
 
@@ -161,8 +181,8 @@
   }
 
   /**
-   * Reports on servers that are cold now, without those that other daemons reported: forwarded reports
-   * would extend the cold time by the time that they are on their way.
+   * Reports on servers that are cold now as this daemon learned from their responses. Reports are not
+   * forwarded: that would extend the cold time by the time that they are on their way.
    *
    * @param nowMs - monotonic time
    * @param maxCount - the latest observations are reported; all by default
@@ -170,7 +190,7 @@
    */
   reports(nowMs: number, maxCount = Infinity): readonly ColdReport[] {
     return [...this.observations.values()]
-      .filter(({ coldUntilMs, isFirstHand }) => isFirstHand && nowMs < coldUntilMs)
+      .filter(({ coldUntilMs, isReported }) => isReported && nowMs < coldUntilMs)
       .sort((a, b) => b.observedMs - a.observedMs)
       .slice(0, maxCount)
       .map(({ coldUntilMs, observedMs, serverId, startedEpochMs }) => ({
@@ -196,6 +216,19 @@
     }
   }
 
+  /** Whether an observation says of a cold server what is known of it. */
+  private isSame(
+    known: ColdObservation | undefined,
+    other: Pick<ColdObservation, 'coldUntilMs' | 'startedEpochMs'>,
+    nowMs: number,
+  ): boolean {
+    return (
+      known?.startedEpochMs === other.startedEpochMs &&
+      nowMs < known.coldUntilMs &&
+      Math.abs(other.coldUntilMs - known.coldUntilMs) <= SAME_OBSERVATION_MS
+    );
+  }
+
   private replace(observation: ColdObservation, nowMs: number): boolean {
     const { coldUntilMs, serverId, startedEpochMs } = observation;
     const known = this.observations.get(serverId);
--- a/packages/serving/src/servers/ColdPermits.ts
+++ b/packages/serving/src/servers/ColdPermits.ts
@@ -104,11 +104,8 @@
 
   /** Reads the remaining time that a server states in a response. */
   onResponse(server: BackendServer, coldRemainingMs: number): void {
-    const { serverId, startedEpochMs } = server;
-    const observedMs = this.nowMs();
-    const coldUntilMs = observedMs + coldRemainingMs;
-    const observation = { coldUntilMs, isFirstHand: true, observedMs, serverId, startedEpochMs };
-    if (this.servers.record(observation, observedMs) && this.onCold(server, 'response')) {
+    const becameCold = this.servers.recordResponse(server, coldRemainingMs, this.nowMs());
+    if (becameCold && this.onCold(server, 'response')) {
       this.options.onBecameCold();
     }
   }
@@ -132,7 +129,7 @@
     for (const server of servers) {
       const { serverId, service, startedEpochMs } = server;
       const coldUntilMs = observedMs + (this.options.findService(service)?.coldStartMs ?? 0);
-      const observation = { coldUntilMs, isFirstHand: false, observedMs, serverId, startedEpochMs };
+      const observation = { coldUntilMs, isReported: false, observedMs, serverId, startedEpochMs };
       const isExtended = coldUntilMs > observedMs + this.remainingMs(server);
       if (isExtended && this.servers.record(observation, observedMs)) {
         this.onCold(server, 'assumed');
@@ -140,7 +137,7 @@
     }
   }
 
-  /** What this daemon itself read of cold servers, for a heartbeat; empty where it has no effect. */
+  /** Cold servers that other daemons may not know, for a heartbeat; empty where it has no effect. */
   reports(): readonly ColdReport[] {
     return this.servers
       .reports(this.nowMs())
