--- a/packages/serving/src/__tests__/unit/ServerAccessEvacuation.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerAccessEvacuation.test.ts
@@ -31,6 +31,7 @@
   readonly counted: string[] = [];
   readonly evacuated = new Set<string>();
   isBrittle = false;
+  isCold = false;
   readonly outcomes: string[] = [];
   readonly pendingConnections: ConnectionListener[] = [];
   readonly pendingPermits: PermitListener[] = [];
@@ -59,7 +60,9 @@
       permits: {
         availableAfterMs: () => 0,
         isBrittle: () => this.isBrittle,
+        isCold: () => this.isCold,
         isLimited: () => true,
+        mayUse: () => true,
         requestPermit: (_server, _maxWaitMs, onDecision) => this.pendingPermits.push(onDecision),
       },
       registry: this.registry,
@@ -110,13 +113,15 @@
   t.is(target.access.openAgainAfterMs(SERVICE), BACKOFF_MS);
 });
 
-test('no request waits for a brittle server that is evacuated', (t) => {
-  const target = new TestAccess();
-  target.isBrittle = true;
-  t.true(target.access.isBrittle(SERVICE));
-  target.evacuated.add('a').add('b');
-  t.false(target.access.isBrittle(SERVICE));
-});
+for (const kind of ['isBrittle', 'isCold'] as const) {
+  test(`no request waits for an evacuated server where ${kind} is true`, (t) => {
+    const target = new TestAccess();
+    target[kind] = true;
+    t.true(target.access.hasRoomSoon(SERVICE));
+    target.evacuated.add('a').add('b');
+    t.false(target.access.hasRoomSoon(SERVICE));
+  });
+}
 
 test('nothing is asked for or opened to an evacuated server', (t) => {
   const target = new TestAccess();
@@ -130,7 +135,11 @@
 test('a request that waits for a permit when the evacuation becomes known gives it back', (t) => {
   const target = new TestAccess();
   const released: string[] = [];
-  const permit: Permit = { release: () => released.push('permit') };
+  const permit: Permit = {
+    isValidForCold: () => true,
+    release: () => released.push('permit'),
+    setUsed: () => undefined,
+  };
   target.acquire();
   target.evacuated.add('a');
   target.pendingPermits.shift()?.({ kind: 'granted', waitMs: 0 }, permit);
--- a/packages/serving/src/peers/PeerLink.ts
+++ b/packages/serving/src/peers/PeerLink.ts
@@ -1,4 +1,5 @@
 import type {
+  ColdReport,
   EngineLoad,
   EngineShare,
   LimitReport,
@@ -42,6 +43,8 @@
 /** Options of {@link PeerLink}. */
 export interface PeerLinkOptions {
   readonly clock: MonotonicClock;
+  /** Servers that this daemon found to be cold; none by default. */
+  readonly coldServers?: () => readonly ColdReport[];
   /** Evacuated failure domains; not followed where it is absent. */
   readonly evacuations?: Pick<EvacuationCoordinator, 'mergeReports' | 'reports'>;
   readonly failureDomain: FailureDomainId;
@@ -59,6 +62,8 @@
   readonly localShares: () => readonly EngineShare[];
   readonly log: ServingLog;
   readonly memberId: MemberId;
+  /** Called with the servers that a peer found to be cold. */
+  readonly onColdServers?: (reports: readonly ColdReport[]) => void;
   /** Called when this daemon has lagged behind others for too long, with a peer that is ahead. */
   readonly onLagging: (peer: MemberAddress) => void;
   /** Called with the servers that a peer reports as leaving. */
@@ -326,11 +331,13 @@
     load.setOwnShares(shares);
     this.sequence += 1;
     const { isStopping, sequence } = this;
+    const cold = this.options.coldServers?.() ?? [];
     const quarantines = this.options.quarantines();
     const evacuations = this.options.evacuations?.reports() ?? [];
     const speeds = this.options.speeds?.reports('domain') ?? [];
     const heartbeat: PeerHeartbeat = {
       ...this.options.position(),
+      ...(cold.length > 0 ? { cold } : {}),
       ...(evacuations.length > 0 ? { evacuations } : {}),
       failureDomain,
       host,
@@ -449,6 +456,7 @@
     load.recordMemberReport(heartbeat.memberId, heartbeat.shares, nowMs);
     this.options.evacuations?.mergeReports(heartbeat.evacuations ?? [], 'heartbeat');
     this.options.onLeaving(heartbeat.leavingServers);
+    this.options.onColdServers?.(heartbeat.cold ?? []);
     this.options.onLimits(heartbeat.limits ?? []);
     this.options.onQuarantines(heartbeat.quarantines ?? []);
     this.options.speeds?.onReports(
--- a/packages/serving/src/servers/ServerAccess.ts
+++ b/packages/serving/src/servers/ServerAccess.ts
@@ -3,7 +3,8 @@
 import type { BackendConnection } from './BackendConnection.js';
 import type { BackendConnectionPool, ConnectionListener } from './BackendConnectionPool.js';
 import type { AvoidedUse, EvacuationCoordinator } from '../peers/EvacuationCoordinator.js';
-import type { Permit, ServerLimitCoordinator } from './ServerLimitCoordinator.js';
+import type { Permit } from './PermitLeases.js';
+import type { ServerLimitCoordinator } from './ServerLimitCoordinator.js';
 
 /** Options of {@link ServerAccess}. */
 export interface ServerAccessOptions {
@@ -16,7 +17,7 @@
   >;
   readonly permits: Pick<
     ServerLimitCoordinator,
-    'availableAfterMs' | 'isBrittle' | 'isLimited' | 'requestPermit'
+    'availableAfterMs' | 'isBrittle' | 'isCold' | 'isLimited' | 'mayUse' | 'requestPermit'
   >;
   readonly registry: Pick<
     ServerRegistry,
@@ -39,6 +40,9 @@
   onLimited(retryAfterMs: number, denial: AccessDenial): void;
 }
 
+/** A permit that was not valid any more after a second connection is requested again after this. */
+const LAPSED_RETRY_MS = 50;
+
 /**
  * Retry-After when every server of a service is evacuated: the end is not known in advance, and takes
  * effect within about a second.
@@ -47,7 +51,7 @@
 
 /**
  * The one way to a backend server for every request: answers whether a request may go there now, waits
- * for a permit where the server limits its requests, then for a connection.
+ * for a permit where the server limits its requests or is cold, then for a connection.
  */
 export class ServerAccess {
   constructor(private readonly options: ServerAccessOptions) {}
@@ -86,10 +90,11 @@
           listener.onConnectFailed(reason);
         },
         onConnected: (connection) => {
-          if (hadLimit) {
+          if (hadLimit && permits.mayUse(server, permit)) {
             connection.holdPermit(permit);
             listener.onConnected(connection);
           } else {
+            permit?.release();
             this.onConnectedWithoutPermit(server, connection, maxPermitWaitMs, listener);
           }
         },
@@ -97,11 +102,17 @@
     });
   }
 
-  /** Whether the servers of a service fail when they have to turn away too many requests. */
-  isBrittle(service: ServiceId): boolean {
+  /**
+   * Whether requests that no server of a service takes now can expect one soon: a brittle server takes one
+   * as soon as another has ended, and a cold one after a part of a second.
+   */
+  hasRoomSoon(service: ServiceId): boolean {
     const { clock, permits, registry } = this.options;
     const servers = registry.usableServers(service, clock.nowMs());
-    return servers.some((server) => !this.isEvacuated(server) && permits.isBrittle(server));
+    return servers.some(
+      (server) =>
+        !this.isEvacuated(server) && (permits.isBrittle(server) || permits.isCold(server)),
+    );
   }
 
   /** Whether a server's failure domain is evacuated, so that nothing new may go there. */
@@ -201,8 +212,8 @@
   }
 
   /**
-   * The server can have named a limit while the connection was opened, and can close the connection
-   * before the permit arrives.
+   * The server can have named a limit or become cold while the connection was opened, and can close the
+   * connection before the permit arrives.
    */
   private onConnectedWithoutPermit(
     server: BackendServer,
@@ -210,15 +221,24 @@
     maxPermitWaitMs: number,
     listener: ServerAccessListener,
   ): void {
-    const { connections } = this.options;
+    const { connections, permits } = this.options;
     const onLimited = (retryAfterMs: number): void => {
       connections.release(server, connection);
       listener.onLimited(retryAfterMs, 'limited');
     };
+    const provide = (provided: BackendConnection, permit: Permit | undefined): void => {
+      if (permits.mayUse(server, permit)) {
+        provided.holdPermit(permit);
+        listener.onConnected(provided);
+      } else {
+        permit?.release();
+        connections.release(server, provided);
+        listener.onLimited(LAPSED_RETRY_MS, 'limited');
+      }
+    };
     this.awaitPermit(server, maxPermitWaitMs, { onLimited }, (permit) => {
       if (connection.isReusable()) {
-        connection.holdPermit(permit);
-        listener.onConnected(connection);
+        provide(connection, permit);
         return;
       }
       connections.acquire(server, {
@@ -227,8 +247,7 @@
           listener.onConnectFailed(reason);
         },
         onConnected: (opened) => {
-          opened.holdPermit(permit);
-          listener.onConnected(opened);
+          provide(opened, permit);
         },
       });
     });
