Add the budget of bytes that a daemon buffers for slow readers

Cause: a daemon stops reading from a server as soon as its caller does not read, and the server cuts the response off some seconds later. To read on, it needs one bound for all that it buffers.

Change: BufferBudget decides whether a source may be read further, which paused ones go on, and which readers are aborted.

Ruled out: shares by max-min fairness.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,5 +1,6 @@
 export * from './AnnouncementTargets.js';
 export type * from './BackendServer.js';
+export * from './BufferBudget.js';
 export * from './CrashEvidence.js';
 export * from './EngineCapacity.js';
 export * from './EngineLoad.js';
