Fill the budget at a bounded rate, and count what every holder takes beside its bytes

Cause: 80 responses of 8 MB at once filled the budget with those that came first. Those that came later exceeded it, so that a daemon process of 178 MB reached 173 MiB of resident memory and aborted readers.

Change: a holder grows by its part of a sixteenth of the limit in 100 ms. Each holder counts 256 KiB beside its bytes from its first byte on, also while a response is still collected. The bound for aborts counts bytes in the process only and is apart from the limit at which sources are paused.

Ruled out: a smaller share of the memory (three responses of 24 MB would not fit); collecting garbage explicitly, which Node offers only behind a flag.

--- a/packages/dispatch/src/BufferBudget.ts
+++ b/packages/dispatch/src/BufferBudget.ts
@@ -30,8 +30,11 @@
 
 /** State of a {@link BufferBudget}, for logs and metrics. */
 export interface BufferBudgetSummary {
+  /** Readers are aborted when more is buffered. */
+  readonly boundBytes: number;
   /** Bytes that are buffered in the process. */
   readonly heldBytes: number;
+  /** Sources are paused when nearly so much is used. */
   readonly limitBytes: number;
   readonly pausedReaders: number;
   readonly readers: number;
@@ -51,6 +54,9 @@
   readonly kind: BufferHolderKind;
   /** Since when its source is paused; only valid while it is. */
   pausedMs: number;
+  /** Period in which bytes were last reserved, and what the holder had at its start. */
+  period: number;
+  periodStartBytes: number;
   /** When the reader last made real progress, or its first byte was buffered. */
   progressMs: number;
   /** Bytes taken since `progressMs`. */
@@ -58,25 +64,30 @@
 }
 
 /**
- * Largest part of the process's memory for buffered bytes. A loaded process of 178 MB uses up to 99 MB
- * for everything else, so that half of the memory is the most that can be spared.
+ * Largest part of the process's memory up to which sources are read. A loaded process of 178 MB uses up
+ * to 99 MB for everything else, and three responses of 24 MB have to fit.
  */
-const MAX_MEMORY_SHARE = 1 / 2;
-/** Part of the memory that stays free: buffers that are not collected yet, and bursts between checks. */
-const SPARE_MEMORY_SHARE = 1 / 8;
+const MAX_MEMORY_SHARE = 7 / 16;
+/** Largest part of the memory for bytes that are buffered, including those that cannot be refused. */
+const MAX_BOUND_SHARE = 1 / 2;
+/**
+ * Part of the memory that sources are paused to keep free. Resident memory grows by freed buffers that
+ * the allocator keeps: up to a sixth of 178 MB was seen with 80 callers that read nothing.
+ */
+const SPARE_MEMORY_SHARE = 3 / 16;
+/** Part of the memory that readers are aborted to keep free, for bursts between two checks. */
+const MIN_SPARE_MEMORY_SHARE = 1 / 16;
 /** Bytes that can be buffered even when the rest of the process needs more memory than expected. */
 const MIN_MEMORY_SHARE = 1 / 16;
 /** Above this part of the limit, readers that hold more than their fair share are paused. */
 const SCARCE_SHARE = 3 / 4;
-/** Above this part of the limit every reader is paused; the rest is for bytes that cannot be refused. */
-const FULL_SHARE = 7 / 8;
-/** A paused reader goes on below this part of its fair share, so that it does not pause at once. */
-const RESUME_SHARE = 3 / 4;
+/** Above this part of the limit every reader is paused; the rest is for chunks that are on their way. */
+const FULL_SHARE = 15 / 16;
 /**
- * Counted for each reader in addition: the receive buffer of the paused connection (131,072 bytes by
- * default in Linux), the send buffer to the reader, and the chunk that Node reads before it pauses.
+ * Counted for each holder in addition: the receive buffer of its connection (131,072 bytes by default in
+ * Linux), the send buffer to the reader, and chunks that were read and are not collected yet.
  */
-const READER_OVERHEAD_BYTES = 262_144;
+const HOLDER_OVERHEAD_BYTES = 262_144;
 /** Bytes that a reader has to take to count as not stalled; less may be a byte now and then. */
 const PROGRESS_BYTES = 16_384;
 /** Most bytes that are read at once when a paused source is resumed. */
@@ -90,6 +101,13 @@
 const STARVED_MS = 1_500;
 /** Holders whose bytes come from a source that can be paused. The others were received already. */
 const PAUSABLE_KINDS: ReadonlySet<BufferHolderKind> = new Set(['caller', 'tunnel']);
+/**
+ * Part of the limit that is read ahead in a period, so that responses that arrive together share the
+ * room. All of it is read in 1.6 s, well before servers cut off.
+ */
+const PERIOD_SHARE = 1 / 16;
+const PERIOD_MS = 100;
+const NO_PERIOD = -1;
 /** A reader that holds less uses no share of the room: it has at most one chunk. */
 const MIN_SHARED_BYTES = READ_BYTES;
 
@@ -99,21 +117,28 @@
  * connections. Handles a few readers with large responses, many readers that stall at once, and readers
  * that take a byte now and then.
  *
- * While there is room, everything is buffered. When room gets scarce, sources of readers above their
- * fair share are paused, later all. A reader is aborted only if the limit is exceeded nevertheless, or
+ * While there is room, everything is buffered, at a bounded rate. When room gets scarce, sources of readers above their
+ * fair share are paused, later all. A reader is aborted only if the bound is exceeded nevertheless, or
  * if it has been stalled for long while others cannot go on for want of room: the one that has been
  * stalled longest first.
  */
 export class BufferBudget {
+  /** Readers are aborted beyond this. */
+  private boundBytes: number;
   private collectedBytes = 0;
+  /** Holders with bytes, of any kind. */
+  private holderCount = 0;
   private readonly holders = new Map<BufferHolderId, HolderState>();
+  /** Sources are paused near this. */
   private limitBytes: number;
   private pausedCount = 0;
   private readerBytes = 0;
+  /** Holders with bytes that somebody reads. */
   private readerCount = 0;
 
   constructor(private readonly options: BufferBudgetOptions) {
     this.limitBytes = Math.floor(options.memoryBytes * MAX_MEMORY_SHARE);
+    this.boundBytes = Math.floor(options.memoryBytes * MAX_BOUND_SHARE);
   }
 
   /**
@@ -132,8 +157,12 @@
       state.progressMs = nowMs;
       state.takenBytes = 0;
     }
+    if (state.period !== periodOf(nowMs)) {
+      state.period = periodOf(nowMs);
+      state.periodStartBytes = state.heldBytes;
+    }
     this.addBytes(state, bytes);
-    if (!PAUSABLE_KINDS.has(kind) || this.mayRead(state, 1)) {
+    if (!PAUSABLE_KINDS.has(kind) || this.mayRead(state, 0, nowMs)) {
       return 'accepted';
     }
     if (!state.isPaused) {
@@ -177,29 +206,32 @@
   }
 
   /**
-   * Adapts the limit to the memory that the process uses for everything else.
+   * Adapts the bounds to the memory that the process uses for everything else.
    *
    * @param otherBytes - resident memory of the process without buffered bytes
    */
   recordOtherMemory(otherBytes: number): void {
-    const { memoryBytes } = this.options;
-    const roomBytes = memoryBytes * (1 - SPARE_MEMORY_SHARE) - otherBytes;
-    const boundedBytes = Math.min(roomBytes, memoryBytes * MAX_MEMORY_SHARE);
-    this.limitBytes = Math.floor(Math.max(boundedBytes, memoryBytes * MIN_MEMORY_SHARE));
+    this.limitBytes = this.partOfMemory(SPARE_MEMORY_SHARE, MAX_MEMORY_SHARE, otherBytes);
+    this.boundBytes = this.partOfMemory(MIN_SPARE_MEMORY_SHARE, MAX_BOUND_SHARE, otherBytes);
   }
 
   /**
    * Takes the paused holders whose sources may be read again, those that hold least first, and no more
    * than the free room allows. They count as not paused afterwards.
+   *
+   * @param nowMs - monotonic time
    */
-  takeResumable(): readonly BufferHolderId[] {
+  takeResumable(nowMs: number): readonly BufferHolderId[] {
     if (this.pausedCount === 0) {
       return [];
     }
     let roomBytes = Math.max(0, this.limitBytes * FULL_SHARE - this.usedBytes());
     const resumed: BufferHolderId[] = [];
     for (const [holderId, state] of this.pausedByHeldBytes()) {
-      if (state.heldBytes > 0 && (roomBytes < READ_BYTES || !this.mayRead(state, RESUME_SHARE))) {
+      if (
+        state.heldBytes > 0 &&
+        (roomBytes < READ_BYTES || !this.mayRead(state, READ_BYTES, nowMs))
+      ) {
         break;
       }
       roomBytes -= READ_BYTES;
@@ -216,7 +248,7 @@
    * @returns the readers, longest stalled first; usually none
    */
   overdue(nowMs: number): readonly OverdueReader[] {
-    const isExceeded = this.usedBytes() > this.limitBytes;
+    const isExceeded = this.heldBytes() > this.boundBytes;
     if (!isExceeded && !this.isStarving(nowMs)) {
       return [];
     }
@@ -228,12 +260,12 @@
         .map(([holderId, state]) => toOverdue(holderId, state, 'starvation', nowMs));
     }
     const overdue: OverdueReader[] = [];
-    let excessBytes = this.usedBytes() - this.limitBytes;
+    let excessBytes = this.heldBytes() - this.boundBytes;
     for (const [holderId, state] of stalled) {
       if (excessBytes <= 0) {
         break;
       }
-      excessBytes -= state.heldBytes + READER_OVERHEAD_BYTES;
+      excessBytes -= state.heldBytes;
       overdue.push(toOverdue(holderId, state, 'bound', nowMs));
     }
     return overdue;
@@ -246,7 +278,8 @@
 
   summary(): BufferBudgetSummary {
     return {
-      heldBytes: this.collectedBytes + this.readerBytes,
+      boundBytes: this.boundBytes,
+      heldBytes: this.heldBytes(),
       limitBytes: this.limitBytes,
       pausedReaders: this.pausedCount,
       readers: this.readerCount,
@@ -254,20 +287,44 @@
     };
   }
 
+  private partOfMemory(spareShare: number, maxShare: number, otherBytes: number): number {
+    const { memoryBytes } = this.options;
+    const roomBytes = memoryBytes * (1 - spareShare) - otherBytes;
+    const partBytes = Math.min(roomBytes, memoryBytes * maxShare);
+    return Math.floor(Math.max(partBytes, memoryBytes * MIN_MEMORY_SHARE));
+  }
+
   private usedBytes(): number {
-    return this.collectedBytes + this.readerBytes + this.readerCount * READER_OVERHEAD_BYTES;
+    return this.heldBytes() + this.holderCount * HOLDER_OVERHEAD_BYTES;
+  }
+
+  private heldBytes(): number {
+    return this.collectedBytes + this.readerBytes;
   }
 
-  private mayRead({ heldBytes }: HolderState, shareFactor: number): boolean {
+  private mayRead(state: HolderState, nextBytes: number, nowMs: number): boolean {
     const usedBytes = this.usedBytes();
+    if (this.hasUsedPeriod(state, nowMs)) {
+      return false;
+    }
     if (usedBytes <= this.limitBytes * SCARCE_SHARE) {
       return true;
     }
     return (
-      usedBytes <= this.limitBytes * FULL_SHARE && heldBytes <= this.fairShareBytes() * shareFactor
+      usedBytes <= this.limitBytes * FULL_SHARE &&
+      state.heldBytes + nextBytes <= this.fairShareBytes()
     );
   }
 
+  /** Whether a holder has grown by its part of what is read ahead in a period. */
+  private hasUsedPeriod(
+    { heldBytes, period, periodStartBytes }: HolderState,
+    nowMs: number,
+  ): boolean {
+    const growthBytes = (this.limitBytes * PERIOD_SHARE) / Math.max(1, this.readerCount);
+    return period === periodOf(nowMs) && heldBytes - periodStartBytes > growthBytes;
+  }
+
   /**
    * Equal part of the room for each reader that uses one. What the others hold is subtracted, so that
    * streams with a few events do not take a share each.
@@ -275,7 +332,7 @@
   private fairShareBytes(): number {
     let largeCount = 0;
     let roomBytes = this.limitBytes * FULL_SHARE;
-    roomBytes -= this.readerCount * READER_OVERHEAD_BYTES + this.collectedBytes;
+    roomBytes -= this.holderCount * HOLDER_OVERHEAD_BYTES + this.collectedBytes;
     for (const { heldBytes, kind } of this.holders.values()) {
       if (kind !== 'collected' && heldBytes >= MIN_SHARED_BYTES) {
         largeCount += 1;
@@ -322,12 +379,14 @@
   private addBytes(state: HolderState, bytes: number): void {
     const hadBytes = state.heldBytes > 0;
     state.heldBytes += bytes;
+    const countChange = Number(state.heldBytes > 0) - Number(hadBytes);
+    this.holderCount += countChange;
     if (state.kind === 'collected') {
       this.collectedBytes += bytes;
       return;
     }
     this.readerBytes += bytes;
-    this.readerCount += Number(state.heldBytes > 0) - Number(hadBytes);
+    this.readerCount += countChange;
   }
 
   private unpause(state: HolderState): void {
@@ -338,12 +397,18 @@
   }
 }
 
+function periodOf(nowMs: number): number {
+  return Math.floor(nowMs / PERIOD_MS);
+}
+
 function newState(kind: BufferHolderKind, nowMs: number): HolderState {
   return {
     heldBytes: 0,
     isPaused: false,
     kind,
     pausedMs: nowMs,
+    period: NO_PERIOD,
+    periodStartBytes: 0,
     progressMs: nowMs,
     takenBytes: 0,
   };
--- a/packages/dispatch/src/__tests__/unit/BufferBudget.test.ts
+++ b/packages/dispatch/src/__tests__/unit/BufferBudget.test.ts
@@ -8,6 +8,8 @@
 /** Memory limit of the smallest daemon. */
 const MEMORY_BYTES = 178 * MB;
 const CHUNK_BYTES = 65_536;
+/** Time without reading after which servers cut off. */
+const CUT_OFF_MS = 3_000;
 /** Resident memory of a loaded daemon without buffered bytes. */
 const OTHER_BYTES = 65 * MB;
 
@@ -21,39 +23,50 @@
   return budget;
 }
 
-/** Reads responses in turns into the budget until all are read or paused; returns what was read. */
+/**
+ * Reads responses that nobody takes into the budget, in turns and for 3 s, after which servers cut off;
+ * returns what was read.
+ */
 function readInTurns(
   budget: BufferBudget,
   holders: readonly BufferHolder[],
   responseBytes: number,
 ): readonly number[] {
-  const readBytes = holders.map(() => 0);
-  const open = new Set(holders.keys());
-  while (open.size > 0) {
-    for (const index of [...open]) {
-      const holder = holders[index];
-      const bytes = readBytes[index] ?? 0;
-      if (!holder || bytes >= responseBytes) {
-        open.delete(index);
-        continue;
-      }
-      readBytes[index] = bytes + CHUNK_BYTES;
-      if (budget.reserve(holder, CHUNK_BYTES, 0) === 'paused') {
-        open.delete(index);
+  const readBytes = new Map(holders.map(({ holderId }) => [holderId, 0]));
+  const open = new Map(holders.map((holder) => [holder.holderId, holder]));
+  for (let nowMs = -CUT_OFF_MS; nowMs < 0; nowMs += 100) {
+    budget.takeResumable(nowMs).forEach((holderId) => {
+      const holder = holders.find((other) => other.holderId === holderId);
+      open.set(holderId, holder ?? holderOf(holderId));
+    });
+    while (open.size > 0) {
+      for (const [holderId, holder] of [...open]) {
+        const bytes = readBytes.get(holderId) ?? 0;
+        if (bytes >= responseBytes) {
+          open.delete(holderId);
+          continue;
+        }
+        readBytes.set(holderId, bytes + CHUNK_BYTES);
+        if (budget.reserve(holder, CHUNK_BYTES, nowMs) === 'paused') {
+          open.delete(holderId);
+        }
       }
     }
   }
-  return readBytes;
+  return [...readBytes.values()];
 }
 
 function holdersOf(count: number): readonly BufferHolder[] {
   return Array.from({ length: count }, (_, index) => holderOf(index));
 }
 
-/** Fills the budget with readers that hold the same and take nothing. */
+/** Fills the budget with readers that hold the same and have taken something at time 0. */
 function fill(budget: BufferBudget, count: number): readonly BufferHolder[] {
   const holders = holdersOf(count);
   readInTurns(budget, holders, MEMORY_BYTES);
+  holders.forEach(({ holderId }) => {
+    budget.progress(holderId, CHUNK_BYTES, 0);
+  });
   return holders;
 }
 
@@ -81,11 +94,11 @@
 test('readers above their fair share are paused first when room gets scarce', (t) => {
   const budget = budgetOf();
   const [large = holderOf(0), small = holderOf(1)] = holdersOf(2);
-  while (!budget.isScarce()) {
-    t.is(budget.reserve(large, CHUNK_BYTES, 0), 'accepted');
+  for (let nowMs = 0; !budget.isScarce(); nowMs += 100) {
+    budget.reserve(large, 16 * CHUNK_BYTES, nowMs);
   }
-  t.is(budget.reserve(small, CHUNK_BYTES, 0), 'accepted');
-  t.is(budget.reserve(large, 0, 0), 'paused');
+  t.is(budget.reserve(small, CHUNK_BYTES, CUT_OFF_MS), 'accepted');
+  t.is(budget.reserve(large, 0, CUT_OFF_MS), 'paused');
 });
 
 test('a reader that takes everything goes on while the others fill the budget', (t) => {
@@ -93,9 +106,9 @@
   fill(budget, 80);
   const reader = holderOf(100);
   t.is(budget.reserve(reader, CHUNK_BYTES, 0), 'paused');
-  t.deepEqual(budget.takeResumable(), []);
+  t.deepEqual(budget.takeResumable(0), []);
   budget.release(reader.holderId, CHUNK_BYTES);
-  t.deepEqual(budget.takeResumable(), [reader.holderId]);
+  t.deepEqual(budget.takeResumable(0), [reader.holderId]);
 });
 
 test('a reader that disconnects frees its bytes at once, and others go on', (t) => {
@@ -104,7 +117,7 @@
   const { heldBytes } = budget.summary();
   budget.remove(first.holderId);
   t.true(budget.summary().heldBytes <= heldBytes * (3 / 4) + CHUNK_BYTES);
-  t.is(budget.takeResumable().length, others.length);
+  t.is(budget.takeResumable(0).length, others.length);
   budget.release(first.holderId, CHUNK_BYTES);
   t.is(budget.summary().readers, 3, 'a late release counts nothing');
 });
@@ -145,11 +158,11 @@
   budget.progress(holderOf(0).holderId, CHUNK_BYTES, 200);
   budget.progress(holderOf(1).holderId, CHUNK_BYTES, 100);
   budget.progress(holderOf(3).holderId, CHUNK_BYTES, 300);
-  budget.reserve(holderOf(9, 'request'), 14 * MB, 400);
+  budget.reserve(holderOf(9, 'request'), 26 * MB, 400);
   t.deepEqual(overdueIds(budget, 400), [2]);
   budget.remove(holderOf(2).holderId);
   t.deepEqual(overdueIds(budget, 400), []);
-  t.true(budget.summary().usedBytes <= budget.summary().limitBytes);
+  t.true(budget.summary().heldBytes <= budget.summary().boundBytes);
 });
 
 test('readers with little are spared while those with much are left', (t) => {
@@ -158,7 +171,7 @@
   readInTurns(budget, [holderOf(1), holderOf(2)], MEMORY_BYTES);
   budget.progress(holderOf(1).holderId, CHUNK_BYTES, 500);
   budget.progress(holderOf(2).holderId, CHUNK_BYTES, 400);
-  budget.reserve(holderOf(9, 'request'), 14 * MB, 600);
+  budget.reserve(holderOf(9, 'request'), 26 * MB, 600);
   t.deepEqual(overdueIds(budget, 600), [2]);
 });
 
@@ -175,7 +188,7 @@
     budget.recordOtherMemory(otherMb * MB);
     return Math.round(budget.summary().limitBytes / MB);
   };
-  t.deepEqual([10, 65, 100, 140, 300].map(limitAt), [89, 89, 56, 16, 11]);
+  t.deepEqual([10, 65, 100, 140, 300].map(limitAt), [78, 78, 45, 11, 11]);
 });
 
 test('counts stay exact, and what is left after aborts fits, whatever happens', (t) => {
@@ -208,12 +221,12 @@
           budget.remove(overdue.holderId);
           held.set(overdue.holderId, 0);
         }
-        budget.takeResumable();
-        const { heldBytes, limitBytes, pausedReaders, usedBytes } = budget.summary();
+        budget.takeResumable(0);
+        const { boundBytes, heldBytes, pausedReaders } = budget.summary();
         const sum = [...held.values()].reduce((total, part) => total + part, 0);
         const mayPause = [...held.values()].filter((part) => part > 0).length;
-        if (heldBytes !== sum || usedBytes > limitBytes || pausedReaders > mayPause) {
-          throw new Error(`held ${heldBytes} of ${sum}, used ${usedBytes} of ${limitBytes}`);
+        if (heldBytes !== sum || heldBytes > boundBytes || pausedReaders > mayPause) {
+          throw new Error(`held ${heldBytes} of ${sum}, bound ${boundBytes}`);
         }
       });
     }),
