Read on from servers while callers, servers and other daemons read slowly

Cause: a daemon paused the server's connection as soon as its caller did not read, and the server cut the response off 3 s later: three of three responses of 24 MB broke off.

HeldOutput takes what a caller, a server or another daemon does not read at once; CallerExchange, BackendConnection and TunnelServer write through it. Responses that are collected for a retry are counted too, and passed on earlier while room is scarce. An aborted caller is reset, which also drops what the system holds for it, and its server's connection is closed. On only where the settings expect slow readers and name the memory; otherwise nothing changes.

Ruled out: leaving the bytes in the streams of Node, whose number cannot be bounded over all connections and whose memory is freed late.

--- a/packages/serving/src/GrowableBuffer.ts
+++ b/packages/serving/src/GrowableBuffer.ts
@@ -1,3 +1,9 @@
+/** Counts bytes of memory. */
+export interface ByteCounter {
+  release(bytes: number): void;
+  reserve(bytes: number): unknown;
+}
+
 const INITIAL_BYTES = 1_024;
 
 /**
@@ -8,6 +14,11 @@
   private buffer = Buffer.alloc(0);
   private usedBytes = 0;
 
+  /**
+   * @param counter - counts the memory that the buffer takes; nothing counts it by default
+   */
+  constructor(private readonly counter?: ByteCounter) {}
+
   get length(): number {
     return this.usedBytes;
   }
@@ -19,6 +30,7 @@
         Math.max(INITIAL_BYTES, neededBytes, 2 * this.buffer.length),
       );
       this.buffer.copy(grown, 0, 0, this.usedBytes);
+      this.counter?.reserve(grown.length - this.buffer.length);
       this.buffer = grown;
     }
     chunk.copy(this.buffer, this.usedBytes);
@@ -33,6 +45,7 @@
   /** Returns all bytes and begins anew. */
   take(): Buffer {
     const bytes = this.buffer.subarray(0, this.usedBytes);
+    this.counter?.release(this.buffer.length);
     this.buffer = Buffer.alloc(0);
     this.usedBytes = 0;
     return bytes;
--- a/packages/serving/src/ServingConstants.ts
+++ b/packages/serving/src/ServingConstants.ts
@@ -18,6 +18,10 @@
  * possible; larger ones are streamed to the caller.
  */
 export const MAX_BUFFERED_RESPONSE_BYTES = 262_144;
+/**
+ * The same while the room for slow readers is scarce: responses of usual size can still be repeated.
+ */
+export const MAX_SCARCE_RESPONSE_BYTES = 16_384;
 /** Longest response that is forwarded; a larger one is broken off. */
 export const MAX_FORWARDED_RESPONSE_BYTES = 268_435_456;
 /** Longest single event of a stream, which is kept until it is complete. */
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -30,6 +30,8 @@
   ServiceId,
 } from '@laburnumgap/kernel';
 import type { AdmittedCall, RoutedCall } from './callers/AdmittedCall.js';
+import { openReaderBuffers } from './buffers/ReaderBuffers.js';
+import type { ReaderBuffers } from './buffers/ReaderBuffers.js';
 import { BackendConnectionPool } from './servers/BackendConnectionPool.js';
 import { CallsInFlight } from './callers/CallsInFlight.js';
 import { ClusterSync } from './peers/ClusterSync.js';
@@ -170,6 +172,8 @@
   private readonly permits: ServerLimitCoordinator;
   private readonly quarantine = new Quarantine();
   private readonly quarantineCoordinator: QuarantineCoordinator;
+  /** Undefined where callers and servers are expected to read fast. */
+  private readonly readerBuffers: ReaderBuffers | undefined;
   private readonly readyServer;
   private readonly registry: ServerRegistry;
   private readonly retryBudget: RetryBudget;
@@ -180,6 +184,11 @@
 
   constructor(private readonly options: ServingDaemonOptions) {
     const { clock, directory, incarnation, log, protocol, randomUnit, settings } = options;
+    this.readerBuffers = openReaderBuffers(settings, {
+      clock,
+      log,
+      metrics: options.metrics ?? NO_SERVING_METRICS,
+    });
     this.retryBudget = new RetryBudget({
       maxBalance: INITIAL_SAVED_RETRIES,
       retriesPerFirstAttempt: settings.retryRatio * RETRY_BUDGET_SHARE,
@@ -208,8 +217,9 @@
       servers: () => this.stayingServers(),
       tunnelPeers: () => this.cluster.peers.table.tunnelPeers(),
     });
-    this.connections = new BackendConnectionPool(clock, this.dialer);
+    this.connections = new BackendConnectionPool(clock, this.dialer, this.readerBuffers);
     this.tunnels = new TunnelServer({
+      buffers: this.readerBuffers,
       clock,
       host: settings.peers.host,
       isDraining: () => this.isDraining,
@@ -416,6 +426,7 @@
       (server) => this.engineLimitsOf(server),
     );
     this.front = new ServingFront({
+      buffers: this.readerBuffers,
       clock,
       hasDomainSuccessor: () => this.cluster.peers.table.hasDomainSuccessor(),
       protocol,
@@ -626,7 +637,10 @@
 
   /** Requests of callers, and connections of other daemons. */
   private openWork(): number {
-    return this.generationRuns.size + this.openPlainCalls + this.tunnels.openCount();
+    const heldResponses = this.readerBuffers?.heldCount() ?? 0;
+    return (
+      this.generationRuns.size + this.openPlainCalls + this.tunnels.openCount() + heldResponses
+    );
   }
 
   private stayingServers(): readonly BackendServer[] {
@@ -708,6 +722,7 @@
     this.connections.closeExpired();
     this.watchPaths();
     this.streamMover.moveStalledStreams();
+    this.readerBuffers?.onTick();
     for (const { leaving, server } of this.registry.all()) {
       if (leaving && this.engineLimitsOf(server)) {
         this.streamMover.moveStreamsFrom(server.serverId);
--- a/packages/serving/src/callers/CallerExchange.ts
+++ b/packages/serving/src/callers/CallerExchange.ts
@@ -1,10 +1,17 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Refusal } from '@laburnumgap/kernel';
+import type { CollectedResponse } from '../buffers/CollectedResponse.js';
+import { CountedResponse, UncountedResponse } from '../buffers/CollectedResponse.js';
+import type { PausableSource } from '../buffers/HeldOutput.js';
+import { HeldOutput } from '../buffers/HeldOutput.js';
+import type { BufferAccount, ReaderBuffers } from '../buffers/ReaderBuffers.js';
 import type { ResponseHead } from '../servers/ResponseParser.js';
 import type { WireProtocol } from '../ServingPorts.js';
 
 /** Options of {@link CallerExchange}. */
 export interface CallerExchangeOptions {
+  /** Buffers for callers that read slowly; without them, the source is paused instead. */
+  readonly buffers?: ReaderBuffers;
   /** Whether the connection closes after this response. */
   readonly closesConnection: () => boolean;
   readonly protocol: Pick<WireProtocol, 'forwardedResponseHeaders' | 'refusalResponse'>;
@@ -15,21 +22,30 @@
 /** How an exchange ended. */
 export type ExchangeOutcome = 'aborted' | 'answered' | 'disconnected' | 'refused';
 
-/** Source of a response body that can be paused. */
-export interface BackpressureSource {
-  pause(): void;
-  resume(): void;
-}
+/** Why a caller does not get the rest of its response. */
+export type CallerDeparture = 'caller-left' | 'reader-aborted';
+
+/** A complete response up to this size is handed to the system at once, which buffers as much. */
+const MAX_UNCOUNTED_BYTES = 16_384;
 
 /** A caller's request and its single response. Calls after the end have no effect. */
 export class CallerExchange {
   private readonly disconnectListeners: (() => void)[] = [];
+  private collected: CollectedResponse | undefined;
+  private counter: BufferAccount | undefined;
+  private departedAs: CallerDeparture = 'caller-left';
   private endOutcome: ExchangeOutcome | undefined;
+  private readonly output: HeldOutput | undefined;
+  private requestId: string | undefined;
 
   constructor(private readonly options: CallerExchangeOptions) {
-    const { response } = options;
+    const { buffers, response } = options;
+    this.output = buffers && this.createOutput(buffers);
     response.sendDate = false;
     response.on('close', () => {
+      this.output?.close();
+      this.collected?.discard();
+      this.counter?.close();
       if (!response.writableFinished && this.endOutcome !== 'aborted') {
         this.endOutcome = 'disconnected';
       }
@@ -46,6 +62,38 @@
     return this.endOutcome;
   }
 
+  /** Sets the id of the request, for the log. */
+  identify(requestId: string): void {
+    this.requestId = requestId;
+  }
+
+  /** Why the caller does not get the rest of its response, after it disconnected or was aborted. */
+  departure(): CallerDeparture {
+    return this.departedAs;
+  }
+
+  /** Whether a response should be passed on rather than collected, since room for it is scarce. */
+  isRoomScarce(): boolean {
+    return this.options.buffers?.isScarce() ?? false;
+  }
+
+  /** Collects a response before it is passed on. What was collected of an earlier one is dropped. */
+  collect(): CollectedResponse {
+    const { buffers } = this.options;
+    this.collected?.discard();
+    this.collected = buffers
+      ? new CountedResponse(buffers, () => this.requestId)
+      : new UncountedResponse();
+    return this.collected;
+  }
+
+  /** Counts bytes that are collected outside of the buffers. A counter before it ends. */
+  countCollected(): BufferAccount | undefined {
+    this.counter?.close();
+    this.counter = this.options.buffers?.open({ kind: 'collected', label: () => this.requestId });
+    return this.counter;
+  }
+
   /** Whether the response head was sent. */
   hasStarted(): boolean {
     return this.options.response.headersSent;
@@ -71,11 +119,19 @@
    * Forwards a part of the body.
    *
    * @param chunk - bytes of the body
-   * @param source - paused while the caller reads more slowly than the source delivers
+   * @param source - paused while the caller reads more slowly than the source delivers, and no buffer
+   *   has room
    */
-  forward(chunk: Buffer, source: BackpressureSource | undefined): void {
+  forward(chunk: Buffer, source: PausableSource | undefined): void {
     const { response } = this.options;
-    if (this.endOutcome || response.write(chunk)) {
+    if (this.endOutcome) {
+      return;
+    }
+    if (this.output) {
+      this.output.write(chunk, source);
+      return;
+    }
+    if (response.write(chunk)) {
       return;
     }
     source?.pause();
@@ -84,13 +140,31 @@
     });
   }
 
+  /** Forwards what was collected of a body; see {@link forward}. */
+  forwardCollected(collected: CollectedResponse, source: PausableSource | undefined): void {
+    if (this.output && !this.endOutcome) {
+      collected.moveTo(this.output);
+    } else {
+      this.forward(collected.take(), source);
+    }
+  }
+
   /** Completes the response. */
   finish(chunk?: Buffer): void {
     if (this.endOutcome) {
       return;
     }
     this.endOutcome = 'answered';
-    this.options.response.end(chunk);
+    const { output } = this;
+    const isSmall = (chunk?.length ?? 0) <= MAX_UNCOUNTED_BYTES;
+    if (!output || (isSmall && !output.hasPending())) {
+      this.options.response.end(chunk);
+      return;
+    }
+    if (chunk) {
+      output.write(chunk);
+    }
+    output.end();
   }
 
   /** Closes the connection, so that the caller does not take a partial response for complete. */
@@ -124,6 +198,21 @@
     response.end(body);
   }
 
+  private createOutput(buffers: ReaderBuffers): HeldOutput {
+    const { request, response } = this.options;
+    return new HeldOutput({
+      buffers,
+      kind: 'caller',
+      label: () => this.requestId,
+      onOverdue: () => {
+        this.departedAs = 'reader-aborted';
+        // A reset also drops what the system still holds, and cannot look like the end of a response.
+        request.socket.resetAndDestroy();
+      },
+      sink: response,
+    });
+  }
+
   private disableKeepAliveIfClosing(): void {
     if (this.options.closesConnection()) {
       this.options.response.shouldKeepAlive = false;
--- a/packages/serving/src/callers/EventSplitter.ts
+++ b/packages/serving/src/callers/EventSplitter.ts
@@ -1,3 +1,4 @@
+import type { ByteCounter } from '../GrowableBuffer.js';
 import { GrowableBuffer } from '../GrowableBuffer.js';
 
 const LINE_FEED = 0x0a;
@@ -17,7 +18,14 @@
  * that a stream that breaks within an event can continue at another engine with that event.
  */
 export class EventSplitter {
-  private readonly partialEvent = new GrowableBuffer();
+  private readonly partialEvent: GrowableBuffer;
+
+  /**
+   * @param counter - counts the memory of an incomplete event; nothing counts it by default
+   */
+  constructor(counter?: ByteCounter) {
+    this.partialEvent = new GrowableBuffer(counter);
+  }
 
   /** Number of bytes received of an incomplete event. */
   pendingBytes(): number {
--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -336,13 +336,14 @@
   private startAttempt(server: BackendServer, continuation: Continuation | undefined): void {
     const { clock, publishLoad, cachedPrefixes } = this.context;
     const nowMs = clock.nowMs();
+    const counter = this.admitted.exchange.countCollected();
     const attempt: EngineAttempt = {
-      errorBody: new GrowableBuffer(),
+      errorBody: new GrowableBuffer(counter),
       isContinuation: continuation !== undefined,
       progress: new AttemptProgress(clock, this.admitted.pass),
       sentMs: nowMs,
       server,
-      splitter: new EventSplitter(),
+      splitter: new EventSplitter(counter),
       streamBytes: 0,
     };
     this.attempt = attempt;
@@ -668,7 +669,7 @@
       return;
     }
     this.abortAttempt();
-    this.finish('caller-left');
+    this.finish(this.admitted.exchange.departure());
   }
 
   private abortAttempt(): void {
--- a/packages/serving/src/callers/PlainCallRun.ts
+++ b/packages/serving/src/callers/PlainCallRun.ts
@@ -8,9 +8,9 @@
 import { connectToServer, recordOutcome, sendAttempt } from '../servers/BackendAttempt.js';
 import type { BackendConnection } from '../servers/BackendConnection.js';
 import { untilFinalResponseMs } from './CallDeadlines.js';
+import type { CollectedResponse } from '../buffers/CollectedResponse.js';
 import type { CallsInFlight } from './CallsInFlight.js';
 import { urgencyOf } from './GenerationTargets.js';
-import { GrowableBuffer } from '../GrowableBuffer.js';
 import { impliesNotExecuted, isFromServer, isNotExecuted } from '../servers/ResponseChecks.js';
 import type { ResponseHead } from '../servers/ResponseParser.js';
 import {
@@ -18,6 +18,7 @@
   MAX_BUFFERED_RESPONSE_BYTES,
   MAX_FORWARDED_RESPONSE_BYTES,
   MAX_REFUSED_SENDS,
+  MAX_SCARCE_RESPONSE_BYTES,
 } from '../ServingConstants.js';
 import type { ServingContext } from '../ServingContext.js';
 import type { ResponseMetadata } from '../ServingPorts.js';
@@ -31,7 +32,7 @@
 
 /** One try of the call at one server, with the response body that is not forwarded yet. */
 interface Attempt extends BackendAttempt {
-  readonly buffered: GrowableBuffer;
+  readonly buffered: CollectedResponse;
   isForwarding: boolean;
   readonly number: number;
   receivedBytes: number;
@@ -176,7 +177,7 @@
     this.hold(false);
     this.attemptCount += 1;
     const attempt: Attempt = {
-      buffered: new GrowableBuffer(),
+      buffered: this.admitted.exchange.collect(),
       isForwarding: false,
       number: this.attemptCount,
       progress: new AttemptProgress(clock, this.admitted.pass),
@@ -223,7 +224,7 @@
       return;
     }
     attempt.buffered.append(chunk);
-    if (attempt.receivedBytes <= MAX_BUFFERED_RESPONSE_BYTES) {
+    if (attempt.receivedBytes <= this.maxCollectedBytes(attempt)) {
       return;
     }
     if (!attempt.head || !this.canForward(attempt)) {
@@ -233,7 +234,14 @@
     attempt.isForwarding = true;
     clearTimeout(this.attemptTimer);
     exchange.start(attempt.head);
-    exchange.forward(attempt.buffered.take(), attempt.connection);
+    exchange.forwardCollected(attempt.buffered, attempt.connection);
+  }
+
+  /** Where room is scarce, a response is passed on early rather than collected for a retry. */
+  private maxCollectedBytes(attempt: Attempt): number {
+    return this.admitted.exchange.isRoomScarce() && this.canForward(attempt)
+      ? MAX_SCARCE_RESPONSE_BYTES
+      : MAX_BUFFERED_RESPONSE_BYTES;
   }
 
   /** A response that cannot be passed on exceeds what is read of it. */
@@ -398,7 +406,7 @@
       return;
     }
     const { attempt } = this;
-    this.finish('caller-left', attempt);
+    this.finish(this.admitted.exchange.departure(), attempt);
     if (attempt) {
       attempt.connection?.abort();
       this.detach(attempt, 'gone');
--- a/packages/serving/src/callers/ServingFront.ts
+++ b/packages/serving/src/callers/ServingFront.ts
@@ -5,6 +5,7 @@
 import type { MonotonicClock } from '@laburnumgap/kernel';
 import { refusal } from '@laburnumgap/kernel';
 import type { RoutedCall } from './AdmittedCall.js';
+import type { ReaderBuffers } from '../buffers/ReaderBuffers.js';
 import { CallerExchange } from './CallerExchange.js';
 import { toHeaderPairs } from '../HeaderLists.js';
 import { DRAINING_RETRY_AFTER_MS, STARTING_RETRY_AFTER_MS } from '../ServingConstants.js';
@@ -13,6 +14,8 @@
 
 /** Options of {@link ServingFront}. */
 export interface ServingFrontOptions {
+  /** Buffers for callers that read slowly. */
+  readonly buffers?: ReaderBuffers;
   readonly clock: MonotonicClock;
   /** Whether another daemon of this failure domain accepts new connections. */
   readonly hasDomainSuccessor: () => boolean;
@@ -111,9 +114,10 @@
   }
 
   private onRequest(request: IncomingMessage, response: ServerResponse): void {
-    const { clock, protocol } = this.options;
+    const { buffers, clock, protocol } = this.options;
     const arrivedMs = clock.nowMs();
     const exchange = new CallerExchange({
+      buffers,
       closesConnection: () => this.drainDeadlines !== undefined,
       protocol,
       request,
@@ -128,6 +132,7 @@
       exchange.refuse(refusal('MALFORMED_REQUEST', parsed.error));
       return;
     }
+    exchange.identify(parsed.value.requestId);
     if (this.exceedsHeaderLimit(request)) {
       exchange.refuse(refusal('REQUEST_TOO_LARGE', 'the headers exceed the size limit'));
       return;
--- a/packages/serving/src/servers/BackendConnection.ts
+++ b/packages/serving/src/servers/BackendConnection.ts
@@ -1,5 +1,7 @@
 import type { Socket } from 'node:net';
-import type { MemberId, MonotonicClock } from '@laburnumgap/kernel';
+import type { MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
+import { HeldOutput } from '../buffers/HeldOutput.js';
+import type { ReaderBuffers } from '../buffers/ReaderBuffers.js';
 import { probeReset } from './ResetProbe.js';
 import { ResponseOverhead } from './ResponseOverhead.js';
 import type { ResponseHead } from './ResponseParser.js';
@@ -29,15 +31,22 @@
 
 /** Options of {@link BackendConnection}. */
 export interface BackendConnectionOptions {
+  /** Counts request bodies that the server takes slowly; not counted without. */
+  readonly buffers?: ReaderBuffers;
   readonly clock: MonotonicClock;
   /** The connection is closed and cannot be used any more. */
   readonly onClosed: (connection: BackendConnection) => void;
+  /** Server at the other end, for the log. */
+  readonly serverId?: ServerId;
   /** Open connection to the server. */
   readonly socket: Socket;
   /** Daemon that passes the connection on; undefined for a direct connection. */
   readonly via?: MemberId;
 }
 
+/** Smaller bodies fit into the send buffer of a connection, so that they do not wait in the process. */
+const MAX_UNCOUNTED_BYTES = 16_384;
+
 /**
  * Connection to a backend server that carries one request at a time. Data that arrives without an
  * open request closes it, so that a late or surplus response never reaches another caller.
@@ -51,6 +60,8 @@
   private hasResponseHead = false;
   private isClosed = false;
   private listener: ResponseListener | undefined;
+  /** Body of the open request that the server has not taken yet. */
+  private body: HeldOutput | undefined;
   private permit: Permit | undefined;
   private overhead = new ResponseOverhead();
   private readonly parser: ResponseParser;
@@ -99,12 +110,35 @@
     this.hasResponseHead = false;
     this.overhead = new ResponseOverhead();
     const head = encodeRequestHead(request);
+    const { buffers } = this.options;
+    if (buffers && request.body && request.body.length > MAX_UNCOUNTED_BYTES) {
+      this.sendCounted(head, request.body, buffers);
+      return;
+    }
     this.socket.write(
       request.body ? Buffer.concat([Buffer.from(head, 'latin1'), request.body]) : head,
       'latin1',
     );
   }
 
+  /** Sends a body in parts, so that it is seen how far the server has taken it. */
+  private sendCounted(head: string, body: Buffer, buffers: ReaderBuffers): void {
+    this.body?.close();
+    this.body = new HeldOutput({
+      buffers,
+      kind: 'request',
+      label: () => this.options.serverId,
+      onOverdue: () => {
+        this.fail('the server does not take the request body');
+      },
+      sink: this.socket,
+    });
+    this.socket.cork();
+    this.socket.write(head, 'latin1');
+    this.body.writeShared(body);
+    this.socket.uncork();
+  }
+
   /** When the request was sent whose response is not complete yet; undefined without one. */
   waitingSinceMs(): number | undefined {
     return this.listener ? this.sentMs : undefined;
@@ -172,7 +206,7 @@
     }
     this.listener = undefined;
     this.hasResponseHead = false;
-    this.canReuse &&= this.socket.writableLength === 0;
+    this.canReuse &&= this.socket.writableLength === 0 && this.body?.hasPending() !== true;
     this.releasePermit();
     listener.onEnd();
   }
@@ -222,6 +256,7 @@
     this.canReuse = false;
     this.releasePermit();
     this.socket.destroy();
+    this.body?.close();
     this.options.onClosed(this);
   }
 }
--- a/packages/serving/src/servers/BackendConnectionPool.ts
+++ b/packages/serving/src/servers/BackendConnectionPool.ts
@@ -1,5 +1,6 @@
 import type { BackendServer } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
+import type { ReaderBuffers } from '../buffers/ReaderBuffers.js';
 import { BackendConnection } from './BackendConnection.js';
 import type { DialedSocket, DialListener } from './ServerDial.js';
 import type { ServerDialer } from './ServerDialer.js';
@@ -20,6 +21,7 @@
   constructor(
     private readonly clock: MonotonicClock,
     private readonly dialer: Pick<ServerDialer, 'dial'>,
+    private readonly buffers?: ReaderBuffers,
   ) {}
 
   /** Provides an idle connection, or opens a new one. */
@@ -128,6 +130,7 @@
   private add(server: BackendServer, { socket, via }: DialedSocket): BackendConnection {
     const { serverId } = server;
     const connection = new BackendConnection({
+      buffers: this.buffers,
       clock: this.clock,
       onClosed: (closed) => {
         this.removeIdle(serverId, closed);
@@ -137,6 +140,7 @@
           this.openConnections.delete(serverId);
         }
       },
+      serverId,
       socket,
       via,
     });
--- a/packages/serving/src/servers/TunnelServer.ts
+++ b/packages/serving/src/servers/TunnelServer.ts
@@ -4,6 +4,8 @@
 import type { BackendServer, ServerRegistry, TunnelFailure } from '@laburnumgap/dispatch';
 import type { MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
+import { HeldOutput } from '../buffers/HeldOutput.js';
+import type { ReaderBuffers } from '../buffers/ReaderBuffers.js';
 import { probeReset } from './ResetProbe.js';
 import { startResponseTimeout } from '../ResponseTimeout.js';
 import type { ServingLog } from '../ServingLog.js';
@@ -13,6 +15,8 @@
 
 /** Options of {@link TunnelServer}. */
 export interface TunnelServerOptions {
+  /** Buffers for ends that read slowly; without them, the other end is paused instead. */
+  readonly buffers?: ReaderBuffers;
   readonly clock: MonotonicClock;
   readonly host: string;
   /** Whether this daemon shuts down. */
@@ -149,16 +153,19 @@
     });
     server.once('close', () => {
       cancelTimeout();
-      this.tunnels.delete(tunnel);
+      if (!isOpen || client.destroyed) {
+        this.tunnels.delete(tunnel);
+      }
     });
     client.once('close', () => {
       server.destroy();
+      this.tunnels.delete(tunnel);
     });
     server.once('connect', () => {
       cancelTimeout();
       isOpen = true;
       client.write('HTTP/1.1 200 OK\r\n\r\n');
-      passOn(client, server);
+      passOn(tunnel, this.options.buffers);
       log.info('tunnel-opened', { host: clientHost, serverId, tunnels: this.tunnels.size });
     });
   }
@@ -173,9 +180,17 @@
  * Passes data on in both directions. The end of the server's data reaches the client as an end only if
  * it was one: a response can end with its connection, and one that was reset must not look complete.
  */
-function passOn(client: Socket, server: Socket): void {
-  pipeWithBackpressure(client, server);
-  pipeWithBackpressure(server, client);
+function passOn({ client, server, serverId }: Tunnel, buffers: ReaderBuffers | undefined): void {
+  const abort = (): void => {
+    client.resetAndDestroy();
+    server.destroy();
+  };
+  const pipe = (from: Socket, to: Socket): (() => void) =>
+    buffers
+      ? pipeThroughBuffers(from, to, { abort, buffers, serverId })
+      : pipeWithBackpressure(from, to);
+  pipe(client, server);
+  const endClient = pipe(server, client);
   client.on('end', () => {
     // Daemons never close one direction only.
     client.destroy();
@@ -187,7 +202,7 @@
       if (wasReset) {
         client.resetAndDestroy();
       } else {
-        client.end();
+        endClient();
       }
     });
   });
@@ -201,7 +216,8 @@
   });
 }
 
-function pipeWithBackpressure(from: Socket, to: Socket): void {
+/** Returns a function that ends the target when it has all data. */
+function pipeWithBackpressure(from: Socket, to: Socket): () => void {
   from.on('data', (chunk) => {
     if (!to.write(chunk)) {
       from.pause();
@@ -210,4 +226,31 @@
       });
     }
   });
+  return () => {
+    to.end();
+  };
+}
+
+/** Reads on while the target is slow and there is room; returns a function as above. */
+function pipeThroughBuffers(
+  from: Socket,
+  to: Socket,
+  { abort, buffers, serverId }: { abort: () => void; buffers: ReaderBuffers; serverId: ServerId },
+): () => void {
+  const output = new HeldOutput({
+    buffers,
+    kind: 'tunnel',
+    label: () => serverId,
+    onOverdue: abort,
+    sink: to,
+  });
+  from.on('data', (chunk) => {
+    output.write(chunk, from);
+  });
+  to.on('close', () => {
+    output.close();
+  });
+  return () => {
+    output.end();
+  };
 }
