Keep streams with a few events from taking shares, and count no silence while a source is paused

Cause: every holder counted 256 KiB beside its bytes and had a part of what is read ahead, so that 300 streams with one slab each left 2 MB in 3 s for a large response (unit test). After 80 stalled callers, freed buffers that the allocator keeps lowered the limit, and three responses of 24 MB did not fit once. A stream whose engine was paused by the budget would have counted as silent and been moved.

Change: what is counted beside the bytes is at most four times the bytes. The part of a period is divided among readers that hold a chunk or more, and all together grow by no more than the whole of it. An eighth of the memory is kept free, not three sixteenths. A paused source does not make an engine silent. Nothing is counted for a caller whose connection has closed.

--- a/packages/dispatch/src/BufferBudget.ts
+++ b/packages/dispatch/src/BufferBudget.ts
@@ -74,7 +74,7 @@
  * Part of the memory that sources are paused to keep free. Resident memory grows by freed buffers that
  * the allocator keeps: up to a sixth of 178 MB was seen with 80 callers that read nothing.
  */
-const SPARE_MEMORY_SHARE = 3 / 16;
+const SPARE_MEMORY_SHARE = 1 / 8;
 /** Part of the memory that readers are aborted to keep free, for bursts between two checks. */
 const MIN_SPARE_MEMORY_SHARE = 1 / 16;
 /** Bytes that can be buffered even when the rest of the process needs more memory than expected. */
@@ -84,10 +84,12 @@
 /** Above this part of the limit every reader is paused; the rest is for chunks that are on their way. */
 const FULL_SHARE = 15 / 16;
 /**
- * Counted for each holder in addition: the receive buffer of its connection (131,072 bytes by default in
- * Linux), the send buffer to the reader, and chunks that were read and are not collected yet.
+ * Most that is counted for a holder in addition: the receive buffer of its connection (131,072 bytes by
+ * default in Linux), the send buffer to the reader, and chunks that were read and are not collected yet.
  */
-const HOLDER_OVERHEAD_BYTES = 262_144;
+const MAX_OVERHEAD_BYTES = 262_144;
+/** The same for a holder of few bytes, such as a stream of small events, as a multiple of its bytes. */
+const OVERHEAD_FACTOR = 4;
 /** Bytes that a reader has to take to count as not stalled; less may be a byte now and then. */
 const PROGRESS_BYTES = 16_384;
 /** Most bytes that are read at once when a paused source is resumed. */
@@ -117,24 +119,29 @@
  * connections. Handles a few readers with large responses, many readers that stall at once, and readers
  * that take a byte now and then.
  *
- * While there is room, everything is buffered, at a bounded rate. When room gets scarce, sources of readers above their
- * fair share are paused, later all. A reader is aborted only if the bound is exceeded nevertheless, or
- * if it has been stalled for long while others cannot go on for want of room: the one that has been
- * stalled longest first.
+ * While there is room, everything is buffered, at a bounded rate. When room gets scarce, sources of
+ * readers above their fair share are paused, later all. A reader is aborted only if the bound is
+ * exceeded nevertheless, or if it has been stalled for long while others cannot go on for want of room:
+ * the one that has been stalled longest first.
  */
 export class BufferBudget {
   /** Readers are aborted beyond this. */
   private boundBytes: number;
   private collectedBytes = 0;
-  /** Holders with bytes, of any kind. */
-  private holderCount = 0;
   private readonly holders = new Map<BufferHolderId, HolderState>();
   /** Sources are paused near this. */
   private limitBytes: number;
+  /** What all holders take beside their bytes. */
+  private overheadBytes = 0;
   private pausedCount = 0;
+  private period = NO_PERIOD;
+  /** Bytes of readers at the start of the period. */
+  private periodStartBytes = 0;
   private readerBytes = 0;
   /** Holders with bytes that somebody reads. */
   private readerCount = 0;
+  /** Readers that hold so much that each has a share of the room. */
+  private sharingCount = 0;
 
   constructor(private readonly options: BufferBudgetOptions) {
     this.limitBytes = Math.floor(options.memoryBytes * MAX_MEMORY_SHARE);
@@ -157,10 +164,7 @@
       state.progressMs = nowMs;
       state.takenBytes = 0;
     }
-    if (state.period !== periodOf(nowMs)) {
-      state.period = periodOf(nowMs);
-      state.periodStartBytes = state.heldBytes;
-    }
+    this.startPeriod(state, periodOf(nowMs));
     this.addBytes(state, bytes);
     if (!PAUSABLE_KINDS.has(kind) || this.mayRead(state, 0, nowMs)) {
       return 'accepted';
@@ -287,6 +291,17 @@
     };
   }
 
+  private startPeriod(state: HolderState, period: number): void {
+    if (this.period !== period) {
+      this.period = period;
+      this.periodStartBytes = this.readerBytes;
+    }
+    if (state.period !== period) {
+      state.period = period;
+      state.periodStartBytes = state.heldBytes;
+    }
+  }
+
   private partOfMemory(spareShare: number, maxShare: number, otherBytes: number): number {
     const { memoryBytes } = this.options;
     const roomBytes = memoryBytes * (1 - spareShare) - otherBytes;
@@ -295,7 +310,7 @@
   }
 
   private usedBytes(): number {
-    return this.heldBytes() + this.holderCount * HOLDER_OVERHEAD_BYTES;
+    return this.heldBytes() + this.overheadBytes;
   }
 
   private heldBytes(): number {
@@ -316,13 +331,20 @@
     );
   }
 
-  /** Whether a holder has grown by its part of what is read ahead in a period. */
+  /** Whether a holder has grown by its part of what is read ahead in a period, or all together have. */
   private hasUsedPeriod(
     { heldBytes, period, periodStartBytes }: HolderState,
     nowMs: number,
   ): boolean {
-    const growthBytes = (this.limitBytes * PERIOD_SHARE) / Math.max(1, this.readerCount);
-    return period === periodOf(nowMs) && heldBytes - periodStartBytes > growthBytes;
+    const growthBytes = heldBytes - periodStartBytes;
+    if (period !== periodOf(nowMs) || growthBytes <= 0) {
+      return false;
+    }
+    const maxBytes = this.limitBytes * PERIOD_SHARE;
+    return (
+      growthBytes > maxBytes / Math.max(1, this.sharingCount) ||
+      this.readerBytes - this.periodStartBytes > maxBytes
+    );
   }
 
   /**
@@ -330,17 +352,14 @@
    * streams with a few events do not take a share each.
    */
   private fairShareBytes(): number {
-    let largeCount = 0;
     let roomBytes = this.limitBytes * FULL_SHARE;
-    roomBytes -= this.holderCount * HOLDER_OVERHEAD_BYTES + this.collectedBytes;
+    roomBytes -= this.overheadBytes + this.collectedBytes;
     for (const { heldBytes, kind } of this.holders.values()) {
-      if (kind !== 'collected' && heldBytes >= MIN_SHARED_BYTES) {
-        largeCount += 1;
-      } else if (kind !== 'collected') {
+      if (kind !== 'collected' && heldBytes < MIN_SHARED_BYTES) {
         roomBytes -= heldBytes;
       }
     }
-    return Math.max(MIN_SHARED_BYTES, roomBytes / Math.max(1, largeCount));
+    return Math.max(MIN_SHARED_BYTES, roomBytes / Math.max(1, this.sharingCount));
   }
 
   /** Whether a source is paused for so long that its server may cut it off, for a reader that reads. */
@@ -378,15 +397,17 @@
 
   private addBytes(state: HolderState, bytes: number): void {
     const hadBytes = state.heldBytes > 0;
+    const hadShare = state.heldBytes >= MIN_SHARED_BYTES;
+    this.overheadBytes -= overheadOf(state);
     state.heldBytes += bytes;
-    const countChange = Number(state.heldBytes > 0) - Number(hadBytes);
-    this.holderCount += countChange;
+    this.overheadBytes += overheadOf(state);
     if (state.kind === 'collected') {
       this.collectedBytes += bytes;
       return;
     }
     this.readerBytes += bytes;
-    this.readerCount += countChange;
+    this.readerCount += Number(state.heldBytes > 0) - Number(hadBytes);
+    this.sharingCount += Number(state.heldBytes >= MIN_SHARED_BYTES) - Number(hadShare);
   }
 
   private unpause(state: HolderState): void {
@@ -397,6 +418,10 @@
   }
 }
 
+function overheadOf({ heldBytes }: HolderState): number {
+  return Math.min(MAX_OVERHEAD_BYTES, heldBytes * OVERHEAD_FACTOR);
+}
+
 function periodOf(nowMs: number): number {
   return Math.floor(nowMs / PERIOD_MS);
 }
--- a/packages/serving/src/buffers/HeldOutput.ts
+++ b/packages/serving/src/buffers/HeldOutput.ts
@@ -40,10 +40,10 @@
 export class HeldOutput {
   private readonly account: BufferAccount;
   private hasEnded = false;
+  private hasPausedSource = false;
   private inFlightBytes = 0;
   private readonly inFlightSlabs = new Set<Slab>();
   private isClosed = false;
-  private isSourcePaused = false;
   private readonly queue: SlabQueue;
   private source: PausableSource | undefined;
 
@@ -65,6 +65,11 @@
     return !this.isClosed && (this.inFlightBytes > 0 || !this.queue.isEmpty());
   }
 
+  /** Whether the source is paused at this time. */
+  isSourcePaused(): boolean {
+    return this.hasPausedSource;
+  }
+
   /**
    * Writes a chunk; copies it if it has to wait.
    *
@@ -88,7 +93,7 @@
       this.sendParts();
     }
     if (verdict === 'paused' && source) {
-      this.isSourcePaused = true;
+      this.hasPausedSource = true;
       source.pause();
     }
   }
@@ -186,8 +191,8 @@
   }
 
   private resumeSource(): void {
-    if (this.isSourcePaused) {
-      this.isSourcePaused = false;
+    if (this.hasPausedSource) {
+      this.hasPausedSource = false;
       this.source?.resume();
     }
   }
--- a/packages/serving/src/callers/CallerExchange.ts
+++ b/packages/serving/src/callers/CallerExchange.ts
@@ -72,6 +72,11 @@
     return this.departedAs;
   }
 
+  /** Whether the source of the response is paused, since the caller is slow and no buffer has room. */
+  isSourcePaused(): boolean {
+    return this.output?.isSourcePaused() ?? false;
+  }
+
   /** Whether a response should be passed on rather than collected, since room for it is scarce. */
   isRoomScarce(): boolean {
     return this.options.buffers?.isScarce() ?? false;
@@ -79,7 +84,7 @@
 
   /** Collects a response before it is passed on. What was collected of an earlier one is dropped. */
   collect(): CollectedResponse {
-    const { buffers } = this.options;
+    const buffers = this.openBuffers();
     this.collected?.discard();
     this.collected = buffers
       ? new CountedResponse(buffers, () => this.requestId)
@@ -90,7 +95,10 @@
   /** Counts bytes that are collected outside of the buffers. A counter before it ends. */
   countCollected(): BufferAccount | undefined {
     this.counter?.close();
-    this.counter = this.options.buffers?.open({ kind: 'collected', label: () => this.requestId });
+    this.counter = this.openBuffers()?.open({
+      kind: 'collected',
+      label: () => this.requestId,
+    });
     return this.counter;
   }
 
@@ -198,6 +206,12 @@
     response.end(body);
   }
 
+  /** Nothing frees what is counted after the connection closed. */
+  private openBuffers(): ReaderBuffers | undefined {
+    const { buffers, response } = this.options;
+    return response.closed ? undefined : buffers;
+  }
+
   private createOutput(buffers: ReaderBuffers): HeldOutput {
     const { request, response } = this.options;
     return new HeldOutput({
--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -185,12 +185,21 @@
       isQuarantined: this.admitted.pass.refusal() !== undefined,
       requestId: this.admitted.request.requestId,
       server: attempt.server,
-      sinceLastEventMs: this.context.clock.nowMs() - this.lastEventAtMs,
+      sinceLastEventMs: this.silenceMs(),
       usedTokens: prompt.promptTokens + producedTokens,
       via: attempt.connection?.via,
     };
   }
 
+  /** Time since the last event; an engine is not silent while its events are not read. */
+  private silenceMs(): number {
+    const nowMs = this.context.clock.nowMs();
+    if (this.admitted.exchange.isSourcePaused()) {
+      this.lastEventAtMs = nowMs;
+    }
+    return nowMs - this.lastEventAtMs;
+  }
+
   /** Engine that the run was sent to, also before its first event; undefined when there is none. */
   serverId(): ServerId | undefined {
     return this.attempt?.server.serverId;
