--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -30,6 +30,8 @@
   ServiceId,
 } from '@laburnumgap/kernel';
 import type { AdmittedCall, RoutedCall } from './callers/AdmittedCall.js';
+import { openReaderBuffers } from './buffers/ReaderBuffers.js';
+import type { ReaderBuffers } from './buffers/ReaderBuffers.js';
 import { BackendConnectionPool } from './servers/BackendConnectionPool.js';
 import { CallsInFlight } from './callers/CallsInFlight.js';
 import { ClusterSync } from './peers/ClusterSync.js';
@@ -176,6 +178,8 @@
   private readonly permits: ServerLimitCoordinator;
   private readonly quarantine = new Quarantine();
   private readonly quarantineCoordinator: QuarantineCoordinator;
+  /** Undefined where callers and servers are expected to read fast. */
+  private readonly readerBuffers: ReaderBuffers | undefined;
   private readonly readyServer;
   private readonly registry: ServerRegistry;
   private readonly retryBudget: RetryBudget;
@@ -186,6 +190,11 @@
 
   constructor(private readonly options: ServingDaemonOptions) {
     const { clock, directory, incarnation, log, protocol, randomUnit, settings } = options;
+    this.readerBuffers = openReaderBuffers(settings, {
+      clock,
+      log,
+      metrics: options.metrics ?? NO_SERVING_METRICS,
+    });
     this.retryBudget = new RetryBudget({
       maxBalance: INITIAL_SAVED_RETRIES,
       retriesPerFirstAttempt: settings.retryRatio * RETRY_BUDGET_SHARE,
@@ -228,12 +237,13 @@
       servers: () => this.reachedServers(),
       tunnelPeers: () => this.cluster.peers.table.tunnelPeers(),
     });
-    this.connections = new BackendConnectionPool(clock, this.dialer);
+    this.connections = new BackendConnectionPool(clock, this.dialer, this.readerBuffers);
     const evacuations =
       settings.evacuationBoundMs === undefined
         ? undefined
         : new EvacuationCoordinator({ clock, log, metrics: options.metrics });
     this.tunnels = new TunnelServer({
+      buffers: this.readerBuffers,
       clock,
       host: settings.peers.host,
       isEvacuated: (server) => this.context.serverAccess.avoidsEvacuated(server, 'tunnel'),
@@ -468,6 +478,7 @@
       (server) => this.engineLimitsOf(server),
     );
     this.front = new ServingFront({
+      buffers: this.readerBuffers,
       clock,
       hasDomainSuccessor: () => this.cluster.peers.table.hasDomainSuccessor(),
       protocol,
@@ -679,7 +690,10 @@
 
   /** Requests of callers, and connections of other daemons. */
   private openWork(): number {
-    return this.generationRuns.size + this.openPlainCalls + this.tunnels.openCount();
+    const heldResponses = this.readerBuffers?.heldCount() ?? 0;
+    return (
+      this.generationRuns.size + this.openPlainCalls + this.tunnels.openCount() + heldResponses
+    );
   }
 
   /** Servers that requests may go to; the paths to others say nothing of this daemon. */
@@ -772,6 +786,7 @@
     this.connections.closeExpired();
     this.watchPaths();
     this.streamMover.moveStalledStreams();
+    this.readerBuffers?.onTick();
     for (const { leaving, server } of this.registry.all()) {
       if (leaving && this.engineLimitsOf(server)) {
         this.streamMover.moveStreamsFrom(server.serverId);
--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -198,12 +198,21 @@
       isQuarantined: this.admitted.pass.refusal() !== undefined,
       requestId: this.admitted.request.requestId,
       server: attempt.server,
-      sinceLastEventMs: this.context.clock.nowMs() - this.lastEventAtMs,
+      sinceLastEventMs: this.silenceMs(),
       usedTokens: prompt.promptTokens + producedTokens,
       via: attempt.connection?.via,
     };
   }
 
+  /** Time since the last event; an engine is not silent while its events are not read. */
+  private silenceMs(): number {
+    const nowMs = this.context.clock.nowMs();
+    if (this.admitted.exchange.isSourcePaused()) {
+      this.lastEventAtMs = nowMs;
+    }
+    return nowMs - this.lastEventAtMs;
+  }
+
   /** Engine that the run was sent to, also before its first event; undefined when there is none. */
   serverId(): ServerId | undefined {
     return this.attempt?.server.serverId;
@@ -352,15 +361,16 @@
   private startAttempt(server: BackendServer, continuation: Continuation | undefined): void {
     const { clock, publishLoad, cachedPrefixes, engineSpeeds } = this.context;
     const nowMs = clock.nowMs();
+    const counter = this.admitted.exchange.countCollected();
     const attempt: EngineAttempt = {
-      errorBody: new GrowableBuffer(),
+      errorBody: new GrowableBuffer(counter),
       hasEvents: false,
       isContinuation: continuation !== undefined,
       progress: new AttemptProgress(clock, this.admitted.pass),
       sent: continuation ? undefined : engineSpeeds.noteSent(server, this.prompt),
       sentMs: nowMs,
       server,
-      splitter: new EventSplitter(),
+      splitter: new EventSplitter(counter),
       streamBytes: 0,
     };
     this.attempt = attempt;
@@ -695,7 +705,7 @@
       return;
     }
     this.abortAttempt();
-    this.finish('caller-left');
+    this.finish(this.admitted.exchange.departure());
   }
 
   private abortAttempt(): void {
