Put the target of the first event before late events, and reserve for faster growth

Cause: in the replay some first events came late: requests went to queues that just missed the target to spare other streams, and fast engines ran out of memory since their streams grow faster than the reserve assumes.

Change: a late first event costs three times a late later event; the queue counts as risk from 0.35 of the time left. Faster engines reserve more growth, also in the request to the owner. Short outputs pay more for engines where long streams are safe.

--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -56,6 +56,8 @@
   readonly costMs: number;
   /** Its slots and KV cache are expected to suffice for this generation and all that run there. */
   readonly fits: boolean;
+  /** Tokens of the KV cache that are planned for the generation there. */
+  readonly plannedTokens: number;
   /** Weighed prefill time that the cached prefix saves; absent where prefixes are not weighed. */
   readonly prefixSavedMs?: number;
   readonly server: BackendServer;
@@ -125,7 +127,8 @@
   const otherDomainCostMs = input.otherDomainCostMs ?? DEFAULT_OTHER_DOMAIN_COST_MS;
   const unreadTokens = hasKvCache ? 0 : Math.max(0, prompt.promptTokens - cachedTokens);
   const { promptTokens } = prompt;
-  const plannedTokens = promptTokens + reservedOutputTokens(prompt, 0);
+  const extraTokens = scorer?.extraGrowthTokens(serverId, totals.runs) ?? 0;
+  const plannedTokens = promptTokens + reservedOutputTokens(prompt, 0) + extraTokens;
   const request = { plannedTokens, promptTokens };
   const { fits, isBlocked, overrunTokens } = remainingCapacity(totals, request, engine);
   const speed = scorer?.speedOf(serverId) ?? input.speedOf?.(serverId);
@@ -150,7 +153,16 @@
     (score?.lossMs ?? 0);
   const byLearnedSpeed = score && speed && { bySpeed: { loss: score.loss, speed } };
   const byPrefix = prefixSavedMs !== undefined && { prefixSavedMs };
-  return { ...byLearnedSpeed, ...byPrefix, costMs, fits, server, totals, unreadTokens };
+  return {
+    ...byLearnedSpeed,
+    ...byPrefix,
+    costMs,
+    fits,
+    plannedTokens,
+    server,
+    totals,
+    unreadTokens,
+  };
 }
 
 /** Prefill time that the cached prefix of a prompt saves at an engine. */
--- a/packages/dispatch/src/PlannedOutput.ts
+++ b/packages/dispatch/src/PlannedOutput.ts
@@ -1,7 +1,7 @@
 import type { PromptShape } from './PromptShape.js';
 
 /** Output of one run in two seconds; on a full engine another run usually ends in that time. */
-const RESERVED_GROWTH_TOKENS = 200;
+export const RESERVED_GROWTH_TOKENS = 200;
 /** Output lengths have a long tail: their mean is above the median that callers state. */
 const MEAN_TO_MEDIAN_RATIO = 1.3;
 /** An output that exceeds its estimate is expected to reach this multiple of its length so far. */
--- a/packages/dispatch/src/UnevenScorer.ts
+++ b/packages/dispatch/src/UnevenScorer.ts
@@ -5,6 +5,7 @@
 import { atRuns } from './EngineSpeeds.js';
 import { lateEventProbability, prefillRisk, streamRisk } from './LateEventRisk.js';
 import { expectedRemainingEvents, isLongStream } from './LongStreams.js';
+import { RESERVED_GROWTH_TOKENS } from './PlannedOutput.js';
 import type { PromptShape } from './PromptShape.js';
 import type { EngineLimits } from './ServingConfiguration.js';
 import type { SlowPeriodPattern } from './SlowPeriods.js';
@@ -57,24 +58,28 @@
   readonly runsMs: number;
 }
 
-/** Cost of one stream that is late, the same as of a run that waits for another to end. */
-const LATE_STREAM_COST_MS = 4_000;
+/** Cost of one stream that gets a late event: twice that of a run that waits for another to end. */
+const LATE_EVENT_COST_MS = 8_000;
+/** The target of the first event goes first: a request is not sent to miss it to spare other streams. */
+const LATE_FIRST_EVENT_COST_MS = 24_000;
 /** Cost of one more run at an engine of usual speed, as for even engines. */
 const COST_PER_RUN_MS = 25;
-/** Up to this part of the time left, the first event is on time in spite of what is not known. */
-const SAFE_TARGET_FRACTION = 0.6;
-/** From this part on it is late. */
-const LATE_TARGET_FRACTION = 1.2;
+/** Up to this part of the time left, the first event is on time though the queue is known with delay. */
+const SAFE_TARGET_FRACTION = 0.35;
+/** From this part on it is late when the engine has a slow period. */
+const LATE_TARGET_FRACTION = 0.8;
 /**
  * Cost of a short output at a full engine where long streams are safe: its prefill and memory delay
- * there the end of streams that others then have to start elsewhere.
+ * there the end of streams, and others then have to start where they are not safe.
  */
-const RESERVED_ENGINE_COST_MS = 300;
+const RESERVED_ENGINE_COST_MS = 3_000;
 /**
  * Part of the prefills seen at an engine that still come once a long stream runs there, since others
  * then avoid it. Engines that prefill much keep doing so, and the others take the long streams.
  */
-const STAYING_PREFILL_SHARE = 0.35;
+const STAYING_PREFILL_SHARE = 0.5;
+/** Part of the faster growth that counts: streams of a faster engine also end sooner. */
+const FASTER_GROWTH_SHARE = 0.5;
 /** Used while no engine has a speed with sufficient confidence. */
 const UNKNOWN_SPEED: EngineSpeed = {
   ageMs: Infinity,
@@ -111,6 +116,21 @@
     return this.input.speedOf(serverId) ?? { ...this.usualSpeed, confidence: 0 };
   }
 
+  /**
+   * Output tokens beyond the reserved ones that the runs of a faster engine produce in the time for which
+   * growth is reserved.
+   *
+   * @param serverId - the engine
+   * @param runs - generations on the engine
+   * @returns tokens; 0 for engines of usual speed and slower ones
+   */
+  extraGrowthTokens(serverId: ServerId, runs: number): number {
+    const relativeSpeed = this.usualSpeed.eventMs / this.speedOf(serverId).eventMs;
+    return (
+      FASTER_GROWTH_SHARE * Math.max(0, relativeSpeed - 1) * RESERVED_GROWTH_TOKENS * (runs + 1)
+    );
+  }
+
   /**
    * Scores one engine.
    *
@@ -141,7 +161,9 @@
     return {
       loss,
       lossMs:
-        LATE_STREAM_COST_MS * (loss.firstEvent + loss.otherStreams + loss.ownEvents) + reservedMs,
+        LATE_FIRST_EVENT_COST_MS * loss.firstEvent +
+        LATE_EVENT_COST_MS * (loss.otherStreams + loss.ownEvents) +
+        reservedMs,
       runsMs: totals.runs * COST_PER_RUN_MS * (speed.eventMs / this.usualSpeed.eventMs),
     };
   }
--- a/packages/dispatch/src/__tests__/support/UnevenFleetReplay.ts
+++ b/packages/dispatch/src/__tests__/support/UnevenFleetReplay.ts
@@ -299,12 +299,11 @@
 
   /** The owner of an engine is a daemon of its domain; a message takes 5 to 25 ms. */
   private askOwner(run: ReplayRun, placement: Placement, declines: number): void {
-    const { bySpeed, server, totals, unreadTokens } = placement;
+    const { bySpeed, plannedTokens, server, totals, unreadTokens } = placement;
     const { serverId } = server;
     const engine = this.engines.find((candidate) => candidate.server.serverId === serverId);
     const owner = this.ownerOf(server);
     const { promptTokens } = run.prompt;
-    const plannedTokens = promptTokens + reservedOutputTokens(run.prompt, 0);
     const request = { believedReadingTokens: totals.readingTokens, plannedTokens, promptTokens };
     const wish = { ...request, requestId: toId<never>('r'), serverId, unreadTokens };
     this.after(owner === run.daemon ? 0 : 5 + this.random() * 20, () => {
--- a/packages/dispatch/src/__tests__/unit/GenerationAdmission.test.ts
+++ b/packages/dispatch/src/__tests__/unit/GenerationAdmission.test.ts
@@ -5,7 +5,7 @@
 
 function placementOf(usedTokens: number, fits: boolean): Placement {
   const totals = { plannedTokens: usedTokens, readingTokens: 0, runs: 0, usedTokens };
-  return { costMs: 0, fits, server: serverOf('a'), totals, unreadTokens: 0 };
+  return { costMs: 0, fits, plannedTokens: 0, server: serverOf('a'), totals, unreadTokens: 0 };
 }
 
 const INPUT: AdmissionInput = {
