--- a/packages/dispatch/src/UnevenScorer.ts
+++ b/packages/dispatch/src/UnevenScorer.ts
@@ -65,9 +65,9 @@
 /** Cost of one more run at an engine of usual speed, as for even engines. */
 const COST_PER_RUN_MS = 25;
 /** Up to this part of the time left, the first event is on time though the queue is known with delay. */
-const SAFE_TARGET_FRACTION = 0.35;
+const SAFE_TARGET_FRACTION = 0.3;
 /** From this part on it is late when the engine has a slow period. */
-const LATE_TARGET_FRACTION = 0.8;
+const LATE_TARGET_FRACTION = 0.7;
 /**
  * Cost of a short output at a full engine where long streams are safe: its prefill and memory delay
  * there the end of streams, and others then have to start where they are not safe.
@@ -78,8 +78,8 @@
  * then avoid it. Engines that prefill much keep doing so, and the others take the long streams.
  */
 const STAYING_PREFILL_SHARE = 0.5;
-/** Part of the faster growth that counts: streams of a faster engine also end sooner. */
-const FASTER_GROWTH_SHARE = 0.5;
+/** The used memory is known with delay, in which the streams of a faster engine grow further. */
+const FASTER_GROWTH_FACTOR = 1.5;
 /** Used while no engine has a speed with sufficient confidence. */
 const UNKNOWN_SPEED: EngineSpeed = {
   ageMs: Infinity,
@@ -127,7 +127,7 @@
   extraGrowthTokens(serverId: ServerId, runs: number): number {
     const relativeSpeed = this.usualSpeed.eventMs / this.speedOf(serverId).eventMs;
     return (
-      FASTER_GROWTH_SHARE * Math.max(0, relativeSpeed - 1) * RESERVED_GROWTH_TOKENS * (runs + 1)
+      FASTER_GROWTH_FACTOR * Math.max(0, relativeSpeed - 1) * RESERVED_GROWTH_TOKENS * (runs + 1)
     );
   }
 
@@ -178,8 +178,10 @@
     const { slowPeriods, untilTargetMs } = this.input.uneven;
     const expectedMs = usualMs * (1 + slowPeriods.share * (slowPeriods.factor - 1));
     const fraction = expectedMs / Math.max(1, untilTargetMs);
-    const risk = (fraction - SAFE_TARGET_FRACTION) / (LATE_TARGET_FRACTION - SAFE_TARGET_FRACTION);
-    return Math.min(1, Math.max(0, risk));
+    const excess =
+      (fraction - SAFE_TARGET_FRACTION) / (LATE_TARGET_FRACTION - SAFE_TARGET_FRACTION);
+    // Squared, since several slow periods or unknown prompts have to come together to use up most of it.
+    return Math.min(1, Math.max(0, excess)) ** 2;
   }
 }
 
--- a/packages/serving/src/__tests__/unit/PeerMessages.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerMessages.test.ts
@@ -37,6 +37,29 @@
   t.true((two ?? 0) - (one ?? 0) <= 50);
 });
 
+test('the long runs of shares are preserved, and daemons of earlier builds read the shares', (t) => {
+  const other = { ...SHARE, serverId: toId<ServerId>('i-1') };
+  const message = { ...MESSAGE, shares: [other, { ...SHARE, longRuns: 3 }] };
+  const text = encodeMessage(message);
+  t.deepEqual(parsePeerMessage(Buffer.from(text)), message);
+  const wire = JSON.parse(text) as { readonly shares: readonly unknown[][] };
+  t.true(wire.shares.every((share) => share.length === 5));
+});
+
+test('long runs that are no count of the share are dropped', (t) => {
+  const wire = {
+    ...MESSAGE,
+    longRuns: ['x', -1, 9],
+    shares: [1, 2, 3].map(() => ['i', 1, 2, 3, 4]),
+  };
+  const message = parsePeerMessage(Buffer.from(JSON.stringify(wire)));
+  t.deepEqual(message?.kind === 'domainLoad' && message.shares.map(({ longRuns }) => longRuns), [
+    undefined,
+    undefined,
+    undefined,
+  ]);
+});
+
 test('malformed shares are dropped', (t) => {
   const validShare = ['i-1', 1, 2, 3, 4];
   const shares = [
