Require a longer difference where only one engine of a service differs

Change: with the extremes left out the dwell time stays 2 s, for a single engine it is 10 s, more than the window of the samples.

--- a/packages/dispatch/src/EngineSpeeds.ts
+++ b/packages/dispatch/src/EngineSpeeds.ts
@@ -114,6 +114,8 @@
 export const UNEVEN_FACTOR = 1.5;
 /** The difference has to last for this long, so that the ranking does not change back and forth. */
 const UNEVEN_DWELL_MS = 2_000;
+/** The same where only one engine differs: longer than one span of bad luck stays in its samples. */
+const SINGLE_UNEVEN_DWELL_MS = 10_000;
 /** Shorter prompts are dominated by the time of the first event itself. */
 const MIN_PREFILL_TOKENS = 500;
 /** Queues that are known with delay distort a sample more than the prompt itself beyond this ratio. */
@@ -223,19 +225,16 @@
    * @returns whether they differ, with confidence
    */
   areUneven(serverIds: readonly ServerId[], nowMs: number): boolean {
-    let fastestMs = Infinity;
-    let slowestMs = 0;
-    for (const serverId of serverIds) {
-      const speed = this.confidentSpeedOf(serverId, nowMs);
-      fastestMs = Math.min(fastestMs, speed?.eventMs ?? Infinity);
-      slowestMs = Math.max(slowestMs, speed?.eventMs ?? 0);
-    }
-    if (slowestMs <= UNEVEN_FACTOR * fastestMs) {
+    const eventsMs = serverIds
+      .flatMap((serverId) => this.confidentSpeedOf(serverId, nowMs)?.eventMs ?? [])
+      .sort((a, b) => a - b);
+    if (!differ(eventsMs)) {
       this.unevenSinceMs = undefined;
       return false;
     }
     this.unevenSinceMs ??= nowMs;
-    return nowMs - this.unevenSinceMs >= UNEVEN_DWELL_MS;
+    const dwellMs = differ(eventsMs.slice(1, -1)) ? UNEVEN_DWELL_MS : SINGLE_UNEVEN_DWELL_MS;
+    return nowMs - this.unevenSinceMs >= dwellMs;
   }
 
   /** By how much and how often the engines of the service slow down for short periods. */
@@ -356,6 +355,11 @@
   return eventMs * (1 + SLOWDOWN_PER_RUN * runs);
 }
 
+/** Whether the first and the last of sorted times differ by more than the factor. */
+function differ(sortedMs: readonly number[]): boolean {
+  return (sortedMs.at(-1) ?? 0) > UNEVEN_FACTOR * (sortedMs[0] ?? Infinity);
+}
+
 function estimateSpeed(
   { samples }: ObservedEngine,
   prefillTokensInEvent: number | undefined,
