Replay a fleet with engines of two speeds and its failures

Engines count as uneven only when their event times differ both with and without a prefill. The first event counts as late from 0.6 of the time left.

--- a/packages/dispatch/src/EngineSpeeds.ts
+++ b/packages/dispatch/src/EngineSpeeds.ts
@@ -217,23 +217,25 @@
   }
 
   /**
-   * Whether engines differ lastingly in speed by more than {@link UNEVEN_FACTOR}. Only decoding is
-   * compared: the times of prefills depend on queues that are known with delay.
+   * Whether engines differ lastingly in speed by more than {@link UNEVEN_FACTOR}, in the
+   * times of events both with and without a prefill: a single one can be distorted by prefills that are
+   * known with delay. The times of first events depend on queues and are not compared.
    *
    * @param serverIds - the engines of the service
    * @param nowMs - monotonic time
    * @returns whether they differ, with confidence
    */
   areUneven(serverIds: readonly ServerId[], nowMs: number): boolean {
-    const eventsMs = serverIds
-      .flatMap((serverId) => this.confidentSpeedOf(serverId, nowMs)?.eventMs ?? [])
-      .sort((a, b) => a - b);
-    if (!differ(eventsMs)) {
+    const speeds = serverIds.flatMap((serverId) => this.confidentSpeedOf(serverId, nowMs) ?? []);
+    const eventsMs = sorted(speeds.map(({ eventMs }) => eventMs));
+    const prefillingMs = sorted(speeds.map(({ prefillingEventMs }) => prefillingEventMs));
+    if (!differ(eventsMs) || !differ(prefillingMs)) {
       this.unevenSinceMs = undefined;
       return false;
     }
     this.unevenSinceMs ??= nowMs;
-    const dwellMs = differ(eventsMs.slice(1, -1)) ? UNEVEN_DWELL_MS : SINGLE_UNEVEN_DWELL_MS;
+    const isSingle = !differ(eventsMs.slice(1, -1)) || !differ(prefillingMs.slice(1, -1));
+    const dwellMs = isSingle ? SINGLE_UNEVEN_DWELL_MS : UNEVEN_DWELL_MS;
     return nowMs - this.unevenSinceMs >= dwellMs;
   }
 
@@ -355,6 +357,10 @@
   return eventMs * (1 + SLOWDOWN_PER_RUN * runs);
 }
 
+function sorted(timesMs: number[]): readonly number[] {
+  return timesMs.sort((a, b) => a - b);
+}
+
 /** Whether the first and the last of sorted times differ by more than the factor. */
 function differ(sortedMs: readonly number[]): boolean {
   return (sortedMs.at(-1) ?? 0) > UNEVEN_FACTOR * (sortedMs[0] ?? Infinity);
--- a/packages/dispatch/src/UnevenScorer.ts
+++ b/packages/dispatch/src/UnevenScorer.ts
@@ -67,12 +67,12 @@
 /** Up to this part of the time left, the first event is on time though the queue is known with delay. */
 const SAFE_TARGET_FRACTION = 0.35;
 /** From this part on it is late when the engine has a slow period. */
-const LATE_TARGET_FRACTION = 0.7;
+const LATE_TARGET_FRACTION = 0.6;
 /**
  * Cost of a short output at a full engine where long streams are safe: its prefill and memory delay
  * there the end of streams, and others then have to start where they are not safe.
  */
-const RESERVED_ENGINE_COST_MS = 5_000;
+const RESERVED_ENGINE_COST_MS = 6_000;
 /**
  * Part of the prefills seen at an engine that still come once a long stream runs there, since others
  * then avoid it. Engines that prefill much keep doing so, and the others take the long streams.
--- a/packages/dispatch/src/__tests__/support/UnevenFleetReplay.ts
+++ b/packages/dispatch/src/__tests__/support/UnevenFleetReplay.ts
@@ -30,6 +30,8 @@
 
 /** Options of a replay. */
 export interface ReplayOptions {
+  /** Time from which an engine is registered; 0 by default. */
+  readonly absentUntilMs?: (index: number) => number;
   readonly daemons: number;
   readonly durationMs?: number;
   readonly engines?: number;
@@ -271,10 +273,12 @@
   private rank({ arrivedMs, daemon, isLong, prompt }: ReplayRun): readonly Placement[] {
     const { nowMs } = this;
     const { load, prefillShares, speeds } = daemon;
-    const serverIds = this.engines.map(({ server }) => server.serverId);
+    const { absentUntilMs = () => 0 } = this.options;
+    const engines = this.engines.filter((_, index) => absentUntilMs(index) <= nowMs);
+    const serverIds = engines.map(({ server }) => server.serverId);
     const uneven = this.options.learnsSpeeds && speeds.areUneven(serverIds, nowMs);
     return rankEngines({
-      candidates: this.engines.map(({ server }) => ({
+      candidates: engines.map(({ server }) => ({
         cachedTokens: 0,
         failureShare: 0,
         server,
