--- a/packages/dispatch/src/EngineCapacity.ts
+++ b/packages/dispatch/src/EngineCapacity.ts
@@ -2,12 +2,32 @@
 import type { EngineTotals } from './EngineLoad.js';
 import type { EngineLimits } from './ServingConfiguration.js';
 
+/** Priority of a generation in a shortage. */
+export interface CapacityPriority {
+  /** Its rank holds less than its guaranteed share of the capacity. */
+  readonly isGuaranteed?: boolean;
+  /** What frees next is kept for it, since smaller generations would always take it. */
+  readonly isHeld?: boolean;
+  /** Rank of the team or route; 0 is the most urgent. */
+  readonly rank: number;
+  /** Time until it must be sent to be on time; negative when it is late. */
+  readonly slackMs: number;
+}
+
+/** Capacity of an engine that is kept for others. */
+export interface CapacityReserve {
+  readonly runs: number;
+  readonly tokens: number;
+}
+
 /** Request for capacity at an engine, for one generation that is about to be sent there. */
 export interface CapacityRequest {
   /** Unread prompt tokens that the requesting daemon counts at the engine already. */
   readonly believedReadingTokens: number;
   /** Prompt tokens and planned output tokens. */
   readonly plannedTokens: number;
+  /** Absent where daemons do not share a shortage, and from daemons of earlier builds. */
+  readonly priority?: CapacityPriority;
   readonly promptTokens: number;
   readonly requestId: RequestId;
   readonly serverId: ServerId;
@@ -19,6 +39,7 @@
 const PLANNABLE_MEMORY_FRACTION = 0.95;
 /** With more unread tokens than this unknown to the daemon, another engine is the better choice. */
 const MAX_UNSEEN_TOKENS = 1_500;
+const NO_RESERVE: CapacityReserve = { runs: 0, tokens: 0 };
 
 /** Whether an engine has capacity for one more generation. */
 export interface RemainingCapacity {
@@ -69,13 +90,21 @@
  * @param request - the generation, and the load that its daemon assumed
  * @param totals - load of the engine, including grants that are not reported yet
  * @param engine - limits of the engine
+ * @param reserve - capacity that is kept for more urgent generations; none by default
  * @returns whether the capacity is granted
  */
 export function grantsCapacity(
   request: CapacityRequest,
   totals: EngineTotals,
   engine: EngineLimits,
+  reserve: CapacityReserve = NO_RESERVE,
 ): boolean {
   const unseenTokens = totals.readingTokens - request.believedReadingTokens;
-  return remainingCapacity(totals, request, engine).fits && unseenTokens <= MAX_UNSEEN_TOKENS;
+  const reserved = {
+    ...totals,
+    plannedTokens: totals.plannedTokens + reserve.tokens,
+    runs: totals.runs + reserve.runs,
+    usedTokens: totals.usedTokens + reserve.tokens,
+  };
+  return remainingCapacity(reserved, request, engine).fits && unseenTokens <= MAX_UNSEEN_TOKENS;
 }
