Let generations that wait for capacity take turns where daemons share a shortage

Cause: the order in which waiting generations find capacity is that of their timers.

Change: with settings.sharesShortage, EngineSearch puts a generation without capacity into ShortageQueue, which wakes the waiting ones in the decided order when the load of the engines changes. Heartbeats and domain sums carry the waiting generations by rank, requests for capacity their rank and slack; both fields are optional. A generation whose caller disconnects leaves the queue at once, and a grant that comes afterwards is returned with a heartbeat.

Ruled out: a message of its own for the reports: heartbeats are sent after each change of the load anyway.

--- a/packages/serving/src/ServingContext.ts
+++ b/packages/serving/src/ServingContext.ts
@@ -9,6 +9,7 @@
 } from '@laburnumgap/dispatch';
 import type { FailureDomainId, MemberId, MonotonicClock } from '@laburnumgap/kernel';
 import type { RetryBudget } from '@laburnumgap/dispatch';
+import type { ShortageQueue } from './callers/ShortageQueue.js';
 import type { BackendConnectionPool } from './servers/BackendConnectionPool.js';
 import type { CrashDetector } from './servers/CrashDetector.js';
 import type { EngineCapacityCoordinator } from './servers/EngineCapacityCoordinator.js';
@@ -47,6 +48,8 @@
   readonly retryBudget: RetryBudget;
   readonly serverAccess: ServerAccess;
   readonly serverSignals: ServerSignals;
+  /** Generations that wait for capacity; absent where daemons do not share a shortage. */
+  readonly shortage?: ShortageQueue;
 }
 
 /** The active configuration; a new version replaces the table. */
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -54,6 +54,7 @@
 import type { ServingMetrics } from './ServingMetrics.js';
 import { NO_SERVING_METRICS } from './ServingMetrics.js';
 import type { PlatformDirectory, WireProtocol } from './ServingPorts.js';
+import { ShortageQueue } from './callers/ShortageQueue.js';
 import type { SocketOpener } from './servers/SocketOpener.js';
 import { StreamMover } from './servers/StreamMover.js';
 import { openTunnel } from './servers/TunnelClient.js';
@@ -173,6 +174,7 @@
   private readonly readyServer;
   private readonly registry: ServerRegistry;
   private readonly retryBudget: RetryBudget;
+  private readonly shortage: ShortageQueue | undefined;
   private readonly silence = new SilenceBackoff();
   private readonly streamMover: StreamMover;
   private tickTimer: NodeJS.Timeout | undefined;
@@ -280,6 +282,7 @@
       permits: this.permits,
       registry: this.registry,
     });
+    this.shortage = settings.sharesShortage === true ? this.createShortageQueue() : undefined;
     const health = new ServerHealth();
     const engineControl = new EngineControl({
       clock,
@@ -305,6 +308,7 @@
         registry: this.registry,
       }),
       engineCapacity: new EngineCapacityCoordinator({
+        capacityKeeper: this.shortage,
         clock,
         engineLimitsOf: (serverId) => {
           const server = this.registry.get(serverId)?.server;
@@ -332,12 +336,14 @@
       publishLoad: () => {
         this.load.setOwnShares(this.localShares());
         this.cluster.peers.scheduleHeartbeat();
+        this.shortage?.onCapacityChanged();
       },
       randomUnit,
       registry: this.registry,
       retryBudget: this.retryBudget,
       serverAccess,
       serverSignals,
+      shortage: this.shortage,
     };
     this.cluster = new ClusterSync({
       clock,
@@ -394,6 +400,7 @@
       randomUnit,
       registry: this.registry,
       seedHosts: settings.seedHosts,
+      shortage: this.shortage,
       transport: new PeerSockets({
         heartbeatPort: settings.heartbeatPort,
         host: settings.peers.host,
@@ -564,6 +571,21 @@
     });
   }
 
+  private createShortageQueue(): ShortageQueue {
+    const { clock, log, metrics = NO_SERVING_METRICS, randomUnit } = this.options;
+    return new ShortageQueue({
+      clock,
+      engineCountOf: (service) => this.registry.usableServers(service, clock.nowMs()).length,
+      log,
+      metrics,
+      onWaiting: () => {
+        this.cluster.peers.scheduleHeartbeat();
+      },
+      randomUnit,
+      serviceOf: (serverId) => this.registry.get(serverId)?.server.service,
+    });
+  }
+
   /** Calls to the service of a request that wait for a server with room. */
   private heldCallsOf({ service: { service } }: AdmittedCall): HeldCalls {
     const held = this.heldCalls.get(service) ?? new HeldCalls();
@@ -714,6 +736,7 @@
       }
     }
     this.divideRetryBudget();
+    this.shortage?.onTick();
     this.requestEngineReports(nowMs);
   }
 }
--- a/packages/serving/src/callers/EngineSearch.ts
+++ b/packages/serving/src/callers/EngineSearch.ts
@@ -1,5 +1,12 @@
-import type { BackendServer, Placement, PromptShape } from '@laburnumgap/dispatch';
-import { admitGeneration, reservedOutputTokens } from '@laburnumgap/dispatch';
+import type {
+  BackendServer,
+  CapacityPriority,
+  Placement,
+  PromptShape,
+  ShortageRefusal,
+  WaitingGeneration,
+} from '@laburnumgap/dispatch';
+import { admitGeneration, plannedOutputTokens, reservedOutputTokens } from '@laburnumgap/dispatch';
 import type { Refusal, RequestId, ResultCodeName } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
@@ -49,6 +56,7 @@
 
   /** Starts the search. Called again after an engine did not accept the generation. */
   start(): void {
+    this.leaveShortage();
     this.search(0);
   }
 
@@ -57,6 +65,7 @@
    * event as for the first one, counted from now.
    */
   startAgain(): void {
+    this.leaveShortage();
     this.startedMs = this.context.clock.nowMs();
     this.search(0);
   }
@@ -65,6 +74,7 @@
   stop(): void {
     this.isStopped = true;
     clearTimeout(this.timer);
+    this.leaveShortage();
   }
 
   /** Selects an engine; `declines` counts the owners that declined since the last wait. */
@@ -76,8 +86,13 @@
       return;
     }
     const waitedMs = this.waitedMs();
+    const best = rank()[0];
+    if (this.mustQueue(best)) {
+      this.joinQueue();
+      return;
+    }
     const admission = admitGeneration({
-      best: rank()[0],
+      best,
       callerTimeoutMs: callerTimeoutMs(admitted),
       targetLatencyMs: admitted.route.targetLatencyMs,
       urgency: urgencyOf(admitted),
@@ -102,6 +117,73 @@
     }
   }
 
+  /** Where daemons share a shortage, a generation without capacity waits for its turn in the queue. */
+  private mustQueue(best: Placement | undefined): boolean {
+    const { admitted } = this.options;
+    const { shortage } = this.context;
+    return (
+      shortage !== undefined &&
+      best !== undefined &&
+      this.waitedMs() < callerTimeoutMs(admitted) &&
+      (!best.fits || shortage.isShort(admitted.service.service))
+    );
+  }
+
+  private joinQueue(): void {
+    const { admitted } = this.options;
+    this.context.shortage?.join({
+      generation: this.waitingGeneration(),
+      onRefused: (refused) => {
+        this.refuseInShortage(refused);
+      },
+      onTurn: (priority) => this.takeTurn(priority),
+      service: admitted.service.service,
+    });
+  }
+
+  /** Requests capacity for the waiting generation; false when no engine has any. */
+  private takeTurn(priority: CapacityPriority): boolean {
+    const best = this.options.rank()[0];
+    const refused = this.options.admitted.pass.refusal();
+    const isOver = this.waitedMs() >= callerTimeoutMs(this.options.admitted);
+    if (refused || !best || isOver) {
+      this.start();
+      return true;
+    }
+    if (!best.fits && priority.isHeld !== true) {
+      return false;
+    }
+    this.requestCapacity(best, 0, priority);
+    return true;
+  }
+
+  private leaveShortage(): void {
+    const { request, service } = this.options.admitted;
+    this.context.shortage?.leave(service.service, toId<RequestId>(request.requestId));
+  }
+
+  private refuseInShortage({ reason, retryAfterMs, waitedMs }: ShortageRefusal): void {
+    this.context.capacityWaits.recordWait(waitedMs, this.context.clock.nowMs());
+    const detail = `no engine has capacity in time (${reason}) after ${Math.round(waitedMs)} ms`;
+    this.options.onRefused('QUEUE_WAIT_TOO_LONG', detail, retryAfterMs);
+  }
+
+  private waitingGeneration(): WaitingGeneration {
+    const { admitted, prompt } = this.options;
+    const { promptTokens } = prompt;
+    return {
+      arrivedMs: this.startedMs,
+      callerTimeoutMs: callerTimeoutMs(admitted),
+      outputTokens: plannedOutputTokens(prompt, 0),
+      plannedTokens: promptTokens + reservedOutputTokens(prompt, 0),
+      promptTokens,
+      rank: urgencyOf(admitted),
+      requestId: toId<RequestId>(admitted.request.requestId),
+      targetLatencyMs: admitted.route.targetLatencyMs,
+      teamId: admitted.team?.teamId,
+    };
+  }
+
   /** Brittle engines take a request as soon as another has ended. */
   private canWaitForRoom(waitedMs: number): boolean {
     const { admitted } = this.options;
@@ -120,13 +202,21 @@
     );
   }
 
-  private requestCapacity(placement: Placement, declines: number): void {
+  private requestCapacity(
+    placement: Placement,
+    declines: number,
+    queuedPriority?: CapacityPriority,
+  ): void {
     const { onPlaced, prompt, admitted } = this.options;
+    const { shortage } = this.context;
+    const { service } = admitted.service;
+    const priority = queuedPriority ?? shortage?.priorityOf(service, this.waitingGeneration());
     const { server, totals, unreadTokens } = placement;
     const { promptTokens } = prompt;
     const capacityRequest = {
       believedReadingTokens: totals.readingTokens,
       plannedTokens: promptTokens + reservedOutputTokens(prompt, 0),
+      ...(priority ? { priority } : {}),
       promptTokens,
       requestId: toId<RequestId>(admitted.request.requestId),
       serverId: server.serverId,
@@ -134,12 +224,18 @@
     };
     this.context.engineCapacity.requestCapacity(capacityRequest, server, (isGranted) => {
       if (this.isStopped) {
+        if (shortage && isGranted) {
+          // The owner counts the grant until a heartbeat shows that nothing was sent.
+          this.context.publishLoad();
+        }
         return;
       }
       const isWithinTimeout = this.waitedMs() < callerTimeoutMs(admitted);
       if (isGranted && isWithinTimeout) {
         this.recordPlacement(placement, declines);
         onPlaced(server);
+      } else if (queuedPriority) {
+        shortage?.onDeclined(service, capacityRequest.requestId);
       } else if (declines < MAX_CONSECUTIVE_DECLINES) {
         this.search(declines + 1);
       } else {
@@ -152,6 +248,8 @@
     const { clock, log, capacityWaits } = this.context;
     const waitedMs = this.waitedMs();
     capacityWaits.recordWait(waitedMs, clock.nowMs());
+    const { service } = this.options.admitted.service;
+    this.context.shortage?.recordPlaced(service, this.waitingGeneration());
     log.info('generation-placed', {
       costMs: Math.round(costMs),
       declines,
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -50,6 +50,8 @@
 export type * from './ServingLog.js';
 export * from './ServingMetrics.js';
 export type * from './ServingPorts.js';
+export * from './callers/ShortageQueue.js';
+export * from './peers/ShortageReportCodec.js';
 export * from './servers/SocketOpener.js';
 export * from './store/StorePosition.js';
 export * from './servers/StreamMover.js';
--- a/packages/serving/src/peers/ClusterSync.ts
+++ b/packages/serving/src/peers/ClusterSync.ts
@@ -17,6 +17,7 @@
 } from '@laburnumgap/kernel';
 import { ClusterState } from './ClusterState.js';
 import { DirectoryFollower } from '../store/DirectoryFollower.js';
+import type { ShortageExchange } from './PeerLink.js';
 import { PeerLink } from './PeerLink.js';
 import type {
   BackoffMessage,
@@ -56,6 +57,8 @@
   readonly onServerLeaving: (serverId: ServerId) => void;
   /** Quarantines for one heartbeat. */
   readonly quarantines: () => readonly QuarantineReport[];
+  /** Absent where daemons do not share a shortage. */
+  readonly shortage?: ShortageExchange;
   readonly randomUnit: () => number;
   readonly registry: ServerRegistry;
   /** Hosts of daemons to contact before the platform's store was read. */
@@ -153,6 +156,7 @@
       onQuarantines: options.onQuarantines,
       position: () => this.state.position(),
       quarantines: options.quarantines,
+      shortage: options.shortage,
       seedHosts: options.seedHosts,
       snapshot: (knownVersion) => this.state.snapshot(knownVersion),
       transport: options.transport,
--- a/packages/serving/src/peers/PeerLink.ts
+++ b/packages/serving/src/peers/PeerLink.ts
@@ -33,9 +33,19 @@
 } from './PeerMessages.js';
 import { domainSourceId, PeerTable } from './PeerTable.js';
 import type { PeerTransport } from './PeerTransport.js';
+import type { ServiceShortage } from './ShortageReportCodec.js';
 import type { ServingLog } from '../ServingLog.js';
 import type { MemberAddress } from '../ServingPorts.js';
 
+/** Exchanges what daemons know of their waiting generations. */
+export interface ShortageExchange {
+  /** Summed report of this daemon and others. */
+  domainReport(memberIds: ReadonlySet<MemberId>): readonly ServiceShortage[];
+  /** Records the report of another daemon, or of another failure domain. */
+  recordReport(sourceId: MemberId, report: readonly ServiceShortage[]): void;
+  report(): readonly ServiceShortage[];
+}
+
 /** Options of {@link PeerLink}. */
 export interface PeerLinkOptions {
   readonly clock: MonotonicClock;
@@ -69,6 +79,8 @@
   readonly position: () => SyncPosition;
   /** Quarantines for one heartbeat. */
   readonly quarantines: () => readonly QuarantineReport[];
+  /** Absent where daemons do not share a shortage. */
+  readonly shortage?: ShortageExchange;
   /** Hosts of daemons to contact before the platform's store was read. */
   readonly seedHosts: readonly string[];
   /**
@@ -320,6 +332,7 @@
     this.sequence += 1;
     const { isStopping, sequence } = this;
     const quarantines = this.options.quarantines();
+    const shortage = this.options.shortage?.report();
     const heartbeat: PeerHeartbeat = {
       ...this.options.position(),
       failureDomain,
@@ -334,6 +347,7 @@
       ...(quarantines.length > 0 ? { quarantines } : {}),
       sequence,
       shares,
+      ...(shortage ? { shortage } : {}),
       storeIsAway: this.options.isStoreDown(),
     };
     this.sendToHosts(encodeMessage(heartbeat), [
@@ -344,7 +358,7 @@
     if (isStopping || nowMs - this.livenessOnlySentMs >= LIVENESS_ONLY_HEARTBEAT_INTERVAL_MS) {
       this.livenessOnlySentMs = nowMs;
       this.sendToHosts(
-        encodeMessage({ ...heartbeat, shares: [] }),
+        encodeMessage({ ...heartbeat, shares: [], shortage: undefined }),
         hostsOf(this.table.livenessOnlyPeers()),
       );
     }
@@ -362,6 +376,7 @@
     }
     const domainMembers = new Set(this.table.fullUpdatePeers().map(({ memberId }) => memberId));
     const shares = load.sumShares(domainMembers, clock.nowMs());
+    const shortage = this.options.shortage?.domainReport(domainMembers);
     const isDigestDue = this.domainLoadCount % MESSAGES_PER_DIGEST === 0;
     this.domainLoadCount += 1;
     const message: DomainLoadMessage = {
@@ -369,6 +384,7 @@
       failureDomain,
       kind: 'domainLoad',
       shares,
+      ...(shortage ? { shortage } : {}),
     };
     this.sendToHosts(encodeMessage(message), hostsOf(aggregators));
   }
@@ -386,7 +402,9 @@
       return;
     }
     const nowMs = clock.nowMs();
-    load.recordMemberReport(domainSourceId(message.failureDomain), message.shares, nowMs);
+    const sourceId = domainSourceId(message.failureDomain);
+    load.recordMemberReport(sourceId, message.shares, nowMs);
+    this.options.shortage?.recordReport(sourceId, message.shortage ?? []);
     if (digest) {
       this.table.recordDomain(message.failureDomain, digest.members);
     }
@@ -433,6 +451,10 @@
     }
     const nowMs = clock.nowMs();
     load.recordMemberReport(heartbeat.memberId, heartbeat.shares, nowMs);
+    // Seeds of other domains get the heartbeats too, besides the sum of the domain.
+    if (heartbeat.shortage && this.table.loadSourceOf(heartbeat.memberId) === heartbeat.memberId) {
+      this.options.shortage?.recordReport(heartbeat.memberId, heartbeat.shortage);
+    }
     this.options.onLeaving(heartbeat.leavingServers);
     this.options.onLimits(heartbeat.limits ?? []);
     this.options.onQuarantines(heartbeat.quarantines ?? []);
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -22,6 +22,8 @@
   StoreEra,
 } from '@laburnumgap/kernel';
 import type { SyncPosition } from './LagDetector.js';
+import type { ServiceShortage } from './ShortageReportCodec.js';
+import { packShortage, unpackShortage } from './ShortageReportCodec.js';
 import type { MemberAddress } from '../ServingPorts.js';
 import type { StorePosition } from '../store/StorePosition.js';
 
@@ -48,6 +50,8 @@
   readonly sequence: number;
   /** Load of the daemon at each engine; empty in heartbeats that only show liveness. */
   readonly shares: readonly EngineShare[];
+  /** Waiting generations; absent where daemons do not share a shortage, and from earlier builds. */
+  readonly shortage?: readonly ServiceShortage[];
   /** The platform's store does not respond to this daemon. */
   readonly storeIsAway: boolean;
 }
@@ -179,6 +183,8 @@
   readonly isForwarded?: boolean;
   readonly kind: 'domainLoad';
   readonly shares: readonly EngineShare[];
+  /** Waiting generations of the domain, as in {@link PeerHeartbeat}. */
+  readonly shortage?: readonly ServiceShortage[];
 }
 
 /** Announcement of a new configuration, which receivers fetch from the sender. */
@@ -231,7 +237,13 @@
  */
 export function encodeMessage(message: PeerHeartbeat | PeerMessage): string {
   const text =
-    'shares' in message ? { ...message, shares: message.shares.map(packShare) } : message;
+    'shares' in message
+      ? {
+          ...message,
+          shares: message.shares.map(packShare),
+          shortage: message.shortage && packShortage(message.shortage),
+        }
+      : message;
   return JSON.stringify(text);
 }
 
@@ -416,7 +428,9 @@
   return [serverId, Math.round(plannedTokens), Math.round(readingTokens), usedTokens, runs];
 }
 
-function unpackShares<T extends { readonly shares: readonly unknown[] }>(message: T): T {
+function unpackShares<
+  T extends { readonly shares: readonly unknown[]; readonly shortage?: unknown },
+>(message: T): T {
   const shares = message.shares
     .filter(isPackedShare)
     .map(([serverId, plannedTokens, readingTokens, usedTokens, runs]): EngineShare => ({
@@ -426,7 +440,9 @@
       serverId,
       usedTokens,
     }));
-  return { ...message, shares };
+  const { shortage: packedShortage, ...rest } = message;
+  const shortage = unpackShortage(packedShortage);
+  return { ...rest, shares, ...(shortage ? { shortage } : {}) } as unknown as T;
 }
 
 function isPackedShare(value: unknown): value is PackedShare {
@@ -474,6 +490,7 @@
   return (
     isId(request?.requestId) &&
     isId(request.serverId) &&
+    (request.priority === undefined || hasFigures(request.priority, ['rank', 'slackMs'])) &&
     hasFigures(request, ['believedReadingTokens', 'plannedTokens', 'promptTokens', 'unreadTokens'])
   );
 }
--- a/packages/serving/src/servers/EngineCapacityCoordinator.ts
+++ b/packages/serving/src/servers/EngineCapacityCoordinator.ts
@@ -1,5 +1,6 @@
 import type {
   BackendServer,
+  CapacityReserve,
   EngineLimits,
   EngineLoad,
   EngineTotals,
@@ -11,8 +12,17 @@
 import { startResponseTimeout } from '../ResponseTimeout.js';
 import type { ServingLog } from '../ServingLog.js';
 
+/** Keeps capacity of engines for more urgent generations in a shortage. */
+export interface CapacityKeeper {
+  recordDecision(request: CapacityRequest, isGranted: boolean, kept: CapacityReserve): void;
+  /** Capacity that is kept from a request; the requester is undefined for this daemon. */
+  reserveFor(request: CapacityRequest, requesterId: MemberId | undefined): CapacityReserve;
+}
+
 /** Options of {@link EngineCapacityCoordinator}. */
 export interface EngineCapacityCoordinatorOptions {
+  /** Absent where daemons do not share a shortage. */
+  readonly capacityKeeper?: CapacityKeeper;
   readonly clock: MonotonicClock;
   /** Limits of an engine; undefined when this daemon does not know the engine. */
   readonly engineLimitsOf: (serverId: ServerId) => EngineLimits | undefined;
@@ -93,7 +103,7 @@
     const nowMs = clock.nowMs();
     const ownerId = ownerOf(server, this.unresponsiveOwners(nowMs));
     if (ownerId === memberId) {
-      onDecision(this.decide(capacityRequest, nowMs).isGranted);
+      onDecision(this.decide(capacityRequest, undefined, nowMs).isGranted);
       return;
     }
     const cancelTimeout = startResponseTimeout(clock, OWNER_TIMEOUT_MS, () => {
@@ -123,7 +133,7 @@
     const { clock, load, loadSourceOf, send } = this.options;
     const { plannedTokens, promptTokens, requestId, serverId, unreadTokens } = capacityRequest;
     const nowMs = clock.nowMs();
-    const { isGranted, totals } = this.decide(capacityRequest, nowMs);
+    const { isGranted, totals } = this.decide(capacityRequest, requesterId, nowMs);
     if (isGranted) {
       const sourceId = loadSourceOf(requesterId);
       const share = { plannedTokens, readingTokens: unreadTokens, runs: 1, serverId };
@@ -145,12 +155,18 @@
    */
   private decide(
     capacityRequest: CapacityRequest,
+    requesterId: MemberId | undefined,
     nowMs: number,
   ): { isGranted: boolean; totals: EngineTotals } {
-    const { engineLimitsOf, load } = this.options;
+    const { capacityKeeper, engineLimitsOf, load } = this.options;
     const totals = load.totals(capacityRequest.serverId, nowMs);
     const limits = engineLimitsOf(capacityRequest.serverId);
-    return { isGranted: !limits || grantsCapacity(capacityRequest, totals, limits), totals };
+    const reserve = capacityKeeper?.reserveFor(capacityRequest, requesterId);
+    const isGranted = !limits || grantsCapacity(capacityRequest, totals, limits, reserve);
+    if (reserve) {
+      capacityKeeper?.recordDecision(capacityRequest, isGranted, reserve);
+    }
+    return { isGranted, totals };
   }
 
   private resolveQuery(requestId: RequestId, serverId: ServerId, isGranted: boolean): void {
