--- a/packages/dispatch/src/ServedShares.ts
+++ b/packages/dispatch/src/ServedShares.ts
@@ -44,17 +44,25 @@
     return { offered: counts.offered * weight, served: counts.served * weight };
   }
 
-  /** Whether the served share of a kind is below a fraction of the mean of all kinds. */
-  isBelowMean(kind: K, fraction: number, nowMs: number): boolean {
-    const share = servedShare(this.countsOf(kind, nowMs));
-    if (share === undefined) {
-      return false;
+  /**
+   * Compares the kinds with the mean of all kinds.
+   *
+   * @param fraction - fraction of the mean
+   * @param nowMs - monotonic time
+   * @returns whether the served share of a kind is below that fraction
+   */
+  belowMean(fraction: number, nowMs: number): (kind: K) => boolean {
+    const shares = new Map<K, number>();
+    let sum = 0;
+    for (const [kind] of this.counts.all()) {
+      const share = servedShare(this.countsOf(kind, nowMs));
+      if (share !== undefined) {
+        shares.set(kind, share);
+        sum += share;
+      }
     }
-    const shares = this.counts
-      .all()
-      .flatMap(([other]) => servedShare(this.countsOf(other, nowMs)) ?? []);
-    const mean = shares.reduce((sum, value) => sum + value, 0) / shares.length;
-    return share < fraction * mean;
+    const limit = (fraction * sum) / Math.max(1, shares.size);
+    return (kind) => (shares.get(kind) ?? Infinity) < limit;
   }
 }
 
--- a/packages/dispatch/src/ShortageAdmission.ts
+++ b/packages/dispatch/src/ShortageAdmission.ts
@@ -95,8 +95,8 @@
 const MAX_PASSED_OVER = 4;
 const LARGE_QUANTILE = 0.9;
 const MS_PER_S = 1_000;
-const SIZE_SAMPLES = 200;
-const MIN_SIZE_SAMPLES = 20;
+/** Sizes of which the quantile is taken. */
+const SIZE_SAMPLES = 50;
 const MAX_TEAMS = 256;
 const MAX_RANKS = 16;
 
@@ -111,7 +111,9 @@
 export class ShortageAdmission {
   private readonly ownUsual = new UsualUse();
   private readonly rates = new PlacementRates();
-  private recentSizes: number[] = [];
+  /** Size from which a generation belongs to the largest tenth. */
+  private largeTokens = Infinity;
+  private readonly recentSizes: number[] = [];
   private refused: { readonly atMs: number; readonly tokens: number }[] = [];
   private readonly reports = new ShortageReports();
   private readonly reservations = new CapacityReservations();
@@ -119,6 +121,7 @@
   private readonly servedRanks = new ServedShares<number>(MAX_RANKS);
   private readonly servedSizes = new ServedShares<boolean>(2);
   private readonly servedTeams = new ServedShares<TeamId>(MAX_TEAMS);
+  private readonly usedTokens = new Map<number, number>();
   private readonly usual = new UsualUse();
   private readonly waiters = new Map<RequestId, Waiter>();
 
@@ -134,7 +137,7 @@
 
   /** Removes a generation whose caller has left, or that has ended. */
   remove(requestId: RequestId): void {
-    this.running.delete(requestId);
+    this.setRunning(requestId, undefined);
     this.waiters.delete(requestId);
   }
 
@@ -155,7 +158,7 @@
   recordPlaced(generation: WaitingGeneration, nowMs: number): void {
     const wasWaiting = this.waiters.delete(generation.requestId);
     const { plannedTokens, rank, requestId } = generation;
-    this.running.set(requestId, generation);
+    this.setRunning(requestId, generation);
     this.rates.record(rank, plannedTokens, nowMs);
     this.recordOutcome(generation, true, nowMs);
     if (wasWaiting) {
@@ -268,7 +271,8 @@
   /** The waiting generations in the order of their urgency. */
   private orderedWaiters(nowMs: number, others: readonly RankReport[]): readonly Ranked[] {
     const rows = [...this.ownRows(nowMs), ...others];
-    const largeTokens = this.largeTokens();
+    const isStarvedTeam = this.servedTeams.belowMean(STARVED_TEAM_FRACTION, nowMs);
+    const areLargeStarved = this.servedSizes.belowMean(STARVED_LARGE_FRACTION, nowMs)(true);
     const guaranteed = new Map<number, boolean>();
     return [...this.waiters.values()]
       .map((waiter): Ranked => {
@@ -277,7 +281,9 @@
         const slackMs = onTimeSlackMs(generation, nowMs - arrivedMs);
         const isGuaranteed = guaranteed.get(rank) ?? this.isGuaranteed(rank, rows, nowMs);
         guaranteed.set(rank, isGuaranteed);
-        const isStarved = this.isStarved(generation, largeTokens, nowMs);
+        const isStarved =
+          (generation.teamId !== undefined && isStarvedTeam(generation.teamId)) ||
+          (areLargeStarved && generation.plannedTokens >= this.largeTokens);
         const isFirst = isGuaranteed || isStarved;
         return { ...waiter, isGuaranteed: isFirst, order: orderOf(slackMs, isFirst), slackMs };
       })
@@ -306,19 +312,6 @@
     );
   }
 
-  private isStarved(
-    { plannedTokens, teamId }: WaitingGeneration,
-    largeTokens: number,
-    nowMs: number,
-  ): boolean {
-    const isLarge = plannedTokens >= largeTokens;
-    return (
-      (teamId !== undefined &&
-        this.servedTeams.isBelowMean(teamId, STARVED_TEAM_FRACTION, nowMs)) ||
-      (isLarge && this.servedSizes.isBelowMean(true, STARVED_LARGE_FRACTION, nowMs))
-    );
-  }
-
   /** What waits ahead by rank, and the rates at which it drains. */
   private backlog(
     ordered: readonly Ranked[],
@@ -410,20 +403,17 @@
     if (teamId !== undefined) {
       this.servedTeams.record(teamId, isServed, nowMs);
     }
-    this.servedSizes.record(plannedTokens >= this.largeTokens(), isServed, nowMs);
-    this.recentSizes.push(plannedTokens);
-    if (this.recentSizes.length > SIZE_SAMPLES) {
-      this.recentSizes.shift();
-    }
+    this.servedSizes.record(plannedTokens >= this.largeTokens, isServed, nowMs);
+    this.recordSize(plannedTokens);
   }
 
-  /** Size from which a generation belongs to the largest tenth. */
-  private largeTokens(): number {
-    if (this.recentSizes.length < MIN_SIZE_SAMPLES) {
-      return Infinity;
+  private recordSize(plannedTokens: number): void {
+    this.recentSizes.push(plannedTokens);
+    if (this.recentSizes.length >= SIZE_SAMPLES) {
+      const sorted = this.recentSizes.sort((a, b) => a - b);
+      this.largeTokens = sorted[Math.floor(LARGE_QUANTILE * sorted.length)] ?? Infinity;
+      this.recentSizes.length = 0;
     }
-    const sorted = [...this.recentSizes].sort((a, b) => a - b);
-    return sorted[Math.floor(LARGE_QUANTILE * sorted.length)] ?? Infinity;
   }
 
   /** Counts the waiting generations of a rank that are larger than one that was placed before them. */
@@ -438,34 +428,58 @@
 
   private ownRows(nowMs: number): readonly RankReport[] {
     const rates = this.rates.all(nowMs);
-    const usedTokens = new Map<number, number>();
-    for (const { plannedTokens, rank } of this.running.values()) {
-      addTo(usedTokens, rank, plannedTokens);
-    }
-    const waiters = [...this.waiters.values()].map((waiter) => ({
-      ...waiter,
-      slackMs: onTimeSlackMs(waiter.generation, nowMs - waiter.generation.arrivedMs),
-    }));
-    const waitingRanks = waiters.map(({ generation }) => generation.rank);
-    const ranks = new Set([...waitingRanks, ...usedTokens.keys(), ...rates.keys()]);
-    return [...ranks].map((rank) => {
-      const ofRank = waiters.filter(({ generation }) => generation.rank === rank);
-      const onTime = ofRank.filter(({ isDeferred, slackMs }) => !isDeferred && slackMs > 0);
-      const onTimeTokens = plannedTokensOf(onTime);
-      return {
-        ...this.servedRanks.countsOf(rank, nowMs),
-        lateTokens: plannedTokensOf(ofRank) - onTimeTokens,
-        onTimeCount: onTime.length,
-        onTimeTokens,
+    const rows = new Map<number, Writable<RankReport>>();
+    const rowOf = (rank: number): Writable<RankReport> => {
+      const known = rows.get(rank);
+      if (known) {
+        return known;
+      }
+      const { offered, served } = this.servedRanks.countsOf(rank, nowMs);
+      const row = {
+        lateTokens: 0,
+        offered,
+        onTimeCount: 0,
+        onTimeTokens: 0,
         placedTokensPerS: rates.get(rank) ?? 0,
         rank,
-        slackMs: onTime.length > 0 ? Math.min(...onTime.map(({ slackMs }) => slackMs)) : 0,
-        usedTokens: usedTokens.get(rank) ?? 0,
+        served,
+        slackMs: 0,
+        usedTokens: this.usedTokens.get(rank) ?? 0,
       };
-    });
+      rows.set(rank, row);
+      return row;
+    };
+    [...rates.keys(), ...this.usedTokens.keys()].forEach(rowOf);
+    for (const { generation, isDeferred } of this.waiters.values()) {
+      const row = rowOf(generation.rank);
+      const slackMs = onTimeSlackMs(generation, nowMs - generation.arrivedMs);
+      if (isDeferred || slackMs <= 0) {
+        row.lateTokens += generation.plannedTokens;
+        continue;
+      }
+      row.slackMs = row.onTimeCount === 0 ? slackMs : Math.min(row.slackMs, slackMs);
+      row.onTimeCount += 1;
+      row.onTimeTokens += generation.plannedTokens;
+    }
+    return [...rows.values()];
+  }
+
+  private setRunning(requestId: RequestId, generation: WaitingGeneration | undefined): void {
+    const previous = this.running.get(requestId);
+    if (previous) {
+      addTo(this.usedTokens, previous.rank, -previous.plannedTokens);
+    }
+    if (generation) {
+      addTo(this.usedTokens, generation.rank, generation.plannedTokens);
+      this.running.set(requestId, generation);
+    } else {
+      this.running.delete(requestId);
+    }
   }
 }
 
+type Writable<T> = { -readonly [K in keyof T]: T[K] };
+
 const NO_GENERATIONS = { offered: 0, served: 0 };
 const ON_TIME_FIRST = 0;
 const ON_TIME = 1;
@@ -513,10 +527,6 @@
   };
 }
 
-function plannedTokensOf(waiters: readonly Waiter[]): number {
-  return waiters.reduce((sum, { generation }) => sum + generation.plannedTokens, 0);
-}
-
 function usedTokensOf(rows: readonly RankReport[]): Map<number, number> {
   const used = new Map<number, number>();
   for (const { rank, usedTokens } of rows) {
--- a/packages/dispatch/src/ShortageReports.ts
+++ b/packages/dispatch/src/ShortageReports.ts
@@ -38,9 +38,9 @@
 export class ShortageReports {
   private readonly reports = new Map<MemberId, MemberReport>();
 
-  /** Replaces the report of another daemon, or of another failure domain. */
+  /** Replaces the report of another daemon, or of another failure domain; one row for each rank. */
   record(sourceId: MemberId, ranks: readonly RankReport[], nowMs: number): void {
-    this.reports.set(sourceId, { atMs: nowMs, ranks: mergeRanks(ranks) });
+    this.reports.set(sourceId, { atMs: nowMs, ranks });
   }
 
   /** Recent rows of all sources but one. */
