Keep capacity only while a generation is known to wait for it

Cause: an owner that declined a request since the engine was busy with prompts kept capacity for it, also where no capacity was short.

Change: only a lack of capacity is recorded, and nothing is kept while no generation is known to wait.

--- a/packages/dispatch/src/CapacityReservations.ts
+++ b/packages/dispatch/src/CapacityReservations.ts
@@ -25,13 +25,19 @@
 export class CapacityReservations {
   private declined: Declined[] = [];
 
-  /** Records a decision on a request at one of the own engines. */
-  recordDecision(request: CapacityRequest, isGranted: boolean, nowMs: number): void {
+  /**
+   * Records a decision on a request at one of the own engines.
+   *
+   * @param request - the request
+   * @param isLacking - whether it was declined since the engine lacks capacity
+   * @param nowMs - monotonic time
+   */
+  recordDecision(request: CapacityRequest, isLacking: boolean, nowMs: number): void {
     const { plannedTokens, priority, requestId, serverId } = request;
     this.declined = this.declined.filter(
       (entry) => entry.requestId !== requestId && isValid(entry, nowMs),
     );
-    if (!isGranted && priority && this.declined.length < MAX_DECLINED) {
+    if (isLacking && priority && this.declined.length < MAX_DECLINED) {
       this.declined.push({ atMs: nowMs, plannedTokens, priority, requestId, serverId });
     }
   }
--- a/packages/dispatch/src/EngineCapacity.ts
+++ b/packages/dispatch/src/EngineCapacity.ts
@@ -100,11 +100,29 @@
   reserve: CapacityReserve = NO_RESERVE,
 ): boolean {
   const unseenTokens = totals.readingTokens - request.believedReadingTokens;
+  return !lacksCapacity(request, totals, engine, reserve) && unseenTokens <= MAX_UNSEEN_TOKENS;
+}
+
+/**
+ * Whether an engine lacks capacity for a request, as opposed to being busy with prompts that the
+ * requesting daemon did not know of.
+ *
+ * @param request - the generation
+ * @param totals - load of the engine
+ * @param engine - limits of the engine
+ * @param reserve - capacity that is kept for more urgent generations; none by default
+ */
+export function lacksCapacity(
+  request: CapacityRequest,
+  totals: EngineTotals,
+  engine: EngineLimits,
+  reserve: CapacityReserve = NO_RESERVE,
+): boolean {
   const reserved = {
     ...totals,
     plannedTokens: totals.plannedTokens + reserve.tokens,
     runs: totals.runs + reserve.runs,
     usedTokens: totals.usedTokens + reserve.tokens,
   };
-  return remainingCapacity(reserved, request, engine).fits && unseenTokens <= MAX_UNSEEN_TOKENS;
+  return !remainingCapacity(reserved, request, engine).fits;
 }
--- a/packages/dispatch/src/ShortageAdmission.ts
+++ b/packages/dispatch/src/ShortageAdmission.ts
@@ -243,13 +243,14 @@
     return { refusals, turns: sortByDeferral(kept).map((ranked) => toTurn(ranked)) };
   }
 
-  /** Records a decision at an engine that this daemon owns. */
-  recordDecision(request: CapacityRequest, isGranted: boolean, nowMs: number): void {
-    this.reservations.recordDecision(request, isGranted, nowMs);
+  /** Records whether an engine that this daemon owns lacked capacity for a request. */
+  recordDecision(request: CapacityRequest, isLacking: boolean, nowMs: number): void {
+    this.reservations.recordDecision(request, isLacking, nowMs);
   }
 
   /**
-   * Capacity that the owner of an engine keeps from a request.
+   * Capacity that the owner of an engine keeps from a request; none while no generation is known to
+   * wait.
    *
    * @param request - the request
    * @param requesterId - its daemon; undefined for this one
@@ -263,8 +264,13 @@
     engineCount: number,
     nowMs: number,
   ): CapacityReserve {
-    const own = requesterId === undefined ? [] : this.ownRows(nowMs);
-    const waiting = [...own, ...this.reports.rows(nowMs, requesterId)];
+    const own = this.ownRows(nowMs);
+    const isWaitedFor = (row: RankReport): boolean => row.onTimeCount > 0 || row.lateTokens > 0;
+    if (![...own, ...this.reports.rows(nowMs)].some(isWaitedFor)) {
+      return { runs: 0, tokens: 0 };
+    }
+    const others = this.reports.rows(nowMs, requesterId);
+    const waiting = requesterId === undefined ? others : [...own, ...others];
     return this.reservations.reserveFor(request, waiting, engineCount, nowMs);
   }
 
--- a/packages/dispatch/src/__tests__/support/ShortageReplay.ts
+++ b/packages/dispatch/src/__tests__/support/ShortageReplay.ts
@@ -12,6 +12,7 @@
 import {
   admitGeneration,
   grantsCapacity,
+  lacksCapacity,
   rankEngines,
   RecentWaits,
   remainingCapacity,
@@ -271,7 +272,8 @@
       ? owner.admission.reserveFor(request, requesterId, engineCount(), nowMs)
       : undefined;
     const isGranted = grantsCapacity(request, totals, REPLAY_ENGINE, reserve);
-    owner.admission.recordDecision(request, isGranted, nowMs);
+    const isLacking = lacksCapacity(request, totals, REPLAY_ENGINE, reserve);
+    owner.admission.recordDecision(request, isLacking, nowMs);
     if (isGranted) {
       const { plannedTokens, promptTokens, unreadTokens } = request;
       const share = {
--- a/packages/serving/src/callers/ShortageQueue.ts
+++ b/packages/serving/src/callers/ShortageQueue.ts
@@ -206,16 +206,16 @@
     return queue.admission.reserveFor(request, requesterId, engineCount, clock.nowMs());
   }
 
-  /** Records a decision at an engine of this daemon. */
-  recordDecision(request: CapacityRequest, isGranted: boolean, kept: CapacityReserve): void {
+  /** Records whether an engine of this daemon lacked capacity for a request. */
+  recordDecision(request: CapacityRequest, isLacking: boolean, kept: CapacityReserve): void {
     const { clock, log, metrics, serviceOf } = this.options;
     const { priority, requestId, serverId } = request;
     const service = serviceOf(serverId);
     if (service === undefined || !priority) {
       return;
     }
-    this.queueOf(service).admission.recordDecision(request, isGranted, clock.nowMs());
-    if (!isGranted && kept.tokens > 0) {
+    this.queueOf(service).admission.recordDecision(request, isLacking, clock.nowMs());
+    if (isLacking && kept.tokens > 0) {
       metrics.increment('shortage_kept', 1, { rank: String(priority.rank) });
       log.info('capacity-kept', {
         keptRuns: kept.runs,
--- a/packages/serving/src/servers/EngineCapacityCoordinator.ts
+++ b/packages/serving/src/servers/EngineCapacityCoordinator.ts
@@ -6,7 +6,7 @@
   EngineTotals,
   CapacityRequest,
 } from '@laburnumgap/dispatch';
-import { grantsCapacity } from '@laburnumgap/dispatch';
+import { grantsCapacity, lacksCapacity } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, RequestId, ServerId, Teardown } from '@laburnumgap/kernel';
 import type { CapacityMessage } from '../peers/PeerMessages.js';
 import { startResponseTimeout } from '../ResponseTimeout.js';
@@ -14,7 +14,8 @@
 
 /** Keeps capacity of engines for more urgent generations in a shortage. */
 export interface CapacityKeeper {
-  recordDecision(request: CapacityRequest, isGranted: boolean, kept: CapacityReserve): void;
+  /** Records whether an own engine lacked capacity for a request, with what was kept from it. */
+  recordDecision(request: CapacityRequest, isLacking: boolean, kept: CapacityReserve): void;
   /** Capacity that is kept from a request; the requester is undefined for this daemon. */
   reserveFor(request: CapacityRequest, requesterId: MemberId | undefined): CapacityReserve;
 }
@@ -163,8 +164,9 @@
     const limits = engineLimitsOf(capacityRequest.serverId);
     const reserve = capacityKeeper?.reserveFor(capacityRequest, requesterId);
     const isGranted = !limits || grantsCapacity(capacityRequest, totals, limits, reserve);
-    if (reserve) {
-      capacityKeeper?.recordDecision(capacityRequest, isGranted, reserve);
+    if (reserve && limits) {
+      const isLacking = lacksCapacity(capacityRequest, totals, limits, reserve);
+      capacityKeeper?.recordDecision(capacityRequest, isLacking, reserve);
     }
     return { isGranted, totals };
   }
