--- a/packages/dispatch/src/__tests__/support/ShortageReplay.ts
+++ b/packages/dispatch/src/__tests__/support/ShortageReplay.ts
@@ -63,6 +63,8 @@
   /** Engines in use at a time. */
   readonly enginesAt?: (nowMs: number) => number;
   readonly isShared: boolean;
+  /** Refused callers ignore the spread of Retry-After and return at the next multiple of this. */
+  readonly returnsEveryMs?: number;
   readonly perSAt: (kind: ReplayKind, nowMs: number) => number;
   readonly seed: number;
   /** Interval in which nothing that other daemons report arrives. */
@@ -364,8 +366,11 @@
     daemon.waiting.delete(generation.requestId);
     const leftMs = outcome.arrivedMs + outcome.kind.timeoutMs - nowMs;
     if (outcome.retriesMs.length === 0 && retryAfterMs <= leftMs / 3) {
-      outcome.retriesMs.push(nowMs + retryAfterMs);
-      after(retryAfterMs, () => {
+      const everyMs = options.returnsEveryMs;
+      const dueMs = nowMs + retryAfterMs;
+      const returnMs = everyMs === undefined ? dueMs : Math.ceil(dueMs / everyMs) * everyMs;
+      outcome.retriesMs.push(returnMs);
+      after(returnMs - nowMs, () => {
         arrive(outcome);
       });
     }
