Keep less capacity idle for a single waiting generation, and let large ones hold an engine

Cause: one urgent waiting generation kept a place at each engine, about a tenth of the fleet's memory; large generations never found an engine with as much free memory at once.

Change: reported generations count at each engine in proportion to the engines. A generation that is a fifth larger than the mean of its rank holds what frees next at one engine. The wait of late ones is estimated from the rate of the fleet.

--- a/packages/dispatch/src/CapacityReservations.ts
+++ b/packages/dispatch/src/CapacityReservations.ts
@@ -13,7 +13,7 @@
 /** A generation that was declined asks elsewhere within this, or is reported as waiting. */
 const DECLINED_VALID_MS = 100;
 /** A large generation that holds its place asks again within this. */
-const HOLD_VALID_MS = 400;
+const HOLD_VALID_MS = 150;
 /** Bounds the memory of an owner in a burst. */
 const MAX_DECLINED = 256;
 
@@ -72,12 +72,12 @@
     const reported = waiting.filter((row) => isReportedBefore(row, priority));
     const count = reported.reduce((sum, { onTimeCount }) => sum + onTimeCount, 0);
     const tokens = reported.reduce((sum, { onTimeTokens }) => sum + onTimeTokens, 0);
-    // One of them can ask here next, or more where there are more of them than engines.
-    const runs = Math.min(count, Math.max(1, count / Math.max(1, engineCount)));
-    const reportedTokens = count > 0 ? (tokens / count) * runs : 0;
+    // A place for each at every engine would leave a tenth of the fleet idle for a single one.
+    const reportedRuns = Math.floor(count / Math.max(1, engineCount));
+    const reportedTokens = tokens / Math.max(1, engineCount);
     // Those that were declined here are usually reported too.
     return {
-      runs: Math.max(kept.length, Math.ceil(runs)),
+      runs: Math.max(kept.length, reportedRuns),
       tokens: Math.max(keptTokens, reportedTokens),
     };
   }
--- a/packages/dispatch/src/ShortageAdmission.ts
+++ b/packages/dispatch/src/ShortageAdmission.ts
@@ -64,6 +64,9 @@
 
 /** Waiting generations that can be on time, and the recent rate of placements, by rank. */
 interface Backlog {
+  /** Late ones of this daemon and of all. */
+  lateTokens: number;
+  ownLateTokens: number;
   readonly otherTokens: Map<number, number>;
   readonly ownTokens: Map<number, number>;
   readonly placedTokensPerS: Map<number, number>;
@@ -93,10 +96,18 @@
 const MAX_SERVED_LEAD = 0.02;
 /** A generation for which this many others went ahead holds what frees next. */
 const MAX_PASSED_OVER = 4;
+/** So does one that is larger than the mean of its rank by this factor: smaller ones fit in earlier. */
+const LARGE_FACTOR = 1.2;
+/** It holds after this fraction of the time until its target. */
+const HOLD_AFTER_FRACTION = 0.1;
+/** Generations of a daemon that hold an engine at once, which leaves capacity idle meanwhile. */
+const MAX_HOLDS = 2;
 const LARGE_QUANTILE = 0.9;
 const MS_PER_S = 1_000;
 /** Sizes of which the quantile is taken. */
 const SIZE_SAMPLES = 50;
+/** Weight of the newest generation in the mean size of its rank. */
+const SIZE_WEIGHT = 0.05;
 const MAX_TEAMS = 256;
 const MAX_RANKS = 16;
 
@@ -109,6 +120,8 @@
  * are served far less than others go first.
  */
 export class ShortageAdmission {
+  /** Mean planned tokens of the recent generations, by rank. */
+  private readonly meanTokens = new Map<number, number>();
   private readonly ownUsual = new UsualUse();
   private readonly rates = new PlacementRates();
   /** Size from which a generation belongs to the largest tenth. */
@@ -228,7 +241,14 @@
       if (waiter && isLate) {
         waiter.isDeferred = true;
       }
-      const reason = this.refusalReason(ranked, isLate, expectedWaitMs, lateAheadTokens, nowMs);
+      const reason = this.refusalReason(
+        ranked,
+        isLate,
+        expectedWaitMs,
+        lateAheadTokens,
+        backlog,
+        nowMs,
+      );
       if (reason) {
         refusals.push(this.refuse(ranked, reason, expectedWaitMs, nowMs, randomUnit));
         continue;
@@ -240,7 +260,20 @@
         aheadTokens.set(rank, sameAhead);
       }
     }
-    return { refusals, turns: sortByDeferral(kept).map((ranked) => toTurn(ranked)) };
+    const held = this.holds(kept);
+    return { refusals, turns: sortByDeferral(kept).map((ranked) => toTurn(ranked, held)) };
+  }
+
+  /** Generations that hold what frees next at an engine. */
+  private holds(kept: readonly Ranked[]): ReadonlySet<WaitingGeneration> {
+    const held = kept.filter(({ generation, isDeferred, passedOver, slackMs }) => {
+      const { plannedTokens, rank } = generation;
+      const isLarge = plannedTokens > LARGE_FACTOR * (this.meanTokens.get(rank) ?? Infinity);
+      const waitedFraction = 1 - slackMs / onTimeSlackMs(generation, 0);
+      const isPassedOver = passedOver >= MAX_PASSED_OVER;
+      return !isDeferred && (isPassedOver || (isLarge && waitedFraction > HOLD_AFTER_FRACTION));
+    });
+    return new Set(held.slice(0, MAX_HOLDS).map(({ generation }) => generation));
   }
 
   /** Records whether an engine that this daemon owns lacked capacity for a request. */
@@ -325,16 +358,23 @@
     nowMs: number,
   ): Backlog {
     const backlog: Backlog = {
+      lateTokens: 0,
+      ownLateTokens: 0,
       otherTokens: new Map(),
       ownTokens: new Map(),
       placedTokensPerS: new Map(this.rates.all(nowMs)),
     };
     for (const { generation, isDeferred, slackMs } of ordered) {
+      const { plannedTokens, rank } = generation;
       if (!isDeferred && slackMs > 0) {
-        addTo(backlog.ownTokens, generation.rank, generation.plannedTokens);
+        addTo(backlog.ownTokens, rank, plannedTokens);
+      } else {
+        backlog.ownLateTokens += plannedTokens;
+        backlog.lateTokens += plannedTokens;
       }
     }
-    for (const { onTimeTokens, placedTokensPerS, rank } of others) {
+    for (const { lateTokens, onTimeTokens, placedTokensPerS, rank } of others) {
+      backlog.lateTokens += lateTokens;
       addTo(backlog.otherTokens, rank, onTimeTokens);
       addTo(backlog.placedTokensPerS, rank, placedTokensPerS);
     }
@@ -346,6 +386,7 @@
     isLate: boolean,
     expectedWaitMs: number | undefined,
     lateAheadTokens: number,
+    backlog: Backlog,
     nowMs: number,
   ): ShortageRefusalReason | undefined {
     const { arrivedMs, callerTimeoutMs, plannedTokens } = generation;
@@ -364,11 +405,8 @@
     if (valueShare >= MOST_VALUE_SHARE || expectedWaitMs === undefined) {
       return undefined;
     }
-    const sameTokens = Math.max(plannedTokens, lateAheadTokens + plannedTokens);
-    const lateWaitMs = expectedWaitMs * (sameTokens / plannedTokens);
-    return Math.min(lateWaitMs, expectedWaitMs + this.ownDrainMs(sameTokens, nowMs)) > leftMs
-      ? 'noPlaceInTime'
-      : undefined;
+    const lateTokens = lateAheadTokens + plannedTokens;
+    return expectedWaitMs + lateWaitOf(lateTokens, backlog) > leftMs ? 'noPlaceInTime' : undefined;
   }
 
   /** Time in which this daemon's share of the capacity frees some tokens. */
@@ -410,10 +448,12 @@
       this.servedTeams.record(teamId, isServed, nowMs);
     }
     this.servedSizes.record(plannedTokens >= this.largeTokens, isServed, nowMs);
-    this.recordSize(plannedTokens);
+    this.recordSize(rank, plannedTokens);
   }
 
-  private recordSize(plannedTokens: number): void {
+  private recordSize(rank: number, plannedTokens: number): void {
+    const meanTokens = this.meanTokens.get(rank) ?? plannedTokens;
+    this.meanTokens.set(rank, meanTokens + (plannedTokens - meanTokens) * SIZE_WEIGHT);
     this.recentSizes.push(plannedTokens);
     if (this.recentSizes.length >= SIZE_SAMPLES) {
       const sorted = this.recentSizes.sort((a, b) => a - b);
@@ -514,18 +554,15 @@
   return [...kept].sort((a, b) => levelOf(a) - levelOf(b) || compareRanked(a, b));
 }
 
-function toTurn({
-  generation,
-  isDeferred,
-  isGuaranteed,
-  passedOver,
-  slackMs,
-}: Ranked): ShortageTurn {
+function toTurn(
+  { generation, isDeferred, isGuaranteed, slackMs }: Ranked,
+  held: ReadonlySet<WaitingGeneration>,
+): ShortageTurn {
   const { rank, requestId } = generation;
   return {
     priority: {
       ...(isGuaranteed ? { isGuaranteed } : {}),
-      ...(passedOver >= MAX_PASSED_OVER ? { isHeld: true } : {}),
+      ...(held.has(generation) ? { isHeld: true } : {}),
       rank,
       slackMs: isDeferred ? Math.min(0, slackMs) : Math.round(slackMs),
     },
@@ -563,6 +600,17 @@
   return ((urgentTokens + sameTokens) * MS_PER_S) / tokensPerS;
 }
 
+/** Time until the late generations ahead have got capacity, behind all that can be on time. */
+function lateWaitOf(
+  lateAheadTokens: number,
+  { lateTokens, ownLateTokens, placedTokensPerS }: Backlog,
+): number {
+  const tokensPerS = sumWhere(placedTokensPerS, () => true);
+  const ownQueueTokens = Math.max(lateAheadTokens, ownLateTokens);
+  const fleetFactor = 1 + (lateTokens - ownLateTokens) / ownQueueTokens;
+  return (lateAheadTokens * fleetFactor * MS_PER_S) / tokensPerS;
+}
+
 function sumWhere(
   tokens: ReadonlyMap<number, number>,
   isCounted: (rank: number) => boolean,
--- a/packages/dispatch/src/__tests__/support/ShortageReplay.ts
+++ b/packages/dispatch/src/__tests__/support/ShortageReplay.ts
@@ -97,6 +97,7 @@
   /** Baseline: time of the next check and consecutive declines. */
   checkMs: number;
   declines: number;
+  heldEngine?: number;
 }
 
 interface Pending {
@@ -127,6 +128,7 @@
 const NEAR_MS = 30;
 const FAR_MS = 350;
 const HISTORY_STEPS = 500;
+const NO_CAPACITY = { fits: false } as Placement;
 const ZERO: EngineTotals = { plannedTokens: 0, readingTokens: 0, runs: 0, usedTokens: 0 };
 
 /** Random numbers in [0, 1), the same for a seed. */
@@ -233,7 +235,8 @@
       usedTokens: Math.max(sum.usedTokens, totals.usedTokens),
     };
   };
-  const bestFor = (daemon: Daemon, { generation }: Waiting): Placement | undefined => {
+  const bestFor = (daemon: Daemon, waiting: Waiting, isHeld = false): Placement | undefined => {
+    const { generation } = waiting;
     const candidates = servers.slice(0, engineCount()).map((server, engine) => ({
       cachedTokens: 0,
       failureShare: 0,
@@ -243,8 +246,13 @@
     const fitting = candidates.filter(
       ({ totals }) => remainingCapacity(totals, generation, REPLAY_ENGINE).fits,
     );
+    if (fitting.length === 0 && !isHeld) {
+      return undefined;
+    }
+    const held = candidates.filter((_candidate, engine) => engine === waiting.heldEngine);
+    const unfitting = held.length > 0 ? held : candidates;
     return rankEngines({
-      candidates: fitting.length > 0 ? fitting : candidates.slice(0, 1),
+      candidates: fitting.length > 0 ? fitting : unfitting,
       engine: REPLAY_ENGINE,
       failureDomain: toId('a'),
       prompt: promptOf({
@@ -406,7 +414,7 @@
       const { generation } = waiting;
       const waitedMs = nowMs - generation.arrivedMs;
       const { callerTimeoutMs, rank, targetLatencyMs } = generation;
-      const best = bestFor(daemon, waiting);
+      const best = bestFor(daemon, waiting) ?? NO_CAPACITY;
       const input = { best, callerTimeoutMs, targetLatencyMs, urgency: rank, waitedMs };
       const admission = admitGeneration(input);
       if (admission.kind === 'send') {
@@ -450,8 +458,9 @@
       if (misfits >= 8 || asking >= 4) {
         return;
       }
-      const best = bestFor(daemon, waiting);
-      if (best && (best.fits || priority.isHeld === true)) {
+      const best = bestFor(daemon, waiting, priority.isHeld);
+      if (best) {
+        waiting.heldEngine = best.fits ? undefined : servers.indexOf(best.server);
         ask(daemon, waiting, best, priority);
         asking += 1;
       } else {
--- a/packages/serving/src/callers/EngineSearch.ts
+++ b/packages/serving/src/callers/EngineSearch.ts
@@ -7,7 +7,7 @@
   WaitingGeneration,
 } from '@laburnumgap/dispatch';
 import { admitGeneration, plannedOutputTokens, reservedOutputTokens } from '@laburnumgap/dispatch';
-import type { Refusal, RequestId, ResultCodeName } from '@laburnumgap/kernel';
+import type { Refusal, RequestId, ResultCodeName, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { callerTimeoutMs, urgencyOf } from './GenerationTargets.js';
@@ -43,6 +43,8 @@
  * requests capacity from the engine's owner, and waits while no engine has any.
  */
 export class EngineSearch {
+  /** Engine that is held for the waiting generation. */
+  private heldServerId: ServerId | undefined;
   private isStopped = false;
   private startedMs: number;
   private timer: NodeJS.Timeout | undefined;
@@ -143,17 +145,25 @@
 
   /** Requests capacity for the waiting generation; false when no engine has any. */
   private takeTurn(priority: CapacityPriority): boolean {
-    const best = this.options.rank()[0];
+    const placements = this.options.rank();
+    const [best] = placements;
     const refused = this.options.admitted.pass.refusal();
     const isOver = this.waitedMs() >= callerTimeoutMs(this.options.admitted);
     if (refused || !best || isOver) {
       this.start();
       return true;
     }
-    if (!best.fits && priority.isHeld !== true) {
+    if (best.fits) {
+      this.requestCapacity(best, 0, priority);
+      return true;
+    }
+    if (priority.isHeld !== true) {
       return false;
     }
-    this.requestCapacity(best, 0, priority);
+    // Another engine with each turn would leave all of them idle.
+    const held = placements.find(({ server }) => server.serverId === this.heldServerId) ?? best;
+    this.heldServerId = held.server.serverId;
+    this.requestCapacity(held, 0, priority);
     return true;
   }
 
