Let large waiting generations hold an engine from the start

Cause: large generations were counted as late by the rate at which smaller ones are placed, and as late ones they hold no engine.

Change: a generation 15 in 100 larger than the mean of its rank holds an engine as soon as it waits, and the estimate does not apply to it.

--- a/packages/dispatch/src/ShortageAdmission.ts
+++ b/packages/dispatch/src/ShortageAdmission.ts
@@ -97,9 +97,7 @@
 /** A generation for which this many others went ahead holds what frees next. */
 const MAX_PASSED_OVER = 4;
 /** So does one that is larger than the mean of its rank by this factor: smaller ones fit in earlier. */
-const LARGE_FACTOR = 1.2;
-/** It holds after this fraction of the time until its target. */
-const HOLD_AFTER_FRACTION = 0.1;
+const LARGE_FACTOR = 1.15;
 /** Generations of a daemon that hold an engine at once, which leaves capacity idle meanwhile. */
 const MAX_HOLDS = 2;
 const LARGE_QUANTILE = 0.9;
@@ -236,7 +234,9 @@
       const sameAhead = (aheadTokens.get(rank) ?? 0) + plannedTokens;
       const expectedWaitMs = expectedWaitOf(rank, sameAhead, backlog);
       const waiter = this.waiters.get(generation.requestId);
-      const willBeLate = (expectedWaitMs ?? 0) > MAX_SLACK_FRACTION * slackMs;
+      // A large one gets an engine that it holds, to which the rate of the others does not apply.
+      const willBeLate =
+        (expectedWaitMs ?? 0) > MAX_SLACK_FRACTION * slackMs && !this.isLarge(generation);
       const isLate = ranked.isDeferred || slackMs <= 0 || willBeLate;
       if (waiter && isLate) {
         waiter.isDeferred = true;
@@ -266,16 +266,17 @@
 
   /** Generations that hold what frees next at an engine. */
   private holds(kept: readonly Ranked[]): ReadonlySet<WaitingGeneration> {
-    const held = kept.filter(({ generation, isDeferred, passedOver, slackMs }) => {
-      const { plannedTokens, rank } = generation;
-      const isLarge = plannedTokens > LARGE_FACTOR * (this.meanTokens.get(rank) ?? Infinity);
-      const waitedFraction = 1 - slackMs / onTimeSlackMs(generation, 0);
-      const isPassedOver = passedOver >= MAX_PASSED_OVER;
-      return !isDeferred && (isPassedOver || (isLarge && waitedFraction > HOLD_AFTER_FRACTION));
-    });
+    const held = kept.filter(
+      ({ generation, isDeferred, passedOver }) =>
+        !isDeferred && (passedOver >= MAX_PASSED_OVER || this.isLarge(generation)),
+    );
     return new Set(held.slice(0, MAX_HOLDS).map(({ generation }) => generation));
   }
 
+  private isLarge({ plannedTokens, rank }: WaitingGeneration): boolean {
+    return plannedTokens > LARGE_FACTOR * (this.meanTokens.get(rank) ?? Infinity);
+  }
+
   /** Records whether an engine that this daemon owns lacked capacity for a request. */
   recordDecision(request: CapacityRequest, isLacking: boolean, nowMs: number): void {
     this.reservations.recordDecision(request, isLacking, nowMs);
--- a/packages/dispatch/src/__tests__/unit/ShortageReplay.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ShortageReplay.test.ts
@@ -11,8 +11,9 @@
 
 const BURST_FROM_MS = 12_000;
 const BURST_UNTIL_MS = 22_000;
-const ARRIVALS_UNTIL_MS = 27_000;
-const DURATION_MS = 42_000;
+const ARRIVALS_UNTIL_MS = 37_000;
+/** The last callers give up 16 s after they arrived. */
+const DURATION_MS = 53_000;
 const BURST_FACTOR = 2.5;
 const ENGINES = 34;
 const ENGINES_LEFT = 23;
