--- a/packages/serving/src/__tests__/unit/EngineCapacityCoordinator.test.ts
+++ b/packages/serving/src/__tests__/unit/EngineCapacityCoordinator.test.ts
@@ -9,7 +9,7 @@
 } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
-import type { CapacityMessage } from '../../index.js';
+import type { CapacityKeeper, CapacityMessage } from '../../index.js';
 import { EngineCapacityCoordinator } from '../../index.js';
 
 const SERVER_ID = toId<ServerId>('e1');
@@ -57,6 +57,7 @@
 function createCluster(
   names: readonly string[],
   unresponsive: readonly string[] = [],
+  capacityKeeper?: CapacityKeeper,
 ): TestCluster {
   const ids = names.map((memberName) => toId<MemberId>(memberName));
   const cluster: TestCluster = { coordinators: new Map(), requestedOwners: [] };
@@ -70,6 +71,7 @@
       }
     };
     const coordinator = new EngineCapacityCoordinator({
+      capacityKeeper,
       clock: { nowMs: () => performance.now() },
       engineLimitsOf: () => ENGINE,
       load: new EngineLoad(),
@@ -140,3 +142,18 @@
   t.false(answer, 'the engine is full');
   t.deepEqual(cluster.requestedOwners, ['m1', 'm1', 'm1']);
 });
+
+test('load pattern: an owner keeps capacity for more urgent generations, also from itself', async (t) => {
+  const decisions: string[] = [];
+  const cluster = createCluster(['m1', 'm2'], [], {
+    recordDecision: ({ requestId }, isLacking) => {
+      decisions.push(`${requestId} ${String(isLacking)}`);
+    },
+    reserveFor: ({ requestId }) => ({ runs: 0, tokens: requestId === 'urgent' ? 0 : 4_000 }),
+  });
+  t.true(await requestCapacity(cluster, 'm2', 'r1'));
+  t.false(await requestCapacity(cluster, 'm2', 'r2'));
+  t.false(await requestCapacity(cluster, 'm1', 'r3'));
+  t.true(await requestCapacity(cluster, 'm2', 'urgent'));
+  t.deepEqual(decisions, ['r1 false', 'r2 true', 'r3 true', 'urgent false']);
+});
