Refuse a generation at once when it would become late by waiting

Long generations waited until they were late and were refused then; their callers came back as new ones, took places from those that could be on time, and were late themselves.

Change: a generation that would become late by waiting is refused at once.

The test of the owner's reserve now reports one waiting generation for each of the 34 engines, since the reserve is in proportion.

--- a/packages/dispatch/src/ShortageAdmission.ts
+++ b/packages/dispatch/src/ShortageAdmission.ts
@@ -64,9 +64,6 @@
 
 /** Waiting generations that can be on time, and the recent rate of placements, by rank. */
 interface Backlog {
-  /** Late ones of this daemon and of all. */
-  lateTokens: number;
-  ownLateTokens: number;
   readonly otherTokens: Map<number, number>;
   readonly ownTokens: Map<number, number>;
   readonly placedTokensPerS: Map<number, number>;
@@ -78,7 +75,7 @@
 const MAX_SLACK_FRACTION = 0.7;
 /** Generations that keep less of their value when late are refused rather than kept. */
 const MIN_LATE_VALUE_SHARE = 0.1;
-/** Generations that keep more of their value when late wait without regard to estimates. */
+/** Generations that keep more of their value when late wait although they will be late. */
 const MOST_VALUE_SHARE = 0.5;
 /** A caller honours Retry-After up to this fraction of the time that it has left. */
 const MAX_RETRY_FRACTION = 1 / 3;
@@ -227,35 +224,24 @@
     const refusals: ShortageRefusal[] = [];
     const kept: Ranked[] = [];
     const aheadTokens = new Map<number, number>();
-    let lateAheadTokens = 0;
     for (const ranked of ordered) {
       const { generation, slackMs } = ranked;
       const { plannedTokens, rank } = generation;
       const sameAhead = (aheadTokens.get(rank) ?? 0) + plannedTokens;
       const expectedWaitMs = expectedWaitOf(rank, sameAhead, backlog);
-      const waiter = this.waiters.get(generation.requestId);
       // A large one gets an engine that it holds, to which the rate of the others does not apply.
       const willBeLate =
         (expectedWaitMs ?? 0) > MAX_SLACK_FRACTION * slackMs && !this.isLarge(generation);
-      const isLate = ranked.isDeferred || slackMs <= 0 || willBeLate;
-      if (waiter && isLate) {
-        waiter.isDeferred = true;
-      }
-      const reason = this.refusalReason(
-        ranked,
-        isLate,
-        expectedWaitMs,
-        lateAheadTokens,
-        backlog,
-        nowMs,
-      );
+      const reason = refusalReason(ranked, willBeLate, nowMs);
       if (reason) {
         refusals.push(this.refuse(ranked, reason, expectedWaitMs, nowMs, randomUnit));
         continue;
       }
-      kept.push({ ...ranked, isDeferred: isLate });
-      if (isLate) {
-        lateAheadTokens += plannedTokens;
+      const isDeferred = ranked.isDeferred || slackMs <= 0 || willBeLate;
+      kept.push({ ...ranked, isDeferred });
+      const waiter = this.waiters.get(generation.requestId);
+      if (waiter && isDeferred) {
+        waiter.isDeferred = true;
       } else {
         aheadTokens.set(rank, sameAhead);
       }
@@ -359,57 +345,22 @@
     nowMs: number,
   ): Backlog {
     const backlog: Backlog = {
-      lateTokens: 0,
-      ownLateTokens: 0,
       otherTokens: new Map(),
       ownTokens: new Map(),
       placedTokensPerS: new Map(this.rates.all(nowMs)),
     };
     for (const { generation, isDeferred, slackMs } of ordered) {
-      const { plannedTokens, rank } = generation;
       if (!isDeferred && slackMs > 0) {
-        addTo(backlog.ownTokens, rank, plannedTokens);
-      } else {
-        backlog.ownLateTokens += plannedTokens;
-        backlog.lateTokens += plannedTokens;
+        addTo(backlog.ownTokens, generation.rank, generation.plannedTokens);
       }
     }
-    for (const { lateTokens, onTimeTokens, placedTokensPerS, rank } of others) {
-      backlog.lateTokens += lateTokens;
+    for (const { onTimeTokens, placedTokensPerS, rank } of others) {
       addTo(backlog.otherTokens, rank, onTimeTokens);
       addTo(backlog.placedTokensPerS, rank, placedTokensPerS);
     }
     return backlog;
   }
 
-  private refusalReason(
-    { generation }: Ranked,
-    isLate: boolean,
-    expectedWaitMs: number | undefined,
-    lateAheadTokens: number,
-    backlog: Backlog,
-    nowMs: number,
-  ): ShortageRefusalReason | undefined {
-    const { arrivedMs, callerTimeoutMs, plannedTokens } = generation;
-    const waitedMs = nowMs - arrivedMs;
-    const leftMs = MAX_WAIT_FRACTION * callerTimeoutMs - waitedMs;
-    if (leftMs <= 0) {
-      return 'timeout';
-    }
-    if (!isLate) {
-      return undefined;
-    }
-    const valueShare = lateValueShare(generation);
-    if (valueShare < MIN_LATE_VALUE_SHARE) {
-      return 'late';
-    }
-    if (valueShare >= MOST_VALUE_SHARE || expectedWaitMs === undefined) {
-      return undefined;
-    }
-    const lateTokens = lateAheadTokens + plannedTokens;
-    return expectedWaitMs + lateWaitOf(lateTokens, backlog) > leftMs ? 'noPlaceInTime' : undefined;
-  }
-
   /** Time in which this daemon's share of the capacity frees some tokens. */
   private ownDrainMs(tokens: number, nowMs: number): number {
     const tokensPerS = [...this.rates.all(nowMs).values()].reduce((sum, rate) => sum + rate, 0);
@@ -601,15 +552,25 @@
   return ((urgentTokens + sameTokens) * MS_PER_S) / tokensPerS;
 }
 
-/** Time until the late generations ahead have got capacity, behind all that can be on time. */
-function lateWaitOf(
-  lateAheadTokens: number,
-  { lateTokens, ownLateTokens, placedTokensPerS }: Backlog,
-): number {
-  const tokensPerS = sumWhere(placedTokensPerS, () => true);
-  const ownQueueTokens = Math.max(lateAheadTokens, ownLateTokens);
-  const fleetFactor = 1 + (lateTokens - ownLateTokens) / ownQueueTokens;
-  return (lateAheadTokens * fleetFactor * MS_PER_S) / tokensPerS;
+/**
+ * Why a generation is not kept. One that would only become late by waiting is refused while its caller
+ * can still return in time. One that is late already is kept where it has some value: it gets what the
+ * others leave, whereas its caller would return as a new one that competes with them.
+ */
+function refusalReason(
+  { generation, isDeferred, slackMs }: Ranked,
+  willBeLate: boolean,
+  nowMs: number,
+): ShortageRefusalReason | undefined {
+  const waitedMs = nowMs - generation.arrivedMs;
+  if (waitedMs >= MAX_WAIT_FRACTION * generation.callerTimeoutMs) {
+    return 'timeout';
+  }
+  const valueShare = lateValueShare(generation);
+  if (slackMs <= 0) {
+    return valueShare < MIN_LATE_VALUE_SHARE ? 'late' : undefined;
+  }
+  return willBeLate && !isDeferred && valueShare < MOST_VALUE_SHARE ? 'noPlaceInTime' : undefined;
 }
 
 function sumWhere(
--- a/packages/serving/src/__tests__/unit/ShortageQueue.test.ts
+++ b/packages/serving/src/__tests__/unit/ShortageQueue.test.ts
@@ -138,7 +138,8 @@
   let nowMs = 0;
   const { queue } = createQueue(() => nowMs);
   const row = { lateTokens: 0, offered: 0, placedTokensPerS: 0, served: 0, slackMs: 900 };
-  const waiting = { ...row, onTimeCount: 1, onTimeTokens: 2_210, rank: 0, usedTokens: 0 };
+  // One for each of the 34 engines.
+  const waiting = { ...row, onTimeCount: 34, onTimeTokens: 34 * 2_210, rank: 0, usedTokens: 0 };
   const requester = toId<MemberId>('requester');
   queue.recordReport(toId<MemberId>('other'), [{ ranks: [waiting], service: SERVICE }]);
   const lessUrgent = requestOf('r', { rank: 2, slackMs: 3_000 });
