Let the earlier of two generations that hold one engine go first

Cause: two large generations that held the same engine each kept its capacity from the other, so that neither got it until both fitted.

Change: a hold does not apply to a holder with less time left.

--- a/packages/dispatch/src/CapacityReservations.ts
+++ b/packages/dispatch/src/CapacityReservations.ts
@@ -66,7 +66,7 @@
         entry.serverId === serverId &&
         entry.requestId !== requestId &&
         isValid(entry, nowMs) &&
-        isKeptFrom(entry.priority, priority),
+        isKeptFrom(entry, priority, nowMs),
     );
     const keptTokens = kept.reduce((sum, { plannedTokens }) => sum + plannedTokens, 0);
     const reported = waiting.filter((row) => isReportedBefore(row, priority));
@@ -104,8 +104,13 @@
   return isGuaranteed === true ? 0 : 1;
 }
 
-function isKeptFrom(kept: CapacityPriority, asking: CapacityPriority): boolean {
-  return kept.isHeld === true ? !precedes(asking, kept) : precedes(kept, asking);
+/** Of two that hold the engine, the one with less time goes first; otherwise both would wait. */
+function isKeptFrom(entry: Declined, asking: CapacityPriority, nowMs: number): boolean {
+  const kept = entry.priority;
+  if (kept.isHeld !== true || precedes(asking, kept) || precedes(kept, asking)) {
+    return precedes(kept, asking);
+  }
+  return asking.isHeld !== true || kept.slackMs - (nowMs - entry.atMs) < asking.slackMs;
 }
 
 /** Reports do not say which ranks are guaranteed, so a guaranteed request yields to none of them. */
--- a/packages/serving/src/__tests__/unit/ShortageQueue.test.ts
+++ b/packages/serving/src/__tests__/unit/ShortageQueue.test.ts
@@ -163,3 +163,19 @@
   t.is(queue.reserveFor(lessUrgent, toId<MemberId>('m')).tokens, 0);
   queue.leave(SERVICE, toId<RequestId>('own'));
 });
+
+test('of two large generations that hold an engine, the later one does not keep it from the earlier', (t) => {
+  const { join, queue } = createQueue(() => 0);
+  join(LONG, 'own');
+  const requester = toId<MemberId>('m');
+  const held = { isHeld: true, rank: 2 };
+  const earlier = requestOf('earlier', { ...held, slackMs: 1_000 });
+  const later = requestOf('later', { ...held, slackMs: 2_000 });
+  queue.recordDecision(earlier, true, { runs: 0, tokens: 0 });
+  queue.recordDecision(later, true, { runs: 0, tokens: 0 });
+  t.is(queue.reserveFor(earlier, requester).tokens, 0);
+  t.is(queue.reserveFor(later, requester).tokens, 3_200);
+  const other = requestOf('other', { rank: 2, slackMs: 500 });
+  t.is(queue.reserveFor(other, requester).tokens, 6_400);
+  queue.leave(SERVICE, toId<RequestId>('own'));
+});
