--- a/packages/serving/src/servers/EngineCapacityCoordinator.ts
+++ b/packages/serving/src/servers/EngineCapacityCoordinator.ts
@@ -1,18 +1,29 @@
 import type {
   BackendServer,
+  CapacityReserve,
   EngineLimits,
   EngineLoad,
   EngineTotals,
   CapacityRequest,
 } from '@laburnumgap/dispatch';
-import { grantsCapacity } from '@laburnumgap/dispatch';
+import { grantsCapacity, lacksCapacity } from '@laburnumgap/dispatch';
 import type { MemberId, MonotonicClock, RequestId, ServerId, Teardown } from '@laburnumgap/kernel';
 import type { CapacityMessage } from '../peers/PeerMessages.js';
 import { startResponseTimeout } from '../ResponseTimeout.js';
 import type { ServingLog } from '../ServingLog.js';
 
+/** Keeps capacity of engines for more urgent generations in a shortage. */
+export interface CapacityKeeper {
+  /** Records whether an own engine lacked capacity for a request, with what was kept from it. */
+  recordDecision(request: CapacityRequest, isLacking: boolean, kept: CapacityReserve): void;
+  /** Capacity that is kept from a request; the requester is undefined for this daemon. */
+  reserveFor(request: CapacityRequest, requesterId: MemberId | undefined): CapacityReserve;
+}
+
 /** Options of {@link EngineCapacityCoordinator}. */
 export interface EngineCapacityCoordinatorOptions {
+  /** Absent where daemons do not share a shortage. */
+  readonly capacityKeeper?: CapacityKeeper;
   readonly clock: MonotonicClock;
   /** Limits of an engine; undefined when this daemon does not know the engine. */
   readonly engineLimitsOf: (serverId: ServerId) => EngineLimits | undefined;
@@ -93,7 +104,7 @@
     const nowMs = clock.nowMs();
     const ownerId = ownerOf(server, this.unresponsiveOwners(nowMs));
     if (ownerId === memberId) {
-      onDecision(this.decide(capacityRequest, nowMs).isGranted);
+      onDecision(this.decide(capacityRequest, undefined, nowMs).isGranted);
       return;
     }
     const cancelTimeout = startResponseTimeout(clock, OWNER_TIMEOUT_MS, () => {
@@ -124,7 +135,7 @@
     const { longRuns, plannedTokens, promptTokens, requestId, serverId, unreadTokens } =
       capacityRequest;
     const nowMs = clock.nowMs();
-    const { isGranted, totals } = this.decide(capacityRequest, nowMs);
+    const { isGranted, totals } = this.decide(capacityRequest, requesterId, nowMs);
     if (isGranted) {
       const sourceId = loadSourceOf(requesterId);
       const share = {
@@ -152,12 +163,19 @@
    */
   private decide(
     capacityRequest: CapacityRequest,
+    requesterId: MemberId | undefined,
     nowMs: number,
   ): { isGranted: boolean; totals: EngineTotals } {
-    const { engineLimitsOf, load } = this.options;
+    const { capacityKeeper, engineLimitsOf, load } = this.options;
     const totals = load.totals(capacityRequest.serverId, nowMs);
     const limits = engineLimitsOf(capacityRequest.serverId);
-    return { isGranted: !limits || grantsCapacity(capacityRequest, totals, limits), totals };
+    const reserve = capacityKeeper?.reserveFor(capacityRequest, requesterId);
+    const isGranted = !limits || grantsCapacity(capacityRequest, totals, limits, reserve);
+    if (reserve && limits) {
+      const isLacking = lacksCapacity(capacityRequest, totals, limits, reserve);
+      capacityKeeper?.recordDecision(capacityRequest, isLacking, reserve);
+    }
+    return { isGranted, totals };
   }
 
   private resolveQuery(requestId: RequestId, serverId: ServerId, isGranted: boolean): void {
