--- a/packages/serving/src/__tests__/unit/EngineSearch.test.ts
+++ b/packages/serving/src/__tests__/unit/EngineSearch.test.ts
@@ -7,7 +7,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import type { AdmittedCall, ServingContext } from '../../index.js';
-import { callerTimeoutMs, EngineSearch, ShortageQueue } from '../../index.js';
+import { callerTimeoutMs, EngineSearch, NO_SERVING_METRICS, ShortageQueue } from '../../index.js';
 
 const SERVICE = toId<ServiceId>('engines');
 const RANDOM_UNIT = 0.5;
@@ -83,7 +83,8 @@
     log: LOG,
     publishLoad: () => actions.push('publish'),
     randomUnit,
-    serverAccess: { isBrittle: () => false },
+    metrics: NO_SERVING_METRICS,
+    serverAccess: { evacuationRefusal: () => undefined, hasRoomSoon: () => false },
     ...(isShared ? { shortage } : {}),
   } as unknown as ServingContext;
   const search = new EngineSearch(context, {
