--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -25,6 +25,8 @@
 } from '@laburnumgap/kernel';
 import { packAllEvacuations, packEvacuations, unpackEvacuations } from './EvacuationMessages.js';
 import type { SyncPosition } from './LagDetector.js';
+import type { ServiceShortage } from './ShortageReportCodec.js';
+import { packShortage, unpackShortage } from './ShortageReportCodec.js';
 import type { PackedSpeedReport } from './SpeedReports.js';
 import type { MemberAddress } from '../ServingPorts.js';
 import type { StorePosition } from '../store/StorePosition.js';
@@ -59,6 +61,8 @@
   readonly sequence: number;
   /** Load of the daemon at each engine; empty in heartbeats that only show liveness. */
   readonly shares: readonly EngineShare[];
+  /** Waiting generations; absent where daemons do not share a shortage, and from earlier builds. */
+  readonly shortage?: readonly ServiceShortage[];
   /** Observed speeds of some engines, in turn; checked by `unpackSpeedReports`. */
   readonly speeds?: readonly PackedSpeedReport[];
   /** The platform's store does not respond to this daemon. */
@@ -200,6 +204,8 @@
   readonly isForwarded?: boolean;
   readonly kind: 'domainLoad';
   readonly shares: readonly EngineShare[];
+  /** Waiting generations of the domain, as in {@link PeerHeartbeat}. */
+  readonly shortage?: readonly ServiceShortage[];
   /** Observed speeds of some engines, in turn; checked by `unpackSpeedReports`. */
   readonly speeds?: readonly PackedSpeedReport[];
 }
@@ -258,7 +264,14 @@
  * @returns the JSON text
  */
 export function encodeMessage(message: PeerHeartbeat | PeerMessage): string {
-  const text = 'shares' in message ? { ...message, ...packShares(message.shares) } : message;
+  const text =
+    'shares' in message
+      ? {
+          ...message,
+          ...packShares(message.shares),
+          shortage: message.shortage && packShortage(message.shortage),
+        }
+      : message;
   return JSON.stringify(
     'evacuations' in message
       ? { ...text, evacuations: packEvacuations(message.evacuations) }
@@ -481,9 +494,13 @@
 }
 
 function unpackShares<
-  T extends { readonly longRuns?: unknown; readonly shares: readonly unknown[] },
+  T extends {
+    readonly longRuns?: unknown;
+    readonly shares: readonly unknown[];
+    readonly shortage?: unknown;
+  },
 >(message: T): T {
-  const { longRuns, ...others } = message;
+  const { longRuns, shortage: packedShortage, ...others } = message;
   const longRunList: readonly unknown[] = Array.isArray(longRuns) ? longRuns : [];
   const shares = message.shares.flatMap((packed, index): readonly EngineShare[] => {
     if (!isPackedShare(packed)) {
@@ -495,7 +512,8 @@
     const share = { plannedTokens, readingTokens, runs, serverId, usedTokens };
     return [isCount ? { ...share, longRuns: count } : share];
   });
-  return { ...others, shares } as unknown as T;
+  const shortage = unpackShortage(packedShortage);
+  return { ...others, shares, ...(shortage ? { shortage } : {}) } as unknown as T;
 }
 
 function isPackedShare(value: unknown): value is PackedShare {
@@ -544,6 +562,7 @@
   return (
     isId(request?.requestId) &&
     isId(request.serverId) &&
+    (request.priority === undefined || hasFigures(request.priority, ['rank', 'slackMs'])) &&
     hasFigures(request, [
       'believedReadingTokens',
       'plannedTokens',
