Report readers that stay paused, and let no complete response count as starved

Cause: a reader that was paused for its rate and not resumed since room had become scarce had no log line; the test that waits for the line hung. What was collected of a response was passed on without pausing its source. A response that was complete could count as paused, so that another reader would have been aborted for it.

Change: each check reports readers that are paused while room is scarce, once each. A holder is not paused any more when its source has ended. Passing on what was collected can pause the source.

--- a/packages/dispatch/src/BufferBudget.ts
+++ b/packages/dispatch/src/BufferBudget.ts
@@ -198,6 +198,19 @@
     }
   }
 
+  /** Records that the source of a holder has ended, so that nobody waits for it to be read. */
+  endSource(holderId: BufferHolderId): void {
+    const state = this.holders.get(holderId);
+    if (state) {
+      this.unpause(state);
+    }
+  }
+
+  /** Holders whose sources are paused. */
+  pausedHolders(): readonly BufferHolderId[] {
+    return this.pausedCount === 0 ? [] : this.pausedByHeldBytes().map(([holderId]) => holderId);
+  }
+
   /** Forgets a holder that ended, with all its bytes. */
   remove(holderId: BufferHolderId): void {
     const state = this.holders.get(holderId);
--- a/packages/dispatch/src/__tests__/unit/BufferBudget.test.ts
+++ b/packages/dispatch/src/__tests__/unit/BufferBudget.test.ts
@@ -151,6 +151,16 @@
   t.is(overdueIds(budget, 10_500).length, 1);
 });
 
+test('a response that is complete starves nobody, though its reader was paused', (t) => {
+  const budget = budgetOf();
+  const [, complete = holderOf(1)] = fill(budget, 2);
+  t.is(budget.pausedHolders().length, 2);
+  budget.endSource(complete.holderId);
+  budget.progress(complete.holderId, CHUNK_BYTES, 9_000);
+  t.deepEqual(overdueIds(budget, 10_500), []);
+  t.deepEqual(budget.pausedHolders(), [holderOf(0).holderId]);
+});
+
 test('nobody is aborted while all stall alike, or while there is room', (t) => {
   const full = budgetOf();
   fill(full, 80);
--- a/packages/serving/src/buffers/CollectedResponse.ts
+++ b/packages/serving/src/buffers/CollectedResponse.ts
@@ -1,5 +1,5 @@
 import { GrowableBuffer } from '../GrowableBuffer.js';
-import type { HeldOutput } from './HeldOutput.js';
+import type { HeldOutput, PausableSource } from './HeldOutput.js';
 import type { BufferAccount, ReaderBuffers } from './ReaderBuffers.js';
 import { SlabQueue } from './SlabQueue.js';
 
@@ -8,7 +8,7 @@
   append(chunk: Buffer): void;
   discard(): void;
   /** Passes everything on to a caller; collects nothing more afterwards. */
-  moveTo(output: HeldOutput): void;
+  moveTo(output: HeldOutput, source?: PausableSource): void;
   /** Returns all bytes in one buffer; collects nothing more afterwards. */
   take(): Buffer;
 }
@@ -25,8 +25,8 @@
     this.buffer.take();
   }
 
-  moveTo(output: HeldOutput): void {
-    output.write(this.buffer.take());
+  moveTo(output: HeldOutput, source?: PausableSource): void {
+    output.write(this.buffer.take(), source);
   }
 
   take(): Buffer {
@@ -66,9 +66,9 @@
     this.account.close();
   }
 
-  moveTo(output: HeldOutput): void {
+  moveTo(output: HeldOutput, source?: PausableSource): void {
     this.isClosed = true;
-    output.push(this.queue.takeAll());
+    output.push(this.queue.takeAll(), source);
     this.account.close();
   }
 
--- a/packages/serving/src/buffers/HeldOutput.ts
+++ b/packages/serving/src/buffers/HeldOutput.ts
@@ -1,4 +1,4 @@
-import type { BufferHolderKind } from '@laburnumgap/dispatch';
+import type { BufferHolderKind, BufferVerdict } from '@laburnumgap/dispatch';
 import type { BufferAccount, ReaderBuffers } from './ReaderBuffers.js';
 import type { Slab } from './SlabPool.js';
 import { SLAB_BYTES } from './SlabPool.js';
@@ -92,10 +92,7 @@
     } else {
       this.sendParts();
     }
-    if (verdict === 'paused' && source) {
-      this.hasPausedSource = true;
-      source.pause();
-    }
+    this.applyVerdict(verdict, source);
   }
 
   /** Writes a buffer that stays unchanged, without copying it. */
@@ -108,15 +105,18 @@
     this.push(parts);
   }
 
-  /** Writes parts, of which slabs belong to this output from now on. */
-  push(parts: readonly HeldPart[]): void {
+  /** Writes parts, of which slabs belong to this output from now on; see {@link write}. */
+  push(parts: readonly HeldPart[], source?: PausableSource): void {
     this.queue.push(parts);
     if (this.isClosed || this.hasEnded) {
       this.queue.clear();
       return;
     }
-    this.account.reserve(parts.reduce((sum, part) => sum + countedBytes(part), 0));
+    this.source = source;
+    const bytes = parts.reduce((sum, part) => sum + countedBytes(part), 0);
+    const verdict = this.account.reserve(bytes);
     this.sendParts();
+    this.applyVerdict(verdict, source);
   }
 
   /** Ends the sink when everything was written. The source can be used for something else. */
@@ -127,6 +127,7 @@
     this.hasEnded = true;
     this.resumeSource();
     this.source = undefined;
+    this.account.endSource();
     this.endSinkIfDone();
   }
 
@@ -190,6 +191,13 @@
     }
   }
 
+  private applyVerdict(verdict: BufferVerdict, source: PausableSource | undefined): void {
+    if (verdict === 'paused' && source) {
+      this.hasPausedSource = true;
+      source.pause();
+    }
+  }
+
   private resumeSource(): void {
     if (this.hasPausedSource) {
       this.hasPausedSource = false;
--- a/packages/serving/src/buffers/ReaderBuffers.ts
+++ b/packages/serving/src/buffers/ReaderBuffers.ts
@@ -50,7 +50,7 @@
 
 /** Bytes buffered for one holder. Calls after {@link BufferAccount.close} have no effect. */
 export class BufferAccount {
-  private hasLoggedPause = false;
+  private hasReportedPause = false;
   private heldBytes = 0;
   private isClosed = false;
 
@@ -66,12 +66,7 @@
       return 'accepted';
     }
     this.heldBytes += bytes;
-    const verdict = this.buffers.reserve(this.holder, bytes);
-    if (verdict === 'paused' && !this.hasLoggedPause && this.buffers.isScarce()) {
-      this.hasLoggedPause = true;
-      this.buffers.onFirstPause(this.holder.kind, this.options.label(), this.heldBytes);
-    }
-    return verdict;
+    return this.buffers.reserve(this.holder, bytes);
   }
 
   /** Counts bytes as no longer buffered. */
@@ -89,6 +84,21 @@
     }
   }
 
+  /** Records that nothing more comes from the source. */
+  endSource(): void {
+    if (!this.isClosed) {
+      this.buffers.endSource(this.holder.holderId);
+    }
+  }
+
+  /** Reports once that the source is paused for want of room. */
+  reportPause(): void {
+    if (!this.hasReportedPause) {
+      this.hasReportedPause = true;
+      this.buffers.onFirstPause(this.holder.kind, this.options.label(), this.heldBytes);
+    }
+  }
+
   /** Frees what is left. */
   close(): void {
     if (!this.isClosed) {
@@ -147,6 +157,9 @@
     this.abortOverdue();
     this.resumeReaders();
     this.logScarcity();
+    if (this.budget.isScarce()) {
+      this.budget.pausedHolders().forEach((holderId) => this.accounts.get(holderId)?.reportPause());
+    }
     if (this.checkCount % TRIM_INTERVAL_CHECKS === 0) {
       this.pool.trim();
     }
@@ -175,6 +188,11 @@
     this.budget.progress(holderId, bytes, this.options.clock.nowMs());
   }
 
+  /** For accounts only. */
+  endSource(holderId: BufferHolderId): void {
+    this.budget.endSource(holderId);
+  }
+
   /** For accounts only. */
   remove(holderId: BufferHolderId): void {
     this.accounts.delete(holderId);
--- a/packages/serving/src/callers/CallerExchange.ts
+++ b/packages/serving/src/callers/CallerExchange.ts
@@ -151,7 +151,7 @@
   /** Forwards what was collected of a body; see {@link forward}. */
   forwardCollected(collected: CollectedResponse, source: PausableSource | undefined): void {
     if (this.output && !this.endOutcome) {
-      collected.moveTo(this.output);
+      collected.moveTo(this.output, source);
     } else {
       this.forward(collected.take(), source);
     }
