--- a/packages/dispatch/src/BufferBudget.ts
+++ b/packages/dispatch/src/BufferBudget.ts
@@ -71,8 +71,8 @@
 /** Largest part of the memory for bytes that are buffered, including those that cannot be refused. */
 const MAX_BOUND_SHARE = 1 / 2;
 /**
- * Part of the memory that sources are paused to keep free. Resident memory grows by freed buffers that
- * the allocator keeps: up to a sixth of 178 MB was seen with 80 callers that read nothing.
+ * Part of the memory that sources are paused to keep free. With 3/16, freed buffers that the allocator
+ * keeps after many stalled callers left no room for three responses of 24 MB.
  */
 const SPARE_MEMORY_SHARE = 1 / 8;
 /** Part of the memory that readers are aborted to keep free, for bursts between two checks. */
