Avoid engines whose first events are overdue, and weigh the queue of even engines as before

Only the end of a run counted as a failure.

The learned prefill speed of even engines only values the cached prefix.

Ruled out: taking the engine out of use, which one slow prompt would do to all engines in an overload.

--- a/packages/dispatch/src/EngineLoad.ts
+++ b/packages/dispatch/src/EngineLoad.ts
@@ -4,6 +4,8 @@
 export interface EngineTotals {
   /** Generations with much output still to come, see `isLongStream`; absent when there is none. */
   readonly longRuns?: number;
+  /** Generations whose first event is overdue, see `isFirstEventOverdue`; absent without any. */
+  readonly overdueRuns?: number;
   /** Prompt and output tokens in the KV cache, including the planned growth of the outputs. */
   readonly plannedTokens: number;
   /** Prompt tokens that the engine has not prefilled yet. */
@@ -14,6 +16,8 @@
   readonly usedTokens: number;
 }
 
+type OptionalCounts = Pick<EngineTotals, 'longRuns' | 'overdueRuns'>;
+
 /** Load that one daemon, or all daemons of a failure domain, have placed on one engine. */
 export interface EngineShare extends EngineTotals {
   readonly serverId: ServerId;
@@ -157,7 +161,10 @@
     }
     const { totals } = report;
     return {
-      ...longRunsField(Math.max(sum.longRuns ?? 0, totals.longRuns ?? 0)),
+      ...optionalCounts({
+        longRuns: Math.max(sum.longRuns ?? 0, totals.longRuns ?? 0),
+        overdueRuns: Math.max(sum.overdueRuns ?? 0, totals.overdueRuns ?? 0),
+      }),
       plannedTokens: Math.max(sum.plannedTokens, totals.plannedTokens),
       readingTokens: Math.max(sum.readingTokens, totals.readingTokens),
       runs: Math.max(sum.runs, totals.runs),
@@ -183,6 +190,7 @@
 /** Adds up shares of one engine. */
 class LoadSum {
   private longRuns: number;
+  private overdueRuns: number;
   private plannedTokens: number;
   private readingTokens: number;
   private runs: number;
@@ -190,6 +198,7 @@
 
   constructor(own: EngineTotals = ZERO_TOTALS) {
     this.longRuns = own.longRuns ?? 0;
+    this.overdueRuns = own.overdueRuns ?? 0;
     this.plannedTokens = own.plannedTokens;
     this.readingTokens = own.readingTokens;
     this.runs = own.runs;
@@ -199,6 +208,7 @@
   /** Adds a share that was reported some time ago, less the prompt tokens prefilled since. */
   addAged(share: EngineShare, ageMs: number): void {
     this.longRuns += share.longRuns ?? 0;
+    this.overdueRuns += share.overdueRuns ?? 0;
     this.plannedTokens += share.plannedTokens;
     this.readingTokens += unreadPromptTokens(share.readingTokens, ageMs);
     this.runs += share.runs;
@@ -206,9 +216,9 @@
   }
 
   totals(): EngineTotals {
-    const { longRuns, plannedTokens, readingTokens, runs, usedTokens } = this;
-    const totals = { plannedTokens, readingTokens, runs, usedTokens };
-    return longRuns > 0 ? { longRuns, ...totals } : totals;
+    const { longRuns, overdueRuns, plannedTokens, readingTokens, runs, usedTokens } = this;
+    const counts = optionalCounts({ longRuns, overdueRuns });
+    return { ...counts, plannedTokens, readingTokens, runs, usedTokens };
   }
 }
 
@@ -221,7 +231,10 @@
  */
 export function addShares(sum: EngineShare | undefined, share: EngineShare): EngineShare {
   return {
-    ...longRunsField((sum?.longRuns ?? 0) + (share.longRuns ?? 0)),
+    ...optionalCounts({
+      longRuns: (sum?.longRuns ?? 0) + (share.longRuns ?? 0),
+      overdueRuns: (sum?.overdueRuns ?? 0) + (share.overdueRuns ?? 0),
+    }),
     plannedTokens: Math.round((sum?.plannedTokens ?? 0) + share.plannedTokens),
     readingTokens: Math.round((sum?.readingTokens ?? 0) + share.readingTokens),
     runs: (sum?.runs ?? 0) + share.runs,
@@ -230,6 +243,6 @@
   };
 }
 
-function longRunsField(longRuns: number): Pick<EngineTotals, 'longRuns'> {
-  return longRuns > 0 ? { longRuns } : {};
+function optionalCounts({ longRuns, overdueRuns }: Required<OptionalCounts>): OptionalCounts {
+  return { ...(longRuns > 0 && { longRuns }), ...(overdueRuns > 0 && { overdueRuns }) };
 }
--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -6,6 +6,7 @@
 import type { EngineSpeed } from './EngineSpeeds.js';
 import { reservedOutputTokens } from './PlannedOutput.js';
 import { prefixSavingMs } from './PrefixValue.js';
+import { overdueCostMs } from './OverdueRuns.js';
 import type { PromptShape } from './PromptShape.js';
 import type { EngineLimits } from './ServingConfiguration.js';
 import type { ExpectedLoss, UnevenEngines } from './UnevenScorer.js';
@@ -25,6 +26,8 @@
 
 /** Input of {@link rankEngines}. */
 export interface PlacementInput {
+  /** Avoids engines where the first event of a run is overdue. */
+  readonly avoidsOverdue?: boolean;
   readonly candidates: readonly EngineCandidate[];
   readonly engine: EngineLimits;
   /** Preferred failure domain; engines of others cost more. */
@@ -132,11 +135,16 @@
   const request = { plannedTokens, promptTokens };
   const { fits, isBlocked, overrunTokens } = remainingCapacity(totals, request, engine);
   const speed = scorer?.speedOf(serverId) ?? input.speedOf?.(serverId);
-  const learnedTokensPerMs = scorer || input.weighsPrefixes ? speed?.prefillTokensPerMs : undefined;
-  const tokensPerMs = learnedTokensPerMs ?? PREFILL_TOKENS_PER_MS;
+  const learnedTokensPerMs = speed?.prefillTokensPerMs ?? PREFILL_TOKENS_PER_MS;
   const prefixSavedMs = input.weighsPrefixes
-    ? weighPrefix(candidate, input, { confidence: speed?.confidence ?? 1, fits, tokensPerMs })
+    ? weighPrefix(candidate, input, {
+        confidence: speed?.confidence ?? 1,
+        fits,
+        tokensPerMs: learnedTokensPerMs,
+      })
     : undefined;
+  // The queue of even engines counts as without learned speeds.
+  const tokensPerMs = scorer ? learnedTokensPerMs : PREFILL_TOKENS_PER_MS;
   const prefillMs =
     prefixSavedMs === undefined
       ? (totals.readingTokens + unreadTokens) / tokensPerMs
@@ -149,6 +157,7 @@
     (isBlocked ? BLOCKED_COST_MS : 0) +
     (server.failureDomain === failureDomain ? 0 : otherDomainCostMs) +
     failureShare * FAILURE_COST_MS +
+    (input.avoidsOverdue ? overdueCostMs(totals.overdueRuns ?? 0) : 0) +
     randomUnit() * JITTER_MS +
     (score?.lossMs ?? 0);
   const byLearnedSpeed = score && speed && { bySpeed: { loss: score.loss, speed } };
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -20,6 +20,7 @@
 export * from './LongStreams.js';
 export * from './MemberRanking.js';
 export * from './MoveQueue.js';
+export * from './OverdueRuns.js';
 export * from './PlacementRates.js';
 export * from './PlainPlacement.js';
 export * from './PlannedOutput.js';
--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -6,6 +6,7 @@
   PromptShape,
 } from '@laburnumgap/dispatch';
 import {
+  isFirstEventOverdue,
   isLongStream,
   plannedOutputTokens,
   reservedOutputTokens,
@@ -342,10 +343,15 @@
       this.eventCount > 0 || attempt.isContinuation
         ? 0
         : unreadPromptTokens(prompt.promptTokens, nowMs - attempt.sentMs);
+    const isOverdue = isFirstEventOverdue({
+      hasEvent: this.eventCount > 0,
+      sinceSentMs: nowMs - attempt.sentMs,
+    });
     const { maxEventGapMs } = this.admitted.route;
     const stream = { engine: this.engineLimits, maxEventGapMs, producedTokens, prompt };
     return {
       ...(isLongStream(stream) && { longRuns: 1 }),
+      ...(isOverdue && { overdueRuns: 1 }),
       plannedTokens: prompt.promptTokens + reservedOutputTokens(prompt, producedTokens),
       readingTokens,
       runs: 1,
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -476,16 +476,22 @@
 }
 
 /**
- * The long runs go into a list of their own in the order of the shares, since daemons of earlier builds
- * drop shares of another length.
+ * Counts that only some shares have go into lists of their own in the order of the shares, since daemons
+ * of earlier builds drop shares of another length.
  */
 function packShares(shares: readonly EngineShare[]): {
   readonly longRuns?: readonly number[];
+  readonly overdueRuns?: readonly number[];
   readonly shares: readonly PackedShare[];
 } {
   const longRuns = shares.map((share) => share.longRuns ?? 0);
-  const hasLongRuns = longRuns.some((count) => count > 0);
-  return { ...(hasLongRuns && { longRuns }), shares: shares.map(packShare) };
+  const overdueRuns = shares.map((share) => share.overdueRuns ?? 0);
+  const hasAny = (counts: readonly number[]): boolean => counts.some((count) => count > 0);
+  return {
+    ...(hasAny(longRuns) && { longRuns }),
+    ...(hasAny(overdueRuns) && { overdueRuns }),
+    shares: shares.map(packShare),
+  };
 }
 
 function packShare(share: EngineShare): PackedShare {
@@ -496,26 +502,35 @@
 function unpackShares<
   T extends {
     readonly longRuns?: unknown;
+    readonly overdueRuns?: unknown;
     readonly shares: readonly unknown[];
     readonly shortage?: unknown;
   },
 >(message: T): T {
-  const { longRuns, shortage: packedShortage, ...others } = message;
-  const longRunList: readonly unknown[] = Array.isArray(longRuns) ? longRuns : [];
+  const { longRuns, overdueRuns, shortage: packedShortage, ...others } = message;
   const shares = message.shares.flatMap((packed, index): readonly EngineShare[] => {
     if (!isPackedShare(packed)) {
       return [];
     }
     const [serverId, plannedTokens, readingTokens, usedTokens, runs] = packed;
-    const count = longRunList[index];
-    const isCount = typeof count === 'number' && count > 0 && count <= runs;
-    const share = { plannedTokens, readingTokens, runs, serverId, usedTokens };
-    return [isCount ? { ...share, longRuns: count } : share];
+    const long = countAt(longRuns, index, runs);
+    const overdue = countAt(overdueRuns, index, runs);
+    const counts = {
+      ...(long !== undefined && { longRuns: long }),
+      ...(overdue !== undefined && { overdueRuns: overdue }),
+    };
+    return [{ ...counts, plannedTokens, readingTokens, runs, serverId, usedTokens }];
   });
   const shortage = unpackShortage(packedShortage);
   return { ...others, shares, ...(shortage ? { shortage } : {}) } as unknown as T;
 }
 
+/** Count of a share in a list of its own; undefined when there is none or it exceeds the runs. */
+function countAt(counts: unknown, index: number, runs: number): number | undefined {
+  const count: unknown = Array.isArray(counts) ? counts[index] : undefined;
+  return typeof count === 'number' && count > 0 && count <= runs ? count : undefined;
+}
+
 function isPackedShare(value: unknown): value is PackedShare {
   return (
     Array.isArray(value) &&
@@ -554,7 +569,8 @@
     isId(message.requestId) &&
     isId(message.serverId) &&
     hasFigures(message.totals, ['plannedTokens', 'readingTokens', 'runs', 'usedTokens']) &&
-    (message.totals?.longRuns === undefined || Number.isFinite(message.totals.longRuns))
+    (message.totals?.longRuns === undefined || Number.isFinite(message.totals.longRuns)) &&
+    (message.totals?.overdueRuns === undefined || Number.isFinite(message.totals.overdueRuns))
   );
 }
 
--- a/packages/serving/src/servers/EngineSpeedCoordinator.ts
+++ b/packages/serving/src/servers/EngineSpeedCoordinator.ts
@@ -51,8 +51,11 @@
   readonly waitedMs: number;
 }
 
-/** Inputs of placement that depend on learned speeds. */
-export type SpeedInput = Pick<PlacementInput, 'speedOf' | 'uneven' | 'weighsPrefixes'>;
+/** Inputs of placement that depend on learned speeds, or are used where these matter. */
+export type SpeedInput = Pick<
+  PlacementInput,
+  'avoidsOverdue' | 'speedOf' | 'uneven' | 'weighsPrefixes'
+>;
 
 interface ServiceSpeeds {
   isUneven: boolean;
@@ -137,8 +140,10 @@
     const { clock, sharesShortage } = this.options;
     const { isUneven, prefillShares, speeds } = this.speedsOf(service);
     const nowMs = clock.nowMs();
-    const weighsPrefixes = this.options.weighsPrefixes && (isUneven || sharesShortage);
+    const avoidsOverdue = isUneven || sharesShortage;
+    const weighsPrefixes = this.options.weighsPrefixes && avoidsOverdue;
     return {
+      ...(avoidsOverdue && { avoidsOverdue }),
       speedOf: (serverId) => speeds.confidentSpeedOf(serverId, nowMs),
       ...(isUneven && {
         uneven: {
