--- a/packages/dispatch/src/ColdAccount.ts
+++ b/packages/dispatch/src/ColdAccount.ts
@@ -30,7 +30,7 @@
 export const COLD_WINDOW_MS = 1_000 + COLD_PERMIT_VALID_MS + MAX_DELIVERY_SPREAD_MS;
 /** Daemons that believe at the same time that they own a server, while their views differ. */
 const MAX_OWNERS = 2;
-/** Fraction of the bound that one owner may grant, which leaves a fifth to daemons without an owner. */
+/** An owner may grant the bound divided by this, so that two leave a fifth to daemons without one. */
 const OWNER_FRACTION_DIVISOR = 2.5;
 /** Daemons that the others do not know yet, which count their own share. */
 const MAX_UNKNOWN_MEMBERS = 1;
--- a/packages/serving/src/servers/ColdPermits.ts
+++ b/packages/serving/src/servers/ColdPermits.ts
@@ -53,6 +53,8 @@
  * for cold servers, and for services without a cold rate, no server is cold.
  */
 export class ColdPermits {
+  /** Last value of the metric, which is sent when it changes. */
+  private reportedCount = 0;
   private readonly servers = new ColdServers();
 
   constructor(private readonly options: ColdPermitsOptions) {}
@@ -184,8 +186,10 @@
    */
   retain(isKnown: (serverId: ServerId) => boolean): void {
     this.servers.retain(isKnown);
-    if (this.options.overageFactor !== undefined) {
-      this.options.metrics.gauge('cold_servers', this.servers.coldCount(this.nowMs()));
+    const coldCount = this.servers.coldCount(this.nowMs());
+    if (this.options.overageFactor !== undefined && coldCount !== this.reportedCount) {
+      this.reportedCount = coldCount;
+      this.options.metrics.gauge('cold_servers', coldCount);
     }
   }
 
