--- a/packages/dispatch/src/EngineSpeeds.ts
+++ b/packages/dispatch/src/EngineSpeeds.ts
@@ -114,6 +114,8 @@
 export const UNEVEN_FACTOR = 1.5;
 /** The difference has to last for this long, so that the ranking does not change back and forth. */
 const UNEVEN_DWELL_MS = 2_000;
+/** The same where only one engine differs: longer than one span of bad luck stays in its samples. */
+const SINGLE_UNEVEN_DWELL_MS = 10_000;
 /** Shorter prompts are dominated by the time of the first event itself. */
 const MIN_PREFILL_TOKENS = 500;
 /** Queues that are known with delay distort a sample more than the prompt itself beyond this ratio. */
@@ -215,27 +217,26 @@
   }
 
   /**
-   * Whether engines differ lastingly in speed by more than {@link UNEVEN_FACTOR}. Only decoding is
-   * compared: the times of prefills depend on queues that are known with delay.
+   * Whether engines differ lastingly in speed by more than {@link UNEVEN_FACTOR}, in the
+   * times of events both with and without a prefill: a single one can be distorted by prefills that are
+   * known with delay. The times of first events depend on queues and are not compared.
    *
    * @param serverIds - the engines of the service
    * @param nowMs - monotonic time
    * @returns whether they differ, with confidence
    */
   areUneven(serverIds: readonly ServerId[], nowMs: number): boolean {
-    let fastestMs = Infinity;
-    let slowestMs = 0;
-    for (const serverId of serverIds) {
-      const speed = this.confidentSpeedOf(serverId, nowMs);
-      fastestMs = Math.min(fastestMs, speed?.eventMs ?? Infinity);
-      slowestMs = Math.max(slowestMs, speed?.eventMs ?? 0);
-    }
-    if (slowestMs <= UNEVEN_FACTOR * fastestMs) {
+    const speeds = serverIds.flatMap((serverId) => this.confidentSpeedOf(serverId, nowMs) ?? []);
+    const eventsMs = sorted(speeds.map(({ eventMs }) => eventMs));
+    const prefillingMs = sorted(speeds.map(({ prefillingEventMs }) => prefillingEventMs));
+    if (!differ(eventsMs) || !differ(prefillingMs)) {
       this.unevenSinceMs = undefined;
       return false;
     }
     this.unevenSinceMs ??= nowMs;
-    return nowMs - this.unevenSinceMs >= UNEVEN_DWELL_MS;
+    const isSingle = !differ(eventsMs.slice(1, -1)) || !differ(prefillingMs.slice(1, -1));
+    const dwellMs = isSingle ? SINGLE_UNEVEN_DWELL_MS : UNEVEN_DWELL_MS;
+    return nowMs - this.unevenSinceMs >= dwellMs;
   }
 
   /** By how much and how often the engines of the service slow down for short periods. */
@@ -356,6 +357,15 @@
   return eventMs * (1 + SLOWDOWN_PER_RUN * runs);
 }
 
+function sorted(timesMs: number[]): readonly number[] {
+  return timesMs.sort((a, b) => a - b);
+}
+
+/** Whether the first and the last of sorted times differ by more than the factor. */
+function differ(sortedMs: readonly number[]): boolean {
+  return (sortedMs.at(-1) ?? 0) > UNEVEN_FACTOR * (sortedMs[0] ?? Infinity);
+}
+
 function estimateSpeed(
   { samples }: ObservedEngine,
   prefillTokensInEvent: number | undefined,
--- a/packages/dispatch/src/GenerationPlacement.ts
+++ b/packages/dispatch/src/GenerationPlacement.ts
@@ -6,6 +6,7 @@
 import type { EngineSpeed } from './EngineSpeeds.js';
 import { reservedOutputTokens } from './PlannedOutput.js';
 import { prefixSavingMs } from './PrefixValue.js';
+import { overdueCostMs } from './OverdueRuns.js';
 import type { PromptShape } from './PromptShape.js';
 import type { EngineLimits } from './ServingConfiguration.js';
 import type { ExpectedLoss, UnevenEngines } from './UnevenScorer.js';
@@ -25,6 +26,8 @@
 
 /** Input of {@link rankEngines}. */
 export interface PlacementInput {
+  /** Avoids engines where the first event of a run is overdue. */
+  readonly avoidsOverdue?: boolean;
   readonly candidates: readonly EngineCandidate[];
   readonly engine: EngineLimits;
   /** Preferred failure domain; engines of others cost more. */
@@ -56,6 +59,8 @@
   readonly costMs: number;
   /** Its slots and KV cache are expected to suffice for this generation and all that run there. */
   readonly fits: boolean;
+  /** Tokens of the KV cache that are planned for the generation there. */
+  readonly plannedTokens: number;
   /** Weighed prefill time that the cached prefix saves; absent where prefixes are not weighed. */
   readonly prefixSavedMs?: number;
   readonly server: BackendServer;
@@ -125,15 +130,21 @@
   const otherDomainCostMs = input.otherDomainCostMs ?? DEFAULT_OTHER_DOMAIN_COST_MS;
   const unreadTokens = hasKvCache ? 0 : Math.max(0, prompt.promptTokens - cachedTokens);
   const { promptTokens } = prompt;
-  const plannedTokens = promptTokens + reservedOutputTokens(prompt, 0);
+  const extraTokens = scorer?.extraGrowthTokens(serverId, totals.runs) ?? 0;
+  const plannedTokens = promptTokens + reservedOutputTokens(prompt, 0) + extraTokens;
   const request = { plannedTokens, promptTokens };
   const { fits, isBlocked, overrunTokens } = remainingCapacity(totals, request, engine);
   const speed = scorer?.speedOf(serverId) ?? input.speedOf?.(serverId);
-  const learnedTokensPerMs = scorer || input.weighsPrefixes ? speed?.prefillTokensPerMs : undefined;
-  const tokensPerMs = learnedTokensPerMs ?? PREFILL_TOKENS_PER_MS;
+  const learnedTokensPerMs = speed?.prefillTokensPerMs ?? PREFILL_TOKENS_PER_MS;
   const prefixSavedMs = input.weighsPrefixes
-    ? weighPrefix(candidate, input, { confidence: speed?.confidence ?? 1, fits, tokensPerMs })
+    ? weighPrefix(candidate, input, {
+        confidence: speed?.confidence ?? 1,
+        fits,
+        tokensPerMs: learnedTokensPerMs,
+      })
     : undefined;
+  // The queue of even engines counts as without learned speeds.
+  const tokensPerMs = scorer ? learnedTokensPerMs : PREFILL_TOKENS_PER_MS;
   const prefillMs =
     prefixSavedMs === undefined
       ? (totals.readingTokens + unreadTokens) / tokensPerMs
@@ -146,11 +157,21 @@
     (isBlocked ? BLOCKED_COST_MS : 0) +
     (server.failureDomain === failureDomain ? 0 : otherDomainCostMs) +
     failureShare * FAILURE_COST_MS +
+    (input.avoidsOverdue ? overdueCostMs(totals.overdueRuns ?? 0) : 0) +
     randomUnit() * JITTER_MS +
     (score?.lossMs ?? 0);
   const byLearnedSpeed = score && speed && { bySpeed: { loss: score.loss, speed } };
   const byPrefix = prefixSavedMs !== undefined && { prefixSavedMs };
-  return { ...byLearnedSpeed, ...byPrefix, costMs, fits, server, totals, unreadTokens };
+  return {
+    ...byLearnedSpeed,
+    ...byPrefix,
+    costMs,
+    fits,
+    plannedTokens,
+    server,
+    totals,
+    unreadTokens,
+  };
 }
 
 /** Prefill time that the cached prefix of a prompt saves at an engine. */
--- a/packages/dispatch/src/__tests__/support/UnevenFleetReplay.ts
+++ b/packages/dispatch/src/__tests__/support/UnevenFleetReplay.ts
@@ -30,6 +30,8 @@
 
 /** Options of a replay. */
 export interface ReplayOptions {
+  /** Time from which an engine is registered; 0 by default. */
+  readonly absentUntilMs?: (index: number) => number;
   readonly daemons: number;
   readonly durationMs?: number;
   readonly engines?: number;
@@ -271,10 +273,12 @@
   private rank({ arrivedMs, daemon, isLong, prompt }: ReplayRun): readonly Placement[] {
     const { nowMs } = this;
     const { load, prefillShares, speeds } = daemon;
-    const serverIds = this.engines.map(({ server }) => server.serverId);
+    const { absentUntilMs = () => 0 } = this.options;
+    const engines = this.engines.filter((_, index) => absentUntilMs(index) <= nowMs);
+    const serverIds = engines.map(({ server }) => server.serverId);
     const uneven = this.options.learnsSpeeds && speeds.areUneven(serverIds, nowMs);
     return rankEngines({
-      candidates: this.engines.map(({ server }) => ({
+      candidates: engines.map(({ server }) => ({
         cachedTokens: 0,
         failureShare: 0,
         server,
@@ -299,12 +303,11 @@
 
   /** The owner of an engine is a daemon of its domain; a message takes 5 to 25 ms. */
   private askOwner(run: ReplayRun, placement: Placement, declines: number): void {
-    const { bySpeed, server, totals, unreadTokens } = placement;
+    const { bySpeed, plannedTokens, server, totals, unreadTokens } = placement;
     const { serverId } = server;
     const engine = this.engines.find((candidate) => candidate.server.serverId === serverId);
     const owner = this.ownerOf(server);
     const { promptTokens } = run.prompt;
-    const plannedTokens = promptTokens + reservedOutputTokens(run.prompt, 0);
     const request = { believedReadingTokens: totals.readingTokens, plannedTokens, promptTokens };
     const wish = { ...request, requestId: toId<never>('r'), serverId, unreadTokens };
     this.after(owner === run.daemon ? 0 : 5 + this.random() * 20, () => {
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -30,6 +30,8 @@
   ServiceId,
 } from '@laburnumgap/kernel';
 import type { AdmittedCall, RoutedCall } from './callers/AdmittedCall.js';
+import { openReaderBuffers } from './buffers/ReaderBuffers.js';
+import type { ReaderBuffers } from './buffers/ReaderBuffers.js';
 import { BackendConnectionPool } from './servers/BackendConnectionPool.js';
 import { CallsInFlight } from './callers/CallsInFlight.js';
 import { ClusterSync } from './peers/ClusterSync.js';
@@ -57,6 +59,7 @@
 import type { ServingMetrics } from './ServingMetrics.js';
 import { NO_SERVING_METRICS } from './ServingMetrics.js';
 import type { PlatformDirectory, WireProtocol } from './ServingPorts.js';
+import { ShortageQueue } from './callers/ShortageQueue.js';
 import type { SocketOpener } from './servers/SocketOpener.js';
 import { StreamMover } from './servers/StreamMover.js';
 import { openTunnel } from './servers/TunnelClient.js';
@@ -176,9 +179,12 @@
   private readonly permits: ServerLimitCoordinator;
   private readonly quarantine = new Quarantine();
   private readonly quarantineCoordinator: QuarantineCoordinator;
+  /** Undefined where callers and servers are expected to read fast. */
+  private readonly readerBuffers: ReaderBuffers | undefined;
   private readonly readyServer;
   private readonly registry: ServerRegistry;
   private readonly retryBudget: RetryBudget;
+  private readonly shortage: ShortageQueue | undefined;
   private readonly silence = new SilenceBackoff();
   private readonly streamMover: StreamMover;
   private tickTimer: NodeJS.Timeout | undefined;
@@ -186,6 +192,11 @@
 
   constructor(private readonly options: ServingDaemonOptions) {
     const { clock, directory, incarnation, log, protocol, randomUnit, settings } = options;
+    this.readerBuffers = openReaderBuffers(settings, {
+      clock,
+      log,
+      metrics: options.metrics ?? NO_SERVING_METRICS,
+    });
     this.retryBudget = new RetryBudget({
       maxBalance: INITIAL_SAVED_RETRIES,
       retriesPerFirstAttempt: settings.retryRatio * RETRY_BUDGET_SHARE,
@@ -228,12 +239,13 @@
       servers: () => this.reachedServers(),
       tunnelPeers: () => this.cluster.peers.table.tunnelPeers(),
     });
-    this.connections = new BackendConnectionPool(clock, this.dialer);
+    this.connections = new BackendConnectionPool(clock, this.dialer, this.readerBuffers);
     const evacuations =
       settings.evacuationBoundMs === undefined
         ? undefined
         : new EvacuationCoordinator({ clock, log, metrics: options.metrics });
     this.tunnels = new TunnelServer({
+      buffers: this.readerBuffers,
       clock,
       host: settings.peers.host,
       isEvacuated: (server) => this.context.serverAccess.avoidsEvacuated(server, 'tunnel'),
@@ -310,6 +322,7 @@
       permits: this.permits,
       registry: this.registry,
     });
+    this.shortage = settings.sharesShortage === true ? this.createShortageQueue() : undefined;
     const health = new ServerHealth();
     const engineControl = new EngineControl({
       clock,
@@ -336,6 +349,7 @@
         registry: this.registry,
       }),
       engineCapacity: new EngineCapacityCoordinator({
+        capacityKeeper: this.shortage,
         clock,
         engineLimitsOf: (serverId) => {
           const server = this.registry.get(serverId)?.server;
@@ -374,12 +388,14 @@
       publishLoad: () => {
         this.load.setOwnShares(this.localShares());
         this.cluster.peers.scheduleHeartbeat();
+        this.shortage?.onCapacityChanged();
       },
       randomUnit,
       registry: this.registry,
       retryBudget: this.retryBudget,
       serverAccess,
       serverSignals,
+      shortage: this.shortage,
     };
     this.cluster = new ClusterSync({
       clock,
@@ -445,6 +461,7 @@
       randomUnit,
       registry: this.registry,
       seedHosts: settings.seedHosts,
+      shortage: this.shortage,
       speeds: this.context.engineSpeeds,
       transport: new PeerSockets({
         heartbeatPort: settings.heartbeatPort,
@@ -468,6 +485,7 @@
       (server) => this.engineLimitsOf(server),
     );
     this.front = new ServingFront({
+      buffers: this.readerBuffers,
       clock,
       hasDomainSuccessor: () => this.cluster.peers.table.hasDomainSuccessor(),
       protocol,
@@ -617,6 +635,21 @@
     });
   }
 
+  private createShortageQueue(): ShortageQueue {
+    const { clock, log, metrics = NO_SERVING_METRICS, randomUnit } = this.options;
+    return new ShortageQueue({
+      clock,
+      engineCountOf: (service) => this.registry.usableServers(service, clock.nowMs()).length,
+      log,
+      metrics,
+      onWaiting: () => {
+        this.cluster.peers.scheduleHeartbeat();
+      },
+      randomUnit,
+      serviceOf: (serverId) => this.registry.get(serverId)?.server.service,
+    });
+  }
+
   /** Calls to the service of a request that wait for a server with room. */
   private heldCallsOf({ service: { service } }: AdmittedCall): HeldCalls {
     const held = this.heldCalls.get(service) ?? new HeldCalls();
@@ -679,7 +712,10 @@
 
   /** Requests of callers, and connections of other daemons. */
   private openWork(): number {
-    return this.generationRuns.size + this.openPlainCalls + this.tunnels.openCount();
+    const heldResponses = this.readerBuffers?.heldCount() ?? 0;
+    return (
+      this.generationRuns.size + this.openPlainCalls + this.tunnels.openCount() + heldResponses
+    );
   }
 
   /** Servers that requests may go to; the paths to others say nothing of this daemon. */
@@ -772,12 +808,14 @@
     this.connections.closeExpired();
     this.watchPaths();
     this.streamMover.moveStalledStreams();
+    this.readerBuffers?.onTick();
     for (const { leaving, server } of this.registry.all()) {
       if (leaving && this.engineLimitsOf(server)) {
         this.streamMover.moveStreamsFrom(server.serverId);
       }
     }
     this.divideRetryBudget();
+    this.shortage?.onTick();
     this.requestEngineReports(nowMs);
   }
 }
--- a/packages/serving/src/peers/PeerLink.ts
+++ b/packages/serving/src/peers/PeerLink.ts
@@ -36,10 +36,20 @@
 import type { EvacuationCoordinator } from './EvacuationCoordinator.js';
 import { domainSourceId, PeerTable } from './PeerTable.js';
 import type { PeerTransport } from './PeerTransport.js';
+import type { ServiceShortage } from './ShortageReportCodec.js';
 import type { SpeedExchange } from './SpeedReports.js';
 import type { ServingLog } from '../ServingLog.js';
 import type { MemberAddress } from '../ServingPorts.js';
 
+/** Exchanges what daemons know of their waiting generations. */
+export interface ShortageExchange {
+  /** Summed report of this daemon and others. */
+  domainReport(memberIds: ReadonlySet<MemberId>): readonly ServiceShortage[];
+  /** Records the report of another daemon, or of another failure domain. */
+  recordReport(sourceId: MemberId, report: readonly ServiceShortage[]): void;
+  report(): readonly ServiceShortage[];
+}
+
 /** Options of {@link PeerLink}. */
 export interface PeerLinkOptions {
   readonly clock: MonotonicClock;
@@ -79,6 +89,8 @@
   readonly position: () => SyncPosition;
   /** Quarantines for one heartbeat. */
   readonly quarantines: () => readonly QuarantineReport[];
+  /** Absent where daemons do not share a shortage. */
+  readonly shortage?: ShortageExchange;
   /** Hosts of daemons to contact before the platform's store was read. */
   readonly seedHosts: readonly string[];
   /**
@@ -335,6 +347,7 @@
     const quarantines = this.options.quarantines();
     const evacuations = this.options.evacuations?.reports() ?? [];
     const speeds = this.options.speeds?.reports('domain') ?? [];
+    const shortage = this.options.shortage?.report();
     const heartbeat: PeerHeartbeat = {
       ...this.options.position(),
       ...(cold.length > 0 ? { cold } : {}),
@@ -351,6 +364,7 @@
       ...(quarantines.length > 0 ? { quarantines } : {}),
       sequence,
       shares,
+      ...(shortage ? { shortage } : {}),
       ...(speeds.length > 0 ? { speeds } : {}),
       storeIsAway: this.options.isStoreDown(),
     };
@@ -362,7 +376,7 @@
     if (isStopping || nowMs - this.livenessOnlySentMs >= LIVENESS_ONLY_HEARTBEAT_INTERVAL_MS) {
       this.livenessOnlySentMs = nowMs;
       this.sendToHosts(
-        encodeMessage({ ...heartbeat, shares: [], speeds: undefined }),
+        encodeMessage({ ...heartbeat, shares: [], shortage: undefined, speeds: undefined }),
         hostsOf(this.table.livenessOnlyPeers()),
       );
     }
@@ -381,6 +395,7 @@
     const domainMembers = new Set(this.table.fullUpdatePeers().map(({ memberId }) => memberId));
     const shares = load.sumShares(domainMembers, clock.nowMs());
     const speeds = this.options.speeds?.reports('otherDomains') ?? [];
+    const shortage = this.options.shortage?.domainReport(domainMembers);
     const isDigestDue = this.domainLoadCount % MESSAGES_PER_DIGEST === 0;
     this.domainLoadCount += 1;
     const message: DomainLoadMessage = {
@@ -388,6 +403,7 @@
       failureDomain,
       kind: 'domainLoad',
       shares,
+      ...(shortage ? { shortage } : {}),
       ...(speeds.length > 0 ? { speeds } : {}),
     };
     this.sendToHosts(encodeMessage(message), hostsOf(aggregators));
@@ -406,7 +422,9 @@
       return;
     }
     const nowMs = clock.nowMs();
-    load.recordMemberReport(domainSourceId(message.failureDomain), message.shares, nowMs);
+    const sourceId = domainSourceId(message.failureDomain);
+    load.recordMemberReport(sourceId, message.shares, nowMs);
+    this.options.shortage?.recordReport(sourceId, message.shortage ?? []);
     this.options.speeds?.onReports(message.speeds, false);
     if (digest) {
       this.table.recordDomain(message.failureDomain, digest.members);
@@ -455,6 +473,10 @@
     const nowMs = clock.nowMs();
     load.recordMemberReport(heartbeat.memberId, heartbeat.shares, nowMs);
     this.options.evacuations?.mergeReports(heartbeat.evacuations ?? [], 'heartbeat');
+    // Seeds of other domains get the heartbeats too, besides the sum of the domain.
+    if (heartbeat.shortage && this.table.loadSourceOf(heartbeat.memberId) === heartbeat.memberId) {
+      this.options.shortage?.recordReport(heartbeat.memberId, heartbeat.shortage);
+    }
     this.options.onLeaving(heartbeat.leavingServers);
     this.options.onColdServers?.(heartbeat.cold ?? []);
     this.options.onLimits(heartbeat.limits ?? []);
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -25,6 +25,8 @@
 } from '@laburnumgap/kernel';
 import { packAllEvacuations, packEvacuations, unpackEvacuations } from './EvacuationMessages.js';
 import type { SyncPosition } from './LagDetector.js';
+import type { ServiceShortage } from './ShortageReportCodec.js';
+import { packShortage, unpackShortage } from './ShortageReportCodec.js';
 import type { PackedSpeedReport } from './SpeedReports.js';
 import type { MemberAddress } from '../ServingPorts.js';
 import type { StorePosition } from '../store/StorePosition.js';
@@ -59,6 +61,8 @@
   readonly sequence: number;
   /** Load of the daemon at each engine; empty in heartbeats that only show liveness. */
   readonly shares: readonly EngineShare[];
+  /** Waiting generations; absent where daemons do not share a shortage, and from earlier builds. */
+  readonly shortage?: readonly ServiceShortage[];
   /** Observed speeds of some engines, in turn; checked by `unpackSpeedReports`. */
   readonly speeds?: readonly PackedSpeedReport[];
   /** The platform's store does not respond to this daemon. */
@@ -200,6 +204,8 @@
   readonly isForwarded?: boolean;
   readonly kind: 'domainLoad';
   readonly shares: readonly EngineShare[];
+  /** Waiting generations of the domain, as in {@link PeerHeartbeat}. */
+  readonly shortage?: readonly ServiceShortage[];
   /** Observed speeds of some engines, in turn; checked by `unpackSpeedReports`. */
   readonly speeds?: readonly PackedSpeedReport[];
 }
@@ -258,7 +264,14 @@
  * @returns the JSON text
  */
 export function encodeMessage(message: PeerHeartbeat | PeerMessage): string {
-  const text = 'shares' in message ? { ...message, ...packShares(message.shares) } : message;
+  const text =
+    'shares' in message
+      ? {
+          ...message,
+          ...packShares(message.shares),
+          shortage: message.shortage && packShortage(message.shortage),
+        }
+      : message;
   return JSON.stringify(
     'evacuations' in message
       ? { ...text, evacuations: packEvacuations(message.evacuations) }
@@ -463,16 +476,22 @@
 }
 
 /**
- * The long runs go into a list of their own in the order of the shares, since daemons of earlier builds
- * drop shares of another length.
+ * Counts that only some shares have go into lists of their own in the order of the shares, since daemons
+ * of earlier builds drop shares of another length.
  */
 function packShares(shares: readonly EngineShare[]): {
   readonly longRuns?: readonly number[];
+  readonly overdueRuns?: readonly number[];
   readonly shares: readonly PackedShare[];
 } {
   const longRuns = shares.map((share) => share.longRuns ?? 0);
-  const hasLongRuns = longRuns.some((count) => count > 0);
-  return { ...(hasLongRuns && { longRuns }), shares: shares.map(packShare) };
+  const overdueRuns = shares.map((share) => share.overdueRuns ?? 0);
+  const hasAny = (counts: readonly number[]): boolean => counts.some((count) => count > 0);
+  return {
+    ...(hasAny(longRuns) && { longRuns }),
+    ...(hasAny(overdueRuns) && { overdueRuns }),
+    shares: shares.map(packShare),
+  };
 }
 
 function packShare(share: EngineShare): PackedShare {
@@ -481,21 +500,35 @@
 }
 
 function unpackShares<
-  T extends { readonly longRuns?: unknown; readonly shares: readonly unknown[] },
+  T extends {
+    readonly longRuns?: unknown;
+    readonly overdueRuns?: unknown;
+    readonly shares: readonly unknown[];
+    readonly shortage?: unknown;
+  },
 >(message: T): T {
-  const { longRuns, ...others } = message;
-  const longRunList: readonly unknown[] = Array.isArray(longRuns) ? longRuns : [];
+  const { longRuns, overdueRuns, shortage: packedShortage, ...others } = message;
   const shares = message.shares.flatMap((packed, index): readonly EngineShare[] => {
     if (!isPackedShare(packed)) {
       return [];
     }
     const [serverId, plannedTokens, readingTokens, usedTokens, runs] = packed;
-    const count = longRunList[index];
-    const isCount = typeof count === 'number' && count > 0 && count <= runs;
-    const share = { plannedTokens, readingTokens, runs, serverId, usedTokens };
-    return [isCount ? { ...share, longRuns: count } : share];
+    const long = countAt(longRuns, index, runs);
+    const overdue = countAt(overdueRuns, index, runs);
+    const counts = {
+      ...(long !== undefined && { longRuns: long }),
+      ...(overdue !== undefined && { overdueRuns: overdue }),
+    };
+    return [{ ...counts, plannedTokens, readingTokens, runs, serverId, usedTokens }];
   });
-  return { ...others, shares } as unknown as T;
+  const shortage = unpackShortage(packedShortage);
+  return { ...others, shares, ...(shortage ? { shortage } : {}) } as unknown as T;
+}
+
+/** Count of a share in a list of its own; undefined when there is none or it exceeds the runs. */
+function countAt(counts: unknown, index: number, runs: number): number | undefined {
+  const count: unknown = Array.isArray(counts) ? counts[index] : undefined;
+  return typeof count === 'number' && count > 0 && count <= runs ? count : undefined;
 }
 
 function isPackedShare(value: unknown): value is PackedShare {
@@ -536,7 +569,8 @@
     isId(message.requestId) &&
     isId(message.serverId) &&
     hasFigures(message.totals, ['plannedTokens', 'readingTokens', 'runs', 'usedTokens']) &&
-    (message.totals?.longRuns === undefined || Number.isFinite(message.totals.longRuns))
+    (message.totals?.longRuns === undefined || Number.isFinite(message.totals.longRuns)) &&
+    (message.totals?.overdueRuns === undefined || Number.isFinite(message.totals.overdueRuns))
   );
 }
 
@@ -544,6 +578,7 @@
   return (
     isId(request?.requestId) &&
     isId(request.serverId) &&
+    (request.priority === undefined || hasFigures(request.priority, ['rank', 'slackMs'])) &&
     hasFigures(request, [
       'believedReadingTokens',
       'plannedTokens',
