--- a/packages/dispatch/src/EngineCapacity.ts
+++ b/packages/dispatch/src/EngineCapacity.ts
@@ -8,6 +8,8 @@
   readonly believedReadingTokens: number;
   /** 1 for a long stream; absent for others. */
   readonly longRuns?: number;
+  /** Unread tokens unknown to the daemon above which it prefers another engine; 1,500 where absent. */
+  readonly maxUnseenTokens?: number;
   /** Prompt tokens and planned output tokens. */
   readonly plannedTokens: number;
   readonly promptTokens: number;
@@ -21,6 +23,8 @@
 const PLANNABLE_MEMORY_FRACTION = 0.95;
 /** With more unread tokens than this unknown to the daemon, another engine is the better choice. */
 const MAX_UNSEEN_TOKENS = 1_500;
+/** The same in time, where prefills gather at slow engines so that there is less time to spare. */
+const MAX_UNSEEN_MS = 30;
 
 /** Whether an engine has capacity for one more generation. */
 export interface RemainingCapacity {
@@ -41,6 +45,16 @@
   return PLANNABLE_MEMORY_FRACTION * engine.memoryTokens;
 }
 
+/**
+ * Unread tokens unknown to a daemon above which it prefers another engine, where engines differ in speed.
+ *
+ * @param prefillTokensPerMs - learned speed of the engine
+ * @returns tokens
+ */
+export function maxUnseenTokensAt(prefillTokensPerMs: number): number {
+  return Math.round(MAX_UNSEEN_MS * prefillTokensPerMs);
+}
+
 /**
  * Checks an engine's remaining capacity for one more generation. An idle engine takes any.
  *
@@ -79,5 +93,6 @@
   engine: EngineLimits,
 ): boolean {
   const unseenTokens = totals.readingTokens - request.believedReadingTokens;
-  return remainingCapacity(totals, request, engine).fits && unseenTokens <= MAX_UNSEEN_TOKENS;
+  const maxUnseenTokens = request.maxUnseenTokens ?? MAX_UNSEEN_TOKENS;
+  return remainingCapacity(totals, request, engine).fits && unseenTokens <= maxUnseenTokens;
 }
--- a/packages/dispatch/src/UnevenScorer.ts
+++ b/packages/dispatch/src/UnevenScorer.ts
@@ -78,8 +78,6 @@
  * then avoid it. Engines that prefill much keep doing so, and the others take the long streams.
  */
 const STAYING_PREFILL_SHARE = 0.5;
-/** The used memory is known with delay, in which the streams of a faster engine grow further. */
-const FASTER_GROWTH_FACTOR = 1.5;
 /** Used while no engine has a speed with sufficient confidence. */
 const UNKNOWN_SPEED: EngineSpeed = {
   ageMs: Infinity,
@@ -126,9 +124,7 @@
    */
   extraGrowthTokens(serverId: ServerId, runs: number): number {
     const relativeSpeed = this.usualSpeed.eventMs / this.speedOf(serverId).eventMs;
-    return (
-      FASTER_GROWTH_FACTOR * Math.max(0, relativeSpeed - 1) * RESERVED_GROWTH_TOKENS * (runs + 1)
-    );
+    return Math.max(0, relativeSpeed - 1) * RESERVED_GROWTH_TOKENS * (runs + 1);
   }
 
   /**
--- a/packages/dispatch/src/__tests__/support/UnevenFleetReplay.ts
+++ b/packages/dispatch/src/__tests__/support/UnevenFleetReplay.ts
@@ -14,6 +14,7 @@
   EngineSpeeds,
   grantsCapacity,
   isLongStream,
+  maxUnseenTokensAt,
   PrefillShares,
   rankEngines,
   reservedOutputTokens,
@@ -309,7 +310,14 @@
     const owner = this.ownerOf(server);
     const { promptTokens } = run.prompt;
     const request = { believedReadingTokens: totals.readingTokens, plannedTokens, promptTokens };
-    const wish = { ...request, requestId: toId<never>('r'), serverId, unreadTokens };
+    const maxUnseenTokens = bySpeed && maxUnseenTokensAt(bySpeed.speed.prefillTokensPerMs);
+    const wish = {
+      ...request,
+      ...(bySpeed && { maxUnseenTokens }),
+      requestId: toId<never>('r'),
+      serverId,
+      unreadTokens,
+    };
     this.after(owner === run.daemon ? 0 : 5 + this.random() * 20, () => {
       const known = owner.load.totals(serverId, this.nowMs);
       const isGranted = grantsCapacity(wish, known, REPLAY_LIMITS);
--- a/packages/serving/src/callers/EngineSearch.ts
+++ b/packages/serving/src/callers/EngineSearch.ts
@@ -1,5 +1,5 @@
 import type { BackendServer, Placement, PromptShape } from '@laburnumgap/dispatch';
-import { admitGeneration, isLongStream } from '@laburnumgap/dispatch';
+import { admitGeneration, isLongStream, maxUnseenTokensAt } from '@laburnumgap/dispatch';
 import type { Refusal, RequestId, ResultCodeName } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
@@ -123,11 +123,12 @@
 
   private requestCapacity(placement: Placement, declines: number): void {
     const { onPlaced, prompt, admitted } = this.options;
-    const { plannedTokens, server, totals, unreadTokens } = placement;
+    const { bySpeed, plannedTokens, server, totals, unreadTokens } = placement;
     const { promptTokens } = prompt;
     const capacityRequest = {
       believedReadingTokens: totals.readingTokens,
       ...(this.isLong() && { longRuns: 1 }),
+      ...(bySpeed && { maxUnseenTokens: maxUnseenTokensAt(bySpeed.speed.prefillTokensPerMs) }),
       plannedTokens,
       promptTokens,
       requestId: toId<RequestId>(admitted.request.requestId),
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -503,7 +503,8 @@
       'promptTokens',
       'unreadTokens',
     ]) &&
-    (request.longRuns === undefined || Number.isFinite(request.longRuns))
+    (request.longRuns === undefined || Number.isFinite(request.longRuns)) &&
+    (request.maxUnseenTokens === undefined || Number.isFinite(request.maxUnseenTokens))
   );
 }
 
