--- a/packages/dispatch/src/EngineCapacity.ts
+++ b/packages/dispatch/src/EngineCapacity.ts
@@ -26,6 +26,8 @@
   readonly believedReadingTokens: number;
   /** 1 for a long stream; absent for others. */
   readonly longRuns?: number;
+  /** Unread tokens unknown to the daemon above which it prefers another engine; 1,500 where absent. */
+  readonly maxUnseenTokens?: number;
   /** Prompt tokens and planned output tokens. */
   readonly plannedTokens: number;
   /** Absent where daemons do not share a shortage, and from daemons of earlier builds. */
@@ -41,7 +43,12 @@
 const PLANNABLE_MEMORY_FRACTION = 0.95;
 /** With more unread tokens than this unknown to the daemon, another engine is the better choice. */
 const MAX_UNSEEN_TOKENS = 1_500;
+<<<<<<< HEAD
 const NO_RESERVE: CapacityReserve = { runs: 0, tokens: 0 };
+=======
+/** The same in time, where prefills gather at slow engines so that there is less time to spare. */
+const MAX_UNSEEN_MS = 30;
+>>>>>>> 47cd53d6982c97aa629aacbd5c9c9eb0d136ba2c
 
 /** Whether an engine has capacity for one more generation. */
 export interface RemainingCapacity {
@@ -62,6 +69,16 @@
   return PLANNABLE_MEMORY_FRACTION * engine.memoryTokens;
 }
 
+/**
+ * Unread tokens unknown to a daemon above which it prefers another engine, where engines differ in speed.
+ *
+ * @param prefillTokensPerMs - learned speed of the engine
+ * @returns tokens
+ */
+export function maxUnseenTokensAt(prefillTokensPerMs: number): number {
+  return Math.round(MAX_UNSEEN_MS * prefillTokensPerMs);
+}
+
 /**
  * Checks an engine's remaining capacity for one more generation. An idle engine takes any.
  *
@@ -102,6 +119,7 @@
   reserve: CapacityReserve = NO_RESERVE,
 ): boolean {
   const unseenTokens = totals.readingTokens - request.believedReadingTokens;
+<<<<<<< HEAD
   return !lacksCapacity(request, totals, engine, reserve) && unseenTokens <= MAX_UNSEEN_TOKENS;
 }
 
@@ -127,4 +145,8 @@
     usedTokens: totals.usedTokens + reserve.tokens,
   };
   return !remainingCapacity(reserved, request, engine).fits;
+=======
+  const maxUnseenTokens = request.maxUnseenTokens ?? MAX_UNSEEN_TOKENS;
+  return remainingCapacity(totals, request, engine).fits && unseenTokens <= maxUnseenTokens;
+>>>>>>> 47cd53d6982c97aa629aacbd5c9c9eb0d136ba2c
 }
--- a/packages/serving/src/callers/EngineSearch.ts
+++ b/packages/serving/src/callers/EngineSearch.ts
@@ -1,3 +1,4 @@
+<<<<<<< HEAD
 import type {
   BackendServer,
   CapacityPriority,
@@ -13,6 +14,11 @@
   reservedOutputTokens,
 } from '@laburnumgap/dispatch';
 import type { Refusal, RequestId, ResultCodeName, ServerId } from '@laburnumgap/kernel';
+=======
+import type { BackendServer, Placement, PromptShape } from '@laburnumgap/dispatch';
+import { admitGeneration, isLongStream, maxUnseenTokensAt } from '@laburnumgap/dispatch';
+import type { Refusal, RequestId, ResultCodeName } from '@laburnumgap/kernel';
+>>>>>>> 47cd53d6982c97aa629aacbd5c9c9eb0d136ba2c
 import { toId } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { callerTimeoutMs, urgencyOf } from './GenerationTargets.js';
@@ -229,14 +235,19 @@
     queuedPriority?: CapacityPriority,
   ): void {
     const { onPlaced, prompt, admitted } = this.options;
+<<<<<<< HEAD
     const { shortage } = this.context;
     const { service } = admitted.service;
     const priority = queuedPriority ?? shortage?.priorityOf(service, this.waitingGeneration());
     const { plannedTokens, server, totals, unreadTokens } = placement;
+=======
+    const { bySpeed, plannedTokens, server, totals, unreadTokens } = placement;
+>>>>>>> 47cd53d6982c97aa629aacbd5c9c9eb0d136ba2c
     const { promptTokens } = prompt;
     const capacityRequest = {
       believedReadingTokens: totals.readingTokens,
       ...(this.isLong() && { longRuns: 1 }),
+      ...(bySpeed && { maxUnseenTokens: maxUnseenTokensAt(bySpeed.speed.prefillTokensPerMs) }),
       plannedTokens,
       ...(priority ? { priority } : {}),
       promptTokens,
