Merge the limit on the unseen queue, and tell placement which engines are cold

Change: both limits on the unseen queue and on reserved capacity hold; GenerationTargets asks ServerAccess whether an engine is cold.

--- a/packages/dispatch/src/EngineCapacity.ts
+++ b/packages/dispatch/src/EngineCapacity.ts
@@ -43,12 +43,9 @@
 const PLANNABLE_MEMORY_FRACTION = 0.95;
 /** With more unread tokens than this unknown to the daemon, another engine is the better choice. */
 const MAX_UNSEEN_TOKENS = 1_500;
-<<<<<<< HEAD
-const NO_RESERVE: CapacityReserve = { runs: 0, tokens: 0 };
-=======
 /** The same in time, where prefills gather at slow engines so that there is less time to spare. */
 const MAX_UNSEEN_MS = 30;
->>>>>>> 47cd53d6982c97aa629aacbd5c9c9eb0d136ba2c
+const NO_RESERVE: CapacityReserve = { runs: 0, tokens: 0 };
 
 /** Whether an engine has capacity for one more generation. */
 export interface RemainingCapacity {
@@ -119,8 +116,8 @@
   reserve: CapacityReserve = NO_RESERVE,
 ): boolean {
   const unseenTokens = totals.readingTokens - request.believedReadingTokens;
-<<<<<<< HEAD
-  return !lacksCapacity(request, totals, engine, reserve) && unseenTokens <= MAX_UNSEEN_TOKENS;
+  const maxUnseenTokens = request.maxUnseenTokens ?? MAX_UNSEEN_TOKENS;
+  return !lacksCapacity(request, totals, engine, reserve) && unseenTokens <= maxUnseenTokens;
 }
 
 /**
@@ -145,8 +142,4 @@
     usedTokens: totals.usedTokens + reserve.tokens,
   };
   return !remainingCapacity(reserved, request, engine).fits;
-=======
-  const maxUnseenTokens = request.maxUnseenTokens ?? MAX_UNSEEN_TOKENS;
-  return remainingCapacity(totals, request, engine).fits && unseenTokens <= maxUnseenTokens;
->>>>>>> 47cd53d6982c97aa629aacbd5c9c9eb0d136ba2c
 }
--- a/packages/serving/src/callers/EngineSearch.ts
+++ b/packages/serving/src/callers/EngineSearch.ts
@@ -1,4 +1,3 @@
-<<<<<<< HEAD
 import type {
   BackendServer,
   CapacityPriority,
@@ -10,15 +9,11 @@
 import {
   admitGeneration,
   isLongStream,
+  maxUnseenTokensAt,
   plannedOutputTokens,
   reservedOutputTokens,
 } from '@laburnumgap/dispatch';
 import type { Refusal, RequestId, ResultCodeName, ServerId } from '@laburnumgap/kernel';
-=======
-import type { BackendServer, Placement, PromptShape } from '@laburnumgap/dispatch';
-import { admitGeneration, isLongStream, maxUnseenTokensAt } from '@laburnumgap/dispatch';
-import type { Refusal, RequestId, ResultCodeName } from '@laburnumgap/kernel';
->>>>>>> 47cd53d6982c97aa629aacbd5c9c9eb0d136ba2c
 import { toId } from '@laburnumgap/kernel';
 import type { AdmittedCall } from './AdmittedCall.js';
 import { callerTimeoutMs, urgencyOf } from './GenerationTargets.js';
@@ -235,14 +230,10 @@
     queuedPriority?: CapacityPriority,
   ): void {
     const { onPlaced, prompt, admitted } = this.options;
-<<<<<<< HEAD
     const { shortage } = this.context;
     const { service } = admitted.service;
     const priority = queuedPriority ?? shortage?.priorityOf(service, this.waitingGeneration());
-    const { plannedTokens, server, totals, unreadTokens } = placement;
-=======
     const { bySpeed, plannedTokens, server, totals, unreadTokens } = placement;
->>>>>>> 47cd53d6982c97aa629aacbd5c9c9eb0d136ba2c
     const { promptTokens } = prompt;
     const capacityRequest = {
       believedReadingTokens: totals.readingTokens,
--- a/packages/serving/src/callers/GenerationTargets.ts
+++ b/packages/serving/src/callers/GenerationTargets.ts
@@ -52,6 +52,7 @@
         server.serverId,
         nowMs - PREFIX_RETENTION_MS,
       ),
+      isCold: serverAccess.isCold(server),
       server,
       totals: load.totals(server.serverId, nowMs),
     }));
--- a/packages/serving/src/servers/ServerAccess.ts
+++ b/packages/serving/src/servers/ServerAccess.ts
@@ -115,6 +115,11 @@
     );
   }
 
+  /** Whether a server takes few requests, since it has just started. */
+  isCold(server: BackendServer): boolean {
+    return this.options.permits.isCold(server);
+  }
+
   /** Whether a server's failure domain is evacuated, so that nothing new may go there. */
   isEvacuated({ failureDomain }: BackendServer): boolean {
     return this.options.evacuations?.isEvacuated(failureDomain) ?? false;
