Treat the servers of a failure domain as cold when its evacuation ends

Cause: servers of an evacuated domain are usually cold at its end, and no response shows it until the first requests are there. ColdPermits.assumeCold was called by nothing. Change: the end of an evacuation calls it for the servers of the domain; a later entry or response wins. Ruled out: asking their health endpoints, which waits for a slot as a request does.

--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -243,7 +243,14 @@
     const evacuations =
       settings.evacuationBoundMs === undefined
         ? undefined
-        : new EvacuationCoordinator({ clock, log, metrics: options.metrics });
+        : new EvacuationCoordinator({
+            clock,
+            log,
+            metrics: options.metrics,
+            onEnded: (domain) => {
+              this.cold.assumeCold(this.serversIn(domain));
+            },
+          });
     this.tunnels = new TunnelServer({
       buffers: this.readerBuffers,
       clock,
@@ -718,6 +725,11 @@
     );
   }
 
+  private serversIn(failureDomain: FailureDomainId): readonly BackendServer[] {
+    const servers = this.registry.all().map(({ server }) => server);
+    return servers.filter((server) => server.failureDomain === failureDomain);
+  }
+
   /** Servers that requests may go to; the paths to others say nothing of this daemon. */
   private reachedServers(): readonly BackendServer[] {
     const { serverAccess } = this.context;
--- a/packages/serving/src/__tests__/unit/EvacuationCoordinator.test.ts
+++ b/packages/serving/src/__tests__/unit/EvacuationCoordinator.test.ts
@@ -17,6 +17,7 @@
   const gauges: number[] = [];
   const lines: string[] = [];
   const counts: string[] = [];
+  const ended: FailureDomainId[] = [];
   const metrics: ServingMetrics = {
     gauge: (_name, value) => gauges.push(value),
     increment: (name, _by, tags = {}) => counts.push([name, ...Object.values(tags)].join(' ')),
@@ -30,12 +31,13 @@
         lines.push(`${event} ${String(source)} ${String(revision)}`),
     },
     metrics,
+    onEnded: (domain) => ended.push(domain),
   });
-  return { clock, coordinator, counts, gauges, lines };
+  return { clock, coordinator, counts, ended, gauges, lines };
 }
 
 test('each change is logged and counted once, with its source and position', (t) => {
-  const { clock, coordinator, counts, gauges, lines } = createCoordinator();
+  const { clock, coordinator, counts, ended, gauges, lines } = createCoordinator();
   const { era, revision } = at(1, 5);
   const began = { failureDomain: A, isEvacuated: true, revision };
   t.true(coordinator.applyChanges([began], era, 'store'));
@@ -43,7 +45,9 @@
   coordinator.mergeReports([{ ...began, era }], 'heartbeat');
   t.false(coordinator.replace([], at(2, 3), 'store'), 'a held domain has not changed');
   clock.ms = HOLD_MS;
+  t.deepEqual(ended, []);
   coordinator.expire();
+  t.deepEqual(ended, [A], 'its servers count as cold from now');
   t.deepEqual(lines, [
     'domain-evacuated store 5',
     'domain-evacuation-held store 5',
--- a/packages/serving/src/peers/EvacuationCoordinator.ts
+++ b/packages/serving/src/peers/EvacuationCoordinator.ts
@@ -16,6 +16,8 @@
   readonly log: ServingLog;
   /** Receives metrics; discarded by default. */
   readonly metrics?: ServingMetrics;
+  /** Called when requests may be sent to a failure domain again, whose servers are usually cold then. */
+  readonly onEnded?: (failureDomain: FailureDomainId) => void;
 }
 
 /** Why a request was not sent to a server of an evacuated failure domain. */
@@ -120,6 +122,9 @@
         kind === 'held' ? { ...fields, holdMs: NEW_ERA_HOLD_MS } : fields,
       );
       this.metrics.increment('evacuation.changes', 1, { failure_domain: failureDomain, kind });
+      if (kind === 'ended') {
+        this.options.onEnded?.(failureDomain);
+      }
     }
     if (transitions.length > 0) {
       this.sendGauge();
