Abort nobody with less than a chunk for readers that lack room

Cause: a stalled stream with a few events would have been aborted, one each check, for a reader that was paused for want of room, though that frees next to nothing.

Change: only readers that hold a chunk (64 KiB) or more yield to starved ones.

--- a/packages/dispatch/src/BufferBudget.ts
+++ b/packages/dispatch/src/BufferBudget.ts
@@ -272,7 +272,10 @@
     const stalled = this.readersByStall();
     if (!isExceeded) {
       return stalled
-        .filter(([, { progressMs }]) => nowMs - progressMs >= STALLED_MS)
+        .filter(
+          ([, { heldBytes, progressMs }]) =>
+            heldBytes >= MIN_SHARED_BYTES && nowMs - progressMs >= STALLED_MS,
+        )
         .slice(0, 1)
         .map(([holderId, state]) => toOverdue(holderId, state, 'starvation', nowMs));
     }
--- a/packages/dispatch/src/__tests__/unit/BufferBudget.test.ts
+++ b/packages/dispatch/src/__tests__/unit/BufferBudget.test.ts
@@ -151,6 +151,17 @@
   t.is(overdueIds(budget, 10_500).length, 1);
 });
 
+test('stalled streams with a few events are not aborted for readers that lack room', (t) => {
+  const budget = budgetOf();
+  budget.reserve(holderOf(50), 16_384, 0);
+  fill(budget, 2);
+  [0, 1].forEach((number) => {
+    budget.progress(holderOf(number).holderId, CHUNK_BYTES, 19_000);
+  });
+  t.is(budget.pausedHolders().length, 2);
+  t.deepEqual(overdueIds(budget, 20_000), []);
+});
+
 test('a response that is complete starves nobody, though its reader was paused', (t) => {
   const budget = budgetOf();
   const [, complete = holderOf(1)] = fill(budget, 2);
