--- a/packages/dispatch/src/ColdServers.ts
+++ b/packages/dispatch/src/ColdServers.ts
@@ -79,16 +79,16 @@
    * Records what a server said in a response. Is reported to others unless it was known already.
    *
    * @param server - the server
-   * @param coldRemainingMs - time for which it is still cold
+   * @param remainingColdMs - time for which it is still cold
    * @param nowMs - monotonic time
    * @returns whether the server is cold now and was not known to be
    */
   recordResponse(
     { serverId, startedEpochMs }: ServerIncarnation,
-    coldRemainingMs: number,
+    remainingColdMs: number,
     nowMs: number,
   ): boolean {
-    const coldUntilMs = nowMs + coldRemainingMs;
+    const coldUntilMs = nowMs + remainingColdMs;
     const known = this.observations.get(serverId);
     const isKnown = this.isSame(known, { coldUntilMs, startedEpochMs }, nowMs);
     const isReported = isKnown ? known?.isReported === true : true;
@@ -106,7 +106,7 @@
    * @returns whether the server is cold now and was not known to be
    */
   recordEntry({ coldStartMs, nowEpochMs, revision, server }: ColdEntry, nowMs: number): boolean {
-    const { coldRemainingMs, serverId, startedEpochMs } = server;
+    const { remainingColdMs, serverId, startedEpochMs } = server;
     const entry = this.entries.get(serverId);
     if (entry?.revision === revision && entry.startedEpochMs === startedEpochMs) {
       return false;
@@ -114,11 +114,11 @@
     this.entries.set(serverId, { revision, startedEpochMs });
     const known = this.observations.get(serverId);
     const isKnown = known !== undefined && known.startedEpochMs >= startedEpochMs;
-    if (coldRemainingMs === undefined && isKnown) {
+    if (remainingColdMs === undefined && isKnown) {
       return false;
     }
     const remainingMs =
-      coldRemainingMs ?? remainingSinceStartMs(startedEpochMs, coldStartMs, nowEpochMs);
+      remainingColdMs ?? remainingSinceStartMs(startedEpochMs, coldStartMs, nowEpochMs);
     const coldUntilMs = nowMs + remainingMs;
     const oldestMs = nowMs - MAX_ENTRY_AGE_MS;
     const observation = { coldUntilMs, isReported: false, serverId, startedEpochMs };
@@ -177,7 +177,7 @@
     if (known?.startedEpochMs !== server.startedEpochMs) {
       return server;
     }
-    return { ...server, coldRemainingMs: Math.round(this.remainingMs(server, nowMs)) };
+    return { ...server, remainingColdMs: Math.round(this.remainingMs(server, nowMs)) };
   }
 
   /**
--- a/packages/dispatch/src/__tests__/unit/ColdServers.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ColdServers.test.ts
@@ -40,22 +40,22 @@
 
 test('a server is cold until the remaining time has passed since its entry was received', (t) => {
   const servers = new ColdServers();
-  t.true(servers.recordEntry(entryOf(1, { coldRemainingMs: 800 }), 5_000));
+  t.true(servers.recordEntry(entryOf(1, { remainingColdMs: 800 }), 5_000));
   t.true(servers.isCold(SERVER, 5_799));
   t.false(servers.isCold(SERVER, 5_800));
 });
 
 test('an entry that is received again does not make a warm server cold', (t) => {
   const servers = new ColdServers();
-  servers.recordEntry(entryOf(1, { coldRemainingMs: 800 }), 5_000);
-  t.false(servers.recordEntry(entryOf(1, { coldRemainingMs: 800 }), 7_000));
+  servers.recordEntry(entryOf(1, { remainingColdMs: 800 }), 5_000);
+  t.false(servers.recordEntry(entryOf(1, { remainingColdMs: 800 }), 7_000));
   t.false(servers.isCold(SERVER, 7_000));
 });
 
 test('a server becomes cold again by its next entry and by any response', (t) => {
   const servers = new ColdServers();
-  servers.recordEntry(entryOf(1, { coldRemainingMs: 0 }), 5_000);
-  t.true(servers.recordEntry(entryOf(2, { coldRemainingMs: 900 }), 7_000));
+  servers.recordEntry(entryOf(1, { remainingColdMs: 0 }), 5_000);
+  t.true(servers.recordEntry(entryOf(2, { remainingColdMs: 900 }), 7_000));
   t.true(respond(servers, 500, 9_000));
   t.true(servers.isCold(SERVER, 9_499));
   t.false(respond(servers, 0, 9_100), 'a later response says that it is warm');
@@ -65,15 +65,15 @@
 test('an entry that can be older than a response does not end the cold time', (t) => {
   const servers = new ColdServers();
   respond(servers, 5_000, 6_000);
-  servers.recordEntry(entryOf(2, { coldRemainingMs: 0 }), 6_000 + MAX_ENTRY_AGE_MS - 1);
+  servers.recordEntry(entryOf(2, { remainingColdMs: 0 }), 6_000 + MAX_ENTRY_AGE_MS - 1);
   t.true(servers.isCold(SERVER, 8_000));
-  servers.recordEntry(entryOf(3, { coldRemainingMs: 0 }), 8_000);
+  servers.recordEntry(entryOf(3, { remainingColdMs: 0 }), 8_000);
   t.false(servers.isCold(SERVER, 8_001));
 });
 
 test('a report of a response wins over an entry that can be older than the response', (t) => {
   const servers = new ColdServers();
-  servers.recordEntry(entryOf(1, { coldRemainingMs: 0 }), 5_000);
+  servers.recordEntry(entryOf(1, { remainingColdMs: 0 }), 5_000);
   const { serverId, startedEpochMs } = SERVER;
   t.true(servers.recordReport({ ageMs: 500, remainingMs: 400, serverId, startedEpochMs }, 5_200));
   t.true(servers.isCold(SERVER, 5_599));
@@ -82,8 +82,8 @@
 test('a later start wins over an earlier one, and an earlier one changes nothing', (t) => {
   const servers = new ColdServers();
   const restarted = serverOf({ startedEpochMs: EPOCH_MS + 1 });
-  servers.recordEntry(entryOf(1, { coldRemainingMs: 0 }), 5_000);
-  const entry = { coldRemainingMs: 1_000, startedEpochMs: EPOCH_MS + 1 };
+  servers.recordEntry(entryOf(1, { remainingColdMs: 0 }), 5_000);
+  const entry = { remainingColdMs: 1_000, startedEpochMs: EPOCH_MS + 1 };
   t.true(servers.recordEntry(entryOf(2, entry), 6_000));
   t.false(respond(servers, 0, 6_100), 'the response of the earlier start');
   t.true(servers.isCold(restarted, 6_200));
@@ -106,7 +106,7 @@
 
 test('the remaining time of an entry counts, whatever the start time says', (t) => {
   const servers = new ColdServers();
-  servers.recordEntry(entryOf(1, { coldRemainingMs: 0 }), 5_000);
+  servers.recordEntry(entryOf(1, { remainingColdMs: 0 }), 5_000);
   t.false(servers.isCold(SERVER, 5_000));
 });
 
@@ -169,9 +169,9 @@
 
 test('an entry is forwarded with the time that remains', (t) => {
   const servers = new ColdServers();
-  servers.recordEntry(entryOf(1, { coldRemainingMs: 800 }), 5_000);
-  t.is(servers.forwarded(serverOf({ coldRemainingMs: 800 }), 5_300).coldRemainingMs, 500);
-  t.is(servers.forwarded(serverOf({ coldRemainingMs: 800 }), 9_000).coldRemainingMs, 0);
+  servers.recordEntry(entryOf(1, { remainingColdMs: 800 }), 5_000);
+  t.is(servers.forwarded(serverOf({ remainingColdMs: 800 }), 5_300).remainingColdMs, 500);
+  t.is(servers.forwarded(serverOf({ remainingColdMs: 800 }), 9_000).remainingColdMs, 0);
 });
 
 test('only the latest cold servers are reported', (t) => {
@@ -191,7 +191,7 @@
 
 test('load pattern: entries of a whole failure domain, and responses that say the same, are not reported', (t) => {
   const servers = new ColdServers();
-  servers.recordEntry(entryOf(1, { coldRemainingMs: 800 }), 5_000);
+  servers.recordEntry(entryOf(1, { remainingColdMs: 800 }), 5_000);
   respond(servers, 750, 5_050);
   t.deepEqual(servers.reports(5_100), [], 'they would fill the links of a large fleet');
   respond(servers, 3_000, 5_200);
@@ -202,7 +202,7 @@
 
 test('servers that are no longer registered are forgotten', (t) => {
   const servers = new ColdServers();
-  servers.recordEntry(entryOf(1, { coldRemainingMs: 800 }), 5_000);
+  servers.recordEntry(entryOf(1, { remainingColdMs: 800 }), 5_000);
   servers.retain(() => false);
   t.false(servers.isCold(SERVER, 5_000));
 });
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -271,8 +271,8 @@
       onBackoff: (server, retryAfterMs) => {
         this.shareBackoff(server, retryAfterMs);
       },
-      onCold: (server, coldRemainingMs) => {
-        this.cold.onResponse(server, coldRemainingMs);
+      onCold: (server, remainingColdMs) => {
+        this.cold.onResponse(server, remainingColdMs);
       },
       onLeaving: (server) => {
         this.cluster.state.markLeaving([server], 'response');
--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -54,8 +54,6 @@
 
 /** Properties of a server's response taken from its headers. */
 export interface ResponseMetadata {
-  /** Time for which the server is still cold; absent when it does not say so. */
-  readonly coldRemainingMs?: number;
   /** The body has a content encoding, which backend servers never use. */
   readonly isEncoded: boolean;
   /** The server states that it is leaving. */
@@ -70,6 +68,8 @@
   readonly maxRejectionsPerS?: number;
   /** The server states that it did not execute the request. */
   readonly notRun: boolean;
+  /** Time for which the server is still cold; absent when it does not say so. */
+  readonly remainingColdMs?: number;
   readonly requestId?: string;
   /** Requests per second that the server takes from all daemons together, if it names a limit. */
   readonly requestsPerS?: number;
--- a/packages/serving/src/__tests__/unit/ColdPermits.test.ts
+++ b/packages/serving/src/__tests__/unit/ColdPermits.test.ts
@@ -14,7 +14,7 @@
   service: toId<ServiceId>('desk'),
 };
 const SERVER: BackendServer = {
-  coldRemainingMs: 1_000,
+  remainingColdMs: 1_000,
   failureDomain: toId<FailureDomainId>('a'),
   host: '10.0.0.9',
   leaving: false,
@@ -86,8 +86,8 @@
   }
 
   /** Receives the entry of the server. */
-  readEntry(coldRemainingMs: number, revision = 1): void {
-    const server = { ...SERVER, coldRemainingMs };
+  readEntry(remainingColdMs: number, revision = 1): void {
+    const server = { ...SERVER, remainingColdMs };
     const { serverId } = SERVER;
     this.cold.onEntries([{ revision: toNumberId<Revision>(revision), server, serverId }]);
   }
--- a/packages/serving/src/__tests__/unit/ColdServerFleet.test.ts
+++ b/packages/serving/src/__tests__/unit/ColdServerFleet.test.ts
@@ -72,7 +72,7 @@
 
 function serverOf(name: string, domain = 0): BackendServer {
   return {
-    coldRemainingMs: COLD_MS,
+    remainingColdMs: COLD_MS,
     failureDomain: DOMAINS[domain] ?? toId<FailureDomainId>('a'),
     host: '10.0.0.9',
     leaving: false,
@@ -217,7 +217,7 @@
   private readEntries(index: number): void {
     const changes = this.servers.map((server) => ({
       revision: toNumberId<Revision>(1),
-      server: { ...server, coldRemainingMs: (server.coldRemainingMs ?? 0) - this.nowMs },
+      server: { ...server, remainingColdMs: (server.remainingColdMs ?? 0) - this.nowMs },
       serverId: server.serverId,
     }));
     this.daemons[index]?.cold.onEntries(changes);
@@ -484,7 +484,7 @@
     const coldServers = numbers.map((number) => serverOf(`cold${number}`));
     const warmServers = numbers.map((number) => ({
       ...serverOf(`warm${number}`, 1),
-      coldRemainingMs: 0,
+      remainingColdMs: 0,
     }));
     const rate = 30;
     const servers = [...coldServers, ...warmServers];
--- a/packages/serving/src/__tests__/unit/ServerSignals.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerSignals.test.ts
@@ -43,7 +43,7 @@
         warn: (event) => this.loggedEvents.push(event),
       },
       onBackoff: () => undefined,
-      onCold: (_server, coldRemainingMs) => this.coldMs.push(coldRemainingMs),
+      onCold: (_server, remainingColdMs) => this.coldMs.push(remainingColdMs),
       onRejected: () => undefined,
       onLeaving: () => undefined,
       onLimitChanged: () => {
@@ -100,9 +100,9 @@
 
 test('any response of the server says how long it is cold, and one of another server does not', (t) => {
   const target = new TestSignals();
-  target.evaluate({ coldRemainingMs: 700 });
-  target.evaluate({ coldRemainingMs: 0, isStamped: false }, 503);
+  target.evaluate({ remainingColdMs: 700 });
+  target.evaluate({ remainingColdMs: 0, isStamped: false }, 503);
   target.evaluate({});
-  target.evaluate({ coldRemainingMs: 900 }, 421);
+  target.evaluate({ remainingColdMs: 900 }, 421);
   t.deepEqual(target.coldMs, [700, 0]);
 });
--- a/packages/serving/src/servers/ColdPermits.ts
+++ b/packages/serving/src/servers/ColdPermits.ts
@@ -105,8 +105,8 @@
   }
 
   /** Reads the remaining time that a server states in a response. */
-  onResponse(server: BackendServer, coldRemainingMs: number): void {
-    const becameCold = this.servers.recordResponse(server, coldRemainingMs, this.nowMs());
+  onResponse(server: BackendServer, remainingColdMs: number): void {
+    const becameCold = this.servers.recordResponse(server, remainingColdMs, this.nowMs());
     if (becameCold && this.onCold(server, 'response')) {
       this.options.onBecameCold();
     }
--- a/packages/serving/src/servers/PermitDeclines.ts
+++ b/packages/serving/src/servers/PermitDeclines.ts
@@ -5,7 +5,7 @@
 export interface PermitDeclinesOptions {
   readonly clock: MonotonicClock;
   /** Time for which a server that takes fewer requests for being cold stays so; 0 for others. */
-  readonly coldRemainingMs: (server: BackendServer) => number;
+  readonly remainingColdMs: (server: BackendServer) => number;
   readonly isLimited: (server: BackendServer) => boolean;
 }
 
@@ -24,10 +24,10 @@
 
   /** Time until a permit for a server can be requested. */
   availableAfterMs(server: BackendServer): number {
-    const { clock, coldRemainingMs, isLimited } = this.options;
+    const { clock, remainingColdMs, isLimited } = this.options;
     const decline = this.declines.get(server.serverId);
     const isOver =
-      !decline || !isLimited(server) || (decline.isCold && coldRemainingMs(server) === 0);
+      !decline || !isLimited(server) || (decline.isCold && remainingColdMs(server) === 0);
     return isOver ? 0 : Math.max(0, decline.untilMs - clock.nowMs());
   }
 
@@ -39,7 +39,7 @@
    * @returns the time for which the decline is remembered
    */
   add(server: BackendServer, holdMs: number): number {
-    const remainingMs = Math.ceil(this.options.coldRemainingMs(server));
+    const remainingMs = Math.ceil(this.options.remainingColdMs(server));
     const isCold = remainingMs > 0;
     const retryAfterMs = isCold ? Math.min(holdMs, remainingMs) : holdMs;
     const untilMs = this.options.clock.nowMs() + retryAfterMs;
--- a/packages/serving/src/servers/ServerLimitCoordinator.ts
+++ b/packages/serving/src/servers/ServerLimitCoordinator.ts
@@ -88,7 +88,7 @@
     this.ownParts = new ServerAccounts({ coldStartedMs: clock.nowMs() });
     this.declines = new PermitDeclines({
       clock,
-      coldRemainingMs: (server) => (this.isCold(server) ? (cold?.remainingMs(server) ?? 0) : 0),
+      remainingColdMs: (server) => (this.isCold(server) ? (cold?.remainingMs(server) ?? 0) : 0),
       isLimited: (server) => this.isLimited(server),
     });
     this.leases = new PermitLeases({
--- a/packages/serving/src/servers/ServerSignals.ts
+++ b/packages/serving/src/servers/ServerSignals.ts
@@ -13,7 +13,7 @@
   /** Called when a server wants no requests of the daemon that its connection comes from. */
   readonly onBackoff: (server: BackendServer, retryAfterMs: number) => void;
   /** Called with the time for which a server says that it is cold; ignored by default. */
-  readonly onCold?: (server: BackendServer, coldRemainingMs: number) => void;
+  readonly onCold?: (server: BackendServer, remainingColdMs: number) => void;
   readonly onLeaving: (server: BackendServer) => void;
   /** Called when a server begins or ceases to limit its requests. */
   readonly onLimitChanged: () => void;
@@ -59,8 +59,8 @@
     if (metadata.isLeaving) {
       onLeaving(server);
     }
-    if (metadata.coldRemainingMs !== undefined) {
-      this.options.onCold?.(server, metadata.coldRemainingMs);
+    if (metadata.remainingColdMs !== undefined) {
+      this.options.onCold?.(server, metadata.remainingColdMs);
     }
     this.recordLimit(server, metadata);
     if (
