--- a/packages/dispatch/src/EngineSpeeds.ts
+++ b/packages/dispatch/src/EngineSpeeds.ts
@@ -114,7 +114,7 @@
 export const UNEVEN_FACTOR = 1.5;
 /** The difference has to last for this long, so that the ranking does not change back and forth. */
 const UNEVEN_DWELL_MS = 2_000;
-/** The same where only one engine differs: longer than one span of bad luck stays in its samples. */
+/** The same where only one engine differs: longer than a series of slow periods stays in its samples. */
 const SINGLE_UNEVEN_DWELL_MS = 10_000;
 /** Shorter prompts are dominated by the time of the first event itself. */
 const MIN_PREFILL_TOKENS = 500;
