--- a/packages/serving/src/peers/EvacuationCoordinator.ts
+++ b/packages/serving/src/peers/EvacuationCoordinator.ts
@@ -105,12 +105,12 @@
 
   /** Counts a request that was not sent to a server because its domain is evacuated. */
   recordAvoided(use: AvoidedUse): void {
-    this.metrics.increment('evacuation.avoided', 1, { use });
+    this.metrics.increment('evacuation_avoided', 1, { use });
   }
 
   /** Counts a request that was refused because every server of its service is evacuated. */
   recordRefused(): void {
-    this.metrics.increment('evacuation.refused');
+    this.metrics.increment('evacuation_refused');
   }
 
   private report(transitions: readonly EvacuationTransition[], source: string): boolean {
@@ -121,7 +121,7 @@
         EVENTS[kind],
         kind === 'held' ? { ...fields, holdMs: NEW_ERA_HOLD_MS } : fields,
       );
-      this.metrics.increment('evacuation.changes', 1, { failure_domain: failureDomain, kind });
+      this.metrics.increment('evacuation_changes', 1, { failure_domain: failureDomain, kind });
       if (kind === 'ended') {
         this.options.onEnded?.(failureDomain);
       }
@@ -134,7 +134,7 @@
 
   private sendGauge(): void {
     this.gaugeSentMs = this.nowMs();
-    this.metrics.gauge('evacuation.domains', this.evacuations.evacuatedCount());
+    this.metrics.gauge('evacuation_domains', this.evacuations.evacuatedCount());
   }
 
   private nowMs(): number {
