Sum the load of an engine less often for learned speeds

With every event of every stream the load of its engine was summed over all daemons, and twice a second that of all engines.

Change: sums are kept for 100 ms, and the share of prefill is sampled only where engines differ.

Ruled out: leaving out events, which the medians need.

Measured: the 6 tests of EngineSpeedCoordinator pass.

--- a/packages/serving/src/servers/EngineSpeedCoordinator.ts
+++ b/packages/serving/src/servers/EngineSpeedCoordinator.ts
@@ -1,6 +1,7 @@
 import type {
   BackendServer,
   EngineLoad,
+  EngineTotals,
   PlacementInput,
   PrefixCacheIndex,
   PromptShape,
@@ -72,6 +73,8 @@
 const MAX_REPORTS = 16;
 /** Heartbeats after changes of the load follow each other sooner and carry no reports. */
 const REPORT_INTERVAL_MS = 450;
+/** About the time in which heartbeats bring changes of the load. */
+const TOTALS_VALID_MS = 100;
 /** Interval at which the load of the engines is sampled. */
 const SAMPLE_INTERVAL_MS = 500;
 const METRICS_INTERVAL_MS = 5_000;
@@ -83,6 +86,10 @@
  * to placement. Each service has speeds of its own.
  */
 export class EngineSpeedCoordinator {
+  private readonly totals = new Map<
+    ServerId,
+    { readonly atMs: number; readonly totals: EngineTotals }
+  >();
   private gapLimits: GapLimits = { byService: new Map(), table: undefined };
   private metricsSentMs = -Infinity;
   private readonly reportedMs = new Map<SpeedReportAudience, number>();
@@ -121,9 +128,8 @@
 
   /** Records events of a stream that followed others from the same engine. */
   recordEvents(server: BackendServer, gapMs: number, eventCount: number): void {
-    const { clock, load } = this.options;
-    const nowMs = clock.nowMs();
-    const { readingTokens, runs } = load.totals(server.serverId, nowMs);
+    const nowMs = this.options.clock.nowMs();
+    const { readingTokens, runs } = this.recentTotals(server.serverId, nowMs);
     this.speedsOf(server.service).speeds.recordEvents(
       { eventCount, gapMs, isPrefilling: readingTokens > 0, runs, server },
       nowMs,
@@ -211,17 +217,19 @@
       return;
     }
     this.sampledMs = nowMs;
-    const { load, registry } = this.options;
+    const { registry } = this.options;
     const isRegistered = (serverId: ServerId): boolean => registry.get(serverId) !== undefined;
     const isMetricsDue = nowMs - this.metricsSentMs >= METRICS_INTERVAL_MS;
     this.metricsSentMs = isMetricsDue ? nowMs : this.metricsSentMs;
     for (const [service, state] of this.services) {
       const { prefillShares, speeds } = state;
       speeds.retain(isRegistered);
+      this.retainTotals(isRegistered);
       prefillShares.retain(isRegistered);
       const serverIds = this.engineIds(service);
-      for (const serverId of serverIds) {
-        prefillShares.record(serverId, load.totals(serverId, nowMs).readingTokens > 0, nowMs);
+      // Nothing else uses these shares, and the sums over all daemons take much of the processor.
+      for (const serverId of state.isUneven ? serverIds : []) {
+        prefillShares.record(serverId, this.recentTotals(serverId, nowMs).readingTokens > 0, nowMs);
       }
       this.decideUneven(service, state, serverIds, nowMs);
       if (isMetricsDue) {
@@ -230,6 +238,25 @@
     }
   }
 
+  /** Load of an engine, summed at most every {@link TOTALS_VALID_MS}: events arrive far more often. */
+  private recentTotals(serverId: ServerId, nowMs: number): EngineTotals {
+    const known = this.totals.get(serverId);
+    if (known && nowMs - known.atMs < TOTALS_VALID_MS) {
+      return known.totals;
+    }
+    const totals = this.options.load.totals(serverId, nowMs);
+    this.totals.set(serverId, { atMs: nowMs, totals });
+    return totals;
+  }
+
+  private retainTotals(isRegistered: (serverId: ServerId) => boolean): void {
+    for (const serverId of this.totals.keys()) {
+      if (!isRegistered(serverId)) {
+        this.totals.delete(serverId);
+      }
+    }
+  }
+
   private decideUneven(
     service: ServiceId,
     state: ServiceSpeeds,
