--- a/review/support/deployment.ts
+++ b/review/support/deployment.ts
@@ -161,7 +161,7 @@
   ): void {
     this.store.put(`servers/${server.id}`, {
       address: server.address(),
-      born: Date.now(),
+      born: server.bornMs,
       coldRemainingMs: 0,
       sequence: 1,
       service,
--- a/review/support/server.ts
+++ b/review/support/server.ts
@@ -21,6 +21,8 @@
 
 /** Stand-in for a server; what it does with a request is up to the handler. */
 export class BackendServer {
+  /** Unix millisecond of its start. */
+  readonly bornMs = Date.now();
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
 
