--- a/review/support/deployment.ts
+++ b/review/support/deployment.ts
@@ -292,7 +292,7 @@
     child.stderr.on('data', (chunk: Buffer) => {
       for (const line of chunk.toString().split('\n')) {
         if (line.trim() !== '') {
-          this.record.line(`${name} writes to stderr: ${line}`);
+          this.record.line(`${name} writes to stderr: ${line.replaceAll(REPOSITORY, '.')}`);
         }
       }
     });
