--- a/review/drivers/brittle-release.ts
+++ b/review/drivers/brittle-release.ts
@@ -21,8 +21,8 @@
 const BURST_MS = 3_000;
 /** Time from the beginning of the burst to that of the release. */
 const RELEASE_AFTER_MS = 500;
-/** As in the site files: one at a time, one second apart. */
-const RELEASED_SHARE = 0.45;
+/** As `fleetbench kinds` says: half of the servers, one at a time, one second apart. */
+const RELEASED_SHARE = 0.5;
 const RELEASE_GAP_MS = 1_000;
 const AFTER_MS = 8_000;
 const ALLOWED_FALLS = 2 + SERVERS / 10;
@@ -84,7 +84,8 @@
     record.line('the burst is over');
   }, BURST_MS);
   await sleep(RELEASE_AFTER_MS);
-  for (let index = 0; index < SERVERS * RELEASED_SHARE; index += 1) {
+  const released = Math.floor(SERVERS * RELEASED_SHARE);
+  for (let index = 0; index < released; index += 1) {
     const zone = ZONES[index % ZONES.length] ?? 'a';
     const successor = new BrittleServer(deployment, `i-new-${index}`, zone, state);
     await successor.start();
--- a/review/drivers/spoilt-header.ts
+++ b/review/drivers/spoilt-header.ts
@@ -5,6 +5,8 @@
 /** Requests in progress at sound servers while the faulty server answers. */
 const CALLERS = 8;
 const WORK_MS = 1_500;
+/** Sound answers of the faulty server before the spoilt one, which so is one in fifty. */
+const SOUND_ANSWERS = 49;
 /** A sound answer has a space at this place; one bit of it is lost on the way. */
 const SPOILT_HEAD = 'Cache-Control: no-store,\0private';
 const SOUND_HEAD = 'Cache-Control: no-store, private';
@@ -25,14 +27,17 @@
       }, WORK_MS);
     });
   }
+  let answers = 0;
   await deployment.addServer('i-shelf', 'shelf', 'a', ({ requestId, socket }) => {
     record.line(`server i-shelf runs ${requestId}`);
+    answers += 1;
+    const isSpoilt = hasTrouble && answers > SOUND_ANSWERS;
     const body = `found ${requestId}`;
     const lines = [
       'HTTP/1.1 200 OK',
       `Request-Id: ${requestId}`,
       `Response-Stamp: stamp-${requestId}`,
-      hasTrouble ? SPOILT_HEAD : SOUND_HEAD,
+      isSpoilt ? SPOILT_HEAD : SOUND_HEAD,
       `Content-Length: ${body.length}`,
     ];
     socket.write(`${lines.join('\r\n')}\r\n\r\n${body}`, 'latin1');
@@ -45,6 +50,10 @@
   }
   await sleep(3_500);
 
+  const looker = new Client(daemon.host);
+  for (let number = 1; number <= SOUND_ANSWERS; number += 1) {
+    await looker.send({ id: `look-${number}`, path: '/look/1' });
+  }
   const clients = Array.from({ length: CALLERS }, () => new Client(daemon.host));
   // The connections are kept: each has carried a request before.
   await Promise.all(
@@ -60,13 +69,12 @@
     return { answer, id };
   });
   await sleep(300);
-  const looker = new Client(daemon.host);
-  record.line('client sends look-1');
-  const looked = await looker.send({ id: 'look-1', path: '/look/1' });
-  record.line(`client of look-1 gets status ${looked.status}, complete: ${looked.isComplete}`);
-  const answers = await Promise.all(bookings);
+  record.line('client sends look-last');
+  const looked = await looker.send({ id: 'look-last', path: '/look/1' });
+  record.line(`client of look-last gets status ${looked.status}, complete: ${looked.isComplete}`);
+  const booked = await Promise.all(bookings);
   await sleep(300);
-  const lost = answers.filter(({ answer, id }) => answer.status === 0 && runs.has(id));
+  const lost = booked.filter(({ answer, id }) => answer.status === 0 && runs.has(id));
   const hasEnded = !deployment.isAlive(daemon);
   record.line(`${lost.length} requests that ran at sound servers were never answered`);
   record.line(`the daemon ended by itself: ${hasEnded}`);
--- a/review/support/case.ts
+++ b/review/support/case.ts
@@ -19,6 +19,12 @@
   const record = new CaseRecord(path);
   const hasTrouble = process.env.TROUBLE !== '0';
   record.line(hasTrouble ? 'with the disruption' : 'without the disruption');
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+    process.once(signal, () => {
+      record.line(`${signal}: the case ends`);
+      process.exit(2);
+    });
+  }
   const timer = setTimeout(() => {
     record.line('the case did not end in time');
     process.exit(2);
--- a/review/support/deployment.ts
+++ b/review/support/deployment.ts
@@ -112,6 +112,7 @@
   ) {
     process.once('exit', () => {
       this.killAll();
+      rmSync(this.directory, { force: true, recursive: true });
     });
   }
 
