Reject responses with an invalid header line

Cause: http-parser-js passes names and values of headers on unchecked, skips lines that are no header and drops the highest bit of each byte; ServerResponse.writeHead throws for such a head, and nothing catches it. Change: ResponseParser parses each header line itself, as RFC 9110 and RFC 9112 define it; an invalid one makes the response invalid, like a wrong length. Heads are decoded as latin1. Ruled out: a check in CallerExchange.start only, since heads are also read for ids, lengths and signals; replacing the characters, since a head with a spoilt byte can be spoilt in its ids and lengths as well.

--- a/packages/serving/src/__tests__/integration/BackendConnection.test.ts
+++ b/packages/serving/src/__tests__/integration/BackendConnection.test.ts
@@ -78,12 +78,17 @@
   'a body shorter than its length': 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort',
   'a chunk size that is not a number':
     'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n',
+  'a folded header line': 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX: a\r\n b\r\n\r\nabc',
+  'a header line without a colon': 'HTTP/1.1 200 OK\r\nContent-Length 3\r\n\r\nabc',
+  'a header name before a blank': 'HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nabc',
+  'a header without a name': 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n: x\r\n\r\nabc',
   'a length and chunks':
     'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n',
   'a length that is not a number': 'HTTP/1.1 200 OK\r\nContent-Length: 3x\r\n\r\nabc',
   'chunks without the last one':
     'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
   'invalid syntax': 'garbage\r\n\r\n',
+  'an invalid trailer': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX\r\n\r\n',
   nothing: '',
   'two lengths': 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
 };
--- a/packages/serving/src/servers/ResponseParser.ts
+++ b/packages/serving/src/servers/ResponseParser.ts
@@ -1,5 +1,5 @@
 import { HTTPParser } from 'http-parser-js';
-import { headerValues, toHeaderPairs } from '../HeaderLists.js';
+import { headerValues, parseHeaderLine, toHeaderPairs } from '../HeaderLists.js';
 import type { HeaderList } from '../ServingPorts.js';
 
 /** Status and headers of a server's response. */
@@ -22,6 +22,7 @@
   body_bytes: number;
   consumeLine(): string | undefined;
   line: string;
+  parseHeader(line: string, headers: string[]): void;
   state: string;
 }
 
@@ -34,9 +35,13 @@
 const CHUNK_HEAD_PATTERN = /^[0-9a-f]{1,8}[ \t]*(?:;.*)?$/i;
 const CONTENT_LENGTH_PATTERN = /^\d{1,15}$/;
 
+// The default drops the highest bit of each byte, so that a byte beyond ASCII becomes another character.
+HTTPParser.encoding = 'latin1';
+
 /**
  * Parses the HTTP responses on one connection. Stricter than the library: an invalid chunk size, an
- * invalid Content-Length and a repeated Content-Length are errors; the library would end the body.
+ * invalid Content-Length and a repeated Content-Length are errors, where the library would end the body,
+ * and so is an invalid header line, where it would pass it on or skip it.
  */
 export class ResponseParser {
   private failureReason: string | undefined;
@@ -49,6 +54,9 @@
     internals.BODY_CHUNKHEAD = () => {
       parseChunkHead(internals);
     };
+    internals.parseHeader = (line, headers) => {
+      headers.push(...parseHeaderLine(line));
+    };
     parser[HTTPParser.kOnHeadersComplete] = (info) =>
       this.onHeadersComplete(info.statusCode, info.headers, info.shouldKeepAlive);
     parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
