Take no odd entry of another writer for a server

Callers saw: 502 for unsafe calls, which were sent to entries whose ids are no words or whose state is "constructor". Cause: ids, services and zones only had to be strings, an id is part of a key that any writer chooses, and states were looked up in an object with what it inherits. The id became a header of requests and the target of a CONNECT request. Ruled out: that deep nesting, numbers too large or ports out of range in the store end a process or a watch (OddEntries: alive and following after each of them).

--- a/packages/serving/src/HeaderLists.ts
+++ b/packages/serving/src/HeaderLists.ts
@@ -4,6 +4,8 @@
 const TOKEN_PATTERN = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+$/;
 /** Characters of a header value, RFC 9110, 5.5. */
 const VALUE_PATTERN = /^[\t\x20-\x7e\x80-\xff]*$/;
+/** As long as the longest key of the platform's store. */
+const WORD_PATTERN = /^[\x21-\x7e]{1,200}$/;
 
 /** Whether a text can be the name of a header. */
 export function isHeaderName(text: string): boolean {
@@ -15,6 +17,14 @@
   return VALUE_PATTERN.test(text);
 }
 
+/**
+ * Whether a text is a single word of visible ASCII, so that it can be an id in a header, in the target of
+ * a request and in a log line.
+ */
+export function isHeaderWord(text: string): boolean {
+  return WORD_PATTERN.test(text);
+}
+
 /**
  * Parses one line of a message head. Line folding is invalid, as RFC 9112, 5.2, permits for responses.
  *
