Send no request whose head contains what would change its meaning

Callers saw: streams broken off, since the request for their rest was rejected as malformed: the id of an event with a control character had become a header. Cause: encodeRequestHead joined strings of servers without a check. Ruled out: dropping the id alone, since a stream that goes on after an earlier event would repeat events.

--- a/packages/serving/src/__tests__/integration/BackendConnection.test.ts
+++ b/packages/serving/src/__tests__/integration/BackendConnection.test.ts
@@ -1,7 +1,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 import test from 'ava';
-import type { ResponseListener } from '../../index.js';
+import type { BackendRequest, ResponseListener } from '../../index.js';
 import { BackendConnection } from '../../index.js';
 
 interface CallOutcome {
@@ -16,6 +16,7 @@
 async function sendToRawServer(
   respond: (socket: Socket) => void,
   accepts: ResponseListener['accepts'] = () => true,
+  request: Partial<BackendRequest> = {},
 ): Promise<CallOutcome> {
   const server = createServer({ allowHalfOpen: true }, (socket) => {
     socket.on('error', () => undefined);
@@ -35,7 +36,7 @@
         socket,
       });
       connection.send(
-        { body: undefined, headers: [['Host', 'a']], method: 'GET', path: '/' },
+        { body: undefined, headers: [['Host', 'a']], method: 'GET', path: '/', ...request },
         {
           accepts,
           onBody: (chunk) => {
@@ -171,3 +172,27 @@
   });
   t.deepEqual(outcome, { body, end: 'complete, reusable' });
 });
+
+const INVALID_REQUESTS: Readonly<Record<string, Partial<BackendRequest>>> = {
+  'a header beyond one byte a character': { headers: [['Tenant', 'te\u0142am']] },
+  'a header name with a blank': { headers: [['Last Event', '1']] },
+  'a header with a carriage return': { headers: [['Last-Event-Id', '1\r2']] },
+  'a header with a line of its own': { headers: [['Kv-From', 'h\r\nHold: 1']] },
+  'a path with a blank': { path: '/ HTTP/1.1\r\nHold: 1\r\n' },
+};
+
+for (const [name, request] of Object.entries(INVALID_REQUESTS)) {
+  test(`a request with ${name} is not sent`, async (t) => {
+    let receivedCount = 0;
+    const outcome = await sendToRawServer(
+      (socket) => {
+        receivedCount += 1;
+        socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+      },
+      undefined,
+      request,
+    );
+    t.is(outcome.end, 'broken');
+    t.is(receivedCount, 0);
+  });
+}
--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -31,6 +31,7 @@
 import { EventSplitter } from './EventSplitter.js';
 import { rankTargets, urgencyOf } from './GenerationTargets.js';
 import { GrowableBuffer } from '../GrowableBuffer.js';
+import { isHeaderValue } from '../HeaderLists.js';
 import type { SentGeneration } from '../servers/EngineSpeedCoordinator.js';
 import { impliesNotExecuted, isFromServer, isNotExecuted } from '../servers/ResponseChecks.js';
 import type { ResponseHead } from '../servers/ResponseParser.js';
@@ -472,6 +473,12 @@
     if (!events || !attempt.head) {
       return;
     }
+    if (events.lastEventId !== undefined && !isHeaderValue(events.lastEventId)) {
+      // The stream could not go on after this event elsewhere.
+      attempt.connection?.abort();
+      this.onConnectionBroken(attempt, 'the id of an event is invalid');
+      return;
+    }
     const { exchange } = this.admitted;
     if (!exchange.hasStarted()) {
       exchange.start(withoutContentLength(attempt.head));
--- a/packages/serving/src/servers/BackendConnection.ts
+++ b/packages/serving/src/servers/BackendConnection.ts
@@ -8,6 +8,7 @@
 import type { ResponseHead } from './ResponseParser.js';
 import { ResponseParser } from './ResponseParser.js';
 import type { Permit } from './PermitLeases.js';
+import { isHeaderName, isHeaderValue } from '../HeaderLists.js';
 import type { HeaderList } from '../ServingPorts.js';
 
 /** HTTP request to a backend server. */
@@ -45,6 +46,8 @@
   readonly via?: MemberId;
 }
 
+/** Request target: no blanks and no control characters. */
+const TARGET_PATTERN = /^[\x21-\x7e\x80-\xff]+$/;
 /** Smaller bodies fit into the send buffer of a connection, so that they do not wait in the process. */
 const MAX_UNCOUNTED_BYTES = 16_384;
 
@@ -112,6 +115,12 @@
     this.hasResponseHead = false;
     this.overhead = new ResponseOverhead();
     const head = encodeRequestHead(request);
+    if (head === undefined) {
+      process.nextTick(() => {
+        this.fail('the head of the request is invalid');
+      });
+      return;
+    }
     const { buffers } = this.options;
     if (buffers && request.body && request.body.length > MAX_UNCOUNTED_BYTES) {
       this.sendCounted(head, request.body, buffers);
@@ -267,10 +276,17 @@
   }
 }
 
-function encodeRequestHead(request: BackendRequest): string {
+/** Encodes the head of a request; undefined when a line break or the like in it would change its meaning. */
+function encodeRequestHead(request: BackendRequest): string | undefined {
   const { body, headers, method, path } = request;
+  if (!isHeaderName(method) || !TARGET_PATTERN.test(path)) {
+    return undefined;
+  }
   let head = `${method} ${path} HTTP/1.1\r\n`;
   for (const [name, value] of headers) {
+    if (!isHeaderName(name) || !isHeaderValue(value)) {
+      return undefined;
+    }
     head += `${name}: ${value}\r\n`;
   }
   if (body) {
