Check the servers, members and configurations that other daemons send

Callers saw: nothing known; by test one message or request on the internal ports ends a process (a port of 70,000, a host with a line break, a target that is no URL), and a server that names over 308 digits as Server-Brittle makes the daemon that hears it look dead to the others. Change: ReceivedEntries checks them; a server that cannot be used counts as an unreadable entry of the store, and the rest of the message applies.

--- a/packages/serving/src/HttpFetch.ts
+++ b/packages/serving/src/HttpFetch.ts
@@ -3,6 +3,7 @@
 import type { Result } from '@laburnumgap/kernel';
 import { failure, success } from '@laburnumgap/kernel';
 import { GrowableBuffer } from './GrowableBuffer.js';
+import { isHeaderWord } from './HeaderLists.js';
 import { ResponseOverhead } from './servers/ResponseOverhead.js';
 
 /** Options of {@link fetchHttp}. */
@@ -53,6 +54,9 @@
     body === undefined
       ? {}
       : { 'Content-Length': Buffer.byteLength(body), 'Content-Type': 'application/json' };
+  if (!isHeaderWord(host)) {
+    return Promise.resolve(failure({ kind: 'unreachable', reason: 'the host is invalid' }));
+  }
   return new Promise((resolve) => {
     const overhead = new ResponseOverhead();
     const onBytes = (chunk: Buffer): void => {
--- a/packages/serving/src/__tests__/unit/PeerMessages.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerMessages.test.ts
@@ -10,6 +10,7 @@
   parseConfiguration,
   parseDatagram,
   parsePeerMessage,
+  parseSnapshot,
 } from '../../index.js';
 
 const SHARE = {
@@ -241,6 +242,126 @@
   t.true(JSON.stringify(Array(16).fill(report)).length < 2_048);
 });
 
+const SERVER = {
+  failureDomain: 'a',
+  host: '10.0.0.1',
+  leaving: false,
+  port: 80,
+  serverId: 's',
+  service: 'engines',
+  slots: 24,
+  startedEpochMs: 0,
+};
+/** One field of a server each that cannot be used. */
+const UNUSABLE: readonly object[] = [
+  { failureDomain: 'a b' },
+  { host: '10.0.0.1\r\nX: y' },
+  { leaving: undefined },
+  { port: 70_000 },
+  { port: -1 },
+  { port: '80' },
+  { remainingColdMs: null },
+  { serverId: 's\r\nX: y' },
+  { serverId: 'other' },
+  { service: '' },
+  { slots: 1e300 },
+  { startedEpochMs: null },
+];
+
+test('a server of another daemon that cannot be used counts as an unreadable entry', (t) => {
+  const parse = (server: unknown): unknown => {
+    const changes = { ...CHANGES, servers: [{ revision: 2, server, serverId: 's' }] };
+    const message = parsePeerMessage(Buffer.from(JSON.stringify(changes)));
+    return message?.kind === 'changes' ? message.servers[0] : undefined;
+  };
+  t.deepEqual(parse(SERVER), { revision: 2, server: SERVER, serverId: 's' });
+  for (const fields of UNUSABLE) {
+    const parsed = parse({ ...SERVER, ...fields });
+    t.deepEqual(parsed, { revision: 2, serverId: 's' }, JSON.stringify(fields));
+  }
+});
+
+test('a snapshot is read without the servers, members and configurations that cannot be used', (t) => {
+  const entry = { leaving: false, revision: 2, server: SERVER };
+  const snapshot = { era: 1, members: [{ host: 'h', memberId: 'm' }], revision: 2 };
+  const odd = UNUSABLE.slice(0, -4).map((fields) => ({
+    ...entry,
+    server: { ...SERVER, ...fields },
+  }));
+  const received = {
+    ...snapshot,
+    configuration: { routes: [{}], services: [], teams: [], version: 3 },
+    members: [...snapshot.members, { host: 'a\nb', memberId: 'm' }, null],
+    servers: [...odd, null, entry],
+  };
+  t.deepEqual(parseSnapshot(JSON.stringify(received)) as unknown, {
+    ...snapshot,
+    servers: [entry],
+  });
+});
+
+test('hosts of other daemons are words', (t) => {
+  const host = 'h\r\nX: y';
+  const digest = { configurationVersion: 1, era: 1, host, members: [], revision: 1 };
+  for (const message of [
+    { ...HEARTBEAT, host },
+    { ...CHANGES, host },
+    { ...CHANGES, members: [{ host, memberId: 'm' }] },
+    { failureDomain: 'a', host, kind: 'configuration', version: 3 },
+    { digest, failureDomain: 'a', kind: 'domainLoad', shares: [] },
+  ]) {
+    t.is(parseDatagram(Buffer.from(JSON.stringify(message))), undefined, JSON.stringify(message));
+  }
+});
+
+const ROUTE = {
+  host: 'shop.example',
+  kind: 'once',
+  maxEventGapMs: 0,
+  maxServers: 1,
+  mayRestartStream: false,
+  name: 'r',
+  needsKey: true,
+  pathPrefix: '/',
+  rank: 1,
+  targetLatencyMs: 1,
+  targets: [{ service: 'engines', weight: 1 }],
+  timeoutMs: 1,
+};
+const SERVICE = { healthPath: '/', maxConnections: 1, service: 'engines' };
+const TEAM = { apiKeys: ['k'], teamId: 'team' };
+
+test('a configuration with a part that cannot be used is none', (t) => {
+  const parse = (parts: object): unknown =>
+    parseConfiguration(
+      deflateRawSync(
+        JSON.stringify({
+          limits: {},
+          routes: [ROUTE],
+          services: [SERVICE],
+          teams: [TEAM],
+          version: 7,
+          ...parts,
+        }),
+      ),
+    );
+  t.truthy(parse({}));
+  for (const parts of [
+    { limits: { maxBodyBytes: 'x' } },
+    { routes: [null] },
+    { routes: [{ ...ROUTE, host: undefined }] },
+    { routes: [{ ...ROUTE, kind: 'constructor' }] },
+    { routes: [{ ...ROUTE, targets: [{}] }] },
+    { routes: [{ ...ROUTE, timeoutMs: null }] },
+    { services: [{ ...SERVICE, engine: { slots: 1 } }] },
+    { services: [{ ...SERVICE, service: 7 }] },
+    { teams: [{ ...TEAM, apiKeys: 'k' }] },
+    { version: null },
+  ]) {
+    t.is(parse(parts), undefined, JSON.stringify(parts));
+  }
+});
+
 test('a configuration survives its encoding, and other bytes are none', (t) => {
   const configuration = {
     limits: {},
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -27,6 +27,13 @@
 import type { SyncPosition } from './LagDetector.js';
 import type { ServiceShortage } from './ShortageReportCodec.js';
 import { packShortage, unpackShortage } from './ShortageReportCodec.js';
+import {
+  isMemberAddress,
+  isRegisteredServer,
+  isServingConfiguration,
+  isWord,
+  withUsableServer,
+} from './ReceivedEntries.js';
 import type { PackedSpeedReport } from './SpeedReports.js';
 import type { MemberAddress } from '../ServingPorts.js';
 import type { StorePosition } from '../store/StorePosition.js';
@@ -307,7 +314,7 @@
   const heartbeat = value as Partial<PeerHeartbeat> | undefined;
   const isHeartbeat =
     isId(heartbeat?.memberId) &&
-    isId(heartbeat.host) &&
+    isWord(heartbeat.host) &&
     isId(heartbeat.failureDomain) &&
     Number.isFinite(heartbeat.incarnation) &&
     Number.isFinite(heartbeat.sequence) &&
@@ -339,9 +346,11 @@
   const message = value as Partial<PeerMessage> | undefined;
   switch (message?.kind) {
     case 'changes':
-      return isChanges(message) ? withEvacuations(message) : undefined;
+      return isChanges(message)
+        ? { ...withEvacuations(message), servers: message.servers.map(withUsableServer) }
+        : undefined;
     case 'configuration':
-      return isId(message.failureDomain) && isId(message.host) && Number.isFinite(message.version)
+      return isId(message.failureDomain) && isWord(message.host) && Number.isFinite(message.version)
         ? (message as ConfigurationMessage)
         : undefined;
     case 'domainLoad':
@@ -414,7 +423,16 @@
     isLimitList(snapshot?.limits) &&
     Array.isArray(snapshot?.servers) &&
     Array.isArray(snapshot.members);
-  return isSnapshot ? withEvacuations(snapshot as PeerSnapshot) : undefined;
+  if (!isSnapshot) {
+    return undefined;
+  }
+  const { configuration, members, servers, ...others } = snapshot as PeerSnapshot;
+  return {
+    ...withEvacuations(others),
+    ...(isServingConfiguration(configuration) ? { configuration } : {}),
+    members: members.filter(isMemberAddress),
+    servers: servers.filter(isRegisteredServer),
+  };
 }
 
 /**
@@ -424,13 +442,8 @@
  * @returns the configuration, or undefined when the body is none
  */
 export function parseConfiguration(bytes: Buffer): ServingConfiguration | undefined {
-  const configuration = parse(inflate(bytes)) as Partial<ServingConfiguration> | undefined;
-  const isConfiguration =
-    Number.isFinite(configuration?.version) &&
-    Array.isArray(configuration?.routes) &&
-    Array.isArray(configuration.services) &&
-    Array.isArray(configuration.teams);
-  return isConfiguration ? (configuration as ServingConfiguration) : undefined;
+  const configuration = parse(inflate(bytes));
+  return isServingConfiguration(configuration) ? configuration : undefined;
 }
 
 /**
@@ -546,8 +559,8 @@
     Number.isFinite(message.revision) &&
     Number.isFinite(message.sinceRevision) &&
     (message.configurationVersion === undefined || Number.isFinite(message.configurationVersion)) &&
-    (message.host === undefined || isId(message.host)) &&
-    isListOf(message.members, (member) => isId(member.host) && isId(member.memberId)) &&
+    (message.host === undefined || isWord(message.host)) &&
+    isListOf(message.members, isMemberAddress) &&
     isIdList(message.membersGone) &&
     isListOf(message.servers, (change) => isId(change.serverId) && Number.isFinite(change.revision))
   );
@@ -557,9 +570,9 @@
   return (
     digest === undefined ||
     (isObject(digest) &&
-      isId(digest.host) &&
+      isWord(digest.host) &&
       hasFigures(digest, ['configurationVersion', 'era', 'revision']) &&
-      isListOf(digest.members, (member) => isId(member.host) && isId(member.memberId)))
+      isListOf(digest.members, isMemberAddress))
   );
 }
 
--- a/packages/serving/src/peers/PeerSockets.ts
+++ b/packages/serving/src/peers/PeerSockets.ts
@@ -18,6 +18,8 @@
   readonly snapshotPort: number;
 }
 
+/** Only completes the target of a request to a URL. */
+const BASE_URL = 'http://peer';
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 
@@ -31,7 +33,10 @@
   constructor(private readonly options: PeerSocketsOptions) {
     this.socket = createSocket('udp4');
     this.server = createServer((request, response) => {
-      const body = this.listener?.onRequest(new URL(request.url ?? '/', 'http://peer'));
+      const target = request.url ?? '/';
+      const body = URL.canParse(target, BASE_URL)
+        ? this.listener?.onRequest(new URL(target, BASE_URL))
+        : undefined;
       response.writeHead(body ? STATUS_OK : STATUS_NOT_FOUND);
       response.end(body);
     });
