Use no connection again for a request whose refusal came on it

Callers saw: 503 'not run' for a request that a server ran (REFUSED), or the request ran at a second server as well (TWICE), when a faulty server wrote an earlier refusal once more before the response to the repeated request. Cause: responses were recognised by the request id alone, and an id is not used once on a connection: callers repeat refused requests under it, runs go on where they were refused before, and control requests have none. Change: a connection remembers the ids whose responses were no successes, and that it carried a control request; it is not used for them again, and closes after 64 of them. Ruled out: copies of other requests' refusals and bytes between two requests, which were skipped or closed the connection already; closing after each refusal, since new connections take slots under load.

--- a/packages/serving/src/__tests__/integration/BackendConnection.test.ts
+++ b/packages/serving/src/__tests__/integration/BackendConnection.test.ts
@@ -36,7 +36,14 @@
         socket,
       });
       connection.send(
-        { body: undefined, headers: [['Host', 'a']], method: 'GET', path: '/', ...request },
+        {
+          body: undefined,
+          headers: [['Host', 'a']],
+          method: 'GET',
+          path: '/',
+          responseKey: '1',
+          ...request,
+        },
         {
           accepts,
           onBody: (chunk) => {
--- a/packages/serving/src/servers/BackendAttempt.ts
+++ b/packages/serving/src/servers/BackendAttempt.ts
@@ -5,6 +5,7 @@
 import type { BackendConnection, ResponseListener } from './BackendConnection.js';
 import { serverDeadlineMs } from '../callers/CallDeadlines.js';
 import type { ResponseHead } from './ResponseParser.js';
+import type { ServerAccessListener } from './ServerAccess.js';
 import type { ServingContext } from '../ServingContext.js';
 import type { BackendRequestOptions, ResponseMetadata } from '../ServingPorts.js';
 
@@ -60,7 +61,7 @@
     return;
   }
   health.recordTrial(serverId, clock.nowMs());
-  serverAccess.acquire(server, maxPermitWaitMs, {
+  const accessListener: ServerAccessListener = {
     onConnectFailed: (reason) => {
       const outcome = reason === 'silent' ? 'silent' : 'unreachable';
       health.recordOutcome(serverId, outcome, 0, clock.nowMs());
@@ -86,7 +87,9 @@
       }
       listener.onLimited(retryAfterMs);
     },
-  });
+  };
+  const responseKey = admitted.request.requestId;
+  serverAccess.acquire(server, maxPermitWaitMs, accessListener, { responseKey });
 }
 
 /**
@@ -153,7 +156,13 @@
     teamId: team?.teamId,
   });
   connection.send(
-    { body, headers, method: request.method, path: request.path },
+    {
+      body,
+      headers,
+      method: request.method,
+      path: request.path,
+      responseKey: request.requestId,
+    },
     {
       ...listener,
       accepts: (head) =>
--- a/packages/serving/src/servers/BackendConnection.ts
+++ b/packages/serving/src/servers/BackendConnection.ts
@@ -17,6 +17,8 @@
   readonly headers: HeaderList;
   readonly method: string;
   readonly path: string;
+  /** What its response is recognised by: the id of the request, or {@link CONTROL_RESPONSE_KEY}. */
+  readonly responseKey: string;
 }
 
 /** Receives the response to a request. No call follows `onEnd` or `onBroken`. */
@@ -46,6 +48,12 @@
   readonly via?: MemberId;
 }
 
+/** Responses to control requests carry no id, so that each can be taken for another. */
+export const CONTROL_RESPONSE_KEY = '';
+/** Keys kept for one connection; with more of them it is not used any more. */
+const MAX_ANSWERED_KEYS = 64;
+const FIRST_SUCCESS_STATUS = 200;
+const FIRST_REDIRECT_STATUS = 300;
 /** Request target: no blanks and no control characters. */
 const TARGET_PATTERN = /^[\x21-\x7e\x80-\xff]+$/;
 /** Smaller bodies fit into the send buffer of a connection, so that they do not wait in the process. */
@@ -60,6 +68,8 @@
   idleSinceMs = 0;
   /** Idle timeout that the server stated last. */
   keepAliveMs: number | undefined;
+  /** Keys of responses of which a second copy would be taken for the response to a later request. */
+  private readonly answeredKeys = new Set<string>();
   private canReuse = true;
   private hasResponseHead = false;
   private isClosed = false;
@@ -74,6 +84,8 @@
   readonly via: MemberId | undefined;
   /** When data arrived last, monotonic time. */
   lastReceivedMs = -Infinity;
+  private responseKey = CONTROL_RESPONSE_KEY;
+  private responseStatus = 0;
   /** When the open request was sent, monotonic time. */
   private sentMs = 0;
 
@@ -102,6 +114,14 @@
     return this.canReuse && !this.isClosed && !this.listener;
   }
 
+  /**
+   * Whether a copy of an earlier response, which a faulty server can write at any time, would be taken for
+   * the response to a request with this key.
+   */
+  hasAnswered(responseKey: string): boolean {
+    return this.answeredKeys.has(responseKey);
+  }
+
   /**
    * Sends a request. The previous response must be complete.
    *
@@ -112,6 +132,7 @@
     this.permit?.setUsed(true);
     this.listener = listener;
     this.sentMs = this.options.clock.nowMs();
+    this.responseKey = request.responseKey;
     this.hasResponseHead = false;
     this.overhead = new ResponseOverhead();
     const head = encodeRequestHead(request);
@@ -206,6 +227,7 @@
     this.hasResponseHead = this.listener.accepts(head);
     if (this.hasResponseHead) {
       this.canReuse &&= head.canReuseConnection;
+      this.responseStatus = head.status;
       if (isMisdirected(head)) {
         // The request reached another server than the permit is for.
         this.permit?.setUsed(false);
@@ -221,11 +243,24 @@
     }
     this.listener = undefined;
     this.hasResponseHead = false;
+    this.rememberAnswer();
     this.canReuse &&= this.socket.writableLength === 0 && this.body?.hasPending() !== true;
     this.releasePermit();
     listener.onEnd();
   }
 
+  /** No caller repeats a request that succeeded, so that those need not be remembered. */
+  private rememberAnswer(): void {
+    const { responseKey, responseStatus } = this;
+    const hasSucceeded =
+      responseStatus >= FIRST_SUCCESS_STATUS && responseStatus < FIRST_REDIRECT_STATUS;
+    if (hasSucceeded && responseKey !== CONTROL_RESPONSE_KEY) {
+      return;
+    }
+    this.answeredKeys.add(responseKey);
+    this.canReuse &&= this.answeredKeys.size < MAX_ANSWERED_KEYS;
+  }
+
   private onData(chunk: Buffer): void {
     const wasExpectingResponse = this.listener !== undefined;
     this.lastReceivedMs = this.options.clock.nowMs();
--- a/packages/serving/src/servers/BackendConnectionPool.ts
+++ b/packages/serving/src/servers/BackendConnectionPool.ts
@@ -24,9 +24,15 @@
     private readonly buffers?: ReaderBuffers,
   ) {}
 
-  /** Provides an idle connection, or opens a new one. */
-  acquire(server: BackendServer, listener: ConnectionListener): void {
-    const idleConnection = this.takeIdle(server.serverId);
+  /**
+   * Provides an idle connection, or opens a new one.
+   *
+   * @param server - the server
+   * @param listener - receives the outcome
+   * @param responseKey - no connection on which a response with this key came is provided
+   */
+  acquire(server: BackendServer, listener: ConnectionListener, responseKey?: string): void {
+    const idleConnection = this.takeIdle(server.serverId, responseKey);
     if (idleConnection) {
       listener.onConnected(idleConnection);
       return;
@@ -150,16 +156,24 @@
     return connection;
   }
 
-  private takeIdle(serverId: ServerId): BackendConnection | undefined {
+  private takeIdle(
+    serverId: ServerId,
+    responseKey: string | undefined,
+  ): BackendConnection | undefined {
     const connections = this.idleConnections.get(serverId) ?? [];
     const nowMs = this.clock.nowMs();
-    let connection = connections.pop();
-    while (connection) {
-      if (connection.isReusable() && !isExpired(connection, nowMs)) {
+    for (let index = connections.length - 1; index >= 0; index -= 1) {
+      const connection = connections[index];
+      if (!connection) {
+        continue;
+      }
+      if (!connection.isReusable() || isExpired(connection, nowMs)) {
+        // Removes itself from the list.
+        connection.abort();
+      } else if (responseKey === undefined || !connection.hasAnswered(responseKey)) {
+        this.removeIdle(serverId, connection);
         return connection;
       }
-      connection.abort();
-      connection = connections.pop();
     }
     return undefined;
   }
--- a/packages/serving/src/servers/EngineControl.ts
+++ b/packages/serving/src/servers/EngineControl.ts
@@ -1,6 +1,7 @@
 import type { BackendServer, ServerHealth } from '@laburnumgap/dispatch';
 import type { MonotonicClock } from '@laburnumgap/kernel';
 import type { BackendConnection } from './BackendConnection.js';
+import { CONTROL_RESPONSE_KEY } from './BackendConnection.js';
 import type { BackendConnectionPool } from './BackendConnectionPool.js';
 import type { ResponseHead } from './ResponseParser.js';
 import type { AccessOptions, ServerAccess, ServerAccessListener } from './ServerAccess.js';
@@ -106,6 +107,7 @@
         headers: [['Host', `${server.host}:${server.port}`], ...request.headers],
         method: request.method,
         path: request.path,
+        responseKey: CONTROL_RESPONSE_KEY,
       },
       {
         // A second copy of a response to a caller's request can still arrive on this connection.
--- a/packages/serving/src/servers/ServerAccess.ts
+++ b/packages/serving/src/servers/ServerAccess.ts
@@ -30,6 +30,11 @@
 
 /** What a connection is acquired for. */
 export interface AccessOptions {
+  /**
+   * Key of the response. No connection is used on which one with the same key came, as a copy of that
+   * could follow. Any is used without it.
+   */
+  readonly responseKey?: string;
   /** A stream that runs at the server would be lost without the request. */
   readonly savesStream?: boolean;
 }
@@ -68,7 +73,7 @@
     server: BackendServer,
     maxPermitWaitMs: number,
     listener: ServerAccessListener,
-    { savesStream = false }: AccessOptions = {},
+    { responseKey, savesStream = false }: AccessOptions = {},
   ): void {
     const { connections, permits } = this.options;
     const hadLimit = permits.isLimited(server);
@@ -84,7 +89,7 @@
         this.deny(listener);
         return;
       }
-      connections.acquire(server, {
+      const connectionListener: ConnectionListener = {
         onConnectFailed: (reason) => {
           permit?.release();
           listener.onConnectFailed(reason);
@@ -95,10 +100,17 @@
             listener.onConnected(connection);
           } else {
             permit?.release();
-            this.onConnectedWithoutPermit(server, connection, maxPermitWaitMs, listener);
+            this.onConnectedWithoutPermit(
+              server,
+              connection,
+              maxPermitWaitMs,
+              listener,
+              responseKey,
+            );
           }
         },
-      });
+      };
+      connections.acquire(server, connectionListener, responseKey);
     });
   }
 
@@ -225,6 +237,7 @@
     connection: BackendConnection,
     maxPermitWaitMs: number,
     listener: ServerAccessListener,
+    responseKey: string | undefined,
   ): void {
     const { connections, permits } = this.options;
     const onLimited = (retryAfterMs: number): void => {
@@ -246,7 +259,7 @@
         provide(connection, permit);
         return;
       }
-      connections.acquire(server, {
+      const connectionListener: ConnectionListener = {
         onConnectFailed: (reason) => {
           permit?.release();
           listener.onConnectFailed(reason);
@@ -254,7 +267,8 @@
         onConnected: (opened) => {
           provide(opened, permit);
         },
-      });
+      };
+      connections.acquire(server, connectionListener, responseKey);
     });
   }
 
--- a/packages/serving/src/servers/StreamMover.ts
+++ b/packages/serving/src/servers/StreamMover.ts
@@ -3,6 +3,7 @@
 import type { MemberId, RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { GenerationRun, RunStatus } from '../callers/GenerationRun.js';
+import { CONTROL_RESPONSE_KEY } from './BackendConnection.js';
 import type { MoveCoordinator } from '../peers/MoveCoordinator.js';
 import { CONTROL_TIMEOUT_MS } from '../ServingConstants.js';
 import type { ServingContext } from '../ServingContext.js';
@@ -277,7 +278,7 @@
       source,
       protocol.moveRequest(requestId, target, isFinalCopy),
       CONTROL_TIMEOUT_MS,
-      { savesStream: true },
+      { responseKey: CONTROL_RESPONSE_KEY, savesStream: true },
     );
     if (outcome.kind === 'answered') {
       return protocol.parseMoveResult(outcome.status, outcome.body);
