Show that a response whose head stops is no success

It does not happen here: only a response without length that has begun its body may end with its connection.

--- a/packages/serving/src/__tests__/integration/BackendConnection.test.ts
+++ b/packages/serving/src/__tests__/integration/BackendConnection.test.ts
@@ -203,3 +203,40 @@
     t.is(receivedCount, 0);
   });
 }
+
+const HEAD_START = 'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Stamp: s\r\n';
+/** Responses with the number of bytes from which they are complete when their connection ends. */
+const STOPPED_RESPONSES: Readonly<
+  Record<string, { readonly bytes: string; readonly completeFrom: number }>
+> = {
+  'a length': {
+    bytes: `${HEAD_START}Content-Length: 4\r\n\r\nfine`,
+    completeFrom: HEAD_START.length + 25,
+  },
+  chunks: {
+    bytes: `${HEAD_START}Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n`,
+    completeFrom: HEAD_START.length + 44,
+  },
+  'neither length nor chunks': {
+    bytes: `${HEAD_START}Content-Type: text/event-stream\r\n\r\n`,
+    completeFrom: HEAD_START.length + 35,
+  },
+};
+
+// A server that stops in the middle of its head must not look like one with an empty response.
+for (const [name, { bytes, completeFrom }] of Object.entries(STOPPED_RESPONSES)) {
+  test(`a response with ${name} that stops anywhere before its end is broken`, async (t) => {
+    const lengths = Array.from({ length: bytes.length + 1 }, (_, length) => length);
+    const ends = await Promise.all(
+      lengths.map((length) =>
+        sendToRawServer((socket) => {
+          socket.end(bytes.slice(0, length));
+        }),
+      ),
+    );
+    t.deepEqual(
+      ends.map(({ end }) => end === 'broken'),
+      lengths.map((length) => length < completeFrom),
+    );
+  });
+}
