Count servers that requests sent at once crashed at the same moment

Cause: servers that end within 20 ms counted as one crash, so that requests do not take the blame for the loss of a failure domain; but requests that are sent together end their servers together. Change: a report of a crash says how long before it the first request with each fingerprint was sent there; servers that end together count each if those were sent within 50 ms of each other. Such a moment makes a fingerprint suspected and confirms nothing; trials after enough crashes to confirm are three in all, also those of the suspected stage. Ruled out: lost reports and keepers that disagree (the counts are the same with one daemon and 195); counting every server, as the loss of all servers would confirm every part that runs at five of them.

--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -33,6 +33,11 @@
   readonly fingerprints: readonly FingerprintId[];
   /** The server ran a trial of the report's only fingerprint. */
   readonly isTrial: boolean;
+  /**
+   * Times from sending the first request with each fingerprint to the crash, in the order of the
+   * fingerprints; absent when they are not known.
+   */
+  readonly sinceSentMs?: readonly number[];
   readonly server: ServerIncarnation;
 }
 
@@ -176,9 +181,11 @@
    * @returns the fingerprints whose stage changes
    */
   recordCrash(report: CrashReport, nowMs: number): readonly FingerprintId[] {
-    const { crashedMs, fingerprints, isTrial, server } = report;
-    return fingerprints.filter((fingerprint) => {
-      this.evidenceOf(fingerprint).recordCrash(fingerprint, server, crashedMs);
+    const { crashedMs, fingerprints, isTrial, server, sinceSentMs } = report;
+    return fingerprints.filter((fingerprint, index) => {
+      const elapsedMs = sinceSentMs?.[index];
+      const sentMs = elapsedMs === undefined ? undefined : crashedMs - elapsedMs;
+      this.evidenceOf(fingerprint).recordCrash({ crashedMs, fingerprint, sentMs, server });
       return this.evaluate(fingerprint, isTrial, nowMs);
     });
   }
@@ -195,7 +202,7 @@
     if (!entry || entry.stage === 'cleared') {
       return true;
     }
-    if (nowMs < trialDueMs(entry)) {
+    if (nowMs < trialDueMs(entry) || this.hasSpentTrials(fingerprint, entry)) {
       return false;
     }
     entry.lastTrialMs = nowMs;
@@ -274,15 +281,18 @@
 
   private evaluate(fingerprint: FingerprintId, isTrial: boolean, nowMs: number): boolean {
     const { confirmCrashes, suspectCrashes } = thresholdsOf(fingerprint);
-    const crashesMs = this.evidenceOf(fingerprint).openCrashesMs(fingerprint);
+    const { crashesMs, momentCount } = this.evidenceOf(fingerprint).openCrashes(fingerprint);
     const entry = this.entries.get(fingerprint);
     const isSuspected = entry?.stage === 'suspected';
+    // Servers that ended together confirm nothing: something else can have ended them.
     // A keeper since a short while knows the suspicion from reports, but not the crashes before it.
-    const isConfirmed = crashesMs.length >= confirmCrashes || (isSuspected && isTrial);
+    const isConfirmed = momentCount >= confirmCrashes || (isSuspected && isTrial);
     const isNewSuspicion = !isSuspected && crashesMs.length >= suspectCrashes;
     if (entry?.stage === 'confirmed' || !(isConfirmed || isNewSuspicion)) {
       return false;
     }
+    // The trials after enough crashes to confirm are limited in all, whatever the stage.
+    const hadEnough = isSuspected && crashesMs.length > confirmCrashes;
     this.entries.set(fingerprint, {
       crashesMs,
       episode: isSuspected ? entry.episode : (entry?.episode ?? 0) + 1,
@@ -290,11 +300,21 @@
       lastTrialMs: undefined,
       sinceMs: nowMs,
       stage: isConfirmed ? 'confirmed' : 'suspected',
-      trials: 0,
+      trials: hadEnough ? entry.trials : 0,
     });
     return true;
   }
 
+  /** Whether no more trials may follow the crashes of a suspected fingerprint. */
+  private hasSpentTrials(fingerprint: FingerprintId, { stage, trials }: Entry): boolean {
+    const { crashesMs } = this.evidenceOf(fingerprint).openCrashes(fingerprint);
+    return (
+      stage === 'suspected' &&
+      trials >= RELEASE_TRIAL_DELAYS_MS.length &&
+      crashesMs.length >= thresholdsOf(fingerprint).confirmCrashes
+    );
+  }
+
   private evidenceOf(fingerprint: FingerprintId): CrashEvidence {
     return this.evidence[kindOf(fingerprint)];
   }
--- a/packages/dispatch/src/__tests__/unit/Quarantine.test.ts
+++ b/packages/dispatch/src/__tests__/unit/Quarantine.test.ts
@@ -178,6 +178,104 @@
   t.is(quarantine.stageOf(PART), undefined);
 });
 
+/** Servers that end together while they run requests with the part that were sent at these times. */
+function crashTogether(
+  quarantine: Quarantine,
+  crashedMs: number,
+  sentMs: readonly number[],
+  fingerprint = PART,
+): void {
+  for (const [index, requestSentMs] of sentMs.entries()) {
+    quarantine.recordCrash(
+      {
+        crashedMs: crashedMs + index,
+        fingerprints: [fingerprint],
+        isTrial: false,
+        server: { serverId: toId<ServerId>(`s${index}`), startedEpochMs: crashedMs },
+        sinceSentMs: [crashedMs + index - requestSentMs],
+      },
+      crashedMs + index,
+    );
+  }
+}
+
+const CALL = callFingerprint({ body: undefined, host: 'h', path: '/', teamId: undefined });
+
+// Requests of one application once crashed all their servers again and again, as each round counted as one.
+test('requests that were sent together make a fingerprint suspected when they crash servers together', (t) => {
+  for (const [fingerprint, count] of [
+    [PART, 5],
+    [PART, 3],
+    [CALL, 3],
+    [CALL, 2],
+  ] as const) {
+    const quarantine = new Quarantine();
+    const sentMs = Array.from({ length: count }, (_, index) => index * 10);
+    crashTogether(quarantine, 200, sentMs, fingerprint);
+    t.is(quarantine.stageOf(fingerprint), 'suspected');
+  }
+});
+
+test('servers that end together are not blamed on requests that were sent one after the other', (t) => {
+  const quarantine = new Quarantine();
+  crashTogether(quarantine, 2_000, [0, 150, 310, 460, 620, 780, 930]);
+  t.is(quarantine.stageOf(PART), undefined);
+  crashTogether(quarantine, 5_000, [4_000, 4_150, 4_300]);
+  t.is(quarantine.stageOf(PART), undefined);
+});
+
+test('servers that end together confirm nothing, however often', (t) => {
+  const quarantine = new Quarantine();
+  for (let round = 1; round <= 4; round += 1) {
+    crashTogether(quarantine, 1_000 * round, Array<number>(9).fill(1_000 * round - 100));
+    t.is(quarantine.stageOf(PART), 'suspected');
+  }
+});
+
+test('a daemon of the former build reports crashes without the times of their requests', (t) => {
+  const quarantine = new Quarantine();
+  crash(quarantine, 1, 200);
+  crashTogether(quarantine, 201, [100]);
+  crash(quarantine, 2, 202);
+  t.is(quarantine.stageOf(PART), undefined);
+  crash(quarantine, 3, 300);
+  crash(quarantine, 4, 400);
+  t.is(quarantine.stageOf(PART), 'suspected');
+});
+
+for (const [name, fingerprint, count] of [
+  ['part', PART, 5],
+  ['call', CALL, 3],
+] as const) {
+  test(`at most three trials follow the crashes of a ${name} that came at once`, (t) => {
+    const quarantine = new Quarantine();
+    crashTogether(quarantine, 200, Array<number>(count).fill(100), fingerprint);
+    let trials = 0;
+    for (let nowMs = 300; nowMs < 3_600_000; nowMs += 500) {
+      if (
+        quarantine.decide([fingerprint], nowMs).kind === 'trial' &&
+        quarantine.grantTrial(fingerprint, nowMs)
+      ) {
+        trials += 1;
+        crash(quarantine, 100 + trials, nowMs + 150, [fingerprint], true);
+      }
+      quarantine.expire(nowMs);
+    }
+    t.is(trials, 3);
+    t.is(quarantine.stageOf(fingerprint), 'confirmed');
+  });
+
+  test(`at most three trials without an outcome follow the crashes of a ${name}`, (t) => {
+    const quarantine = new Quarantine();
+    crashTogether(quarantine, 200, Array<number>(count).fill(100), fingerprint);
+    let trials = 0;
+    for (let nowMs = 300; nowMs < 600_000; nowMs += 500) {
+      trials += quarantine.grantTrial(fingerprint, nowMs) ? 1 : 0;
+    }
+    t.is(trials, 3);
+  });
+}
+
 test('a request with two suspected parts gives way to requests with one of them', (t) => {
   const quarantine = new Quarantine();
   suspect(quarantine, [PART, OTHER]);
--- a/packages/serving/src/__tests__/unit/CrashDetector.test.ts
+++ b/packages/serving/src/__tests__/unit/CrashDetector.test.ts
@@ -43,7 +43,12 @@
 }
 
 function broken(requestId: string): BrokenRequest {
-  return { fingerprints: [toId<FingerprintId>(`part ${requestId}`)], requestId, trialOf: [] };
+  return {
+    fingerprints: [toId<FingerprintId>(`part ${requestId}`)],
+    requestId,
+    sentMs: 1,
+    trialOf: [],
+  };
 }
 
 async function settle(): Promise<void> {
--- a/packages/serving/src/__tests__/unit/QuarantineFleet.test.ts
+++ b/packages/serving/src/__tests__/unit/QuarantineFleet.test.ts
@@ -9,9 +9,11 @@
 const STABLE_WINDOW_MS = 3_000;
 const KNOWN_WITHIN_MS = STABLE_WINDOW_MS / 2;
 const CRASHES = 5;
+const CALL_CRASHES = 3;
 const MAX_TRIALS = 3;
 const MIN_SERVED_SHARE = 0.5;
 const BAD = toId<FingerprintId>('part bad');
+const BAD_CALL = toId<FingerprintId>('call bad');
 const SHARED = toId<FingerprintId>('part shared');
 /** Time from the arrival of a request at a server to its first event, and of a sound one to its end. */
 const FIRST_EVENT_MS = 100;
@@ -32,6 +34,7 @@
   readonly daemon: SimulatedDaemon;
   readonly fingerprints: readonly FingerprintId[];
   hasEnded: boolean;
+  readonly sentMs: number;
   readonly trialOf: readonly FingerprintId[];
 }
 
@@ -70,8 +73,8 @@
     const sentMs = this.fleet.clock.nowMs();
     daemon?.quarantine?.admit(fingerprints, (verdict) => {
       if (verdict.kind === 'admitted') {
-        this.run({ daemon, fingerprints, hasEnded: false, trialOf: verdict.trialOf }, sentMs);
-      } else if (own !== BAD) {
+        this.run({ daemon, fingerprints, hasEnded: false, sentMs, trialOf: verdict.trialOf });
+      } else if (!isHarmful(own)) {
         this.soundMs.push({ atMs: sentMs, isServed: false });
       }
     });
@@ -85,9 +88,10 @@
     });
   }
 
-  lateArrivals(): number {
-    const fifthMs = this.badCrashesMs[CRASHES - 1] ?? Infinity;
-    return this.undisturbedArrivalsMs.filter((ms) => ms > fifthMs + KNOWN_WITHIN_MS).length;
+  /** Arrivals after all daemons must know, counted from so many crashes. */
+  lateArrivals(crashes = CRASHES): number {
+    const crashMs = this.badCrashesMs[crashes - 1] ?? Infinity;
+    return this.undisturbedArrivalsMs.filter((ms) => ms > crashMs + KNOWN_WITHIN_MS).length;
   }
 
   servedShare(fromMs: number): number {
@@ -95,10 +99,11 @@
     return sound.filter(({ isServed }) => isServed).length / sound.length;
   }
 
-  private run(run: Run, sentMs: number): void {
+  private run(run: Run): void {
+    const { sentMs } = run;
     const up = this.upServers();
     const server = up[Math.floor(this.randomUnit() * up.length)];
-    const isBad = run.fingerprints.includes(BAD);
+    const isBad = run.fingerprints.some(isHarmful);
     if (!server) {
       return;
     }
@@ -144,7 +149,12 @@
     for (const daemon of new Set(runs.map((run) => run.daemon))) {
       const requests = runs
         .filter((run) => run.daemon === daemon)
-        .map(({ fingerprints, trialOf }) => ({ fingerprints, requestId: 'r', trialOf }));
+        .map(({ fingerprints, sentMs, trialOf }) => ({
+          fingerprints,
+          requestId: 'r',
+          sentMs,
+          trialOf,
+        }));
       if (daemon.isPowered) {
         daemon.quarantine?.onCrash({ crashedMs, requests, server: incarnation });
       }
@@ -155,6 +165,10 @@
   }
 }
 
+function isHarmful(fingerprint: FingerprintId): boolean {
+  return fingerprint === BAD || fingerprint === BAD_CALL;
+}
+
 /** Deterministic numbers from 0 to 1. */
 function createRandom(seed: number): () => number {
   let state = seed;
@@ -167,8 +181,12 @@
 interface Scenario {
   readonly isLargeToo?: boolean;
   readonly isLost?: SimulatedFleetOptions['isLost'];
-  /** Requests a second that crash servers. */
+  /** What the crashing requests have in common; a part by default. */
+  readonly bad?: FingerprintId;
+  /** Requests a second that crash servers, one after the other. */
   readonly badPerS: number;
+  /** Requests that crash servers and are sent at once, every 3.5 s; none by default. */
+  readonly badAtOnce?: number;
   readonly name: string;
   /** Called every 100 ms with the time since the first request. */
   readonly onStep?: (fleet: SimulatedFleet, atMs: number) => void;
@@ -178,10 +196,23 @@
   return fleet.daemons.filter(({ address }) => fleet.keepersOf(BAD).includes(address.memberId));
 }
 
+const BURST_INTERVAL_MS = 3_500;
 const lossRandom = createRandom(7);
+const burstLossRandom = createRandom(8);
 const SCENARIOS: readonly Scenario[] = [
   { badPerS: 10, isLargeToo: true, name: 'ten a second' },
   { badPerS: 1, name: 'one a second' },
+  { badAtOnce: 5, badPerS: 0, name: 'five at once' },
+  { badAtOnce: 3, badPerS: 0, name: 'three at once' },
+  { bad: BAD_CALL, badAtOnce: 3, badPerS: 0, isLargeToo: true, name: 'three equal calls at once' },
+  { bad: BAD_CALL, badAtOnce: 2, badPerS: 0, name: 'two equal calls at once' },
+  {
+    badAtOnce: 5,
+    badPerS: 0,
+    isLargeToo: true,
+    isLost: () => burstLossRandom() < 0.3,
+    name: 'five at once, three datagrams in ten lost',
+  },
   {
     badPerS: 5,
     isLargeToo: true,
@@ -228,12 +259,22 @@
   fleet: SimulatedFleet,
   servers: CrashingServers,
   durationMs: number,
-  { badPerS, onStep }: Pick<Scenario, 'badPerS' | 'onStep'>,
+  {
+    bad = BAD,
+    badAtOnce = 0,
+    badPerS,
+    onStep,
+  }: Pick<Scenario, 'bad' | 'badAtOnce' | 'badPerS' | 'onStep'>,
 ): Promise<void> {
   for (let atMs = 0; atMs < durationMs; atMs += REQUEST_INTERVAL_MS) {
     onStep?.(fleet, atMs);
     if (badPerS > 0 && atMs % (1_000 / badPerS) === 0) {
-      servers.request(BAD);
+      servers.request(bad);
+    }
+    if (atMs % BURST_INTERVAL_MS === 0) {
+      Array.from({ length: badAtOnce }).forEach(() => {
+        servers.request(bad);
+      });
     }
     servers.request(toId<FingerprintId>(`part sound ${(atMs / REQUEST_INTERVAL_MS) % 5}`));
     await fleet.run(REQUEST_INTERVAL_MS);
@@ -260,10 +301,11 @@
 ): Promise<void> {
   const { fleet, servers } = await startFleet(t, size, scenario.isLost);
   await play(fleet, servers, durationMs, scenario);
-  const late = servers.lateArrivals();
+  const crashes = scenario.bad === BAD_CALL ? CALL_CRASHES : CRASHES;
+  const late = servers.lateArrivals(crashes);
   const total = servers.badArrivalsMs.length;
   t.true(late <= MAX_TRIALS, `${late} of ${total} arrived late, ${MAX_TRIALS} are allowed`);
-  const knownMs = servers.badCrashesMs[CRASHES - 1] ?? servers.badCrashesMs.at(-1) ?? Infinity;
+  const knownMs = servers.badCrashesMs[crashes - 1] ?? servers.badCrashesMs.at(-1) ?? Infinity;
   const share = servers.servedShare(knownMs + 2 * STABLE_WINDOW_MS);
   t.true(share >= MIN_SERVED_SHARE, `${share} of the others were served`);
 }
@@ -333,7 +375,7 @@
   const quarantine = fleet.daemons[0]?.quarantine;
   for (let number = 0; number < CRASHES - 1; number += 1) {
     const server = { serverId: toId<ServerId>(`s${number}`), startedEpochMs: 1 };
-    const requests = [{ fingerprints: [SHARED], requestId: 'r', trialOf: [] }];
+    const requests = [{ fingerprints: [SHARED], requestId: 'r', sentMs: 0, trialOf: [] }];
     quarantine?.onCrash({ crashedMs: fleet.clock.nowMs(), requests, server });
     await fleet.run(100);
   }
@@ -385,6 +427,21 @@
       }
     },
   },
+  {
+    minShareMeanwhile: MIN_SERVED_SHARE,
+    name: 'half of the servers at once, while five requests with one part were sent at once',
+    recoveryMs: STABLE_WINDOW_MS,
+    step: (servers, atMs) => {
+      if (atMs % 2_500 === 2_200) {
+        const own = toId<FingerprintId>(`part document ${Math.floor(atMs / 2_500)}`);
+        Array.from({ length: 5 }).forEach(() => {
+          servers.request(own);
+        });
+      } else if (atMs % 2_500 === 2_400) {
+        servers.crashShare(0.5);
+      }
+    },
+  },
   {
     minShareMeanwhile: 0,
     name: 'all servers, always before an answer is complete',
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -142,6 +142,11 @@
       readonly isTrial: boolean;
       readonly kind: 'serverCrash';
       readonly server: ServerIncarnation;
+      /**
+       * Times from sending the first request with each fingerprint to the crash, in the order of the
+       * fingerprints; absent from daemons of earlier builds.
+       */
+      readonly sinceSentMs?: readonly number[];
     }
   | {
       readonly fingerprint: FingerprintId;
@@ -670,7 +675,10 @@
   return (
     hasFigures(message, ['ageMs']) &&
     isIdList(message.fingerprints) &&
-    isIncarnation(message.server)
+    isIncarnation(message.server) &&
+    (message.sinceSentMs === undefined ||
+      (Array.isArray(message.sinceSentMs) &&
+        message.sinceSentMs.every((elapsedMs) => Number.isFinite(elapsedMs))))
   );
 }
 
--- a/packages/serving/src/peers/QuarantineCoordinator.ts
+++ b/packages/serving/src/peers/QuarantineCoordinator.ts
@@ -117,6 +117,10 @@
   /** Tells the keepers of a crash that this daemon saw. */
   onCrash({ crashedMs, requests, server }: ServerCrash): void {
     const { isTrial, fingerprints } = blameOf(requests);
+    const sinceSentMs = (fingerprint: FingerprintId): number => {
+      const sharing = requests.filter((request) => request.fingerprints.includes(fingerprint));
+      return Math.round(crashedMs - Math.min(crashedMs, ...sharing.map(({ sentMs }) => sentMs)));
+    };
     const byKeeper = new Map<MemberId, FingerprintId[]>();
     for (const fingerprint of fingerprints) {
       for (const keeper of this.options.keepersOf(fingerprint)) {
@@ -128,7 +132,15 @@
     for (const [keeper, group] of byKeeper) {
       const send = (): void => {
         const ageMs = Math.round(this.options.clock.nowMs() - crashedMs);
-        this.send({ ageMs, fingerprints: group, isTrial, kind: 'serverCrash', server }, keeper);
+        const message: QuarantineMessage = {
+          ageMs,
+          fingerprints: group,
+          isTrial,
+          kind: 'serverCrash',
+          server,
+          sinceSentMs: group.map(sinceSentMs),
+        };
+        this.send(message, keeper);
       };
       send();
       if (keeper !== this.options.memberId) {
@@ -146,8 +158,8 @@
         this.merge(message.reports, 'message');
         break;
       case 'serverCrash': {
-        const { ageMs, fingerprints, isTrial, server } = message;
-        const report = { crashedMs: nowMs - ageMs, fingerprints, isTrial, server };
+        const { ageMs, fingerprints, isTrial, server, sinceSentMs } = message;
+        const report = { crashedMs: nowMs - ageMs, fingerprints, isTrial, server, sinceSentMs };
         for (const fingerprint of quarantine.recordCrash(report, nowMs)) {
           this.logStage(fingerprint, 'crash');
           this.announce(fingerprint);
--- a/packages/serving/src/servers/BackendAttempt.ts
+++ b/packages/serving/src/servers/BackendAttempt.ts
@@ -194,10 +194,10 @@
 export function recordBroken(
   { crashDetector }: ServingContext,
   { pass, request: { requestId } }: AdmittedCall,
-  { progress, server, trialOf = [] }: BackendAttempt,
+  { progress, sentMs, server, trialOf = [] }: BackendAttempt,
 ): void {
   const fingerprints = progress.wentOn() ? [] : pass.fingerprints;
-  crashDetector.onBroken(server, { fingerprints, requestId, trialOf });
+  crashDetector.onBroken(server, { fingerprints, requestId, sentMs, trialOf });
 }
 
 /**
--- a/packages/serving/src/servers/CrashDetector.ts
+++ b/packages/serving/src/servers/CrashDetector.ts
@@ -9,6 +9,8 @@
   /** What it has in common with other requests that can crash servers. */
   readonly fingerprints: readonly FingerprintId[];
   readonly requestId: string;
+  /** When it was sent, monotonic time. */
+  readonly sentMs: number;
   /** Fingerprints of which it was a trial. */
   readonly trialOf: readonly FingerprintId[];
 }
