Keep quarantines in the store through a restart of all daemons

Cause: what all daemons know together was kept in their memory only, a known price in docs/QUARANTINE.md. Change: the keeper in charge writes suspicions, confirmations and trials to the store and removes what is cleared; daemons adopt them in their first read, before they are ready. The number of crashes goes with them, so that trials before and after the restart are three in all. Ruled out: reading them at each full read, since an entry that could not be removed would come back.

--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -56,7 +56,7 @@
 export type MergeOutcome = 'learned' | 'objected' | 'unchanged';
 
 interface Entry {
-  readonly crashesMs: readonly number[];
+  crashesMs: readonly number[];
   readonly episode: number;
   lastRequestMs: number;
   lastTrialMs: number | undefined;
@@ -288,26 +288,31 @@
     // A keeper since a short while knows the suspicion from reports, but not the crashes before it.
     const isConfirmed = momentCount >= confirmCrashes || (isSuspected && isTrial);
     const isNewSuspicion = !isSuspected && crashesMs.length >= suspectCrashes;
+    // A keeper that has started since knows the crashes before from reports only.
+    const hadEnough =
+      isSuspected &&
+      (crashesMs.length > confirmCrashes || entry.crashesMs.length >= confirmCrashes);
+    if (isSuspected && crashesMs.length > entry.crashesMs.length) {
+      entry.crashesMs = crashesMs;
+    }
     if (entry?.stage === 'confirmed' || !(isConfirmed || isNewSuspicion)) {
       return false;
     }
-    // The trials after enough crashes to confirm are limited in all, whatever the stage.
-    const hadEnough = isSuspected && crashesMs.length > confirmCrashes;
     this.entries.set(fingerprint, {
-      crashesMs,
+      crashesMs: isSuspected ? entry.crashesMs : crashesMs,
       episode: isSuspected ? entry.episode : (entry?.episode ?? 0) + 1,
       lastRequestMs: nowMs,
       lastTrialMs: undefined,
       sinceMs: nowMs,
       stage: isConfirmed ? 'confirmed' : 'suspected',
+      // The trials after enough crashes to confirm are limited in all, whatever the stage.
       trials: hadEnough ? entry.trials : 0,
     });
     return true;
   }
 
   /** Whether no more trials may follow the crashes of a suspected fingerprint. */
-  private hasSpentTrials(fingerprint: FingerprintId, { stage, trials }: Entry): boolean {
-    const { crashesMs } = this.evidenceOf(fingerprint).openCrashes(fingerprint);
+  private hasSpentTrials(fingerprint: FingerprintId, { crashesMs, stage, trials }: Entry): boolean {
     return (
       stage === 'suspected' &&
       trials >= RELEASE_TRIAL_DELAYS_MS.length &&
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -47,6 +47,7 @@
 import type { BackoffMessage } from './peers/PeerMessages.js';
 import { PeerSockets } from './peers/PeerSockets.js';
 import { PlainCallRun } from './callers/PlainCallRun.js';
+import { QuarantineArchive } from './peers/QuarantineArchive.js';
 import { QuarantineCoordinator } from './peers/QuarantineCoordinator.js';
 import { QuarantinePass, quarantineRefusal } from './callers/QuarantinePass.js';
 import { ServerAccess } from './servers/ServerAccess.js';
@@ -58,7 +59,7 @@
 import type { ServingLog } from './ServingLog.js';
 import type { ServingMetrics } from './ServingMetrics.js';
 import { NO_SERVING_METRICS } from './ServingMetrics.js';
-import type { PlatformDirectory, WireProtocol } from './ServingPorts.js';
+import type { PlatformDirectory, QuarantineStore, WireProtocol } from './ServingPorts.js';
 import { ShortageQueue } from './callers/ShortageQueue.js';
 import type { SocketOpener } from './servers/SocketOpener.js';
 import { StreamMover } from './servers/StreamMover.js';
@@ -118,7 +119,7 @@
 /** Options of a serving daemon. */
 export interface ServingDaemonOptions {
   readonly clock: MonotonicClock;
-  readonly directory: PlatformDirectory;
+  readonly directory: PlatformDirectory & QuarantineStore;
   /** Start time of the process; distinguishes restarts under the same member id. */
   readonly incarnation: number;
   readonly log: ServingLog;
@@ -310,6 +311,11 @@
       serverOf: (serverId) => this.registry.get(serverId)?.server,
     });
     this.quarantineCoordinator = new QuarantineCoordinator({
+      archive: new QuarantineArchive({
+        directory,
+        log,
+        reportOf: (fingerprint) => this.quarantine.reportOf(fingerprint, clock.nowMs()),
+      }),
       broadcast: (message) => {
         this.cluster.peers.broadcast(message);
       },
@@ -464,6 +470,9 @@
         this.context.cachedPrefixes.removeServer(serverId);
         this.streamMover.moveStreamsFrom(serverId);
       },
+      onStoredQuarantines: (reports) => {
+        this.quarantineCoordinator.onStoredReports(reports);
+      },
       quarantines: () => this.quarantineCoordinator.heartbeatReports(),
       randomUnit,
       registry: this.registry,
--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -2,10 +2,19 @@
   BackendServer,
   EvacuationChange,
   PromptShape,
+  QuarantineReport,
   ServerChange,
   ServingConfiguration,
 } from '@laburnumgap/dispatch';
-import type { MemberId, Refusal, Result, Revision, StoreEra, TeamId } from '@laburnumgap/kernel';
+import type {
+  FingerprintId,
+  MemberId,
+  Refusal,
+  Result,
+  Revision,
+  StoreEra,
+  TeamId,
+} from '@laburnumgap/kernel';
 
 /** Header names and values in their order and spelling on the wire. */
 export type HeaderList = readonly (readonly [name: string, value: string])[];
@@ -157,6 +166,8 @@
   readonly evacuations?: readonly EvacuationChange[];
   readonly members: readonly MemberAddress[];
   readonly membersGone: readonly MemberId[];
+  /** Quarantines that daemons wrote, with ages as of then; absent without any. */
+  readonly quarantines?: readonly QuarantineReport[];
   /** The changes are complete up to this revision. */
   readonly revision: Revision;
   readonly servers: readonly ServerChange[];
@@ -205,3 +216,11 @@
   /** Waits for changes after a revision; resolves without changes after `waitMs`. */
   watch(after: Revision, waitMs: number): Promise<Result<DirectoryChanges, DirectoryError>>;
 }
+
+/** Place at which quarantines outlast a restart of all daemons. */
+export interface QuarantineStore {
+  /** Removes what was written of a fingerprint, if it is there. */
+  removeQuarantine(fingerprint: FingerprintId): Promise<Result<undefined, DirectoryError>>;
+  /** Writes a quarantine for daemons that start later; it lapses after some minutes. */
+  writeQuarantine(report: QuarantineReport): Promise<Result<undefined, DirectoryError>>;
+}
--- a/packages/serving/src/__tests__/SimulatedFleet.ts
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -11,7 +11,12 @@
   PeerTransport,
   PeerTransportListener,
 } from '../index.js';
-import { ClusterSync, EvacuationCoordinator, QuarantineCoordinator } from '../index.js';
+import {
+  ClusterSync,
+  EvacuationCoordinator,
+  QuarantineArchive,
+  QuarantineCoordinator,
+} from '../index.js';
 import type { StoreAccess } from './SimulatedStore.js';
 import { SimulatedDirectory, SimulatedStore } from './SimulatedStore.js';
 
@@ -85,6 +90,12 @@
     this.evacuations = evacuations;
     const quarantine = new Quarantine();
     const coordinator = new QuarantineCoordinator({
+      archive: new QuarantineArchive({
+        directory,
+        log: { info: () => undefined, warn: () => undefined },
+        reportOf: (fingerprint) => quarantine.reportOf(fingerprint, fleet.clock.nowMs()),
+        sleep: (durationMs) => new Promise((resolve) => setTimeout(resolve, durationMs)),
+      }),
       broadcast: (message) => {
         sync.peers.broadcast(message);
       },
@@ -132,6 +143,9 @@
         coordinator.onHeartbeatReports(reports);
       },
       onServerLeaving: () => undefined,
+      onStoredQuarantines: (reports) => {
+        coordinator.onStoredReports(reports);
+      },
       quarantines: () => coordinator.heartbeatReports(),
       randomUnit: fleet.randomUnit,
       registry: new ServerRegistry(),
--- a/packages/serving/src/__tests__/SimulatedStore.ts
+++ b/packages/serving/src/__tests__/SimulatedStore.ts
@@ -1,5 +1,16 @@
-import type { EvacuationChange, ServerChange, ServingConfiguration } from '@laburnumgap/dispatch';
-import type { FailureDomainId, Result, Revision, StoreEra } from '@laburnumgap/kernel';
+import type {
+  EvacuationChange,
+  QuarantineReport,
+  ServerChange,
+  ServingConfiguration,
+} from '@laburnumgap/dispatch';
+import type {
+  FailureDomainId,
+  FingerprintId,
+  Result,
+  Revision,
+  StoreEra,
+} from '@laburnumgap/kernel';
 import { failure, success, toNumberId } from '@laburnumgap/kernel';
 import type {
   DirectoryChanges,
@@ -7,6 +18,7 @@
   DirectoryPing,
   MemberAddress,
   PlatformDirectory,
+  QuarantineStore,
 } from '../index.js';
 
 /** How the store treats one daemon: it answers, refuses every call, or does not respond. */
@@ -41,6 +53,7 @@
   private oldestRevision = 0;
   private revision = 1;
   private evacuations = new Map<FailureDomainId, EvacuationChange>();
+  readonly quarantines = new Map<FingerprintId, QuarantineReport>();
   private readonly servers = new Map<string, ServerChange>();
   private readonly watches = new Set<() => void>();
 
@@ -95,11 +108,12 @@
   }
 
   readAll(): DirectoryChanges {
-    return this.changes(
+    const changes = this.changes(
       [...this.servers.values()],
       this.configuration ? [this.configuration] : [],
       [...this.evacuations.values()],
     );
+    return { ...changes, quarantines: [...this.quarantines.values()] };
   }
 
   /** Changes after a revision; undefined when the history does not reach back to it. */
@@ -165,7 +179,7 @@
 }
 
 /** One daemon's client of a {@link SimulatedStore}, with the time limits of the platform's client. */
-export class SimulatedDirectory implements PlatformDirectory {
+export class SimulatedDirectory implements PlatformDirectory, QuarantineStore {
   access: StoreAccess = 'answers';
   callCount = 0;
   private readonly cancels = new Set<() => void>();
@@ -200,6 +214,20 @@
     return this.call(CALL_TIMEOUT_MS, () => success(toNumberId<StoreEra>(this.store.era)));
   }
 
+  removeQuarantine(fingerprint: FingerprintId): Promise<Result<undefined, DirectoryError>> {
+    return this.call(CALL_TIMEOUT_MS, () => {
+      this.store.quarantines.delete(fingerprint);
+      return success(undefined);
+    });
+  }
+
+  writeQuarantine(report: QuarantineReport): Promise<Result<undefined, DirectoryError>> {
+    return this.call(CALL_TIMEOUT_MS, () => {
+      this.store.quarantines.set(report.fingerprint, report);
+      return success(undefined);
+    });
+  }
+
   watch(after: Revision, waitMs: number): Promise<Result<DirectoryChanges, DirectoryError>> {
     const timeoutMs = waitMs + WATCH_TIMEOUT_MARGIN_MS;
     return this.call(timeoutMs, (answer) => {
--- a/packages/serving/src/__tests__/unit/QuarantineFleet.test.ts
+++ b/packages/serving/src/__tests__/unit/QuarantineFleet.test.ts
@@ -339,6 +339,69 @@
   t.true(crashes <= CRASHES + MAX_TRIALS, `${crashes} servers crashed after the restart`);
 });
 
+// Daemons that were all restarted once let servers crash as often again as before.
+for (const { afterMs, badAtOnce, badPerS, isStoreAway, name } of [
+  { afterMs: 5_000, badAtOnce: 0, badPerS: 5, isStoreAway: false, name: 'confirmed' },
+  { afterMs: 1_000, badAtOnce: 5, badPerS: 0, isStoreAway: false, name: 'suspected' },
+  { afterMs: 9_000, badAtOnce: 5, badPerS: 0, isStoreAway: false, name: 'tried' },
+  {
+    afterMs: 3_000,
+    badAtOnce: 5,
+    badPerS: 0,
+    isStoreAway: true,
+    name: 'known while the store is away',
+  },
+]) {
+  test.serial(`daemons that lose power at once still know what was ${name}`, async (t) => {
+    const { fleet, servers } = await startFleet(t, SMALL);
+    if (isStoreAway) {
+      fleet.daemons.forEach((daemon) => {
+        daemon.directory.access = 'refuses';
+      });
+    }
+    await play(fleet, servers, afterMs, { badAtOnce, badPerS });
+    if (isStoreAway) {
+      fleet.daemons.forEach((daemon) => {
+        daemon.directory.access = 'answers';
+      });
+      await play(fleet, servers, STABLE_WINDOW_MS, { badPerS: 0 });
+    }
+    fleet.daemons.forEach((daemon) => {
+      daemon.powerOff();
+    });
+    await fleet.run(500);
+    fleet.daemons.forEach((daemon) => {
+      daemon.recover();
+    });
+    await fleet.run(STABLE_WINDOW_MS);
+    await play(fleet, servers, 30_000, { badAtOnce, badPerS });
+    const late = servers.lateArrivals();
+    t.true(late <= MAX_TRIALS, `${late} arrived late, ${MAX_TRIALS} are allowed`);
+  });
+}
+
+test.serial(
+  'what was cleared before all daemons lose power is not held back after it',
+  async (t) => {
+    const { fleet, servers } = await startFleet(t, SMALL);
+    await play(fleet, servers, 2_000, { badPerS: 0 });
+    await play(fleet, servers, 500, { badAtOnce: 5, badPerS: 0 });
+    t.deepEqual([...fleet.store.quarantines.keys()], [BAD]);
+    fleet.daemon(1, 1).quarantine?.onProgress([BAD]);
+    await fleet.run(1_000);
+    t.deepEqual([...fleet.store.quarantines.keys()], []);
+    fleet.daemons.forEach((daemon) => {
+      daemon.powerOff();
+    });
+    await fleet.run(500);
+    fleet.daemons.forEach((daemon) => {
+      daemon.recover();
+    });
+    await fleet.run(STABLE_WINDOW_MS);
+    t.true(fleet.daemons.every(({ quarantine }) => quarantine?.refusalOf([BAD], []) === undefined));
+  },
+);
+
 for (const { faultName, fault } of [
   {
     fault: (daemon: SimulatedDaemon) => {
--- a/packages/serving/src/peers/ClusterState.ts
+++ b/packages/serving/src/peers/ClusterState.ts
@@ -1,6 +1,7 @@
 import type {
   BackendServer,
   LimitReport,
+  QuarantineReport,
   RegisteredServer,
   ServerChange,
   ServerIncarnation,
@@ -62,6 +63,8 @@
   /** Called when the store has come back from an older copy, which lacks what was written since. */
   readonly onNewEra: () => void;
   readonly onServerLeaving: (serverId: ServerId) => void;
+  /** Called with the quarantines in the store, before this daemon is ready. */
+  readonly onStoredQuarantines?: (reports: readonly QuarantineReport[]) => void;
   readonly peers: () => ClusterPeers;
   readonly randomUnit: () => number;
   readonly registry: ServerRegistry;
@@ -141,6 +144,10 @@
     if (changes.era < previous.era || (isOtherEra && !isFullRead)) {
       return;
     }
+    if (isFullRead && !this.hasServerList) {
+      // Later, heartbeats say what other daemons know, and what they do not know any more.
+      this.options.onStoredQuarantines?.(changes.quarantines ?? []);
+    }
     this.broadcastChanges(changes, isFullRead);
     const hasEvacuationChanged = this.applyEvacuations(changes, isFullRead);
     this.applyChanges(changes, isFullRead);
--- a/packages/serving/src/peers/ClusterSync.ts
+++ b/packages/serving/src/peers/ClusterSync.ts
@@ -70,6 +70,8 @@
   /** Called with the quarantines that another daemon reports. */
   readonly onQuarantines: (reports: readonly QuarantineReport[]) => void;
   readonly onServerLeaving: (serverId: ServerId) => void;
+  /** Called with the quarantines in the store, before this daemon is ready. */
+  readonly onStoredQuarantines?: (reports: readonly QuarantineReport[]) => void;
   /** Quarantines for one heartbeat. */
   readonly quarantines: () => readonly QuarantineReport[];
   /** Absent where daemons do not share a shortage. */
@@ -134,6 +136,7 @@
         this.scheduleRegistration();
       },
       onServerLeaving: options.onServerLeaving,
+      onStoredQuarantines: options.onStoredQuarantines,
       peers: () => this.peers,
       randomUnit,
       registry,
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -451,6 +451,19 @@
   return isServingConfiguration(configuration) ? configuration : undefined;
 }
 
+/** Whether a value is the report on a quarantine, from another daemon or from the platform's store. */
+export function isQuarantineReport(value: object): value is QuarantineReport {
+  const report: Partial<QuarantineReport> = value;
+  return (
+    isId(report.fingerprint) &&
+    QUARANTINE_STAGES.has(report.stage ?? '') &&
+    hasFigures(report, ['ageMs', 'episode', 'idleMs', 'trials']) &&
+    (report.lastTrialAgeMs === undefined || Number.isFinite(report.lastTrialAgeMs)) &&
+    Array.isArray(report.crashAgesMs) &&
+    report.crashAgesMs.every((ageMs) => Number.isFinite(ageMs))
+  );
+}
+
 /**
  * Encodes a configuration for another daemon.
  *
@@ -687,16 +700,7 @@
 }
 
 function isQuarantineList(reports: readonly QuarantineReport[] | undefined): boolean {
-  return isListOf(
-    reports,
-    (report) =>
-      isId(report.fingerprint) &&
-      QUARANTINE_STAGES.has(report.stage) &&
-      hasFigures(report, ['ageMs', 'episode', 'idleMs', 'trials']) &&
-      (report.lastTrialAgeMs === undefined || Number.isFinite(report.lastTrialAgeMs)) &&
-      Array.isArray(report.crashAgesMs) &&
-      report.crashAgesMs.every((ageMs) => Number.isFinite(ageMs)),
-  );
+  return isListOf(reports, isQuarantineReport);
 }
 
 function isMoveRequest(request: Partial<MoveRequest> | undefined): boolean {
--- /dev/null
+++ b/packages/serving/src/peers/QuarantineArchive.ts
@@ -0,0 +1,95 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { QuarantineReport } from '@laburnumgap/dispatch';
+import type { FingerprintId } from '@laburnumgap/kernel';
+import type { ServingLog } from '../ServingLog.js';
+import type { QuarantineStore } from '../ServingPorts.js';
+
+/** Options of {@link QuarantineArchive}. */
+export interface QuarantineArchiveOptions {
+  readonly directory: QuarantineStore;
+  readonly log: ServingLog;
+  /** What is known of a fingerprint now; undefined when it is not suspected any more. */
+  readonly reportOf: (fingerprint: FingerprintId) => QuarantineReport | undefined;
+  /** Waits for a while; by the process's timers by default. */
+  readonly sleep?: (durationMs: number) => Promise<unknown>;
+}
+
+/** Also bounds the calls to the store while very many fingerprints are suspected. */
+const WRITE_INTERVAL_MS = 50;
+const FIRST_RETRY_MS = 500;
+const MAX_RETRY_MS = 8_000;
+
+/**
+ * Writes quarantines to the platform's store, from which daemons read them when all of them were restarted
+ * at once. One call at a time; of several changes of a fingerprint the last one is written.
+ */
+export class QuarantineArchive {
+  private isWriting = false;
+  private readonly pending = new Set<FingerprintId>();
+  /** What was written last, without the ages. */
+  private readonly written = new Map<FingerprintId, string>();
+
+  constructor(private readonly options: QuarantineArchiveOptions) {}
+
+  /** Writes or removes what is known of a fingerprint, if it differs from what was written. */
+  update(fingerprint: FingerprintId): void {
+    this.pending.add(fingerprint);
+    if (!this.isWriting) {
+      this.isWriting = true;
+      void this.writePending();
+    }
+  }
+
+  private async writePending(): Promise<void> {
+    const wait = this.options.sleep ?? sleep;
+    let retryMs = FIRST_RETRY_MS;
+    for (const fingerprint of this.pending) {
+      this.pending.delete(fingerprint);
+      const report = this.options.reportOf(fingerprint);
+      const isOver = report === undefined || report.stage === 'cleared';
+      const content = isOver ? '' : contentOf(report);
+      if (this.written.get(fingerprint) === content) {
+        continue;
+      }
+      if (await this.write(fingerprint, isOver ? undefined : report)) {
+        this.remember(fingerprint, content);
+        retryMs = FIRST_RETRY_MS;
+        await wait(WRITE_INTERVAL_MS);
+      } else {
+        this.pending.add(fingerprint);
+        await wait(retryMs);
+        retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
+      }
+    }
+    this.isWriting = false;
+  }
+
+  private async write(
+    fingerprint: FingerprintId,
+    report: QuarantineReport | undefined,
+  ): Promise<boolean> {
+    const { directory, log } = this.options;
+    const outcome = report
+      ? await directory.writeQuarantine(report)
+      : await directory.removeQuarantine(fingerprint);
+    const { stage, trials } = report ?? {};
+    if (outcome.ok) {
+      log.info('quarantine-written', { fingerprint, stage, trials });
+    } else {
+      log.warn('quarantine-not-written', { fingerprint, stage, trials, ...outcome.error });
+    }
+    return outcome.ok;
+  }
+
+  private remember(fingerprint: FingerprintId, content: string): void {
+    if (content === '') {
+      this.written.delete(fingerprint);
+    } else {
+      this.written.set(fingerprint, content);
+    }
+  }
+}
+
+function contentOf({ crashAgesMs, episode, stage, trials }: QuarantineReport): string {
+  return JSON.stringify([crashAgesMs.length, episode, stage, trials]);
+}
--- a/packages/serving/src/peers/QuarantineCoordinator.ts
+++ b/packages/serving/src/peers/QuarantineCoordinator.ts
@@ -2,11 +2,14 @@
 import type { FingerprintId, MemberId, MonotonicClock, Teardown } from '@laburnumgap/kernel';
 import type { ServerCrash } from '../servers/CrashDetector.js';
 import type { QuarantineMessage } from './PeerMessages.js';
+import type { QuarantineArchive } from './QuarantineArchive.js';
 import { startResponseTimeout } from '../ResponseTimeout.js';
 import type { ServingLog } from '../ServingLog.js';
 
 /** Options of {@link QuarantineCoordinator}. */
 export interface QuarantineCoordinatorOptions {
+  /** Keeps quarantines through a restart of all daemons; not kept without it. */
+  readonly archive?: Pick<QuarantineArchive, 'update'>;
   /** Runs a function once after a delay; the returned function cancels it. */
   readonly after?: (delayMs: number, run: () => void) => Teardown;
   /** Sends a message to all other daemons. */
@@ -111,6 +114,7 @@
     for (const fingerprint of quarantine.recordProgress(fingerprints, clock.nowMs())) {
       this.logStage(fingerprint, 'progress');
       this.tellKeepers(fingerprint);
+      this.archive(fingerprint);
     }
   }
 
@@ -164,6 +168,9 @@
           this.logStage(fingerprint, 'crash');
           this.announce(fingerprint);
         }
+        fingerprints.forEach((fingerprint) => {
+          this.archive(fingerprint);
+        });
         break;
       }
       case 'trialRequest': {
@@ -184,6 +191,11 @@
     this.merge(reports, 'heartbeat');
   }
 
+  /** Adopts what daemons wrote to the platform's store before this one started. */
+  onStoredReports(reports: readonly QuarantineReport[]): void {
+    this.merge(reports, 'store');
+  }
+
   /** Reports for a heartbeat; none without a quarantine. */
   heartbeatReports(): readonly QuarantineReport[] {
     const { clock, quarantine } = this.options;
@@ -200,8 +212,10 @@
       if (outcome === 'objected') {
         this.logStage(fingerprint, 'objection');
         this.tellKeepers(fingerprint);
+        this.archive(fingerprint);
       } else if (outcome === 'learned' && stage !== stageBefore) {
         this.logStage(fingerprint, source);
+        this.archive(fingerprint);
         if (stage === 'cleared' && source === 'message' && this.isKeeper(fingerprint)) {
           this.announce(fingerprint);
         }
@@ -301,9 +315,19 @@
       return false;
     }
     this.options.broadcast({ kind: 'quarantine', reports: this.reportsOf(fingerprint) });
+    this.archive(fingerprint);
     return true;
   }
 
+  /** Lets the keeper in charge write a fingerprint that was ever suspected to the store. */
+  private archive(fingerprint: FingerprintId): void {
+    const { archive, keepersOf, memberId, quarantine } = this.options;
+    const wasSuspected = quarantine.stageOf(fingerprint) !== undefined;
+    if (archive && wasSuspected && keepersOf(fingerprint)[0] === memberId) {
+      archive.update(fingerprint);
+    }
+  }
+
   private reportsOf(fingerprint: FingerprintId): readonly QuarantineReport[] {
     const { clock, quarantine } = this.options;
     const report = quarantine.reportOf(fingerprint, clock.nowMs());
