Renew the leases of the daemons' entries

Cause: an entry was written once, the time that applies to its lease was not read, and nothing renewed it. Change: MemberRegistration renews the lease after a third of the time that applies, and writes the entry again when the lease has ended or the entry was removed. Ruled out: keeping daemons that are heard in spite of the removal, since later ones would not find them.

--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -8,6 +8,7 @@
 } from '@laburnumgap/dispatch';
 import type {
   FingerprintId,
+  LeaseId,
   MemberId,
   Refusal,
   Result,
@@ -194,6 +195,15 @@
   readonly isReachable: boolean;
 }
 
+/** Entry of this daemon in the store, which removes it when its lease ends. */
+export interface Registration {
+  /** Era of the store that has the entry, if the store states it. */
+  readonly era?: StoreEra;
+  readonly leaseId: LeaseId;
+  /** Time that the lease lasts from each renewal. */
+  readonly leaseMs: number;
+}
+
 /** Client of the platform's store, from which daemons read and in which they register. */
 export interface PlatformDirectory {
   /** Cancels pending calls. */
@@ -207,12 +217,10 @@
   readAll(): Promise<Result<DirectoryChanges, DirectoryError>>;
   /** Reads only the configuration. */
   readConfiguration(): Promise<Result<ServingConfiguration, DirectoryError>>;
-  /**
-   * Writes the entry by which other daemons find this one.
-   *
-   * @returns the era of the store that has the entry, if the store states it
-   */
-  register(member: MemberAddress): Promise<Result<StoreEra | undefined, DirectoryError>>;
+  /** Writes the entry by which other daemons find this one, under a lease. */
+  register(member: MemberAddress): Promise<Result<Registration, DirectoryError>>;
+  /** Renews the lease of an entry, unless it has ended. */
+  renewLease(leaseId: LeaseId): Promise<Result<'ended' | 'renewed', DirectoryError>>;
   /** Waits for changes after a revision; resolves without changes after `waitMs`. */
   watch(after: Revision, waitMs: number): Promise<Result<DirectoryChanges, DirectoryError>>;
 }
--- a/packages/serving/src/__tests__/SimulatedStore.ts
+++ b/packages/serving/src/__tests__/SimulatedStore.ts
@@ -7,11 +7,12 @@
 import type {
   FailureDomainId,
   FingerprintId,
+  LeaseId,
   Result,
   Revision,
   StoreEra,
 } from '@laburnumgap/kernel';
-import { failure, success, toNumberId } from '@laburnumgap/kernel';
+import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
 import type {
   DirectoryChanges,
   DirectoryError,
@@ -19,6 +20,7 @@
   MemberAddress,
   PlatformDirectory,
   QuarantineStore,
+  Registration,
 } from '../index.js';
 
 /** How the store treats one daemon: it answers, refuses every call, or does not respond. */
@@ -37,6 +39,9 @@
   readonly revision: number;
 }
 
+/** Registration of a daemon in a store that names no era. */
+export const REGISTRATION: Registration = { leaseId: toId<LeaseId>('7'), leaseMs: 600_000 };
+
 const LATENCY_MS = 4;
 const CALL_TIMEOUT_MS = 1_500;
 const PING_TIMEOUT_MS = 400;
@@ -210,8 +215,15 @@
     });
   }
 
-  register(): Promise<Result<StoreEra | undefined, DirectoryError>> {
-    return this.call(CALL_TIMEOUT_MS, () => success(toNumberId<StoreEra>(this.store.era)));
+  register(): Promise<Result<Registration, DirectoryError>> {
+    return this.call(CALL_TIMEOUT_MS, () => {
+      const era = toNumberId<StoreEra>(this.store.era);
+      return success({ ...REGISTRATION, era });
+    });
+  }
+
+  renewLease(): Promise<Result<'ended' | 'renewed', DirectoryError>> {
+    return this.call(CALL_TIMEOUT_MS, () => success('renewed'));
   }
 
   removeQuarantine(fingerprint: FingerprintId): Promise<Result<undefined, DirectoryError>> {
--- a/packages/serving/src/__tests__/unit/ClusterState.test.ts
+++ b/packages/serving/src/__tests__/unit/ClusterState.test.ts
@@ -3,6 +3,7 @@
 import type { FailureDomainId, MemberId, Revision, ServerId, ServiceId } from '@laburnumgap/kernel';
 import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
+import { REGISTRATION } from '../SimulatedStore.js';
 import type {
   ClusterPeers,
   ConfigurationMessage,
@@ -61,7 +62,8 @@
         readCount += 1;
         return Promise.resolve(failure({ kind: 'unreachable', reason: 'test' }));
       },
-      register: () => Promise.resolve(success(undefined)),
+      register: () => Promise.resolve(success(REGISTRATION)),
+      renewLease: () => Promise.resolve(success('renewed')),
       watch: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
     },
     failureDomain: toId<FailureDomainId>('a'),
--- a/packages/serving/src/__tests__/unit/ClusterStateEras.test.ts
+++ b/packages/serving/src/__tests__/unit/ClusterStateEras.test.ts
@@ -10,6 +10,7 @@
 } from '@laburnumgap/kernel';
 import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
+import { REGISTRATION } from '../SimulatedStore.js';
 import fc from 'fast-check';
 import type { ChangesMessage, FollowedChanges, PeerSnapshot } from '../../index.js';
 import { ClusterState } from '../../index.js';
@@ -188,7 +189,8 @@
         ping: () => Promise.resolve({ isReachable: false }),
         readAll: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
         readConfiguration: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
-        register: () => Promise.resolve(success(undefined)),
+        register: () => Promise.resolve(success(REGISTRATION)),
+        renewLease: () => Promise.resolve(success('renewed')),
         watch: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
       },
       failureDomain: toId<FailureDomainId>('a'),
--- a/packages/serving/src/__tests__/unit/DirectoryFollower.test.ts
+++ b/packages/serving/src/__tests__/unit/DirectoryFollower.test.ts
@@ -2,6 +2,7 @@
 import { failure, success, toNumberId } from '@laburnumgap/kernel';
 import type { ExecutionContext } from 'ava';
 import test from 'ava';
+import { REGISTRATION } from '../SimulatedStore.js';
 import type {
   DirectoryChanges,
   DirectoryError,
@@ -44,7 +45,11 @@
   }
 
   register() {
-    return Promise.resolve(success(undefined));
+    return Promise.resolve(success(REGISTRATION));
+  }
+
+  renewLease(): Promise<Result<'renewed', never>> {
+    return Promise.resolve(success('renewed'));
   }
 
   watch(after: Revision): Promise<Answer> {
--- a/packages/serving/src/__tests__/unit/LeavingServerPropagation.test.ts
+++ b/packages/serving/src/__tests__/unit/LeavingServerPropagation.test.ts
@@ -10,6 +10,7 @@
 } from '@laburnumgap/kernel';
 import { failure, success, toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
+import { REGISTRATION } from '../SimulatedStore.js';
 import type { ChangesMessage, FollowedChanges, PeerSnapshot } from '../../index.js';
 import { ClusterState, LagDetector } from '../../index.js';
 
@@ -121,7 +122,8 @@
         ping: () => Promise.resolve({ isReachable: true }),
         readAll: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
         readConfiguration: () => Promise.resolve(success(configurationOf(this.version))),
-        register: () => Promise.resolve(success(ERA)),
+        register: () => Promise.resolve(success({ ...REGISTRATION, era: ERA })),
+        renewLease: () => Promise.resolve(success('renewed')),
         watch: () => Promise.resolve(failure({ kind: 'unreachable', reason: 'test' })),
       },
       failureDomain: toId<FailureDomainId>('a'),
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -31,6 +31,7 @@
 export * from './peers/EvacuationCoordinator.js';
 export * from './peers/EvacuationMessages.js';
 export * from './peers/LagDetector.js';
+export * from './peers/MemberRegistration.js';
 export * from './servers/Moment.js';
 export * from './peers/MoveCoordinator.js';
 export * from './peers/PeerLink.js';
--- a/packages/serving/src/peers/ClusterState.ts
+++ b/packages/serving/src/peers/ClusterState.ts
@@ -63,6 +63,8 @@
   /** Called when the store has come back from an older copy, which lacks what was written since. */
   readonly onNewEra: () => void;
   readonly onServerLeaving: (serverId: ServerId) => void;
+  /** Called when the entry by which other daemons find this one was removed. */
+  readonly onOwnEntryGone?: () => void;
   /** Called with the quarantines in the store, before this daemon is ready. */
   readonly onStoredQuarantines?: (reports: readonly QuarantineReport[]) => void;
   readonly peers: () => ClusterPeers;
@@ -324,7 +326,11 @@
       this.options.peers().table.add(member);
     });
     changes.membersGone.forEach((memberId) => {
-      this.options.peers().removeMember(memberId);
+      if (memberId === this.options.memberId) {
+        this.options.onOwnEntryGone?.();
+      } else {
+        this.options.peers().removeMember(memberId);
+      }
     });
     if (isFullRead || !isEmpty(changes)) {
       this.advance(changes);
--- a/packages/serving/src/peers/ClusterSync.ts
+++ b/packages/serving/src/peers/ClusterSync.ts
@@ -1,4 +1,3 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import type {
   BackendServer,
   ColdReport,
@@ -11,16 +10,11 @@
   ServerLimits,
   ServerRegistry,
 } from '@laburnumgap/dispatch';
-import type {
-  FailureDomainId,
-  MemberId,
-  MonotonicClock,
-  ServerId,
-  StoreEra,
-} from '@laburnumgap/kernel';
+import type { FailureDomainId, MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { ClusterState } from './ClusterState.js';
 import type { EvacuationCoordinator } from './EvacuationCoordinator.js';
 import { DirectoryFollower } from '../store/DirectoryFollower.js';
+import { MemberRegistration } from './MemberRegistration.js';
 import type { ShortageExchange } from './PeerLink.js';
 import { PeerLink } from './PeerLink.js';
 import type {
@@ -85,8 +79,6 @@
   readonly transport: PeerTransport;
 }
 
-/** Time between attempts to register with the store. */
-const REGISTER_RETRY_MS = 2_000;
 /** In a new era of the store, all daemons register again within this times their number. */
 const REGISTER_SPREAD_PER_MEMBER_MS = 20;
 /**
@@ -104,9 +96,7 @@
  * platform's store and the other daemons.
  */
 export class ClusterSync {
-  private isRegistering = false;
-  private isStopped = false;
-  private registrationTimer: NodeJS.Timeout | undefined;
+  private readonly registration: MemberRegistration;
   private readonly storeFollower: DirectoryFollower;
   private storePingedMs = -Infinity;
 
@@ -135,6 +125,10 @@
       onNewEra: () => {
         this.scheduleRegistration();
       },
+      onOwnEntryGone: () => {
+        log.warn('member-entry-gone', { memberId });
+        this.scheduleRegistration();
+      },
       onServerLeaving: options.onServerLeaving,
       onStoredQuarantines: options.onStoredQuarantines,
       peers: () => this.peers,
@@ -188,6 +182,13 @@
       speeds: options.speeds,
       transport: options.transport,
     });
+    this.registration = new MemberRegistration({
+      currentEra: () => this.state.position().era,
+      directory,
+      isDraining: options.isDraining,
+      log,
+      member: { host, memberId },
+    });
     this.storeFollower = new DirectoryFollower({
       clock,
       directory,
@@ -217,28 +218,12 @@
   }
 
   /**
-   * Registers the entry by which other daemons find this one; retries until the store accepts it in
-   * its current era. Does nothing while it is being registered.
+   * Writes the entry by which other daemons find this one, and keeps it; see {@link MemberRegistration}.
+   *
+   * @returns resolves when the store has accepted it or the daemon stops
    */
-  async register(): Promise<void> {
-    const { directory, host, isDraining, log, memberId } = this.options;
-    if (this.isRegistering) {
-      return;
-    }
-    this.isRegistering = true;
-    let registeredEra: StoreEra | undefined;
-    const isRegistered = (): boolean =>
-      registeredEra !== undefined && registeredEra >= this.state.position().era;
-    while (!isRegistered() && !isDraining() && !this.isStopped) {
-      const registered = await directory.register({ host, memberId });
-      if (registered.ok) {
-        registeredEra = registered.value ?? this.state.position().era;
-      } else {
-        log.warn('member-not-registered', registered.error);
-        await sleep(REGISTER_RETRY_MS);
-      }
-    }
-    this.isRegistering = false;
+  register(): Promise<void> {
+    return this.registration.register();
   }
 
   /** Ends what expired of servers and evacuations, and pings the store when it is time. */
@@ -250,19 +235,15 @@
 
   /** Stops following the store and closes the sockets; resolves when the ports are free. */
   async stop(): Promise<void> {
-    this.isStopped = true;
-    clearTimeout(this.registrationTimer);
+    this.registration.stop();
     this.storeFollower.stop();
     await this.peers.stop();
   }
 
-  /** Registers again in a new era of the store, spread out so that its rate limit suffices. */
+  /** Registers again, spread out so that the store's rate limit suffices when all daemons do. */
   private scheduleRegistration(): void {
     const spreadMs = REGISTER_SPREAD_PER_MEMBER_MS * this.peers.table.knownCount();
-    clearTimeout(this.registrationTimer);
-    this.registrationTimer = setTimeout(() => {
-      void this.register();
-    }, this.options.randomUnit() * spreadMs);
+    this.registration.schedule(this.options.randomUnit() * spreadMs);
   }
 
   /** Pings less often in a larger fleet, so that the store's load stays constant. */
