Take a new server of a brittle service for brittle before its first answer

Cause: limits are known by the id and start of a server, so that a new one counted as neither limited nor brittle until its first answer, and all daemons sent it at once what they held back. Change: BrittleServices takes a server for brittle while at least half of the other servers of its service say that they are. Ruled out: too many permits for servers that have said so, which reject nothing.

--- a/packages/dispatch/src/ServerLimits.ts
+++ b/packages/dispatch/src/ServerLimits.ts
@@ -89,6 +89,16 @@
     );
   }
 
+  /** Whether any server said that it is brittle. */
+  hasBrittle(): boolean {
+    for (const { maxRejectionsPerS } of this.observations.values()) {
+      if (maxRejectionsPerS !== undefined) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Records the report of another daemon; returns whether it changed what is known. */
   recordReport({ ageMs, ...report }: LimitReport, nowMs: number): boolean {
     const { maxRejectionsPerS, requestsPerS, serverId, startedEpochMs } = report;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,6 +1,7 @@
 export * from './AnnouncementTargets.js';
 export type * from './BackendServer.js';
 export * from './BodyBudget.js';
+export * from './BrittleServices.js';
 export * from './BufferBudget.js';
 export * from './CapacityReservations.js';
 export * from './ColdAccount.js';
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -9,6 +9,7 @@
 } from '@laburnumgap/dispatch';
 import {
   addShares,
+  BrittleServices,
   EngineLoad,
   HeldCalls,
   PrefixCacheIndex,
@@ -287,7 +288,12 @@
       protocol,
       registry: this.registry,
     });
+    const brittleServices = new BrittleServices({
+      limits: this.limits,
+      serversOf: (service) => this.registry.usableServers(service, clock.nowMs()),
+    });
     this.permits = new ServerLimitCoordinator({
+      assumesBrittle: (server) => brittleServices.includes(server, clock.nowMs()),
       clock,
       cold: this.cold,
       firstRequestNumber: incarnation,
--- a/packages/serving/src/servers/ServerLimitCoordinator.ts
+++ b/packages/serving/src/servers/ServerLimitCoordinator.ts
@@ -24,6 +24,8 @@
 export interface ServerLimitCoordinatorOptions {
   /** Runs a function once after a delay; the returned function cancels it. */
   readonly after?: (delayMs: number, run: () => void) => Teardown;
+  /** Whether a server is taken for brittle before it says so; none is by default. */
+  readonly assumesBrittle?: (server: BackendServer) => boolean;
   readonly clock: MonotonicClock;
   /** What applies to cold servers; no server is cold by default. */
   readonly cold?: Pick<
@@ -121,7 +123,8 @@
 
   /** Whether a server fails when it has to turn away too many requests. */
   isBrittle(server: BackendServer): boolean {
-    return this.options.limits.isBrittle(server);
+    const { assumesBrittle, limits } = this.options;
+    return limits.isBrittle(server) || assumesBrittle?.(server) === true;
   }
 
   /** Whether a server is cold and takes fewer requests for that. */
