Write a quarantine to the store again before its entry lapses

Cause: an entry that was the same as the last one was never written again, though the store lets entries lapse; a part that was suspected again after a quiet time was not kept. Change: what was written counts for five minutes.

--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -318,6 +318,7 @@
     });
     this.quarantineCoordinator = new QuarantineCoordinator({
       archive: new QuarantineArchive({
+        clock,
         directory,
         log,
         reportOf: (fingerprint) => this.quarantine.reportOf(fingerprint, clock.nowMs()),
--- a/packages/serving/src/__tests__/SimulatedFleet.ts
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -91,6 +91,7 @@
     const quarantine = new Quarantine();
     const coordinator = new QuarantineCoordinator({
       archive: new QuarantineArchive({
+        clock: fleet.clock,
         directory,
         log: { info: () => undefined, warn: () => undefined },
         reportOf: (fingerprint) => quarantine.reportOf(fingerprint, fleet.clock.nowMs()),
--- a/packages/serving/src/__tests__/unit/QuarantineArchive.test.ts
+++ b/packages/serving/src/__tests__/unit/QuarantineArchive.test.ts
@@ -36,10 +36,13 @@
   readonly archive: QuarantineArchive;
   readonly set: (stage: QuarantineStage | undefined, trials?: number) => void;
   readonly store: RecordingStore;
+  readonly time: { nowMs: number };
 } {
   const store = new RecordingStore();
   let report: QuarantineReport | undefined;
+  const time = { nowMs: 0 };
   const archive = new QuarantineArchive({
+    clock: { nowMs: () => time.nowMs },
     directory: store,
     log: { info: () => undefined, warn: () => undefined },
     reportOf: () => report,
@@ -50,7 +53,7 @@
     report = stage && { ...base, stage, trials };
     archive.update(PART);
   };
-  return { archive, set, store };
+  return { archive, set, store, time };
 }
 
 async function settle(): Promise<void> {
@@ -70,6 +73,20 @@
   t.deepEqual(store.calls, ['suspected 0', 'suspected 1', 'confirmed 1']);
 });
 
+test('what was written is written again before the store lets it lapse', async (t) => {
+  const { set, store, time } = createArchive();
+  set('suspected');
+  await settle();
+  time.nowMs = 200_000;
+  set('suspected');
+  await settle();
+  t.is(store.calls.length, 1);
+  time.nowMs = 400_000;
+  set('suspected');
+  await settle();
+  t.is(store.calls.length, 2);
+});
+
 test('of changes during a call the last one is written', async (t) => {
   const { set, store } = createArchive();
   set('suspected');
--- a/packages/serving/src/peers/QuarantineArchive.ts
+++ b/packages/serving/src/peers/QuarantineArchive.ts
@@ -1,11 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { QuarantineReport } from '@laburnumgap/dispatch';
-import type { FingerprintId } from '@laburnumgap/kernel';
+import type { FingerprintId, MonotonicClock } from '@laburnumgap/kernel';
 import type { ServingLog } from '../ServingLog.js';
 import type { QuarantineStore } from '../ServingPorts.js';
 
 /** Options of {@link QuarantineArchive}. */
 export interface QuarantineArchiveOptions {
+  readonly clock: MonotonicClock;
   readonly directory: QuarantineStore;
   readonly log: ServingLog;
   /** What is known of a fingerprint now; undefined when it is not suspected any more. */
@@ -14,11 +15,18 @@
   readonly sleep?: (durationMs: number) => Promise<unknown>;
 }
 
+/** An entry is written again after this although it is the same, as the store lets it lapse. */
+const WRITTEN_VALIDITY_MS = 300_000;
 /** Also bounds the calls to the store while very many fingerprints are suspected. */
 const WRITE_INTERVAL_MS = 50;
 const FIRST_RETRY_MS = 500;
 const MAX_RETRY_MS = 8_000;
 
+interface WrittenEntry {
+  readonly content: string;
+  readonly writtenMs: number;
+}
+
 /**
  * Writes quarantines to the platform's store, from which daemons read them when all of them were restarted
  * at once. One call at a time; of several changes of a fingerprint the last one is written.
@@ -26,12 +34,12 @@
 export class QuarantineArchive {
   private isWriting = false;
   private readonly pending = new Set<FingerprintId>();
-  /** What was written last, without the ages. */
-  private readonly written = new Map<FingerprintId, string>();
+  /** What was written last, without the ages, and when. */
+  private readonly written = new Map<FingerprintId, WrittenEntry>();
 
   constructor(private readonly options: QuarantineArchiveOptions) {}
 
-  /** Writes or removes what is known of a fingerprint, if it differs from what was written. */
+  /** Writes or removes what is known of a fingerprint, unless that was written a short while ago. */
   update(fingerprint: FingerprintId): void {
     this.pending.add(fingerprint);
     if (!this.isWriting) {
@@ -48,7 +56,7 @@
       const report = this.options.reportOf(fingerprint);
       const isOver = report === undefined || report.stage === 'cleared';
       const content = isOver ? '' : contentOf(report);
-      if (this.written.get(fingerprint) === content) {
+      if (this.isWritten(fingerprint, content)) {
         continue;
       }
       if (await this.write(fingerprint, isOver ? undefined : report)) {
@@ -81,11 +89,19 @@
     return outcome.ok;
   }
 
+  private isWritten(fingerprint: FingerprintId, content: string): boolean {
+    const written = this.written.get(fingerprint);
+    return (
+      written?.content === content &&
+      this.options.clock.nowMs() - written.writtenMs < WRITTEN_VALIDITY_MS
+    );
+  }
+
   private remember(fingerprint: FingerprintId, content: string): void {
     if (content === '') {
       this.written.delete(fingerprint);
     } else {
-      this.written.set(fingerprint, content);
+      this.written.set(fingerprint, { content, writtenMs: this.options.clock.nowMs() });
     }
   }
 }
