Take no configuration without limits from another daemon

A configuration of another daemon without limits passed the check, and applying it throws, which ends the process. Cause: missing limits were checked as if they were empty. Change: limits have to be there. Measured: two cases of PeerMessages, of which the one without limits failed before, pass.

--- a/packages/serving/src/__tests__/unit/PeerMessages.test.ts
+++ b/packages/serving/src/__tests__/unit/PeerMessages.test.ts
@@ -347,6 +347,8 @@
     );
   t.truthy(parse({}));
   for (const parts of [
+    { limits: null },
+    { limits: undefined },
     { limits: { maxBodyBytes: 'x' } },
     { routes: [null] },
     { routes: [{ ...ROUTE, host: undefined }] },
--- a/packages/serving/src/peers/ReceivedEntries.ts
+++ b/packages/serving/src/peers/ReceivedEntries.ts
@@ -62,12 +62,12 @@
 /** Whether a value is a configuration, as another daemon sends it. */
 export function isServingConfiguration(value: unknown): value is ServingConfiguration {
   const configuration = toPartial<ServingConfiguration>(value);
+  const limits = toPartial<ServingConfiguration['limits']>(configuration?.limits);
   return (
     configuration !== undefined &&
     Number.isFinite(configuration.version) &&
-    Object.values(toPartial<ServingConfiguration['limits']>(configuration.limits) ?? {}).every(
-      Number.isFinite,
-    ) &&
+    limits !== undefined &&
+    areFigures(Object.values(limits)) &&
     isArrayOf(configuration.routes, isRoute) &&
     isArrayOf(configuration.services, isService) &&
     isArrayOf(configuration.teams, isTeam)
