Renew only the lease of the last registration

A renewal that was answered after a new registration took the place of that one's renewals, so that its lease ended unrenewed. Cause: the timer of renewals did not know whose it was. Change: the answer to a renewal counts only if its registration is the last one. Measured: the test of MemberRegistration failed before and passes.

--- a/packages/serving/src/peers/MemberRegistration.ts
+++ b/packages/serving/src/peers/MemberRegistration.ts
@@ -27,6 +27,8 @@
 export class MemberRegistration {
   private isRegistering = false;
   private isStopped = false;
+  /** The last one, whose lease is renewed. */
+  private registration: Registration | undefined;
   private registrationTimer: NodeJS.Timeout | undefined;
   private renewalTimer: NodeJS.Timeout | undefined;
 
@@ -51,6 +53,7 @@
       const registered = await directory.register(member);
       if (registered.ok) {
         registeredEra = registered.value.era ?? currentEra();
+        this.registration = registered.value;
         this.scheduleRenewal(registered.value);
       } else {
         log.warn('member-not-registered', registered.error);
@@ -91,7 +94,7 @@
   private async renew(registration: Registration): Promise<void> {
     const { directory, log } = this.options;
     const outcome = await directory.renewLease(registration.leaseId);
-    if (this.isStopped) {
+    if (this.isStopped || this.registration !== registration) {
       return;
     }
     if (!outcome.ok) {
