Stop writing quarantines when a daemon is closed

Also: what was removed was removed again with each crash. Cause: QuarantineArchive had no end, and forgot what it had removed. Besides, without a change of behaviour: isSuccess instead of a second copy of the range of statuses, a head without a body is written without corking, clearer comments.

--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -284,8 +284,8 @@
     const { crashesMs, momentCount } = this.evidenceOf(fingerprint).openCrashes(fingerprint);
     const entry = this.entries.get(fingerprint);
     const isSuspected = entry?.stage === 'suspected';
-    // Servers that ended together confirm nothing: something else can have ended them.
-    // A keeper since a short while knows the suspicion from reports, but not the crashes before it.
+    // Moments count rather than servers, since those that ended together can have another cause. A trial
+    // decides alone: a new keeper knows the suspicion from reports, but not the crashes before it.
     const isConfirmed = momentCount >= confirmCrashes || (isSuspected && isTrial);
     const isNewSuspicion = !isSuspected && crashesMs.length >= suspectCrashes;
     // A keeper that has started since knows the crashes before from reports only.
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -180,6 +180,7 @@
   private readonly paths = new ServerPaths();
   private readonly permits: ServerLimitCoordinator;
   private readonly quarantine = new Quarantine();
+  private readonly quarantineArchive: QuarantineArchive;
   private readonly quarantineCoordinator: QuarantineCoordinator;
   /** Undefined where callers and servers are expected to read fast. */
   private readonly readerBuffers: ReaderBuffers | undefined;
@@ -316,13 +317,14 @@
       },
       serverOf: (serverId) => this.registry.get(serverId)?.server,
     });
+    this.quarantineArchive = new QuarantineArchive({
+      clock,
+      log,
+      reportOf: (fingerprint) => this.quarantine.reportOf(fingerprint, clock.nowMs()),
+      store: directory,
+    });
     this.quarantineCoordinator = new QuarantineCoordinator({
-      archive: new QuarantineArchive({
-        clock,
-        directory,
-        log,
-        reportOf: (fingerprint) => this.quarantine.reportOf(fingerprint, clock.nowMs()),
-      }),
+      archive: this.quarantineArchive,
       broadcast: (message) => {
         this.cluster.peers.broadcast(message);
       },
@@ -585,6 +587,7 @@
    */
   async close(): Promise<void> {
     clearInterval(this.tickTimer);
+    this.quarantineArchive.stop();
     const readyServerClosed = new Promise<void>((resolve) => {
       this.readyServer.close(() => {
         resolve();
--- a/packages/serving/src/ServingPorts.ts
+++ b/packages/serving/src/ServingPorts.ts
@@ -225,7 +225,7 @@
   watch(after: Revision, waitMs: number): Promise<Result<DirectoryChanges, DirectoryError>>;
 }
 
-/** Place at which quarantines outlast a restart of all daemons. */
+/** Storage in which quarantines outlast a restart of all daemons. */
 export interface QuarantineStore {
   /** Removes what was written of a fingerprint, if it is there. */
   removeQuarantine(fingerprint: FingerprintId): Promise<Result<undefined, DirectoryError>>;
--- a/packages/serving/src/__tests__/SimulatedFleet.ts
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -92,10 +92,10 @@
     const coordinator = new QuarantineCoordinator({
       archive: new QuarantineArchive({
         clock: fleet.clock,
-        directory,
         log: { info: () => undefined, warn: () => undefined },
         reportOf: (fingerprint) => quarantine.reportOf(fingerprint, fleet.clock.nowMs()),
         sleep: (durationMs) => new Promise((resolve) => setTimeout(resolve, durationMs)),
+        store: directory,
       }),
       broadcast: (message) => {
         sync.peers.broadcast(message);
--- a/packages/serving/src/__tests__/unit/QuarantineArchive.test.ts
+++ b/packages/serving/src/__tests__/unit/QuarantineArchive.test.ts
@@ -43,10 +43,10 @@
   const time = { nowMs: 0 };
   const archive = new QuarantineArchive({
     clock: { nowMs: () => time.nowMs },
-    directory: store,
     log: { info: () => undefined, warn: () => undefined },
     reportOf: () => report,
-    sleep: () => Promise.resolve(),
+    sleep: () => new Promise((resolve) => setImmediate(resolve)),
+    store,
   });
   const set = (stage: QuarantineStage | undefined, trials = 0): void => {
     const base = { ageMs: 0, crashAgesMs: [1], episode: 1, fingerprint: PART, idleMs: 0 };
@@ -57,7 +57,9 @@
 }
 
 async function settle(): Promise<void> {
-  await new Promise((resolve) => setImmediate(resolve));
+  for (let turn = 0; turn < 10; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
 }
 
 test('each change is written once', async (t) => {
@@ -107,6 +109,29 @@
   t.is(store.calls.filter((call) => call.endsWith('failed')).length, 2);
 });
 
+// A daemon that was closed while the store was away went on calling it.
+test('after a stop no call is made again', async (t) => {
+  const { archive, set, store } = createArchive();
+  store.failingCalls = Infinity;
+  set('suspected');
+  archive.stop();
+  await settle();
+  set('confirmed');
+  await settle();
+  t.deepEqual(store.calls, ['suspected 0 failed']);
+});
+
+test('what is over is removed once', async (t) => {
+  const { archive, set, store } = createArchive();
+  set('suspected');
+  await settle();
+  set('cleared');
+  await settle();
+  archive.update(PART);
+  await settle();
+  t.deepEqual(store.calls, ['suspected 0', 'removed']);
+});
+
 for (const stage of ['cleared', undefined] as const) {
   test(`what is ${stage ?? 'forgotten'} is removed`, async (t) => {
     const { set, store } = createArchive();
--- a/packages/serving/src/servers/BackendConnection.ts
+++ b/packages/serving/src/servers/BackendConnection.ts
@@ -3,7 +3,7 @@
 import { HeldOutput } from '../buffers/HeldOutput.js';
 import type { ReaderBuffers } from '../buffers/ReaderBuffers.js';
 import { probeReset } from './ResetProbe.js';
-import { isMisdirected } from './ResponseChecks.js';
+import { isMisdirected, isSuccess } from './ResponseChecks.js';
 import { ResponseOverhead } from './ResponseOverhead.js';
 import type { ResponseHead } from './ResponseParser.js';
 import { ResponseParser } from './ResponseParser.js';
@@ -50,10 +50,8 @@
 
 /** Responses to control requests carry no id, so that each can be taken for another. */
 export const CONTROL_RESPONSE_KEY = '';
-/** Keys kept for one connection; with more of them it is not used any more. */
+/** Keys kept for one connection, which is not used any more when it has so many. */
 const MAX_ANSWERED_KEYS = 64;
-const FIRST_SUCCESS_STATUS = 200;
-const FIRST_REDIRECT_STATUS = 300;
 /** Request target: no blanks and no control characters. */
 const TARGET_PATTERN = /^[\x21-\x7e\x80-\xff]+$/;
 /** Smaller bodies fit into the send buffer of a connection, so that they do not wait in the process. */
@@ -85,7 +83,7 @@
   /** When data arrived last, monotonic time. */
   lastReceivedMs = -Infinity;
   private responseKey = CONTROL_RESPONSE_KEY;
-  private responseStatus = 0;
+  private hasSucceeded = false;
   /** When the open request was sent, monotonic time. */
   private sentMs = 0;
 
@@ -153,16 +151,16 @@
   /** A large body is written as it is; a small one goes into one packet with the head. */
   private sendUncounted(head: string, body: Buffer | undefined): void {
     const { socket } = this;
-    if (!body || body.length > MAX_UNCOUNTED_BYTES) {
+    if (!body) {
+      socket.write(head, 'latin1');
+    } else if (body.length <= MAX_UNCOUNTED_BYTES) {
+      socket.write(Buffer.concat([Buffer.from(head, 'latin1'), body]));
+    } else {
       socket.cork();
       socket.write(head, 'latin1');
-      if (body) {
-        socket.write(body);
-      }
+      socket.write(body);
       socket.uncork();
-      return;
     }
-    socket.write(Buffer.concat([Buffer.from(head, 'latin1'), body]));
   }
 
   /** Sends a body in parts, so that it is seen how far the server has taken it. */
@@ -239,7 +237,7 @@
     this.hasResponseHead = this.listener.accepts(head);
     if (this.hasResponseHead) {
       this.canReuse &&= head.canReuseConnection;
-      this.responseStatus = head.status;
+      this.hasSucceeded = isSuccess(head);
       if (isMisdirected(head)) {
         // The request reached another server than the permit is for.
         this.permit?.setUsed(false);
@@ -263,9 +261,7 @@
 
   /** No caller repeats a request that succeeded, so that those need not be remembered. */
   private rememberAnswer(): void {
-    const { responseKey, responseStatus } = this;
-    const hasSucceeded =
-      responseStatus >= FIRST_SUCCESS_STATUS && responseStatus < FIRST_REDIRECT_STATUS;
+    const { hasSucceeded, responseKey } = this;
     if (hasSucceeded && responseKey !== CONTROL_RESPONSE_KEY) {
       return;
     }
--- a/packages/serving/src/servers/ResponseChecks.ts
+++ b/packages/serving/src/servers/ResponseChecks.ts
@@ -7,6 +7,11 @@
 /** Statuses from which callers conclude that their request was not executed. */
 const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Whether the server states that it ran the request successfully. */
+export function isSuccess({ status }: Pick<ResponseHead, 'status'>): boolean {
+  return status >= FIRST_SUCCESS_STATUS && status <= LAST_SUCCESS_STATUS;
+}
+
 /** Whether another server than the intended one has the address, and did not execute the request. */
 export function isMisdirected(head: ResponseHead): boolean {
   return head.status === MISDIRECTED_STATUS;
@@ -27,6 +32,5 @@
  * carries the server's stamp, and the body has no content encoding.
  */
 export function isFromServer(head: ResponseHead, metadata: ResponseMetadata): boolean {
-  const isSuccess = head.status >= FIRST_SUCCESS_STATUS && head.status <= LAST_SUCCESS_STATUS;
-  return !metadata.isEncoded && (metadata.isStamped || !isSuccess);
+  return !metadata.isEncoded && (metadata.isStamped || !isSuccess(head));
 }
