Show that slow readers and uploads together exceed the memory of a machine

Cause: the bounds on bodies of requests and on what slow readers hold do not know of each other, and memory that is free again is given back seconds later.

--- a/review/second/Deployment.ts
+++ b/review/second/Deployment.ts
@@ -258,12 +258,20 @@
     });
   }
 
-  /** Resident memory now and at its highest, in bytes. */
-  memory(): { readonly peakBytes: number; readonly residentBytes: number } {
+  /** Memory that belongs to the process alone, and all that is resident, in bytes. */
+  memory(): {
+    readonly anonymousBytes: number;
+    readonly peakBytes: number;
+    readonly residentBytes: number;
+  } {
     const text = readFileSync(`/proc/${this.child?.pid ?? 0}/status`, 'utf8');
     const read = (name: string): number =>
       Number(new RegExp(`^${name}:\\s*(\\d+) kB$`, 'm').exec(text)?.[1] ?? NaN) * BYTES_PER_KB;
-    return { peakBytes: read('VmHWM'), residentBytes: read('VmRSS') };
+    return {
+      anonymousBytes: read('RssAnon'),
+      peakBytes: read('VmHWM'),
+      residentBytes: read('VmRSS'),
+    };
   }
 
   /** Log lines of an event. */
--- a/review/second/StandinServer.ts
+++ b/review/second/StandinServer.ts
@@ -92,21 +92,29 @@
 
   /** Writes its entry, also again after the store has lost it. */
   register(): void {
-    if (!this.isUp()) {
-      return;
+    if (this.isUp()) {
+      this.write(this.entry('ready'));
     }
-    const { service, slots, store, zone } = this.options;
+  }
+
+  /** Its next entry. */
+  entry(state: 'draining' | 'ready'): object {
+    const { service, slots, zone } = this.options;
     this.sequence += 1;
-    store.put(`servers/${this.id}`, {
+    return {
       address: `127.0.0.1:${this.port}`,
       born: this.bornEpochMs,
       sequence: this.sequence,
       service,
       slots,
-      state: 'ready',
+      state,
       version: 1,
       zone,
-    });
+    };
+  }
+
+  write(entry: object): void {
+    this.options.store.put(`servers/${this.id}`, entry);
   }
 
   private onRequest(raw: IncomingMessage, response: ServerResponse): void {
