Answer no stream that has run as not run

These statuses say that a request has not run, so that callers send it again.

Cause: two places decided which statuses are passed on. GenerationRun withheld all of these; PlainCallRun, which also serves streams of services without engines and those without Token-Counts, withheld them for unsafe routes only.

mayPassOn decides for both by the kind of the request. Ruled out: own refusals (they count sends against rejections), copies of earlier refusals (stamp and id are those of the request), a second send after such an answer (one arrival each).

The log names the server of a withheld response, which it did not before.

--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -19,6 +19,7 @@
 import type { BackendAttempt } from '../servers/BackendAttempt.js';
 import {
   connectToServer,
+  logWithheld,
   mayStillReceive,
   recordBroken,
   recordOutcome,
@@ -36,9 +37,9 @@
 import type { SentGeneration } from '../servers/EngineSpeedCoordinator.js';
 import {
   endsWithConnection,
-  impliesNotExecuted,
   isFromServer,
   isNotExecuted,
+  mayPassOn,
 } from '../servers/ResponseChecks.js';
 import type { ResponseHead } from '../servers/ResponseParser.js';
 import { ResumePosition } from './ResumePosition.js';
@@ -661,7 +662,9 @@
       this.admitted.exchange.abort();
       return;
     }
-    if (impliesNotExecuted(head) || metadata.isEncoded || head.status < FIRST_REDIRECT_STATUS) {
+    const { kind } = this.admitted.route;
+    if (!mayPassOn(head, metadata, kind) || head.status < FIRST_REDIRECT_STATUS) {
+      logWithheld(this.context, this.admitted, attempt);
       this.refuse('OUTCOME_UNKNOWN', `the engine answered with status ${head.status}`);
       return;
     }
--- a/packages/serving/src/callers/PlainCallRun.ts
+++ b/packages/serving/src/callers/PlainCallRun.ts
@@ -7,6 +7,7 @@
 import type { BackendAttempt } from '../servers/BackendAttempt.js';
 import {
   connectToServer,
+  logWithheld,
   mayStillReceive,
   recordOutcome,
   sendAttempt,
@@ -16,7 +17,7 @@
 import type { CollectedResponse } from '../buffers/CollectedResponse.js';
 import type { CallsInFlight } from './CallsInFlight.js';
 import { urgencyOf } from './GenerationTargets.js';
-import { impliesNotExecuted, isFromServer, isNotExecuted } from '../servers/ResponseChecks.js';
+import { isFromServer, isNotExecuted, mayPassOn } from '../servers/ResponseChecks.js';
 import type { ResponseHead } from '../servers/ResponseParser.js';
 import {
   DEFAULT_RETRY_AFTER_MS,
@@ -323,7 +324,8 @@
 
   private respond(attempt: Attempt, head: ResponseHead, metadata: ResponseMetadata): void {
     const { exchange } = this.admitted;
-    if (!this.isForwardable(head, metadata)) {
+    if (!mayPassOn(head, metadata, this.admitted.route.kind)) {
+      logWithheld(this.context, this.admitted, attempt);
       this.refuse('UPSTREAM_FAILED', 'the response of the server is not valid');
       return;
     }
@@ -460,16 +462,10 @@
       head !== undefined &&
       metadata !== undefined &&
       !isNotExecuted(head, metadata) &&
-      this.isForwardable(head, metadata)
+      mayPassOn(head, metadata, this.admitted.route.kind)
     );
   }
 
-  /** Whether the response may be passed on; a call that ran must not seem to have not. */
-  private isForwardable(head: ResponseHead, metadata: ResponseMetadata): boolean {
-    const claimsNotExecuted = impliesNotExecuted(head) && this.admitted.route.kind === 'once';
-    return isFromServer(head, metadata) && !claimsNotExecuted;
-  }
-
   private recordDuration({ sentMs }: Attempt): void {
     const { clock, stopGate } = this.context;
     stopGate.recordCall(this.admitted, clock.nowMs() - sentMs);
--- a/packages/serving/src/servers/BackendAttempt.ts
+++ b/packages/serving/src/servers/BackendAttempt.ts
@@ -233,3 +233,23 @@
   const nowMs = clock.nowMs();
   health.recordOutcome(server.serverId, outcome, nowMs - sentMs, nowMs);
 }
+
+/**
+ * Logs that a response is not passed on to its caller; see `mayPassOn`.
+ *
+ * @param context - shared state of the daemon
+ * @param admitted - the caller's request
+ * @param attempt - the attempt with the response
+ */
+export function logWithheld(
+  { log }: ServingContext,
+  { request: { requestId } }: AdmittedCall,
+  { connection, head, server: { serverId } }: BackendAttempt,
+): void {
+  log.info('response-withheld', {
+    requestId,
+    serverId,
+    status: head?.status,
+    via: connection?.via,
+  });
+}
--- a/packages/serving/src/servers/ResponseChecks.ts
+++ b/packages/serving/src/servers/ResponseChecks.ts
@@ -1,3 +1,4 @@
+import type { RequestKind } from '@laburnumgap/dispatch';
 import { headerValues } from '../HeaderLists.js';
 import type { ResponseHead } from './ResponseParser.js';
 import type { ResponseMetadata } from '../ServingPorts.js';
@@ -23,9 +24,21 @@
   return metadata.notRun || isMisdirected(head);
 }
 
-/** Whether a caller would conclude from the status that the request was not executed. */
-export function impliesNotExecuted(head: ResponseHead): boolean {
-  return NOT_EXECUTED_STATUSES.has(head.status);
+/**
+ * Whether a response may be passed on to the caller of a request that its server has run. Callers repeat
+ * a request whose status says that it was not executed, which only an idempotent one allows then.
+ *
+ * @param head - the response
+ * @param metadata - what its headers state
+ * @param kind - kind of the request
+ */
+export function mayPassOn(
+  head: ResponseHead,
+  metadata: ResponseMetadata,
+  kind: RequestKind,
+): boolean {
+  const isRepeatable = kind === 'idempotent' || !NOT_EXECUTED_STATUSES.has(head.status);
+  return isRepeatable && isFromServer(head, metadata);
 }
 
 /**
