Charge a crash to what its requests had in common, not to each part

Cause: evidence was kept for each fingerprint alone. A trial of a request with two blamed parts says that one of them is guilty; it used up the next trial of both, and both were refused for good. In the same way, a sound part beside two harmful ones in turn was tried alone by a harmful request and took all the blame.

A trial is now remembered with all fingerprints of its request. What was cleared since drops out, and what remains holds the culprit. A request that does not hold all of it is tried at once; 400 is given only if a trial of nothing but the blamed parts of a request has crashed.

Ruled out: longer validity of progress (nothing for new parts), counting lone trials only (sound requests can have two blamed parts).

--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -4,6 +4,8 @@
 import type { FingerprintKind } from './RequestFingerprints.js';
 import { kindOf, thresholdsOf } from './RequestFingerprints.js';
 import type { ServerIncarnation } from './ServerRegistry.js';
+import type { Trial, TrialReport } from './TrialHistory.js';
+import { toTrial, toTrialReport, withTrial } from './TrialHistory.js';
 
 /**
  * Stages of a quarantine. Requests with a suspected fingerprint are sent one at a time, those with a
@@ -23,6 +25,8 @@
   readonly idleMs: number;
   readonly lastTrialAgeMs?: number;
   readonly stage: QuarantineStage;
+  /** Which fingerprints were sent together as trials in this episode; absent from daemons of earlier builds. */
+  readonly trialHistory?: readonly TrialReport[];
   /** Requests sent in this stage to find out whether they still crash servers. */
   readonly trials: number;
 }
@@ -31,7 +35,7 @@
 export interface CrashReport {
   readonly crashedMs: number;
   readonly fingerprints: readonly FingerprintId[];
-  /** The server ran a trial of the report's only fingerprint. */
+  /** The server ran a trial of one blamed fingerprint. */
   readonly isTrial: boolean;
   /**
    * Times from sending the first request with each fingerprint to the crash, in the order of the
@@ -39,6 +43,11 @@
    */
   readonly sinceSentMs?: readonly number[];
   readonly server: ServerIncarnation;
+  /**
+   * Fingerprints of the requests that the server ran as trials, blamed or not; absent without a trial, and
+   * from daemons of earlier builds.
+   */
+  readonly tried?: readonly FingerprintId[];
 }
 
 /** What happens to a request. */
@@ -47,7 +56,7 @@
   | {
       readonly fingerprint: FingerprintId;
       readonly kind: 'refused';
-      /** Absent for a confirmed fingerprint. */
+      /** Absent when a trial has shown that requests like this one crash servers. */
       readonly retryAfterMs?: number;
     }
   | { readonly fingerprints: readonly FingerprintId[]; readonly kind: 'trial' };
@@ -62,6 +71,8 @@
   lastTrialMs: number | undefined;
   readonly sinceMs: number;
   readonly stage: QuarantineStage;
+  /** Undefined when daemons of earlier builds know it only. */
+  trialHistory: readonly Trial[] | undefined;
   trials: number;
 }
 
@@ -113,28 +124,27 @@
     if (this.entries.size() === 0) {
       return ADMITTED;
     }
-    const blamed = fingerprints.filter((fingerprint) => this.isBlamed(fingerprint));
+    const blamed = this.blamedOf(fingerprints);
     const [first] = blamed;
     if (first === undefined) {
       return ADMITTED;
     }
     let dueMs = -Infinity;
-    let confirmed: FingerprintId | undefined;
     for (const fingerprint of blamed) {
       const entry = this.entries.get(fingerprint);
       if (entry) {
         entry.lastRequestMs = nowMs;
         this.entries.set(fingerprint, entry);
-        dueMs = Math.max(dueMs, trialDueMs(entry));
-        confirmed ??= entry.stage === 'confirmed' ? fingerprint : undefined;
+        dueMs = Math.max(dueMs, this.trialDueMs(fingerprint, entry, blamed));
       }
     }
     dueMs += SHARED_TRIAL_DELAY_MS * (blamed.length - 1);
     if (nowMs >= dueMs) {
       return { fingerprints: blamed, kind: 'trial' };
     }
-    if (confirmed !== undefined) {
-      return { fingerprint: confirmed, kind: 'refused' };
+    const convicted = this.findConvicted(blamed);
+    if (convicted !== undefined) {
+      return { fingerprint: convicted, kind: 'refused' };
     }
     return {
       fingerprint: first,
@@ -149,6 +159,21 @@
     return stage !== undefined && stage !== 'cleared';
   }
 
+  /**
+   * Finds out whether requests with some fingerprints are known to crash servers: one of them is confirmed,
+   * and a trial of nothing but these has crashed its server.
+   *
+   * @param fingerprints - what a request has in common with others
+   * @returns the confirmed fingerprint; undefined when a trial of these can still go well
+   */
+  findConvicted(fingerprints: readonly FingerprintId[]): FingerprintId | undefined {
+    const blamed = this.blamedOf(fingerprints);
+    return blamed.find((fingerprint) => {
+      const entry = this.entries.get(fingerprint);
+      return entry?.stage === 'confirmed' && this.hasCrashedAlone(entry, blamed);
+    });
+  }
+
   /** The current stage; undefined when a fingerprint was never suspected, or not for long. */
   stageOf(fingerprint: FingerprintId): QuarantineStage | undefined {
     return this.entries.get(fingerprint)?.stage;
@@ -178,15 +203,20 @@
    *
    * @param report - the crash
    * @param nowMs - monotonic time
-   * @returns the fingerprints whose stage changes
+   * @returns the fingerprints of which other daemons must hear: their stages change, or their trials
    */
   recordCrash(report: CrashReport, nowMs: number): readonly FingerprintId[] {
     const { crashedMs, fingerprints, isTrial, server, sinceSentMs } = report;
+    const tried = report.tried ?? (isTrial ? fingerprints : []);
     return fingerprints.filter((fingerprint, index) => {
       const elapsedMs = sinceSentMs?.[index];
       const sentMs = elapsedMs === undefined ? undefined : crashedMs - elapsedMs;
       this.evidenceOf(fingerprint).recordCrash({ crashedMs, fingerprint, sentMs, server });
-      return this.evaluate(fingerprint, isTrial, nowMs);
+      const isTried = tried.length > 0;
+      const hasNewStage = this.evaluate(fingerprint, { isTrial, isTried, nowMs });
+      const trial = { crashedMs, fingerprints: tried, grantedMs: crashedMs };
+      const hasNewTrial = isTried && this.recordTrial(fingerprint, trial);
+      return hasNewStage || hasNewTrial;
     });
   }
 
@@ -195,18 +225,26 @@
    *
    * @param fingerprint - fingerprint of the request
    * @param nowMs - monotonic time
+   * @param tried - all fingerprints of the request; empty when a daemon of an earlier build asks
    * @returns whether the request may be sent
    */
-  grantTrial(fingerprint: FingerprintId, nowMs: number): boolean {
+  grantTrial(
+    fingerprint: FingerprintId,
+    nowMs: number,
+    tried: readonly FingerprintId[] = [],
+  ): boolean {
     const entry = this.entries.get(fingerprint);
     if (!entry || entry.stage === 'cleared') {
       return true;
     }
-    if (nowMs < trialDueMs(entry) || this.hasSpentTrials(fingerprint, entry)) {
+    if (nowMs < this.trialDueMs(fingerprint, entry, this.blamedOf(tried))) {
       return false;
     }
     entry.lastTrialMs = nowMs;
     entry.trials += 1;
+    if (tried.length > 0) {
+      this.recordTrial(fingerprint, { fingerprints: tried, grantedMs: nowMs });
+    }
     return true;
   }
 
@@ -229,6 +267,9 @@
     if (!isLater) {
       return isSameStage(known, reported) && mergeTrials(known, reported) ? 'learned' : 'unchanged';
     }
+    if (known?.episode === reported.episode) {
+      mergeHistory(reported, known);
+    }
     this.entries.set(fingerprint, reported);
     if (reported.stage === 'cleared') {
       this.evidenceOf(fingerprint).recordProgress(fingerprint, reported.sinceMs);
@@ -279,11 +320,18 @@
     }
   }
 
-  private evaluate(fingerprint: FingerprintId, isTrial: boolean, nowMs: number): boolean {
+  private evaluate(
+    fingerprint: FingerprintId,
+    { isTrial, isTried, nowMs }: { isTrial: boolean; isTried: boolean; nowMs: number },
+  ): boolean {
     const { confirmCrashes, suspectCrashes } = thresholdsOf(fingerprint);
-    const { crashesMs, momentCount } = this.evidenceOf(fingerprint).openCrashes(fingerprint);
+    const { crashesMs: openMs, momentCount } =
+      this.evidenceOf(fingerprint).openCrashes(fingerprint);
     const entry = this.entries.get(fingerprint);
     const isSuspected = entry?.stage === 'suspected';
+    // One of few fingerprints ended a trial, so that it counts twice against a part that was not blamed.
+    const countsTwice = isTried && !isSuspected && kindOf(fingerprint) === 'part';
+    const crashesMs = countsTwice ? [...openMs, ...openMs.slice(-1)] : openMs;
     // Moments count rather than servers, since those that ended together can have another cause. A trial
     // decides alone: a new keeper knows the suspicion from reports, but not the crashes before it.
     const isConfirmed = momentCount >= confirmCrashes || (isSuspected && isTrial);
@@ -305,21 +353,64 @@
       lastTrialMs: undefined,
       sinceMs: nowMs,
       stage: isConfirmed ? 'confirmed' : 'suspected',
+      trialHistory: isSuspected ? entry.trialHistory : [],
       // The trials after enough crashes to confirm are limited in all, whatever the stage.
       trials: hadEnough ? entry.trials : 0,
     });
     return true;
   }
 
-  /** Whether no more trials may follow the crashes of a suspected fingerprint. */
-  private hasSpentTrials(fingerprint: FingerprintId, { crashesMs, stage, trials }: Entry): boolean {
+  /** Adds to the trials of a blamed fingerprint; returns whether that is new. */
+  private recordTrial(fingerprint: FingerprintId, trial: Trial): boolean {
+    const entry = this.entries.get(fingerprint);
+    if (!entry || entry.stage === 'cleared') {
+      return false;
+    }
+    const known = entry.trialHistory ?? [];
+    entry.trialHistory = withTrial(known, trial);
+    return entry.trialHistory !== known;
+  }
+
+  /**
+   * Time from which a request may be sent as a trial of a fingerprint. A trial that crashed its server says
+   * of each fingerprint only that it or another one did that. So a request with fewer of them, or with
+   * others, is tried without regard to that trial.
+   */
+  private trialDueMs(
+    fingerprint: FingerprintId,
+    entry: Entry,
+    blamed: readonly FingerprintId[],
+  ): number {
+    const { lastTrialMs = -Infinity, trialHistory: history = [], trials } = entry;
+    const regularMs = regularTrialDueMs(fingerprint, entry);
+    const tried = history.map((trial) => this.blamedOf(trial.fingerprints));
+    const isTried =
+      tried.length === 0 || blamed.length === 0 || tried.some((set) => isSubset(set, blamed));
+    const isNarrower = tried.some((set) => blamed.length < set.length && isSubset(blamed, set));
+    if (isTried || (trials >= RELEASE_TRIAL_DELAYS_MS.length && !isNarrower)) {
+      return regularMs;
+    }
+    const hasOutcome = history.some(({ crashedMs = -Infinity }) => crashedMs >= lastTrialMs);
+    return Math.min(regularMs, hasOutcome ? lastTrialMs : lastTrialMs + TRIAL_LEASE_MS);
+  }
+
+  /** Whether a trial crashed its server that held none but these blamed fingerprints. */
+  private hasCrashedAlone({ trialHistory }: Entry, blamed: readonly FingerprintId[]): boolean {
+    // Daemons of earlier builds do not say what a trial held.
     return (
-      stage === 'suspected' &&
-      trials >= RELEASE_TRIAL_DELAYS_MS.length &&
-      crashesMs.length >= thresholdsOf(fingerprint).confirmCrashes
+      !trialHistory ||
+      trialHistory.some(
+        ({ crashedMs, fingerprints }) =>
+          crashedMs !== undefined && isSubset(this.blamedOf(fingerprints), blamed),
+      )
     );
   }
 
+  /** Those that are not sent freely; what was cleared since a trial has not crashed its server. */
+  private blamedOf(fingerprints: readonly FingerprintId[]): readonly FingerprintId[] {
+    return fingerprints.filter((fingerprint) => this.isBlamed(fingerprint));
+  }
+
   private evidenceOf(fingerprint: FingerprintId): CrashEvidence {
     return this.evidence[kindOf(fingerprint)];
   }
@@ -334,12 +425,23 @@
   }
 }
 
-/** Time from which a trial may be sent; never after the last one. */
-function trialDueMs({ lastTrialMs, sinceMs, stage, trials }: Entry): number {
-  if (stage === 'suspected') {
-    return lastTrialMs === undefined ? sinceMs : lastTrialMs + TRIAL_LEASE_MS;
+/** Time from which a trial may be sent, whatever else its request holds; never after the last one. */
+function regularTrialDueMs(
+  fingerprint: FingerprintId,
+  { crashesMs, lastTrialMs, sinceMs, stage, trials }: Entry,
+): number {
+  if (stage === 'confirmed') {
+    return (lastTrialMs ?? sinceMs) + (RELEASE_TRIAL_DELAYS_MS[trials] ?? Infinity);
   }
-  return (lastTrialMs ?? sinceMs) + (RELEASE_TRIAL_DELAYS_MS[trials] ?? Infinity);
+  const { confirmCrashes } = thresholdsOf(fingerprint);
+  if (trials >= RELEASE_TRIAL_DELAYS_MS.length && crashesMs.length >= confirmCrashes) {
+    return Infinity;
+  }
+  return lastTrialMs === undefined ? sinceMs : lastTrialMs + TRIAL_LEASE_MS;
+}
+
+function isSubset(set: readonly FingerprintId[], of: readonly FingerprintId[]): boolean {
+  return set.every((fingerprint) => of.includes(fingerprint));
 }
 
 function isSameStage(known: Entry, reported: Entry): boolean {
@@ -349,16 +451,27 @@
 /** Adopts what another daemon knows of the trials; returns whether it knows of more. */
 function mergeTrials(known: Entry, reported: Entry): boolean {
   known.lastRequestMs = Math.max(known.lastRequestMs, reported.lastRequestMs);
+  const hasNewHistory = mergeHistory(known, reported);
   if (reported.trials <= known.trials) {
-    return false;
+    return hasNewHistory;
   }
   known.lastTrialMs = reported.lastTrialMs;
   known.trials = reported.trials;
   return true;
 }
 
+/** Adds the trials that one entry of an episode has to those of the other; returns whether any is new. */
+function mergeHistory(entry: Entry, { trialHistory }: Entry): boolean {
+  const before = entry.trialHistory;
+  if (trialHistory) {
+    entry.trialHistory = trialHistory.reduce(withTrial, before ?? []);
+  }
+  return entry.trialHistory !== before;
+}
+
 function toEntry(report: QuarantineReport, nowMs: number): Entry {
-  const { ageMs, crashAgesMs, episode, idleMs, lastTrialAgeMs, stage, trials } = report;
+  const { ageMs, crashAgesMs, episode, idleMs, lastTrialAgeMs, stage, trialHistory, trials } =
+    report;
   return {
     crashesMs: crashAgesMs.map((crashAgeMs) => nowMs - crashAgeMs),
     episode,
@@ -366,12 +479,14 @@
     lastTrialMs: lastTrialAgeMs === undefined ? undefined : nowMs - lastTrialAgeMs,
     sinceMs: nowMs - ageMs,
     stage,
+    trialHistory: trialHistory?.map((trial) => toTrial(trial, nowMs)),
     trials,
   };
 }
 
 function toReport(fingerprint: FingerprintId, entry: Entry, nowMs: number): QuarantineReport {
   const { crashesMs, episode, lastRequestMs, lastTrialMs, sinceMs, stage, trials } = entry;
+  const trialHistory = entry.trialHistory?.map((trial) => toTrialReport(trial, nowMs));
   return {
     ageMs: Math.round(nowMs - sinceMs),
     crashAgesMs: crashesMs.map((crashedMs) => Math.round(nowMs - crashedMs)),
@@ -380,6 +495,7 @@
     idleMs: Math.round(nowMs - lastRequestMs),
     ...(lastTrialMs === undefined ? {} : { lastTrialAgeMs: Math.round(nowMs - lastTrialMs) }),
     stage,
+    ...(trialHistory && { trialHistory }),
     trials,
   };
 }
--- a/packages/serving/src/__tests__/unit/FormerBuild.test.ts
+++ b/packages/serving/src/__tests__/unit/FormerBuild.test.ts
@@ -1,5 +1,8 @@
 import { inflateRawSync } from 'node:zlib';
+import type { FingerprintId, MemberId, ServerId } from '@laburnumgap/kernel';
+import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
+import type { PeerMessage } from '../../index.js';
 import {
   encodeConfiguration,
   encodeMessage,
@@ -50,3 +53,90 @@
 function asJson(value: unknown): unknown {
   return JSON.parse(JSON.stringify(value));
 }
+
+const TRIED = [toId<FingerprintId>('part a'), toId<FingerprintId>('part b')];
+const HISTORY = [{ crashAgeMs: 300, fingerprints: TRIED, grantAgeMs: 400 }];
+/** Messages with fields that the former builds do not know, and which they leave out of account. */
+const EXTENDED: readonly { readonly added: readonly string[]; readonly message: PeerMessage }[] = [
+  {
+    added: ['tried'],
+    message: {
+      ageMs: 12,
+      fingerprints: TRIED,
+      isTrial: false,
+      kind: 'serverCrash',
+      server: { serverId: toId<ServerId>('i-1'), startedEpochMs: 7 },
+      sinceSentMs: [40, 55],
+      tried: TRIED,
+    },
+  },
+  {
+    added: ['tried'],
+    message: {
+      fingerprint: toId<FingerprintId>('part a'),
+      kind: 'trialRequest',
+      memberId: toId<MemberId>('m1'),
+      requestNumber: 9,
+      tried: TRIED,
+    },
+  },
+  {
+    added: ['trialHistory'],
+    message: {
+      kind: 'quarantine',
+      reports: [
+        {
+          ageMs: 700,
+          crashAgesMs: [900, 800, 700],
+          episode: 1,
+          fingerprint: toId<FingerprintId>('part a'),
+          idleMs: 700,
+          stage: 'suspected',
+          trialHistory: HISTORY,
+          trials: 0,
+        },
+      ],
+    },
+  },
+];
+
+for (const { added, message } of EXTENDED) {
+  test(`a ${message.kind} message without what was added has the form of the former build`, (t) => {
+    const withoutAdded = JSON.parse(encodeMessage(message), (name, value: unknown) =>
+      added.includes(name) ? undefined : value,
+    ) as { kind: string };
+    const former = FORMER_BUILD.messages
+      .map(({ sent }) => JSON.parse(sent) as { kind?: string })
+      .filter(({ kind }) => kind === message.kind)
+      .map((sent) => JSON.stringify(shapeOf(sent)));
+    t.true(former.includes(JSON.stringify(shapeOf(withoutAdded))));
+  });
+
+  test(`a ${message.kind} message of the former build lacks what was added, and is valid`, (t) => {
+    const text = JSON.stringify(message, (name, value: unknown) =>
+      added.includes(name) ? undefined : value,
+    );
+    t.deepEqual(asJson(parseDatagram(Buffer.from(text))), JSON.parse(text));
+    t.deepEqual(asJson(parseDatagram(Buffer.from(encodeMessage(message)))), asJson(message));
+  });
+}
+
+test('what a quarantine says of its trials must be valid', (t) => {
+  const [message] = EXTENDED.slice(-1);
+  for (const spoilt of ['"grantAgeMs":"x"', '"grantAgeMs":null']) {
+    const text = message && encodeMessage(message.message).replace('"grantAgeMs":400', spoilt);
+    t.is(parseDatagram(Buffer.from(text ?? '')), undefined);
+  }
+});
+
+/** Names and types of all fields, without the values. */
+function shapeOf(value: unknown): unknown {
+  if (Array.isArray(value)) {
+    return [...new Set(value.map((entry) => JSON.stringify(shapeOf(entry))))];
+  }
+  if (typeof value !== 'object' || value === null) {
+    return typeof value;
+  }
+  const fields = Object.entries(value).sort(([a], [b]) => a.localeCompare(b));
+  return Object.fromEntries(fields.map(([name, entry]) => [name, shapeOf(entry)]));
+}
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -13,6 +13,7 @@
   ServerChange,
   ServerIncarnation,
   ServingConfiguration,
+  TrialReport,
 } from '@laburnumgap/dispatch';
 import type {
   FailureDomainId,
@@ -147,12 +148,16 @@
        * fingerprints; absent from daemons of earlier builds.
        */
       readonly sinceSentMs?: readonly number[];
+      /** Fingerprints of all requests that the server ran as trials; absent without any, as before. */
+      readonly tried?: readonly FingerprintId[];
     }
   | {
       readonly fingerprint: FingerprintId;
       readonly kind: 'trialRequest';
       readonly memberId: MemberId;
       readonly requestNumber: number;
+      /** All fingerprints of the request; absent from daemons of earlier builds. */
+      readonly tried?: readonly FingerprintId[];
     }
   | {
       readonly isGranted: boolean;
@@ -401,6 +406,7 @@
     case 'trialRequest':
       return isId(message.fingerprint) &&
         isId(message.memberId) &&
+        isIdList(message.tried ?? []) &&
         hasFigures(message, ['requestNumber'])
         ? (message as QuarantineMessage)
         : undefined;
@@ -460,7 +466,16 @@
     hasFigures(report, ['ageMs', 'episode', 'idleMs', 'trials']) &&
     (report.lastTrialAgeMs === undefined || Number.isFinite(report.lastTrialAgeMs)) &&
     Array.isArray(report.crashAgesMs) &&
-    report.crashAgesMs.every((ageMs) => Number.isFinite(ageMs))
+    report.crashAgesMs.every((ageMs) => Number.isFinite(ageMs)) &&
+    (report.trialHistory === undefined || isListOf(report.trialHistory, isTrialReport))
+  );
+}
+
+function isTrialReport(trial: TrialReport): boolean {
+  return (
+    isIdList(trial.fingerprints) &&
+    hasFigures(trial, ['grantAgeMs']) &&
+    (trial.crashAgeMs === undefined || Number.isFinite(trial.crashAgeMs))
   );
 }
 
@@ -689,6 +704,7 @@
     hasFigures(message, ['ageMs']) &&
     isIdList(message.fingerprints) &&
     isIncarnation(message.server) &&
+    isIdList(message.tried ?? []) &&
     (message.sinceSentMs === undefined ||
       (Array.isArray(message.sinceSentMs) &&
         message.sinceSentMs.every((elapsedMs) => Number.isFinite(elapsedMs))))
--- a/packages/serving/src/peers/QuarantineArchive.ts
+++ b/packages/serving/src/peers/QuarantineArchive.ts
@@ -112,6 +112,11 @@
   }
 }
 
-function contentOf({ crashAgesMs, episode, stage, trials }: QuarantineReport): string {
-  return JSON.stringify([crashAgesMs.length, episode, stage, trials]);
+function contentOf(report: QuarantineReport): string {
+  const { crashAgesMs, episode, stage, trialHistory = [], trials } = report;
+  const history = trialHistory.map(({ crashAgeMs, fingerprints }) => [
+    crashAgeMs !== undefined,
+    fingerprints,
+  ]);
+  return JSON.stringify([crashAgesMs.length, episode, stage, trials, history]);
 }
--- a/packages/serving/src/peers/QuarantineCoordinator.ts
+++ b/packages/serving/src/peers/QuarantineCoordinator.ts
@@ -113,7 +113,7 @@
         break;
       }
       case 'trial':
-        this.requestTrials(decision.fingerprints, onVerdict);
+        this.requestTrials(decision.fingerprints, fingerprints, onVerdict);
     }
   }
 
@@ -132,12 +132,7 @@
     const fingerprint = fingerprints.find(
       (candidate) => quarantine.isBlamed(candidate) && !trialOf.includes(candidate),
     );
-    if (fingerprint === undefined) {
-      return undefined;
-    }
-    return quarantine.stageOf(fingerprint) === 'confirmed'
-      ? { fingerprint, kind: 'refused' }
-      : { fingerprint, kind: 'refused', retryAfterMs: DECLINED_RETRY_AFTER_MS };
+    return fingerprint === undefined ? undefined : this.refuse(fingerprint, fingerprints);
   }
 
   /** Whether a trial was granted to this daemon and no request has been sent as it. */
@@ -164,7 +159,7 @@
 
   /** Tells the keepers of a crash that this daemon saw. */
   onCrash({ crashedMs, requests, server }: ServerCrash): void {
-    const { isTrial, fingerprints } = blameOf(requests);
+    const { fingerprints, isTrial, tried } = blameOf(requests);
     const sinceSentMs = (fingerprint: FingerprintId): number => {
       const sharing = requests.filter((request) => request.fingerprints.includes(fingerprint));
       return Math.round(crashedMs - Math.min(crashedMs, ...sharing.map(({ sentMs }) => sentMs)));
@@ -187,6 +182,7 @@
           kind: 'serverCrash',
           server,
           sinceSentMs: group.map(sinceSentMs),
+          ...(tried.length > 0 && { tried }),
         };
         this.send(message, keeper);
       };
@@ -206,20 +202,19 @@
         this.merge(message.reports, 'message');
         break;
       case 'serverCrash': {
-        const { ageMs, fingerprints, isTrial, server, sinceSentMs } = message;
-        const report = { crashedMs: nowMs - ageMs, fingerprints, isTrial, server, sinceSentMs };
+        const report = { ...message, crashedMs: nowMs - message.ageMs };
         for (const fingerprint of quarantine.recordCrash(report, nowMs)) {
           this.logStage(fingerprint, 'crash');
           this.announce(fingerprint);
         }
-        fingerprints.forEach((fingerprint) => {
+        message.fingerprints.forEach((fingerprint) => {
           this.archive(fingerprint);
         });
         break;
       }
       case 'trialRequest': {
         const { fingerprint, memberId, requestNumber } = message;
-        const isGranted = this.decideRequest(fingerprint, memberId, requestNumber);
+        const isGranted = this.decideRequest(message);
         const reports = this.reportsOf(fingerprint);
         this.send({ isGranted, kind: 'trialResponse', reports, requestNumber }, memberId);
         break;
@@ -295,8 +290,23 @@
     this.after(REPEAT_AFTER_MS, send);
   }
 
+  /**
+   * Refuses a request for good only if a trial of nothing but its fingerprints has crashed a server: one
+   * that has some of them may be sound.
+   */
+  private refuse(
+    fingerprint: FingerprintId,
+    fingerprints: readonly FingerprintId[],
+  ): Extract<QuarantineVerdict, { kind: 'refused' }> {
+    const convicted = this.options.quarantine.findConvicted(fingerprints);
+    return convicted === undefined
+      ? { fingerprint, kind: 'refused', retryAfterMs: DECLINED_RETRY_AFTER_MS }
+      : { fingerprint: convicted, kind: 'refused' };
+  }
+
   private requestTrials(
     fingerprints: readonly FingerprintId[],
+    tried: readonly FingerprintId[],
     onVerdict: (verdict: QuarantineVerdict) => void,
   ): void {
     const nowMs = this.options.clock.nowMs();
@@ -312,7 +322,10 @@
         if (waiting > 0) {
           return;
         }
-        const refusal = declined === undefined ? undefined : this.refusalOf([declined], []);
+        const refusal =
+          declined !== undefined && this.options.quarantine.isBlamed(declined)
+            ? this.refuse(declined, fingerprints)
+            : undefined;
         if (!refusal) {
           this.take(fingerprints, nowMs);
         }
@@ -321,26 +334,33 @@
       if (this.holdsTrial(fingerprint)) {
         onDecision(true);
       } else {
-        this.requestTrial(fingerprint, onDecision);
+        this.requestTrial(fingerprint, tried, onDecision);
       }
     }
   }
 
-  private requestTrial(fingerprint: FingerprintId, onDecision: (isGranted: boolean) => void): void {
+  private requestTrial(
+    fingerprint: FingerprintId,
+    tried: readonly FingerprintId[],
+    onDecision: (isGranted: boolean) => void,
+  ): void {
     const { keepersOf, log, memberId } = this.options;
     const [keeper = memberId] = keepersOf(fingerprint);
     const decide = (isGranted: boolean): void => {
-      log.info('quarantine-trial', { fingerprint, isGranted, keeper });
+      log.info('quarantine-trial', { fingerprint, isGranted, keeper, tried: tried.join(',') });
       onDecision(isGranted);
     };
     if (keeper === memberId) {
-      decide(this.decideTrial(fingerprint));
+      decide(this.decideTrial(fingerprint, tried));
       return;
     }
     this.lastRequestNumber += 1;
     const requestNumber = this.lastRequestNumber;
     const send = (): void => {
-      this.options.send({ fingerprint, kind: 'trialRequest', memberId, requestNumber }, keeper);
+      this.options.send(
+        { fingerprint, kind: 'trialRequest', memberId, requestNumber, tried },
+        keeper,
+      );
     };
     const cancelRepeat = this.after(REPEAT_TRIAL_REQUEST_AFTER_MS, send);
     const cancelTimeout = this.after(KEEPER_TIMEOUT_MS, () => {
@@ -425,18 +445,19 @@
   }
 
   /** Answers a request for a trial, and the same one again in the same way. */
-  private decideRequest(
-    fingerprint: FingerprintId,
-    memberId: MemberId,
-    requestNumber: number,
-  ): boolean {
+  private decideRequest({
+    fingerprint,
+    memberId,
+    requestNumber,
+    tried,
+  }: Extract<QuarantineMessage, { kind: 'trialRequest' }>): boolean {
     const nowMs = this.options.clock.nowMs();
     const last = this.granted.get(fingerprint);
     const isRepeated = last?.memberId === memberId && last.requestNumber === requestNumber;
     if (isRepeated && nowMs - last.grantedMs < REPEATED_REQUEST_WINDOW_MS) {
       return true;
     }
-    const isGranted = this.decideTrial(fingerprint);
+    const isGranted = this.decideTrial(fingerprint, tried);
     if (isGranted) {
       this.granted.set(fingerprint, { grantedMs: nowMs, memberId, requestNumber });
     }
@@ -444,10 +465,10 @@
   }
 
   /** Permits a trial as the first keeper. While daemons are cut off, each side has its own. */
-  private decideTrial(fingerprint: FingerprintId): boolean {
+  private decideTrial(fingerprint: FingerprintId, tried?: readonly FingerprintId[]): boolean {
     const { clock, keepersOf, memberId, quarantine } = this.options;
     const isInCharge = keepersOf(fingerprint)[0] === memberId;
-    if (!isInCharge || !quarantine.grantTrial(fingerprint, clock.nowMs())) {
+    if (!isInCharge || !quarantine.grantTrial(fingerprint, clock.nowMs(), tried)) {
       return false;
     }
     this.options.broadcast({ kind: 'quarantine', reports: this.reportsOf(fingerprint) });
@@ -502,13 +523,23 @@
   }
 }
 
-/** What a crash says. Where it ended a trial, the other requests at the server suffered from that. */
+/**
+ * What a crash says. Where it ended a trial, the other requests at the server suffered from that; all
+ * fingerprints of the trial are suspects, also those that nothing was known of.
+ */
 function blameOf(requests: ServerCrash['requests']): {
   readonly fingerprints: readonly FingerprintId[];
   readonly isTrial: boolean;
+  readonly tried: readonly FingerprintId[];
 } {
-  const trialOf = [...new Set(requests.flatMap((request) => request.trialOf))];
-  const all = [...new Set(requests.flatMap(({ fingerprints }) => fingerprints))];
-  const fingerprints = trialOf.length > 0 ? trialOf : all.slice(0, MAX_CRASH_FINGERPRINTS);
-  return { fingerprints, isTrial: trialOf.length === 1 };
+  const trials = requests.filter(({ trialOf }) => trialOf.length > 0);
+  const trialOf = new Set(trials.flatMap((trial) => trial.trialOf));
+  const tried = fingerprintsOf(trials);
+  const fingerprints = trials.length > 0 ? tried : fingerprintsOf(requests);
+  return { fingerprints, isTrial: trialOf.size === 1, tried };
+}
+
+function fingerprintsOf(requests: ServerCrash['requests']): readonly FingerprintId[] {
+  const all = requests.flatMap(({ fingerprints, trialOf }) => [...trialOf, ...fingerprints]);
+  return [...new Set(all)].slice(0, MAX_CRASH_FINGERPRINTS);
 }
