Take no status line that HTTP does not have for a response

A server that answered with status 000 was waited for until the deadline of the call (5.0 s, streams 20.0 s in the test), since every status below 200 counted as informational. Statuses from 600 on were accepted, and 2000 as 200 with the rest as its reason, because the library's parser takes three digits and whatever follows.

ResponseParser takes a status line only with version 1 and a status from 100 to 599 of three digits. Ruled out: the response was not skipped for its id.

--- a/packages/serving/src/__tests__/integration/BackendConnection.test.ts
+++ b/packages/serving/src/__tests__/integration/BackendConnection.test.ts
@@ -93,11 +93,17 @@
   'a length and chunks':
     'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n',
   'a length that is not a number': 'HTTP/1.1 200 OK\r\nContent-Length: 3x\r\n\r\nabc',
+  'a status beyond the last class': 'HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok',
+  'a status of four digits': 'HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\nok',
+  'a status of two digits': 'HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok',
+  'another version of the protocol': 'HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok',
   'chunks without the last one':
     'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
   'invalid syntax': 'garbage\r\n\r\n',
   'an invalid trailer': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX\r\n\r\n',
   nothing: '',
+  'status 000': 'HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok',
+  'status 099': 'HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nok',
   'two lengths': 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
 };
 
@@ -110,6 +116,23 @@
   });
 }
 
+// A server that had answered with status 000 was waited for until the deadline of the call.
+for (const line of ['HTTP/1.1 000 OK', 'HTTP/1.1 099 OK', 'HTTP/1.1 2000 OK', 'HTTP/1.1 999 OK']) {
+  test(`a response that begins with ${line} breaks its connection at once`, async (t) => {
+    const outcome = await sendToRawServer((socket) => {
+      socket.write(`${line}\r\nRequest-Id: 1\r\n`);
+    });
+    t.deepEqual(outcome, { body: '', end: 'broken' });
+  });
+}
+
+test('a response without a reason phrase is valid', async (t) => {
+  const outcome = await sendToRawServer((socket) => {
+    socket.write('HTTP/1.0 599\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok');
+  });
+  t.is(outcome.body, 'ok');
+});
+
 test('an informational response before the final one is skipped', async (t) => {
   const outcome = await sendToRawServer((socket) => {
     socket.write('HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n');
--- a/packages/serving/src/servers/ResponseParser.ts
+++ b/packages/serving/src/servers/ResponseParser.ts
@@ -28,12 +28,14 @@
 }
 
 const MAX_INFORMATIONAL_STATUS = 199;
+const STATUS_LINE_STATE = 'RESPONSE_LINE';
 const SWITCHING_PROTOCOLS_STATUS = 101;
 const NO_CONTENT_STATUS = 204;
 const NOT_MODIFIED_STATUS = 304;
 /** Return value of the library's head callback for a message without a body. */
 const NO_BODY = 1;
 const CHUNK_HEAD_PATTERN = /^[0-9a-f]{1,8}[ \t]*(?:;.*)?$/i;
+const STATUS_LINE_PATTERN = /^HTTP\/1\.\d [1-5]\d\d(?: |$)/;
 const CONTENT_LENGTH_PATTERN = /^\d{1,15}$/;
 
 // The default drops the highest bit of each byte, so that a byte beyond ASCII becomes another character.
@@ -42,7 +44,8 @@
 /**
  * Parses the HTTP responses on one connection. Stricter than the library: an invalid chunk size, an
  * invalid Content-Length and a repeated Content-Length are errors, where the library would end the body,
- * and so is an invalid header line, where it would pass it on or skip it.
+ * and so are an invalid header line, where it would pass it on or skip it, and a status line with another
+ * version or a status that HTTP does not have.
  */
 export class ResponseParser {
   private failureReason: string | undefined;
@@ -55,6 +58,14 @@
     internals.BODY_CHUNKHEAD = () => {
       parseChunkHead(internals);
     };
+    const consumeLine = internals.consumeLine.bind(parser);
+    internals.consumeLine = () => {
+      const line = consumeLine();
+      if (line && internals.state === STATUS_LINE_STATE && !STATUS_LINE_PATTERN.test(line)) {
+        throw new Error('the status line is invalid');
+      }
+      return line;
+    };
     internals.parseHeader = (line, headers) => {
       headers.push(...parseHeaderLine(line));
     };
@@ -98,7 +109,7 @@
   /** Whether no bytes of a further response were received. */
   isBetweenResponses(): boolean {
     const { line, state } = this.parser as unknown as ParserInternals;
-    return state === 'RESPONSE_LINE' && line === '';
+    return state === STATUS_LINE_STATE && line === '';
   }
 
   private onHeadersComplete(
