Name what a trial tries before the other parts of its request

A request can have hundreds of prompt parts, and messages and histories of trials hold eight fingerprints. Those that are tried now come first; the rest counts as sound. Found by reading; requests with up to eight fingerprints are handled as before. Test in QuarantineTrials.

--- a/packages/dispatch/src/TrialHistory.ts
+++ b/packages/dispatch/src/TrialHistory.ts
@@ -18,11 +18,24 @@
 
 /** Trials that are remembered, the latest ones. */
 const MAX_TRIALS = 3;
-/** More than a request has, mostly; the others count as sound. */
+/** More than most requests have; the others count as sound. */
 const MAX_TRIAL_FINGERPRINTS = 8;
 /** Ages become inexact by the time that a message takes. */
 const SAME_TIME_MS = 250;
 
+/**
+ * Fingerprints by which a trial is remembered.
+ *
+ * @param blamed - those that are tried, which come first, as their number is limited
+ * @param all - all of the requests that are the trial
+ */
+export function triedFingerprints(
+  blamed: readonly FingerprintId[],
+  all: readonly FingerprintId[],
+): readonly FingerprintId[] {
+  return [...new Set([...blamed, ...all])].slice(0, MAX_TRIAL_FINGERPRINTS);
+}
+
 /**
  * Adds a trial to a history, or what is newly known of one with the same fingerprints.
  *
@@ -31,7 +44,7 @@
  * @returns the history with the trial; the same array when nothing is new
  */
 export function withTrial(trials: readonly Trial[], trial: Trial): readonly Trial[] {
-  const fingerprints = trial.fingerprints.slice(0, MAX_TRIAL_FINGERPRINTS);
+  const { fingerprints } = trial;
   const known = trials.find((other) => isSameSet(other.fingerprints, fingerprints));
   if (known && isKnown(known, trial)) {
     return trials;
--- a/packages/serving/src/__tests__/unit/QuarantineTrials.test.ts
+++ b/packages/serving/src/__tests__/unit/QuarantineTrials.test.ts
@@ -136,6 +136,15 @@
   t.is(daemon.admit([PART])?.kind, 'refused');
 });
 
+test('what tries parts is named first among the many parts of its request', (t) => {
+  const daemon = new Daemon(() => [OTHER]);
+  daemon.wait(FIRST_TRIAL_MS);
+  const many = Array.from({ length: 500 }, (_, index) => toId<FingerprintId>(`part ${index}`));
+  daemon.admit([...many, PART]);
+  const [request] = daemon.sent.filter(({ kind }) => kind === 'trialRequest');
+  t.like(request, { tried: [PART, ...many.slice(0, 7)] });
+});
+
 test('what tries parts is told to the daemon that permits it', (t) => {
   const daemon = new Daemon(() => [OTHER]);
   daemon.wait(FIRST_TRIAL_MS + SHARED_DELAY_MS);
--- a/packages/serving/src/peers/QuarantineCoordinator.ts
+++ b/packages/serving/src/peers/QuarantineCoordinator.ts
@@ -1,5 +1,10 @@
 import type { Quarantine, QuarantineReport, QuarantineStage } from '@laburnumgap/dispatch';
-import { RecencyMap, SHARED_TRIAL_DELAY_MS, TRIAL_LEASE_MS } from '@laburnumgap/dispatch';
+import {
+  RecencyMap,
+  SHARED_TRIAL_DELAY_MS,
+  TRIAL_LEASE_MS,
+  triedFingerprints,
+} from '@laburnumgap/dispatch';
 import type { FingerprintId, MemberId, MonotonicClock, Teardown } from '@laburnumgap/kernel';
 import type { ServerCrash } from '../servers/CrashDetector.js';
 import type { QuarantineMessage } from './PeerMessages.js';
@@ -304,11 +309,13 @@
       : { fingerprint: convicted, kind: 'refused' };
   }
 
+  /** Asks for trials of all blamed fingerprints of a request. */
   private requestTrials(
     fingerprints: readonly FingerprintId[],
-    tried: readonly FingerprintId[],
+    all: readonly FingerprintId[],
     onVerdict: (verdict: QuarantineVerdict) => void,
   ): void {
+    const tried = triedFingerprints(fingerprints, all);
     const nowMs = this.options.clock.nowMs();
     let waiting = fingerprints.length;
     let declined: FingerprintId | undefined;
@@ -533,10 +540,10 @@
   readonly tried: readonly FingerprintId[];
 } {
   const trials = requests.filter(({ trialOf }) => trialOf.length > 0);
-  const trialOf = new Set(trials.flatMap((trial) => trial.trialOf));
-  const tried = fingerprintsOf(trials);
-  const fingerprints = trials.length > 0 ? tried : fingerprintsOf(requests);
-  return { fingerprints, isTrial: trialOf.size === 1, tried };
+  const blamed = [...new Set(trials.flatMap(({ trialOf }) => trialOf))];
+  const all = fingerprintsOf(trials.length > 0 ? trials : requests);
+  const tried = triedFingerprints(blamed, trials.length > 0 ? all : []);
+  return { fingerprints: all, isTrial: blamed.length === 1, tried };
 }
 
 function fingerprintsOf(requests: ServerCrash['requests']): readonly FingerprintId[] {
