Ask for the trials of several parts in one order

Requests with some blamed parts in common asked the keepers of all their parts at the same time.

A request now asks for one trial after the other, in the order of the fingerprints, and stops at the first that is declined: of two requests that share parts, one gets them all, and the other takes fewer trials that it cannot use.

--- a/packages/serving/src/peers/QuarantineCoordinator.ts
+++ b/packages/serving/src/peers/QuarantineCoordinator.ts
@@ -309,41 +309,46 @@
       : { fingerprint: convicted, kind: 'refused' };
   }
 
-  /** Asks for trials of all blamed fingerprints of a request. */
+  /**
+   * Asks for trials of all blamed fingerprints of a request, one after the other in an order that all daemons
+   * share: two requests that ask at the same time cannot take some of each other's.
+   */
   private requestTrials(
     fingerprints: readonly FingerprintId[],
     all: readonly FingerprintId[],
     onVerdict: (verdict: QuarantineVerdict) => void,
   ): void {
+    const { clock, quarantine } = this.options;
+    const nowMs = clock.nowMs();
     const tried = triedFingerprints(fingerprints, all);
-    const nowMs = this.options.clock.nowMs();
-    let waiting = fingerprints.length;
-    let declined: FingerprintId | undefined;
-    for (const fingerprint of fingerprints) {
-      const onDecision = (isGranted: boolean): void => {
-        waiting -= 1;
-        declined ??= isGranted ? undefined : fingerprint;
-        if (isGranted && !this.holdsTrial(fingerprint)) {
-          this.holdTrial(fingerprint, this.reportsOf(fingerprint)[0]);
-        }
-        if (waiting > 0) {
-          return;
-        }
-        const refusal =
-          declined !== undefined && this.options.quarantine.isBlamed(declined)
-            ? this.refuse(declined, fingerprints)
-            : undefined;
-        if (!refusal) {
-          this.take(fingerprints, nowMs);
-        }
-        onVerdict(refusal ?? { kind: 'admitted', trialOf: fingerprints });
-      };
+    const admit = (): void => {
+      this.take(fingerprints, nowMs);
+      onVerdict({ kind: 'admitted', trialOf: fingerprints });
+    };
+    const askFrom = (missing: readonly FingerprintId[]): void => {
+      const [fingerprint, ...others] = missing;
+      if (fingerprint === undefined) {
+        admit();
+        return;
+      }
       if (this.holdsTrial(fingerprint)) {
-        onDecision(true);
-      } else {
-        this.requestTrial(fingerprint, tried, onDecision);
+        askFrom(others);
+        return;
       }
-    }
+      this.requestTrial(fingerprint, tried, (isGranted) => {
+        if (isGranted) {
+          if (!this.holdsTrial(fingerprint)) {
+            this.holdTrial(fingerprint, this.reportsOf(fingerprint)[0]);
+          }
+          askFrom(others);
+        } else if (quarantine.isBlamed(fingerprint)) {
+          onVerdict(this.refuse(fingerprint, fingerprints));
+        } else {
+          askFrom(others);
+        }
+      });
+    };
+    askFrom([...fingerprints].sort());
   }
 
   private requestTrial(
