--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -148,7 +148,7 @@
        * fingerprints; absent from daemons of earlier builds.
        */
       readonly sinceSentMs?: readonly number[];
-      /** Fingerprints of all requests that the server ran as trials; absent without any, as before. */
+      /** Fingerprints of the trials that the server ran; absent without one, and from earlier builds. */
       readonly tried?: readonly FingerprintId[];
     }
   | {
