Let the pause of a response end with it

Cause: forwarding an answer paused the connection itself until the caller's response emitted `drain`. If the chunk that filled the buffer also completed the answer, the response had ended and emits none. The connection went back to the pool paused, and nothing asked whether it was.

Change: `BackendConnection.send` returns a `ResponseSource`, whose pause ends with its response and which has no effect later, so that no reader of an earlier answer pauses or resumes a later one. `isReusable` is the one place for what must not be left on a connection: paused, corked, unsent bytes, an open request, a closed or worn-out connection. The pool passes over a connection whose bytes are being parsed. One `drain` listener a response instead of one for each chunk that filled the buffer.

--- a/packages/serving/src/callers/CallerExchange.ts
+++ b/packages/serving/src/callers/CallerExchange.ts
@@ -36,12 +36,17 @@
   private departedAs: CallerDeparture = 'caller-left';
   private endOutcome: ExchangeOutcome | undefined;
   private readonly output: HeldOutput | undefined;
+  /** Source that waits until the caller has read what was forwarded. */
+  private pausedSource: PausableSource | undefined;
   private requestId: string | undefined;
 
   constructor(private readonly options: CallerExchangeOptions) {
     const { buffers, response } = options;
     this.output = buffers && this.createOutput(buffers);
     response.sendDate = false;
+    response.on('drain', () => {
+      this.resumeSource();
+    });
     response.on('close', () => {
       this.output?.close();
       this.collected?.discard();
@@ -139,13 +144,10 @@
       this.output.write(chunk, source);
       return;
     }
-    if (response.write(chunk)) {
-      return;
+    if (!response.write(chunk) && source) {
+      this.pausedSource = source;
+      source.pause();
     }
-    source?.pause();
-    response.once('drain', () => {
-      source?.resume();
-    });
   }
 
   /** Forwards what was collected of a body; see {@link forward}. */
@@ -163,6 +165,8 @@
       return;
     }
     this.endOutcome = 'answered';
+    // A response that has ended emits no `drain`.
+    this.resumeSource();
     const { output } = this;
     const isSmall = (chunk?.length ?? 0) <= MAX_UNCOUNTED_BYTES;
     if (!output || (isSmall && !output.hasPending())) {
@@ -232,6 +236,11 @@
     });
   }
 
+  private resumeSource(): void {
+    this.pausedSource?.resume();
+    this.pausedSource = undefined;
+  }
+
   private disableKeepAliveIfClosing(): void {
     if (this.options.closesConnection()) {
       this.options.response.shouldKeepAlive = false;
--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -593,7 +593,7 @@
     this.eventCount += events.length;
     this.lastEventAtMs = this.context.clock.nowMs();
     this.resumePosition.advance(lastEventIdOf(accepted));
-    exchange.forward(bytes, attempt.connection);
+    exchange.forward(bytes, attempt.source);
   }
 
   private learnSpeed(attempt: EngineAttempt, eventCount: number): void {
--- a/packages/serving/src/callers/PlainCallRun.ts
+++ b/packages/serving/src/callers/PlainCallRun.ts
@@ -257,7 +257,7 @@
       return;
     }
     if (attempt.isForwarding) {
-      exchange.forward(chunk, attempt.connection);
+      exchange.forward(chunk, attempt.source);
       return;
     }
     attempt.buffered.append(chunk);
@@ -271,7 +271,7 @@
     attempt.isForwarding = true;
     clearTimeout(this.attemptTimer);
     exchange.start(attempt.head);
-    exchange.forwardCollected(attempt.buffered, attempt.connection);
+    exchange.forwardCollected(attempt.buffered, attempt.source);
   }
 
   /** Where room is scarce, a response is passed on early rather than collected for a retry. */
--- a/packages/serving/src/servers/BackendAttempt.ts
+++ b/packages/serving/src/servers/BackendAttempt.ts
@@ -1,6 +1,7 @@
 import type { BackendServer } from '@laburnumgap/dispatch';
 import type { FingerprintId, Refusal } from '@laburnumgap/kernel';
 import type { AdmittedCall } from '../callers/AdmittedCall.js';
+import type { PausableSource } from '../buffers/HeldOutput.js';
 import type { AttemptProgress } from '../callers/AttemptProgress.js';
 import type { BackendConnection, ResponseListener } from './BackendConnection.js';
 import { serverDeadlineMs } from '../callers/CallDeadlines.js';
@@ -19,6 +20,8 @@
   readonly progress: AttemptProgress;
   readonly sentMs: number;
   readonly server: BackendServer;
+  /** Pauses the response; set when the attempt is sent. */
+  source?: PausableSource;
   /** Fingerprints of which the attempt is a trial; set when it is sent. */
   trialOf?: readonly FingerprintId[];
 }
@@ -157,7 +160,7 @@
     server: attempt.server,
     teamId: team?.teamId,
   });
-  connection.send(
+  attempt.source = connection.send(
     {
       body,
       headers,
--- a/packages/serving/src/servers/BackendConnection.ts
+++ b/packages/serving/src/servers/BackendConnection.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import type { MemberId, MonotonicClock, ServerId } from '@laburnumgap/kernel';
 import { AnsweredKeys } from './AnsweredKeys.js';
+import type { PausableSource } from '../buffers/HeldOutput.js';
 import { HeldOutput } from '../buffers/HeldOutput.js';
 import type { ReaderBuffers } from '../buffers/ReaderBuffers.js';
 import { probeReset } from './ResetProbe.js';
@@ -9,6 +10,7 @@
 import type { ResponseHead } from './ResponseParser.js';
 import { ResponseParser } from './ResponseParser.js';
 import type { Permit } from './PermitLeases.js';
+import { ResponseSource } from './ResponseSource.js';
 import { isHeaderName, isHeaderValue } from '../HeaderLists.js';
 import type { HeaderList } from '../ServingPorts.js';
 
@@ -87,6 +89,7 @@
   private hasEnded = false;
   private hasResponseHead = false;
   private isClosed = false;
+  private isParsing = false;
   /** The open request asks for the head of a response only. */
   private isHead = false;
   private listener: ResponseListener | undefined;
@@ -103,6 +106,7 @@
   private responseKey = CONTROL_RESPONSE_KEY;
   /** When the open request was sent, monotonic time. */
   private sentMs = 0;
+  private source: ResponseSource;
 
   constructor(private readonly options: BackendConnectionOptions) {
     this.parser = new ResponseParser({
@@ -121,13 +125,33 @@
       },
     });
     this.socket = options.socket;
+    this.source = new ResponseSource(options.socket);
     this.via = options.via;
     this.listen();
   }
 
-  /** Whether the connection can carry another request now. */
+  /**
+   * Whether the connection can carry another request now: nothing of the exchange before is left on it. All
+   * conditions are here, but for those that its last response decides once and for all, see `canReuse`.
+   */
   isReusable(): boolean {
-    return this.canReuse && !this.isClosed && !this.listener;
+    const { socket } = this;
+    return (
+      this.canReuse &&
+      !this.isClosed &&
+      !this.listener &&
+      !socket.isPaused() &&
+      socket.writableCorked === 0 &&
+      !this.hasUnsentBytes()
+    );
+  }
+
+  /**
+   * Whether bytes are just being parsed, of which some may follow the response that has ended. A request
+   * sent meanwhile could take them for its response.
+   */
+  isReceiving(): boolean {
+    return this.isParsing;
   }
 
   /**
@@ -143,8 +167,9 @@
    *
    * @param request - the request
    * @param listener - receives the response
+   * @returns pauses the response, until it has ended
    */
-  send(request: BackendRequest, listener: ResponseListener): void {
+  send(request: BackendRequest, listener: ResponseListener): PausableSource {
     this.permit?.setUsed(true);
     this.listener = listener;
     this.sentMs = this.options.clock.nowMs();
@@ -152,6 +177,12 @@
     this.isHead = request.method === 'HEAD';
     this.hasResponseHead = false;
     this.overhead = new ResponseOverhead();
+    this.source = new ResponseSource(this.socket);
+    this.write(request);
+    return this.source;
+  }
+
+  private write(request: BackendRequest): void {
     const head = encodeRequestHead(request);
     if (head === undefined) {
       process.nextTick(() => {
@@ -222,16 +253,6 @@
     this.close();
   }
 
-  /** Stops reading from the socket, for backpressure. */
-  pause(): void {
-    this.socket.pause();
-  }
-
-  /** Continues to read from the socket. */
-  resume(): void {
-    this.socket.resume();
-  }
-
   private listen(): void {
     const { socket } = this;
     socket.on('error', (error: NodeJS.ErrnoException) => {
@@ -273,17 +294,23 @@
     this.hasResponseHead = false;
     this.answeredKeys.add(this.responseKey);
     // A copy of such a head would announce a body to the next request.
-    this.canReuse &&= !this.isHead && !this.answeredKeys.isFull();
-    this.canReuse &&= this.socket.writableLength === 0 && this.body?.hasPending() !== true;
+    this.canReuse &&= !this.isHead && !this.answeredKeys.isFull() && !this.hasUnsentBytes();
+    this.source.end();
     this.releasePermit();
     listener.onEnd();
   }
 
+  private hasUnsentBytes(): boolean {
+    return this.socket.writableLength > 0 || this.body?.hasPending() === true;
+  }
+
   private onData(chunk: Buffer): void {
     const wasExpectingResponse = this.listener !== undefined;
     this.lastReceivedMs = this.options.clock.nowMs();
     this.overhead.addReceived(chunk.length);
+    this.isParsing = true;
     const parseError = this.parser.parse(chunk) ?? this.overhead.findExcess();
+    this.isParsing = false;
     if (parseError !== undefined || !wasExpectingResponse) {
       this.fail(parseError ?? 'bytes without a request');
       return;
--- a/packages/serving/src/servers/BackendConnectionPool.ts
+++ b/packages/serving/src/servers/BackendConnectionPool.ts
@@ -165,7 +165,7 @@
     const nowMs = this.clock.nowMs();
     for (let index = connections.length - 1; index >= 0; index -= 1) {
       const connection = connections[index];
-      if (!connection) {
+      if (!connection || connection.isReceiving()) {
         continue;
       }
       if (!connection.isReusable() || isExpired(connection, nowMs)) {
