Take real time out of the test of an answer in a stalled process

Cause: the test stalls its process for 400 ms and then needs two turns of the event loop for the request and its answer. A second standstill of more than 10 ms between them lets the timer of the read time fire first. In operation the answer waits in a socket and is read within the same turn.

Change: the timers of this test are simulated, and the late one fires before the messages are delivered. The checks are the same.

--- a/packages/serving/src/__tests__/unit/EngineCapacityCoordinator.test.ts
+++ b/packages/serving/src/__tests__/unit/EngineCapacityCoordinator.test.ts
@@ -8,6 +8,7 @@
   ServiceId,
 } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
+import { install } from '@sinonjs/fake-timers';
 import test from 'ava';
 import type { CapacityKeeper, CapacityMessage } from '../../index.js';
 import { EngineCapacityCoordinator } from '../../index.js';
@@ -58,6 +59,7 @@
   names: readonly string[],
   unresponsive: readonly string[] = [],
   capacityKeeper?: CapacityKeeper,
+  nowMs: () => number = () => performance.now(),
 ): TestCluster {
   const ids = names.map((memberName) => toId<MemberId>(memberName));
   const cluster: TestCluster = { coordinators: new Map(), requestedOwners: [] };
@@ -72,7 +74,7 @@
     };
     const coordinator = new EngineCapacityCoordinator({
       capacityKeeper,
-      clock: { nowMs: () => performance.now() },
+      clock: { nowMs },
       engineLimitsOf: () => ENGINE,
       load: new EngineLoad(),
       loadSourceOf: (member) => member,
@@ -127,21 +129,26 @@
   t.deepEqual(cluster.requestedOwners, ['m1', 'm2']);
 });
 
-test('load pattern: an answer that waits in a stalled process is read before its owner counts as silent', async (t) => {
-  const cluster = createCluster(['m1', 'm2', 'm3']);
-  await requestCapacity(cluster, 'm2', 'r1');
-  await requestCapacity(cluster, 'm2', 'r2');
-  // Within an immediate, so that expired timers run before the message is delivered.
-  const answer = await new Promise<boolean>((resolve) => {
-    setImmediate(() => {
-      void requestCapacity(cluster, 'm3', 'r3').then(resolve);
-      const stalledUntilMs = performance.now() + 400;
-      while (performance.now() < stalledUntilMs);
+test.serial(
+  'load pattern: an answer that waits in a stalled process is read before its owner counts as silent',
+  async (t) => {
+    const fakeTimers = install({ toFake: ['setTimeout', 'clearTimeout'] });
+    t.teardown(() => {
+      fakeTimers.uninstall();
     });
-  });
-  t.false(answer, 'the engine is full');
-  t.deepEqual(cluster.requestedOwners, ['m1', 'm1', 'm1']);
-});
+    let nowMs = 0;
+    const cluster = createCluster(['m1', 'm2', 'm3'], [], undefined, () => nowMs);
+    await requestCapacity(cluster, 'm2', 'r1');
+    await requestCapacity(cluster, 'm2', 'r2');
+    const answer = requestCapacity(cluster, 'm3', 'r3');
+    nowMs = 400;
+    // The timeout fires late, before the messages are delivered.
+    fakeTimers.next();
+    t.false(await answer, 'the engine is full');
+    fakeTimers.runAll();
+    t.deepEqual(cluster.requestedOwners, ['m1', 'm1', 'm1']);
+  },
+);
 
 test('load pattern: an owner keeps capacity for more urgent generations, also from itself', async (t) => {
   const decisions: string[] = [];
