Give each scheduler of a test a loopback address of its own

Cause: the tests of the file run at once and their schedulers listen on ports that the system picks at one address, so that one can get the port that a closed home of another test has just freed. The reply shows it: the closed homes would answer `accepted: false`, which gives 'superseded'.

Change: each FakeSchedulerServer listens at its own loopback address.

Ruled out: a home that still answers while it closes, for the reason above; the product, which has not changed there.

--- a/packages/router/src/__tests__/utils/FakeSchedulerServer.ts
+++ b/packages/router/src/__tests__/utils/FakeSchedulerServer.ts
@@ -20,6 +20,15 @@
 
 export const SECRET = 'a-secret-between-peers';
 
+let serverCount = 0;
+
+/** A loopback address of its own, so that no other server of a test takes the port of one that is closed. */
+function nextHost(): string {
+  serverCount += 1;
+  const high = (process.pid >> 8) & 0xff;
+  return `127.${high}.${process.pid & 0xff}.${1 + (serverCount % 250)}`;
+}
+
 type AdmitCall = ServerWritableStream<AdmitRequest__Output, AdmitEvent>;
 
 /** gRPC server of a scheduler with replies set by the test. */
@@ -53,7 +62,7 @@
 
   async start(): Promise<void> {
     this.server = await startRpcServer({
-      address: '127.0.0.1:0',
+      address: `${nextHost()}:0`,
       handlers: {
         Admission: {
           Admit: (call: AdmitCall) => {
