Keep a server that has announced its end from coming back by a late write

Cause: the registry took the later revision of an entry for the later state, and kept a server leaving only if a daemon or an engine had reported it, not if the entry itself had said so.

Change: an entry of the same start that says `ready` after `draining` marks the server as leaving, as a report of a daemon does, so that heartbeats tell the others. Another start under the same id takes work again, and so does a server that does not state its start.

Ruled out: comparing `sequence`, which restarts and other writers can reset; restored copies, where leaving servers stay so already.

--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -68,6 +68,8 @@
 const DEFAULT_SERVER_DRAIN_MS = 2_000;
 /** The rest of that time covers the delay until a daemon hears that a server leaves. */
 const USED_DRAIN_FRACTION = 0.5;
+/** Start time of servers that do not state theirs. */
+const UNKNOWN_START_EPOCH_MS = 0;
 const NO_REVISION = toNumberId<Revision>(0);
 /** Longest age of the copy from which the store comes back, with the time until all know of it. */
 const ENDED_SERVER_RETENTION_MS = 120_000;
@@ -391,6 +393,10 @@
     }
     this.goneBeforeEra.delete(change.serverId);
     const wasLeaving = known?.leaving ?? false;
+    const hasAnnounced = !server.leaving && hasAnnouncedLeaving(known?.server, server);
+    if (hasAnnounced) {
+      this.markedLeaving.set(change.serverId, server.startedEpochMs);
+    }
     const isMarked = this.markedLeaving.get(change.serverId) === server.startedEpochMs;
     if (!isMarked || server.leaving) {
       this.markedLeaving.delete(change.serverId);
@@ -467,3 +473,15 @@
     }
   }
 }
+
+/**
+ * Whether an entry says that a server stays although it has said that it leaves: the store can carry out
+ * an earlier write after a later one. A server that starts again has another start time.
+ */
+function hasAnnouncedLeaving(known: BackendServer | undefined, server: BackendServer): boolean {
+  return (
+    known?.leaving === true &&
+    known.startedEpochMs === server.startedEpochMs &&
+    server.startedEpochMs !== UNKNOWN_START_EPOCH_MS
+  );
+}
--- a/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
@@ -27,6 +27,28 @@
   t.deepEqual(usableIds(registry), ['a', 'c']);
 });
 
+// The store carried out an earlier heartbeat after `draining`, and the server got requests again.
+test('an earlier entry that is written late does not bring back a server that leaves', (t) => {
+  const registry = registryOf('a', 'b');
+  registry.apply([changeOf('b', 10, { leaving: true })], 0);
+  for (const revision of [11, 12]) {
+    t.deepEqual(registry.apply([changeOf('b', revision, {})], 0), []);
+    t.deepEqual(usableIds(registry), ['a']);
+    t.deepEqual(registry.serversMarkedLeaving(), [B]);
+  }
+  registry.apply([changeOf('b', 13, { leaving: true })], 0);
+  t.deepEqual(usableIds(registry), ['a']);
+  registry.apply([changeOf('b', 14, { startedEpochMs: 2 })], 0);
+  t.deepEqual(usableIds(registry), ['a', 'b']);
+});
+
+test('a server without a start time can have started again when it is ready after it left', (t) => {
+  const registry = registryOf('a');
+  registry.apply([changeOf('b', 10, { leaving: true, startedEpochMs: 0 })], 0);
+  registry.apply([changeOf('b', 11, { startedEpochMs: 0 })], 0);
+  t.deepEqual(usableIds(registry), ['a', 'b']);
+});
+
 test('an older entry is ignored', (t) => {
   const registry = registryOf('a', 'b');
   registry.apply([changeOf('b', 10, { leaving: true })], 0);
