Write quarantines again when the store comes back from a copy

Cause: QuarantineArchive remembers what it wrote, to write each state once, and did not know of the eras of the store. Members were written again in a new era, quarantines were not.

Change: in a new era what was written or removed is written or removed again, and the keeper in charge writes each quarantine that it knows, also one that another keeper had written.

Ruled out: the lease of the entry (ten minutes); a start that does not read what is there (two retries without the restored copy).

--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -284,6 +284,11 @@
     return 'objected';
   }
 
+  /** Everything that was ever suspected, also what was cleared a short while ago. */
+  fingerprints(): readonly FingerprintId[] {
+    return this.entries.all().map(([fingerprint]) => fingerprint);
+  }
+
   /** Report on one fingerprint; undefined when it was never suspected. */
   reportOf(fingerprint: FingerprintId, nowMs: number): QuarantineReport | undefined {
     const entry = this.entries.get(fingerprint);
--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -505,6 +505,9 @@
         this.context.cachedPrefixes.removeServer(serverId);
         this.streamMover.moveStreamsFrom(serverId);
       },
+      onStoreRestored: () => {
+        this.quarantineCoordinator.onStoreRestored();
+      },
       onStoredQuarantines: (reports) => {
         this.quarantineCoordinator.onStoredReports(reports);
       },
--- a/packages/serving/src/__tests__/unit/QuarantineArchive.test.ts
+++ b/packages/serving/src/__tests__/unit/QuarantineArchive.test.ts
@@ -109,6 +109,21 @@
   t.is(store.calls.filter((call) => call.endsWith('failed')).length, 2);
 });
 
+// After the store had come back from an older copy, a restart of all daemons forgot the quarantine.
+test('what the store lost with its newest state is written again', async (t) => {
+  const { archive, set, store } = createArchive();
+  set('confirmed', 2);
+  await settle();
+  archive.onStoreRestored();
+  await settle();
+  t.deepEqual(store.calls, ['confirmed 2', 'confirmed 2']);
+  set(undefined);
+  await settle();
+  archive.onStoreRestored();
+  await settle();
+  t.deepEqual(store.calls.slice(2), ['removed', 'removed']);
+});
+
 // A daemon that was closed while the store was away went on calling it.
 test('after a stop no call is made again', async (t) => {
   const { archive, set, store } = createArchive();
--- a/packages/serving/src/peers/ClusterSync.ts
+++ b/packages/serving/src/peers/ClusterSync.ts
@@ -64,6 +64,8 @@
   /** Called with the quarantines that another daemon reports. */
   readonly onQuarantines: (reports: readonly QuarantineReport[]) => void;
   readonly onServerLeaving: (serverId: ServerId) => void;
+  /** Called when the store has come back from a copy. */
+  readonly onStoreRestored?: () => void;
   /** Called with the quarantines in the store, before this daemon is ready. */
   readonly onStoredQuarantines?: (reports: readonly QuarantineReport[]) => void;
   /** Quarantines for one heartbeat. */
@@ -124,6 +126,7 @@
       onLimits: options.onLimits,
       onNewEra: () => {
         this.scheduleRegistration();
+        options.onStoreRestored?.();
       },
       onOwnEntryGone: () => {
         log.warn('member-entry-gone', { memberId });
--- a/packages/serving/src/peers/QuarantineArchive.ts
+++ b/packages/serving/src/peers/QuarantineArchive.ts
@@ -54,6 +54,14 @@
     }
   }
 
+  /** The store came back from a copy, which can lack what was written and hold what was removed. */
+  onStoreRestored(): void {
+    for (const [fingerprint, { content }] of this.written.all()) {
+      this.written.set(fingerprint, { content, writtenMs: -Infinity });
+      this.update(fingerprint);
+    }
+  }
+
   /** Makes no more calls after the one that may be in progress. */
   stop(): void {
     this.isStopped = true;
--- a/packages/serving/src/peers/QuarantineCoordinator.ts
+++ b/packages/serving/src/peers/QuarantineCoordinator.ts
@@ -15,7 +15,7 @@
 /** Options of {@link QuarantineCoordinator}. */
 export interface QuarantineCoordinatorOptions {
   /** Keeps quarantines through a restart of all daemons; not kept without it. */
-  readonly archive?: Pick<QuarantineArchive, 'update'>;
+  readonly archive?: Pick<QuarantineArchive, 'onStoreRestored' | 'update'>;
   /** Runs a function once after a delay; the returned function cancels it. */
   readonly after?: (delayMs: number, run: () => void) => Teardown;
   /** Sends a message to all other daemons. */
@@ -488,6 +488,15 @@
     return true;
   }
 
+  /** Lets the store have again what it had before it came back from a copy. */
+  onStoreRestored(): void {
+    const { archive, quarantine } = this.options;
+    archive?.onStoreRestored();
+    quarantine.fingerprints().forEach((fingerprint) => {
+      this.archive(fingerprint);
+    });
+  }
+
   /** Lets the keeper in charge write a fingerprint that was ever suspected to the store. */
   private archive(fingerprint: FingerprintId): void {
     const { archive, keepersOf, memberId, quarantine } = this.options;
