--- a/packages/serving/src/servers/BackendAttempt.ts
+++ b/packages/serving/src/servers/BackendAttempt.ts
@@ -20,7 +20,7 @@
   readonly progress: AttemptProgress;
   readonly sentMs: number;
   readonly server: BackendServer;
-  /** Pauses the response; set when the attempt is sent. */
+  /** The response as a source that can be paused; set when the attempt is sent. */
   source?: PausableSource;
   /** Fingerprints of which the attempt is a trial; set when it is sent. */
   trialOf?: readonly FingerprintId[];
--- a/packages/serving/src/servers/BackendConnection.ts
+++ b/packages/serving/src/servers/BackendConnection.ts
@@ -167,7 +167,7 @@
    *
    * @param request - the request
    * @param listener - receives the response
-   * @returns pauses the response, until it has ended
+   * @returns the response as a source that can be paused until it has ended
    */
   send(request: BackendRequest, listener: ResponseListener): PausableSource {
     this.permit?.setUsed(true);
