Say plainly what ends the pause of a response

Cause: read as a newcomer, three comments needed their author, a test kept a list that nothing read, and the one on fetches could pass without a connection. Change: comments, that list, and a check that one connection was used; no behaviour.

--- a/packages/serving/src/__tests__/integration/ConnectionReuse.test.ts
+++ b/packages/serving/src/__tests__/integration/ConnectionReuse.test.ts
@@ -18,7 +18,6 @@
 const SETTLE_MS = 50;
 
 interface Exchange {
-  readonly connection: BackendConnection;
   readonly isEnded: Promise<string>;
   readonly source: PausableSource;
 }
@@ -125,7 +124,7 @@
         },
       );
     });
-    return { connection, isEnded, source: source as unknown as PausableSource };
+    return { isEnded, source: source as unknown as PausableSource };
   }
 }
 
@@ -139,14 +138,12 @@
 
 test('a connection that is paused when its response ends is read again', async (t) => {
   const reuse = await ReuseTest.start(t);
-  const sources: PausableSource[] = [];
   for (const path of ['/1', '/2', '/3']) {
     const exchange = await reuse.exchange(path, {
       onEnd: () => {
         exchange.source.pause();
       },
     });
-    sources.push(exchange.source);
     t.is(await exchange.isEnded, path);
   }
   t.is(reuse.opened.length, 1);
@@ -306,6 +303,7 @@
     const [socket] = sockets;
     counts.push(socket?.listenerCount('data') ?? -1, socket?.listenerCount('timeout') ?? -1);
   }
+  t.is(sockets.size, 1);
   t.deepEqual(new Set(counts.filter((_, index) => index % 2 === 0)).size, 1);
   t.deepEqual(new Set(counts.filter((_, index) => index % 2 === 1)).size, 1);
 });
--- a/packages/serving/src/peers/QuarantineCoordinator.ts
+++ b/packages/serving/src/peers/QuarantineCoordinator.ts
@@ -488,7 +488,7 @@
     return true;
   }
 
-  /** Lets the store have again what it had before it came back from a copy. */
+  /** Writes and removes again what a store that came back from a copy can lack or hold. */
   onStoreRestored(): void {
     const { archive, quarantine } = this.options;
     archive?.onStoreRestored();
--- a/packages/serving/src/servers/BackendConnection.ts
+++ b/packages/serving/src/servers/BackendConnection.ts
@@ -131,8 +131,8 @@
   }
 
   /**
-   * Whether the connection can carry another request now: nothing of the exchange before is left on it. All
-   * conditions are here, but for those that its last response decides once and for all, see `canReuse`.
+   * Whether the connection can carry another request now: nothing of the exchange before is left on it.
+   * `canReuse` holds what earlier responses have decided for good.
    */
   isReusable(): boolean {
     const { socket } = this;
--- a/packages/serving/src/servers/ResponseSource.ts
+++ b/packages/serving/src/servers/ResponseSource.ts
@@ -2,8 +2,8 @@
 import type { PausableSource } from '../buffers/HeldOutput.js';
 
 /**
- * The bytes of one response. Pausing it pauses the connection, but not beyond the end of the response: the
- * connection may carry another one then, and whoever reads the former has no further say in it.
+ * The bytes of one response. Pausing it pauses the connection until the response ends; calls after that have
+ * no effect, since the connection can carry another response then.
  */
 export class ResponseSource implements PausableSource {
   private hasEnded = false;
