--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
   npx --no-install esbuild "review/third/$1.ts" --bundle --platform=node --target=node20 \
     --format=cjs --conditions=source --outfile="target/review-3/$1.cjs" --log-level=warning
 }
-cases=(stoppedStream halfBooking slowBooking cutStream withdrawnKey)
+cases=(stoppedStream halfBooking slowBooking cutStream withdrawnKey lateBeat)
 for name in "${cases[@]}"; do
   build "$name"
 done
--- a/review/third/deployment.ts
+++ b/review/third/deployment.ts
@@ -33,7 +33,14 @@
   private readonly silent = new Set<string>();
   private readonly timer: NodeJS.Timeout;
 
-  constructor(private readonly fleet: Fleet) {
+  /**
+   * @param fleet - the machines
+   * @param workMs - time that the servers of the service `desk` take for a request
+   */
+  constructor(
+    private readonly fleet: Fleet,
+    private readonly workMs = WORK_MS,
+  ) {
     this.timer = setInterval(() => {
       this.beat();
     }, BEAT_MS);
@@ -49,7 +56,7 @@
         this.record(id, request);
         setTimeout(() => {
           respond(request, response, 200, `done by ${id}`);
-        }, WORK_MS);
+        }, this.workMs);
       };
     }
     this.servers.push(server);
