--- a/review/third/halfBooking.ts
+++ b/review/third/halfBooking.ts
@@ -12,7 +12,10 @@
 const BEAT_MS = 1_200;
 const CALM_BEFORE_MS = 4_000;
 const FROZEN_MACHINE = 1;
-const BOOKINGS = 8;
+const BOOKINGS = 24;
+/** One of three, as the service of the site has. */
+const CRASHING = 'desk-1';
+const SERVERS = [CRASHING, 'desk-2', 'desk-3'];
 /** Times after the bookings were sent. */
 const FREEZE_AT_MS = 300;
 const CRASH_AT_MS = 400;
@@ -21,16 +24,22 @@
 const WHOLE_END = 'confirmed';
 
 void runCase('12', async (fleet) => {
-  const server = new Server(fleet, await freePort());
+  const servers: Server[] = [];
   try {
-    await server.start();
-    server.writeEntry();
+    for (const id of SERVERS) {
+      const server = new Server(fleet, id, await freePort());
+      servers.push(server);
+      await server.start();
+      server.writeEntry();
+    }
     fleet.store.put('op/config', configuration(7, { usual: ['key-usual'] }));
     await fleet.startAll();
     await sleep(CALM_BEFORE_MS);
-    return await book(fleet, server);
+    return await book(fleet, servers);
   } finally {
-    server.crash();
+    servers.forEach((server) => {
+      server.crash();
+    });
   }
 });
 
@@ -42,12 +51,13 @@
 
   constructor(
     private readonly fleet: Fleet,
+    readonly id: string,
     private readonly port: number,
   ) {}
 
   /** Starts the process; its heartbeats follow, the first one after their interval. */
   async start(): Promise<void> {
-    const child = spawn(process.execPath, [PROGRAM, 'desk-1', String(this.port)], {
+    const child = spawn(process.execPath, [PROGRAM, this.id, String(this.port)], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     process.once('exit', () => child.kill('SIGKILL'));
@@ -62,7 +72,7 @@
         lines.forEach((line) => {
           this.fleet.note(line);
         });
-        if (lines.includes('desk-1 listens')) {
+        if (lines.includes(`${this.id} listens`)) {
           resolve();
         }
       });
@@ -76,7 +86,7 @@
   }
 
   writeEntry(): void {
-    this.fleet.store.put('servers/desk-1', {
+    this.fleet.store.put(`servers/${this.id}`, {
       address: `127.0.0.1:${this.port}`,
       born: this.bornMs,
       coldRemainingMs: 0,
@@ -98,7 +108,8 @@
   return free;
 }
 
-async function book(fleet: Fleet, server: Server): Promise<number> {
+async function book(fleet: Fleet, servers: readonly Server[]): Promise<number> {
+  const server = servers.find(({ id }) => id === CRASHING);
   const sentMs = performance.now();
   const until = async (atMs: number): Promise<void> => {
     await sleep(Math.max(0, sentMs + atMs - performance.now()));
@@ -109,12 +120,12 @@
       .call({ body: 'book', id, key: 'key-usual', machine: FROZEN_MACHINE, path: `/book/${index}` })
       .then((answer) => ({ ...answer, id }));
   });
-  if (!IS_CALM) {
+  if (server && !IS_CALM) {
     await until(FREEZE_AT_MS);
     fleet.signal(FROZEN_MACHINE, 'SIGSTOP');
     await until(CRASH_AT_MS);
     server.crash();
-    fleet.note('desk-1 crashes');
+    fleet.note(`${CRASHING} crashes`);
     await until(RESTART_AT_MS);
     await server.start();
     await until(WAKE_AT_MS);
--- a/review/third/lateBeat.ts
+++ b/review/third/lateBeat.ts
@@ -80,7 +80,7 @@
   private isStopped = false;
   private readonly leavingSeenMs = new Map<number, number>();
   private readonly sent = new Map<string, { readonly atMs: number; readonly machine: number }>();
-  private readonly statuses = new Map<number, number>();
+  private readonly statuses = new Map<string, number>();
 
   constructor(
     private readonly fleet: Fleet,
@@ -104,6 +104,10 @@
     for (const { id, serverId } of this.servers.runs) {
       const { atMs, machine } = this.sent.get(id) ?? { atMs: 0, machine: 0 };
       const afterMs = atMs - (this.leavingSeenMs.get(machine) ?? Infinity);
+      if (serverId === LEAVING) {
+        const status = this.statuses.get(id) ?? 0;
+        this.fleet.note(`${id}, sent at ${Math.round(atMs)} ms, ran at ${serverId}: ${status}`);
+      }
       if (serverId === LEAVING && afterMs > BOUNDS.drainMs) {
         late += 1;
         this.fleet.note(
@@ -112,7 +116,10 @@
         );
       }
     }
-    const counts = [...this.statuses].map(([status, count]) => `${count} with ${status}`);
+    const all = [...this.statuses.values()];
+    const counts = [...new Set(all)].map(
+      (status) => `${all.filter((other) => other === status).length} with ${status}`,
+    );
     this.fleet.note(`bookings answered: ${counts.join(', ')}; ${late} reached ${LEAVING} too late`);
     return late;
   }
@@ -125,7 +132,7 @@
         this.fleet
           .call({ body: 'book', id, key: 'key-usual', machine, path: `/book/${id}` })
           .then(({ headers, status }) => {
-            this.statuses.set(status, (this.statuses.get(status) ?? 0) + 1);
+            this.statuses.set(id, status);
             if (headers['server-leaving'] === '1' && !this.leavingSeenMs.has(machine)) {
               this.leavingSeenMs.set(machine, this.fleet.nowMs());
               this.fleet.note(`machine ${machine} passes on that ${LEAVING} leaves`);
--- a/review/third/withdrawnKey.ts
+++ b/review/third/withdrawnKey.ts
@@ -73,6 +73,11 @@
     const afterMs = (sentMs.get(id) ?? -Infinity) - acknowledgedMs;
     return tenant === 'withdrawn' && afterMs > BOUNDS.configApplyMs;
   });
+  for (const { id, serverId, tenant } of servers.runs) {
+    if (tenant === 'withdrawn') {
+      fleet.note(`${serverId} has run ${id}`);
+    }
+  }
   for (const { id, serverId, tenant } of late) {
     const afterMs = Math.round((sentMs.get(id) ?? 0) - acknowledgedMs);
     fleet.note(`CONFIG: ${serverId} runs ${id} of ${tenant}, sent ${afterMs} ms after it`);
