Do not take a stop without a seen end for one that was not carried out

Cause: the engine answers the last copy with 503 when there is no room, after it has stopped the run and kept it. The end of the stream was awaited for 200 ms; without it the order was withdrawn, and the end that followed then completed the stream. A missing run was taken for one that had ended by itself, also after an order of which nothing was known.

Change: runAfterStop says what each outcome of the order proves. 503 with a handle is a stop; without one, or with a lost response, a copy that stops nothing shows whether the run goes on. If nothing shows it, the stream goes on from the first copy when its connection ends. An unframed end that counts again needs an engine that still runs.

Ruled out: the late end alone (a stop that was copied goes on), the state of the server (it accepts connections).

--- a/packages/serving/src/__tests__/unit/StreamMover.test.ts
+++ b/packages/serving/src/__tests__/unit/StreamMover.test.ts
@@ -75,11 +75,12 @@
       continueAt: ({ server }: Continuation) => {
         resolve(server.serverId);
       },
-      fail: () => {
+      continueOrFail: () => {
         resolve(undefined);
       },
       hasEnded: () => false,
       hasStream: () => false,
+      isStopOpen: () => false,
       orderStop: () => undefined,
       rankTargets: (excluded: ReadonlySet<ServerId>) =>
         engines.filter(({ serverId }) => !excluded.has(serverId)).map((server) => ({ server })),
--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -118,6 +118,8 @@
  * that fails is aborted, unless its route allows a restart after the last forwarded event.
  */
 export class GenerationRun {
+  /** Where the run continues when its connection ends and it is not known whether it was stopped. */
+  private afterStop: Continuation | undefined;
   private attempt: EngineAttempt | undefined;
   private readonly continuity = new EventContinuity();
   private copyTargetId: ServerId | undefined;
@@ -255,17 +257,34 @@
   /**
    * Marks that the engine is told to stop the run. From then on the end of a connection is not the end of
    * a stream without framing.
+   *
+   * @param afterStop - where the run continues when its connection ends before it is known whether the
+   *   engine has stopped it
    */
-  orderStop(): void {
+  orderStop(afterStop: Continuation): void {
+    this.afterStop = afterStop;
     this.isStopOrdered = true;
   }
 
-  /** Marks that the engine did not stop the run: if its connection ended, the stream is complete. */
-  withdrawStop(): void {
+  /** Whether an order to stop the run was neither withdrawn nor followed by a continuation. */
+  isStopOpen(): boolean {
+    return this.isStopOrdered;
+  }
+
+  /**
+   * Marks that the engine did not stop the run. If its connection has ended, the stream is complete,
+   * unless the engine has ended as well.
+   */
+  async withdrawStop(): Promise<void> {
     const attempt = this.unconfirmedEnd;
+    this.afterStop = undefined;
     this.isStopOrdered = false;
     this.unconfirmedEnd = undefined;
-    if (attempt && !this.isDone) {
+    if (!attempt || this.isDone) {
+      return;
+    }
+    const isRunning = await this.context.connections.isServerRunning(attempt.server, this.via);
+    if (isRunning && !this.hasEnded()) {
       this.complete(attempt);
     }
   }
@@ -313,7 +332,7 @@
     }
   }
 
-  /** Continues the run at another engine. The old engine must have stopped it. */
+  /** Continues the run at another engine. The old engine must not work on it any more. */
   continueAt(continuation: Continuation): void {
     this.onStreamClosed = undefined;
     if (this.isDone) {
@@ -324,6 +343,20 @@
     this.startAttempt(continuation.server, continuation);
   }
 
+  /**
+   * Handles a stream whose connection has ended: continues it where it continues if it was stopped,
+   * otherwise fails it.
+   *
+   * @param reason - cause, for the log and the refusal
+   */
+  continueOrFail(reason: string): void {
+    if (this.afterStop) {
+      this.continueAt(this.afterStop);
+    } else {
+      this.fail(reason);
+    }
+  }
+
   /**
    * Handles a stream that cannot continue: restarts it where the route and the retry budget allow
    * it, otherwise aborts it, or refuses the request when nothing was forwarded.
@@ -452,6 +485,7 @@
     };
     this.attempt = attempt;
     this.hasLostStream = false;
+    this.afterStop = undefined;
     this.isStopOrdered = false;
     this.unconfirmedEnd = undefined;
     this.continuity.join(this.resumePosition.restartAfter());
@@ -752,6 +786,10 @@
       this.attempt = undefined;
       return;
     }
+    if (this.afterStop) {
+      this.continueAt(this.afterStop);
+      return;
+    }
     recordOutcome(this.context, attempt, 'failed');
     if (this.eventCount > 0 && this.admitted.exchange.hasStarted()) {
       void this.examineBroken(attempt, reason);
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -72,6 +72,7 @@
 export * from './peers/ShortageReportCodec.js';
 export * from './servers/SocketOpener.js';
 export * from './store/StorePosition.js';
+export * from './servers/StopOrder.js';
 export * from './servers/StreamMover.js';
 export * from './servers/TunnelClient.js';
 export * from './servers/TunnelServer.js';
--- a/packages/serving/src/servers/BackendConnectionPool.ts
+++ b/packages/serving/src/servers/BackendConnectionPool.ts
@@ -133,12 +133,22 @@
     }
   }
 
+  /**
+   * Finds out whether a server that has ended a connection still runs; see {@link ServerDialer.isRunning}.
+   *
+   * @param server - the server
+   * @param via - daemon that passed the connection on; undefined without one
+   */
+  isServerRunning(server: BackendServer, via: MemberId | undefined): Promise<boolean> {
+    return this.dialer.isRunning(server, via, this.spareListener(server));
+  }
+
   private add(server: BackendServer, { socket, via }: DialedSocket): BackendConnection {
     const { serverId } = server;
     const connection = new BackendConnection({
       buffers: this.buffers,
       clock: this.clock,
-      isServerRunning: () => this.dialer.isRunning(server, via, this.spareListener(server)),
+      isServerRunning: () => this.isServerRunning(server, via),
       onClosed: (closed) => {
         this.removeIdle(serverId, closed);
         const open = this.openConnections.get(serverId);
--- a/packages/serving/src/servers/StreamMover.ts
+++ b/packages/serving/src/servers/StreamMover.ts
@@ -2,12 +2,14 @@
 import { selectMoves } from '@laburnumgap/dispatch';
 import type { MemberId, RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
-import type { GenerationRun, RunStatus } from '../callers/GenerationRun.js';
+import type { Continuation, GenerationRun, RunStatus } from '../callers/GenerationRun.js';
 import { CONTROL_RESPONSE_KEY } from './BackendConnection.js';
 import type { MoveCoordinator } from '../peers/MoveCoordinator.js';
 import { CONTROL_TIMEOUT_MS } from '../ServingConstants.js';
 import type { ServingContext } from '../ServingContext.js';
-import type { KvCacheLocation, MoveResult } from '../ServingPorts.js';
+import type { KvCacheLocation } from '../ServingPorts.js';
+import type { MoveOutcome } from './StopOrder.js';
+import { runAfterStop } from './StopOrder.js';
 
 /** Expected time per output token on a busy engine, where no speed was learned. */
 const MS_PER_TOKEN = 10;
@@ -21,16 +23,14 @@
  */
 const SEVERED_STALL_TIMEOUT_MS = 500;
 /**
- * A stopped stream closes within this time; after it, further events of the old engine are dropped.
+ * Longest wait for the last events of a stopped stream; later ones are dropped, and made again where it
+ * continues.
  */
 const STREAM_CLOSE_TIMEOUT_MS = 200;
 const MAX_MOVE_ATTEMPTS = 3;
 /** Candidate targets that are offered to the coordinator of the moves. */
 const MAX_OFFERED_TARGETS = 6;
 
-/** Outcome of a request to copy a run; `notSent`: the engine does not know of it. */
-type MoveOutcome = MoveResult | { readonly kind: 'notSent'; readonly reason: string };
-
 /**
  * Moves running streams away from engines that leave or stall. The engine copies the KV cache while
  * the run continues, then stops the run and copies the rest; the run continues at the target. Copies
@@ -179,7 +179,7 @@
     this.coordinator.releaseTurn(requestId);
     run.setMoving(false);
     if (!run.hasEnded() && !run.hasStream()) {
-      run.fail('the engine left and no other took the run');
+      run.continueOrFail('the engine left and no other took the run');
     }
   }
 
@@ -232,40 +232,77 @@
       return false;
     }
     const finalCopyStartedMs = this.context.clock.nowMs();
-    run.orderStop();
+    const atSource = continuationAt(source, source, firstCopy);
+    const atTarget = { ...continuationAt(target, source, firstCopy), fallback: atSource };
+    const mayBeStopped = run.isStopOpen();
+    run.orderStop(atTarget);
     const finalCopy = await this.requestMove(source, target, requestId, true);
     this.logMove('move-stopped', status, source, target, finalCopy, finalCopyStartedMs);
-    const runsOn = run.serverId() !== undefined;
-    const isNotStopped = finalCopy.kind === 'notSent' || finalCopy.kind === 'inProgress';
-    if (finalCopy.kind === 'noSuchRun' || (isNotStopped && runsOn)) {
-      run.withdrawStop();
-    }
-    if (finalCopy.kind === 'noSuchRun' || finalCopy.kind === 'inProgress') {
-      this.dropCopy(source, firstCopy.handle);
-      return run.hasEnded() || run.serverId() !== undefined;
+    const isRefused = finalCopy.kind === 'noRoom';
+    switch (runAfterStop(finalCopy, mayBeStopped)) {
+      case 'ended':
+      case 'runsOn':
+        await run.withdrawStop();
+        if (run.hasEnded() || run.hasStream()) {
+          if (finalCopy.kind !== 'notSent') {
+            this.dropCopy(source, firstCopy.handle);
+          }
+          return true;
+        }
+        run.continueAt(atTarget);
+        return true;
+      case 'stopped': {
+        const kept =
+          'handle' in finalCopy && finalCopy.handle ? finalCopy.handle : firstCopy.handle;
+        await waitForStreamClosed(run);
+        if (run.hasEnded()) {
+          this.dropCopy(source, kept);
+          return true;
+        }
+        const { eventsMade } = finalCopy.kind === 'copied' ? finalCopy : firstCopy;
+        const keptAtSource = continuationAt(source, source, { eventsMade, handle: kept });
+        run.continueAt(
+          isRefused
+            ? { ...keptAtSource, fallback: continuationAt(target, source, firstCopy) }
+            : { ...keptAtSource, fallback: keptAtSource, server: target },
+        );
+        return true;
+      }
+      case 'unknown':
+        return this.continueUndecided(run, status, source, atTarget);
     }
-    const isUnknown = finalCopy.kind === 'notSent' || finalCopy.kind === 'unreadable';
-    const handle = (isUnknown ? undefined : finalCopy.handle) ?? firstCopy.handle;
-    if (isUnknown && run.serverId() !== undefined) {
-      return true;
+  }
+
+  /**
+   * Goes on after an order to stop of which it is not known whether it was carried out. A copy that leaves
+   * the run as it is shows whether the engine still runs it. Where nothing shows that, the stream stays, and
+   * continues at the target when its connection ends.
+   */
+  private async continueUndecided(
+    run: GenerationRun,
+    status: RunStatus,
+    source: BackendServer,
+    atTarget: Continuation,
+  ): Promise<boolean> {
+    const { kvSource, server: target } = atTarget;
+    let isClosed = await waitForStreamClosed(run);
+    if (!isClosed) {
+      const startedMs = this.context.clock.nowMs();
+      const check = await this.requestMove(source, target, status.requestId, false);
+      this.logMove('move-checked', status, source, target, check, startedMs);
+      if (check.kind === 'copied') {
+        await run.withdrawStop();
+        return run.hasEnded();
+      }
+      isClosed = check.kind === 'noSuchRun' || !run.hasStream();
     }
-    const isClosed = await waitForStreamClosed(run);
     if (run.hasEnded()) {
-      this.dropCopy(source, handle);
+      this.dropCopy(source, kvSource.handle);
       return true;
     }
-    if (finalCopy.kind === 'noRoom' && !isClosed) {
-      // The engine refused before it stopped the run, so the run continues there.
-      run.withdrawStop();
-      return false;
+    if (isClosed) {
+      run.continueAt(atTarget);
     }
-    const eventsMade = finalCopy.kind === 'copied' ? finalCopy.eventsMade : undefined;
-    const continueAtSource = { eventsMade, kvSource: locate(source, handle), server: source };
-    run.continueAt(
-      finalCopy.kind === 'noRoom'
-        ? continueAtSource
-        : { ...continueAtSource, fallback: continueAtSource, server: target },
-    );
     return true;
   }
 
@@ -313,8 +350,14 @@
   }
 }
 
-function locate({ host, port }: BackendServer, handle: string): KvCacheLocation {
-  return { handle, host, port };
+/** Continuation of a run at a server from memory that the engine it ran at has copied or kept. */
+function continuationAt(
+  server: BackendServer,
+  { host, port }: BackendServer,
+  { eventsMade, handle }: { readonly eventsMade: number; readonly handle: string },
+): Continuation {
+  const kvSource: KvCacheLocation = { handle, host, port };
+  return { eventsMade, kvSource, server };
 }
 
 /** Whether a run can be moved; one that may crash engines is not sent to another. */
