Leave a stream where it runs when no engine would take it back

Cause: whether the engine takes a stopped run back was asked after the stop only. Copies take turns, so that the last stops came when it took none any more. The limit, half of the time for which a leaving server serves, was the same for runs of other engines and for what the engine itself had kept.

Change: mayStopForMove is asked before the copy and before the stop. A run that could not return stays while it is expected to end first, by its own pace. A kept run may return for three quarters of the time that a leaving server serves; then the first copy at the target is used. A target without room is not tried again while the run can return.

Ruled out: the daemon's own stop (0.8 to 2.0 s of 8 s of its grace), a refusal by the engine (nothing is sent to it).

--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -68,6 +68,8 @@
 const DEFAULT_SERVER_DRAIN_MS = 2_000;
 /** The rest of that time covers the delay until a daemon hears that a server leaves. */
 const USED_DRAIN_FRACTION = 0.5;
+/** A run that the server itself has stopped can be lost otherwise, and may take longer to return. */
+const USED_DRAIN_FRACTION_FOR_RETURN = 0.75;
 /** Start time of servers that do not state theirs. */
 const UNKNOWN_START_EPOCH_MS = 0;
 const NO_REVISION = toNumberId<Revision>(0);
@@ -256,11 +258,28 @@
    * it is certain to accept requests.
    */
   acceptsContinuation(serverId: ServerId, nowMs: number): boolean {
+    return this.acceptsFor(USED_DRAIN_FRACTION, serverId, nowMs);
+  }
+
+  /** Whether a server takes back a run that it has stopped and kept; longer than runs of others. */
+  acceptsReturn(serverId: ServerId, nowMs: number): boolean {
+    return this.acceptsFor(USED_DRAIN_FRACTION_FOR_RETURN, serverId, nowMs);
+  }
+
+  /** Time for which a server is certain to serve on; infinite while it does not leave. */
+  servesForMs(serverId: ServerId, nowMs: number): number {
+    const leavingSinceMs = this.leavingSinceMs.get(serverId);
+    return leavingSinceMs === undefined
+      ? Infinity
+      : Math.max(0, leavingSinceMs + this.serverDrainMs - nowMs);
+  }
+
+  private acceptsFor(drainFraction: number, serverId: ServerId, nowMs: number): boolean {
     if (!this.entries.has(serverId) || this.isBackingOff(serverId, nowMs)) {
       return false;
     }
     const leavingForMs = nowMs - (this.leavingSinceMs.get(serverId) ?? nowMs);
-    return leavingForMs < USED_DRAIN_FRACTION * this.serverDrainMs;
+    return leavingForMs < drainFraction * this.serverDrainMs;
   }
 
   /**
--- a/packages/dispatch/src/StreamMoves.ts
+++ b/packages/dispatch/src/StreamMoves.ts
@@ -34,6 +34,31 @@
   return (bits * MS_PER_S) / (engine.linkMbps * BITS_PER_MEGABIT);
 }
 
+/** A run on a leaving engine, before it is stopped for a move. */
+export interface RunBeforeStop {
+  /** Whether the engine takes the run back if no other has room for it. */
+  readonly acceptsReturn: boolean;
+  /** Time for which the engine is certain to serve on. */
+  readonly engineRemainingMs: number;
+  /** Expected time until the run ends where it is. */
+  readonly runRemainingMs: number;
+}
+
+/**
+ * Whether a run is stopped for a move. A run that no engine would take after the stop is better left where
+ * it is, if it is expected to end there.
+ *
+ * @param run - the run
+ * @returns false when it stays where it is for now
+ */
+export function mayStopForMove({
+  acceptsReturn,
+  engineRemainingMs,
+  runRemainingMs,
+}: RunBeforeStop): boolean {
+  return acceptsReturn || runRemainingMs > engineRemainingMs;
+}
+
 /**
  * Selects the streams to move away from a leaving engine; streams that are about to end stay.
  *
--- a/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
@@ -246,3 +246,17 @@
   registry.apply([changeOf('b', 3, { startedEpochMs: 2 })], 102_000);
   t.true(registry.acceptsContinuation(B.serverId, 200_000), 'a restarted server');
 });
+
+test('a leaving server takes back its own runs for longer, but not until it stops serving', (t) => {
+  const registry = new ServerRegistry({ serverDrainMs: 2_000 });
+  registry.apply([changeOf('b', 1, {})], 0);
+  t.is(registry.servesForMs(B.serverId, 100_000), Infinity);
+  registry.markLeaving(B, 100_000);
+  t.is(registry.servesForMs(B.serverId, 100_500), 1_500);
+  t.is(registry.servesForMs(B.serverId, 103_000), 0);
+  t.true(registry.acceptsReturn(B.serverId, 101_499));
+  t.false(registry.acceptsReturn(B.serverId, 101_500));
+  registry.backOff(B, 101_000);
+  t.false(registry.acceptsReturn(B.serverId, 100_999), 'it wants to be sent nothing');
+  t.false(registry.acceptsReturn(toId<ServerId>('unknown'), 0));
+});
--- a/packages/dispatch/src/__tests__/unit/StreamMoves.test.ts
+++ b/packages/dispatch/src/__tests__/unit/StreamMoves.test.ts
@@ -1,7 +1,7 @@
 import type { RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import test from 'ava';
-import { PrefixCacheIndex, copyDurationMs, selectMoves } from '../../index.js';
+import { PrefixCacheIndex, copyDurationMs, mayStopForMove, selectMoves } from '../../index.js';
 import { ENGINE } from '../support/DispatchFixtures.js';
 
 test('a copy takes the time of its bytes over the link', (t) => {
@@ -21,6 +21,15 @@
   ]);
 });
 
+// Streams that would have ended in time were stopped when their engine took none back any more.
+test('a run that could not return is stopped only if it would not end where it is', (t) => {
+  const run = { acceptsReturn: true, engineRemainingMs: 800, runRemainingMs: 700 };
+  t.true(mayStopForMove(run));
+  t.false(mayStopForMove({ ...run, acceptsReturn: false }));
+  t.true(mayStopForMove({ ...run, acceptsReturn: false, runRemainingMs: 900 }));
+  t.true(mayStopForMove({ ...run, acceptsReturn: false, engineRemainingMs: 0 }));
+});
+
 test('cached parts count from the start of the prompt and within the window', (t) => {
   const prefixes = new PrefixCacheIndex();
   const serverId = toId<ServerId>('a');
--- a/packages/serving/src/__tests__/unit/ServerAccessEvacuation.test.ts
+++ b/packages/serving/src/__tests__/unit/ServerAccessEvacuation.test.ts
@@ -150,24 +150,27 @@
 
 test('the last check before writing refuses requests, continuations and control requests', (t) => {
   const target = new TestAccess();
-  t.true(target.access.mayReceive(A1, false));
-  t.true(target.access.mayReceive(A1, true));
+  t.true(target.access.mayReceive(A1, 'newRun'));
+  t.true(target.access.mayReceive(A1, 'continuation'));
   t.is(target.access.controlDenial(A1), undefined);
   target.evacuated.add('a');
-  t.false(target.access.mayReceive(A1, false));
-  t.false(target.access.mayReceive(A1, true));
+  t.false(target.access.mayReceive(A1, 'newRun'));
+  t.false(target.access.mayReceive(A1, 'continuation'));
   t.not(target.access.controlDenial(A1), undefined);
-  t.true(target.access.mayReceive(B1, false));
+  t.true(target.access.mayReceive(B1, 'newRun'));
 });
 
 test('the last check before writing also refuses servers that leave or back off', (t) => {
   const target = new TestAccess();
   target.registry.backOff(A1, BACKOFF_MS);
-  t.false(target.access.mayReceive(A1, false));
+  t.false(target.access.mayReceive(A1, 'newRun'));
   t.not(target.access.controlDenial(A1, { savesStream: true }), undefined);
   target.registry.markLeaving(B1, 0);
-  t.false(target.access.mayReceive(B1, false));
-  t.true(target.access.mayReceive(B1, true), 'a leaving server still takes continuations');
+  t.false(target.access.mayReceive(B1, 'newRun'));
+  t.true(
+    target.access.mayReceive(B1, 'continuation'),
+    'a leaving server still takes continuations',
+  );
 });
 
 test('a control request that saves a stream at an evacuated engine is sent', (t) => {
--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -51,6 +51,7 @@
   MAX_REFUSED_SENDS,
 } from '../ServingConstants.js';
 import type { ServingContext } from '../ServingContext.js';
+import type { RequestUse } from '../servers/ServerAccess.js';
 import { StreamPace } from './StreamPace.js';
 import type { KvCacheLocation } from '../ServingPorts.js';
 
@@ -60,6 +61,8 @@
 /** Responses below this status that are no event stream are unusable, and no error to forward. */
 const FIRST_REDIRECT_STATUS = 300;
 const FIRST_FAILURE_STATUS = 500;
+/** Events come in bursts, so that the pace of fewer says little. */
+const MIN_PACE_EVENTS = 8;
 
 /** Execution of the generation at one engine. */
 interface EngineAttempt extends BackendAttempt {
@@ -96,6 +99,8 @@
   readonly isMoving: boolean;
   /** Requests like this one may crash engines. */
   readonly isQuarantined: boolean;
+  /** Mean time of one output token in this run; undefined until enough events arrived. */
+  readonly msPerToken: number | undefined;
   readonly requestId: string;
   readonly server: BackendServer;
   /** Time since the engine sent the last event. */
@@ -222,6 +227,7 @@
       expectedRemainingTokens: plannedOutputTokens(prompt, producedTokens) - producedTokens,
       isMoving: this.isMoving,
       isQuarantined: this.admitted.pass.refusal() !== undefined,
+      msPerToken: this.msPerToken(),
       requestId: this.admitted.request.requestId,
       server: attempt.server,
       sinceLastEventMs: this.silenceMs(),
@@ -230,6 +236,14 @@
     };
   }
 
+  private msPerToken(): number | undefined {
+    const { eventCount, firstEventAtMs, lastEventAtMs } = this;
+    if (firstEventAtMs === undefined || eventCount < MIN_PACE_EVENTS) {
+      return undefined;
+    }
+    return (lastEventAtMs - firstEventAtMs) / ((eventCount - 1) * this.engineLimits.tokensPerEvent);
+  }
+
   /** Time since the last event; an engine is not silent while its events are not read. */
   private silenceMs(): number {
     const nowMs = this.context.clock.nowMs();
@@ -518,8 +532,8 @@
       connections.release(attempt.server, connection);
       return;
     }
-    const isContinuation = continuation !== undefined;
-    if (!mayStillReceive(this.context, this.admitted, attempt.server, isContinuation)) {
+    const use = continuation ? useOf(continuation) : 'newRun';
+    if (!mayStillReceive(this.context, this.admitted, attempt.server, use)) {
       connections.release(attempt.server, connection);
       this.onNotStarted(attempt, continuation, 'the server accepts no new requests');
       return;
@@ -971,6 +985,11 @@
   }
 }
 
+function useOf({ kvSource, server }: Continuation): RequestUse {
+  const isKept = kvSource.host === server.host && kvSource.port === server.port;
+  return isKept ? 'return' : 'continuation';
+}
+
 function isEventStream(attempt: EngineAttempt): boolean {
   const { head, metadata } = attempt;
   return head?.status === SUCCESS_STATUS && metadata !== undefined && isFromServer(head, metadata);
--- a/packages/serving/src/servers/BackendAttempt.ts
+++ b/packages/serving/src/servers/BackendAttempt.ts
@@ -8,7 +8,7 @@
 import type { BrokenRequest } from './CrashDetector.js';
 import { isNotExecuted } from './ResponseChecks.js';
 import type { ResponseHead } from './ResponseParser.js';
-import type { ServerAccessListener } from './ServerAccess.js';
+import type { RequestUse, ServerAccessListener } from './ServerAccess.js';
 import type { ServingContext } from '../ServingContext.js';
 import type { BackendRequestOptions, ResponseMetadata } from '../ServingPorts.js';
 
@@ -104,17 +104,17 @@
  * @param context - shared state of the daemon
  * @param admitted - the caller's request
  * @param server - the server
- * @param isContinuation - the request continues a run from a copied KV cache
+ * @param use - what the request is for
  * @returns whether the request may be sent
  */
 export function mayStillReceive(
   context: ServingContext,
   admitted: AdmittedCall,
   server: BackendServer,
-  isContinuation = false,
+  use: RequestUse = 'newRun',
 ): boolean {
   const { serverAccess } = context;
-  if (serverAccess.mayReceive(server, isContinuation)) {
+  if (serverAccess.mayReceive(server, use)) {
     return true;
   }
   if (serverAccess.isEvacuated(server)) {
--- a/packages/serving/src/servers/ServerAccess.ts
+++ b/packages/serving/src/servers/ServerAccess.ts
@@ -21,13 +21,24 @@
   >;
   readonly registry: Pick<
     ServerRegistry,
-    'acceptsContinuation' | 'isBackingOff' | 'isUsable' | 'usableAgainAfterMs' | 'usableServers'
+    | 'acceptsContinuation'
+    | 'acceptsReturn'
+    | 'isBackingOff'
+    | 'isUsable'
+    | 'usableAgainAfterMs'
+    | 'usableServers'
   >;
 }
 
 /** Why a server gets no request: its failure domain is evacuated, or its limit is reached. */
 export type AccessDenial = 'evacuated' | 'limited';
 
+/**
+ * What a caller's request is for: a run from its start, one that continues from a copied KV cache, or one
+ * that continues where it ran, from what the server has kept of it.
+ */
+export type RequestUse = 'continuation' | 'newRun' | 'return';
+
 /** What a connection is acquired for. */
 export interface AccessOptions {
   /**
@@ -141,18 +152,23 @@
    * The last check before a request is written.
    *
    * @param server - the server
-   * @param isContinuation - the request continues a run from a copied KV cache
+   * @param use - what the request is for
    * @returns whether it may be sent now
    */
-  mayReceive(server: BackendServer, isContinuation: boolean): boolean {
+  mayReceive(server: BackendServer, use: RequestUse): boolean {
     const { clock, registry } = this.options;
     if (this.avoidsEvacuated(server, 'request')) {
       return false;
     }
     const nowMs = clock.nowMs();
-    return isContinuation
-      ? registry.acceptsContinuation(server.serverId, nowMs)
-      : registry.isUsable(server.serverId, nowMs);
+    switch (use) {
+      case 'continuation':
+        return registry.acceptsContinuation(server.serverId, nowMs);
+      case 'newRun':
+        return registry.isUsable(server.serverId, nowMs);
+      case 'return':
+        return registry.acceptsReturn(server.serverId, nowMs);
+    }
   }
 
   /**
--- a/packages/serving/src/servers/StreamMover.ts
+++ b/packages/serving/src/servers/StreamMover.ts
@@ -1,5 +1,5 @@
 import type { BackendServer, EngineLimits, SelectedMove } from '@laburnumgap/dispatch';
-import { selectMoves } from '@laburnumgap/dispatch';
+import { mayStopForMove, selectMoves } from '@laburnumgap/dispatch';
 import type { MemberId, RequestId, ServerId } from '@laburnumgap/kernel';
 import { toId } from '@laburnumgap/kernel';
 import type { Continuation, GenerationRun, RunStatus } from '../callers/GenerationRun.js';
@@ -31,12 +31,20 @@
 /** Candidate targets that are offered to the coordinator of the moves. */
 const MAX_OFFERED_TARGETS = 6;
 
+interface StreamMove extends SelectedMove {
+  /** The run can also end where it is; false by default. */
+  readonly mayStay?: boolean;
+}
+
 /**
  * Moves running streams away from engines that leave or stall. The engine copies the KV cache while
  * the run continues, then stops the run and copies the rest; the run continues at the target. Copies
  * from one engine run one at a time, see {@link MoveCoordinator}.
  */
 export class StreamMover {
+  /** Engines without room for the last piece of a run, which are not tried again while it can return. */
+  private readonly refusals = new WeakMap<GenerationRun, Set<ServerId>>();
+
   constructor(
     private readonly context: ServingContext,
     private readonly runs: ReadonlySet<GenerationRun>,
@@ -57,6 +65,11 @@
       return;
     }
     const movable = this.movableRunsAt(serverId);
+    for (const [requestId, { status }] of movable) {
+      if (!this.mayStop(status, source)) {
+        movable.delete(requestId);
+      }
+    }
     const streams = [...movable.values()].map(({ status }) => ({
       expectedRemainingTokens: status.expectedRemainingTokens,
       requestId: toId<RequestId>(status.requestId),
@@ -67,7 +80,7 @@
       const run = movable.get(selectedMove.requestId)?.run;
       if (run) {
         run.setMoving(true);
-        void this.move(run, source, selectedMove);
+        void this.move(run, source, { ...selectedMove, mayStay: true });
       }
     }
   }
@@ -136,9 +149,30 @@
     return via === undefined && confirmedForMs > 0 ? SEVERED_STALL_TIMEOUT_MS : STALL_TIMEOUT_MS;
   }
 
+  private acceptsReturn({ serverId }: BackendServer): boolean {
+    const { clock, registry } = this.context;
+    return registry.acceptsContinuation(serverId, clock.nowMs());
+  }
+
+  /** Whether a run of a leaving engine is stopped for a move now; false when it stays. */
+  private mayStop(
+    { expectedRemainingTokens, msPerToken }: RunStatus,
+    source: BackendServer,
+  ): boolean {
+    const { clock, engineSpeeds, registry } = this.context;
+    const nowMs = clock.nowMs();
+    const tokensPerEvent = this.engineLimitsOf(source)?.tokensPerEvent ?? 1;
+    const tokenMs = msPerToken ?? engineSpeeds.msPerToken(source, tokensPerEvent) ?? MS_PER_TOKEN;
+    return mayStopForMove({
+      acceptsReturn: this.acceptsReturn(source),
+      engineRemainingMs: registry.servesForMs(source.serverId, nowMs),
+      runRemainingMs: expectedRemainingTokens * tokenMs,
+    });
+  }
+
   private movableRunsAt(
     serverId: ServerId,
-  ): ReadonlyMap<string, { run: GenerationRun; status: RunStatus }> {
+  ): Map<string, { run: GenerationRun; status: RunStatus }> {
     const movable = new Map<string, { run: GenerationRun; status: RunStatus }>();
     for (const run of this.runs) {
       const status = run.status();
@@ -152,10 +186,13 @@
   private async move(
     run: GenerationRun,
     source: BackendServer,
-    selectedMove: SelectedMove,
+    selectedMove: StreamMove,
   ): Promise<void> {
-    const { requestId } = selectedMove;
+    const { mayStay = false, requestId } = selectedMove;
     const triedServerIds = new Set<ServerId>([source.serverId]);
+    if (mayStay && this.acceptsReturn(source)) {
+      this.refusals.get(run)?.forEach((serverId) => triedServerIds.add(serverId));
+    }
     for (let count = 0; count < MAX_MOVE_ATTEMPTS; count += 1) {
       const target = await this.selectTarget(run, source, selectedMove, triedServerIds);
       const status = run.status();
@@ -169,7 +206,7 @@
         continue;
       }
       run.setCopyTarget(target.serverId);
-      const isFinished = await this.copyAndContinue(run, status, source, target);
+      const isFinished = await this.copyAndContinue(run, status, source, target, mayStay);
       run.setCopyTarget(undefined);
       if (isFinished) {
         break;
@@ -215,6 +252,7 @@
     status: RunStatus,
     source: BackendServer,
     target: BackendServer,
+    mayStay: boolean,
   ): Promise<boolean> {
     const { requestId } = status;
     const startedMs = this.context.clock.nowMs();
@@ -231,6 +269,12 @@
       this.dropCopy(source, firstCopy.handle);
       return false;
     }
+    const currentStatus = run.status();
+    if (mayStay && currentStatus && !this.mayStop(currentStatus, source)) {
+      this.context.log.info('move-withheld', { requestId, sourceId: source.serverId });
+      this.dropCopy(source, firstCopy.handle);
+      return true;
+    }
     const finalCopyStartedMs = this.context.clock.nowMs();
     const atSource = continuationAt(source, source, firstCopy);
     const atTarget = { ...continuationAt(target, source, firstCopy), fallback: atSource };
@@ -259,6 +303,10 @@
           this.dropCopy(source, kept);
           return true;
         }
+        if (isRefused) {
+          const refusedBy = this.refusals.get(run) ?? new Set();
+          this.refusals.set(run, refusedBy.add(target.serverId));
+        }
         const { eventsMade } = finalCopy.kind === 'copied' ? finalCopy : firstCopy;
         const keptAtSource = continuationAt(source, source, { eventsMade, handle: kept });
         run.continueAt(
