Let each daemon ask the store when its view of it becomes too old

Cause: a daemon that does not watch relies on those that do. Each loss in series adds the time until it is noticed and until the next ones read, and nothing bounds the sum.

Change: StoreFreshness keeps the time up to which a daemon knows all changes. Heartbeats and domain loads carry its age, so that it spreads from those that watch. A daemon whose view is older than 0.45 of the time for a configuration reads what has changed, for itself only.

Ruled out: pings (stale reads), a shorter liveness time-out and more watchers (both only move the sum).

--- a/packages/serving/src/ServingDaemon.ts
+++ b/packages/serving/src/ServingDaemon.ts
@@ -81,6 +81,8 @@
   readonly coldOverageFactor?: number;
   /** Requests that a cold server may get in one second in addition to that. */
   readonly coldSlackRequests?: number;
+  /** Time after its acknowledgement by which a configuration has to be in force on every daemon. */
+  readonly configurationApplyMs?: number;
   /**
    * Time after an operator evacuated a failure domain by which nothing more may reach its servers.
    * Evacuations are ignored where it is absent.
@@ -446,6 +448,7 @@
       stopGate: this.stopGate,
     };
     this.cluster = new ClusterSync({
+      applyMs: settings.configurationApplyMs,
       clock,
       coldServers: () => this.cold.reports(),
       directory,
--- a/packages/serving/src/__tests__/SimulatedFleet.ts
+++ b/packages/serving/src/__tests__/SimulatedFleet.ts
@@ -111,6 +111,7 @@
     });
     this.quarantine = coordinator;
     const sync: ClusterSync = new ClusterSync({
+      applyMs: fleet.applyMs(),
       clock: fleet.clock,
       directory,
       evacuations,
@@ -359,6 +360,10 @@
     return this.options.isLost?.(from, to, bytes.toString()) ?? false;
   }
 
+  applyMs(): number {
+    return this.options.applyMs;
+  }
+
   canFetch(): boolean {
     return this.options.canFetch?.() ?? true;
   }
--- a/packages/serving/src/__tests__/SimulatedStore.ts
+++ b/packages/serving/src/__tests__/SimulatedStore.ts
@@ -186,6 +186,8 @@
 /** One daemon's client of a {@link SimulatedStore}, with the time limits of the platform's client. */
 export class SimulatedDirectory implements PlatformDirectory, QuarantineStore {
   access: StoreAccess = 'answers';
+  /** Number of watches and queries for changes. */
+  watchCount = 0;
   callCount = 0;
   private readonly cancels = new Set<() => void>();
 
@@ -242,6 +244,7 @@
 
   watch(after: Revision, waitMs: number): Promise<Result<DirectoryChanges, DirectoryError>> {
     const timeoutMs = waitMs + WATCH_TIMEOUT_MARGIN_MS;
+    this.watchCount += 1;
     return this.call(timeoutMs, (answer) => {
       const respond = (): void => {
         const changes = this.store.changesAfter(after);
--- a/packages/serving/src/__tests__/integration/PeerLink.test.ts
+++ b/packages/serving/src/__tests__/integration/PeerLink.test.ts
@@ -32,10 +32,12 @@
     onLeaving: () => undefined,
     onLimits: () => undefined,
     onQuarantines: () => undefined,
+    onStoreAge: () => undefined,
     quarantines: () => [],
     onMessage: () => undefined,
     position: () => position,
     seedHosts: [],
+    storeAgeMs: () => undefined,
     snapshot: () => ({ ...FIRST_POSITION, members: [], servers: [] }),
     transport: new PeerSockets({
       heartbeatPort: other.address().port,
--- a/packages/serving/src/__tests__/unit/ClusterState.test.ts
+++ b/packages/serving/src/__tests__/unit/ClusterState.test.ts
@@ -193,7 +193,7 @@
       servers: [],
       unreadable: [],
     };
-    clusterState.applyStoreChanges(changes, true);
+    clusterState.applyStoreChanges(changes, 'full');
   }
   t.deepEqual(announcedVersions, [4]);
 });
--- a/packages/serving/src/__tests__/unit/ClusterStateEras.test.ts
+++ b/packages/serving/src/__tests__/unit/ClusterStateEras.test.ts
@@ -342,12 +342,12 @@
               });
               break;
             case 'readsStore':
-              daemon?.state.applyStoreChanges(store.fullRead(), true);
+              daemon?.state.applyStoreChanges(store.fullRead(), 'full');
               break;
             case 'watches': {
               const position = daemon?.state.position();
               if (position?.era === toNumberId<StoreEra>(store.era)) {
-                daemon?.state.applyStoreChanges(store.watch(position.revision), false);
+                daemon?.state.applyStoreChanges(store.watch(position.revision), 'watch');
               }
               break;
             }
@@ -359,7 +359,7 @@
               if (answer && daemon) {
                 const isOutdated = answer.era < daemon.state.position().era;
                 const before = daemon.usable();
-                daemon.state.applyStoreChanges(answer, true);
+                daemon.state.applyStoreChanges(answer, 'full');
                 assertUnchanged(isOutdated, before, daemon.usable());
               }
               break;
--- a/packages/serving/src/__tests__/unit/ConfigurationPropagation.test.ts
+++ b/packages/serving/src/__tests__/unit/ConfigurationPropagation.test.ts
@@ -1,4 +1,5 @@
 import type { ExecutionContext } from 'ava';
+import { selectWatchers } from '@laburnumgap/dispatch';
 import test from 'ava';
 import type { SimulatedDaemon } from '../SimulatedFleet.js';
 import { SimulatedFleet } from '../SimulatedFleet.js';
@@ -98,6 +99,67 @@
   }
 }
 
+const SURVIVORS = 2;
+/** Losses follow each other before the next daemons in line have taken over, and just after that. */
+const LOSS_INTERVALS_MS = [700, 1_050, 1_300];
+
+/** Cuts the power of the daemons that watch, or will once the loss of those before them is noticed. */
+function powerOffNext(fleet: SimulatedFleet): void {
+  const powered = fleet.daemons.filter(({ isPowered }) => isPowered);
+  const next = selectWatchers(
+    powered.map(({ address, failureDomain }) => ({
+      failureDomain,
+      memberId: address.memberId,
+      storeIsAway: false,
+    })),
+  );
+  const lost = powered.filter(({ address }) => next.has(address.memberId));
+  powerOff(lost.slice(0, Math.max(0, powered.length - SURVIVORS)));
+}
+
+// A withdrawn key was served beyond the time for a configuration when those that took over were lost too.
+for (const size of SIZES) {
+  const count = size.daemonsPerDomain * size.domains;
+  for (const intervalMs of LOSS_INTERVALS_MS) {
+    test.serial(
+      `${count} daemons follow a version while two lose power every ${intervalMs} ms`,
+      async (t) => {
+        const fleet = await SimulatedFleet.start(size);
+        t.teardown(() => {
+          fleet.stop();
+        });
+        powerOffNext(fleet);
+        fleet.publish();
+        for (let elapsedMs = 0; elapsedMs < 3 * size.applyMs; elapsedMs += intervalMs) {
+          await fleet.run(intervalMs);
+          powerOffNext(fleet);
+        }
+        assertNoneLate(t, fleet);
+        t.true(fleet.daemons.some(({ isPowered }) => isPowered));
+      },
+    );
+  }
+}
+
+/** Many times the age at which a daemon asks the store itself. */
+const CALM_MS = 20_000;
+
+for (const size of SIZES) {
+  const count = size.daemonsPerDomain * size.domains;
+  test.serial(`of ${count} daemons only those that watch ask the store in calm`, async (t) => {
+    const fleet = await SimulatedFleet.start(size);
+    t.teardown(() => {
+      fleet.stop();
+    });
+    const before = fleet.daemons.map(({ directory }) => directory.watchCount);
+    await fleet.run(CALM_MS);
+    const asking = fleet.daemons.filter(
+      ({ directory }, index) => directory.watchCount > (before[index] ?? 0),
+    );
+    t.deepEqual(asking, fleet.watchers());
+  });
+}
+
 for (const size of SIZES) {
   const count = size.daemonsPerDomain * size.domains;
   test.serial(
--- a/packages/serving/src/__tests__/unit/DirectoryFollower.test.ts
+++ b/packages/serving/src/__tests__/unit/DirectoryFollower.test.ts
@@ -8,14 +8,15 @@
   DirectoryError,
   FollowedChanges,
   PlatformDirectory,
+  StoreRead,
 } from '../../index.js';
-import { DirectoryFollower } from '../../index.js';
+import { DirectoryFollower, StoreFreshness } from '../../index.js';
 
 type Answer = Result<DirectoryChanges, DirectoryError>;
 
 interface ReceivedChanges {
   readonly changes: FollowedChanges;
-  readonly isFullRead: boolean;
+  readonly read: StoreRead;
 }
 
 /** A store whose calls stay pending until the test answers them. */
@@ -94,9 +95,10 @@
   const follower = new DirectoryFollower({
     clock,
     directory: store,
+    freshness: new StoreFreshness({ clock }),
     isWatcher: () => true,
     log: { info: () => undefined, warn: () => undefined },
-    onChanges: (changes, isFullRead) => received.push({ changes, isFullRead }),
+    onChanges: (changes, read) => received.push({ changes, read }),
     onReachabilityChanged: () => undefined,
     onStoreDown: () => undefined,
     randomUnit: () => 0,
@@ -114,10 +116,10 @@
   t.is(await store.respond(changesAt(2, 60)), 'readAll', 'revision 60 is of another history');
   t.is(await store.respond(changesAt(2, 12)), 'watch 12');
   t.deepEqual(
-    received.map(({ changes, isFullRead }) => [changes.era, changes.revision, isFullRead]),
+    received.map(({ changes, read }) => [changes.era, changes.revision, read]),
     [
-      [1, 50, true],
-      [2, 12, true],
+      [1, 50, 'full'],
+      [2, 12, 'full'],
     ] as unknown[],
   );
 });
--- a/packages/serving/src/__tests__/unit/FormerBuild.test.ts
+++ b/packages/serving/src/__tests__/unit/FormerBuild.test.ts
@@ -140,3 +140,18 @@
   const fields = Object.entries(value).sort(([a], [b]) => a.localeCompare(b));
   return Object.fromEntries(fields.map(([name, entry]) => [name, shapeOf(entry)]));
 }
+
+// The former build checks the fields that it knows and keeps others, which it does not use.
+test('a heartbeat with the age of what its sender knows has the form of the former build', (t) => {
+  const former = FORMER_BUILD.messages
+    .map(({ sent }) => parseDatagram(Buffer.from(sent)))
+    .find((message) => message && !('kind' in message));
+  t.truthy(former);
+  if (former && !('kind' in former)) {
+    const { storeAgeMs, ...rest } = JSON.parse(
+      encodeMessage({ ...former, storeAgeMs: 120 }),
+    ) as Record<string, unknown>;
+    t.is(storeAgeMs, 120);
+    t.deepEqual(rest, JSON.parse(encodeMessage(former)));
+  }
+});
--- a/packages/serving/src/__tests__/unit/LeavingServerPropagation.test.ts
+++ b/packages/serving/src/__tests__/unit/LeavingServerPropagation.test.ts
@@ -66,7 +66,7 @@
   constructor(private readonly isLost: (message: ChangesMessage, receiver: number) => boolean) {
     this.daemons = Array.from({ length: DAEMONS }, (_, index) => this.createDaemon(index));
     for (const { clusterState } of this.daemons) {
-      clusterState.applyStoreChanges(this.changes([serverChange(1, false)], true), true);
+      clusterState.applyStoreChanges(this.changes([serverChange(1, false)], true), 'full');
     }
     this.loop.after(0, () => {
       this.sendHeartbeats();
@@ -97,7 +97,7 @@
 
   private notifyWatchers(changes: FollowedChanges): void {
     for (const { clusterState } of this.daemons.slice(0, WATCHERS)) {
-      clusterState.applyStoreChanges(changes, false);
+      clusterState.applyStoreChanges(changes, 'watch');
     }
   }
 
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -71,6 +71,7 @@
 export * from './callers/ShortageQueue.js';
 export * from './peers/ShortageReportCodec.js';
 export * from './servers/SocketOpener.js';
+export * from './store/StoreFreshness.js';
 export * from './store/StorePosition.js';
 export * from './servers/StopOrder.js';
 export * from './servers/StreamMover.js';
--- a/packages/serving/src/peers/ClusterState.ts
+++ b/packages/serving/src/peers/ClusterState.ts
@@ -13,7 +13,7 @@
 import { ConfigurationFetcher } from './ConfigurationFetcher.js';
 import type { EvacuationCoordinator } from './EvacuationCoordinator.js';
 import { fitsInDatagram } from './EvacuationMessages.js';
-import type { FollowedChanges } from '../store/DirectoryFollower.js';
+import type { FollowedChanges, StoreRead } from '../store/DirectoryFollower.js';
 import type { SyncPosition } from './LagDetector.js';
 import type { PeerLink } from './PeerLink.js';
 import type { ChangesMessage, ConfigurationMessage, PeerSnapshot } from './PeerMessages.js';
@@ -133,12 +133,15 @@
   }
 
   /**
-   * Applies changes from the platform's store and sends them to the other daemons.
+   * Applies changes from the platform's store. Sends them to the other daemons, unless each reads them for
+   * itself at this time.
    *
    * @param received - the changes
-   * @param isFullRead - the changes list everything; servers that are not listed are gone
+   * @param read - how they were read
    */
-  applyStoreChanges(received: FollowedChanges, isFullRead: boolean): void {
+  applyStoreChanges(received: FollowedChanges, read: StoreRead): void {
+    const isFullRead = read === 'full';
+    const isShared = read !== 'query';
     const changes = this.options.evacuations ? received : { ...received, evacuations: undefined };
     const previous = this.storePosition;
     const isOtherEra = changes.era !== previous.era;
@@ -150,9 +153,14 @@
       // Later, heartbeats say what other daemons know, and what they do not know any more.
       this.options.onStoredQuarantines?.(changes.quarantines ?? []);
     }
-    this.broadcastChanges(changes, isFullRead);
+    if (isShared) {
+      this.broadcastChanges(changes, isFullRead);
+    }
     const hasEvacuationChanged = this.applyEvacuations(changes, isFullRead);
     this.applyChanges(changes, isFullRead);
+    if (!isShared) {
+      return;
+    }
     if (changes.configuration && !isStarting) {
       this.announceConfiguration(this.options.failureDomain);
     }
--- a/packages/serving/src/peers/ClusterSync.ts
+++ b/packages/serving/src/peers/ClusterSync.ts
@@ -14,6 +14,7 @@
 import { ClusterState } from './ClusterState.js';
 import type { EvacuationCoordinator } from './EvacuationCoordinator.js';
 import { DirectoryFollower } from '../store/DirectoryFollower.js';
+import { StoreFreshness } from '../store/StoreFreshness.js';
 import { MemberRegistration } from './MemberRegistration.js';
 import type { ShortageExchange } from './PeerLink.js';
 import { PeerLink } from './PeerLink.js';
@@ -31,6 +32,8 @@
 
 /** Options of {@link ClusterSync}. */
 export interface ClusterSyncOptions {
+  /** Time within which a configuration has to be in force on every daemon. */
+  readonly applyMs?: number;
   readonly clock: MonotonicClock;
   /** Servers that this daemon found to be cold; none by default. */
   readonly coldServers?: () => readonly ColdReport[];
@@ -108,6 +111,7 @@
   constructor(private readonly options: ClusterSyncOptions) {
     const { clock, directory, failureDomain, host, limits, log, memberId, randomUnit, registry } =
       options;
+    const freshness = new StoreFreshness({ applyMs: options.applyMs, clock });
     this.state = new ClusterState({
       advanceStorePosition: (position) => {
         this.storeFollower.advance(position);
@@ -177,12 +181,16 @@
         }
       },
       onQuarantines: options.onQuarantines,
+      onStoreAge: (ageMs) => {
+        freshness.confirm(ageMs);
+      },
       position: () => this.state.position(),
       quarantines: options.quarantines,
       shortage: options.shortage,
       seedHosts: options.seedHosts,
       snapshot: (knownVersion) => this.state.snapshot(knownVersion),
       speeds: options.speeds,
+      storeAgeMs: () => this.storeFollower.ageMs(),
       transport: options.transport,
     });
     this.registration = new MemberRegistration({
@@ -195,10 +203,11 @@
     this.storeFollower = new DirectoryFollower({
       clock,
       directory,
+      freshness,
       isWatcher: () => this.peers.table.isWatcher(),
       log,
-      onChanges: (changes, isFullRead) => {
-        this.state.applyStoreChanges(changes, isFullRead);
+      onChanges: (changes, read) => {
+        this.state.applyStoreChanges(changes, read);
       },
       onReachabilityChanged: () => {
         this.peers.scheduleHeartbeat();
--- a/packages/serving/src/peers/PeerLink.ts
+++ b/packages/serving/src/peers/PeerLink.ts
@@ -81,6 +81,8 @@
   /** Called with the limits of servers that a peer knows. */
   readonly onLimits: (limits: readonly LimitReport[]) => void;
   readonly onMessage: (message: Exclude<PeerMessage, DomainLoadMessage>) => void;
+  /** Called with the time before now up to which a peer knows all changes of the store. */
+  readonly onStoreAge: (ageMs: number) => void;
   /** Called with the quarantines that a peer reports. */
   readonly onQuarantines: (reports: readonly QuarantineReport[]) => void;
   /** The active configuration. */
@@ -99,6 +101,8 @@
   readonly snapshot: (knownVersion: number) => PeerSnapshot;
   /** Observed speeds of engines; not exchanged where it is absent. */
   readonly speeds?: SpeedExchange;
+  /** Age of what this daemon knows of the store; undefined before it knows anything. */
+  readonly storeAgeMs: () => number | undefined;
   readonly transport: PeerTransport;
 }
 
@@ -366,6 +370,7 @@
       shares,
       ...(shortage ? { shortage } : {}),
       ...(speeds.length > 0 ? { speeds } : {}),
+      ...this.storeAge(),
       storeIsAway: this.options.isStoreDown(),
     };
     this.sendToHosts(encodeMessage(heartbeat), [
@@ -405,10 +410,16 @@
       shares,
       ...(shortage ? { shortage } : {}),
       ...(speeds.length > 0 ? { speeds } : {}),
+      ...this.storeAge(),
     };
     this.sendToHosts(encodeMessage(message), hostsOf(aggregators));
   }
 
+  private storeAge(): { readonly storeAgeMs?: number } {
+    const ageMs = this.options.storeAgeMs();
+    return ageMs === undefined ? {} : { storeAgeMs: Math.ceil(ageMs) };
+  }
+
   private domainDigest(): DomainDigest {
     const { host, isCutOff, isDraining, position } = this.options;
     const self = { isCutOff: isCutOff(), isDraining: isDraining() };
@@ -429,6 +440,9 @@
     if (digest) {
       this.table.recordDomain(message.failureDomain, digest.members);
     }
+    if (message.storeAgeMs !== undefined) {
+      this.options.onStoreAge(message.storeAgeMs);
+    }
     if (message.isForwarded !== true && this.table.isDomainAggregator()) {
       const forwarded = encodeMessage({ ...message, isForwarded: true });
       this.sendToHosts(forwarded, hostsOf(this.table.fullUpdatePeers()));
@@ -471,6 +485,11 @@
       return;
     }
     const nowMs = clock.nowMs();
+    const watches = !heartbeat.storeIsAway && this.table.isWatchedBy(heartbeat.memberId);
+    const storeAgeMs = heartbeat.storeAgeMs ?? (watches ? 0 : undefined);
+    if (storeAgeMs !== undefined) {
+      this.options.onStoreAge(storeAgeMs);
+    }
     load.recordMemberReport(heartbeat.memberId, heartbeat.shares, nowMs);
     this.options.evacuations?.mergeReports(heartbeat.evacuations ?? [], 'heartbeat');
     // Seeds of other domains get the heartbeats too, besides the sum of the domain.
--- a/packages/serving/src/peers/PeerMessages.ts
+++ b/packages/serving/src/peers/PeerMessages.ts
@@ -73,6 +73,11 @@
   readonly shortage?: readonly ServiceShortage[];
   /** Observed speeds of some engines, in turn; checked by `unpackSpeedReports`. */
   readonly speeds?: readonly PackedSpeedReport[];
+  /**
+   * Time before the message up to which the sender knows all changes of the platform's store; absent until
+   * it knows any, and from daemons of earlier builds.
+   */
+  readonly storeAgeMs?: number;
   /** The platform's store does not respond to this daemon. */
   readonly storeIsAway: boolean;
 }
@@ -225,6 +230,8 @@
   readonly shortage?: readonly ServiceShortage[];
   /** Observed speeds of some engines, in turn; checked by `unpackSpeedReports`. */
   readonly speeds?: readonly PackedSpeedReport[];
+  /** As in {@link PeerHeartbeat}. */
+  readonly storeAgeMs?: number;
 }
 
 /** Announcement of a new configuration, which receivers fetch from the sender. */
--- a/packages/serving/src/peers/PeerTable.ts
+++ b/packages/serving/src/peers/PeerTable.ts
@@ -199,8 +199,13 @@
 
   /** Whether this daemon watches the platform's store on behalf of the fleet. */
   isWatcher(): boolean {
-    const { failureDomain, isStoreDown, memberId } = this.options;
-    const self = { failureDomain, memberId, storeIsAway: isStoreDown() };
+    return this.isWatchedBy(this.options.memberId);
+  }
+
+  /** Whether a daemon watches the platform's store on behalf of the fleet, as far as this one hears. */
+  isWatchedBy(memberId: MemberId): boolean {
+    const { failureDomain, isStoreDown, memberId: ownId } = this.options;
+    const self = { failureDomain, memberId: ownId, storeIsAway: isStoreDown() };
     return selectWatchers([...this.livePeersWithDomain(), self]).has(memberId);
   }
 
--- a/packages/serving/src/store/DirectoryFollower.ts
+++ b/packages/serving/src/store/DirectoryFollower.ts
@@ -4,20 +4,29 @@
 import type { ServingLog } from '../ServingLog.js';
 import type { DirectoryChanges, DirectoryError, PlatformDirectory } from '../ServingPorts.js';
 import type { StorePosition } from './StorePosition.js';
+import type { StoreFreshness } from './StoreFreshness.js';
 import { FIRST_POSITION, isLater } from './StorePosition.js';
 
 /** Changes of the store, complete up to their position. */
 export type FollowedChanges = DirectoryChanges & StorePosition;
 
+/**
+ * How changes were read: in full, so that what is not listed is gone, by a watch on behalf of other
+ * daemons, or by a query of a daemon for itself.
+ */
+export type StoreRead = 'full' | 'query' | 'watch';
+
 /** Options of {@link DirectoryFollower}. */
 export interface DirectoryFollowerOptions {
   readonly clock: MonotonicClock;
   readonly directory: PlatformDirectory;
+  /** Age of what this daemon knows of the store, which bounds how long it relies on others. */
+  readonly freshness: StoreFreshness;
   /** Whether this daemon watches the store; the other daemons receive changes from the watchers. */
   readonly isWatcher: () => boolean;
   readonly log: ServingLog;
-  /** Receives changes. With `isFullRead` they list everything, and what is not listed is gone. */
-  readonly onChanges: (changes: FollowedChanges, isFullRead: boolean) => void;
+  /** Receives changes. */
+  readonly onChanges: (changes: FollowedChanges, read: StoreRead) => void;
   /** Called when the store begins or ceases to respond to this daemon. */
   readonly onReachabilityChanged: () => void;
   /** Called after a failed call to the store; other daemons may have newer data. */
@@ -29,6 +38,11 @@
 const WATCH_TIMEOUT_MS = 2_000;
 /** Interval at which a daemon checks whether it has become a watcher. */
 const WATCHER_CHECK_INTERVAL_MS = 200;
+const MIN_CHECK_INTERVAL_MS = 20;
+/** A query for changes is not held by the store. */
+const QUERY_WAIT_MS = 1;
+/** A watch that is held for longer has nothing to report. */
+const MIN_QUIET_WATCH_MS = 100;
 const FIRST_BACKOFF_MS = 50;
 /** A call that was sent this long before a ping and is answered after it hangs. */
 const MIN_HANGING_MS = 30;
@@ -57,6 +71,17 @@
     return this.isUnreachable;
   }
 
+  /** Age of what this daemon knows of the store; undefined before it knows anything. */
+  ageMs(): number | undefined {
+    const { clock, freshness, isWatcher } = this.options;
+    const pendingMs = clock.nowMs() - (this.pendingSinceMs ?? Infinity);
+    const isQuiet = pendingMs >= MIN_QUIET_WATCH_MS && !this.isUnreachable && !this.mustReadAll;
+    if (isQuiet && isWatcher()) {
+      freshness.confirm(0);
+    }
+    return freshness.ageMs();
+  }
+
   /** Checks whether the store responds, which a pending watch does not show. */
   async ping(): Promise<void> {
     const { clock, directory, isWatcher, log } = this.options;
@@ -135,16 +160,20 @@
   }
 
   private async readOrWatch(): Promise<Result<DirectoryChanges | undefined, DirectoryError>> {
-    const { clock, directory, isWatcher, log, onChanges } = this.options;
+    const { clock, directory, freshness, isWatcher, log, onChanges } = this.options;
     const isFullRead = this.mustReadAll;
-    if (!isFullRead && !isWatcher()) {
-      await sleep(WATCHER_CHECK_INTERVAL_MS);
+    const isQuery = !isFullRead && !isWatcher();
+    const waitMs = isQuery ? this.untilQueryMs() : 0;
+    if (waitMs > 0) {
+      await sleep(waitMs);
       return success(undefined);
     }
-    this.pendingSinceMs = clock.nowMs();
+    const sentMs = clock.nowMs();
+    this.pendingSinceMs = sentMs;
+    freshness.recordQuery();
     const outcome = isFullRead
       ? await directory.readAll()
-      : await directory.watch(this.position.revision, WATCH_TIMEOUT_MS);
+      : await directory.watch(this.position.revision, isQuery ? QUERY_WAIT_MS : WATCH_TIMEOUT_MS);
     this.pendingSinceMs = undefined;
     if (!outcome.ok || this.isStopped) {
       return outcome;
@@ -160,14 +189,30 @@
       this.onEraChanged(era);
       return success(undefined);
     }
+    freshness.confirm(clock.nowMs() - sentMs);
+    if (isQuery) {
+      const { revision: afterRevision } = this.position;
+      log.info('store-queried', { afterRevision, revision });
+    }
     if (isFullRead || isLater({ era, revision }, this.position)) {
       this.position = { era, revision };
     }
     this.mustReadAll = false;
-    onChanges({ ...outcome.value, era }, isFullRead);
+    onChanges({ ...outcome.value, era }, isFullRead ? 'full' : isQuery ? 'query' : 'watch');
     return outcome;
   }
 
+  /**
+   * Time until a daemon that does not watch checks whether it has to ask the store itself; 0 when it has
+   * to. Pings show when a store is back that does not answer.
+   */
+  private untilQueryMs(): number {
+    const dueInMs = this.isUnreachable ? Infinity : this.options.freshness.queryDueInMs();
+    return dueInMs === 0
+      ? 0
+      : Math.min(WATCHER_CHECK_INTERVAL_MS, Math.max(MIN_CHECK_INTERVAL_MS, dueInMs));
+  }
+
   private setUnreachable(isUnreachable: boolean): void {
     if (this.isUnreachable !== isUnreachable) {
       this.isUnreachable = isUnreachable;
--- /dev/null
+++ b/packages/serving/src/store/StoreFreshness.ts
@@ -0,0 +1,58 @@
+import type { MonotonicClock } from '@laburnumgap/kernel';
+
+/** Options of {@link StoreFreshness}. */
+export interface StoreFreshnessOptions {
+  /** Time within which a configuration has to be in force on every daemon. */
+  readonly applyMs?: number;
+  readonly clock: MonotonicClock;
+}
+
+/** Used where the settings do not state it. */
+const DEFAULT_APPLY_MS = 2_000;
+/** The rest of the time is for the read, and for the configuration that it can lead to. */
+const MAX_AGE_FRACTION = 0.45;
+
+/**
+ * How old this daemon's view of the store can be. Every daemon states this age in its messages, so that it
+ * spreads from the daemons that watch the store. One whose view becomes too old asks the store itself,
+ * however many daemons that watched it were lost one after the other.
+ */
+export class StoreFreshness {
+  private askedMs = -Infinity;
+  private readonly clock: MonotonicClock;
+  private confirmedMs = -Infinity;
+  private readonly maxAgeMs: number;
+
+  constructor({ applyMs = DEFAULT_APPLY_MS, clock }: StoreFreshnessOptions) {
+    this.clock = clock;
+    this.maxAgeMs = applyMs * MAX_AGE_FRACTION;
+  }
+
+  /** Age of the view; undefined before the first confirmation. */
+  ageMs(): number | undefined {
+    const ageMs = this.clock.nowMs() - this.confirmedMs;
+    return ageMs === Infinity ? undefined : ageMs;
+  }
+
+  /**
+   * Records that all changes up to some time ago are known, or will be from their sender.
+   *
+   * @param ageMs - that time; ignored unless it is a number of at least 0
+   */
+  confirm(ageMs: number): void {
+    if (ageMs >= 0) {
+      this.confirmedMs = Math.max(this.confirmedMs, this.clock.nowMs() - ageMs);
+    }
+  }
+
+  /** Records that the store is asked; an answer that does not come is not asked for at once again. */
+  recordQuery(): void {
+    this.askedMs = this.clock.nowMs();
+  }
+
+  /** Time until the store has to be asked; 0 when it is due. */
+  queryDueInMs(): number {
+    const sinceMs = Math.max(this.askedMs, this.confirmedMs);
+    return Math.max(0, sinceMs + this.maxAgeMs - this.clock.nowMs());
+  }
+}
