Remember which starts of servers have left, with or without their entries

Cause: what a server says about its leaving is final, but was dropped with the mark that the removal of its entry ends. A mark that came after the removal had no effect, and an entry that said 'draining' was forgotten 20 s after it was gone.

Change: ServerRegistry keeps the starts that have left in one place, for as long as they are registered and 120 s more. An entry of such a start is known as leaving and reported to the others. Another start takes work at once.

Ruled out: the list for a new era (asked in a new era only), heartbeats of others (they drop the mark in the same way).

--- a/packages/dispatch/src/ServerRegistry.ts
+++ b/packages/dispatch/src/ServerRegistry.ts
@@ -42,6 +42,11 @@
   readonly untilRevision: number;
 }
 
+/** A run of a server that said that it leaves, in its entry or otherwise. */
+interface LeftServer extends ServerIncarnation {
+  readonly sinceMs: number;
+}
+
 interface Backoff {
   readonly startedEpochMs: number;
   readonly untilMs: number;
@@ -93,6 +98,8 @@
   /** Those of them that had ended when the current era began. */
   private readonly goneBeforeEra = new Map<ServerId, GoneServer>();
   private readonly lapseGraceMs: number;
+  /** Runs of servers that never take work again, whatever is written of them later. */
+  private readonly left = new Map<string, LeftServer>();
   /** Times at which servers were found to be leaving. */
   private readonly leavingSinceMs = new Map<ServerId, number>();
   /** Start times of the servers marked as leaving ahead of the store; a restart has another one. */
@@ -207,6 +214,7 @@
    * @returns whether the server was not known to leave before
    */
   markLeaving({ serverId, startedEpochMs }: ServerIncarnation, nowMs: number): boolean {
+    this.recordLeft({ serverId, startedEpochMs }, nowMs);
     const known = this.entries.get(serverId);
     if (!known || known.leaving || known.server.startedEpochMs !== startedEpochMs) {
       return false;
@@ -333,6 +341,12 @@
         this.removedRevisions.delete(serverId);
       }
     }
+    for (const [key, { serverId, sinceMs, startedEpochMs }] of this.left) {
+      const isRegistered = this.entries.get(serverId)?.server.startedEpochMs === startedEpochMs;
+      if (!isRegistered && nowMs - sinceMs > ENDED_SERVER_RETENTION_MS) {
+        this.left.delete(key);
+      }
+    }
     for (const [serverId, { endedMs }] of this.ended) {
       if (nowMs - endedMs > ENDED_SERVER_RETENTION_MS) {
         this.ended.delete(serverId);
@@ -412,8 +426,10 @@
     }
     this.goneBeforeEra.delete(change.serverId);
     const wasLeaving = known?.leaving ?? false;
-    const hasAnnounced = !server.leaving && hasAnnouncedLeaving(known?.server, server);
-    if (hasAnnounced) {
+    if (server.leaving) {
+      this.recordLeft(server, nowMs);
+    } else if (this.hasLeft(server)) {
+      // The store can carry out an earlier write after a later one.
       this.markedLeaving.set(change.serverId, server.startedEpochMs);
     }
     const isMarked = this.markedLeaving.get(change.serverId) === server.startedEpochMs;
@@ -476,7 +492,7 @@
   private markRemoved(entry: RegisteredServer, nowMs: number): void {
     const { revision, server } = entry;
     const { serverId, startedEpochMs } = server;
-    const hasAnnounced = server.leaving || this.markedLeaving.has(serverId);
+    const hasAnnounced = server.leaving || this.markedLeaving.has(serverId) || this.hasLeft(server);
     this.ended.set(serverId, { endedMs: nowMs, hasAnnounced, startedEpochMs });
     this.removedAtMs.set(serverId, nowMs);
     this.markedLeaving.delete(serverId);
@@ -484,6 +500,18 @@
     this.recordLeaving(serverId, true, nowMs);
   }
 
+  /** A server without a start time can have started again when it is written as ready. */
+  private recordLeft({ serverId, startedEpochMs }: ServerIncarnation, nowMs: number): void {
+    if (startedEpochMs !== UNKNOWN_START_EPOCH_MS) {
+      const key = keyOf({ serverId, startedEpochMs });
+      this.left.set(key, { serverId, sinceMs: nowMs, startedEpochMs });
+    }
+  }
+
+  private hasLeft(incarnation: ServerIncarnation): boolean {
+    return this.left.has(keyOf(incarnation));
+  }
+
   private recordLeaving(serverId: ServerId, leaving: boolean, nowMs: number): void {
     if (!leaving) {
       this.leavingSinceMs.delete(serverId);
@@ -493,14 +521,6 @@
   }
 }
 
-/**
- * Whether an entry says that a server stays although it has said that it leaves: the store can carry out
- * an earlier write after a later one. A server that starts again has another start time.
- */
-function hasAnnouncedLeaving(known: BackendServer | undefined, server: BackendServer): boolean {
-  return (
-    known?.leaving === true &&
-    known.startedEpochMs === server.startedEpochMs &&
-    server.startedEpochMs !== UNKNOWN_START_EPOCH_MS
-  );
+function keyOf({ serverId, startedEpochMs }: ServerIncarnation): string {
+  return `${startedEpochMs} ${serverId}`;
 }
--- a/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
+++ b/packages/dispatch/src/__tests__/unit/ServerRegistry.test.ts
@@ -1,12 +1,17 @@
 import type { Revision, ServerId, ServiceId } from '@laburnumgap/kernel';
 import { toId, toNumberId } from '@laburnumgap/kernel';
 import test from 'ava';
+import type { ServerChange } from '../../index.js';
 import { ServerRegistry } from '../../index.js';
 import { changeOf } from '../support/DispatchFixtures.js';
 
 const ENGINES = toId<ServiceId>('engines');
 const B = { serverId: toId<ServerId>('b'), startedEpochMs: 1 };
 
+function removalOf(name: string, revision: number): ServerChange {
+  return { revision: toNumberId<Revision>(revision), serverId: toId<ServerId>(name) };
+}
+
 function usableIds(registry: ServerRegistry): readonly string[] {
   return registry.usableServers(ENGINES, 0).map(({ serverId }) => serverId);
 }
@@ -42,6 +47,57 @@
   t.deepEqual(usableIds(registry), ['a', 'b']);
 });
 
+// A server got requests again when the store carried out a heartbeat after its entry was removed.
+for (const [title, leave] of [
+  [
+    'said so in its answers and was removed',
+    (registry: ServerRegistry) => {
+      registry.markLeaving(B, 0);
+      registry.apply([removalOf('b', 11)], 0);
+    },
+  ],
+  [
+    'was removed and then said so in its answers',
+    (registry: ServerRegistry) => {
+      registry.apply([removalOf('b', 11)], 0);
+      registry.markLeaving(B, 0);
+    },
+  ],
+  [
+    'was written as leaving and removed',
+    (registry: ServerRegistry) => {
+      registry.apply([changeOf('b', 10, { leaving: true })], 0);
+      registry.apply([removalOf('b', 11)], 0);
+    },
+  ],
+] as const) {
+  test(`a server that ${title} is not brought back by an earlier entry`, (t) => {
+    const registry = registryOf('a', 'b', 'c', 'd');
+    leave(registry);
+    registry.expire(30_000);
+    registry.apply([changeOf('b', 12, {})], 30_000);
+    t.deepEqual(usableIds(registry), ['a', 'c', 'd']);
+    t.deepEqual(registry.serversMarkedLeaving(), [B], 'other daemons hear of it');
+    registry.expire(300_000);
+    registry.apply([changeOf('b', 13, {})], 300_000);
+    t.deepEqual(usableIds(registry), ['a', 'c', 'd'], 'as long as it is registered');
+    const listed = ['a', 'b', 'c', 'd'].map((name) => changeOf(name, 14, {}));
+    registry.replace(listed, toNumberId<Revision>(14), 300_000);
+    t.deepEqual(usableIds(registry), ['a', 'c', 'd'], 'after a full read');
+    registry.apply([changeOf('b', 15, { startedEpochMs: 2 })], 300_000);
+    t.deepEqual(usableIds(registry), ['a', 'b', 'c', 'd'], 'a new start');
+  });
+}
+
+test('servers that left are forgotten when no earlier entry can arrive any more', (t) => {
+  const registry = registryOf('a', 'b', 'c', 'd');
+  registry.markLeaving(B, 0);
+  registry.apply([removalOf('b', 11)], 0);
+  registry.expire(200_000);
+  registry.apply([changeOf('b', 12, {})], 200_000);
+  t.deepEqual(usableIds(registry), ['a', 'b', 'c', 'd']);
+});
+
 test('a server without a start time can have started again when it is ready after it left', (t) => {
   const registry = registryOf('a');
   registry.apply([changeOf('b', 10, { leaving: true, startedEpochMs: 0 })], 0);
