Ask a store that does not answer later and later

Change: a query that fails changes nothing but when it is asked again: after the greatest age, then twice as long each time, up to eight times. A query in another era is left to those that watch.

--- a/packages/serving/src/store/DirectoryFollower.ts
+++ b/packages/serving/src/store/DirectoryFollower.ts
@@ -168,12 +168,14 @@
       await sleep(waitMs);
       return success(undefined);
     }
+    if (isQuery) {
+      return this.query();
+    }
     const sentMs = clock.nowMs();
     this.pendingSinceMs = sentMs;
-    freshness.recordQuery();
     const outcome = isFullRead
       ? await directory.readAll()
-      : await directory.watch(this.position.revision, isQuery ? QUERY_WAIT_MS : WATCH_TIMEOUT_MS);
+      : await directory.watch(this.position.revision, WATCH_TIMEOUT_MS);
     this.pendingSinceMs = undefined;
     if (!outcome.ok || this.isStopped) {
       return outcome;
@@ -190,24 +192,49 @@
       return success(undefined);
     }
     freshness.confirm(clock.nowMs() - sentMs);
-    if (isQuery) {
-      const { revision: afterRevision } = this.position;
-      log.info('store-queried', { afterRevision, revision });
-    }
     if (isFullRead || isLater({ era, revision }, this.position)) {
       this.position = { era, revision };
     }
     this.mustReadAll = false;
-    onChanges({ ...outcome.value, era }, isFullRead ? 'full' : isQuery ? 'query' : 'watch');
+    onChanges({ ...outcome.value, era }, isFullRead ? 'full' : 'watch');
     return outcome;
   }
 
+  /**
+   * Reads what has changed. A failure changes nothing: pings find out whether the store is away, and those
+   * that watch deal with a new era.
+   */
+  private async query(): Promise<Result<DirectoryChanges | undefined, DirectoryError>> {
+    const { clock, directory, freshness, log, onChanges } = this.options;
+    const { era: knownEra, revision: afterRevision } = this.position;
+    const sentMs = clock.nowMs();
+    freshness.recordQuery();
+    const outcome = await directory.watch(afterRevision, QUERY_WAIT_MS);
+    if (this.isStopped || (!outcome.ok && outcome.error.kind === 'historyLost')) {
+      return outcome;
+    }
+    if (!outcome.ok) {
+      log.info('store-query-failed', { afterRevision, ...outcome.error });
+      return success(undefined);
+    }
+    const { era = knownEra, revision } = outcome.value;
+    log.info('store-queried', { afterRevision, era, revision });
+    this.setUnreachable(false);
+    const isFromHere = knownEra === this.position.era && era === knownEra;
+    if (isFromHere) {
+      freshness.confirm(clock.nowMs() - sentMs);
+      this.advance({ era, revision });
+      onChanges({ ...outcome.value, era }, 'query');
+    }
+    return success(undefined);
+  }
+
   /**
    * Time until a daemon that does not watch checks whether it has to ask the store itself; 0 when it has
-   * to. Pings show when a store is back that does not answer.
+   * to.
    */
   private untilQueryMs(): number {
-    const dueInMs = this.isUnreachable ? Infinity : this.options.freshness.queryDueInMs();
+    const dueInMs = this.options.freshness.queryDueInMs();
     return dueInMs === 0
       ? 0
       : Math.min(WATCHER_CHECK_INTERVAL_MS, Math.max(MIN_CHECK_INTERVAL_MS, dueInMs));
--- a/packages/serving/src/store/StoreFreshness.ts
+++ b/packages/serving/src/store/StoreFreshness.ts
@@ -11,6 +11,8 @@
 const DEFAULT_APPLY_MS = 2_000;
 /** The rest of the time is for the read, and for the configuration that it can lead to. */
 const MAX_AGE_FRACTION = 0.45;
+/** While the store is away, the queries of each daemon become this much rarer at most. */
+const MAX_BACKOFF_FACTOR = 8;
 
 /**
  * How old this daemon's view of the store can be. Every daemon states this age in its messages, so that it
@@ -21,6 +23,8 @@
   private askedMs = -Infinity;
   private readonly clock: MonotonicClock;
   private confirmedMs = -Infinity;
+  /** Queries without an answer since the last confirmation. */
+  private unansweredQueries = 0;
   private readonly maxAgeMs: number;
 
   constructor({ applyMs = DEFAULT_APPLY_MS, clock }: StoreFreshnessOptions) {
@@ -40,19 +44,26 @@
    * @param ageMs - that time; ignored unless it is a number of at least 0
    */
   confirm(ageMs: number): void {
-    if (ageMs >= 0) {
-      this.confirmedMs = Math.max(this.confirmedMs, this.clock.nowMs() - ageMs);
+    const confirmedMs = this.clock.nowMs() - ageMs;
+    if (ageMs >= 0 && confirmedMs > this.confirmedMs) {
+      this.confirmedMs = confirmedMs;
+      this.unansweredQueries = 0;
     }
   }
 
-  /** Records that the store is asked; an answer that does not come is not asked for at once again. */
+  /** Records that the store is asked; without a confirmation it is asked again later and later. */
   recordQuery(): void {
     this.askedMs = this.clock.nowMs();
+    this.unansweredQueries += 1;
   }
 
   /** Time until the store has to be asked; 0 when it is due. */
   queryDueInMs(): number {
-    const sinceMs = Math.max(this.askedMs, this.confirmedMs);
-    return Math.max(0, sinceMs + this.maxAgeMs - this.clock.nowMs());
+    const backoffFactor = Math.min(MAX_BACKOFF_FACTOR, 2 ** (this.unansweredQueries - 1));
+    const dueMs = Math.max(
+      this.askedMs + this.maxAgeMs * backoffFactor,
+      this.confirmedMs + this.maxAgeMs,
+    );
+    return Math.max(0, dueMs - this.clock.nowMs());
   }
 }
