--- a/packages/serving/src/callers/GenerationRun.ts
+++ b/packages/serving/src/callers/GenerationRun.ts
@@ -358,8 +358,8 @@
   }
 
   /**
-   * Handles a stream whose connection has ended: continues it where it continues if it was stopped,
-   * otherwise fails it.
+   * Handles a stream whose connection has ended. Continues it from the copy that {@link orderStop} named,
+   * if the engine may have stopped it; otherwise fails it.
    *
    * @param reason - cause, for the log and the refusal
    */
--- a/packages/serving/src/servers/StreamMover.ts
+++ b/packages/serving/src/servers/StreamMover.ts
@@ -31,6 +31,13 @@
 /** Candidate targets that are offered to the coordinator of the moves. */
 const MAX_OFFERED_TARGETS = 6;
 
+/** Memory of a run that was copied or kept. */
+interface CopiedRun {
+  /** Number of events that the run had made. */
+  readonly eventsMade: number;
+  readonly handle: string;
+}
+
 interface StreamMove extends SelectedMove {
   /** The run can also end where it is; false by default. */
   readonly mayStay?: boolean;
@@ -282,7 +289,6 @@
     run.orderStop(atTarget);
     const finalCopy = await this.requestMove(source, target, requestId, true);
     this.logMove('move-stopped', status, source, target, finalCopy, finalCopyStartedMs);
-    const isRefused = finalCopy.kind === 'noRoom';
     switch (runAfterStop(finalCopy, mayBeStopped)) {
       case 'ended':
       case 'runsOn':
@@ -295,32 +301,44 @@
         }
         run.continueAt(atTarget);
         return true;
-      case 'stopped': {
-        const kept =
-          'handle' in finalCopy && finalCopy.handle ? finalCopy.handle : firstCopy.handle;
-        await waitForStreamClosed(run);
-        if (run.hasEnded()) {
-          this.dropCopy(source, kept);
-          return true;
-        }
-        if (isRefused) {
-          const refusedBy = this.refusals.get(run) ?? new Set();
-          this.refusals.set(run, refusedBy.add(target.serverId));
-        }
-        const { eventsMade } = finalCopy.kind === 'copied' ? finalCopy : firstCopy;
-        const keptAtSource = continuationAt(source, source, { eventsMade, handle: kept });
-        run.continueAt(
-          isRefused
-            ? { ...keptAtSource, fallback: continuationAt(target, source, firstCopy) }
-            : { ...keptAtSource, fallback: keptAtSource, server: target },
-        );
+      case 'stopped':
+        await this.continueStopped(run, source, target, firstCopy, finalCopy);
         return true;
-      }
       case 'unknown':
         return this.continueUndecided(run, status, source, atTarget);
     }
   }
 
+  /**
+   * Continues a run that its engine has stopped: at the target if that has all of it, otherwise at the engine,
+   * which keeps it. The other one is the fallback.
+   */
+  private async continueStopped(
+    run: GenerationRun,
+    source: BackendServer,
+    target: BackendServer,
+    firstCopy: CopiedRun,
+    finalCopy: MoveOutcome,
+  ): Promise<void> {
+    const hasRoom = finalCopy.kind === 'copied';
+    const kept = finalCopy.kind === 'noRoom' ? finalCopy.handle : undefined;
+    const handle = hasRoom ? finalCopy.handle : (kept ?? firstCopy.handle);
+    await waitForStreamClosed(run);
+    if (run.hasEnded()) {
+      this.dropCopy(source, handle);
+      return;
+    }
+    const { eventsMade } = hasRoom ? finalCopy : firstCopy;
+    const atSource = continuationAt(source, source, { eventsMade, handle });
+    if (hasRoom) {
+      run.continueAt({ ...atSource, fallback: atSource, server: target });
+      return;
+    }
+    const refusedBy = this.refusals.get(run) ?? new Set();
+    this.refusals.set(run, refusedBy.add(target.serverId));
+    run.continueAt({ ...atSource, fallback: continuationAt(target, source, firstCopy) });
+  }
+
   /**
    * Goes on after an order to stop of which it is not known whether it was carried out. A copy that leaves
    * the run as it is shows whether the engine still runs it. Where nothing shows that, the stream stays, and
@@ -402,7 +420,7 @@
 function continuationAt(
   server: BackendServer,
   { host, port }: BackendServer,
-  { eventsMade, handle }: { readonly eventsMade: number; readonly handle: string },
+  { eventsMade, handle }: CopiedRun,
 ): Continuation {
   const kvSource: KvCacheLocation = { handle, host, port };
   return { eventsMade, kvSource, server };
