Select the watchers on a heartbeat only where it states no age

Cause: each heartbeat sorted all daemons to see whether its sender watches the store, though the age that it states says more. Change: only for daemons of earlier builds.

--- a/packages/serving/src/peers/PeerLink.ts
+++ b/packages/serving/src/peers/PeerLink.ts
@@ -485,10 +485,11 @@
       return;
     }
     const nowMs = clock.nowMs();
-    const watches = !heartbeat.storeIsAway && this.table.isWatchedBy(heartbeat.memberId);
-    const storeAgeMs = heartbeat.storeAgeMs ?? (watches ? 0 : undefined);
-    if (storeAgeMs !== undefined) {
-      this.options.onStoreAge(storeAgeMs);
+    if (heartbeat.storeAgeMs !== undefined) {
+      this.options.onStoreAge(heartbeat.storeAgeMs);
+    } else if (!heartbeat.storeIsAway && this.table.isWatchedBy(heartbeat.memberId)) {
+      // A daemon of an earlier build, which states no age.
+      this.options.onStoreAge(0);
     }
     load.recordMemberReport(heartbeat.memberId, heartbeat.shares, nowMs);
     this.options.evacuations?.mergeReports(heartbeat.evacuations ?? [], 'heartbeat');
