Leave runs that would end shortly after their engine's time

Cause: at that load the runs were slower, so that those stopped last were expected to end 0.1 s after the engine's time, and were stopped without a way back. That time is a least one, and the estimate no better than that. Change: 0.5 s of tolerance.

--- a/packages/dispatch/src/StreamMoves.ts
+++ b/packages/dispatch/src/StreamMoves.ts
@@ -18,6 +18,8 @@
 const MIN_REMAINING_MS = 100;
 /** Engines keep serving for about this long after they announced to leave. */
 const ENGINE_STOP_DELAY_MS = 1_500;
+/** Time by which engines usually serve longer than they have to. */
+const ENGINE_LINGER_MS = 500;
 const BITS_PER_BYTE = 8;
 const BITS_PER_MEGABIT = 1_000_000;
 const MS_PER_S = 1_000;
@@ -46,7 +48,8 @@
 
 /**
  * Whether a run is stopped for a move. A run that no engine would take after the stop is better left where
- * it is, if it is expected to end there.
+ * it is, if it is expected to end there or shortly after the engine's time: that is a least time, and the
+ * run's own pace an estimate.
  *
  * @param run - the run
  * @returns false when it stays where it is for now
@@ -56,7 +59,7 @@
   engineRemainingMs,
   runRemainingMs,
 }: RunBeforeStop): boolean {
-  return acceptsReturn || runRemainingMs > engineRemainingMs;
+  return acceptsReturn || runRemainingMs > engineRemainingMs + ENGINE_LINGER_MS;
 }
 
 /**
